--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: quickstart test check format bench slopes setup lock
+
+quickstart: setup
+	$(PY) -m passpier.standins.quickstart
+
+test: setup
+	$(PY) -m pytest
+
+check: setup
+	$(VENV)/bin/ruff format --check passpier
+	$(VENV)/bin/ruff check passpier
+	$(VENV)/bin/mypy passpier
+
+format: setup
+	$(VENV)/bin/ruff check --fix passpier
+	$(VENV)/bin/ruff format passpier
+
+bench: setup
+	$(PY) -m passpier.standins.bench $(BENCH)
+
+slopes: setup
+	$(PY) -m passpier.standins.slopes
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
--- /dev/null
+++ b/passpier/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the outside systems, each behind a Protocol type."""
--- /dev/null
+++ b/passpier/clients/kvevents.py
@@ -0,0 +1,63 @@
+"""Cache events as vLLM publishes them over ZeroMQ: topic, sequence number, MessagePack batch."""
+
+from __future__ import annotations
+
+import msgspec
+
+TOPIC_PREFIX = 'kv@'
+"""A topic reads `kv@<incarnation>@<model>`."""
+
+REPLAY_END = (-1).to_bytes(8, 'big', signed=True)
+"""Sequence number that ends a replay."""
+
+
+class BlockStored(msgspec.Struct, array_like=True, tag='BlockStored'):
+    """Blocks that were added to the cache, as a chain behind `parent_block_hash`."""
+
+    block_hashes: list[int]
+    parent_block_hash: int | None
+    token_ids: list[int]
+    block_size: int
+    lora_id: int | None = None
+    medium: str | None = None
+    lora_name: str | None = None
+    extra_keys: list[list[str] | None] | None = None
+
+
+class BlockRemoved(msgspec.Struct, array_like=True, tag='BlockRemoved'):
+    """Blocks that were evicted."""
+
+    block_hashes: list[int]
+    medium: str | None = None
+
+
+class AllBlocksCleared(msgspec.Struct, array_like=True, tag='AllBlocksCleared'):
+    """The cache was emptied."""
+
+
+Event = BlockStored | BlockRemoved | AllBlocksCleared
+
+
+class Batch(msgspec.Struct, array_like=True):
+    """Events of one engine step; `ts` is the engine's clock in seconds."""
+
+    ts: float
+    events: list[Event]
+    data_parallel_rank: int | None = None
+
+
+encode_batch = msgspec.msgpack.Encoder().encode
+decode_batch = msgspec.msgpack.Decoder(Batch).decode
+
+
+def build_topic(incarnation: str, model: str) -> bytes:
+    """Return the topic of an engine's events."""
+    return f'{TOPIC_PREFIX}{incarnation}@{model}'.encode()
+
+
+def parse_topic(topic: bytes) -> tuple[str, str]:
+    """Return the incarnation and the model that a topic names; empty strings if it names none."""
+    parts = topic.decode(errors='replace').split('@')
+    if len(parts) != 3 or parts[0] + '@' != TOPIC_PREFIX:
+        return '', ''
+    return parts[1], parts[2]
--- /dev/null
+++ b/passpier/clients/store.py
@@ -0,0 +1,236 @@
+"""The platform's key-value service: a `Protocol`, the etcd v3 JSON gateway, and a memory store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import dataclasses
+import itertools
+from collections.abc import AsyncIterator, Sequence
+from typing import Any, Protocol
+
+import msgspec
+
+from passpier import exceptions
+from passpier.clients import web
+
+CALL_TIMEOUT = 2.0
+"""Seconds after which a call counts as unanswered."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Value:
+    """A key's value; the revisions are the store's, 0 for an absent key."""
+
+    key: str
+    data: bytes
+    mod_revision: int
+    create_revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """A write of a transaction; `lease` 0 binds it to none."""
+
+    key: str
+    data: bytes
+    lease: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delete:
+    """A deletion of a transaction."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IsAt:
+    """A condition: the key was last written at `mod_revision`; 0 means it is absent."""
+
+    key: str
+    mod_revision: int
+
+
+class Store(Protocol):
+    """What passpier asks of a key-value service. Every call may raise `StoreError`."""
+
+    async def read(self, prefix: str) -> list[Value]:
+        """Return all values whose key starts with `prefix`."""
+
+    async def get(self, key: str) -> Value | None:
+        """Return one value."""
+
+    async def write(
+        self, operations: Sequence[Put | Delete], conditions: Sequence[IsAt] = ()
+    ) -> bool:
+        """Carry out all operations if all conditions hold; return whether they did."""
+
+    async def grant(self, ttl: int) -> int:
+        """Return a new lease of `ttl` seconds."""
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; false if it has lapsed."""
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+
+    def watch(self, prefix: str) -> AsyncIterator[None]:
+        """Yield once when watching, and again whenever something under `prefix` changed."""
+
+
+class EtcdStore:
+    """The etcd v3 JSON gateway; endpoints are tried in turn."""
+
+    def __init__(self, endpoints: Sequence[str], client: web.Client) -> None:
+        self._endpoints = itertools.cycle(endpoints)
+        self._endpoint = next(self._endpoints)
+        self._client = client
+
+    async def read(self, prefix: str) -> list[Value]:
+        """Return all values whose key starts with `prefix`."""
+        body = {'key': _encode(prefix), 'range_end': _encode(_next_prefix(prefix))}
+        return [_parse(kv) for kv in (await self._call('/v3/kv/range', body)).get('kvs', [])]
+
+    async def get(self, key: str) -> Value | None:
+        """Return one value."""
+        kvs = (await self._call('/v3/kv/range', {'key': _encode(key)})).get('kvs', [])
+        return _parse(kvs[0]) if kvs else None
+
+    async def write(
+        self, operations: Sequence[Put | Delete], conditions: Sequence[IsAt] = ()
+    ) -> bool:
+        """Carry out all operations if all conditions hold; return whether they did."""
+        compare = [
+            {'key': _encode(c.key), 'target': 'MOD', 'mod_revision': str(c.mod_revision)}
+            for c in conditions
+        ]
+        body = {'compare': compare, 'success': [_render(o) for o in operations]}
+        return bool((await self._call('/v3/kv/txn', body)).get('succeeded'))
+
+    async def grant(self, ttl: int) -> int:
+        """Return a new lease of `ttl` seconds."""
+        return int((await self._call('/v3/lease/grant', {'TTL': str(ttl)}))['ID'])
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; false if it has lapsed."""
+        answer = await self._call('/v3/lease/keepalive', {'ID': str(lease)})
+        return int(answer.get('result', {}).get('TTL', 0)) > 0
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        await self._call('/v3/lease/revoke', {'ID': str(lease)})
+
+    async def watch(self, prefix: str) -> AsyncIterator[None]:
+        """Yield once when watching, and again whenever something under `prefix` changed."""
+        create = {'key': _encode(prefix), 'range_end': _encode(_next_prefix(prefix))}
+        exchange = self._client.open(
+            'POST', f'http://{self._endpoint}/v3/watch', _dump({'create_request': create})
+        )
+        try:
+            while True:
+                if await exchange.read() is None:
+                    raise exceptions.StoreError('watch ended')
+                yield None
+        except web.ExchangeError as error:
+            raise exceptions.StoreError(str(error)) from error
+        finally:
+            exchange.abort()
+
+    async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        try:
+            answer = await self._client.fetch(
+                'POST', f'http://{self._endpoint}{path}', _dump(body), timeout=CALL_TIMEOUT
+            )
+        except web.ExchangeError as error:
+            self._endpoint = next(self._endpoints)
+            raise exceptions.StoreError(f'{path}: {error}') from error
+        if answer.status != 200:
+            raise exceptions.StoreError(f'{path}: status {answer.status}')
+        return msgspec.json.decode(answer.body)
+
+
+class MemoryStore:
+    """A store of this process alone, for trying a daemon out."""
+
+    def __init__(self) -> None:
+        self._values: dict[str, Value] = {}
+        self._revision = 0
+        self._changed = asyncio.Event()
+
+    async def read(self, prefix: str) -> list[Value]:
+        """Return all values whose key starts with `prefix`."""
+        return [v for k, v in sorted(self._values.items()) if k.startswith(prefix)]
+
+    async def get(self, key: str) -> Value | None:
+        """Return one value."""
+        return self._values.get(key)
+
+    async def write(
+        self, operations: Sequence[Put | Delete], conditions: Sequence[IsAt] = ()
+    ) -> bool:
+        """Carry out all operations if all conditions hold; return whether they did."""
+        for condition in conditions:
+            value = self._values.get(condition.key)
+            if (value.mod_revision if value else 0) != condition.mod_revision:
+                return False
+        self._revision += 1
+        for operation in operations:
+            old = self._values.pop(operation.key, None)
+            if isinstance(operation, Put):
+                created = old.create_revision if old else self._revision
+                value = Value(operation.key, operation.data, self._revision, created)
+                self._values[operation.key] = value
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return True
+
+    async def grant(self, ttl: int) -> int:
+        """Return a lease; it never lapses while this process lives."""
+        return 1
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew nothing."""
+        return True
+
+    async def revoke(self, lease: int) -> None:
+        """End nothing."""
+
+    async def watch(self, prefix: str) -> AsyncIterator[None]:
+        """Yield once when watching, and again whenever anything changed."""
+        while True:
+            changed = self._changed
+            yield None
+            await changed.wait()
+
+
+def _encode(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
+
+
+def _next_prefix(prefix: str) -> str:
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def _dump(body: dict[str, Any]) -> bytes:
+    return msgspec.json.encode(body)
+
+
+def _parse(kv: dict[str, Any]) -> Value:
+    return Value(
+        base64.b64decode(kv['key']).decode(),
+        base64.b64decode(kv.get('value', '')),
+        int(kv['mod_revision']),
+        int(kv['create_revision']),
+    )
+
+
+def _render(operation: Put | Delete) -> dict[str, Any]:
+    if isinstance(operation, Delete):
+        return {'request_delete_range': {'key': _encode(operation.key)}}
+    put = {
+        'key': _encode(operation.key),
+        'value': base64.b64encode(operation.data).decode(),
+        'lease': str(operation.lease),
+    }
+    return {'request_put': put}
--- /dev/null
+++ b/passpier/clients/web.py
@@ -0,0 +1,195 @@
+"""HTTP exchanges through tornado's curl client, with what a router must know of their failures."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Mapping
+
+import pycurl
+import tornado.curl_httpclient
+import tornado.httpclient
+import tornado.httputil
+
+MAX_CLIENTS = 4000
+"""Exchanges at once; beyond it they would queue inside the client, unseen by admission."""
+
+MAX_BUFFERED = 8 * 1024 * 1024
+"""Bytes of an answer that may wait for their reader before the exchange is ended."""
+
+CONNECT_TIMEOUT = 1.0
+"""Seconds."""
+
+
+class ExchangeError(Exception):
+    """An exchange failed; `sent` is false if certainly nothing reached the other side."""
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: tornado.httputil.HTTPHeaders
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    headers: tornado.httputil.HTTPHeaders
+    body: bytes
+
+
+class Exchange:
+    """One request whose answer is read as it comes."""
+
+    def __init__(self, client: tornado.curl_httpclient.CurlAsyncHTTPClient) -> None:
+        self._client = client
+        self._parts: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._head: asyncio.Future[Head] = asyncio.get_running_loop().create_future()
+        self._lines: list[str] = []
+        self._buffered = 0
+        self._aborted = False
+        self._error: ExchangeError | None = None
+
+    def start(self, request: tornado.httpclient.HTTPRequest, reuse: bool) -> None:
+        """Send the request. Without `reuse`, a connection of its own is made for it.
+
+        On a reused connection that dies before the answer, curl sends a request a second time;
+        a request that may run only once must not meet that.
+        """
+
+        def prepare(curl: pycurl.Curl) -> None:
+            curl.setopt(pycurl.FRESH_CONNECT, 0 if reuse else 1)
+            curl.setopt(pycurl.FORBID_REUSE, 0 if reuse else 1)
+            curl.setopt(pycurl.TCP_NODELAY, 1)
+            curl.setopt(pycurl.NOPROGRESS, 0)
+            curl.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(self._aborted))
+
+        request.prepare_curl_callback = prepare
+        request.header_callback = self._take_line
+        request.streaming_callback = self._take_part
+        future = self._client.fetch(request, raise_error=False)
+        future.add_done_callback(self._finish)
+
+    async def read_head(self) -> Head:
+        """Return status and headers."""
+        return await asyncio.shield(self._head)
+
+    async def read(self) -> bytes | None:
+        """Return the next part of the body, or none at its end."""
+        part = await self._parts.get()
+        if part is None:
+            self._parts.put_nowait(None)
+            if self._error is not None:
+                raise self._error
+            return None
+        self._buffered -= len(part)
+        return part
+
+    async def read_all(self) -> Answer:
+        """Return the whole answer."""
+        head = await self.read_head()
+        body = bytearray()
+        while (part := await self.read()) is not None:
+            body += part
+        return Answer(head.status, head.headers, bytes(body))
+
+    def abort(self) -> None:
+        """End the exchange soon, whatever is still to come."""
+        self._aborted = True
+        if not self._head.done():
+            self._head.cancel()
+
+    def _take_line(self, line: str) -> None:
+        if line.startswith('HTTP/'):
+            self._lines = [line]
+        elif line.strip():
+            self._lines.append(line)
+        elif not self._head.done():
+            start = tornado.httputil.parse_response_start_line(self._lines[0].strip())
+            headers = tornado.httputil.HTTPHeaders.parse(''.join(self._lines[1:]))
+            if start.code >= 200:
+                self._head.set_result(Head(start.code, headers))
+
+    def _take_part(self, part: bytes) -> None:
+        self._buffered += len(part)
+        if self._buffered > MAX_BUFFERED:
+            self._aborted = True
+        self._parts.put_nowait(part)
+
+    def _finish(self, future: asyncio.Future[tornado.httpclient.HTTPResponse]) -> None:
+        if future.cancelled():
+            self._error = ExchangeError('cancelled', True)
+        else:
+            response = future.result()
+            if response.code == 599:
+                sent = bool(response.time_info.get('pretransfer'))
+                self._error = ExchangeError(str(response.error), sent)
+        if not self._head.done():
+            error = self._error or ExchangeError('no answer', True)
+            self._head.set_exception(error)
+            # Whoever gave the exchange up no longer reads the head.
+            self._head.exception()
+        self._parts.put_nowait(None)
+
+
+class Client:
+    """Opens exchanges over one pool of connections."""
+
+    def __init__(self) -> None:
+        self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(
+            max_clients=MAX_CLIENTS, force_instance=True
+        )
+
+    def open(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        reuse: bool = True,
+    ) -> Exchange:
+        """Start an exchange."""
+        request = tornado.httpclient.HTTPRequest(
+            url,
+            method,
+            headers=tornado.httputil.HTTPHeaders(headers or {}),
+            body=body,
+            connect_timeout=CONNECT_TIMEOUT,
+            request_timeout=0,
+            follow_redirects=False,
+            allow_nonstandard_methods=True,
+            decompress_response=False,
+        )
+        exchange = Exchange(self._client)
+        exchange.start(request, reuse)
+        return exchange
+
+    async def fetch(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        timeout: float = 5.0,
+        reuse: bool = True,
+    ) -> Answer:
+        """Return a whole answer within `timeout` seconds."""
+        exchange = self.open(method, url, body, headers, reuse)
+        try:
+            return await asyncio.wait_for(exchange.read_all(), timeout)
+        except TimeoutError as error:
+            raise ExchangeError('timed out', True) from error
+        finally:
+            exchange.abort()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
--- /dev/null
+++ b/passpier/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: thin functions that parse and call on."""
--- /dev/null
+++ b/passpier/config/directory.py
@@ -0,0 +1,69 @@
+"""The configuration in force, indexed for look-ups."""
+
+from __future__ import annotations
+
+import hashlib
+
+from passpier.config import schema
+from passpier.core import shares
+
+DEFAULT_RULE = schema.Rule()
+
+
+class Directory:
+    """Services, accounts, pools and rules of one revision."""
+
+    def __init__(self, fleet: schema.Fleet, revision: int) -> None:
+        self.fleet = fleet
+        self.revision = revision
+        self.models = {m.name: m for m in fleet.models}
+        self.services = {s.name: s for s in fleet.services}
+        self.accounts = {a.name: a for a in fleet.accounts}
+        self.pools = {p.name: p for p in fleet.pools}
+        self._by_digest = {d: a for a in fleet.accounts for d in a.key_digests}
+        self.limits = {
+            a.name: shares.Limit(a.concurrency, a.tokens_per_second) for a in fleet.accounts
+        }
+
+    def find_account(self, api_key: str) -> schema.Account | None:
+        """Return the account that an API key belongs to."""
+        return self._by_digest.get(hash_key(api_key))
+
+    def find_service(self, account: schema.Account, name: str) -> schema.Service | None:
+        """Return a service that an account may use."""
+        if account.services and name not in account.services:
+            return None
+        return self.services.get(name)
+
+    def find_policy(self, service: str, account: str) -> str:
+        """Return the policy of the first rule that fits."""
+        for rule in self.fleet.rules:
+            if _fits(rule.services, service) and _fits(rule.accounts, account):
+                return rule.policy
+        return DEFAULT_RULE.policy
+
+    def find_model_of_pool(self, pool: str) -> schema.Model | None:
+        """Return the model that a pool's engines serve; none for a pool of plain services."""
+        for service in self.fleet.services:
+            if service.pool == pool and service.model is not None:
+                return self.models[service.model]
+        return None
+
+
+def is_repeatable(service: schema.Service, path: str) -> bool:
+    """Return whether a call of a path may run more than once; the longest prefix counts."""
+    best = max(
+        (p for p in service.paths if path == p.path or path.startswith(p.path.rstrip('/') + '/')),
+        key=lambda p: len(p.path),
+        default=None,
+    )
+    return service.repeatable if best is None else best.repeatable
+
+
+def hash_key(api_key: str) -> str:
+    """Return the digest under which an API key is declared."""
+    return hashlib.sha256(api_key.encode()).hexdigest()
+
+
+def _fits(names: tuple[str, ...], name: str) -> bool:
+    return '*' in names or name in names
--- /dev/null
+++ b/passpier/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: pure functions and state, without input or output."""
--- /dev/null
+++ b/passpier/core/choice.py
@@ -0,0 +1,162 @@
+"""Chooses the replica of a request; each policy is a `Policy`, all share the rest."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+from passpier.core import rendezvous, replicas, view
+
+TIE_SECONDS = 0.002
+"""Costs that differ by less, or by a tenth, count as equal."""
+
+TIE_SHARE = 0.1
+
+FAMILY_BLOCKS = 2
+"""Blocks behind the service's preamble that name a prompt's family."""
+
+REUSE_WEIGHT = {'first_token': 0.5, 'reuse': 3.0}
+"""What a second of recomputation costs against a second of waiting, by objective."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """What a policy needs to know of a request."""
+
+    chain: list[int]
+    block_tokens: int
+    prompt_tokens: int
+    preamble_blocks: int = 0
+    objective: str = 'first_token'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica with its cost terms, in seconds but for the tokens."""
+
+    name: str
+    matched_tokens: int
+    confidence: float
+    wait: float
+    prefill: float
+    recompute: float
+
+    @property
+    def total(self) -> float:
+        """The estimated cost."""
+        return self.wait + self.prefill + self.recompute
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """A chosen replica, why, and what it was compared to."""
+
+    name: str
+    reason: str
+    candidates: tuple[Candidate, ...]
+    miss_tokens: int
+
+
+class Policy(Protocol):
+    """A way of choosing among candidates."""
+
+    def pick(self, job: Job, candidates: Sequence[Candidate]) -> tuple[Candidate, str]:
+        """Return the winner and the reason."""
+
+
+class CostPolicy:
+    """The least estimated cost; near-ties go to the rendezvous winner of the prompt's family."""
+
+    def pick(self, job: Job, candidates: Sequence[Candidate]) -> tuple[Candidate, str]:
+        """Return the cheapest candidate."""
+        best = min(candidates, key=lambda c: c.total)
+        bound = best.total + max(TIE_SECONDS, best.total * TIE_SHARE)
+        near = [c for c in candidates if c.total <= bound]
+        if len(near) == 1:
+            return best, 'prefix' if best.matched_tokens else 'least_cost'
+        family = get_family(job)
+        winner = max(near, key=lambda c: rendezvous.compute_weight(family, c.name))
+        return winner, 'tie_by_family'
+
+
+class RoundRobinPolicy:
+    """Each candidate in turn."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def pick(self, job: Job, candidates: Sequence[Candidate]) -> tuple[Candidate, str]:
+        """Return the next candidate by name."""
+        ordered = sorted(candidates, key=lambda c: c.name)
+        self._turn += 1
+        return ordered[self._turn % len(ordered)], 'turn'
+
+
+class LeastLoadPolicy:
+    """The shortest wait, at random among equals."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def pick(self, job: Job, candidates: Sequence[Candidate]) -> tuple[Candidate, str]:
+        """Return a candidate with the least wait."""
+        least = min(c.wait for c in candidates)
+        return self._rng.choice([c for c in candidates if c.wait <= least + 1e-9]), 'least_load'
+
+
+class PrefixHashPolicy:
+    """The rendezvous winner of the prompt's family, whatever its load."""
+
+    def pick(self, job: Job, candidates: Sequence[Candidate]) -> tuple[Candidate, str]:
+        """Return the family's candidate."""
+        family = get_family(job)
+        winner = max(candidates, key=lambda c: rendezvous.compute_weight(family, c.name))
+        return winner, 'family'
+
+
+def build_policies(rng: random.Random) -> dict[str, Policy]:
+    """Return the policies by the names that routing rules use."""
+    return {
+        'cost': CostPolicy(),
+        'round_robin': RoundRobinPolicy(),
+        'least_load': LeastLoadPolicy(rng),
+        'prefix_hash': PrefixHashPolicy(),
+    }
+
+
+def get_family(job: Job) -> str:
+    """Return the key under which prompts that share a prefix are kept together."""
+    if not job.chain:
+        return ''
+    return str(job.chain[min(job.preamble_blocks + FAMILY_BLOCKS, len(job.chain) - 1)])
+
+
+def estimate(job: Job, replica: replicas.Replica, cache: view.CacheView, now: float) -> Candidate:
+    """Return a replica's cost terms for a job."""
+    match = cache.match(replica.name, job.chain, now)
+    matched = match.blocks * job.block_tokens
+    miss = max(0.0, job.prompt_tokens - matched * match.confidence)
+    prefill = miss * replica.seconds_per_token
+    over = max(0, replicas.estimate_running(replica, now) + 1 - replica.slots)
+    slot_wait = over * replica.service_seconds / max(1, replica.slots)
+    wait = replicas.estimate_backlog(replica, now) * replica.seconds_per_token + slot_wait
+    recompute = prefill * REUSE_WEIGHT[job.objective]
+    return Candidate(replica.name, matched, match.confidence, wait, prefill, recompute)
+
+
+def choose(
+    job: Job,
+    pool: Sequence[replicas.Replica],
+    cache: view.CacheView,
+    policy: Policy,
+    now: float,
+) -> Choice | None:
+    """Return the choice among `pool`, or none if it is empty."""
+    candidates = [estimate(job, replica, cache, now) for replica in pool]
+    if not candidates:
+        return None
+    winner, reason = policy.pick(job, candidates)
+    miss = max(0, job.prompt_tokens - winner.matched_tokens)
+    return Choice(winner.name, reason, tuple(candidates), miss)
--- /dev/null
+++ b/passpier/core/evictions.py
@@ -0,0 +1,66 @@
+"""Turns one engine's cache events into changes of the view.
+
+Engine block hashes mean nothing outside the engine. The router's own identities are computed
+from the tokens that an event carries, rooted in the account that the event names.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Sequence
+
+from passpier.core import blocks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """Blocks added to a cache, as a chain behind `parent` (an engine hash, or none)."""
+
+    hashes: Sequence[int]
+    parent: int | None
+    tokens: Sequence[int]
+    block_size: int
+    account: str
+    adapter: str
+
+
+class Translator:
+    """The engine hashes of one engine incarnation with the router's identities."""
+
+    def __init__(self, model: str, weight_version: str, block_tokens: int) -> None:
+        self._model = model
+        self._weight_version = weight_version
+        self._block_tokens = block_tokens
+        self._known: dict[int, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def store(self, event: Stored) -> list[int]:
+        """Return the identities of added blocks; none if their chain is not known whole."""
+        if event.block_size != self._block_tokens or not event.account:
+            return []
+        parent = self._find_parent(event)
+        if parent is None:
+            return []
+        data = blocks.encode_tokens(list(event.tokens))
+        chain = blocks.compute_chain(parent, data, event.block_size)
+        if len(chain) != len(event.hashes):
+            return []
+        self._known.update(zip(event.hashes, chain, strict=True))
+        return chain
+
+    def remove(self, hashes: Sequence[int]) -> list[int]:
+        """Return the identities of removed blocks, as far as known."""
+        found = [self._known.pop(h, None) for h in hashes]
+        return [block for block in found if block is not None]
+
+    def clear(self) -> None:
+        """Forget all hashes."""
+        self._known.clear()
+
+    def _find_parent(self, event: Stored) -> int | None:
+        if event.parent is not None:
+            return self._known.get(event.parent)
+        scope = blocks.Scope(event.account, self._model, self._weight_version, event.adapter)
+        return blocks.compute_root(scope)
--- /dev/null
+++ b/passpier/core/members.py
@@ -0,0 +1,175 @@
+"""Which daemons are alive, by heartbeat counters that spread from peer to peer.
+
+Each daemon sends, every heartbeat, the counters that advanced most recently to a few others. The
+store's list says who exists; a counter that stands still says who is gone. Neither clock nor
+lease of another VM is trusted.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+FANOUT = 3
+"""Peers that each heartbeat goes to."""
+
+DIGEST_LIMIT = 48
+"""Members that one heartbeat speaks of."""
+
+SUSPECT_BEATS = 6.0
+"""Heartbeats without advance after which a member counts as gone, in a small fleet."""
+
+FORGET_SECONDS = 600.0
+"""Seconds after which a member that is gone is forgotten."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A daemon's incarnation and where it is reached."""
+
+    name: str
+    incarnation: str
+    ip: str
+    caller_port: int
+    peer_port: int
+    failure_domain: str
+
+    @property
+    def entry(self) -> str:
+        """The address that callers use."""
+        return f'{self.ip}:{self.caller_port}'
+
+    @property
+    def peer(self) -> str:
+        """The address that other daemons use."""
+        return f'{self.ip}:{self.peer_port}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """What a heartbeat says of one member.
+
+    `epoch` and `confirmed`, a revision, are the generation of shares that it has confirmed.
+    """
+
+    incarnation: str
+    counter: int
+    revision: int = 0
+    epoch: int = 0
+    confirmed: int = 0
+    leaving: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    member: Member
+    beat: Beat
+    advanced_at: float
+
+
+class Membership:
+    """The members that this daemon knows of, itself included."""
+
+    def __init__(self, own: Member, heartbeat: float, now: float) -> None:
+        self.own = own
+        self.heartbeat = heartbeat
+        self._records = {own.incarnation: _Record(own, Beat(own.incarnation, 1), now)}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def advance(self, now: float, revision: int, epoch: int, confirmed: int, leaving: bool) -> None:
+        """Count this daemon's own heartbeat."""
+        record = self._records[self.own.incarnation]
+        counter = record.beat.counter + 1
+        record.beat = Beat(self.own.incarnation, counter, revision, epoch, confirmed, leaving)
+        record.advanced_at = now
+
+    def add(self, member: Member, now: float) -> bool:
+        """Add a member; an older incarnation of the same name is dropped."""
+        if member.incarnation in self._records:
+            return False
+        for known in list(self._records.values()):
+            if known.member.name != member.name or known.member == self.own:
+                continue
+            if known.member.incarnation > member.incarnation:
+                return False
+            del self._records[known.member.incarnation]
+        self._records[member.incarnation] = _Record(member, Beat(member.incarnation, 0), now)
+        return True
+
+    def merge(self, beats: list[Beat], now: float) -> list[str]:
+        """Take over newer counters; return the incarnations that are not known."""
+        unknown = []
+        for beat in beats:
+            record = self._records.get(beat.incarnation)
+            if record is None:
+                unknown.append(beat.incarnation)
+            elif beat.counter > record.beat.counter and record.member != self.own:
+                record.beat = beat
+                record.advanced_at = now
+        return unknown
+
+    def remove(self, incarnation: str) -> None:
+        """Forget a member that said that it stops, or that the store no longer lists."""
+        if incarnation != self.own.incarnation:
+            self._records.pop(incarnation, None)
+
+    def get(self, incarnation: str) -> Member | None:
+        """Return a known member."""
+        record = self._records.get(incarnation)
+        return record.member if record else None
+
+    def get_beat(self, incarnation: str) -> Beat | None:
+        """Return the last known beat of a member."""
+        record = self._records.get(incarnation)
+        return record.beat if record else None
+
+    def get_advanced_at(self, incarnation: str) -> float | None:
+        """Return when a known member's counter last advanced."""
+        record = self._records.get(incarnation)
+        return record.advanced_at if record else None
+
+    def list_known(self) -> list[Member]:
+        """Return all known members."""
+        return [r.member for r in self._records.values()]
+
+    def list_alive(self, now: float) -> list[Member]:
+        """Return the members whose counter advanced lately, this daemon included."""
+        bound = now - self.compute_timeout()
+        return [
+            r.member
+            for r in self._records.values()
+            if r.advanced_at >= bound or r.member == self.own
+        ]
+
+    def list_serving(self, now: float) -> list[Member]:
+        """Return the live members that are not leaving."""
+        return [m for m in self.list_alive(now) if not self._records[m.incarnation].beat.leaving]
+
+    def compute_timeout(self) -> float:
+        """Return the seconds of silence after which a member counts as gone."""
+        rounds = len(self._records) / (FANOUT * DIGEST_LIMIT)
+        return self.heartbeat * (SUSPECT_BEATS + 2 * rounds)
+
+    def make_digest(self, rng: random.Random) -> list[Beat]:
+        """Return the own beat, half the freshest others and a random rest."""
+        own = self._records[self.own.incarnation].beat
+        others = [r for r in self._records.values() if r.member != self.own]
+        if len(others) >= DIGEST_LIMIT:
+            others.sort(key=lambda r: -r.advanced_at)
+            fresh = others[: DIGEST_LIMIT // 2]
+            rest = others[DIGEST_LIMIT // 2 :]
+            others = fresh + rng.sample(rest, min(len(rest), DIGEST_LIMIT - 1 - len(fresh)))
+        return [own] + [r.beat for r in others]
+
+    def choose_targets(self, rng: random.Random, count: int = FANOUT) -> list[Member]:
+        """Return the peers to send to, drawn from all known so that a healed cut is noticed."""
+        others = [r.member for r in self._records.values() if r.member != self.own]
+        return rng.sample(others, min(count, len(others)))
+
+    def forget_gone(self, now: float) -> None:
+        """Drop members that have been gone for long."""
+        for record in list(self._records.values()):
+            if record.advanced_at < now - FORGET_SECONDS:
+                self.remove(record.member.incarnation)
--- /dev/null
+++ b/passpier/core/rendezvous.py
@@ -0,0 +1,31 @@
+"""Rendezvous hashing: a stable order of names for a key."""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import Iterable
+
+import xxhash
+
+
+@functools.lru_cache(maxsize=65536)
+def compute_weight(key: str, name: str) -> int:
+    """Return the weight of `name` for `key`; the highest wins."""
+    return xxhash.xxh3_64_intdigest(f'{key}\x00{name}'.encode())
+
+
+def rank_names(key: str, names: Iterable[str]) -> list[str]:
+    """Return `names` from the highest to the lowest weight for `key`."""
+    return sorted(names, key=lambda name: (-compute_weight(key, name), name))
+
+
+def rank_spread(key: str, groups: dict[str, str]) -> list[str]:
+    """Return the names (name to group) ranked so that early ones lie in different groups."""
+    rounds: dict[str, int] = {}
+    placed = []
+    for position, name in enumerate(rank_names(key, groups)):
+        turn = rounds.get(groups[name], 0)
+        rounds[groups[name]] = turn + 1
+        placed.append((turn, position, name))
+    placed.sort()
+    return [name for _, _, name in placed]
--- /dev/null
+++ b/passpier/core/shares.py
@@ -0,0 +1,262 @@
+"""Limits of client accounts, kept over all daemons without coordination on each request.
+
+An account's limit is a number of units. Each daemon holds some of them and spends only those; a
+daemon without a free one borrows one from a holder for the length of one request.
+Who holds how many follows from a generation (epoch of holders, configuration revision).
+While a generation is not settled, that is until every holder has confirmed it, a daemon spends
+at most the least that any unsettled or last settled generation gives it. Whatever mixture of
+generations the daemons are in, the sum of their units never exceeds a limit.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Mapping
+
+from passpier.core import rendezvous
+
+FENCE_SECONDS = 30.0
+"""Seconds without word from store and peers after which a daemon spends nothing."""
+
+GONE_SECONDS = 60.0
+"""Seconds of silence after which a holder whose lease has lapsed is certainly fenced."""
+
+LOAN_GRACE = 5.0
+"""Seconds for which a loan may be missing from its borrower's list."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Generation:
+    """An epoch of holders with a configuration revision."""
+
+    epoch: int
+    revision: int
+
+    def covers(self, other: Generation) -> bool:
+        """Return whether confirming this generation also confirms `other`."""
+        return self.epoch >= other.epoch and self.revision >= other.revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """An account's limit over the whole fleet."""
+
+    concurrency: int
+    tokens_per_second: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """A daemon that holds units; its incarnation is the key under which it is listed."""
+
+    name: str
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """What a generation gives: its holders (by incarnation) and the limits."""
+
+    generation: Generation
+    holders: Mapping[str, Holder]
+    limits: Mapping[str, Limit]
+    count: int
+
+    def compute_units(self, account: str, holder: str) -> int:
+        """Return the units of `account` that `holder` may spend."""
+        limit = self.limits.get(account)
+        if limit is None or holder not in self.holders:
+            return 0
+        first = self.rank_holders(account)
+        if holder not in first:
+            return 0
+        units, rest = divmod(limit.concurrency, len(first))
+        return units + (first.index(holder) < rest)
+
+    def rank_holders(self, account: str) -> list[str]:
+        """Return the incarnations that hold units of `account`, as callers' entries rank them."""
+        by_name = {h.name: incarnation for incarnation, h in self.holders.items()}
+        domains = {h.name: h.failure_domain for h in self.holders.values()}
+        return [by_name[name] for name in rendezvous.rank_spread(account, domains)[: self.count]]
+
+
+NO_GRANT = Grant(Generation(0, 0), {}, {}, 1)
+"""What a daemon starts with."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Account:
+    held: int
+    in_flight: int = 0
+    tokens: float = 0.0
+    charged_at: float = float('-inf')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Loan:
+    account: str
+    borrower: str
+    lent_at: float
+
+
+class ShareBook:
+    """The units that this daemon holds, by account; accounts appear when first asked for."""
+
+    def __init__(self, holder: str) -> None:
+        self.holder = holder
+        self._grants: list[Grant] = [NO_GRANT]
+        self._accounts: dict[str, _Account] = {}
+        self._loans: dict[str, _Loan] = {}
+        self._heard_at = float('-inf')
+
+    @property
+    def settled(self) -> bool:
+        """Whether only one generation is in force."""
+        return len(self._grants) == 1
+
+    @property
+    def generation(self) -> Generation:
+        """The newest generation that this daemon knows."""
+        return self._grants[-1].generation
+
+    @property
+    def holders(self) -> Mapping[str, Holder]:
+        """The holders of the newest generation."""
+        return self._grants[-1].holders
+
+    def rank_lenders(self, account: str) -> list[str]:
+        """Return the other incarnations that may have units of `account` to lend."""
+        ranked = [i for grant in reversed(self._grants) for i in grant.rank_holders(account)]
+        return [i for i in dict.fromkeys(ranked) if i != self.holder]
+
+    def hear(self, now: float) -> None:
+        """Note a sign of life from the store or a peer: this daemon is not cut off."""
+        self._heard_at = now
+
+    def install(self, grant: Grant) -> None:
+        """Take up a newer generation; the least of old and new holds until it is settled."""
+        if grant.generation == self.generation or not grant.generation.covers(self.generation):
+            return
+        self._grants.append(grant)
+        for name, account in self._accounts.items():
+            account.held = min(account.held, grant.compute_units(name, self.holder))
+
+    def settle(self, get_confirmed: Callable[[str], Generation | None]) -> bool:
+        """Drop older generations once every holder of them has confirmed the newest or is gone.
+
+        `get_confirmed` returns a holder's confirmed generation, or none if it is certainly gone.
+        """
+        if len(self._grants) < 2:
+            return False
+        newest = self._grants[-1]
+        involved = {name for grant in self._grants for name in grant.holders}
+        for name in involved:
+            confirmed = get_confirmed(name)
+            if confirmed is not None and not confirmed.covers(newest.generation):
+                return False
+        self._grants = [newest]
+        for name, account in self._accounts.items():
+            account.held = newest.compute_units(name, self.holder)
+        return True
+
+    def get_confirmable(self) -> Generation:
+        """Return the newest generation that the requests in flight already fit."""
+        confirmable = NO_GRANT.generation
+        for grant in self._grants:
+            fits = all(
+                a.in_flight <= grant.compute_units(name, self.holder)
+                for name, a in self._accounts.items()
+                if a.in_flight
+            )
+            if not fits:
+                break
+            confirmable = grant.generation
+        return confirmable
+
+    def acquire(self, name: str, now: float) -> bool:
+        """Take a unit for a request; false if none is free or the token rate is used up.
+
+        A daemon that was cut off from everyone spends nothing, as others may have settled a
+        generation without it.
+        """
+        account = self._get(name)
+        self._refill(name, account, now)
+        if account.in_flight >= account.held or account.tokens < 0 or self._is_cut_off(now):
+            return False
+        account.in_flight += 1
+        return True
+
+    def release(self, name: str) -> None:
+        """Give a request's unit back."""
+        self._get(name).in_flight -= 1
+
+    def charge(self, name: str, tokens: int, now: float) -> None:
+        """Subtract the tokens that a request used."""
+        account = self._get(name)
+        self._refill(name, account, now)
+        account.tokens -= tokens
+
+    def lend(self, loan: str, name: str, borrower: str, now: float) -> bool:
+        """Take a unit on behalf of another daemon."""
+        if loan in self._loans or not self.acquire(name, now):
+            return False
+        self._loans[loan] = _Loan(name, borrower, now)
+        return True
+
+    def repay(self, loan: str, tokens: int, now: float) -> None:
+        """Take a lent unit back, with the tokens that its request used."""
+        known = self._loans.pop(loan, None)
+        if known is not None:
+            self.charge(known.account, tokens, now)
+            self.release(known.account)
+
+    def reconcile(self, borrower: str, active: set[str], now: float) -> None:
+        """Take back what a borrower no longer uses and whose repayment was lost."""
+        for loan, known in list(self._loans.items()):
+            young = now - known.lent_at < LOAN_GRACE
+            if known.borrower == borrower and loan not in active and not young:
+                self.repay(loan, 0, now)
+
+    def drop_borrower(self, borrower: str, now: float) -> None:
+        """Take back everything lent to a daemon that is certainly gone."""
+        for loan, known in list(self._loans.items()):
+            if known.borrower == borrower:
+                self.repay(loan, 0, now)
+
+    def get_held(self, name: str) -> int:
+        """Return the units held of an account."""
+        return self._get(name).held
+
+    def get_in_flight(self, name: str) -> int:
+        """Return the units of an account in use."""
+        return self._get(name).in_flight
+
+    def compute_retry_after(self, name: str) -> float:
+        """Return the seconds after which an account's tokens are positive again, at least 0.1."""
+        account = self._get(name)
+        rate = self._compute_rate(name, account)
+        return max(0.1, -account.tokens / rate) if rate > 0 else 1.0
+
+    def _get(self, name: str) -> _Account:
+        account = self._accounts.get(name)
+        if account is None:
+            units = [g.compute_units(name, self.holder) for g in self._grants]
+            account = self._accounts[name] = _Account(min(units))
+        return account
+
+    def _is_cut_off(self, now: float) -> bool:
+        alone = all(set(grant.holders) <= {self.holder} for grant in self._grants)
+        return not alone and now - self._heard_at > FENCE_SECONDS
+
+    def _compute_rate(self, name: str, account: _Account) -> float:
+        limits = [g.limits[name] for g in self._grants if name in g.limits]
+        if not limits:
+            return 0.0
+        return min(limit.tokens_per_second / limit.concurrency for limit in limits) * account.held
+
+    def _refill(self, name: str, account: _Account, now: float) -> None:
+        rate = self._compute_rate(name, account)
+        if account.charged_at == float('-inf'):
+            account.charged_at = now
+        account.tokens = min(rate, account.tokens + (now - account.charged_at) * rate)
+        account.charged_at = now
--- /dev/null
+++ b/passpier/core/streams.py
@@ -0,0 +1,37 @@
+"""Order and wholeness of one upstream attempt's chunks."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Verdict(enum.Enum):
+    """What to do with a chunk."""
+
+    DELIVER = 'deliver'
+    DROP = 'drop'
+    GAP = 'gap'
+
+
+@dataclasses.dataclass(slots=True)
+class Tracker:
+    """Follows the chunks of one attempt; `next_sequence` is the next one wanted."""
+
+    attempt: str
+    next_sequence: int = 0
+    dropped: int = 0
+    ended: bool = False
+
+    def check(self, attempt: str, sequence: int, final: bool) -> Verdict:
+        """Judge a chunk by the attempt that it names and its place."""
+        if attempt != self.attempt or sequence < self.next_sequence or self.ended:
+            self.dropped += 1
+            return Verdict.DROP
+        if sequence > self.next_sequence:
+            return Verdict.GAP
+        if final:
+            self.ended = True
+        else:
+            self.next_sequence += 1
+        return Verdict.DELIVER
--- /dev/null
+++ b/passpier/core/view.py
@@ -0,0 +1,172 @@
+"""Which replica is believed to hold which prompt blocks.
+
+Evidence comes from answers (the cached-token count), from cache events and from our own
+dispatches. A replica's entries belong to one incarnation and vanish with it.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+
+GAP_CONFIDENCE = 0.5
+"""Factor on the confidence of a replica's older entries after a gap in its events."""
+
+HALF_LIFE = 300.0
+"""Seconds after which an entry without fresh evidence counts half."""
+
+
+class Evidence(enum.Enum):
+    """Where an entry comes from; the value is its initial confidence."""
+
+    ANSWER = 1.0
+    EVENT = 0.95
+    DISPATCH = 0.8
+
+
+@dataclasses.dataclass(slots=True)
+class Holdings:
+    """Blocks believed to be cached at one replica incarnation, oldest evidence first."""
+
+    incarnation: str
+    blocks: collections.OrderedDict[int, float] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    trust: float = 1.0
+    capacity: int = 0
+    gaps: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Match:
+    """The leading blocks of a prompt believed to be cached at a replica."""
+
+    blocks: int
+    confidence: float
+
+
+NO_MATCH = Match(0, 0.0)
+
+
+class CacheView:
+    """The cache contents of all replicas, as far as known."""
+
+    def __init__(self, max_blocks: int = 400_000) -> None:
+        self.max_blocks = max_blocks
+        self._holdings: dict[str, Holdings] = {}
+
+    def __len__(self) -> int:
+        return sum(len(h.blocks) for h in self._holdings.values())
+
+    def set_incarnation(self, replica: str, incarnation: str, capacity: int = 0) -> bool:
+        """Note a replica's incarnation; drop all entries of an earlier one."""
+        current = self._holdings.get(replica)
+        if current is not None and current.incarnation == incarnation:
+            current.capacity = capacity or current.capacity
+            return False
+        self._holdings[replica] = Holdings(incarnation, capacity=capacity)
+        return True
+
+    def get_incarnation(self, replica: str) -> str:
+        """Return the known incarnation, or an empty string."""
+        holdings = self._holdings.get(replica)
+        return holdings.incarnation if holdings else ''
+
+    def forget(self, replica: str) -> None:
+        """Drop everything about a replica."""
+        self._holdings.pop(replica, None)
+
+    def clear(self, replica: str, incarnation: str) -> None:
+        """Drop the blocks of one incarnation."""
+        holdings = self._get_current(replica, incarnation)
+        if holdings is not None:
+            holdings.blocks.clear()
+            holdings.trust = 1.0
+
+    def add(
+        self, replica: str, incarnation: str, chain: list[int], evidence: Evidence, now: float
+    ) -> None:
+        """Note that a replica holds `chain`; evidence on another incarnation is ignored."""
+        holdings = self._get_current(replica, incarnation)
+        if holdings is None:
+            return
+        blocks = holdings.blocks
+        stamp = now if evidence is not Evidence.DISPATCH else now - HALF_LIFE / 3
+        # Later blocks are marked older: engines evict the end of a chain before its beginning.
+        for block in reversed(chain):
+            previous = blocks.get(block)
+            blocks[block] = stamp if previous is None or previous < stamp else previous
+            blocks.move_to_end(block)
+        self._shrink(holdings)
+
+    def remove(self, replica: str, incarnation: str, block: int) -> None:
+        """Note that a replica no longer holds a block."""
+        holdings = self._get_current(replica, incarnation)
+        if holdings is not None:
+            holdings.blocks.pop(block, None)
+
+    def correct(
+        self, replica: str, incarnation: str, chain: list[int], cached: int, now: float
+    ) -> None:
+        """Learn from an answer: the first `cached` blocks were held, and now all of them are."""
+        holdings = self._get_current(replica, incarnation)
+        if holdings is None:
+            return
+        believed = self.match(replica, chain, now).blocks
+        if believed > cached:
+            holdings.trust = max(0.2, holdings.trust * 0.9)
+        else:
+            holdings.trust = min(1.0, holdings.trust + 0.05)
+        self.add(replica, incarnation, chain, Evidence.ANSWER, now)
+
+    def note_gap(self, replica: str, incarnation: str) -> None:
+        """Lower the confidence in a replica's entries after lost events."""
+        holdings = self._get_current(replica, incarnation)
+        if holdings is not None:
+            holdings.trust = max(0.2, holdings.trust * GAP_CONFIDENCE)
+            holdings.gaps += 1
+
+    def match(self, replica: str, chain: list[int], now: float) -> Match:
+        """Return how much of `chain` a replica is believed to hold."""
+        holdings = self._holdings.get(replica)
+        if holdings is None or not chain:
+            return NO_MATCH
+        blocks = holdings.blocks
+        count = 0
+        for block in chain:
+            if block not in blocks:
+                break
+            count += 1
+        if not count:
+            return NO_MATCH
+        age = max(0.0, now - blocks[chain[count - 1]])
+        return Match(count, holdings.trust * 0.5 ** (age / HALF_LIFE))
+
+    def export(self, limit: int) -> list[tuple[str, str, list[int]]]:
+        """Return the freshest blocks of each replica, at most `limit` in all."""
+        share = limit // max(1, len(self._holdings))
+        return [
+            (replica, h.incarnation, list(h.blocks)[-share:])
+            for replica, h in self._holdings.items()
+        ]
+
+    def absorb(self, snapshot: list[tuple[str, str, list[int]]], now: float) -> None:
+        """Take over a peer's snapshot where nothing newer is known."""
+        for replica, incarnation, blocks in snapshot:
+            if not self.get_incarnation(replica):
+                self.set_incarnation(replica, incarnation)
+            self.add(replica, incarnation, blocks[::-1], Evidence.DISPATCH, now)
+
+    def _get_current(self, replica: str, incarnation: str) -> Holdings | None:
+        holdings = self._holdings.get(replica)
+        if holdings is None or holdings.incarnation != incarnation:
+            return None
+        return holdings
+
+    def _shrink(self, holdings: Holdings) -> None:
+        bound = self.max_blocks // max(1, len(self._holdings))
+        if holdings.capacity:
+            bound = min(bound, holdings.capacity)
+        while len(holdings.blocks) > bound:
+            holdings.blocks.popitem(last=False)
--- /dev/null
+++ b/passpier/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: tasks that own sockets and timers round the core."""
--- /dev/null
+++ b/passpier/daemon/answers.py
@@ -0,0 +1,94 @@
+"""Whole answers, as callers get them and as they are kept for repeats."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from typing import Any
+
+import msgspec
+
+from passpier import exceptions
+from passpier.clients import engines
+from passpier.daemon import calls
+
+_STATUSES = {
+    exceptions.Code.BAD_REQUEST: 400,
+    exceptions.Code.BODY_TOO_LARGE: 413,
+    exceptions.Code.CONFLICT: 409,
+    exceptions.Code.KEY_EXPIRED: 409,
+    exceptions.Code.KEY_REQUIRED: 400,
+    exceptions.Code.LIMIT: 429,
+    exceptions.Code.NOT_FOUND: 404,
+    exceptions.Code.REPEATED: 409,
+    exceptions.Code.STREAM_BROKEN: 502,
+    exceptions.Code.UNAUTHORIZED: 401,
+    exceptions.Code.UPSTREAM_FAILED: 502,
+}
+"""HTTP status of each failure; the others are 503."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer; `repeated` if it was given before."""
+
+    status: int
+    content_type: str
+    body: bytes
+    repeated: bool = False
+
+
+def get_status(failure: exceptions.Failure) -> int:
+    """Return the HTTP status of a failure."""
+    return _STATUSES.get(failure.code, 503)
+
+
+def render_failure(failure: exceptions.Failure) -> dict[str, Any]:
+    """Return the OpenAI-style body of a failure, with its outcome."""
+    error: dict[str, Any] = {
+        'message': failure.message,
+        'type': failure.code.value,
+        'code': failure.code.value,
+        'param': None,
+        'outcome': failure.outcome.value,
+    }
+    if failure.retry_after is not None:
+        error['retry_after'] = round(failure.retry_after, 3)
+    if failure.entries:
+        error['entries'] = list(failure.entries)
+    return {'error': error}
+
+
+def render_chunk(call: calls.Call, text: str, finish_reason: str | None) -> dict[str, Any]:
+    """Return a streamed chunk in the OpenAI style."""
+    choice: dict[str, Any] = {'index': 0, 'finish_reason': finish_reason, 'logprobs': None}
+    if call.chat:
+        choice['delta'] = {'role': 'assistant', 'content': text}
+    else:
+        choice['text'] = text
+    kind = 'chat.completion.chunk' if call.chat else 'text_completion'
+    return _render_common(call, kind, choice)
+
+
+def render_whole(
+    call: calls.Call, text: str, finish_reason: str | None, usage: engines.Usage
+) -> Answer:
+    """Return a whole completion in the OpenAI style."""
+    choice: dict[str, Any] = {'index': 0, 'finish_reason': finish_reason, 'logprobs': None}
+    if call.chat:
+        choice['message'] = {'role': 'assistant', 'content': text}
+    else:
+        choice['text'] = text
+    kind = 'chat.completion' if call.chat else 'text_completion'
+    body = {**_render_common(call, kind, choice), 'usage': msgspec.to_builtins(usage)}
+    return Answer(200, 'application/json', msgspec.json.encode(body))
+
+
+def _render_common(call: calls.Call, kind: str, choice: dict[str, Any]) -> dict[str, Any]:
+    return {
+        'id': call.id,
+        'object': kind,
+        'created': int(time.time()),
+        'model': call.service.name,
+        'choices': [choice],
+    }
--- /dev/null
+++ b/passpier/daemon/callers.py
@@ -0,0 +1,286 @@
+"""The callers' port: completions, plain services, entries, health."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import uuid
+from typing import Any
+
+import msgspec
+import tornado.iostream
+import tornado.web
+
+from passpier import exceptions
+from passpier.clients import engines
+from passpier.config import schema
+from passpier.core import drain, entries
+from passpier.daemon import answers, calls, generation, intake, service
+
+log = logging.getLogger(__name__)
+
+BEARER = 'Bearer '
+
+
+class CallerHandler(tornado.web.RequestHandler):
+    """Base of the callers' handlers: identity, failures, a caller that goes away."""
+
+    def initialize(self, app: service.Service) -> None:
+        """Keep the daemon's service."""
+        self.app = app
+        self.id = uuid.uuid4().hex
+        self._work: asyncio.Task[None] | None = None
+
+    def set_default_headers(self) -> None:
+        """Name the daemon in every answer."""
+        self.set_header('Server', 'passpier')
+
+    def find_account(self) -> schema.Account:
+        """Return the caller's account; raises `RequestFailedError` if there is none."""
+        config = self.app.fleet.config
+        if config is None:
+            raise _refuse(
+                exceptions.Code.NO_CONFIGURATION, 'this daemon has no configuration yet', 1.0
+            )
+        header = self.request.headers.get('Authorization', '')
+        account = None
+        if header.startswith(BEARER):
+            account = config.find_account(header[len(BEARER) :])
+        if account is None:
+            raise _refuse(exceptions.Code.UNAUTHORIZED, 'no or unknown API key')
+        return account
+
+    def check_open(self) -> None:
+        """Refuse new work in the last phases of a planned stop."""
+        phase = self.app.get_phase()
+        if phase in (drain.Phase.CLOSING, drain.Phase.STOPPED):
+            raise _refuse(exceptions.Code.DRAINING, 'this daemon stops; ask for entries', 0.1)
+        if phase is drain.Phase.ANNOUNCED:
+            self.set_header('Connection', 'close')
+
+    async def run_guarded(self, work: Any) -> None:
+        """Run the request's work as a task that ends when the caller goes."""
+        self._work = asyncio.ensure_future(work)
+        self.app.in_flight += 1
+        try:
+            await self._work
+        except calls.RequestFailedError as error:
+            self.write_failure(error.failure)
+        except (asyncio.CancelledError, tornado.iostream.StreamClosedError):
+            log.info('caller gone', extra={'request': self.id})
+            self.app.count_gone()
+        finally:
+            self.app.in_flight -= 1
+
+    def on_connection_close(self) -> None:
+        """Stop the work of a caller that has gone."""
+        if self._work is not None:
+            self._work.cancel()
+
+    def write_failure(self, failure: exceptions.Failure) -> None:
+        """Answer with a failure; after the start of a stream, as its last event."""
+        failure = self.app.complete_failure(failure, self.id)
+        body = answers.render_failure(failure)
+        if self._headers_written:
+            self.write(b'data: ' + msgspec.json.encode(body) + b'\n\n')
+            return
+        self.set_status(answers.get_status(failure))
+        self.set_header('X-Passpier-Outcome', failure.outcome.value)
+        self.set_header('X-Request-Id', self.id)
+        if failure.retry_after is not None:
+            self.set_header('Retry-After', f'{max(1, round(failure.retry_after))}')
+        self.write(body)
+
+    def write_answer(self, answer: answers.Answer) -> None:
+        """Answer whole."""
+        self.set_status(answer.status)
+        self.set_header('Content-Type', answer.content_type)
+        self.set_header('X-Passpier-Outcome', exceptions.Outcome.RAN.value)
+        self.set_header('X-Request-Id', self.id)
+        if answer.repeated:
+            self.set_header('X-Passpier-Repeated', '1')
+        self.write(answer.body)
+
+    def build_call(self, path: str, service_name: str = '') -> calls.Call:
+        """Return the validated call; raises `RequestFailedError`."""
+        account = self.find_account()
+        self.check_open()
+        if len(self.request.body) > self.app.fleet.options.max_body:
+            raise _refuse(exceptions.Code.BODY_TOO_LARGE, 'the body is too large')
+        key = self.request.headers.get('Idempotency-Key', '')
+        assert self.app.fleet.config is not None
+        built = intake.build_call(
+            self.app.fleet.config, account, self.id, path, self.request.body, key, service_name
+        )
+        if built.is_error():
+            raise calls.RequestFailedError(built.error)
+        return built.ok
+
+
+class CompletionHandler(CallerHandler):
+    """`POST /v1/completions` and `POST /v1/chat/completions`."""
+
+    async def post(self) -> None:
+        """Answer a completion, streamed or whole."""
+        await self.run_guarded(self._serve())
+
+    async def _serve(self) -> None:
+        call = self.build_call(self.request.path)
+        if call.life.repeatable and call.body.get('stream'):
+            await self._stream(call)
+            return
+        answer = await self.app.run(call)
+        if call.body.get('stream') and answer.status == 200:
+            await self._replay(call, answer)
+        else:
+            self.write_answer(answer)
+
+    async def _stream(self, call: calls.Call) -> None:
+        async with contextlib.aclosing(self.app.stream(call)) as pieces:
+            async for piece in pieces:
+                if not self._headers_written:
+                    self._start_stream()
+                self._write_piece(call, piece)
+                await self.flush()
+        self.app.count_answer(call)
+
+    async def _replay(self, call: calls.Call, answer: answers.Answer) -> None:
+        """Send a whole answer that may not be computed twice as a stream."""
+        body = msgspec.json.decode(answer.body)
+        choice = body['choices'][0]
+        text = choice['message']['content'] if call.chat else choice['text']
+        usage = msgspec.convert(body['usage'], engines.Usage)
+        self._start_stream()
+        self._write_piece(call, generation.Piece(text, choice['finish_reason'], usage))
+        await self.flush()
+
+    def _start_stream(self) -> None:
+        self.set_header('Content-Type', 'text/event-stream')
+        self.set_header('Cache-Control', 'no-cache')
+        self.set_header('X-Request-Id', self.id)
+
+    def _write_piece(self, call: calls.Call, piece: generation.Piece) -> None:
+        chunk = answers.render_chunk(call, piece.text, piece.finish_reason)
+        if piece.usage is not None:
+            chunk['usage'] = msgspec.to_builtins(piece.usage)
+        self.write(b'data: ' + msgspec.json.encode(chunk) + b'\n\n')
+        if piece.finish_reason is not None:
+            self.write(b'data: ' + engines.END_MARK + b'\n\n')
+
+
+class PlainHandler(CallerHandler):
+    """`POST /services/NAME/PATH`."""
+
+    async def post(self, name: str, path: str) -> None:
+        """Answer a call of a plain service."""
+        await self.run_guarded(self._serve(name, path))
+
+    async def _serve(self, name: str, path: str) -> None:
+        self.write_answer(await self.app.run(self.build_call(path, name)))
+
+
+class ModelsHandler(CallerHandler):
+    """`GET /v1/models`: the model services that the account may use."""
+
+    async def get(self) -> None:
+        """Answer with the list."""
+        await self.run_guarded(self._serve())
+
+    async def _serve(self) -> None:
+        account = self.find_account()
+        assert self.app.fleet.config is not None
+        services = [
+            s
+            for s in self.app.fleet.config.fleet.services
+            if s.kind == 'model' and (not account.services or s.name in account.services)
+        ]
+        data = [{'id': s.name, 'object': 'model', 'owned_by': 'passpier'} for s in services]
+        self.write({'object': 'list', 'data': data})
+
+
+class EntriesHandler(CallerHandler):
+    """`GET /v1/entries`: the addresses that the account should use."""
+
+    async def get(self) -> None:
+        """Answer with ranked addresses and how long they may be kept."""
+        await self.run_guarded(self._serve())
+
+    async def _serve(self) -> None:
+        account = self.find_account()
+        ranked = self.app.rank_entries(account.name)
+        self.write(
+            {
+                'account': account.name,
+                'ttl': self.app.fleet.options.entry_ttl,
+                'entries': [_render_entry(e) for e in ranked],
+            }
+        )
+
+
+class HealthHandler(tornado.web.RequestHandler):
+    """`GET /healthz`, `/readyz` and `/metrics`."""
+
+    def initialize(self, app: service.Service) -> None:
+        """Keep the daemon's service."""
+        self.app = app
+
+    def get(self) -> None:
+        """Answer without looking at anything outside the process."""
+        if self.request.path == '/metrics':
+            body, headers = self.app.counters.render(self.request.headers.get_list('Accept'))
+            for name, value in headers.items():
+                self.set_header(name, value)
+            self.write(body)
+            return
+        ready = self.app.fleet.config is not None
+        serving = self.app.get_phase() is drain.Phase.SERVING
+        if self.request.path == '/readyz' and not (ready and serving):
+            self.set_status(503)
+        self.write({'ready': ready, 'serving': serving, 'uptime': self.app.get_uptime()})
+
+
+class MissingHandler(CallerHandler):
+    """Any other path."""
+
+    async def prepare(self) -> None:
+        """Refuse."""
+        failure = exceptions.Failure(
+            exceptions.Code.NOT_FOUND, exceptions.Outcome.NOT_RUN, 'no such path'
+        )
+        self.write_failure(failure)
+        await self.finish()
+
+
+def build_application(app: service.Service) -> tornado.web.Application:
+    """Return the application of the callers' port."""
+    state = {'app': app}
+    return tornado.web.Application(
+        [
+            (calls.COMPLETION_PATH, CompletionHandler, state),
+            (calls.CHAT_PATH, CompletionHandler, state),
+            ('/v1/models', ModelsHandler, state),
+            ('/v1/entries', EntriesHandler, state),
+            ('/services/([^/]+)(/.*)', PlainHandler, state),
+            ('/healthz', HealthHandler, state),
+            ('/readyz', HealthHandler, state),
+            ('/metrics', HealthHandler, state),
+        ],
+        default_handler_class=MissingHandler,
+        default_handler_args=state,
+    )
+
+
+def _refuse(
+    code: exceptions.Code, message: str, retry_after: float | None = None
+) -> calls.RequestFailedError:
+    failure = exceptions.Failure(code, exceptions.Outcome.NOT_RUN, message, retry_after)
+    return calls.RequestFailedError(failure)
+
+
+def _render_entry(entry: entries.Entry) -> dict[str, str]:
+    return {
+        'address': entry.address,
+        'incarnation': entry.incarnation,
+        'failure_domain': entry.failure_domain,
+    }
--- /dev/null
+++ b/passpier/daemon/calls.py
@@ -0,0 +1,85 @@
+"""A request under way, as the daemon's tasks hand it on."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from passpier import exceptions
+from passpier.config import schema
+from passpier.core import attempts, blocks, choice
+
+CHAT_PATH = '/v1/chat/completions'
+COMPLETION_PATH = '/v1/completions'
+DEFAULT_DEADLINE = 30.0
+"""Seconds to the first token where a service states none."""
+
+
+class RequestFailedError(exceptions.PasspierError):
+    """A request ends with a failure."""
+
+    def __init__(self, failure: exceptions.Failure) -> None:
+        super().__init__(failure.message)
+        self.failure = failure
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request of a caller; `arrived_at` is in seconds of the monotonic clock."""
+
+    id: str
+    account: schema.Account
+    service: schema.Service
+    path: str
+    policy: str
+    arrived_at: float
+    life: attempts.Life
+    body: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    prompt: bytes = b''
+    job: choice.Job = choice.Job([], 1, 0)
+    weight_version: str = ''
+    raw: bytes = b''
+    key: str = ''
+    cancelled: bool = False
+
+    @property
+    def chat(self) -> bool:
+        """Whether this is a chat completion."""
+        return self.path == CHAT_PATH
+
+    @property
+    def deadline(self) -> float:
+        """When the first token is due."""
+        seconds = self.service.deadline_ms
+        return self.arrived_at + (seconds / 1000 if seconds else DEFAULT_DEADLINE)
+
+    @property
+    def max_tokens(self) -> int:
+        """How many tokens the answer may have."""
+        return int(self.body.get('max_tokens') or 16)
+
+    def fail(
+        self, code: exceptions.Code, message: str, retry_after: float | None = None
+    ) -> RequestFailedError:
+        """Return the error that ends this request with what is known of its outcome."""
+        failure = exceptions.Failure(code, self.life.outcome, message, retry_after)
+        return RequestFailedError(failure)
+
+
+def build_job(
+    account: schema.Account, service: schema.Service, model: schema.Model, prompt: bytes
+) -> choice.Job:
+    """Return what the policies need to know of a prompt."""
+    scope = blocks.Scope(account.name, model.name, model.weight_version, service.adapter)
+    chain = blocks.compute_chain(blocks.compute_root(scope), prompt, model.block_tokens)
+    preamble = len(service.preamble.encode()) // blocks.BYTES_PER_TOKEN // model.block_tokens
+    return choice.Job(
+        chain, model.block_tokens, blocks.count_tokens(prompt), preamble, service.objective
+    )
+
+
+def render_chat(messages: list[Mapping[str, Any]]) -> str:
+    """Return the prompt text of chat messages, as the engines' chat template makes it."""
+    text = ''.join(f'<|{m["role"]}|>{m["content"]}' for m in messages)
+    return text + '<|assistant|>'
--- /dev/null
+++ b/passpier/daemon/dispatcher.py
@@ -0,0 +1,278 @@
+"""Queues calls before the upstreams and places each on a replica; logs every decision."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import random
+import time
+from collections.abc import Collection, Mapping
+
+import expression
+import msgspec
+
+from passpier import exceptions
+from passpier.core import admission, choice, replicas
+from passpier.daemon import calls, metrics, upstreams
+
+log = logging.getLogger(__name__)
+
+PUMP_INTERVAL = 0.02
+"""Seconds between looks at a queue that waits for room."""
+
+DECISIONS_KEPT = 2000
+"""Requests whose decisions `explain` can show."""
+
+RATE_SHARE = 0.05
+"""Weight of a new sample in the measured drain rate."""
+
+
+@dataclasses.dataclass(slots=True)
+class Placement:
+    """A call's place at a replica, until it is ended."""
+
+    call: calls.Call
+    replica: replicas.Replica
+    attempt: str
+    choice: choice.Choice
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    call: calls.Call
+    exclude: frozenset[str]
+    attempt: str
+    result: asyncio.Future[expression.Result[Placement, exceptions.Failure]]
+
+
+class _Pool:
+    """A pool's queue with its measured drain rate in tokens a second."""
+
+    def __init__(self) -> None:
+        self.queue: admission.FairQueue[_Waiting] = admission.FairQueue()
+        self.rate = 0.0
+        self.taken_at = 0.0
+        self.pump: asyncio.Task[None] | None = None
+
+
+class Dispatcher:
+    """Decides when and where each call goes."""
+
+    def __init__(
+        self, known: upstreams.Upstreams, counters: metrics.Metrics, rng: random.Random
+    ) -> None:
+        self._upstreams = known
+        self._counters = counters
+        self._pools: dict[str, _Pool] = collections.defaultdict(_Pool)
+        self._policies = choice.build_policies(rng)
+        self._decisions: collections.OrderedDict[str, list[bytes]] = collections.OrderedDict()
+
+    async def place(
+        self, call: calls.Call, attempt: str, exclude: Collection[str] = ()
+    ) -> expression.Result[Placement, exceptions.Failure]:
+        """Return a place for an attempt, or why there is none; waits while replicas are full."""
+        pool = self._pools[call.service.pool]
+        waiting = _Waiting(
+            call, frozenset(exclude), attempt, asyncio.get_running_loop().create_future()
+        )
+        if not len(pool.queue):
+            placed = self._try_place(waiting)
+            if placed is not None:
+                return placed
+        refusal = self._check_queue(pool, call)
+        if refusal is not None:
+            self._log_refusal(call, refusal)
+            return expression.Error(refusal)
+        pool.queue.put(self._make_ticket(waiting))
+        self._start_pump(call.service.pool, pool)
+        return await waiting.result
+
+    def end(self, placement: Placement) -> None:
+        """Give a place back."""
+        replicas.end_dispatch(placement.replica, placement.attempt, time.monotonic())
+        pool = self._pools[placement.call.service.pool]
+        if len(pool.queue):
+            self._pump(placement.call.service.pool, pool)
+
+    def abandon(self, call: calls.Call) -> None:
+        """Take a call whose caller has gone out of its queue."""
+        call.cancelled = True
+        pool = self._pools[call.service.pool]
+        for ticket in pool.queue.remove(lambda t: t.item.call is call):
+            self._refuse(ticket.item, exceptions.Code.BAD_REQUEST, 'the caller has gone', None)
+
+    def list_decisions(self, request: str) -> list[bytes]:
+        """Return the logged decisions of a request as JSON."""
+        return self._decisions.get(request, [])
+
+    def count_queued(self) -> int:
+        """Return how many calls wait."""
+        return sum(len(pool.queue) for pool in self._pools.values())
+
+    def _try_place(
+        self, waiting: _Waiting
+    ) -> expression.Result[Placement, exceptions.Failure] | None:
+        call = waiting.call
+        now = time.monotonic()
+        serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
+        usable = [r for r in serving if r.name not in waiting.exclude] or serving
+        if not usable:
+            message = f'no upstream of pool {call.service.pool!r} takes work'
+            refusal = exceptions.Failure(
+                exceptions.Code.NO_UPSTREAM, call.life.outcome, message, 1.0
+            )
+            self._log_refusal(call, refusal)
+            return expression.Error(refusal)
+        room = [r for r in usable if replicas.has_room(r, now)]
+        chosen = choice.choose(
+            call.job, room, self._upstreams.cache, self._policies[call.policy], now
+        )
+        if chosen is None:
+            return None
+        replica = self._upstreams.replicas[chosen.name]
+        replicas.begin_dispatch(replica, waiting.attempt, chosen.miss_tokens, now)
+        self._log_choice(call, waiting.attempt, chosen, now)
+        self._count_waste(call, chosen)
+        return expression.Ok(Placement(call, replica, waiting.attempt, chosen))
+
+    def _check_queue(self, pool: _Pool, call: calls.Call) -> exceptions.Failure | None:
+        tokens = call.job.prompt_tokens
+        ahead = pool.queue.count_ahead(
+            call.account.name, call.account.weight, call.service.priority, tokens
+        )
+        wait = admission.predict_wait(ahead, self._get_rate(pool, call)) if ahead else 0.0
+        late = time.monotonic() + wait - call.deadline
+        if late > 0:
+            message = f'the first token would come {late:.2f} s after its deadline'
+            code = exceptions.Code.DEADLINE
+            return exceptions.Failure(code, call.life.outcome, message, max(0.1, late))
+        if len(pool.queue) >= admission.MAX_WAITING:
+            code = exceptions.Code.OVERLOADED
+            return exceptions.Failure(code, call.life.outcome, 'too many wait', max(1.0, wait))
+        return None
+
+    def _get_rate(self, pool: _Pool, call: calls.Call) -> float:
+        if pool.rate:
+            return pool.rate
+        serving = self._upstreams.list_serving(call.service.pool)
+        return sum(1 / r.seconds_per_token for r in serving) or 1.0
+
+    def _make_ticket(self, waiting: _Waiting) -> admission.Ticket[_Waiting]:
+        call = waiting.call
+        return admission.Ticket(
+            waiting,
+            call.account.name,
+            call.account.weight,
+            call.service.priority,
+            max(1, call.job.prompt_tokens),
+            call.deadline,
+        )
+
+    def _start_pump(self, name: str, pool: _Pool) -> None:
+        if pool.pump is None or pool.pump.done():
+            pool.taken_at = time.monotonic()
+            pool.pump = asyncio.ensure_future(self._run_pump(name, pool))
+
+    async def _run_pump(self, name: str, pool: _Pool) -> None:
+        while len(pool.queue):
+            self._pump(name, pool)
+            self._drop_late(pool)
+            self._counters.queued.set({'pool': name}, len(pool.queue))
+            await asyncio.sleep(PUMP_INTERVAL)
+        self._counters.queued.set({'pool': name}, 0)
+
+    def _pump(self, name: str, pool: _Pool) -> None:
+        while len(pool.queue):
+            now = time.monotonic()
+            serving = self._upstreams.list_serving(name)
+            if serving and not any(replicas.has_room(r, now) for r in serving):
+                return
+            ticket = pool.queue.take()
+            assert ticket is not None
+            placed = self._try_place(ticket.item)
+            if placed is None:
+                pool.queue.put(ticket)
+                return
+            self._measure(pool, ticket.tokens)
+            if not ticket.item.result.done():
+                ticket.item.result.set_result(placed)
+
+    def _measure(self, pool: _Pool, tokens: int) -> None:
+        now = time.monotonic()
+        sample = tokens / max(now - pool.taken_at, 1e-3)
+        pool.taken_at = now
+        if pool.rate:
+            # The mean of the inverse: samples are times for known amounts of tokens.
+            inverse = 1 / pool.rate + RATE_SHARE * (1 / sample - 1 / pool.rate)
+            pool.rate = 1 / inverse
+        else:
+            pool.rate = sample
+
+    def _drop_late(self, pool: _Pool) -> None:
+        now = time.monotonic()
+        for ticket in pool.queue.remove(lambda t: t.deadline <= now):
+            message = 'the first token can no longer come before its deadline'
+            self._refuse(ticket.item, exceptions.Code.DEADLINE, message, 0.5)
+
+    def _refuse(
+        self, waiting: _Waiting, code: exceptions.Code, message: str, retry_after: float | None
+    ) -> None:
+        failure = exceptions.Failure(code, waiting.call.life.outcome, message, retry_after)
+        self._log_refusal(waiting.call, failure)
+        if not waiting.result.done():
+            waiting.result.set_result(expression.Error(failure))
+
+    def _count_waste(self, call: calls.Call, chosen: choice.Choice) -> None:
+        most = max(c.matched_tokens for c in chosen.candidates)
+        matched = call.job.prompt_tokens - chosen.miss_tokens
+        if most > matched:
+            self._counters.wasted_tokens.add({'service': call.service.name}, most - matched)
+
+    def _log_choice(
+        self, call: calls.Call, attempt: str, chosen: choice.Choice, now: float
+    ) -> None:
+        fields = {
+            'request': call.id,
+            'attempt': attempt,
+            'account': call.account.name,
+            'service': call.service.name,
+            'policy': call.policy,
+            'prompt_tokens': call.job.prompt_tokens,
+            'waited': round(now - call.arrived_at, 4),
+            'chosen': chosen.name,
+            'reason': chosen.reason,
+            'candidates': [_render(c) for c in chosen.candidates],
+        }
+        self._keep(call.id, fields)
+        log.info('routing decision', extra=fields)
+
+    def _log_refusal(self, call: calls.Call, refusal: exceptions.Failure) -> None:
+        fields = {
+            'request': call.id,
+            'account': call.account.name,
+            'service': call.service.name,
+            'reason': refusal.code.value,
+            'outcome': refusal.outcome.value,
+            'detail': refusal.message,
+            'retry_after': refusal.retry_after,
+        }
+        self._keep(call.id, fields)
+        log.info('refusal', extra=fields)
+
+    def _keep(self, request: str, fields: Mapping[str, object]) -> None:
+        self._decisions.setdefault(request, []).append(msgspec.json.encode(fields))
+        while len(self._decisions) > DECISIONS_KEPT:
+            self._decisions.popitem(last=False)
+
+
+def _render(candidate: choice.Candidate) -> dict[str, object]:
+    return {
+        'upstream': candidate.name,
+        'matched_tokens': candidate.matched_tokens,
+        'confidence': round(candidate.confidence, 3),
+        'wait': round(candidate.wait, 4),
+        'prefill': round(candidate.prefill, 4),
+        'recompute': round(candidate.recompute, 4),
+    }
--- /dev/null
+++ b/passpier/daemon/events.py
@@ -0,0 +1,157 @@
+"""Takes cache events from engines over ZeroMQ and keeps the view by them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from passpier.clients import kvevents
+from passpier.config import directory, schema
+from passpier.core import evictions, view
+from passpier.daemon import metrics, upstreams
+
+log = logging.getLogger(__name__)
+
+REPLAY_TIMEOUT = 1.0
+"""Seconds to wait for a replay; routing never waits for it."""
+
+
+class Events:
+    """One subscription for each engine that publishes events."""
+
+    def __init__(self, known: upstreams.Upstreams, counters: metrics.Metrics) -> None:
+        self._upstreams = known
+        self._counters = counters
+        self._context = zmq.asyncio.Context()
+        self._tasks: dict[str, tuple[str, asyncio.Task[None]]] = {}
+
+    def apply(self, config: directory.Directory) -> None:
+        """Subscribe to the engines of a configuration."""
+        wanted = {}
+        for pool in config.fleet.pools:
+            model = config.find_model_of_pool(pool.name)
+            for upstream in pool.upstreams:
+                if upstream.events and model is not None:
+                    wanted[upstream.name] = (upstream, model)
+        for name in list(self._tasks):
+            if name not in wanted or wanted[name][0].events != self._tasks[name][0]:
+                self._tasks.pop(name)[1].cancel()
+        for name, (upstream, model) in wanted.items():
+            if name not in self._tasks:
+                task = asyncio.ensure_future(self._follow(upstream, model))
+                self._tasks[name] = (upstream.events or '', task)
+
+    def close(self) -> None:
+        """End all subscriptions."""
+        for _, task in self._tasks.values():
+            task.cancel()
+        self._context.destroy(linger=0)
+
+    async def _follow(self, upstream: schema.Upstream, model: schema.Model) -> None:
+        socket = self._context.socket(zmq.SUB)
+        socket.linger = 0
+        socket.subscribe(kvevents.TOPIC_PREFIX)
+        socket.connect(f'tcp://{upstream.events}')
+        feed = Feed(upstream, model, self._upstreams)
+        try:
+            while True:
+                topic, sequence, payload = await socket.recv_multipart()
+                self._counters.control_bytes.add({'channel': 'events'}, len(payload))
+                missing = feed.take(topic, int.from_bytes(sequence, 'big'), payload)
+                if missing is not None and upstream.replay:
+                    await self._replay(feed, upstream.replay, missing)
+        finally:
+            socket.close()
+
+    async def _replay(self, feed: Feed, address: str, start: int) -> None:
+        socket = self._context.socket(zmq.DEALER)
+        socket.linger = 0
+        socket.connect(f'tcp://{address}')
+        key = feed.key
+        try:
+            async with asyncio.timeout(REPLAY_TIMEOUT):
+                await socket.send_multipart([b'', start.to_bytes(8, 'big')])
+                while True:
+                    _, sequence, payload = await socket.recv_multipart()
+                    if sequence == kvevents.REPLAY_END:
+                        return
+                    # Also what came after the gap is applied again, so that the order is right.
+                    feed.apply(key, payload)
+        except TimeoutError:
+            log.debug('no replay', extra={'upstream': feed.name})
+        finally:
+            socket.close()
+
+
+class Feed:
+    """The events of one engine."""
+
+    def __init__(
+        self, upstream: schema.Upstream, model: schema.Model, known: upstreams.Upstreams
+    ) -> None:
+        self.name = upstream.name
+        self._model = model
+        self._upstreams = known
+        self.key = ''
+        self._translator = evictions.Translator(model.name, '', model.block_tokens)
+        self.next_sequence = 0
+
+    def take(self, topic: bytes, sequence: int, payload: bytes) -> int | None:
+        """Apply a batch; return the first missing sequence number if there is a gap before it."""
+        replica = self._upstreams.replicas.get(self.name)
+        incarnation, _ = kvevents.parse_topic(topic)
+        if replica is None or not incarnation or incarnation != replica.incarnation:
+            return None
+        key = f'{incarnation}/{replica.weight_version}'
+        if key != self.key:
+            self._begin(key, replica.weight_version, sequence)
+        missing = self.next_sequence if sequence > self.next_sequence else None
+        if missing is not None:
+            self._upstreams.cache.note_gap(self.name, key)
+        self.next_sequence = max(self.next_sequence, sequence + 1)
+        self.apply(key, payload)
+        return missing
+
+    def apply(self, key: str, payload: bytes) -> None:
+        """Apply the events of one batch."""
+        try:
+            batch = kvevents.decode_batch(payload)
+        except msgspec.MsgspecError:
+            log.warning('cache events not understood', extra={'upstream': self.name})
+            return
+        for event in batch.events:
+            self._apply_event(key, event)
+
+    def _apply_event(self, key: str, event: kvevents.Event) -> None:
+        cache = self._upstreams.cache
+        if isinstance(event, kvevents.BlockStored):
+            chain = self._translator.store(_read_stored(event))
+            cache.add(self.name, key, chain, view.Evidence.EVENT, time.monotonic())
+        elif isinstance(event, kvevents.BlockRemoved):
+            for block in self._translator.remove(event.block_hashes):
+                cache.remove(self.name, key, block)
+        else:
+            self._translator.clear()
+            cache.clear(self.name, key)
+
+    def _begin(self, key: str, version: str, sequence: int) -> None:
+        self.key = key
+        self._translator = evictions.Translator(self._model.name, version, self._model.block_tokens)
+        self.next_sequence = sequence
+
+
+def _read_stored(event: kvevents.BlockStored) -> evictions.Stored:
+    keys = event.extra_keys[0] if event.extra_keys else None
+    return evictions.Stored(
+        event.block_hashes,
+        event.parent_block_hash,
+        event.token_ids,
+        event.block_size,
+        keys[0] if keys else '',
+        event.lora_name or '',
+    )
--- /dev/null
+++ b/passpier/daemon/fleet.py
@@ -0,0 +1,365 @@
+"""Keeps this daemon one of the fleet: heartbeats, members, configuration, epochs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from passpier.config import directory, schema, settings
+from passpier.core import drain, members, rendezvous, revisions, shares
+from passpier.daemon import events, limits, messages, metrics, peers, storage, upstreams
+
+log = logging.getLogger(__name__)
+
+BOOTSTRAP_INTERVAL = 0.3
+"""Seconds between questions to the seeds until one has answered."""
+
+SNAPSHOT_BLOCKS = 20_000
+"""Blocks of the cache view that a starting daemon asks a peer for."""
+
+WATCHERS_PER_DOMAIN = 2
+"""Daemons of a failure domain that watch the store; the others hear from peers."""
+
+PROPOSE_INTERVAL = 2.0
+"""Seconds between looks at whether the epoch's holders are still right."""
+
+PUSH_FANOUT = 8
+"""Peers that are told at once of a new configuration or epoch."""
+
+
+class Fleet:
+    """Membership, configuration and epochs of this daemon."""
+
+    def __init__(
+        self,
+        options: settings.Settings,
+        membership: members.Membership,
+        link: peers.Peers,
+        shared: storage.Storage,
+        known: upstreams.Upstreams,
+        feeds: events.Events | None,
+        account_limits: limits.Limits,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.options = options
+        self.membership = membership
+        self.storage = shared
+        self.upstreams = known
+        self.limits = account_limits
+        self.holder = revisions.Holder()
+        self.config: directory.Directory | None = None
+        self.drain = drain.Drain(options.entry_ttl, options.drain_bound)
+        self.stopping = asyncio.Event()
+        self._peers = link
+        self._events = feeds
+        self._counters = counters
+        self._rng = rng
+        self._installed = asyncio.Event()
+        self._has_view = False
+        self._missing_since: dict[str, float] = {}
+        self._handle_messages()
+
+    def begin_drain(self) -> None:
+        """Start a planned stop; a second call ends it early."""
+        self.drain.begin(time.monotonic())
+        log.info('drain begins' if not self.drain.hurried else 'drain hurried')
+        self._beat()
+        for member in self.membership.list_known():
+            self._peers.send(member.peer, self._make_heartbeat())
+        self.stopping.set()
+
+    def say_goodbye(self) -> None:
+        """Tell all peers that every request has ended."""
+        for member in self.membership.list_known():
+            self._peers.send(member.peer, messages.Goodbye(self.membership.own.incarnation))
+
+    def install(self, revision: revisions.Revision) -> bool:
+        """Put a configuration in force if it is newer, and pass it on."""
+        if not self.holder.install(revision):
+            return False
+        fleet = msgspec.json.decode(revision.document)
+        config = directory.Directory(schema.Fleet.model_validate(fleet), revision.index.revision)
+        self.config = config
+        self.upstreams.apply(config)
+        if self._events is not None:
+            self._events.apply(config)
+        self.limits.install(None, config)
+        self._counters.revision.set({}, config.revision)
+        log.info('configuration in force', extra={'revision': config.revision})
+        self._push(self._make_heartbeat())
+        self._installed.set()
+        self._installed = asyncio.Event()
+        return True
+
+    async def wait_for_revision(self, number: int, timeout: float) -> list[str]:
+        """Return the live daemons that have not reported a revision within `timeout` seconds."""
+        end = time.monotonic() + timeout
+        while True:
+            behind = self.list_behind(number)
+            if not behind or time.monotonic() >= end:
+                return behind
+            await asyncio.sleep(0.05)
+
+    def list_behind(self, number: int) -> list[str]:
+        """Return the names of the live daemons whose revision is older than `number`."""
+        behind = []
+        for member in self.membership.list_alive(time.monotonic()):
+            beat = self.membership.get_beat(member.incarnation)
+            own = member == self.membership.own
+            revision = self.holder.number if own else beat.revision if beat else 0
+            if revision < number:
+                behind.append(member.name)
+        return behind
+
+    async def run_heartbeats(self) -> None:
+        """Beat until cancelled."""
+        while True:
+            self._beat()
+            beat = self._make_heartbeat()
+            for member in self.membership.choose_targets(self._rng):
+                self._peers.send(member.peer, beat)
+            self.limits.tick()
+            self.membership.forget_gone(time.monotonic())
+            self._counters.members.set({}, len(self.membership.list_alive(time.monotonic())))
+            await asyncio.sleep(self.options.heartbeat * self._rng.uniform(0.9, 1.1))
+
+    async def run_bootstrap(self) -> None:
+        """Ask the seeds for members, configuration, epoch and view until there is all."""
+        while self.config is None or not self._has_view:
+            others = [m.peer for m in self.membership.list_known()]
+            for address in dict.fromkeys([*self.options.seeds, *others]):
+                self._ask_for_everything(address)
+            await asyncio.sleep(BOOTSTRAP_INTERVAL)
+            if self.config is not None and not others[1:] and not self.options.seeds:
+                return
+
+    async def run_store(self) -> None:
+        """Keep the lease, follow the configuration, and propose epochs when it is our turn."""
+        await asyncio.gather(
+            self.storage.repeat(self.options.lease_ttl / 3, self._register),
+            self.storage.repeat(PROPOSE_INTERVAL, self._propose_epoch),
+            self.storage.repeat(storage.POLL_SECONDS, self._poll_revision),
+            self._watch(),
+        )
+
+    async def pull_revision(self) -> None:
+        """Take over the store's configuration if it is newer."""
+        revision = await self.storage.read_revision(self.holder.number)
+        self._note_store()
+        if revision is not None:
+            self.install(revision)
+
+    def _handle_messages(self) -> None:
+        handle: Callable = self._peers.handle
+        handle(messages.Heartbeat, self._take_heartbeat)
+        handle(messages.MembersWanted, self._send_members)
+        handle(messages.Members, self._take_members)
+        handle(messages.Goodbye, self._take_goodbye)
+        handle(messages.RevisionWanted, self._send_revision)
+        handle(messages.RevisionSent, self._take_revision)
+        handle(messages.EpochWanted, self._send_epoch)
+        handle(messages.Epoch, self._take_epoch)
+        handle(messages.ViewWanted, self._send_view)
+        handle(messages.ViewSent, self._take_view)
+        handle(messages.DrainWanted, lambda *_: self.begin_drain())
+
+    def _ask_for_everything(self, address: str) -> None:
+        self._peers.send(address, messages.Members([self.membership.own]))
+        self._peers.send(address, messages.MembersWanted([]))
+        self._peers.send(address, messages.RevisionWanted(self.holder.number))
+        self._peers.send(address, messages.EpochWanted())
+        if self.config is not None and not self._has_view:
+            self._peers.send(address, messages.ViewWanted(SNAPSHOT_BLOCKS))
+
+    def _beat(self) -> None:
+        confirmed = self.limits.book.get_confirmable()
+        leaving = self.drain.began_at is not None
+        self.membership.advance(
+            time.monotonic(), self.holder.number, confirmed.epoch, confirmed.revision, leaving
+        )
+
+    def _make_heartbeat(self) -> messages.Heartbeat:
+        epoch = self.limits.epoch.number if self.limits.epoch else 0
+        digest = self.membership.make_digest(self._rng)
+        return messages.Heartbeat(digest, self.holder.number, epoch)
+
+    def _push(self, message: messages.AnyMessage) -> None:
+        for member in self.membership.choose_targets(self._rng, PUSH_FANOUT):
+            self._peers.send(member.peer, message)
+
+    def _take_heartbeat(self, sender: str, address: str, message: messages.Heartbeat) -> None:
+        now = time.monotonic()
+        self.limits.book.hear(now)
+        unknown = self.membership.merge(message.beats, now)
+        unknown = [i for i in unknown if not self.limits.has_departed(i)]
+        if unknown:
+            self._peers.send(address, messages.MembersWanted(unknown))
+        if message.revision > self.holder.number:
+            self._peers.send(address, messages.RevisionWanted(self.holder.number))
+        elif message.revision < self.holder.number:
+            self._peers.send(address, self._make_heartbeat())
+        known_epoch = self.limits.epoch.number if self.limits.epoch else 0
+        if message.epoch > known_epoch:
+            self._peers.send(address, messages.EpochWanted())
+
+    def _send_members(self, sender: str, address: str, message: messages.MembersWanted) -> None:
+        wanted = set(message.incarnations)
+        found = [m for m in self.membership.list_known() if not wanted or m.incarnation in wanted]
+        self._peers.send(address, messages.Members(found))
+
+    def _take_members(self, sender: str, address: str, message: messages.Members) -> None:
+        self._add_members(message.members)
+
+    def _add_members(self, found: list[members.Member]) -> None:
+        now = time.monotonic()
+        for member in found:
+            if self.limits.has_departed(member.incarnation):
+                continue
+            self._note_replaced(member)
+            if self.membership.add(member, now):
+                log.info('member found', extra={'member': member.name})
+
+    def _note_replaced(self, member: members.Member) -> None:
+        # Two processes cannot hold one address, so an older incarnation there has ended.
+        for other in self.membership.list_known():
+            same = other.peer == member.peer and other.incarnation < member.incarnation
+            if same and other != self.membership.own:
+                self._note_departed(other.incarnation)
+
+    def _take_goodbye(self, sender: str, address: str, message: messages.Goodbye) -> None:
+        self._note_departed(message.incarnation)
+
+    def _note_departed(self, incarnation: str) -> None:
+        if incarnation == self.membership.own.incarnation:
+            return
+        self.limits.note_departed(incarnation)
+        self.membership.remove(incarnation)
+        log.info('member departed', extra={'incarnation': incarnation})
+
+    def _send_revision(self, sender: str, address: str, message: messages.RevisionWanted) -> None:
+        current = self.holder.current
+        if current is not None and current.index.revision > message.revision:
+            self._peers.send(address, messages.RevisionSent(current.index, current.document))
+
+    def _take_revision(self, sender: str, address: str, message: messages.RevisionSent) -> None:
+        self.install(revisions.Revision(message.index, message.document))
+
+    def _send_epoch(self, sender: str, address: str, message: messages.EpochWanted) -> None:
+        epoch = self.limits.epoch
+        if epoch is not None:
+            self._peers.send(address, messages.Epoch(epoch.number, epoch.holders))
+
+    def _take_epoch(self, sender: str, address: str, message: messages.Epoch) -> None:
+        self._install_epoch(storage.EpochRecord(message.number, message.holders))
+
+    def _install_epoch(self, epoch: storage.EpochRecord) -> None:
+        known = self.limits.epoch.number if self.limits.epoch else 0
+        if epoch.number <= known:
+            return
+        self.limits.epoch = epoch
+        if self.config is not None:
+            self.limits.install(epoch, self.config)
+        self._push(messages.Epoch(epoch.number, epoch.holders))
+
+    def _send_view(self, sender: str, address: str, message: messages.ViewWanted) -> None:
+        holdings = []
+        for name, key, blocks in self.upstreams.cache.export(message.limit):
+            incarnation, _, version = key.partition('/')
+            holdings.append((name, incarnation, version, blocks))
+        self._peers.send(address, messages.ViewSent(holdings))
+
+    def _take_view(self, sender: str, address: str, message: messages.ViewSent) -> None:
+        self._has_view = True
+        snapshot = []
+        for name, incarnation, version, blocks in message.holdings:
+            if name in self.upstreams.replicas:
+                snapshot.append((name, f'{incarnation}/{version}', blocks))
+        self.upstreams.cache.absorb(snapshot, time.monotonic())
+
+    async def _register(self) -> None:
+        await self.storage.register(self.membership.own)
+        self._note_store()
+
+    def _note_store(self) -> None:
+        self.limits.book.hear(time.monotonic())
+
+    async def _poll_revision(self) -> None:
+        await self.pull_revision()
+        # At full size all polls together stay under ten a second.
+        await asyncio.sleep(len(self.membership) / 10)
+
+    async def _watch(self) -> None:
+        while not self._is_watcher():
+            await asyncio.sleep(self.options.heartbeat)
+        await self.storage.follow(storage.INDEX_KEY, self.pull_revision)
+
+    def _is_watcher(self) -> bool:
+        own = self.membership.own
+        alive = self.membership.list_alive(time.monotonic())
+        names = [m.name for m in alive if m.failure_domain == own.failure_domain]
+        return own.name in rendezvous.rank_names('watch', names)[:WATCHERS_PER_DOMAIN]
+
+    async def _propose_epoch(self) -> None:
+        if self.limits.epoch is None:
+            epoch, _ = await self.storage.read_epoch()
+            if epoch is not None:
+                self._install_epoch(epoch)
+        serving = self.membership.list_serving(time.monotonic())
+        if min(m.incarnation for m in serving or [self.membership.own]) != (
+            self.membership.own.incarnation
+        ):
+            return
+        listed = await self.storage.read_members()
+        self._add_members(listed)
+        epoch, at = await self.storage.read_epoch()
+        if epoch is not None:
+            self._install_epoch(epoch)
+        wanted = self._choose_holders(listed, epoch)
+        if epoch is None or wanted != epoch.holders:
+            record = storage.EpochRecord(epoch.number + 1 if epoch else 1, wanted)
+            if await self.storage.write_epoch(record, at):
+                log.info('epoch proposed', extra={'epoch': record.number, 'holders': len(wanted)})
+                self._install_epoch(record)
+
+    def _choose_holders(
+        self, listed: list[members.Member], epoch: storage.EpochRecord | None
+    ) -> dict[str, storage.Seat]:
+        """Return the listed daemons and those holders of before that may still be running."""
+        now = time.monotonic()
+        replaced = self._find_replaced(listed, epoch)
+        present = {m.incarnation for m in listed}
+        holders = {}
+        for incarnation, seat in (epoch.holders if epoch else {}).items():
+            if self.limits.has_departed(incarnation) or incarnation in replaced:
+                continue
+            if incarnation in present or not self._is_certainly_gone(incarnation, now):
+                holders[incarnation] = seat
+        for member in listed:
+            beat = self.membership.get_beat(member.incarnation)
+            alive = beat is not None and (beat.counter > 0 or member == self.membership.own)
+            if alive and beat is not None and not beat.leaving:
+                holders[member.incarnation] = (member.name, member.failure_domain, member.peer)
+        return holders
+
+    def _find_replaced(
+        self, listed: list[members.Member], epoch: storage.EpochRecord | None
+    ) -> set[str]:
+        # Two processes cannot hold one address, so an older incarnation there has ended.
+        newest: dict[str, str] = {}
+        for member in listed:
+            newest[member.peer] = max(newest.get(member.peer, ''), member.incarnation)
+        holders = epoch.holders if epoch else {}
+        return {i for i, seat in holders.items() if newest.get(seat[2], '') > i}
+
+    def _is_certainly_gone(self, incarnation: str, now: float) -> bool:
+        """Return whether a holder without a lease has been silent for so long that it is fenced."""
+        silent_since = self.membership.get_advanced_at(incarnation)
+        if silent_since is None:
+            silent_since = self._missing_since.setdefault(incarnation, now)
+        return now - silent_since > shares.GONE_SECONDS
--- /dev/null
+++ b/passpier/daemon/generation.py
@@ -0,0 +1,333 @@
+"""Runs one model request: attempts, checked chunks, resumption, continuation, cancellation."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import random
+import time
+from collections.abc import AsyncGenerator
+from typing import Any
+
+import msgspec
+
+from passpier import exceptions
+from passpier.clients import engines, web
+from passpier.core import attempts, replicas, retries, streams, view
+from passpier.daemon import calls, dispatcher, metrics, upstreams
+
+log = logging.getLogger(__name__)
+
+FIRST_TOKEN_MIN = 3.0
+"""Seconds that an engine always has for its first token; beyond it, a multiple of the estimate."""
+
+FIRST_TOKEN_FACTOR = 5.0
+RESUME_TIMEOUT = 1.0
+"""Seconds that an engine has to take up a stream again."""
+
+TOKEN_TIMEOUT = 2.0
+"""Seconds between two tokens after which a stream counts as cut."""
+
+_NOT_RUN_STATUSES = frozenset({412, 429, 503})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Piece:
+    """New text for the caller; the last one has a finish reason and the usage."""
+
+    text: str
+    finish_reason: str | None = None
+    usage: engines.Usage | None = None
+
+
+class _AttemptError(Exception):
+    def __init__(self, fault: attempts.Fault, message: str) -> None:
+        super().__init__(message)
+        self.fault = fault
+
+
+class Generator:
+    """Runs model requests against engines."""
+
+    def __init__(
+        self,
+        engine_client: engines.Engines,
+        known: upstreams.Upstreams,
+        places: dispatcher.Dispatcher,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.engines = engine_client
+        self.upstreams = known
+        self.dispatcher = places
+        self.counters = counters
+        self.rng = rng
+        self.budget = retries.RetryBudget()
+
+    def run(self, call: calls.Call) -> AsyncGenerator[Piece, None]:
+        """Yield the answer's pieces in order; raises `RequestFailedError` if it cannot be whole."""
+        return _Run(self, call).run()
+
+
+class _Run:
+    """The run of one call."""
+
+    def __init__(self, owner: Generator, call: calls.Call) -> None:
+        self._owner = owner
+        self._call = call
+        self._text: list[str] = []
+        self._excluded: set[str] = set()
+        self._placement: dispatcher.Placement | None = None
+        self._tracker = streams.Tracker('')
+        self._resuming = False
+        self._last_at = 0.0
+        self._base_tokens = 0
+
+    async def run(self) -> AsyncGenerator[Piece, None]:
+        """Yield pieces until the answer is whole."""
+        try:
+            while True:
+                try:
+                    async for piece in self._attempt():
+                        yield piece
+                    self._owner.budget.note_success()
+                    return
+                except _AttemptError as error:
+                    await self._recover(error)
+        finally:
+            await self._end_place()
+
+    async def _attempt(self) -> AsyncGenerator[Piece, None]:
+        exchange = await self._open()
+        assert self._placement is not None
+        try:
+            await self._check_head(exchange)
+            async for piece in self._read(exchange):
+                yield piece
+        except web.ExchangeError as error:
+            raise _AttemptError(self._judge(error), str(error)) from error
+        finally:
+            exchange.abort()
+
+    async def _open(self) -> web.Exchange:
+        call = self._call
+        if self._resuming:
+            assert self._placement is not None
+            return self._owner.engines.resume(
+                self._placement.replica.address,
+                self._placement.attempt,
+                self._tracker.next_sequence,
+                call.chat,
+            )
+        attempt = f'{call.id}-{call.life.attempts}'
+        placed = await self._owner.dispatcher.place(call, attempt, self._excluded)
+        if placed.is_error():
+            raise calls.RequestFailedError(placed.error)
+        placement = self._placement = placed.ok
+        self._tracker = streams.Tracker(attempt)
+        self._base_tokens = len(self._text)
+        call.life.begin()
+        body = msgspec.json.encode(self._build_body())
+        # An engine may see a repeatable attempt twice; any other needs its own connection.
+        return self._owner.engines.generate(
+            placement.replica.address,
+            call.path,
+            body,
+            attempt,
+            call.weight_version,
+            call.life.repeatable,
+        )
+
+    def _build_body(self) -> dict[str, Any]:
+        call = self._call
+        body = dict(call.body)
+        body.update(
+            model=call.service.adapter or call.service.model,
+            stream=True,
+            cache_salt=call.account.name,
+            priority=call.service.priority,
+            max_tokens=call.max_tokens - len(self._text),
+        )
+        if self._text:
+            text = ''.join(self._text)
+            if call.chat:
+                body['messages'] = [*body['messages'], {'role': 'assistant', 'content': text}]
+                body['continue_final_message'] = True
+                body['add_generation_prompt'] = False
+            else:
+                body['prompt'] = body['prompt'] + text
+        return body
+
+    async def _check_head(self, exchange: web.Exchange) -> None:
+        assert self._placement is not None
+        replica = self._placement.replica
+        try:
+            timeout = RESUME_TIMEOUT if self._resuming else self._get_first_timeout()
+            head = await asyncio.wait_for(exchange.read_head(), timeout)
+        except TimeoutError as error:
+            fault = attempts.Fault.FAILED if self._resuming else attempts.Fault.NO_ANSWER
+            raise _AttemptError(fault, 'no answer in time') from error
+        identity = engines.parse_identity(head.headers)
+        before = replica.incarnation
+        self._owner.upstreams.learn_identity(replica, identity)
+        if head.status != 200:
+            refused = (
+                head.status in _NOT_RUN_STATUSES and head.headers.get('X-Outcome') == 'not_run'
+            )
+            fault = attempts.Fault.REFUSED if refused else attempts.Fault.FAILED
+            raise _AttemptError(fault, f'status {head.status}')
+        wanted = self._call.weight_version
+        if wanted and identity.weight_version not in ('', wanted):
+            message = f'weights {identity.weight_version!r} instead of {wanted!r}'
+            raise _AttemptError(attempts.Fault.WRONG_VERSION, message)
+        if self._resuming and before and identity.incarnation not in ('', before):
+            raise _AttemptError(attempts.Fault.FAILED, 'the engine was restarted')
+        self._note_dispatched(replica, identity)
+
+    def _note_dispatched(self, replica: replicas.Replica, identity: engines.Identity) -> None:
+        # From the first byte on the prompt is being computed there, whatever is cached now.
+        key = f'{identity.incarnation}/{identity.weight_version}'
+        now = time.monotonic()
+        chain = self._call.job.chain
+        self._owner.upstreams.cache.add(replica.name, key, chain, view.Evidence.DISPATCH, now)
+
+    async def _read(self, exchange: web.Exchange) -> AsyncGenerator[Piece, None]:
+        events = engines.read_events(exchange)
+        while not self._tracker.ended:
+            timeout = TOKEN_TIMEOUT if self._tracker.next_sequence else self._get_first_timeout()
+            try:
+                data = await asyncio.wait_for(anext(events), timeout)
+            except StopAsyncIteration:
+                raise _AttemptError(attempts.Fault.CUT, 'the stream ended early') from None
+            except TimeoutError as error:
+                raise _AttemptError(attempts.Fault.CUT, 'the stream stalled') from error
+            chunk = self._decode(data)
+            if chunk is not None:
+                yield self._accept(chunk)
+
+    def _decode(self, data: bytes) -> engines.Chunk | None:
+        if data == engines.END_MARK:
+            raise _AttemptError(attempts.Fault.CUT, 'an end mark without an end')
+        try:
+            chunk = msgspec.json.decode(data, type=engines.Chunk)
+        except msgspec.DecodeError as error:
+            raise _AttemptError(attempts.Fault.CUT, f'bad chunk: {error}') from error
+        sequence = chunk.sequence
+        if sequence == engines.NO_SEQUENCE:
+            sequence = self._tracker.next_sequence
+        verdict = self._tracker.check(chunk.id, sequence, chunk.finish_reason is not None)
+        if verdict is streams.Verdict.DROP:
+            self._owner.counters.dropped_chunks.inc({})
+            return None
+        if verdict is streams.Verdict.GAP:
+            raise _AttemptError(attempts.Fault.CUT, 'a chunk is missing')
+        return chunk
+
+    def _accept(self, chunk: engines.Chunk) -> Piece:
+        assert self._placement is not None
+        now = time.monotonic()
+        call = self._call
+        labels = {'service': call.service.name}
+        if not self._last_at:
+            self._owner.counters.first_token.observe(labels, now - call.arrived_at)
+        else:
+            self._owner.counters.token_gap.observe(labels, now - self._last_at)
+        self._last_at = now
+        replicas.note_first_token(self._placement.replica, self._placement.attempt, now)
+        call.life.may_have_run = True
+        if chunk.finish_reason is None:
+            self._text.append(chunk.text)
+            call.life.delivered += 1
+            return Piece(chunk.text)
+        return self._finish(chunk)
+
+    def _finish(self, chunk: engines.Chunk) -> Piece:
+        call = self._call
+        usage = chunk.usage or engines.Usage()
+        cached = usage.prompt_tokens_details.cached_tokens if usage.prompt_tokens_details else 0
+        if not self._base_tokens:
+            self._learn(cached)
+        self._owner.counters.prompt_tokens.add({'kind': 'cached'}, cached)
+        self._owner.counters.prompt_tokens.add({'kind': 'computed'}, usage.prompt_tokens - cached)
+        if self._base_tokens:
+            usage.prompt_tokens -= self._base_tokens
+            usage.completion_tokens += self._base_tokens
+        if usage.completion_tokens != len(self._text):
+            raise _AttemptError(attempts.Fault.FAILED, 'the count of the answer is wrong')
+        call.life.completed = True
+        return Piece(chunk.text, chunk.finish_reason, usage)
+
+    def _learn(self, cached_tokens: int) -> None:
+        assert self._placement is not None
+        replica = self._placement.replica
+        self._owner.upstreams.ejector.note_success(replica.name)
+        job = self._call.job
+        self._owner.upstreams.cache.correct(
+            replica.name,
+            f'{replica.incarnation}/{replica.weight_version}',
+            job.chain,
+            cached_tokens // job.block_tokens,
+            time.monotonic(),
+        )
+
+    def _judge(self, error: web.ExchangeError) -> attempts.Fault:
+        if not error.sent:
+            return attempts.Fault.NOT_CONNECTED
+        if self._tracker.next_sequence or self._resuming:
+            return attempts.Fault.CUT
+        return attempts.Fault.NO_ANSWER
+
+    def _get_first_timeout(self) -> float:
+        assert self._placement is not None
+        chosen = self._placement.choice
+        estimate = next(c.total for c in chosen.candidates if c.name == chosen.name)
+        return max(FIRST_TOKEN_MIN, FIRST_TOKEN_FACTOR * estimate)
+
+    async def _recover(self, error: _AttemptError) -> None:
+        call = self._call
+        fault = error.fault
+        if self._resuming and fault is not attempts.Fault.CUT:
+            # The stream cannot be taken up; what is known of the attempt before still holds.
+            fault = attempts.Fault.NO_ANSWER
+            call.life.resumes = attempts.MAX_RESUMES
+        now = time.monotonic()
+        step = call.life.decide(fault, True)
+        if step is not attempts.Step.FAIL and not self._owner.budget.spend(now):
+            step = attempts.Step.FAIL
+        self._log_fault(error, step)
+        self._owner.counters.retries.inc({'step': step.value})
+        self._resuming = step is attempts.Step.RESUME
+        if step is attempts.Step.RESUME:
+            return
+        if self._placement is not None:
+            self._owner.upstreams.note_failure(self._placement.replica)
+            self._excluded.add(self._placement.replica.name)
+        await self._end_place()
+        if step is attempts.Step.FAIL:
+            code = exceptions.Code.STREAM_BROKEN if self._text else exceptions.Code.UPSTREAM_FAILED
+            raise call.fail(code, str(error), 1.0)
+        await asyncio.sleep(retries.compute_backoff(call.life.attempts, self._owner.rng))
+
+    def _log_fault(self, error: _AttemptError, step: attempts.Step) -> None:
+        log.warning(
+            'attempt failed',
+            extra={
+                'request': self._call.id,
+                'attempt': self._placement.attempt if self._placement else '',
+                'upstream': self._placement.replica.name if self._placement else '',
+                'fault': error.fault.value,
+                'detail': str(error),
+                'step': step.value,
+                'delivered': len(self._text),
+            },
+        )
+
+    async def _end_place(self) -> None:
+        placement, self._placement = self._placement, None
+        if placement is None:
+            return
+        self._owner.dispatcher.end(placement)
+        if not self._call.life.completed:
+            cancel = self._owner.engines.cancel(placement.replica.address, placement.attempt)
+            asyncio.ensure_future(cancel)
--- /dev/null
+++ b/passpier/daemon/intake.py
@@ -0,0 +1,165 @@
+"""Makes a call of a caller's request: validates the body, finds the service, encodes the prompt."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Annotated, Any, Literal
+
+import expression
+import pydantic
+
+from passpier import exceptions
+from passpier.config import directory, schema
+from passpier.core import attempts, blocks
+from passpier.daemon import calls
+
+MAX_TOKENS = 32_768
+
+Refusal = exceptions.Failure
+
+
+class ChatMessage(pydantic.BaseModel):
+    """One message of a chat."""
+
+    model_config = pydantic.ConfigDict(extra='allow')
+
+    role: str
+    content: str
+
+
+class _Body(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='allow')
+
+    model: str
+    stream: bool = False
+    max_tokens: int = pydantic.Field(default=16, ge=1, le=MAX_TOKENS)
+    n: Literal[1] = 1
+
+
+class CompletionBody(_Body):
+    """Body of `POST /v1/completions`."""
+
+    prompt: str | list[Annotated[int, pydantic.Field(ge=0, lt=2**32)]]
+
+
+class ChatBody(_Body):
+    """Body of `POST /v1/chat/completions`."""
+
+    messages: list[ChatMessage] = pydantic.Field(min_length=1)
+
+
+def build_call(
+    config: directory.Directory,
+    account: schema.Account,
+    id: str,
+    path: str,
+    raw: bytes,
+    key: str,
+    service_name: str = '',
+) -> expression.Result[calls.Call, exceptions.Failure]:
+    """Return the call of a request; `service_name` is set for plain services only."""
+    if service_name:
+        return _build_plain(config, account, id, path, raw, key, service_name)
+    body = _parse_body(path, raw)
+    if isinstance(body, exceptions.Failure):
+        return expression.Error(body)
+    service = config.find_service(account, body.model)
+    if service is None or service.kind != 'model' or service.model is None:
+        return expression.Error(_refuse_unknown(body.model))
+    missing = _check_key(service.repeatable, key)
+    if missing is not None:
+        return expression.Error(missing)
+    model = config.models[service.model]
+    content = _add_preamble(service, body)
+    prompt = _encode(content)
+    life = attempts.Life(
+        service.repeatable, continuable=not isinstance(content.get('prompt'), list)
+    )
+    call = calls.Call(
+        id,
+        account,
+        service,
+        path,
+        config.find_policy(service.name, account.name),
+        time.monotonic(),
+        life,
+        content,
+        prompt,
+        calls.build_job(account, service, model, prompt),
+        model.weight_version,
+        raw,
+        '' if service.repeatable else key,
+    )
+    return expression.Ok(call)
+
+
+def _build_plain(
+    config: directory.Directory,
+    account: schema.Account,
+    id: str,
+    path: str,
+    raw: bytes,
+    key: str,
+    service_name: str,
+) -> expression.Result[calls.Call, exceptions.Failure]:
+    service = config.find_service(account, service_name)
+    if service is None or service.kind != 'plain':
+        return expression.Error(_refuse_unknown(service_name))
+    repeatable = directory.is_repeatable(service, path)
+    missing = _check_key(repeatable, key)
+    if missing is not None:
+        return expression.Error(missing)
+    life = attempts.Life(repeatable, resumable=False)
+    policy = config.find_policy(service.name, account.name)
+    call = calls.Call(id, account, service, path, policy, time.monotonic(), life, raw=raw)
+    call.key = '' if repeatable else key
+    return expression.Ok(call)
+
+
+def _parse_body(path: str, raw: bytes) -> CompletionBody | ChatBody | exceptions.Failure:
+    kind = ChatBody if path == calls.CHAT_PATH else CompletionBody
+    try:
+        return kind.model_validate(json.loads(raw))
+    except (ValueError, RecursionError) as error:
+        if isinstance(error, pydantic.ValidationError):
+            parts = [f'{".".join(map(str, e["loc"]))}: {e["msg"]}' for e in error.errors()[:5]]
+            message = '; '.join(parts)
+        else:
+            message = 'the body is not JSON'
+        return exceptions.Failure(exceptions.Code.BAD_REQUEST, exceptions.Outcome.NOT_RUN, message)
+
+
+def _refuse_unknown(name: str) -> exceptions.Failure:
+    message = f'no service {name[:64]!r} for this account'
+    return exceptions.Failure(exceptions.Code.NOT_FOUND, exceptions.Outcome.NOT_RUN, message)
+
+
+def _check_key(repeatable: bool, key: str) -> exceptions.Failure | None:
+    if repeatable:
+        return None
+    if key and len(key) <= 256:
+        return None
+    message = 'this request may run only once: send an Idempotency-Key of at most 256 characters'
+    code = exceptions.Code.KEY_REQUIRED
+    return exceptions.Failure(code, exceptions.Outcome.NOT_RUN, message)
+
+
+def _add_preamble(service: schema.Service, body: CompletionBody | ChatBody) -> dict[str, Any]:
+    content = body.model_dump()
+    if not service.preamble:
+        return content
+    if isinstance(body, ChatBody):
+        system = {'role': 'system', 'content': service.preamble}
+        content['messages'] = [system, *content['messages']]
+    elif isinstance(body.prompt, str):
+        content['prompt'] = service.preamble + body.prompt
+    return content
+
+
+def _encode(content: dict[str, Any]) -> bytes:
+    if 'messages' in content:
+        return blocks.encode_text(calls.render_chat(content['messages']))
+    if isinstance(content['prompt'], str):
+        return blocks.encode_text(content['prompt'])
+    return blocks.encode_tokens(content['prompt'])
--- /dev/null
+++ b/passpier/daemon/limits.py
@@ -0,0 +1,150 @@
+"""Keeps the limits of client accounts: own units first, else one borrowed from a holder."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import time
+import uuid
+
+import expression
+
+from passpier import exceptions
+from passpier.config import directory
+from passpier.core import members, shares
+from passpier.daemon import messages, peers, storage
+
+log = logging.getLogger(__name__)
+
+BORROW_TIMEOUT = 0.25
+"""Seconds to wait for a holder's answer."""
+
+
+@dataclasses.dataclass(slots=True)
+class Unit:
+    """A unit in use; `lender` is the peer address it was borrowed from, or empty."""
+
+    account: str
+    loan: str = ''
+    lender: str = ''
+
+
+class Limits:
+    """What this daemon holds of every account's limit."""
+
+    def __init__(self, membership: members.Membership, link: peers.Peers, entry_count: int) -> None:
+        self._membership = membership
+        self._peers = link
+        self._entry_count = entry_count
+        self._replies = peers.Replies()
+        self._borrowed: dict[str, str] = {}
+        self._lenders: set[str] = set()
+        self._departed: set[str] = set()
+        self.book = shares.ShareBook(membership.own.incarnation)
+        self.epoch: storage.EpochRecord | None = None
+        link.handle(messages.Borrow, self._lend)
+        link.handle(messages.Lent, self._take_answer)
+        link.handle(messages.Repay, self._take_back)
+        link.handle(messages.Loans, self._reconcile)
+
+    async def acquire(self, account: str) -> expression.Result[Unit, exceptions.Failure]:
+        """Return a unit, or the refusal."""
+        if self.book.acquire(account, time.monotonic()):
+            return expression.Ok(Unit(account))
+        retry_after = self.book.compute_retry_after(account)
+        for incarnation in self.book.rank_lenders(account):
+            member = self._membership.get(incarnation)
+            if member is None or member not in self._membership.list_alive(time.monotonic()):
+                continue
+            unit, after = await self._borrow(account, member.peer)
+            if unit is not None:
+                return expression.Ok(unit)
+            retry_after = max(retry_after, after)
+        failure = exceptions.Failure(
+            exceptions.Code.LIMIT,
+            exceptions.Outcome.NOT_RUN,
+            f'the limit of account {account!r} is reached',
+            retry_after,
+        )
+        return expression.Error(failure)
+
+    def release(self, unit: Unit, tokens: int) -> None:
+        """Give a unit back with the tokens that were used."""
+        if unit.lender:
+            self._borrowed.pop(unit.loan, None)
+            self._peers.send(unit.lender, messages.Repay(unit.loan, tokens))
+            return
+        self.book.charge(unit.account, tokens, time.monotonic())
+        self.book.release(unit.account)
+
+    def install(self, epoch: storage.EpochRecord | None, config: directory.Directory) -> None:
+        """Take up a newer epoch or configuration."""
+        if epoch is not None and (self.epoch is None or epoch.number > self.epoch.number):
+            self.epoch = epoch
+        if self.epoch is None:
+            return
+        holders = {i: shares.Holder(seat[0], seat[1]) for i, seat in self.epoch.holders.items()}
+        generation = shares.Generation(self.epoch.number, config.revision)
+        self.book.install(shares.Grant(generation, holders, config.limits, self._entry_count))
+
+    def tick(self) -> None:
+        """Settle what every holder has confirmed; tell lenders which loans are still in use."""
+        if self.book.settle(self._get_confirmed):
+            log.info(
+                'shares settled',
+                extra={
+                    'epoch': self.book.generation.epoch,
+                    'revision': self.book.generation.revision,
+                },
+            )
+        for lender in list(self._lenders):
+            loans = [loan for loan, address in self._borrowed.items() if address == lender]
+            self._peers.send(lender, messages.Loans(loans))
+            if not loans:
+                self._lenders.discard(lender)
+
+    def note_departed(self, incarnation: str) -> None:
+        """Note that a daemon has certainly stopped."""
+        self._departed.add(incarnation)
+        self.book.drop_borrower(incarnation, time.monotonic())
+
+    def has_departed(self, incarnation: str) -> bool:
+        """Return whether a daemon has certainly stopped."""
+        return incarnation in self._departed
+
+    async def _borrow(self, account: str, address: str) -> tuple[Unit | None, float]:
+        loan = uuid.uuid4().hex
+        self._borrowed[loan] = address
+        self._lenders.add(address)
+        self._peers.send(address, messages.Borrow(loan, account))
+        answer = await self._replies.wait(loan, BORROW_TIMEOUT)
+        if isinstance(answer, messages.Lent) and answer.granted:
+            return Unit(account, loan, address), 0.0
+        del self._borrowed[loan]
+        return None, answer.retry_after if isinstance(answer, messages.Lent) else 0.0
+
+    def _lend(self, sender: str, address: str, message: messages.Borrow) -> None:
+        granted = self.book.lend(message.loan, message.account, sender, time.monotonic())
+        retry_after = self.book.compute_retry_after(message.account)
+        self._peers.send(address, messages.Lent(message.loan, granted, retry_after))
+
+    def _take_answer(self, sender: str, address: str, message: messages.Lent) -> None:
+        if not self._replies.resolve(message.loan, message) and message.granted:
+            self._peers.send(address, messages.Repay(message.loan, 0))
+
+    def _take_back(self, sender: str, address: str, message: messages.Repay) -> None:
+        self.book.repay(message.loan, message.tokens, time.monotonic())
+
+    def _reconcile(self, sender: str, address: str, message: messages.Loans) -> None:
+        self.book.reconcile(sender, set(message.loans), time.monotonic())
+
+    def _get_confirmed(self, incarnation: str) -> shares.Generation | None:
+        if incarnation == self._membership.own.incarnation:
+            return self.book.get_confirmable()
+        if incarnation in self._departed or incarnation not in self.book.holders:
+            # Whoever wrote the epoch left a holder out only when it had certainly stopped.
+            return None
+        beat = self._membership.get_beat(incarnation)
+        if beat is None:
+            return shares.NO_GRANT.generation
+        return shares.Generation(beat.epoch, beat.confirmed)
--- /dev/null
+++ b/passpier/daemon/main.py
@@ -0,0 +1,193 @@
+"""Starts and stops the daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+import signal
+import sys
+import time
+
+import tornado.httpserver
+import tornado.netutil
+import uuid_utils
+
+from passpier import exceptions
+from passpier.clients import engines, store, web
+from passpier.config import settings
+from passpier.core import drain, members
+from passpier.daemon import (
+    callers,
+    dispatcher,
+    events,
+    fleet,
+    generation,
+    limits,
+    logs,
+    metrics,
+    operators,
+    peers,
+    plain,
+    service,
+    storage,
+    upstreams,
+)
+
+log = logging.getLogger(__name__)
+
+EXIT_SETTINGS = 2
+STOP_CHECK = 0.05
+"""Seconds between looks at whether a planned stop is done."""
+
+BODY_SLACK = 64 * 1024
+"""Bytes over the body limit that are still read, so that the refusal can be answered."""
+
+
+class Daemon:
+    """All tasks of one daemon, wired together."""
+
+    def __init__(self, options: settings.Settings) -> None:
+        self.options = options
+        rng = random.Random(options.seed or None)
+        counters = metrics.Metrics()
+        self._caller_sockets = tornado.netutil.bind_sockets(options.caller_port, options.ip)
+        self._operator_sockets = tornado.netutil.bind_sockets(options.operator_port, options.ip)
+        incarnation = uuid_utils.uuid7().hex
+        self.peers = peers.Peers(incarnation, options.ip, options.peer_port, counters)
+        own = members.Member(
+            options.name,
+            incarnation,
+            options.ip,
+            self._caller_sockets[0].getsockname()[1],
+            self.peers.port,
+            options.failure_domain,
+        )
+        membership = members.Membership(own, options.heartbeat, time.monotonic())
+        self.client = web.Client()
+        engine_client = engines.HttpEngines(self.client)
+        self.upstreams = upstreams.Upstreams(
+            self.client, engine_client, options.vm_list, options.view_blocks, counters
+        )
+        self.events = None
+        if options.events == 'all':
+            self.events = events.Events(self.upstreams, counters)
+        shared = storage.Storage(self._build_store(), options.lease_ttl, rng)
+        account_limits = limits.Limits(membership, self.peers, options.entry_count)
+        self.fleet = fleet.Fleet(
+            options,
+            membership,
+            self.peers,
+            shared,
+            self.upstreams,
+            self.events,
+            account_limits,
+            counters,
+            rng,
+        )
+        places = dispatcher.Dispatcher(self.upstreams, counters, rng)
+        generator = generation.Generator(engine_client, self.upstreams, places, counters, rng)
+        plain_caller = plain.PlainCaller(
+            self.client, self.upstreams, places, generator.budget, counters, rng
+        )
+        self.service = service.Service(
+            self.fleet, places, generator, plain_caller, self.peers, counters
+        )
+        self.operators = operators.Operators(self.service, self.peers)
+
+    async def run(self) -> None:
+        """Serve until a planned stop is done."""
+        jobs = [
+            self.peers.run(),
+            self.fleet.run_heartbeats(),
+            self.fleet.run_bootstrap(),
+            self.fleet.run_store(),
+            self.upstreams.run_polls(),
+            self.upstreams.run_vm_list(),
+        ]
+        tasks = [asyncio.ensure_future(job) for job in jobs]
+        for task in tasks:
+            task.add_done_callback(_check_task)
+        servers = self._listen()
+        self._handle_signals()
+        log.info(
+            'serving',
+            extra={
+                'entry': self.fleet.membership.own.entry,
+                'operators': self._operator_sockets[0].getsockname()[1],
+                'peers': self.peers.address,
+                'incarnation': self.fleet.membership.own.incarnation,
+            },
+        )
+        await self.fleet.stopping.wait()
+        await self._finish()
+        for server in servers:
+            server.stop()
+        for task in tasks:
+            task.cancel()
+        await self._close()
+
+    async def _finish(self) -> None:
+        while self.service.get_phase() is not drain.Phase.STOPPED:
+            await asyncio.sleep(STOP_CHECK)
+        if self.service.in_flight:
+            log.warning('stopped with requests running', extra={'cut': self.service.in_flight})
+
+    async def _close(self) -> None:
+        self.fleet.say_goodbye()
+        with contextlib.suppress(exceptions.StoreError):
+            await self.fleet.storage.unregister()
+        if self.events is not None:
+            self.events.close()
+        self.peers.close()
+        self.client.close()
+        log.info('stopped')
+
+    def _listen(self) -> list[tornado.httpserver.HTTPServer]:
+        bound = self.options.max_body + BODY_SLACK
+        caller_server = tornado.httpserver.HTTPServer(
+            callers.build_application(self.service), max_buffer_size=bound, max_body_size=bound
+        )
+        caller_server.add_sockets(self._caller_sockets)
+        secret = self.options.operator_secret.get_secret_value()
+        operator_server = tornado.httpserver.HTTPServer(
+            operators.build_application(self.operators, secret)
+        )
+        operator_server.add_sockets(self._operator_sockets)
+        return [caller_server, operator_server]
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.fleet.begin_drain)
+
+    def _build_store(self) -> store.Store:
+        endpoints = self.options.store_endpoints
+        return store.EtcdStore(endpoints, self.client) if endpoints else store.MemoryStore()
+
+
+def main() -> None:
+    """Run the daemon; exits with 2 if the settings are wrong."""
+    try:
+        options = settings.load_settings(sys.argv[1:])
+    except exceptions.FindingsError as error:
+        for finding in error.findings:
+            print(f'passpierd: {finding}', file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    logs.configure_logging(options.log_level, options.log_format, options.name)
+    asyncio.run(_run(options))
+
+
+async def _run(options: settings.Settings) -> None:
+    await Daemon(options).run()
+
+
+def _check_task(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.critical('task failed', exc_info=task.exception())
+        raise SystemExit(1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/passpier/daemon/messages.py
@@ -0,0 +1,175 @@
+"""Messages between daemons, MessagePack over ZeroMQ; each is one way and names its sender."""
+
+from __future__ import annotations
+
+import msgspec
+
+from passpier.core import members, revisions
+
+
+class Message(msgspec.Struct, array_like=True, tag=True):
+    """Base of all messages."""
+
+
+class Heartbeat(Message, tag='hb'):
+    """Counters of members, and the newest epoch and revision known to the sender."""
+
+    beats: list[members.Beat]
+    revision: int
+    epoch: int
+
+
+class MembersWanted(Message, tag='mw'):
+    """Asks who some incarnations are; an empty list asks for everybody."""
+
+    incarnations: list[str]
+
+
+class Members(Message, tag='mm'):
+    """Who some incarnations are."""
+
+    members: list[members.Member]
+
+
+class Goodbye(Message, tag='bye'):
+    """The sender has finished all its requests and stops."""
+
+    incarnation: str
+
+
+class DrainWanted(Message, tag='dw'):
+    """An operator asks the receiver to stop as planned."""
+
+
+class RevisionWanted(Message, tag='rw'):
+    """Asks for the configuration if it is newer than `revision`."""
+
+    revision: int
+
+
+class RevisionSent(Message, tag='rs'):
+    """A configuration."""
+
+    index: revisions.Index
+    document: bytes
+
+
+class Epoch(Message, tag='ep'):
+    """An epoch of share holders: incarnation to name, failure domain and peer address."""
+
+    number: int
+    holders: dict[str, tuple[str, str, str]]
+
+
+class EpochWanted(Message, tag='ew'):
+    """Asks for the newest epoch."""
+
+
+class Borrow(Message, tag='bo'):
+    """Asks for one unit of an account's limit for the length of a request."""
+
+    loan: str
+    account: str
+
+
+class Lent(Message, tag='le'):
+    """Answers `Borrow`; `retry_after` is in seconds."""
+
+    loan: str
+    granted: bool
+    retry_after: float
+
+
+class Repay(Message, tag='re'):
+    """Gives a unit back, with the tokens that were used."""
+
+    loan: str
+    tokens: int
+
+
+class Loans(Message, tag='lo'):
+    """All units that the sender has borrowed from the receiver and still uses."""
+
+    loans: list[str]
+
+
+class ViewWanted(Message, tag='vw'):
+    """Asks for a snapshot of the cache view."""
+
+    limit: int
+
+
+class ViewSent(Message, tag='vs'):
+    """The freshest blocks by replica: name, incarnation, weight version, blocks."""
+
+    holdings: list[tuple[str, str, str, list[int]]]
+
+
+class Forward(Message, tag='fw'):
+    """A request with an idempotency key, for its home to run."""
+
+    id: str
+    account: str
+    service: str
+    path: str
+    key: str
+    body: bytes
+
+
+class Forwarded(Message, tag='fd'):
+    """The answer to `Forward`; `failure` is empty or a JSON-encoded failure."""
+
+    id: str
+    status: int
+    content_type: str
+    body: bytes
+    failure: bytes
+
+
+class ExplainWanted(Message, tag='xw'):
+    """Asks for the decisions of a request."""
+
+    id: str
+    request: str
+
+
+class Explained(Message, tag='xd'):
+    """The decisions of a request as JSON lines."""
+
+    id: str
+    decisions: list[bytes]
+
+
+AnyMessage = (
+    Heartbeat
+    | MembersWanted
+    | Members
+    | Goodbye
+    | DrainWanted
+    | RevisionWanted
+    | RevisionSent
+    | Epoch
+    | EpochWanted
+    | Borrow
+    | Lent
+    | Repay
+    | Loans
+    | ViewWanted
+    | ViewSent
+    | Forward
+    | Forwarded
+    | ExplainWanted
+    | Explained
+)
+
+
+class Envelope(msgspec.Struct, array_like=True):
+    """A message with its sender's incarnation and peer address."""
+
+    sender: str
+    address: str
+    message: AnyMessage
+
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Envelope).decode
--- /dev/null
+++ b/passpier/daemon/metrics.py
@@ -0,0 +1,77 @@
+"""Metrics of the daemon, by aioprometheus."""
+
+from __future__ import annotations
+
+import time
+
+import aioprometheus
+
+SECONDS_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.3, 2.0, 5.0, 10.0)
+GAP_BUCKETS = (0.005, 0.01, 0.02, 0.048, 0.1, 0.2, 0.5, 1.0)
+
+
+class Metrics:
+    """All metrics of one daemon, in a registry of its own."""
+
+    def __init__(self) -> None:
+        registry = self.registry = aioprometheus.Registry()
+        self.first_token = aioprometheus.Histogram(
+            'passpier_first_token_seconds',
+            'Time from the request to its first token, by service.',
+            registry=registry,
+            buckets=list(SECONDS_BUCKETS),
+        )
+        self.token_gap = aioprometheus.Histogram(
+            'passpier_token_gap_seconds',
+            'Time between tokens, by service.',
+            registry=registry,
+            buckets=list(GAP_BUCKETS),
+        )
+        self.requests = _build_counter(
+            registry, 'passpier_requests_total', 'Requests answered, by service and outcome.'
+        )
+        self.refusals = _build_counter(
+            registry, 'passpier_refusals_total', 'Requests not answered, by code and outcome.'
+        )
+        self.prompt_tokens = _build_counter(
+            registry, 'passpier_prompt_tokens_total', 'Prompt tokens, by kind: cached, computed.'
+        )
+        self.wasted_tokens = _build_counter(
+            registry, 'passpier_wasted_tokens_total', 'Tokens computed though held elsewhere.'
+        )
+        self.retries = _build_counter(
+            registry, 'passpier_retries_total', 'Further attempts, by step.'
+        )
+        self.control_bytes = _build_counter(
+            registry, 'passpier_control_bytes_total', 'Bytes of control traffic, by channel.'
+        )
+        self.dropped_chunks = _build_counter(
+            registry, 'passpier_dropped_chunks_total', 'Chunks of other attempts, or repeated.'
+        )
+        self.queued = _build_gauge(registry, 'passpier_queued', 'Requests waiting, by pool.')
+        self.in_flight = _build_gauge(registry, 'passpier_in_flight', 'Requests running.')
+        self.revision = _build_gauge(
+            registry, 'passpier_configuration_revision', 'Configuration revision in force.'
+        )
+        self.upstreams = _build_gauge(
+            registry, 'passpier_upstreams', 'Upstreams by state: serving, leaving, ejected.'
+        )
+        self.members = _build_gauge(registry, 'passpier_members', 'Live daemons.')
+        self.view_blocks = _build_gauge(registry, 'passpier_view_blocks', 'Blocks in view.')
+        self.processor = _build_gauge(
+            registry, 'passpier_processor_seconds', 'Processor time of this process.'
+        )
+
+    def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the body and the headers of a metrics page."""
+        self.processor.set({}, time.process_time())
+        content, headers = aioprometheus.render(self.registry, accept)
+        return content, dict(headers)
+
+
+def _build_counter(registry: aioprometheus.Registry, name: str, text: str) -> aioprometheus.Counter:
+    return aioprometheus.Counter(name, text, registry=registry)
+
+
+def _build_gauge(registry: aioprometheus.Registry, name: str, text: str) -> aioprometheus.Gauge:
+    return aioprometheus.Gauge(name, text, registry=registry)
--- /dev/null
+++ b/passpier/daemon/operators.py
@@ -0,0 +1,195 @@
+"""The operators' port: JSON-RPC 2.0 over HTTP, behind a shared secret."""
+
+from __future__ import annotations
+
+import hmac
+import logging
+import time
+import uuid
+from typing import Any
+
+import jsonrpcserver
+import msgspec
+import pydantic
+import tornado.web
+
+from passpier import __version__, exceptions
+from passpier.config import loader, schema
+from passpier.core import revisions
+from passpier.daemon import messages, peers, service
+
+log = logging.getLogger(__name__)
+
+CODE_INVALID = 1
+CODE_CONFLICT = 2
+CODE_UNAVAILABLE = 3
+CODE_NOT_FOUND = 4
+
+EXPLAIN_TIMEOUT = 0.5
+"""Seconds to wait for peers that may know a request."""
+
+
+class Operators:
+    """The procedures that operators may call."""
+
+    def __init__(self, app: service.Service, link: peers.Peers) -> None:
+        self._app = app
+        self._peers = link
+        self._replies = peers.Replies()
+        link.handle(messages.ExplainWanted, self._send_decisions)
+        link.handle(messages.Explained, self._take_decisions)
+        self.methods = {
+            name: getattr(self, name)
+            for name in ('apply', 'show', 'status', 'explain', 'drain', 'entries', 'wait')
+        }
+
+    async def apply(self, document: dict[str, Any], base: int, nonce: str) -> jsonrpcserver.Result:
+        """Accept a configuration based on revision `base`."""
+        try:
+            fleet = schema.Fleet.model_validate(document)
+        except pydantic.ValidationError as error:
+            return jsonrpcserver.Error(CODE_INVALID, 'invalid document', str(error))
+        problems = [f'{".".join(map(str, p))}: {m}' for p, m in loader.check_references(fleet)]
+        if problems:
+            return jsonrpcserver.Error(CODE_INVALID, 'invalid document', problems)
+        data = msgspec.json.encode(fleet.model_dump(mode='json'))
+        try:
+            result = await self._app.fleet.storage.accept_revision(data, base, nonce)
+        except exceptions.StoreError as error:
+            return jsonrpcserver.Error(CODE_UNAVAILABLE, 'the store did not answer', str(error))
+        if not isinstance(result, revisions.Revision):
+            data_ = {'base': base, 'in_force': result}
+            return jsonrpcserver.Error(CODE_CONFLICT, 'another revision was accepted', data_)
+        self._app.fleet.install(result)
+        log.info('configuration accepted', extra={'revision': result.index.revision})
+        return jsonrpcserver.Success({'revision': result.index.revision})
+
+    async def show(self) -> jsonrpcserver.Result:
+        """Return the configuration in force at this daemon."""
+        current = self._app.fleet.holder.current
+        document = msgspec.json.decode(current.document) if current else None
+        return jsonrpcserver.Success(
+            {'revision': self._app.fleet.holder.number, 'document': document}
+        )
+
+    async def wait(self, revision: int, timeout: float) -> jsonrpcserver.Result:
+        """Wait until every live daemon has a revision; return those that do not."""
+        behind = await self._app.fleet.wait_for_revision(revision, min(timeout, 60.0))
+        return jsonrpcserver.Success({'revision': revision, 'behind': behind})
+
+    async def status(self) -> jsonrpcserver.Result:
+        """Return daemons and upstreams as this daemon sees them."""
+        fleet = self._app.fleet
+        now = time.monotonic()
+        alive = set(fleet.membership.list_alive(now))
+        daemons = []
+        for member in sorted(fleet.membership.list_known(), key=lambda m: m.name):
+            beat = fleet.membership.get_beat(member.incarnation)
+            own = member == fleet.membership.own
+            daemons.append(
+                {
+                    'name': member.name,
+                    'entry': member.entry,
+                    'failure_domain': member.failure_domain,
+                    'alive': member in alive,
+                    'leaving': bool(beat and beat.leaving),
+                    'revision': fleet.holder.number if own else beat.revision if beat else 0,
+                }
+            )
+        return jsonrpcserver.Success(
+            {
+                'daemon': fleet.membership.own.name,
+                'version': __version__,
+                'revision': fleet.holder.number,
+                'store_available': fleet.storage.available,
+                'shares_settled': fleet.limits.book.settled,
+                'daemons': daemons,
+                'upstreams': self._list_upstreams(now),
+            }
+        )
+
+    async def entries(self, account: str) -> jsonrpcserver.Result:
+        """Return the entries of an account."""
+        ranked = self._app.rank_entries(account)
+        return jsonrpcserver.Success([msgspec.to_builtins(e) for e in ranked])
+
+    async def explain(self, request: str) -> jsonrpcserver.Result:
+        """Return the decisions of a request, asking peers if this daemon did not make them."""
+        found = self._app.dispatcher.list_decisions(request)
+        if not found:
+            found = await self._ask_peers(request)
+        if not found:
+            return jsonrpcserver.Error(CODE_NOT_FOUND, f'no daemon knows request {request!r}')
+        return jsonrpcserver.Success([msgspec.json.decode(d) for d in found])
+
+    async def drain(self, name: str) -> jsonrpcserver.Result:
+        """Have a daemon stop as planned."""
+        fleet = self._app.fleet
+        for member in fleet.membership.list_known():
+            if member.name != name:
+                continue
+            if member == fleet.membership.own:
+                fleet.begin_drain()
+            else:
+                self._peers.send(member.peer, messages.DrainWanted())
+            return jsonrpcserver.Success({'draining': name})
+        return jsonrpcserver.Error(CODE_NOT_FOUND, f'no daemon is called {name!r}')
+
+    def _list_upstreams(self, now: float) -> list[dict[str, Any]]:
+        known = self._app.fleet.upstreams
+        return [
+            {
+                'name': r.name,
+                'address': r.address,
+                'failure_domain': r.failure_domain,
+                'incarnation': r.incarnation,
+                'weight_version': r.weight_version,
+                'leaving': sorted(r.leaving_reasons),
+                'ejected': known.ejector.is_ejected(r.name, now),
+                'in_flight': len(r.dispatches),
+            }
+            for r in known.replicas.values()
+        ]
+
+    async def _ask_peers(self, request: str) -> list[bytes]:
+        id = uuid.uuid4().hex
+        for member in self._app.fleet.membership.list_known():
+            self._peers.send(member.peer, messages.ExplainWanted(id, request))
+        answer = await self._replies.wait(id, EXPLAIN_TIMEOUT)
+        return answer.decisions if isinstance(answer, messages.Explained) else []
+
+    def _send_decisions(self, sender: str, address: str, message: messages.ExplainWanted) -> None:
+        found = self._app.dispatcher.list_decisions(message.request)
+        if found:
+            self._peers.send(address, messages.Explained(message.id, found))
+
+    def _take_decisions(self, sender: str, address: str, message: messages.Explained) -> None:
+        self._replies.resolve(message.id, message)
+
+
+class RpcHandler(tornado.web.RequestHandler):
+    """`POST /rpc`."""
+
+    def initialize(self, operators: Operators, secret: str) -> None:
+        """Keep the procedures and the secret."""
+        self._operators = operators
+        self._secret = secret
+
+    async def post(self) -> None:
+        """Check the secret and call the procedure."""
+        given = self.request.headers.get('Authorization', '').removeprefix('Bearer ')
+        if not hmac.compare_digest(given.encode(), self._secret.encode()):
+            self.set_status(401)
+            self.write({'error': 'the operator secret is missing or wrong'})
+            return
+        answer = await jsonrpcserver.async_dispatch(
+            self.request.body.decode(errors='replace'), methods=self._operators.methods
+        )
+        self.set_header('Content-Type', 'application/json')
+        self.write(str(answer))
+
+
+def build_application(operators: Operators, secret: str) -> tornado.web.Application:
+    """Return the application of the operators' port."""
+    state = {'operators': operators, 'secret': secret}
+    return tornado.web.Application([('/rpc', RpcHandler, state)])
--- /dev/null
+++ b/passpier/daemon/peers.py
@@ -0,0 +1,129 @@
+"""Owns the ZeroMQ sockets to other daemons: sends messages, hands on those that come."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from passpier.daemon import messages, metrics
+
+log = logging.getLogger(__name__)
+
+MAX_QUEUED = 1000
+"""Messages that may wait for a peer that does not take them; further ones are dropped."""
+
+MAX_SOCKETS = 512
+"""Peers that this daemon keeps connections to."""
+
+M = TypeVar('M', bound=messages.Message)
+Handler = Callable[[str, str, M], Awaitable[None] | None]
+
+
+class Peers:
+    """Sends to and receives from other daemons. Messages may be lost, never damaged."""
+
+    def __init__(self, incarnation: str, ip: str, port: int, counters: metrics.Metrics) -> None:
+        self.incarnation = incarnation
+        self._context = zmq.asyncio.Context()
+        self._inbox = self._context.socket(zmq.PULL)
+        self._inbox.linger = 0
+        if port:
+            self._inbox.bind(f'tcp://{ip}:{port}')
+            self.port = port
+        else:
+            self.port = self._inbox.bind_to_random_port(f'tcp://{ip}')
+        self.address = f'{ip}:{self.port}'
+        self._outboxes: dict[str, zmq.asyncio.Socket] = {}
+        self._handlers: dict[type, Handler] = {}
+        self._counters = counters
+        self.cut: set[str] = set()
+        """Peer addresses whose messages are dropped both ways; set by tests only."""
+
+    def handle(self, kind: type[M], handler: Handler[M]) -> None:
+        """Have messages of one type handled; a coroutine runs as a task of its own."""
+        self._handlers[kind] = handler
+
+    def send(self, address: str, message: messages.AnyMessage) -> None:
+        """Send without waiting; the message is dropped if the peer does not take it."""
+        if address == self.address or address in self.cut:
+            return
+        data = messages.encode(messages.Envelope(self.incarnation, self.address, message))
+        self._counters.control_bytes.add({'channel': 'peer_out'}, len(data))
+        try:
+            self._get_outbox(address).send(data, flags=zmq.NOBLOCK, copy=True)
+        except zmq.ZMQError:
+            log.debug('message dropped', extra={'peer': address})
+
+    async def run(self) -> None:
+        """Receive until cancelled."""
+        while True:
+            data = await self._inbox.recv()
+            self._counters.control_bytes.add({'channel': 'peer_in'}, len(data))
+            try:
+                envelope = messages.decode(data)
+            except msgspec.MsgspecError:
+                log.warning('message not understood', extra={'bytes': len(data)})
+                continue
+            if envelope.address not in self.cut:
+                self._dispatch(envelope)
+
+    def close(self) -> None:
+        """Send what is still queued, for half a second at most, and close."""
+        for outbox in self._outboxes.values():
+            outbox.close(linger=500)
+        self._inbox.close(linger=0)
+        self._context.term()
+
+    def _dispatch(self, envelope: messages.Envelope) -> None:
+        handler = self._handlers.get(type(envelope.message))
+        if handler is None:
+            return
+        result = handler(envelope.sender, envelope.address, envelope.message)
+        if result is not None:
+            asyncio.ensure_future(result)
+
+    def _get_outbox(self, address: str) -> zmq.asyncio.Socket:
+        outbox = self._outboxes.pop(address, None)
+        if outbox is None:
+            outbox = self._context.socket(zmq.PUSH)
+            outbox.linger = 0
+            outbox.sndhwm = MAX_QUEUED
+            outbox.setsockopt(zmq.RECONNECT_IVL, 100)
+            outbox.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
+            outbox.connect(f'tcp://{address}')
+        self._outboxes[address] = outbox
+        if len(self._outboxes) > MAX_SOCKETS:
+            oldest = next(iter(self._outboxes))
+            self._outboxes.pop(oldest).close(linger=0)
+        return outbox
+
+
+class Replies:
+    """Waits for answers to requests sent to peers, by id."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, asyncio.Future[messages.Message]] = {}
+
+    async def wait(self, id: str, timeout: float) -> messages.Message | None:
+        """Return the answer, or none after `timeout` seconds."""
+        future = self._waiting[id] = asyncio.get_running_loop().create_future()
+        try:
+            return await asyncio.wait_for(future, timeout)
+        except TimeoutError:
+            return None
+        finally:
+            del self._waiting[id]
+
+    def resolve(self, id: str, answer: messages.Message) -> bool:
+        """Hand an answer to who waits for it; false if nobody does any more."""
+        future = self._waiting.get(id)
+        if future is None or future.done():
+            return False
+        future.set_result(answer)
+        return True
--- /dev/null
+++ b/passpier/daemon/plain.py
@@ -0,0 +1,105 @@
+"""Runs one call of a plain service."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+
+from passpier import exceptions
+from passpier.clients import web
+from passpier.core import attempts, replicas, retries
+from passpier.daemon import answers, calls, dispatcher, metrics, upstreams
+
+log = logging.getLogger(__name__)
+
+CALL_TIMEOUT = 10.0
+"""Seconds for a whole call where the service states no deadline."""
+
+
+class PlainCaller:
+    """Calls plain services over HTTP."""
+
+    def __init__(
+        self,
+        client: web.Client,
+        known: upstreams.Upstreams,
+        places: dispatcher.Dispatcher,
+        budget: retries.RetryBudget,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._client = client
+        self._upstreams = known
+        self._dispatcher = places
+        self._budget = budget
+        self._counters = counters
+        self._rng = rng
+
+    async def run(self, call: calls.Call) -> answers.Answer:
+        """Return the service's answer; raises `RequestFailedError`."""
+        excluded: set[str] = set()
+        while True:
+            attempt = f'{call.id}-{call.life.attempts}'
+            placed = await self._dispatcher.place(call, attempt, excluded)
+            if placed.is_error():
+                raise calls.RequestFailedError(placed.error)
+            placement = placed.ok
+            try:
+                answer = await self._try(call, placement)
+            finally:
+                self._dispatcher.end(placement)
+            if isinstance(answer, answers.Answer):
+                self._budget.note_success()
+                self._upstreams.ejector.note_success(placement.replica.name)
+                return answer
+            excluded.add(placement.replica.name)
+            await self._recover(call, placement, answer)
+
+    async def _try(
+        self, call: calls.Call, placement: dispatcher.Placement
+    ) -> answers.Answer | attempts.Fault:
+        call.life.begin()
+        headers = {'X-Request-Id': placement.attempt, 'Content-Type': 'application/json'}
+        if call.key:
+            headers['Idempotency-Key'] = call.key
+        url = f'http://{placement.replica.address}{call.path}'
+        deadline = call.service.deadline_ms
+        timeout = deadline / 1000 if deadline else CALL_TIMEOUT
+        try:
+            answer = await self._client.fetch(
+                'POST', url, call.raw, headers, timeout, reuse=call.life.repeatable
+            )
+        except web.ExchangeError as error:
+            return attempts.Fault.NO_ANSWER if error.sent else attempts.Fault.NOT_CONNECTED
+        replicas.note_first_token(placement.replica, placement.attempt, time.monotonic())
+        if answer.status == 503 and answer.headers.get('X-Outcome') == 'not_run':
+            return attempts.Fault.REFUSED
+        if answer.status >= 500:
+            return attempts.Fault.FAILED
+        call.life.completed = True
+        content_type = answer.headers.get('Content-Type', 'application/octet-stream')
+        return answers.Answer(answer.status, content_type, answer.body)
+
+    async def _recover(
+        self, call: calls.Call, placement: dispatcher.Placement, fault: attempts.Fault
+    ) -> None:
+        self._upstreams.note_failure(placement.replica)
+        step = call.life.decide(fault, True)
+        if step is not attempts.Step.FAIL and not self._budget.spend(time.monotonic()):
+            step = attempts.Step.FAIL
+        self._counters.retries.inc({'step': step.value})
+        log.warning(
+            'attempt failed',
+            extra={
+                'request': call.id,
+                'attempt': placement.attempt,
+                'upstream': placement.replica.name,
+                'fault': fault.value,
+                'step': step.value,
+            },
+        )
+        if step is attempts.Step.FAIL:
+            raise call.fail(exceptions.Code.UPSTREAM_FAILED, fault.value, 1.0)
+        await asyncio.sleep(retries.compute_backoff(call.life.attempts, self._rng))
--- /dev/null
+++ b/passpier/daemon/service.py
@@ -0,0 +1,176 @@
+"""What the daemon does for callers, whichever way a request came in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import logging
+import time
+from collections.abc import AsyncGenerator
+
+import msgspec
+
+from passpier import exceptions
+from passpier.clients import engines
+from passpier.core import blocks, drain, entries
+from passpier.daemon import (
+    answers,
+    calls,
+    dispatcher,
+    fleet,
+    generation,
+    intake,
+    limits,
+    messages,
+    metrics,
+    once,
+    peers,
+    plain,
+)
+
+log = logging.getLogger(__name__)
+
+FAILURES_NAMING_ENTRIES = frozenset(
+    {exceptions.Code.DRAINING, exceptions.Code.LIMIT, exceptions.Code.NO_CONFIGURATION}
+)
+
+
+class Service:
+    """Runs calls under the limits of their accounts."""
+
+    def __init__(
+        self,
+        own: fleet.Fleet,
+        places: dispatcher.Dispatcher,
+        generator: generation.Generator,
+        plain_caller: plain.PlainCaller,
+        link: peers.Peers,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.fleet = own
+        self.dispatcher = places
+        self.counters = counters
+        self.in_flight = 0
+        self._generator = generator
+        self._plain = plain_caller
+        self._peers = link
+        self._started_at = time.monotonic()
+        self._once = once.Once(
+            own.membership, link, own.storage.store, own.options.key_retention, self._execute
+        )
+        link.handle(messages.Forward, self._take_forward)
+
+    async def run(self, call: calls.Call) -> answers.Answer:
+        """Return a call's whole answer; raises `RequestFailedError`."""
+        answer = await (self._once.run(call) if call.key else self._execute(call))
+        self.count_answer(call)
+        return answer
+
+    async def stream(self, call: calls.Call) -> AsyncGenerator[generation.Piece, None]:
+        """Yield the pieces of a model call under its account's limit."""
+        unit = await self._acquire(call)
+        produced = 0
+        try:
+            async with contextlib.aclosing(self._generator.run(call)) as pieces:
+                async for piece in pieces:
+                    produced += 1
+                    yield piece
+        except asyncio.CancelledError:
+            self.dispatcher.abandon(call)
+            raise
+        finally:
+            used = call.job.prompt_tokens + produced if call.life.attempts else 0
+            self.fleet.limits.release(unit, used)
+
+    def get_phase(self) -> drain.Phase:
+        """Return how far a planned stop has come."""
+        return self.fleet.drain.get_phase(self.in_flight, time.monotonic())
+
+    def get_uptime(self) -> float:
+        """Return the seconds since the start."""
+        return time.monotonic() - self._started_at
+
+    def rank_entries(self, account: str) -> list[entries.Entry]:
+        """Return the entries of an account."""
+        serving = self.fleet.membership.list_serving(time.monotonic())
+        return entries.rank_entries(account, serving, self.fleet.options.entry_count)
+
+    def complete_failure(self, failure: exceptions.Failure, id: str) -> exceptions.Failure:
+        """Count and log a failure; add the entries that may serve the caller instead."""
+        labels = {'code': failure.code.value, 'outcome': failure.outcome.value}
+        self.counters.refusals.inc(labels)
+        log.info('request failed', extra={'request': id, **labels})
+        if failure.code not in FAILURES_NAMING_ENTRIES:
+            return failure
+        own = self.fleet.membership.own.entry
+        others = tuple(e.address for e in self.rank_entries(id) if e.address != own)
+        return dataclasses.replace(failure, entries=others)
+
+    def count_answer(self, call: calls.Call) -> None:
+        """Count an answered call."""
+        self.counters.requests.inc({'service': call.service.name, 'outcome': 'ran'})
+
+    def count_gone(self) -> None:
+        """Count a caller that went away."""
+        self.counters.refusals.inc({'code': 'caller_gone', 'outcome': 'unknown'})
+
+    async def _execute(self, call: calls.Call) -> answers.Answer:
+        if call.service.kind == 'model':
+            return await self._collect(call)
+        unit = await self._acquire(call)
+        used = 0
+        try:
+            answer = await self._plain.run(call)
+            used = blocks.count_tokens(call.raw + answer.body)
+            return answer
+        finally:
+            self.fleet.limits.release(unit, used)
+
+    async def _collect(self, call: calls.Call) -> answers.Answer:
+        parts = []
+        finish = None
+        usage = engines.Usage()
+        async with contextlib.aclosing(self.stream(call)) as pieces:
+            async for piece in pieces:
+                parts.append(piece.text)
+                finish = piece.finish_reason
+                usage = piece.usage or usage
+        return answers.render_whole(call, ''.join(parts), finish, usage)
+
+    async def _acquire(self, call: calls.Call) -> limits.Unit:
+        acquired = await self.fleet.limits.acquire(call.account.name)
+        if acquired.is_error():
+            raise calls.RequestFailedError(acquired.error)
+        return acquired.ok
+
+    async def _take_forward(self, sender: str, address: str, message: messages.Forward) -> None:
+        self.in_flight += 1
+        try:
+            answer = await self._run_forward(message)
+            forwarded = messages.Forwarded(
+                message.id, answer.status, answer.content_type, answer.body, b''
+            )
+        except calls.RequestFailedError as error:
+            encoded = msgspec.json.encode(error.failure)
+            forwarded = messages.Forwarded(message.id, 0, '', b'', encoded)
+        finally:
+            self.in_flight -= 1
+        self._peers.send(address, forwarded)
+
+    async def _run_forward(self, message: messages.Forward) -> answers.Answer:
+        config = self.fleet.config
+        account = config.accounts.get(message.account) if config else None
+        if config is None or account is None:
+            refusal = exceptions.Failure(
+                exceptions.Code.NO_CONFIGURATION,
+                exceptions.Outcome.UNKNOWN,
+                'the home of this key does not know the account',
+            )
+            raise calls.RequestFailedError(refusal)
+        built = intake.build_call(
+            config, account, message.id, message.path, message.body, message.key, message.service
+        )
+        if built.is_error():
+            raise calls.RequestFailedError(built.error)
+        return await self._once.run(built.ok)
--- /dev/null
+++ b/passpier/daemon/storage.py
@@ -0,0 +1,196 @@
+"""The daemon's business with the platform's store: its lease, members, configuration, epochs."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import logging
+import random
+import time
+import zlib
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+
+from passpier import exceptions
+from passpier.clients import store as store_clients
+from passpier.core import members, revisions
+
+log = logging.getLogger(__name__)
+
+PREFIX = '/passpier/'
+INDEX_KEY = PREFIX + 'config/index'
+CHUNK_PREFIX = PREFIX + 'config/chunk/'
+MEMBER_PREFIX = PREFIX + 'members/'
+EPOCH_KEY = PREFIX + 'epoch'
+PLACEMENT_KEY = PREFIX + 'placement'
+
+RETRY_MIN = 0.2
+RETRY_MAX = 5.0
+"""Bounds, in seconds, of the jittered wait after the store did not answer."""
+
+CALL_TRIES = 3
+
+T = TypeVar('T')
+
+POLL_SECONDS = 5.0
+"""Seconds between reads of the configuration's index beside the watch."""
+
+
+Seat = tuple[str, str, str]
+"""A holder's name, failure domain and peer address."""
+
+
+class EpochRecord(msgspec.Struct, frozen=True):
+    """An epoch as the store keeps it: its holders by incarnation."""
+
+    number: int
+    holders: dict[str, Seat]
+
+
+class Storage:
+    """Reads and writes of shared state. Every call may raise `StoreError`."""
+
+    def __init__(self, store: store_clients.Store, lease_ttl: int, rng: random.Random) -> None:
+        self.store = store
+        self._lease_ttl = lease_ttl
+        self._rng = rng
+        self.lease = 0
+        self.renewed_at = float('-inf')
+        self.available = False
+
+    async def read_revision(self, newer_than: int) -> revisions.Revision | None:
+        """Return the accepted configuration if it is newer."""
+        value = await self.store.get(INDEX_KEY)
+        if value is None:
+            return None
+        index = msgspec.json.decode(value.data, type=revisions.Index)
+        if index.revision <= newer_than:
+            return None
+        parts = {}
+        for name in index.chunks:
+            chunk = await self.store.get(CHUNK_PREFIX + name)
+            if chunk is not None:
+                parts[name] = zlib.decompress(chunk.data)
+        document = revisions.join_document(index, parts)
+        return revisions.Revision(index, document) if document is not None else None
+
+    async def accept_revision(
+        self, document: bytes, base: int, nonce: str
+    ) -> revisions.Revision | int:
+        """Write a configuration based on revision `base`.
+
+        Returns the accepted revision, or the number of the one that is in the way. An answer
+        that was lost is settled by reading back: the nonce tells whose write took effect.
+        """
+        parts = revisions.split_document(document)
+        for name, part in parts.items():
+            chunk = CHUNK_PREFIX + name
+            if await self._retry(functools.partial(self.store.get, chunk)) is None:
+                put = store_clients.Put(chunk, zlib.compress(part))
+                await self._retry(functools.partial(self.store.write, [put]))
+        for _ in range(3):
+            current = await self._retry(functools.partial(self.store.get, INDEX_KEY))
+            known = msgspec.json.decode(current.data, type=revisions.Index) if current else None
+            if known is not None and known.nonce == nonce:
+                return revisions.Revision(known, document)
+            number = known.revision if known else 0
+            if number != base:
+                return number
+            index = revisions.Index(base + 1, tuple(parts), nonce, base)
+            put = store_clients.Put(INDEX_KEY, msgspec.json.encode(index))
+            condition = store_clients.IsAt(INDEX_KEY, current.mod_revision if current else 0)
+            try:
+                if await self.store.write([put], [condition]):
+                    return revisions.Revision(index, document)
+            except exceptions.StoreError:
+                log.warning('answer lost, reading back', extra={'nonce': nonce})
+        raise exceptions.StoreError('the store did not settle the write')
+
+    async def register(self, member: members.Member) -> None:
+        """Renew the lease, or take a new one and write this daemon's record."""
+        if self.lease and await self.store.keep_alive(self.lease):
+            self._note_answer()
+            return
+        lease = await self.store.grant(self._lease_ttl)
+        key = MEMBER_PREFIX + member.incarnation
+        await self.store.write([store_clients.Put(key, msgspec.json.encode(member), lease)])
+        self.lease = lease
+        self._note_answer()
+        log.info('registered', extra={'incarnation': member.incarnation})
+
+    async def unregister(self) -> None:
+        """End the lease, and the record with it."""
+        if self.lease:
+            await self.store.revoke(self.lease)
+
+    async def read_members(self) -> list[members.Member]:
+        """Return the daemons with a lease."""
+        values = await self.store.read(MEMBER_PREFIX)
+        return [msgspec.json.decode(v.data, type=members.Member) for v in values]
+
+    async def read_epoch(self) -> tuple[EpochRecord | None, int]:
+        """Return the epoch and the store revision it was written at."""
+        value = await self.store.get(EPOCH_KEY)
+        if value is None:
+            return None, 0
+        return msgspec.json.decode(value.data, type=EpochRecord), value.mod_revision
+
+    async def write_epoch(self, record: EpochRecord, at: int) -> bool:
+        """Write an epoch if none was written since store revision `at`."""
+        put = store_clients.Put(EPOCH_KEY, msgspec.json.encode(record))
+        return await self.store.write([put], [store_clients.IsAt(EPOCH_KEY, at)])
+
+    async def take_placement(self, incarnation: str) -> int:
+        """Return the fencing number if this daemon holds the placement lease, else 0."""
+        value = await self.store.get(PLACEMENT_KEY)
+        if value is not None:
+            return value.create_revision if value.data == incarnation.encode() else 0
+        put = store_clients.Put(PLACEMENT_KEY, incarnation.encode(), self.lease)
+        await self.store.write([put], [store_clients.IsAt(PLACEMENT_KEY, 0)])
+        value = await self.store.get(PLACEMENT_KEY)
+        if value is None or value.data != incarnation.encode():
+            return 0
+        return value.create_revision
+
+    async def repeat(self, interval: float, action: Callable[[], Awaitable[None]]) -> None:
+        """Run `action` every `interval` seconds; back off while the store does not answer."""
+        failures = 0
+        while True:
+            try:
+                await action()
+                failures = 0
+                wait = interval * self._rng.uniform(0.9, 1.1)
+            except exceptions.StoreError as error:
+                failures += 1
+                self.available = False
+                wait = min(RETRY_MAX, RETRY_MIN * 2**failures) * self._rng.uniform(0.5, 1.0)
+                log.warning('store unavailable', extra={'error': str(error), 'retry_in': wait})
+            await asyncio.sleep(wait)
+
+    async def follow(self, prefix: str, action: Callable[[], Awaitable[None]]) -> None:
+        """Run `action` whenever something under `prefix` changes."""
+        failures = 0
+        while True:
+            try:
+                async for _ in self.store.watch(prefix):
+                    await action()
+                    failures = 0
+            except exceptions.StoreError as error:
+                log.debug('watch ended', extra={'error': str(error)})
+            failures += 1
+            bound = min(RETRY_MAX, RETRY_MIN * 2**failures)
+            await asyncio.sleep(bound * self._rng.uniform(0.5, 1.0))
+
+    def _note_answer(self) -> None:
+        self.renewed_at = time.monotonic()
+        self.available = True
+
+    async def _retry(self, call: Callable[[], Awaitable[T]]) -> T:
+        for _ in range(CALL_TRIES - 1):
+            try:
+                return await call()
+            except exceptions.StoreError:
+                await asyncio.sleep(RETRY_MIN * self._rng.uniform(0.5, 1.0))
+        return await call()
--- /dev/null
+++ b/passpier/daemon/upstreams.py
@@ -0,0 +1,190 @@
+"""Knows the upstreams: applies the configuration, polls load reports and the VM list."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import msgspec
+
+from passpier.clients import engines, web
+from passpier.config import directory
+from passpier.core import ejection, replicas, view
+from passpier.daemon import metrics
+
+log = logging.getLogger(__name__)
+
+POLL_INTERVAL = 0.5
+"""Seconds between rounds of polls."""
+
+POLLS_PER_ROUND = 10
+"""Load reports asked for in one round, whatever the size of the fleet; answers carry the rest."""
+
+REPORT_FRESH = 0.5
+"""Seconds for which a report need not be asked for again."""
+
+LEAVING_STATES = frozenset({'leaving', 'gone'})
+
+
+class VmList(msgspec.Struct):
+    """The platform's list: VM to state."""
+
+    vms: dict[str, str]
+
+
+class Upstreams:
+    """All replicas of the configuration in force, with what is known of each."""
+
+    def __init__(
+        self,
+        client: web.Client,
+        engine_client: engines.Engines,
+        vm_list: str | None,
+        view_blocks: int,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._client = client
+        self._engines = engine_client
+        self._vm_list = vm_list
+        self._counters = counters
+        self.replicas: dict[str, replicas.Replica] = {}
+        self.pools: dict[str, list[str]] = {}
+        self.cache = view.CacheView(view_blocks)
+        self.ejector = ejection.Ejector()
+        self._models: dict[str, str] = {}
+        self._polled_at: dict[str, float] = {}
+
+    def apply(self, config: directory.Directory) -> None:
+        """Take over the upstreams of a configuration; what is known of the kept ones stays."""
+        names = set()
+        self.pools = {}
+        for pool in config.fleet.pools:
+            self.pools[pool.name] = [u.name for u in pool.upstreams]
+            model = config.find_model_of_pool(pool.name)
+            for upstream in pool.upstreams:
+                names.add(upstream.name)
+                self._models[upstream.name] = model.name if model else ''
+                known = self.replicas.get(upstream.name)
+                if known is None or known.address != upstream.address:
+                    known = self.replicas[upstream.name] = replicas.Replica(
+                        upstream.name, upstream.address, upstream.vm, upstream.failure_domain
+                    )
+                    self.cache.forget(upstream.name)
+                self._set_leaving(known, 'configuration', upstream.leaving)
+        for name in set(self.replicas) - names:
+            del self.replicas[name]
+            self.cache.forget(name)
+
+    def is_engine(self, name: str) -> bool:
+        """Return whether an upstream is a model engine."""
+        return bool(self._models.get(name))
+
+    def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
+        """Return the upstreams of a pool that take new work and serve the wanted weights."""
+        now = time.monotonic()
+        members = [self.replicas[n] for n in self.pools.get(pool, ()) if n in self.replicas]
+        usable = {
+            r.name: r
+            for r in members
+            if not r.leaving and (not version or r.weight_version in ('', version))
+        }
+        return [usable[name] for name in self.ejector.select(list(usable), now)]
+
+    def learn_identity(self, replica: replicas.Replica, identity: engines.Identity) -> None:
+        """Learn from an answer's headers."""
+        if not identity.incarnation:
+            return
+        self._note_incarnation(replica, identity.incarnation, identity.weight_version, 0)
+        if identity.load is not None:
+            running, waiting, backlog = identity.load
+            replica.report = replicas.Report(running, waiting, backlog, time.monotonic())
+
+    def note_failure(self, replica: replicas.Replica) -> None:
+        """Count a failed attempt against a replica."""
+        if self.ejector.note_failure(replica.name, time.monotonic()):
+            log.warning('upstream ejected', extra={'upstream': replica.name})
+
+    async def run_polls(self) -> None:
+        """Ask for load reports, oldest first, a bounded number a round."""
+        while True:
+            now = time.monotonic()
+            due = [
+                name
+                for name, replica in self.replicas.items()
+                if self.is_engine(name)
+                and now - self._polled_at.get(name, 0.0) >= POLL_INTERVAL
+                and (replica.report is None or now - replica.report.received_at > REPORT_FRESH)
+            ]
+            due.sort(key=lambda name: self._polled_at.get(name, 0.0))
+            await asyncio.gather(*(self._poll(name) for name in due[:POLLS_PER_ROUND]))
+            self._count_states()
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def run_vm_list(self) -> None:
+        """Follow the platform's list of VMs."""
+        while self._vm_list:
+            try:
+                answer = await self._client.fetch('GET', f'http://{self._vm_list}/vms', timeout=1.0)
+                self._apply_vms(msgspec.json.decode(answer.body, type=VmList).vms)
+            except (web.ExchangeError, msgspec.MsgspecError) as error:
+                log.debug('VM list unavailable', extra={'error': str(error)})
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def _poll(self, name: str) -> None:
+        replica = self.replicas[name]
+        self._polled_at[name] = time.monotonic()
+        try:
+            report = await self._engines.report(replica.address)
+        except web.ExchangeError:
+            self.note_failure(replica)
+            return
+        self._note_incarnation(replica, report.incarnation, report.weight_version, report.capacity)
+        replica.slots = report.slots
+        replica.report = replicas.Report(
+            report.running, report.waiting, report.backlog, time.monotonic()
+        )
+        self._set_leaving(replica, 'report', report.leaving)
+
+    def _apply_vms(self, vms: dict[str, str]) -> None:
+        for replica in self.replicas.values():
+            state = vms.get(replica.vm, '')
+            self._set_leaving(replica, 'vm_list', state in LEAVING_STATES)
+
+    def _set_leaving(self, replica: replicas.Replica, reason: str, leaving: bool) -> None:
+        if replicas.set_leaving(replica, reason, leaving):
+            log.info(
+                'upstream leaving' if leaving else 'upstream no longer leaving',
+                extra={'upstream': replica.name, 'signal': reason},
+            )
+
+    def _note_incarnation(
+        self, replica: replicas.Replica, incarnation: str, version: str, capacity: int
+    ) -> None:
+        replica.incarnation = incarnation
+        replica.weight_version = version
+        # Blocks of other weights must not survive, so the version belongs to the incarnation.
+        if self.cache.set_incarnation(replica.name, f'{incarnation}/{version}', capacity):
+            replica.report = None
+            log.info(
+                'upstream incarnation',
+                extra={
+                    'upstream': replica.name,
+                    'incarnation': incarnation,
+                    'weight_version': version,
+                },
+            )
+
+    def _count_states(self) -> None:
+        now = time.monotonic()
+        states = {'serving': 0, 'leaving': 0, 'ejected': 0}
+        for replica in self.replicas.values():
+            if replica.leaving:
+                states['leaving'] += 1
+            elif self.ejector.is_ejected(replica.name, now):
+                states['ejected'] += 1
+            else:
+                states['serving'] += 1
+        for state, count in states.items():
+            self._counters.upstreams.set({'state': state}, count)
+        self._counters.view_blocks.set({}, len(self.cache))
--- /dev/null
+++ b/passpier/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests and trials only."""
--- /dev/null
+++ b/passpier/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in modules that mirror the code."""
--- /dev/null
+++ b/passpier/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by several sub-packages."""
