--- /dev/null
+++ b/passpier/tests/core/attempts_tests.py
@@ -0,0 +1,119 @@
+"""What is said of an outcome is true, and an unrepeatable request runs at most once."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from passpier import exceptions
+from passpier.core import attempts, ejection, retries
+
+FAULTS = st.lists(st.tuples(st.sampled_from(list(attempts.Fault)), st.booleans()), max_size=8)
+CERTAIN = {attempts.Fault.NOT_CONNECTED, attempts.Fault.REFUSED}
+
+
+class HopefulLife(attempts.Life):
+    """Broken variant: takes an unanswered request for one that did not run."""
+
+    def decide(self, fault: attempts.Fault, has_budget: bool) -> attempts.Step:
+        if fault is attempts.Fault.NO_ANSWER:
+            fault = attempts.Fault.NOT_CONNECTED
+        return super().decide(fault, has_budget)
+
+
+def check_outcome(
+    kind: type[attempts.Life], repeatable: bool, faults: list[tuple[attempts.Fault, bool]]
+) -> None:
+    """Play faults; an uncertain one may or may not have run at the upstream."""
+    life = kind(repeatable, resumable=False)
+    runs = 0
+    for fault, ran in faults:
+        life.begin()
+        runs += ran and fault not in CERTAIN
+        if life.decide(fault, True) is attempts.Step.FAIL:
+            break
+    if life.outcome is exceptions.Outcome.NOT_RUN:
+        assert runs == 0
+    if not repeatable:
+        assert runs <= 1
+
+
+@hypothesis.given(st.booleans(), FAULTS)
+def test_not_run_is_true(repeatable: bool, faults: list[tuple[attempts.Fault, bool]]) -> None:
+    check_outcome(attempts.Life, repeatable, faults)
+
+
+def test_broken_variant_is_caught() -> None:
+    @hypothesis.settings(report_multiple_bugs=False)
+    @hypothesis.given(st.booleans(), FAULTS)
+    def prove(repeatable: bool, faults: list[tuple[attempts.Fault, bool]]) -> None:
+        check_outcome(HopefulLife, repeatable, faults)
+
+    with pytest.raises(AssertionError):
+        prove()
+
+
+def test_a_cut_stream_is_taken_up_before_anything_else() -> None:
+    life = attempts.Life(repeatable=False)
+    life.begin()
+    life.delivered = 3
+    assert life.decide(attempts.Fault.CUT, True) is attempts.Step.RESUME
+    life.resumes = attempts.MAX_RESUMES
+    assert life.decide(attempts.Fault.CUT, True) is attempts.Step.FAIL
+    assert life.outcome is exceptions.Outcome.UNKNOWN
+
+
+def test_delivered_text_is_continued_and_never_repeated() -> None:
+    life = attempts.Life(repeatable=True, resumable=False)
+    life.begin()
+    life.delivered = 3
+    assert life.decide(attempts.Fault.CUT, True) is attempts.Step.CONTINUE
+
+
+def test_retries_stay_a_share_of_successes() -> None:
+    """In a full outage the attempts per request come close to 1 plus the trickle."""
+    budget = retries.RetryBudget()
+    attempts_made = 0
+    for request in range(2000):
+        now = 1.0 + request / 200
+        attempts_made += 1
+        for _ in range(attempts.MAX_ATTEMPTS - 1):
+            if not budget.spend(now):
+                break
+            attempts_made += 1
+    factor = attempts_made / 2000
+    print(f'amplification in a full outage: {factor:.3f}')
+    assert factor < 1.02
+
+
+@hypothesis.given(st.integers(1, 12), st.integers(0, 2**16))
+def test_backoff_is_bounded_and_jittered(attempt: int, seed: int) -> None:
+    wait = retries.compute_backoff(attempt, random.Random(seed))
+    bound = min(retries.BACKOFF_MAX, retries.BACKOFF_BASE * 2 ** (attempt - 1))
+    assert bound / 2 <= wait <= bound
+
+
+@hypothesis.given(
+    st.integers(1, 9),
+    st.lists(st.tuples(st.integers(0, 8), st.booleans(), st.floats(0, 2)), max_size=60),
+)
+def test_at_most_the_allowed_share_is_ejected(
+    size: int, results: list[tuple[int, bool, float]]
+) -> None:
+    ejector = ejection.Ejector()
+    names = [str(i) for i in range(size)]
+    now = 0.0
+    for index, success, wait in results:
+        now += wait
+        name = names[index % size]
+        if success:
+            ejector.note_success(name)
+            assert not ejector.is_ejected(name, now)
+        else:
+            ejector.note_failure(name, now)
+        kept = ejector.select(names, now)
+        assert len(kept) >= size - int(size * ejection.MAX_SHARE)
+        assert set(kept) <= set(names)
--- /dev/null
+++ b/passpier/tests/core/isolation_tests.py
@@ -0,0 +1,142 @@
+"""No prefix match crosses account, weight version, adapter or engine incarnation."""
+
+from __future__ import annotations
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+from hypothesis import stateful
+
+from passpier.core import blocks, evictions, view
+from passpier.tests import broken
+
+BLOCK = 2
+SCOPES = [
+    blocks.Scope(account, 'm', version, adapter)
+    for account in ('a', 'b')
+    for version in ('v1', 'v2')
+    for adapter in ('', 'x')
+]
+PROMPTS = st.lists(st.integers(0, 1), min_size=2, max_size=8)
+
+
+def compute_chain(scope: blocks.Scope, tokens: list[int]) -> list[int]:
+    return blocks.compute_chain(blocks.compute_root(scope), blocks.encode_tokens(tokens), BLOCK)
+
+
+class IsolationMachine(stateful.RuleBasedStateMachine):
+    """A replica that restarts and evicts; the oracle remembers what was ever shown to be held."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cache = self.make_view()
+        self.boot = 0
+        self.shown: set[tuple[object, ...]] = set()
+        self.translator = evictions.Translator('m', 'v1', BLOCK)
+        self.cache.set_incarnation('r', 'boot-0')
+
+    def make_view(self) -> view.CacheView:
+        return view.CacheView()
+
+    def chain(self, scope: blocks.Scope, tokens: list[int]) -> list[int]:
+        return compute_chain(scope, tokens)
+
+    def show(self, scope: blocks.Scope, tokens: list[int]) -> None:
+        for end in range(BLOCK, len(tokens) + 1, BLOCK):
+            self.shown.add((self.boot, scope, tuple(tokens[:end])))
+
+    @stateful.rule(scope=st.sampled_from(SCOPES), tokens=PROMPTS, late=st.integers(0, 1))
+    def answer(self, scope: blocks.Scope, tokens: list[int], late: int) -> None:
+        """An answer of this incarnation, or a late one of the incarnation before."""
+        chain = self.chain(scope, tokens)
+        self.cache.correct('r', f'boot-{self.boot - late}', chain, len(chain), 1.0)
+        if not late:
+            self.show(scope, tokens)
+
+    @stateful.rule(account=st.sampled_from('ab'), tokens=PROMPTS, late=st.integers(0, 1))
+    def event(self, account: str, tokens: list[int], late: int) -> None:
+        """A stored event; without an account it proves nothing."""
+        whole = tokens[: len(tokens) // BLOCK * BLOCK]
+        hashes = [hash((account, tuple(whole[: i + BLOCK]))) for i in range(0, len(whole), BLOCK)]
+        stored = evictions.Stored(hashes, None, whole, BLOCK, account, '')
+        chain = self.translator.store(stored)
+        self.cache.add('r', f'boot-{self.boot - late}', chain, view.Evidence.EVENT, 1.0)
+        if not late:
+            self.show(blocks.Scope(account, 'm', 'v1', ''), tokens)
+
+    @stateful.rule()
+    def gap(self) -> None:
+        self.cache.note_gap('r', f'boot-{self.boot}')
+
+    @stateful.rule()
+    def restart(self) -> None:
+        self.boot += 1
+        self.translator.clear()
+        self.cache.set_incarnation('r', f'boot-{self.boot}')
+
+    @stateful.rule()
+    def clear(self) -> None:
+        self.cache.clear('r', f'boot-{self.boot}')
+        self.shown = {s for s in self.shown if s[0] != self.boot}
+
+    @stateful.rule(scope=st.sampled_from(SCOPES), tokens=PROMPTS)
+    def match(self, scope: blocks.Scope, tokens: list[int]) -> None:
+        matched = self.cache.match('r', self.chain(scope, tokens), 1.0).blocks
+        if matched:
+            assert (self.boot, scope, tuple(tokens[: matched * BLOCK])) in self.shown
+
+
+IsolationTest = IsolationMachine.TestCase
+
+
+class ForgetfulRoot(IsolationMachine):
+    """Broken variant: the root leaves the account out."""
+
+    def chain(self, scope: blocks.Scope, tokens: list[int]) -> list[int]:
+        return compute_chain(blocks.Scope('', scope.model, scope.weight_version), tokens)
+
+
+class KeepingView(view.CacheView):
+    """Broken variant: a new incarnation keeps the old entries."""
+
+    def set_incarnation(self, replica: str, incarnation: str, capacity: int = 0) -> bool:
+        known = self._holdings.get(replica)
+        changed = super().set_incarnation(replica, incarnation, capacity)
+        if known is not None and changed:
+            self._holdings[replica].blocks = known.blocks
+        return changed
+
+
+class KeepingMachine(IsolationMachine):
+    def make_view(self) -> view.CacheView:
+        return KeepingView()
+
+
+@pytest.mark.parametrize('machine', [ForgetfulRoot, KeepingMachine])
+def test_broken_variants_are_caught(machine: type[IsolationMachine]) -> None:
+    broken.check_caught(machine)
+
+
+def test_event_without_account_or_parent_proves_nothing() -> None:
+    translator = evictions.Translator('m', 'v1', BLOCK)
+    assert not translator.store(evictions.Stored([1], None, [1, 2], BLOCK, '', ''))
+    assert not translator.store(evictions.Stored([2], 99, [1, 2], BLOCK, 'a', ''))
+
+
+@hypothesis.given(st.lists(st.integers(0, 2**32 - 1), max_size=40), st.integers(1, 5))
+def test_chain_of_a_prefix_is_a_prefix_of_the_chain(tokens: list[int], size: int) -> None:
+    root = blocks.compute_root(SCOPES[0])
+    data = blocks.encode_tokens(tokens)
+    whole = blocks.compute_chain(root, data, size)
+    half = blocks.compute_chain(root, data[: len(data) // 8 * 4], size)
+    assert whole[: len(half)] == half
+
+
+def test_confidence_falls_with_gaps_and_age() -> None:
+    cache = view.CacheView()
+    cache.set_incarnation('r', 'i')
+    cache.add('r', 'i', [1, 2], view.Evidence.EVENT, 0.0)
+    fresh = cache.match('r', [1, 2], 0.0).confidence
+    cache.note_gap('r', 'i')
+    assert cache.match('r', [1, 2], 0.0).confidence < fresh
+    assert cache.match('r', [1, 2], 600.0).confidence < cache.match('r', [1, 2], 0.0).confidence
--- /dev/null
+++ b/passpier/tests/core/members_tests.py
@@ -0,0 +1,182 @@
+"""Membership, entries, planned stops and orders."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from passpier.core import drain, entries, members, orders
+
+
+def make_member(number: int, incarnation: str = '', domain: str = '') -> members.Member:
+    return members.Member(
+        f'vm-{number}',
+        incarnation or f'i{number:04}',
+        '127.0.0.1',
+        8000 + number,
+        9000 + number,
+        domain or f'domain-{number % 4}',
+    )
+
+
+class Gossip:
+    """Daemons that beat once a second and lose a share of their messages."""
+
+    def __init__(self, size: int, loss: float, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.now = 0.0
+        known = [make_member(n) for n in range(size)]
+        self.daemons = [members.Membership(m, 1.0, 0.0) for m in known]
+        for daemon in self.daemons:
+            for member in known:
+                daemon.add(member, 0.0)
+        self.stopped: set[int] = set()
+
+    def run(self, rounds: int) -> None:
+        for _ in range(rounds):
+            self.now += 1.0
+            for number, daemon in enumerate(self.daemons):
+                if number not in self.stopped:
+                    self.beat(daemon)
+
+    def beat(self, daemon: members.Membership) -> None:
+        daemon.advance(self.now, 1, 1, 1, False)
+        for target in daemon.choose_targets(self.rng):
+            number = int(target.name.removeprefix('vm-'))
+            if number not in self.stopped and self.rng.random() >= self.loss:
+                self.daemons[number].merge(daemon.make_digest(self.rng), self.now)
+
+
+@pytest.mark.parametrize(('size', 'loss'), [(8, 0.0), (8, 0.3), (120, 0.1)])
+def test_the_dead_are_found_and_the_living_are_kept(size: int, loss: float) -> None:
+    gossip = Gossip(size, loss, seed=size)
+    gossip.run(20)
+    gossip.stopped = {1, 5}
+    timeout = gossip.daemons[0].compute_timeout()
+    gossip.run(int(timeout) + 12)
+    wrong = 0
+    for number, daemon in enumerate(gossip.daemons):
+        if number in gossip.stopped:
+            continue
+        alive = {m.name for m in daemon.list_alive(gossip.now)}
+        assert not alive & {'vm-1', 'vm-5'}
+        wrong += size - len(gossip.stopped) - len(alive)
+    assert wrong <= size * size * 0.01
+
+
+def test_an_older_incarnation_never_replaces_a_newer_one() -> None:
+    own = members.Membership(make_member(0), 1.0, 0.0)
+    own.add(make_member(1, 'new'), 0.0)
+    assert not own.add(make_member(1, 'aged'), 0.0)
+    assert own.get('new') is not None
+    assert own.add(make_member(1, 'newest'), 0.0)
+    assert own.get('new') is None
+
+
+def test_a_leaving_daemon_is_in_no_answer() -> None:
+    own = members.Membership(make_member(0), 1.0, 0.0)
+    own.add(make_member(1), 0.0)
+    own.merge([members.Beat('i0001', 5, leaving=True)], 1.0)
+    names = [e.incarnation for e in entries.rank_entries('a', own.list_serving(1.0), 3)]
+    assert names == ['i0000']
+    own.merge([members.Beat('i0001', 4, leaving=False)], 1.0)
+    assert [m.incarnation for m in own.list_serving(1.0)] == ['i0000']
+
+
+@hypothesis.given(st.text(max_size=8), st.integers(4, 40))
+def test_entries_lie_in_different_failure_domains(account: str, size: int) -> None:
+    serving = [make_member(n) for n in range(size)]
+    ranked = entries.rank_entries(account, serving, 3)
+    assert len({e.failure_domain for e in ranked}) == 3
+
+
+@hypothesis.given(st.integers(0, 39))
+def test_a_lost_daemon_moves_only_the_accounts_that_it_served(lost: int) -> None:
+    serving = [make_member(n, domain='one') for n in range(40)]
+    rest = [m for m in serving if m.name != f'vm-{lost}']
+    for account in map(str, range(50)):
+        before = entries.rank_entries(account, serving, 1)[0]
+        after = entries.rank_entries(account, rest, 1)[0]
+        assert before == after or before.incarnation == f'i{lost:04}'
+
+
+def test_a_planned_stop_serves_old_addresses_and_finishes_what_runs() -> None:
+    stop = drain.Drain(entry_ttl=10.0, bound=60.0)
+    assert stop.get_phase(3, 5.0) is drain.Phase.SERVING
+    stop.begin(100.0)
+    assert stop.get_phase(0, 110.0) is drain.Phase.ANNOUNCED
+    assert stop.get_phase(1, 114.0) is drain.Phase.CLOSING
+    assert stop.get_phase(0, 114.0) is drain.Phase.STOPPED
+    assert stop.get_phase(1, 161.0) is drain.Phase.STOPPED
+    stop.begin(101.0)
+    assert stop.get_phase(1, 102.0) is drain.Phase.STOPPED
+
+
+class Engine:
+    """An upstream that does or does not check fencing numbers."""
+
+    def __init__(self, checks: bool) -> None:
+        self.checks = checks
+        self.fence = 0
+        self.version = 'v1'
+
+    def take(self, fence: int, version: str) -> None:
+        if self.checks and fence < self.fence:
+            return
+        self.fence = max(fence, self.fence)
+        self.version = version
+
+
+class ImpatientBook(orders.OrderBook):
+    """Broken variant: a new holder does not wait out the orders of the one before it."""
+
+    def _may_order(self, item: orders.Wanted, now: float) -> bool:
+        return True
+
+
+def play_handover(book_type: type[orders.OrderBook], checks: bool, late_at: float) -> str:
+    """An old holder's order arrives late, while a new holder keeps the wanted state."""
+    engine = Engine(checks)
+    book = book_type(fence=2, held_since=0.0)
+    wanted = orders.Wanted('e', 'm', 'v2', (), checks)
+    now = 0.0
+    sent_late = False
+    # One second a step; the observation stops once the state has been right after the wait.
+    while now < 3 * orders.LONGEST_ORDER:
+        if not sent_late and now >= late_at:
+            engine.take(1, 'v0')
+            sent_late = True
+        seen = [orders.Observed('e', engine.version)]
+        for order in book.plan([wanted], seen, 2, now):
+            engine.take(book.fence, order.weight_version)
+            book.finish('e')
+            if book_type is ImpatientBook:
+                now = max(now, late_at)
+                engine.take(1, 'v0')
+                return engine.version
+        now += 1.0
+    return engine.version
+
+
+@pytest.mark.parametrize('checks', [True, False])
+@hypothesis.given(late_at=st.floats(0, orders.LONGEST_ORDER))
+def test_no_older_order_wins_in_the_end(checks: bool, late_at: float) -> None:
+    assert play_handover(orders.OrderBook, checks, late_at) == 'v2'
+
+
+def test_broken_variant_is_caught() -> None:
+    assert play_handover(ImpatientBook, False, 10.0) == 'v0'
+
+
+def test_orders_keep_the_rate_and_most_replicas_serving() -> None:
+    book = orders.OrderBook(fence=1, held_since=-orders.LONGEST_ORDER, max_loads=2)
+    wanted = [orders.Wanted(str(n), 'm', 'v2', (), False) for n in range(6)]
+    seen = [orders.Observed(str(n), 'v1') for n in range(6)]
+    assert len(book.plan(wanted, seen, 6, 0.0)) == 2
+    assert not book.plan(wanted, seen, 6, 1.0)
+    book.expire(orders.LONGEST_ORDER + 1)
+    assert len(book.plan(wanted, seen, 2, 40.0)) == 1
--- /dev/null
+++ b/passpier/tests/core/shares_tests.py
@@ -0,0 +1,239 @@
+"""The units in use over all daemons never exceed an account's limit."""
+
+from __future__ import annotations
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+from hypothesis import stateful
+
+from passpier.core import shares
+from passpier.tests import broken
+
+DAEMONS = ['d1', 'd2', 'd3', 'd4']
+LIMIT = 5
+
+
+def make_grant(epoch: int, holders: list[str], limit: int = LIMIT, revision: int = 1):
+    seats = {name: shares.Holder(name, name[-1]) for name in holders}
+    limits = {'acme': shares.Limit(limit, 1_000_000)}
+    return shares.Grant(shares.Generation(epoch, revision), seats, limits, 2)
+
+
+class HastyBook(shares.ShareBook):
+    """Broken variant: a new generation is spent before it is settled."""
+
+    def install(self, grant: shares.Grant) -> None:
+        super().install(grant)
+        self.settle(lambda name: None)
+
+
+class TrustingBook(shares.ShareBook):
+    """Broken variant: confirms a generation though its requests in flight do not fit."""
+
+    def get_confirmable(self) -> shares.Generation:
+        return self.generation
+
+
+class ShareMachine(stateful.RuleBasedStateMachine):
+    """Daemons that learn of epochs and of each other's confirmations late and in any order."""
+
+    book_type: type[shares.ShareBook] = shares.ShareBook
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.gone: set[str] = set()
+        self.books = {name: self.book_type(name) for name in DAEMONS}
+        self.grants = [make_grant(1, DAEMONS[:2])]
+        self.heard = {(a, b): shares.Generation(0, 0) for a in DAEMONS for b in DAEMONS}
+        self.used = dict.fromkeys(DAEMONS, 0)
+        self.loans: list[tuple[str, str, str]] = []
+        self.serial = 0
+        for name in DAEMONS:
+            self.learn(name, 0)
+        for name in DAEMONS:
+            self.sync(name, set(DAEMONS))
+
+    @stateful.precondition(lambda self: set(DAEMONS) - self.gone - set(self.grants[-1].holders))
+    @stateful.rule()
+    def join(self) -> None:
+        """A new epoch with one more holder."""
+        newcomers = sorted(set(DAEMONS) - self.gone - set(self.grants[-1].holders))
+        self.write_epoch([*self.grants[-1].holders, newcomers[0]])
+
+    @stateful.rule(name=st.sampled_from(DAEMONS))
+    def leave(self, name: str) -> None:
+        """A new epoch without a holder that has certainly stopped, requests and all."""
+        stays = set(self.grants[-1].holders) - {name}
+        lent = any(lender == name for _, lender, _ in self.loans)
+        if stays and not self.used[name] and not lent:
+            self.gone.add(name)
+            self.write_epoch(sorted(stays))
+
+    def write_epoch(self, holders: list[str]) -> None:
+        self.grants.append(make_grant(len(self.grants) + 1, holders))
+
+    @stateful.rule(name=st.sampled_from(DAEMONS), back=st.integers(0, 1))
+    def learn(self, name: str, back: int) -> None:
+        if name not in self.gone:
+            self.books[name].install(self.grants[max(0, len(self.grants) - 1 - back)])
+            self.books[name].hear(self.now)
+
+    @stateful.rule()
+    def learn_all(self) -> None:
+        for name in DAEMONS:
+            self.learn(name, 0)
+
+    @stateful.rule(
+        name=st.sampled_from(DAEMONS),
+        sources=st.just(set(DAEMONS)) | st.sets(st.sampled_from(DAEMONS)),
+    )
+    def sync(self, name: str, sources: set[str]) -> None:
+        """Hear what some daemons have confirmed, and settle what can be."""
+        if name in self.gone:
+            return
+        book = self.books[name]
+        for source in sources:
+            self.heard[source, name] = self.books[source].get_confirmable()
+
+        def get_confirmed(other: str) -> shares.Generation | None:
+            if other == name:
+                return book.get_confirmable()
+            return self.heard[other, name] if other in book.holders else None
+
+        book.settle(get_confirmed)
+
+    @stateful.rule(name=st.sampled_from(DAEMONS), wanted=st.integers(1, LIMIT))
+    def acquire(self, name: str, wanted: int) -> None:
+        if name in self.gone:
+            return
+        for _ in range(wanted):
+            if self.books[name].acquire('acme', self.now):
+                self.used[name] += 1
+
+    @stateful.rule(name=st.sampled_from(DAEMONS))
+    def release(self, name: str) -> None:
+        if self.used[name]:
+            self.used[name] -= 1
+            self.books[name].release('acme')
+
+    @stateful.rule(lender=st.sampled_from(DAEMONS), borrower=st.sampled_from(DAEMONS))
+    def lend(self, lender: str, borrower: str) -> None:
+        self.serial += 1
+        loan = f'loan-{self.serial}'
+        alive = lender not in self.gone
+        if (
+            alive
+            and lender != borrower
+            and self.books[lender].lend(loan, 'acme', borrower, self.now)
+        ):
+            self.loans.append((loan, lender, borrower))
+
+    @stateful.precondition(lambda self: self.loans)
+    @stateful.rule(lost=st.booleans())
+    def repay(self, lost: bool) -> None:
+        loan, lender, borrower = self.loans.pop()
+        if not lost:
+            self.books[lender].repay(loan, 10, self.now)
+            return
+        active = {name for name, _, who in self.loans if who == borrower}
+        self.books[lender].reconcile(borrower, active, self.now + 2 * shares.LOAN_GRACE)
+
+    @stateful.invariant()
+    def never_above_the_limit(self) -> None:
+        assert sum(self.used.values()) + len(self.loans) <= LIMIT
+
+
+class HastyMachine(ShareMachine):
+    book_type = HastyBook
+
+
+class TrustingMachine(ShareMachine):
+    book_type = TrustingBook
+
+
+ShareTest = ShareMachine.TestCase
+ShareTest.settings = hypothesis.settings(max_examples=150, stateful_step_count=30)
+
+
+def test_broken_variant_is_caught() -> None:
+    broken.check_caught(HastyMachine)
+
+
+def join_while_busy(machine: ShareMachine) -> None:
+    """A third holder joins while the first two use the whole limit."""
+    machine.acquire('d1', LIMIT)
+    machine.acquire('d2', LIMIT)
+    machine.join()
+    machine.learn_all()
+    machine.sync('d3', set(DAEMONS))
+    machine.acquire('d3', LIMIT)
+    machine.never_above_the_limit()
+
+
+def test_a_holder_does_not_confirm_before_its_requests_fit() -> None:
+    join_while_busy(ShareMachine())
+    with pytest.raises(AssertionError):
+        join_while_busy(TrustingMachine())
+
+
+def settle_all(books: list[shares.ShareBook]) -> None:
+    for book in books:
+        book.settle(lambda name: next(b for b in books if b.holder == name).get_confirmable())
+
+
+def test_the_whole_limit_is_usable_once_settled() -> None:
+    books = [shares.ShareBook(name) for name in DAEMONS[:3]]
+    for book in books:
+        book.install(make_grant(1, DAEMONS[:3]))
+        book.hear(0.0)
+    settle_all(books)
+    taken = sum(book.acquire('acme', 0.0) for book in books for _ in range(LIMIT))
+    assert taken == LIMIT
+
+
+def test_a_daemon_cut_off_from_all_spends_nothing() -> None:
+    books = [shares.ShareBook(name) for name in DAEMONS[:2]]
+    for book in books:
+        book.install(make_grant(1, DAEMONS[:2]))
+        book.hear(0.0)
+    settle_all(books)
+    assert books[0].acquire('acme', shares.FENCE_SECONDS - 1)
+    assert not books[0].acquire('acme', shares.FENCE_SECONDS + 1)
+    assert shares.FENCE_SECONDS < shares.GONE_SECONDS
+
+
+def test_a_raised_limit_counts_once_all_have_it_and_a_lowered_one_at_once() -> None:
+    books = [shares.ShareBook(name) for name in DAEMONS[:2]]
+    for book in books:
+        book.install(make_grant(1, DAEMONS[:2], 4))
+        book.hear(0.0)
+    settle_all(books)
+    books[0].install(make_grant(1, DAEMONS[:2], 8, revision=2))
+    assert books[0].get_held('acme') == 2
+    settle_all(books)
+    assert books[0].get_held('acme') == 2
+    books[1].install(make_grant(1, DAEMONS[:2], 8, revision=2))
+    settle_all(books)
+    assert books[0].get_held('acme') == 4
+    books[0].install(make_grant(1, DAEMONS[:2], 2, revision=3))
+    assert books[0].get_held('acme') == 1
+
+
+def test_tokens_are_limited_by_the_share() -> None:
+    book = shares.ShareBook('d1')
+    grant = shares.Grant(
+        shares.Generation(1, 1),
+        {'d1': shares.Holder('d1', 'a')},
+        {'acme': shares.Limit(2, 100)},
+        1,
+    )
+    book.install(grant)
+    book.settle(lambda name: book.get_confirmable())
+    assert book.acquire('acme', 0.0)
+    book.charge('acme', 300, 0.0)
+    book.release('acme')
+    assert not book.acquire('acme', 1.0)
+    assert 1.5 < book.compute_retry_after('acme') < 2.5
+    assert book.acquire('acme', 4.0)
