Prove the path and upstream faults with real processes; mend what they showed

Causes found: tornado raises curl errors even with raise_error=False, so a cut stream was only noticed by its stall time-out; resumes and continuations spent the retry budget, so an engine death under six streams broke two; a stand-in swallowed its fault switches. Change: failures are read from the future, and whether a request went out from the pre-request callback of curl; only retries before the first byte spend the budget.

--- a/passpier/clients/web.py
+++ b/passpier/clients/web.py
@@ -56,6 +56,7 @@
         self._lines: list[str] = []
         self._buffered = 0
         self._aborted = False
+        self._sent = False
         self._error: ExchangeError | None = None
 
     def start(self, request: tornado.httpclient.HTTPRequest, reuse: bool) -> None:
@@ -69,6 +70,7 @@
             curl.setopt(pycurl.FRESH_CONNECT, 0 if reuse else 1)
             curl.setopt(pycurl.FORBID_REUSE, 0 if reuse else 1)
             curl.setopt(pycurl.TCP_NODELAY, 1)
+            curl.setopt(pycurl.PREREQFUNCTION, self._note_sent)
             curl.setopt(pycurl.NOPROGRESS, 0)
             curl.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(self._aborted))
 
@@ -107,6 +109,11 @@
         if not self._head.done():
             self._head.cancel()
 
+    def _note_sent(self, *_: object) -> int:
+        # Called when the connection stands and the request is about to go out on it.
+        self._sent = True
+        return pycurl.PREREQFUNC_OK
+
     def _take_line(self, line: str) -> None:
         if line.startswith('HTTP/'):
             self._lines = [line]
@@ -127,11 +134,8 @@
     def _finish(self, future: asyncio.Future[tornado.httpclient.HTTPResponse]) -> None:
         if future.cancelled():
             self._error = ExchangeError('cancelled', True)
-        else:
-            response = future.result()
-            if response.code == 599:
-                sent = bool(response.time_info.get('pretransfer'))
-                self._error = ExchangeError(str(response.error), sent)
+        elif future.exception() is not None:
+            self._error = ExchangeError(str(future.exception()), self._sent)
         if not self._head.done():
             error = self._error or ExchangeError('no answer', True)
             self._head.set_exception(error)
--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -8,7 +8,7 @@
 BUDGET_SHARE = 0.1
 """Retries earned by each successful request."""
 
-BUDGET_MAX = 20.0
+BUDGET_MAX = 50.0
 """Retries that can be saved up."""
 
 BUDGET_TRICKLE = 0.2
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -293,7 +293,8 @@
             call.life.resumes = attempts.MAX_RESUMES
         now = time.monotonic()
         step = call.life.decide(fault, True)
-        if step is not attempts.Step.FAIL and not self._owner.budget.spend(now):
+        # A stream that has begun is finished whatever the budget: its caller has half an answer.
+        if step is attempts.Step.RETRY and not self._owner.budget.spend(now):
             step = attempts.Step.FAIL
         self._log_fault(error, step)
         self._owner.counters.retries.inc({'step': step.value})
--- a/passpier/standins/common.py
+++ b/passpier/standins/common.py
@@ -91,7 +91,7 @@
 async def serve(routes: list[Any], faults: Faults, port: int, ip: str) -> None:
     """Serve until SIGTERM; print the port as the first line."""
     logging.getLogger('tornado.access').setLevel(logging.ERROR)
-    application = tornado.web.Application([*routes, ('/faults', FaultsHandler, {'faults': faults})])
+    application = tornado.web.Application([('/faults', FaultsHandler, {'faults': faults}), *routes])
     sockets = tornado.netutil.bind_sockets(port, ip)
     server = tornado.httpserver.HTTPServer(application, max_buffer_size=64 * 1024 * 1024)
     server.add_sockets(sockets)
--- a/passpier/standins/engine.py
+++ b/passpier/standins/engine.py
@@ -216,7 +216,8 @@
         """Add identity and load, which cost the caller nothing extra."""
         report = self.engine.report()
         self.set_header('X-Engine-Incarnation', report['incarnation'])
-        self.set_header('X-Weight-Version', report['weight_version'])
+        version = self.faults.options.get('answer_version') or report['weight_version']
+        self.set_header('X-Weight-Version', version)
         self.set_header(
             'X-Engine-Load', f'{report["running"]},{report["waiting"]},{report["backlog"]}'
         )
--- a/passpier/standins/processes.py
+++ b/passpier/standins/processes.py
@@ -39,9 +39,7 @@
     timeout: float = 30.0,
 ) -> tuple[int, dict[str, str], bytes]:
     """Return status, headers and body of an HTTP call; raises `OSError` without an answer."""
-    data = None if body is None else json.dumps(body).encode()
-    if isinstance(body, bytes):
-        data = body
+    data = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
     request = urllib.request.Request(url, data, headers or {}, method=method)
     try:
         with urllib.request.urlopen(request, timeout=timeout) as answer:
