Prove the fleet under kills, freezes, outages and races; a herd of restarts serves at once

Cause: after a restart of all daemons the shares belonged to incarnations that had ended, so requests were refused with limit_reached for seconds (test_a_herd_of_restarts..., failing). Ruled out: serving without a settled share (the limit would not hold). Change: a newcomer of a small fleet proposes the next epoch itself, confirmations travel at once, a daemon that has just started first borrows, then waits up to 2 s for its first share.

--- a/passpier/daemon/fleet.py
+++ b/passpier/daemon/fleet.py
@@ -28,6 +28,9 @@
 PROPOSE_INTERVAL = 2.0
 """Seconds between looks at whether the epoch's holders are still right."""
 
+SMALL_FLEET = 16
+"""Daemons up to which a newcomer may write the next epoch itself."""
+
 PUSH_FANOUT = 8
 """Peers that are told at once of a new configuration or epoch."""
 
@@ -62,6 +65,7 @@
         self._rng = rng
         self._installed = asyncio.Event()
         self._has_view = False
+        self._propose_now = asyncio.Event()
         self._missing_since: dict[str, float] = {}
         self._handle_messages()
 
@@ -90,6 +94,7 @@
         if self._events is not None:
             self._events.apply(config)
         self.limits.install(None, config)
+        self._beat()
         self._counters.revision.set({}, config.revision)
         log.info('configuration in force', extra={'revision': config.revision})
         self._push(self._make_heartbeat())
@@ -143,7 +148,7 @@
         """Keep the lease, follow the configuration, and propose epochs when it is our turn."""
         await asyncio.gather(
             self.storage.repeat(self.options.lease_ttl / 3, self._register),
-            self.storage.repeat(PROPOSE_INTERVAL, self._propose_epoch),
+            self.storage.repeat(PROPOSE_INTERVAL, self._propose_epoch, self._propose_now),
             self.storage.repeat(storage.POLL_SECONDS, self._poll_revision),
             self._watch(),
         )
@@ -197,6 +202,7 @@
         now = time.monotonic()
         self.limits.book.hear(now)
         unknown = self.membership.merge(message.beats, now)
+        self.limits.settle()
         unknown = [i for i in unknown if not self.limits.has_departed(i)]
         if unknown:
             self._peers.send(address, messages.MembersWanted(unknown))
@@ -265,6 +271,8 @@
         self.limits.epoch = epoch
         if self.config is not None:
             self.limits.install(epoch, self.config)
+        self._beat()
+        self._push(self._make_heartbeat())
         self._push(messages.Epoch(epoch.number, epoch.holders))
 
     def _send_view(self, sender: str, address: str, message: messages.ViewWanted) -> None:
@@ -285,6 +293,8 @@
     async def _register(self) -> None:
         await self.storage.register(self.membership.own)
         self._note_store()
+        if self._is_newcomer():
+            self._propose_now.set()
 
     def _note_store(self) -> None:
         self.limits.book.hear(time.monotonic())
@@ -310,10 +320,7 @@
             epoch, _ = await self.storage.read_epoch()
             if epoch is not None:
                 self._install_epoch(epoch)
-        serving = self.membership.list_serving(time.monotonic())
-        if min(m.incarnation for m in serving or [self.membership.own]) != (
-            self.membership.own.incarnation
-        ):
+        if not self._is_proposer():
             return
         listed = await self.storage.read_members()
         self._add_members(listed)
@@ -327,6 +334,22 @@
                 log.info('epoch proposed', extra={'epoch': record.number, 'holders': len(wanted)})
                 self._install_epoch(record)
 
+    def _is_newcomer(self) -> bool:
+        """Return whether this daemon belongs to a small fleet's next epoch and has no units yet.
+
+        In a large fleet newcomers borrow and wait for the proposer, so that a herd of them does
+        not contend for the epoch.
+        """
+        epoch = self.limits.epoch
+        listed = epoch is not None and self.membership.own.incarnation in epoch.holders
+        leaving = self.drain.began_at is not None
+        return not listed and not leaving and len(self.membership) <= SMALL_FLEET
+
+    def _is_proposer(self) -> bool:
+        serving = self.membership.list_serving(time.monotonic())
+        oldest = min((m.incarnation for m in serving), default=self.membership.own.incarnation)
+        return self._is_newcomer() or oldest == self.membership.own.incarnation
+
     def _choose_holders(
         self, listed: list[members.Member], epoch: storage.EpochRecord | None
     ) -> dict[str, storage.Seat]:
--- a/passpier/daemon/limits.py
+++ b/passpier/daemon/limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import dataclasses
 import logging
 import time
@@ -19,6 +21,9 @@
 BORROW_TIMEOUT = 0.25
 """Seconds to wait for a holder's answer."""
 
+FIRST_SHARE_SECONDS = 2.0
+"""Seconds for which a daemon that has just started waits for its first share."""
+
 
 @dataclasses.dataclass(slots=True)
 class Unit:
@@ -41,6 +46,7 @@
         self._lenders: set[str] = set()
         self._departed: set[str] = set()
         self.book = shares.ShareBook(membership.own.incarnation)
+        self._settled = asyncio.Event()
         self.epoch: storage.EpochRecord | None = None
         link.handle(messages.Borrow, self._lend)
         link.handle(messages.Lent, self._take_answer)
@@ -48,25 +54,13 @@
         link.handle(messages.Loans, self._reconcile)
 
     async def acquire(self, account: str) -> expression.Result[Unit, exceptions.Failure]:
-        """Return a unit, or the refusal."""
-        if self.book.acquire(account, time.monotonic()):
-            return expression.Ok(Unit(account))
-        retry_after = self.book.compute_retry_after(account)
-        for incarnation in self.book.rank_lenders(account):
-            member = self._membership.get(incarnation)
-            if member is None or member not in self._membership.list_alive(time.monotonic()):
-                continue
-            unit, after = await self._borrow(account, member.peer)
-            if unit is not None:
-                return expression.Ok(unit)
-            retry_after = max(retry_after, after)
-        failure = exceptions.Failure(
-            exceptions.Code.LIMIT,
-            exceptions.Outcome.NOT_RUN,
-            f'the limit of account {account!r} is reached',
-            retry_after,
-        )
-        return expression.Error(failure)
+        """Return a unit, or the refusal; a daemon that has just started waits for its first."""
+        result = await self._try_acquire(account)
+        if result.is_ok() or self._settled.is_set():
+            return result
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._settled.wait(), FIRST_SHARE_SECONDS)
+        return await self._try_acquire(account)
 
     def release(self, unit: Unit, tokens: int) -> None:
         """Give a unit back with the tokens that were used."""
@@ -83,26 +77,35 @@
             self.epoch = epoch
         if self.epoch is None:
             return
+        own = self._membership.own
+        for incarnation, seat in self.epoch.holders.items():
+            if seat[2] == own.peer and incarnation != own.incarnation:
+                # This process has the address, so the one that had it before has ended.
+                self._departed.add(incarnation)
         holders = {i: shares.Holder(seat[0], seat[1]) for i, seat in self.epoch.holders.items()}
         generation = shares.Generation(self.epoch.number, config.revision)
         self.book.install(shares.Grant(generation, holders, config.limits, self._entry_count))
 
     def tick(self) -> None:
-        """Settle what every holder has confirmed; tell lenders which loans are still in use."""
-        if self.book.settle(self._get_confirmed):
-            log.info(
-                'shares settled',
-                extra={
-                    'epoch': self.book.generation.epoch,
-                    'revision': self.book.generation.revision,
-                },
-            )
+        """Settle what can be; tell lenders which loans are still in use."""
+        self.settle()
         for lender in list(self._lenders):
             loans = [loan for loan, address in self._borrowed.items() if address == lender]
             self._peers.send(lender, messages.Loans(loans))
             if not loans:
                 self._lenders.discard(lender)
 
+    def settle(self) -> None:
+        """Settle a generation that every holder has confirmed."""
+        if not self.book.settle(self._get_confirmed):
+            return
+        self._settled.set()
+        generation = self.book.generation
+        log.info(
+            'shares settled',
+            extra={'epoch': generation.epoch, 'revision': generation.revision},
+        )
+
     def note_departed(self, incarnation: str) -> None:
         """Note that a daemon has certainly stopped."""
         self._departed.add(incarnation)
@@ -112,6 +115,26 @@
         """Return whether a daemon has certainly stopped."""
         return incarnation in self._departed
 
+    async def _try_acquire(self, account: str) -> expression.Result[Unit, exceptions.Failure]:
+        if self.book.acquire(account, time.monotonic()):
+            return expression.Ok(Unit(account))
+        retry_after = self.book.compute_retry_after(account)
+        for incarnation in self.book.rank_lenders(account):
+            member = self._membership.get(incarnation)
+            if member is None or member not in self._membership.list_alive(time.monotonic()):
+                continue
+            unit, after = await self._borrow(account, member.peer)
+            if unit is not None:
+                return expression.Ok(unit)
+            retry_after = max(retry_after, after)
+        failure = exceptions.Failure(
+            exceptions.Code.LIMIT,
+            exceptions.Outcome.NOT_RUN,
+            f'the limit of account {account!r} is reached',
+            retry_after,
+        )
+        return expression.Error(failure)
+
     async def _borrow(self, account: str, address: str) -> tuple[Unit | None, float]:
         loan = uuid.uuid4().hex
         self._borrowed[loan] = address
--- a/passpier/daemon/storage.py
+++ b/passpier/daemon/storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import logging
 import random
@@ -154,10 +155,20 @@
             return 0
         return value.create_revision
 
-    async def repeat(self, interval: float, action: Callable[[], Awaitable[None]]) -> None:
-        """Run `action` every `interval` seconds; back off while the store does not answer."""
+    async def repeat(
+        self,
+        interval: float,
+        action: Callable[[], Awaitable[None]],
+        hurry: asyncio.Event | None = None,
+    ) -> None:
+        """Run `action` every `interval` seconds, or sooner when `hurry` is set.
+
+        While the store does not answer, the waits grow.
+        """
         failures = 0
+        hurry = hurry or asyncio.Event()
         while True:
+            hurry.clear()
             try:
                 await action()
                 failures = 0
@@ -167,7 +178,10 @@
                 self.available = False
                 wait = min(RETRY_MAX, RETRY_MIN * 2**failures) * self._rng.uniform(0.5, 1.0)
                 log.warning('store unavailable', extra={'error': str(error), 'retry_in': wait})
-            await asyncio.sleep(wait)
+                await asyncio.sleep(wait)
+                continue
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(hurry.wait(), wait)
 
     async def follow(self, prefix: str, action: Callable[[], Awaitable[None]]) -> None:
         """Run `action` whenever something under `prefix` changes."""
--- /dev/null
+++ b/passpier/tests/daemon/fleet_tests.py
@@ -0,0 +1,298 @@
+"""The fleet under kills, freezes, cuts, store outages and races of operators."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import threading
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+import uuid_utils
+
+from passpier.standins import fleets, processes
+from passpier.tests.daemon import path_tests
+
+
+@pytest.fixture(scope='module')
+def fleet() -> Iterator[fleets.Fleet]:
+    with fleets.run_fleet(daemons=3, engine_flags=['--decode-ms', '4']) as started:
+        yield started
+
+
+class Load:
+    """Callers that stream without pause from the entries that they were told."""
+
+    def __init__(self, fleet: fleets.Fleet, callers: int = 6, tokens: int = 60) -> None:
+        self.fleet = fleet
+        self.tokens = tokens
+        self.ended = threading.Event()
+        self.answers: list[tuple[str, fleets.Answer]] = []
+        self.failures: list[Exception] = []
+        self.threads = [threading.Thread(target=self.run, args=(n,)) for n in range(callers)]
+
+    def run(self, number: int) -> None:
+        """Ask for entries, keep them for their lifetime, use the first."""
+        turn = 0
+        while not self.ended.is_set():
+            entry = self.fetch_entry(number)
+            until = time.monotonic() + 1.0
+            while time.monotonic() < until and not self.ended.is_set():
+                turn += 1
+                self.ask(entry, f'caller {number} turn {turn}')
+
+    def fetch_entry(self, number: int) -> str:
+        """Return an entry, asking whichever daemon answers."""
+        for daemon in self.fleet.daemons:
+            with contextlib.suppress(OSError):
+                url = f'http://{daemon.entry}/v1/entries'
+                body = processes.call('GET', url, None, fleets.make_headers())[2]
+                listed = json.loads(body).get('entries')
+                if listed:
+                    return listed[number % len(listed)]['address']
+        raise TimeoutError('no daemon answers')
+
+    def ask(self, entry: str, prompt: str) -> None:
+        """Ask once and keep the answer, or what went wrong."""
+        try:
+            self.answers.append((prompt, fleets.complete(entry, prompt, self.tokens)))
+        except OSError as error:
+            self.failures.append(error)
+
+    def __enter__(self) -> Load:
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+
+
+def restart(fleet: fleets.Fleet, number: int) -> float:
+    """Start a daemon again; return the seconds until it is ready."""
+    began = time.monotonic()
+    daemon = fleet.daemons[number]
+    daemon.start()
+    processes.wait_until(daemon.is_ready, f'{daemon.name} ready')
+    return time.monotonic() - began
+
+
+def get_revision(fleet: fleets.Fleet, number: int = 0) -> int:
+    return fleet.daemons[number].rpc('show')['result']['revision']
+
+
+def change_deadline(fleet: fleets.Fleet, deadline_ms: int) -> dict[str, Any]:
+    schema = fleet.build_schema()
+    schema['services'][0]['deadline_ms'] = deadline_ms
+    return schema
+
+
+def test_a_planned_stop_cuts_no_request(fleet: fleets.Fleet) -> None:
+    daemon = fleet.daemons[1]
+    with Load(fleet) as load:
+        processes.wait_until(lambda: len(load.answers) > 10, 'load runs')
+        daemon.send(signal.SIGTERM)
+        assert daemon.popen.wait(30) == 0
+        count = len(load.answers)
+        processes.wait_until(lambda: len(load.answers) > count + 10, 'load goes on')
+    assert not load.failures
+    for prompt, answer in load.answers:
+        assert answer.status == 200, answer.body
+        assert answer.whole
+        assert answer.text == path_tests.compute_text(prompt, load.tokens)
+    print(f'planned stop under load: {len(load.answers)} answers, none cut')
+    restart(fleet, 1)
+
+
+def test_a_killed_daemon_serves_at_once_while_the_store_is_down(fleet: fleets.Fleet) -> None:
+    prefix = ' '.join(f'farm {n}' for n in range(300))
+    assert fleet.complete(2, prefix).whole
+    processes.wait_until(lambda: fleet.complete(2, prefix).cached > 400, 'prefix cached', 10)
+    fleet.store.set_faults(drop=True)
+    try:
+        fleet.daemons[0].kill()
+        seconds = restart(fleet, 0)
+        answer = fleet.complete(0, prefix)
+        assert answer.text == path_tests.compute_text(prefix, 8)
+        assert answer.cached > 400
+        print(f'restart with the store down: ready in {seconds:.2f} s, prefix found')
+    finally:
+        fleet.store.set_faults(drop=False)
+
+
+def test_racing_operators_one_wins_and_the_other_is_told(fleet: fleets.Fleet) -> None:
+    base = get_revision(fleet)
+    answers: dict[int, Any] = {}
+
+    def apply(number: int) -> None:
+        schema = change_deadline(fleet, 10_000 + number)
+        answers[number] = fleet.apply(schema, base, number)
+
+    threads = [threading.Thread(target=apply, args=(n,)) for n in range(3)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    won = [n for n, a in answers.items() if 'result' in a]
+    assert len(won) == 1
+    for number, answer in answers.items():
+        if number not in won:
+            assert answer['error']['data'] == {'base': base, 'in_force': base + 1}
+    wait_for_everyone(fleet, base + 1)
+    shown = fleet.daemons[2].rpc('show')['result']['document']['services'][0]['deadline_ms']
+    assert shown == 10_000 + won[0]
+
+
+def wait_for_everyone(fleet: fleets.Fleet, revision: int) -> float:
+    began = time.monotonic()
+    answer = fleet.daemons[0].rpc('wait', revision=revision, timeout=10)['result']
+    assert answer['behind'] == []
+    return time.monotonic() - began
+
+
+def test_an_accepted_configuration_spreads_while_the_store_is_down(fleet: fleets.Fleet) -> None:
+    base = get_revision(fleet)
+    paused = fleet.daemons[2]
+    paused.send(signal.SIGSTOP)
+    try:
+        assert fleet.apply(change_deadline(fleet, 11_000), base)['result']['revision'] == base + 1
+        fleet.store.set_faults(drop=True)
+    finally:
+        paused.send(signal.SIGCONT)
+    seconds = wait_for_everyone(fleet, base + 1)
+    print(f'configuration at a paused daemon {seconds:.2f} s after it woke, store down')
+    refused = fleet.apply(change_deadline(fleet, 12_000), base + 1)
+    fleet.store.set_faults(drop=False)
+    assert refused['error']['code'] == 3
+    assert {get_revision(fleet, n) for n in range(3)} == {base + 1}
+
+
+def test_a_lost_answer_of_the_store_is_settled(fleet: fleets.Fleet) -> None:
+    processes.wait_until(lambda: all_see_store(fleet), 'store back')
+    base = get_revision(fleet)
+    fleet.store.set_faults(lose_answer=2)
+    answer = fleet.apply(change_deadline(fleet, 13_000), base)
+    fleet.store.set_faults(lose_answer=0)
+    assert answer['result']['revision'] == base + 1
+    print(f'in force everywhere after {wait_for_everyone(fleet, base + 1):.2f} s')
+
+
+def all_see_store(fleet: fleets.Fleet) -> bool:
+    return all(d.rpc('status')['result']['store_available'] for d in fleet.daemons)
+
+
+def test_restarts_never_bring_an_older_configuration_back(fleet: fleets.Fleet) -> None:
+    base = get_revision(fleet)
+    fleet.apply(change_deadline(fleet, 14_000), base)
+    fleet.daemons[1].kill()
+    fleet.store.set_faults(drop=True)
+    try:
+        restart(fleet, 1)
+        assert get_revision(fleet, 1) == base + 1
+    finally:
+        fleet.store.set_faults(drop=False)
+
+
+def test_keys_run_once_through_kill_and_outage(fleet: fleets.Fleet) -> None:
+    incarnation = fleet.daemons[1].list_events('serving')[-1]['incarnation']
+    homed = [f'{incarnation}.{uuid_utils.uuid7()}' for _ in range(4)]
+    fleet.store.set_faults(drop=True)
+    try:
+        served = [fleet.call_service(n % 3, key).status for n, key in enumerate(homed)]
+        opaque = fleet.call_service(0, 'opaque-1')
+    finally:
+        fleet.store.set_faults(drop=False)
+    assert served == [200] * 4
+    assert opaque.error['outcome'] == 'unknown'
+    assert opaque.error['retry_after'] > 0
+    assert fleet.count_runs('opaque-1') == 0
+    fleet.daemons[1].kill()
+    restart(fleet, 1)
+    for number, key in enumerate(homed):
+        assert fleet.call_service(number % 3, key).error['outcome'] == 'unknown'
+        assert fleet.count_runs(key) == 1
+    processes.wait_until(lambda: fleet.call_service(0, 'opaque-1').status == 200, 'claimed', 20)
+    assert fleet.count_runs('opaque-1') == 1
+
+
+@pytest.mark.parametrize('signal_name', ['vm_list', 'report', 'configuration'])
+def test_a_leaving_upstream_gets_no_new_work(fleet: fleets.Fleet, signal_name: str) -> None:
+    leaving = fleet.engines[0]
+    schema = fleet.build_schema()
+    if signal_name == 'vm_list':
+        fleet.vms.post('/vms', {f'{leaving.name}-vm': 'leaving'})
+    elif signal_name == 'report':
+        leaving.post('/_counters', {'leaving': True})
+    else:
+        schema['pools'][0]['upstreams'][0]['leaving'] = True
+        fleet.apply(schema, get_revision(fleet))
+    began = time.monotonic()
+    processes.wait_until(lambda: all_know(fleet, signal_name), 'all know', 10)
+    seconds = time.monotonic() - began
+    before = sum(leaving.get_counters()['runs'].values())
+    for number in range(12):
+        assert fleet.complete(number % 3, f'leaving {signal_name} {number}').whole
+    assert sum(leaving.get_counters()['runs'].values()) == before
+    print(f'{signal_name}: no new work after {seconds:.2f} s')
+    fleet.vms.post('/vms', {f'{leaving.name}-vm': 'live'})
+    leaving.post('/_counters', {'leaving': False})
+    fleet.apply(fleet.build_schema(), get_revision(fleet))
+    processes.wait_until(lambda: all_know(fleet, ''), 'all know', 10)
+
+
+def all_know(fleet: fleets.Fleet, signal_name: str) -> bool:
+    wanted = [signal_name] if signal_name else []
+    for daemon in fleet.daemons:
+        upstreams = daemon.rpc('status')['result']['upstreams']
+        if next(u['leaving'] for u in upstreams if u['name'] == 'engine-1') != wanted:
+            return False
+    return True
+
+
+def test_a_limit_holds_over_all_daemons(fleet: fleets.Fleet) -> None:
+    """Six units over three daemons, all asked for at one of them, and then all at once."""
+    schema = fleet.build_schema()
+    schema['accounts'][0]['concurrency'] = 6
+    fleet.apply(schema, get_revision(fleet))
+    processes.wait_until(fleet.is_settled, 'settled')
+    for targets in ([0], [0, 1, 2]):
+        answers: list[fleets.Answer] = []
+
+        def ask(number: int, targets: list[int], answers: list[fleets.Answer]) -> None:
+            target = targets[number % len(targets)]
+            answers.append(fleet.complete(target, f'limit {number}', 150))
+
+        threads = [threading.Thread(target=ask, args=(n, targets, answers)) for n in range(18)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        refused = [a for a in answers if a.status == 429]
+        served = [a for a in answers if a.whole]
+        assert len(served) == 6, [a.error for a in answers if a.status != 200]
+        assert len(refused) == 12
+        assert all(a.error['outcome'] == 'not_run' for a in refused)
+        assert all(a.error['entries'] and a.error['retry_after'] > 0 for a in refused)
+    fleet.apply(fleet.build_schema(), get_revision(fleet))
+
+
+def test_a_herd_of_restarts_spares_the_store() -> None:
+    with fleets.run_fleet(daemons=6, engines=1) as fleet:
+        for daemon in fleet.daemons:
+            daemon.kill()
+        before = sum(fleet.store.get('/stats').values())
+        began = time.monotonic()
+        for daemon in fleet.daemons:
+            daemon.start()
+        for daemon in fleet.daemons:
+            processes.wait_until(daemon.is_ready, f'{daemon.name} ready')
+        seconds = time.monotonic() - began
+        calls = sum(fleet.store.get('/stats').values()) - before
+        assert all(fleet.complete(n, 'herd').whole for n in range(6))
+        print(f'herd of 6: all ready in {seconds:.2f} s, {calls / 6:.1f} store calls each')
+        assert calls / 6 < 30
