Order wanted weights by one daemon with a fencing number

Change: daemon/placement.py acts on core/orders.py while it holds the placement lease. Known limit: until the first replica has loaded, requests are refused not_run.

--- a/passpier/daemon/main.py
+++ b/passpier/daemon/main.py
@@ -29,6 +29,7 @@
     metrics,
     operators,
     peers,
+    placement,
     plain,
     service,
     storage,
@@ -94,6 +95,7 @@
         self.service = service.Service(
             self.fleet, places, generator, plain_caller, self.peers, counters
         )
+        self.placement = placement.Placement(self.fleet, self.upstreams, engine_client)
         self.operators = operators.Operators(self.service, self.peers)
 
     async def run(self) -> None:
@@ -105,6 +107,7 @@
             self.fleet.run_store(),
             self.upstreams.run_polls(),
             self.upstreams.run_vm_list(),
+            self.placement.run(),
         ]
         tasks = [asyncio.ensure_future(job) for job in jobs]
         for task in tasks:
--- a/passpier/tests/daemon/fleet_tests.py
+++ b/passpier/tests/daemon/fleet_tests.py
@@ -254,6 +254,31 @@
     return True
 
 
+def test_new_weights_are_ordered_by_one_daemon_and_served(fleet: fleets.Fleet) -> None:
+    """One replica at a time, so that the pool serves throughout; the order's answer is lost."""
+    fleet.engines[0].set_faults(lose_answer=1)
+    schema = fleet.build_schema()
+    schema['models'][0]['weight_version'] = 'v2'
+    for upstream in schema['pools'][0]['upstreams']:
+        upstream['checks_fencing'] = True
+    fleet.apply(schema, get_revision(fleet))
+    processes.wait_until(
+        lambda: {e.get_counters()['weight_version'] for e in fleet.engines} == {'v2'}, 'v2', 60
+    )
+    processes.wait_until(lambda: fleet.complete(0, 'new weights?').whole, 'v2 serves', 10)
+    orders = [e.get_counters()['orders'] for e in fleet.engines]
+    assert all(1 <= len(o) <= 2 for o in orders)
+    deciders = [d for d in fleet.daemons if d.list_events('placement decision')]
+    assert len(deciders) == 1
+    schema['models'][0]['weight_version'] = 'v1'
+    fleet.apply(schema, get_revision(fleet))
+    processes.wait_until(
+        lambda: {e.get_counters()['weight_version'] for e in fleet.engines} == {'v1'}, 'v1', 60
+    )
+    fleet.apply(fleet.build_schema(), get_revision(fleet))
+    processes.wait_until(lambda: fleet.complete(0, 'old weights?').whole, 'v1 serves', 10)
+
+
 def test_a_limit_holds_over_all_daemons(fleet: fleets.Fleet) -> None:
     """Six units over three daemons, all asked for at one of them, and then all at once."""
     schema = fleet.build_schema()
