Cost policy: charge duplication and distance from home; tell peers of loads

Ruled out: a heavier weight on all recomputation alone: it charges the first computation, which no choice avoids. Change 1: recompute charges only what another replica holds, plus a share that grows with the replica, s place in the family, s rendezvous order.

--- a/passpier/core/choice.py
+++ b/passpier/core/choice.py
@@ -17,8 +17,11 @@
 FAMILY_BLOCKS = 2
 """Blocks behind the service's preamble that name a prompt's family."""
 
-REUSE_WEIGHT = {'first_token': 0.5, 'reuse': 3.0}
-"""What a second of recomputation costs against a second of waiting, by objective."""
+REUSE_WEIGHT = {'first_token': 1.0, 'reuse': 3.0}
+"""What a second of computing what another replica holds costs against a second of waiting."""
+
+HOME_WEIGHT = {'first_token': 0.5, 'reuse': 1.0}
+"""What a second of computing costs extra at the replica that ranks last for the family."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,17 +136,37 @@
     return str(job.chain[min(job.preamble_blocks + FAMILY_BLOCKS, len(job.chain) - 1)])
 
 
-def estimate(job: Job, replica: replicas.Replica, cache: view.CacheView, now: float) -> Candidate:
-    """Return a replica's cost terms for a job."""
-    match = cache.match(replica.name, job.chain, now)
+def estimate(
+    job: Job, replica: replicas.Replica, match: view.Match, duplicated: int, rank: float, now: float
+) -> Candidate:
+    """Return a replica's cost terms for a job.
+
+    `duplicated` are the tokens to compute here that another replica holds; `rank` is the
+    replica's place in the rendezvous order of the family, from 0 (first) to 1 (last).
+    """
+    rate = replica.seconds_per_token
     matched = match.blocks * job.block_tokens
     miss = max(0.0, job.prompt_tokens - matched * match.confidence)
-    prefill = miss * replica.seconds_per_token
     over = max(0, replicas.estimate_running(replica, now) + 1 - replica.slots)
     slot_wait = over * replica.service_seconds / max(1, replica.slots)
-    wait = replicas.estimate_backlog(replica, now) * replica.seconds_per_token + slot_wait
-    recompute = prefill * REUSE_WEIGHT[job.objective]
-    return Candidate(replica.name, matched, match.confidence, wait, prefill, recompute)
+    wait = replicas.estimate_backlog(replica, now) * rate + slot_wait
+    duplication = duplicated * rate * REUSE_WEIGHT[job.objective]
+    away = miss * rate * HOME_WEIGHT[job.objective] * rank
+    return Candidate(replica.name, matched, match.confidence, wait, miss * rate, duplication + away)
+
+
+def estimate_all(
+    job: Job, pool: Sequence[replicas.Replica], cache: view.CacheView, now: float
+) -> list[Candidate]:
+    """Return the cost terms of all replicas of a pool."""
+    matches = [cache.match(replica.name, job.chain, now) for replica in pool]
+    most = max((m.blocks for m in matches), default=0)
+    order = rendezvous.rank_names(get_family(job), [r.name for r in pool])
+    ranks = {name: place / max(1, len(order) - 1) for place, name in enumerate(order)}
+    return [
+        estimate(job, r, m, (most - m.blocks) * job.block_tokens, ranks[r.name], now)
+        for r, m in zip(pool, matches, strict=True)
+    ]
 
 
 def choose(
@@ -154,7 +177,7 @@
     now: float,
 ) -> Choice | None:
     """Return the choice among `pool`, or none if it is empty."""
-    candidates = [estimate(job, replica, cache, now) for replica in pool]
+    candidates = estimate_all(job, pool, cache, now)
     if not candidates:
         return None
     winner, reason = policy.pick(job, candidates)
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -13,6 +13,9 @@
 QUEUE_PER_SLOT = 0.5
 """Requests that may wait at a replica for each of its slots."""
 
+PEER_LOAD_SECONDS = 2.0
+"""Seconds for which another daemon's word on its dispatches counts."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
@@ -34,6 +37,15 @@
     first_token: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """What another daemon has sent to a replica: tokens still to be computed, requests running."""
+
+    tokens: int
+    running: int
+    received_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Replica:
     """One upstream with its reported and our own load."""
@@ -47,6 +59,8 @@
     slots: int = 8
     report: Report | None = None
     dispatches: dict[str, Dispatch] = dataclasses.field(default_factory=dict)
+    peers: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
+    miss_share: float = 1.0
     seconds_per_token: float = DEFAULT_SECONDS_PER_TOKEN
     service_seconds: float = 0.2
     leaving_reasons: frozenset[str] = frozenset()
@@ -65,34 +79,37 @@
 
 
 def estimate_running(replica: Replica, now: float) -> int:
-    """Return how many requests are running or waiting, by the later of report and dispatches."""
-    own = len(replica.dispatches)
+    """Return how many requests are running or waiting, by reports and by all known dispatches."""
+    known = len(replica.dispatches) + sum(p.running for p in _list_peers(replica, now))
     report = replica.report
     if report is None:
-        return own
+        return known
     since = sum(d.started_at > report.received_at for d in replica.dispatches.values())
     age = max(0.0, now - report.received_at)
     drained = int(age * replica.slots / max(replica.service_seconds, 1e-3))
-    return max(own, max(0, report.running + report.waiting - drained) + since)
+    return max(known, max(0, report.running + report.waiting - drained) + since)
 
 
 def estimate_backlog(replica: Replica, now: float) -> float:
     """Return the tokens still to be computed before a new request's own."""
-    own = 0.0
-    since = 0.0
+    known = count_pending(replica, now)
+    for peer in _list_peers(replica, now):
+        known += max(0.0, peer.tokens - (now - peer.received_at) / replica.seconds_per_token)
     report = replica.report
-    horizon = report.received_at if report else float('-inf')
-    for dispatch in replica.dispatches.values():
-        if dispatch.first_token:
-            continue
-        left = max(0.0, dispatch.tokens - _count_computed(replica, dispatch, now))
-        own += left
-        if dispatch.started_at > horizon:
-            since += left
     if report is None:
-        return own
+        return known
+    since = count_pending(replica, now, report.received_at)
     drained = (now - report.received_at) / replica.seconds_per_token
-    return max(own, max(0.0, report.backlog - drained) + since)
+    return max(known, max(0.0, report.backlog * replica.miss_share - drained) + since)
+
+
+def count_pending(replica: Replica, now: float, after: float = float('-inf')) -> float:
+    """Return the tokens of our own dispatches since `after` that are still to be computed."""
+    return sum(
+        max(0.0, d.tokens - _count_computed(replica, d, now))
+        for d in replica.dispatches.values()
+        if not d.first_token and d.started_at > after
+    )
 
 
 def has_room(replica: Replica, now: float) -> bool:
@@ -129,6 +146,17 @@
         replica.service_seconds += LEARNING_RATE * (sample - replica.service_seconds)
 
 
+def note_usage(replica: Replica, prompt_tokens: int, cached_tokens: int) -> None:
+    """Learn which share of its prompts a replica computes."""
+    if prompt_tokens:
+        sample = 1 - cached_tokens / prompt_tokens
+        replica.miss_share += LEARNING_RATE * (sample - replica.miss_share)
+
+
+def _list_peers(replica: Replica, now: float) -> list[PeerLoad]:
+    return [p for p in replica.peers.values() if now - p.received_at < PEER_LOAD_SECONDS]
+
+
 def _count_computed(replica: Replica, dispatch: Dispatch, now: float) -> float:
     elapsed = now - dispatch.started_at - dispatch.work_ahead * replica.seconds_per_token
     return max(0.0, elapsed) / replica.seconds_per_token
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -247,7 +247,7 @@
         usage = chunk.usage or engines.Usage()
         cached = usage.prompt_tokens_details.cached_tokens if usage.prompt_tokens_details else 0
         if not self._base_tokens:
-            self._learn(cached)
+            self._learn(usage.prompt_tokens, cached)
         self._owner.counters.prompt_tokens.add({'kind': 'cached'}, cached)
         self._owner.counters.prompt_tokens.add({'kind': 'computed'}, usage.prompt_tokens - cached)
         if self._base_tokens:
@@ -258,9 +258,10 @@
         call.life.completed = True
         return Piece(chunk.text, chunk.finish_reason, usage)
 
-    def _learn(self, cached_tokens: int) -> None:
+    def _learn(self, prompt_tokens: int, cached_tokens: int) -> None:
         assert self._placement is not None
         replica = self._placement.replica
+        replicas.note_usage(replica, prompt_tokens, cached_tokens)
         self._owner.upstreams.ejector.note_success(replica.name)
         job = self._call.job
         self._owner.upstreams.cache.correct(
--- a/passpier/daemon/logs.py
+++ b/passpier/daemon/logs.py
@@ -25,7 +25,7 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
-    logging.getLogger('tornado.access').setLevel(logging.ERROR)
+    logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
     logging.getLogger('jsonrpcserver').setLevel(logging.WARNING)
 
 
--- a/passpier/daemon/main.py
+++ b/passpier/daemon/main.py
@@ -25,6 +25,7 @@
     fleet,
     generation,
     limits,
+    loads,
     logs,
     metrics,
     operators,
@@ -95,6 +96,7 @@
         self.service = service.Service(
             self.fleet, places, generator, plain_caller, self.peers, counters
         )
+        self.loads = loads.Loads(membership, self.upstreams, self.peers)
         self.placement = placement.Placement(self.fleet, self.upstreams, engine_client)
         self.operators = operators.Operators(self.service, self.peers)
 
@@ -108,6 +110,7 @@
             self.upstreams.run_polls(),
             self.upstreams.run_vm_list(),
             self.placement.run(),
+            self.loads.run(),
         ]
         tasks = [asyncio.ensure_future(job) for job in jobs]
         for task in tasks:
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -65,6 +65,12 @@
     """Asks for the newest epoch."""
 
 
+class Loads(Message, tag='ld'):
+    """The sender's own load at replicas: name, tokens still to be computed, requests running."""
+
+    loads: list[tuple[str, int, int]]
+
+
 class Borrow(Message, tag='bo'):
     """Asks for one unit of an account's limit for the length of a request."""
 
@@ -150,6 +156,7 @@
     | RevisionSent
     | Epoch
     | EpochWanted
+    | Loads
     | Borrow
     | Lent
     | Repay
--- /dev/null
+++ b/passpier/standins/workloads.py
@@ -0,0 +1,138 @@
+"""Workloads of the bench: seeded arrivals with nested prompt prefixes."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from passpier.core import blocks
+
+WORDS = 'wind gust rotor yaw pitch scan dbz cell echo cloud sector blade tower phase grid feeder'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request; `at` in seconds from the start."""
+
+    at: float
+    account: str
+    service: str
+    prompt: str
+    max_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workload:
+    """Requests with the prompt tokens that any router must have computed at least once."""
+
+    requests: list[Request]
+    distinct_tokens: int
+
+
+class TextSource:
+    """Makes repeatable text by name; a token is four bytes."""
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._cache: dict[tuple[str, int], str] = {}
+
+    def make(self, name: str, tokens: int) -> str:
+        """Return the text of that name."""
+        key = (name, tokens)
+        if key not in self._cache:
+            rng = random.Random(f'{self._seed}/{name}')
+            words = WORDS.split()
+            parts = [f'[{name}]']
+            size = tokens * blocks.BYTES_PER_TOKEN
+            length = len(parts[0])
+            while length < size:
+                word = f' {rng.choice(words)}{rng.randrange(1000)}'
+                parts.append(word)
+                length += len(word)
+            self._cache[key] = ''.join(parts)[:size]
+        return self._cache[key]
+
+
+def draw_arrivals(rng: random.Random, rate: float, duration: float) -> list[float]:
+    """Return Poisson arrival times."""
+    times = []
+    now = rng.expovariate(rate)
+    while now < duration:
+        times.append(now)
+        now += rng.expovariate(rate)
+    return times
+
+
+def draw_zipf(rng: random.Random, count: int, skew: float = 0.9) -> int:
+    """Return a number below `count`, low ones more often."""
+    weights = [1 / (n + 1) ** skew for n in range(count)]
+    return rng.choices(range(count), weights)[0]
+
+
+def make_radar(rng: random.Random, rate: float, duration: float, hot: float = 0.0) -> Workload:
+    """Short flags on three levels: preamble, station, recent log; a share `hot` on one station."""
+    text = TextSource(rng.randrange(2**32))
+    preamble = text.make('radar desk preamble', 512)
+    requests = []
+    for at in draw_arrivals(rng, rate, duration):
+        station = draw_zipf(rng, 60)
+        if rng.random() < hot:
+            station = 100 + int(at / 3.0)
+        log = draw_zipf(rng, 4)
+        prompt = (
+            preamble
+            + text.make(f'station {station}', 1024)
+            + text.make(f'log {station}.{log}', 1536)
+            + text.make(f'question {at}', 64)
+        )
+        service = 'flag' if rng.random() < 0.8 else 'digest'
+        account = rng.choices(['tower', 'district', 'coop'], [5, 3, 2])[0]
+        requests.append(Request(at, account, service, prompt, 8))
+    return finish(requests)
+
+
+def make_wind(rng: random.Random, rate: float, duration: float) -> Workload:
+    """Long shift logs that are asked about several times, with short alarm pushes among them."""
+    text = TextSource(rng.randrange(2**32))
+    preamble = text.make('wind preamble', 512)
+    requests = []
+    for at in draw_arrivals(rng, rate, duration):
+        farm = draw_zipf(rng, 12)
+        head = preamble + text.make(f'farm {farm}', 1024)
+        account = 'tower' if farm % 2 else 'district'
+        if rng.random() < 0.3:
+            prompt = head + text.make(f'alarm {at}', 64)
+            requests.append(Request(at, account, 'alarm', prompt, 6))
+            continue
+        turbine = draw_zipf(rng, 5)
+        prompt = head + text.make(f'shift {farm}.{turbine}', 5120) + text.make(f'ask {at}', 64)
+        requests.append(Request(at, account, 'triage', prompt, 12))
+    return finish(requests)
+
+
+def make_greedy(rng: random.Random, rate: float, duration: float, greedy: float) -> Workload:
+    """Well-behaved radar traffic with one account that sends far more than its share."""
+    calm = make_radar(rng, rate, duration).requests
+    flood = [
+        dataclasses.replace(r, account='greedy', service='flag')
+        for r in make_radar(rng, greedy, duration).requests
+    ]
+    return finish(sorted([*calm, *flood], key=lambda r: r.at))
+
+
+def finish(requests: list[Request]) -> Workload:
+    """Return the workload with its distinct tokens, counted in whole blocks."""
+    seen: set[int] = set()
+    tokens = 0
+    for request in requests:
+        scope = blocks.Scope(request.account, 'm', 'v', '')
+        data = blocks.encode_text(request.prompt)
+        chain = blocks.compute_chain(blocks.compute_root(scope), data, 64)
+        new = sum(block not in seen for block in chain)
+        seen.update(chain)
+        tokens += new * 64 + blocks.count_tokens(data) - len(chain) * 64
+    return Workload(requests, tokens)
+
+
+Maker = Callable[[random.Random], Workload]
