--- a/passpier/commands/main.py
+++ b/passpier/commands/main.py
@@ -23,6 +23,7 @@
 EXIT_REFUSED = 5
 EXIT_BEHIND = 6
 
+SWITCHES = frozenset({'--json', '--wait'})
 CONFLICT_CODE = 2
 WAIT_SECONDS = 10.0
 CALL_TIMEOUT = 20.0
@@ -117,7 +118,9 @@
 
 def main() -> None:
     """Run the command line."""
-    sys.exit(run_guarded(lambda: fire.Fire(Commands, name='passpier')))
+    # Without a value `fire` would take the next word for one.
+    arguments = [f'{a}=True' if a in SWITCHES else a for a in sys.argv[1:]]
+    sys.exit(run_guarded(lambda: fire.Fire(Commands, arguments, name='passpier')))
 
 
 def run_guarded(command: Callable[[], Any]) -> int:
--- a/passpier/config/loader.py
+++ b/passpier/config/loader.py
@@ -11,6 +11,9 @@
 from passpier import exceptions
 from passpier.config import schema
 
+MAX_DEPTH = 16
+"""Depth beyond which no line is noted; an alias may refer to what contains it."""
+
 _Path = tuple[str | int, ...]
 
 
@@ -22,11 +25,11 @@
     try:
         node = yaml.compose(text, Loader=yaml.SafeLoader)
         data = yaml.safe_load(text)
-    except yaml.MarkedYAMLError as error:
-        line = error.problem_mark.line + 1 if error.problem_mark else 1
-        raise exceptions.FindingsError(
-            [exceptions.Finding(f'{name}:{line}', str(error.problem))]
-        ) from error
+    except yaml.YAMLError as error:
+        mark = getattr(error, 'problem_mark', None)
+        place = f'{name}:{mark.line + 1 if mark else 1}'
+        problem = getattr(error, 'problem', None) or str(error)
+        raise exceptions.FindingsError([exceptions.Finding(place, problem)]) from error
     lines: dict[_Path, int] = {}
     _collect_lines(node, (), lines)
     try:
@@ -126,7 +129,7 @@
 
 
 def _collect_lines(node: yaml.Node | None, path: _Path, lines: dict[_Path, int]) -> None:
-    if node is None:
+    if node is None or len(path) > MAX_DEPTH:
         return
     lines.setdefault(path, node.start_mark.line + 1)
     if isinstance(node, yaml.MappingNode):
--- a/passpier/core/choice.py
+++ b/passpier/core/choice.py
@@ -10,17 +10,15 @@
 from passpier.core import rendezvous, replicas, view
 
 TIE_SECONDS = 0.002
-"""Costs that differ by less, or by a tenth, count as equal."""
-
-TIE_SHARE = 0.1
+"""Costs that differ by less count as equal."""
 
 FAMILY_BLOCKS = 2
 """Blocks behind the service's preamble that name a prompt's family."""
 
-REUSE_WEIGHT = {'first_token': 1.0, 'reuse': 3.0}
+REUSE_WEIGHT = {'first_token': 2.0, 'reuse': 3.0}
 """What a second of computing what another replica holds costs against a second of waiting."""
 
-HOME_WEIGHT = {'first_token': 0.5, 'reuse': 1.0}
+HOME_WEIGHT = {'first_token': 1.0, 'reuse': 1.5}
 """What a second of computing costs extra at the replica that ranks last for the family."""
 
 
@@ -75,8 +73,7 @@
     def pick(self, job: Job, candidates: Sequence[Candidate]) -> tuple[Candidate, str]:
         """Return the cheapest candidate."""
         best = min(candidates, key=lambda c: c.total)
-        bound = best.total + max(TIE_SECONDS, best.total * TIE_SHARE)
-        near = [c for c in candidates if c.total <= bound]
+        near = [c for c in candidates if c.total <= best.total + TIE_SECONDS]
         if len(near) == 1:
             return best, 'prefix' if best.matched_tokens else 'least_cost'
         family = get_family(job)
--- /dev/null
+++ b/passpier/standins/slopes.py
@@ -0,0 +1,425 @@
+"""Measures what one more replica, block, event, peer or request costs; prints JSON lines."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import gc
+import json
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from passpier.clients import engines, kvevents, store, web
+from passpier.config import schema
+from passpier.core import blocks, choice, members, replicas, revisions, shares, view
+from passpier.daemon import answers, events, messages, metrics, once, storage, upstreams
+from passpier.standins import cache as block_cache
+from passpier.standins import fleets, processes
+
+SCOPE = blocks.Scope('tower', 'advisory-7b', 'v1')
+BLOCK_TOKENS = 64
+
+
+def show(name: str, **figures: Any) -> None:
+    """Print one line."""
+    print(json.dumps({'slope': name, **figures}), flush=True)
+
+
+def time_us(action: Callable[[], Any], seconds: float = 0.3) -> float:
+    """Return the median microseconds of one call over repeated rounds."""
+    action()
+    rounds: list[float] = []
+    end = time.perf_counter() + seconds
+    while time.perf_counter() < end or len(rounds) < 5:
+        began = time.perf_counter()
+        action()
+        rounds.append((time.perf_counter() - began) * 1e6)
+    return round(statistics.median(rounds), 2)
+
+
+def measure_decisions() -> None:
+    """Cost of a routing decision by replicas and prompt length."""
+    for tokens in (8_000, 128_000):
+        data = random.Random(1).randbytes(tokens * blocks.BYTES_PER_TOKEN)
+        root = blocks.compute_root(SCOPE)
+        chain = blocks.compute_chain(root, data, BLOCK_TOKENS)
+        chain_us = time_us(functools.partial(blocks.compute_chain, root, data, BLOCK_TOKENS))
+        show('prompt_identity', prompt_tokens=tokens, us=chain_us)
+        for count in (5, 50, 670):
+            pool, cache = build_pool(count, chain)
+            job = choice.Job(chain, BLOCK_TOKENS, tokens)
+            policy = choice.CostPolicy()
+            us = time_us(functools.partial(choice.choose, job, pool, cache, policy, 1.0))
+            show('routing_decision', replicas=count, prompt_tokens=tokens, us=us)
+
+
+def build_pool(count: int, chain: list[int]) -> tuple[list[replicas.Replica], view.CacheView]:
+    """Return replicas of which a few hold parts of the chain."""
+    cache = view.CacheView(10_000_000)
+    pool = []
+    for number in range(count):
+        replica = replicas.Replica(f'engine-{number}', '', '', '')
+        replica.report = replicas.Report(3, 1, 2000, 0.5)
+        pool.append(replica)
+        cache.set_incarnation(replica.name, 'i')
+        if number % 10 == 0:
+            held = chain[: len(chain) * (number % 7 + 1) // 8]
+            cache.add(replica.name, 'i', held, view.Evidence.ANSWER, 0.5)
+    return pool, cache
+
+
+def measure_events() -> None:
+    """Cost of cache events, one block a message and 32 blocks a message."""
+    for batch in (1, 32):
+        payloads = build_events(batch, 400)
+        size = sum(map(len, payloads)) / len(payloads) / batch
+        feed = build_feed()
+
+        def take(payloads: list[bytes] = payloads, feed: events.Feed = feed) -> None:
+            for payload in payloads:
+                feed.take(b'kv@boot@advisory-7b', feed.next_sequence, payload)
+
+        us = time_us(take) / len(payloads) / batch
+        show('cache_event', blocks_a_message=batch, us_a_block=round(us, 2), bytes_a_block=size)
+
+
+def build_events(batch: int, count: int) -> list[bytes]:
+    """Return encoded messages that each store `batch` blocks."""
+    rng = random.Random(2)
+    payloads = []
+    for _ in range(count):
+        cache = block_cache.BlockCache(10_000, BLOCK_TOKENS)
+        data = rng.randbytes(batch * BLOCK_TOKENS * blocks.BYTES_PER_TOKEN)
+        chain = blocks.compute_chain(rng.getrandbits(63), data, BLOCK_TOKENS)
+        cache.store(chain, 0, data, 'tower')
+        payloads.append(kvevents.encode_batch(kvevents.Batch(0.0, cache.take_events())))
+    return payloads
+
+
+def build_feed() -> events.Feed:
+    """Return a feed of an engine whose incarnation is known."""
+    upstream = schema.Upstream(name='e', address='127.0.0.1:1', vm='v', failure_domain='d')
+    model = schema.Model(name='advisory-7b', weight_version='v1', block_tokens=BLOCK_TOKENS)
+    client = web.Client()
+    known = upstreams.Upstreams(
+        client, engines.HttpEngines(client), None, 1_000_000, metrics.Metrics()
+    )
+    known.replicas['e'] = replicas.Replica('e', '', '', '', 'boot', 'v1')
+    known.cache.set_incarnation('e', 'boot/v1')
+    return events.Feed(upstream, model, known)
+
+
+def measure_view() -> None:
+    """Memory of a block in view, and of an account's share and an idempotency key."""
+    rng = random.Random(3)
+    show('view_memory', bytes_a_block=measure_bytes(lambda n: fill_view(rng, n), 100_000))
+    show('share_memory', bytes_an_account=measure_bytes(fill_shares, 5_000))
+
+
+def measure_bytes(build: Callable[[int], Any], count: int) -> float:
+    """Return the bytes that one of `count` items takes."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = build(count)
+    gc.collect()
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    del kept
+    return round(used / count, 1)
+
+
+def fill_view(rng: random.Random, count: int) -> view.CacheView:
+    """Return a view of `count` blocks."""
+    cache = view.CacheView(count * 2)
+    cache.set_incarnation('e', 'i')
+    for _ in range(count // 100):
+        chain = [rng.getrandbits(64) for _ in range(100)]
+        cache.add('e', 'i', chain, view.Evidence.ANSWER, rng.random())
+    return cache
+
+
+def fill_shares(count: int) -> shares.ShareBook:
+    """Return a book with `count` accounts in use; the limits themselves are counted."""
+    limits = {f'account-{n}': shares.Limit(16, 100_000) for n in range(count)}
+    holders = {f'i{n}': shares.Holder(f'vm-{n}', f'd{n % 7}') for n in range(8)}
+    book = shares.ShareBook('i0')
+    book.install(shares.Grant(shares.Generation(1, 1), holders, limits, 3))
+    for name in limits:
+        book.acquire(name, 0.0)
+    return book
+
+
+def measure_heartbeats() -> None:
+    """Bytes and processor time of heartbeats by members."""
+    for count in (8, 60, 420):
+        fleet = [build_member(n) for n in range(count)]
+        mine = members.Membership(fleet[0], 1.0, 0.0)
+        for member in fleet:
+            mine.add(member, 0.0)
+        mine.merge([members.Beat(m.incarnation, 1000, 7, 3, 7) for m in fleet], 0.5)
+        rng = random.Random(4)
+        data = encode_heartbeat(mine, rng)
+        send_us = time_us(functools.partial(encode_heartbeat, mine, rng))
+        take_us = time_us(functools.partial(take_heartbeat, mine, data))
+        rate = members.FANOUT
+        show(
+            'heartbeat',
+            members=count,
+            bytes_a_message=len(data),
+            bytes_a_second_out=len(data) * rate,
+            us_to_make=send_us,
+            us_to_take=take_us,
+            silent_after_seconds=round(mine.compute_timeout(), 1),
+        )
+
+
+def build_member(number: int) -> members.Member:
+    """Return a member with an incarnation of true length."""
+    incarnation = f'{number:032x}'
+    return members.Member(f'vm-{number}', incarnation, '10.0.0.1', 8080, 8082, f'd{number % 7}')
+
+
+def encode_heartbeat(membership: members.Membership, rng: random.Random) -> bytes:
+    """Return an encoded heartbeat."""
+    beat = messages.Heartbeat(membership.make_digest(rng), 7, 3)
+    own = membership.own
+    return messages.encode(messages.Envelope(own.incarnation, own.peer, beat))
+
+
+def take_heartbeat(membership: members.Membership, data: bytes) -> None:
+    """Decode and merge a heartbeat."""
+    message = messages.decode(data).message
+    assert isinstance(message, messages.Heartbeat)
+    membership.merge(message.beats, 1.0)
+
+
+def measure_spread() -> None:
+    """Rounds of pushes until all of 420 members know a new revision."""
+    rng = random.Random(5)
+    rounds = []
+    for _ in range(50):
+        informed = {0}
+        count = 0
+        frontier = {0}
+        while len(informed) < 420:
+            told = {rng.randrange(420) for _ in frontier for _ in range(8)}
+            frontier = told - informed
+            informed |= told
+            count += 1
+            if not frontier:
+                frontier = set(informed)
+        rounds.append(count)
+    show('revision_spread', members=420, fanout=8, rounds_median=statistics.median(rounds))
+
+
+def measure_configuration() -> None:
+    """Bytes and store calls of a configuration change, by accounts."""
+    for accounts in (8, 34_000):
+        document = build_document(accounts)
+
+        async def change(document: bytes = document) -> tuple[int, int]:
+            shared = CountingStore()
+            await storage.Storage(shared, 10, random.Random(1)).accept_revision(document, 0, 'n')
+            return shared.calls, shared.bytes
+
+        calls, size = asyncio.run(change())
+        parse_us = time_us(functools.partial(parse_document, document))
+        show(
+            'configuration_change',
+            accounts=accounts,
+            document_bytes=len(document),
+            store_calls=calls,
+            store_bytes=size,
+            chunks=len(revisions.split_document(document)),
+            install_ms=round(parse_us / 1000, 1),
+        )
+
+
+def build_document(accounts: int) -> bytes:
+    """Return a configuration of that many accounts."""
+    fleet = schema.Fleet(
+        fleet='f',
+        accounts=tuple(
+            schema.Account(name=f'account-{n}', key_digests=(f'{n:064x}',)) for n in range(accounts)
+        ),
+    )
+    return msgspec.json.encode(fleet.model_dump(mode='json'))
+
+
+def parse_document(document: bytes) -> schema.Fleet:
+    """Return the fleet of a document."""
+    return schema.Fleet.model_validate(msgspec.json.decode(document))
+
+
+class CountingStore(store.MemoryStore):
+    """Counts calls and bytes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls = 0
+        self.bytes = 0
+
+    async def get(self, key: str) -> store.Value | None:
+        """Count a read."""
+        self.calls += 1
+        return await super().get(key)
+
+    async def write(self, operations: Any, conditions: Any = ()) -> bool:
+        """Count a write."""
+        self.calls += 1
+        self.bytes += sum(len(o.data) for o in operations if isinstance(o, store.Put))
+        return await super().write(operations, conditions)
+
+
+def measure_claims() -> None:
+    """Added latency of claims against a store process, by claims at once."""
+    with processes.run_trial() as trial:
+        standin = processes.Standin('store', 'store', trial.folder)
+        trial.add(standin)
+        processes.wait_for_port(standin.address)
+        for group in (1, 16, 64, 256):
+            latencies, calls = asyncio.run(claim_many(standin, group))
+            show(
+                'claim',
+                at_once=group,
+                p50_ms=round(statistics.median(latencies) * 1e3, 2),
+                max_ms=round(max(latencies) * 1e3, 2),
+                store_calls_a_claim=round(calls / len(latencies), 3),
+            )
+
+
+async def claim_many(standin: processes.Standin, group: int) -> tuple[list[float], int]:
+    """Return the latencies of claims made `group` at once, and the store calls they took."""
+    client = web.Client()
+    claimer = once.Claimer(
+        store.EtcdStore([standin.address], client),
+        f'inc-{group}',
+        once.claims.KeyTable[answers.Answer](900.0),
+    )
+    await claimer.claim('warm/up')
+    before = sum(standin.get('/stats').values())
+    latencies = []
+
+    async def claim(name: str) -> None:
+        began = time.perf_counter()
+        await claimer.claim(name)
+        latencies.append(time.perf_counter() - began)
+
+    for turn in range(10):
+        await asyncio.gather(*(claim(f'a/{group}-{turn}-{n}') for n in range(group)))
+    calls = sum(standin.get('/stats').values()) - before
+    client.close()
+    return latencies, calls
+
+
+def measure_daemon() -> None:
+    """Latency that a daemon adds to an engine call, and requests a second of one daemon."""
+    flags = ['--decode-ms', '0.1', '--prefill-rate', '100000000', '--slots', '200']
+    with fleets.run_fleet(daemons=1, engines=2, services=0, engine_flags=flags) as fleet:
+        direct = asyncio.run(time_calls(fleet.engines[0].address, 1, 200))
+        through = asyncio.run(time_calls(fleet.daemons[0].entry, 1, 200))
+        show(
+            'added_latency',
+            p50_ms=round((pick(direct, 50) - pick(through, 50)) * -1e3, 2),
+            p99_ms=round((pick(direct, 99) - pick(through, 99)) * -1e3, 2),
+        )
+        began = time.perf_counter()
+        load = asyncio.run(time_calls(fleet.daemons[0].entry, 16, 1500))
+        seconds = time.perf_counter() - began
+        show('daemon_throughput', requests_a_second=round(len(load) / seconds), at_once=16)
+
+
+async def time_calls(address: str, at_once: int, count: int) -> list[float]:
+    """Return the seconds that whole answers took."""
+    client = web.Client()
+    left = list(range(count))
+    times = []
+
+    async def work() -> None:
+        while left:
+            number = left.pop()
+            body = {'model': 'flag', 'prompt': f'q {number}' * 20, 'max_tokens': 1, 'stream': True}
+            began = time.perf_counter()
+            await client.fetch(
+                'POST',
+                f'http://{address}/v1/completions',
+                json.dumps(body).encode(),
+                fleets.make_headers(),
+            )
+            times.append(time.perf_counter() - began)
+
+    await asyncio.gather(*(work() for _ in range(at_once)))
+    client.close()
+    return times
+
+
+def measure_idle() -> None:
+    """Control cost of a daemon without requests: processor share, bytes and memory."""
+    for count in (2, 8):
+        with fleets.run_fleet(
+            daemons=count, engines=5, services=0, daemon_flags=['--heartbeat', '1']
+        ) as fleet:
+            first = read_process(fleet.daemons[0])
+            began = time.monotonic()
+            processes.wait_until(functools.partial(is_past, began + 10), 'idle', 15)
+            second = read_process(fleet.daemons[0])
+        show(
+            'idle_daemon',
+            daemons=count,
+            processor_percent=round((second[0] - first[0]) * 10, 2),
+            peer_bytes_a_second=round((second[1] - first[1]) / 10),
+            resident_mb=round(second[2] / 1e6, 1),
+        )
+
+
+def is_past(moment: float) -> bool:
+    """Return whether a moment of the monotonic clock is past."""
+    return time.monotonic() > moment
+
+
+def read_process(daemon: processes.DaemonProcess) -> tuple[float, float, float]:
+    """Return processor seconds, peer bytes and resident bytes of a daemon."""
+    page = processes.call('GET', f'http://{daemon.entry}/metrics')[2].decode()
+    figures = {'processor': 0.0, 'bytes': 0.0}
+    for line in page.splitlines():
+        if line.startswith('passpier_processor_seconds'):
+            figures['processor'] = float(line.split()[-1])
+        if line.startswith('passpier_control_bytes_total') and 'peer' in line:
+            figures['bytes'] += float(line.split()[-1])
+    with open(f'/proc/{daemon.popen.pid}/statm', encoding='ascii') as file:
+        resident = int(file.read().split()[1]) * 4096
+    return figures['processor'], figures['bytes'], resident
+
+
+def pick(values: list[float], percentile: int) -> float:
+    """Return a percentile."""
+    return sorted(values)[min(len(values) - 1, len(values) * percentile // 100)]
+
+
+def main() -> None:
+    """Measure everything."""
+    asyncio.run(measure_in_process())
+    measure_configuration()
+    measure_claims()
+    measure_daemon()
+    measure_idle()
+
+
+async def measure_in_process() -> None:
+    """Measure what needs no process; within a loop, since clients want one."""
+    measure_decisions()
+    measure_events()
+    measure_view()
+    measure_heartbeats()
+    measure_spread()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/passpier/tests/core/choice_tests.py
@@ -0,0 +1,114 @@
+"""Choices of replicas, and the load that they rest on."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+
+from passpier.core import choice, replicas, view
+
+CHAIN = list(range(1, 41))
+
+
+def make_pool(size: int = 4) -> tuple[list[replicas.Replica], view.CacheView]:
+    cache = view.CacheView()
+    pool = [replicas.Replica(f'r{n}', '', '', '') for n in range(size)]
+    for replica in pool:
+        cache.set_incarnation(replica.name, 'i')
+    return pool, cache
+
+
+def make_job(objective: str = 'first_token') -> choice.Job:
+    return choice.Job(CHAIN, 64, 40 * 64, 4, objective)
+
+
+def choose(pool: list[replicas.Replica], cache: view.CacheView, **kwargs: str) -> choice.Choice:
+    chosen = choice.choose(make_job(**kwargs), pool, cache, choice.CostPolicy(), 1.0)
+    assert chosen is not None
+    return chosen
+
+
+def test_an_unknown_prompt_goes_to_the_same_replica_from_everywhere() -> None:
+    names = {choose(*make_pool()).name for _ in range(5)}
+    assert len(names) == 1
+
+
+def test_a_cached_prefix_wins_until_its_replica_is_busy() -> None:
+    pool, cache = make_pool()
+    home = choose(pool, cache).name
+    other = next(r for r in pool if r.name != home)
+    cache.add(other.name, 'i', CHAIN, view.Evidence.ANSWER, 1.0)
+    assert choose(pool, cache).name == other.name
+    replicas.begin_dispatch(other, 'a', 60_000, 1.0)
+    assert choose(pool, cache).name != other.name
+
+
+def test_reuse_waits_longer_for_a_cached_prefix_than_first_token() -> None:
+    picked = {}
+    for objective in ('first_token', 'reuse'):
+        pool, cache = make_pool()
+        cache.add('r1', 'i', CHAIN, view.Evidence.ANSWER, 1.0)
+        replicas.begin_dispatch(pool[1], 'a', 9_000, 1.0)
+        picked[objective] = choose(pool, cache, objective=objective).name
+    assert picked['reuse'] == 'r1'
+    assert picked['first_token'] != 'r1'
+
+
+def test_a_hot_prefix_widens_and_narrows_again() -> None:
+    """While its home is loaded others take it; once they hold it they are chosen for a while."""
+    pool, cache = make_pool()
+    home = next(r for r in pool if r.name == choose(pool, cache).name)
+    cache.add(home.name, 'i', CHAIN, view.Evidence.ANSWER, 1.0)
+    used = set()
+    for number in range(200):
+        chosen = choose(pool, cache)
+        used.add(chosen.name)
+        replica = next(r for r in pool if r.name == chosen.name)
+        replicas.begin_dispatch(replica, str(number), max(200, chosen.miss_tokens), 1.0)
+        cache.add(chosen.name, 'i', CHAIN, view.Evidence.DISPATCH, 1.0)
+    assert len(used) > 1
+    for replica in pool:
+        replica.dispatches.clear()
+    assert choose(pool, cache).name == home.name
+
+
+@hypothesis.given(st.integers(0, 1000), st.integers(1, 8))
+def test_every_policy_picks_a_candidate(seed: int, size: int) -> None:
+    pool, cache = make_pool(size)
+    rng = random.Random(seed)
+    for replica in pool:
+        cache.add(replica.name, 'i', CHAIN[: rng.randrange(40)], view.Evidence.EVENT, 1.0)
+    for policy in choice.build_policies(rng).values():
+        chosen = choice.choose(make_job(), pool, cache, policy, 1.0)
+        assert chosen is not None
+        assert chosen.name in {c.name for c in chosen.candidates}
+    assert choice.choose(make_job(), [], cache, choice.CostPolicy(), 1.0) is None
+
+
+def test_load_is_the_later_of_report_and_dispatches() -> None:
+    replica = replicas.Replica('r', '', '', '')
+    replicas.begin_dispatch(replica, 'a', 1000, 1.0)
+    assert replicas.estimate_running(replica, 1.0) == 1
+    replica.report = replicas.Report(5, 3, 4000, 2.0)
+    assert replicas.estimate_running(replica, 2.0) == 8
+    replicas.begin_dispatch(replica, 'b', 1000, 2.1)
+    assert replicas.estimate_backlog(replica, 2.1) > 1000
+    replica.peers['x'] = replicas.PeerLoad(50_000, 20, 2.1)
+    assert replicas.estimate_running(replica, 2.1) == 22
+    assert replicas.estimate_running(replica, 2.2 + replicas.PEER_LOAD_SECONDS) < 22
+    replicas.end_dispatch(replica, 'a', 3.0)
+    replicas.end_dispatch(replica, 'b', 3.0)
+    assert not replica.dispatches
+
+
+def test_prefill_rate_is_learnt() -> None:
+    replica = replicas.Replica('r', '', '', '')
+    now = 0.0
+    for number in range(200):
+        replicas.begin_dispatch(replica, str(number), 4000, now)
+        now += 0.1
+        replicas.note_first_token(replica, str(number), now)
+        replicas.end_dispatch(replica, str(number), now)
+    assert 0.9 < replica.seconds_per_token / (0.1 / 4000) < 1.1
