No spelling of a path escapes its rules; nothing is left behind by callers that go

Cause (review): rules of plain services were looked up on the path as sent, while curl and upstreams simplify it (/tile/../ack, /%61ck), so a call that may run only once could pass without a key. A caller that went away in the moment in which its place was found left a dispatch at the replica, and one that went while a unit was being borrowed left the loan. Change: paths are decoded before the rule is looked up, dot and empty segments are refused, GET and query strings pass; placements and loans of cancelled callers are given back. A connection is kept after a whole answer instead of being cut before the end mark.

--- a/passpier/daemon/callers.py
+++ b/passpier/daemon/callers.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import logging
+import urllib.parse
 import uuid
 from typing import Any
 
@@ -22,6 +23,8 @@
 log = logging.getLogger(__name__)
 
 BEARER = 'Bearer '
+SAFE_IN_PATHS = "/:@!$&'()*+,;=-._~"
+"""Characters that need no quoting in a path."""
 
 
 class CallerHandler(tornado.web.RequestHandler):
@@ -116,11 +119,18 @@
         self.check_open()
         if len(self.request.body) > self.app.fleet.options.max_body:
             raise _refuse(exceptions.Code.BODY_TOO_LARGE, 'the body is too large')
-        key = self.request.headers.get('Idempotency-Key', '')
-        assert self.app.fleet.config is not None
-        built = intake.build_call(
-            self.app.fleet.config, account, self.id, path, self.request.body, key, service_name
+        headers = self.request.headers
+        request = intake.Request(
+            self.id,
+            path,
+            self.request.body,
+            headers.get('Idempotency-Key', ''),
+            service_name,
+            self.request.method or 'POST',
+            headers.get('Content-Type', 'application/json'),
         )
+        assert self.app.fleet.config is not None
+        built = intake.build_call(self.app.fleet.config, account, request)
         if built.is_error():
             raise calls.RequestFailedError(built.error)
         self._call = built.ok
@@ -179,14 +189,22 @@
 
 
 class PlainHandler(CallerHandler):
-    """`POST /services/NAME/PATH`."""
+    """`GET` and `POST /services/NAME/PATH`."""
+
+    async def get(self, name: str, path: str) -> None:
+        """Answer a call of a plain service."""
+        await self.run_guarded(self._serve(name, path))
 
     async def post(self, name: str, path: str) -> None:
         """Answer a call of a plain service."""
         await self.run_guarded(self._serve(name, path))
 
     async def _serve(self, name: str, path: str) -> None:
-        self.write_answer(await self.app.run(self.build_call(path, name)))
+        # The path comes decoded, so that no spelling of it escapes the rules of the service.
+        target = urllib.parse.quote(path, safe=SAFE_IN_PATHS)
+        if self.request.query:
+            target += '?' + self.request.query
+        self.write_answer(await self.app.run(self.build_call(target, name)))
 
 
 class ModelsHandler(CallerHandler):
--- a/passpier/daemon/calls.py
+++ b/passpier/daemon/calls.py
@@ -41,6 +41,8 @@
     weight_version: str = ''
     raw: bytes = b''
     key: str = ''
+    method: str = 'POST'
+    content_type: str = 'application/json'
     cancelled: bool = False
 
     @property
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -87,7 +87,11 @@
             return expression.Error(refusal)
         pool.queue.put(self._make_ticket(waiting))
         self._start_pump(call.service.pool, pool)
-        return await waiting.result
+        try:
+            return await waiting.result
+        except asyncio.CancelledError:
+            self._give_back(waiting)
+            raise
 
     def end(self, placement: Placement) -> None:
         """Give a place back."""
@@ -111,6 +115,12 @@
         """Return how many calls wait."""
         return sum(len(pool.queue) for pool in self._pools.values())
 
+    def _give_back(self, waiting: _Waiting) -> None:
+        """End a placement that its caller did not live to see."""
+        result = waiting.result
+        if result.done() and not result.cancelled() and result.result().is_ok():
+            self.end(result.result().ok)
+
     def _try_place(
         self, waiting: _Waiting
     ) -> expression.Result[Placement, exceptions.Failure] | None:
@@ -192,13 +202,14 @@
                 return
             ticket = pool.queue.take()
             assert ticket is not None
+            if ticket.item.result.done():
+                continue
             placed = self._try_place(ticket.item)
             if placed is None:
                 pool.queue.put(ticket)
                 return
             self._measure(pool, ticket.tokens)
-            if not ticket.item.result.done():
-                ticket.item.result.set_result(placed)
+            ticket.item.result.set_result(placed)
 
     def _measure(self, pool: _Pool, tokens: int) -> None:
         now = time.monotonic()
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -109,7 +109,9 @@
         except web.ExchangeError as error:
             raise _AttemptError(self._judge(error), str(error)) from error
         finally:
-            exchange.abort()
+            # What follows a whole answer is only its end mark; the connection is used again.
+            if not self._tracker.ended:
+                exchange.abort()
 
     async def _open(self) -> web.Exchange:
         call = self._call
--- a/passpier/daemon/intake.py
+++ b/passpier/daemon/intake.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import time
+import urllib.parse
 from typing import Annotated, Any, Literal
 
 import expression
@@ -16,8 +18,6 @@
 
 MAX_TOKENS = 32_768
 
-Refusal = exceptions.Failure
-
 
 class ChatMessage(pydantic.BaseModel):
     """One message of a chat."""
@@ -49,74 +49,91 @@
     messages: list[ChatMessage] = pydantic.Field(min_length=1)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """What a caller sent; `service` is set for plain services only."""
+
+    id: str
+    path: str
+    body: bytes
+    key: str
+    service: str
+    method: str
+    content_type: str
+
+
 def build_call(
-    config: directory.Directory,
-    account: schema.Account,
-    id: str,
-    path: str,
-    raw: bytes,
-    key: str,
-    service_name: str = '',
+    config: directory.Directory, account: schema.Account, request: Request
 ) -> expression.Result[calls.Call, exceptions.Failure]:
-    """Return the call of a request; `service_name` is set for plain services only."""
-    if service_name:
-        return _build_plain(config, account, id, path, raw, key, service_name)
-    body = _parse_body(path, raw)
+    """Return the call of a request."""
+    if request.service:
+        return _build_plain(config, account, request)
+    body = _parse_body(request.path, request.body)
     if isinstance(body, exceptions.Failure):
         return expression.Error(body)
     service = config.find_service(account, body.model)
     if service is None or service.kind != 'model' or service.model is None:
         return expression.Error(_refuse_unknown(body.model))
-    missing = _check_key(service.repeatable, key)
+    missing = _check_key(service.repeatable, request.key)
     if missing is not None:
         return expression.Error(missing)
     model = config.models[service.model]
-    content = _add_preamble(service, body)
-    prompt = _encode(content)
-    life = attempts.Life(
-        service.repeatable, continuable=not isinstance(content.get('prompt'), list)
-    )
-    call = calls.Call(
-        id,
-        account,
-        service,
-        path,
-        config.find_policy(service.name, account.name),
-        time.monotonic(),
-        life,
-        content,
-        prompt,
-        calls.build_job(account, service, model, prompt),
-        model.weight_version,
-        raw,
-        '' if service.repeatable else key,
-    )
+    call = _start_call(config, account, service, request, service.repeatable)
+    call.body = _add_preamble(service, body)
+    call.life.continuable = not isinstance(call.body.get('prompt'), list)
+    call.prompt = _encode(dict(call.body))
+    call.job = calls.build_job(account, service, model, call.prompt)
+    call.weight_version = model.weight_version
     return expression.Ok(call)
 
 
 def _build_plain(
-    config: directory.Directory,
-    account: schema.Account,
-    id: str,
-    path: str,
-    raw: bytes,
-    key: str,
-    service_name: str,
+    config: directory.Directory, account: schema.Account, request: Request
 ) -> expression.Result[calls.Call, exceptions.Failure]:
-    service = config.find_service(account, service_name)
+    service = config.find_service(account, request.service)
     if service is None or service.kind != 'plain':
-        return expression.Error(_refuse_unknown(service_name))
+        return expression.Error(_refuse_unknown(request.service))
+    path = urllib.parse.unquote(request.path.partition('?')[0])
+    if not _is_plain_path(path):
+        return expression.Error(_refuse('the path has empty or dot segments'))
     repeatable = directory.is_repeatable(service, path)
-    missing = _check_key(repeatable, key)
+    missing = _check_key(repeatable, request.key)
     if missing is not None:
         return expression.Error(missing)
-    life = attempts.Life(repeatable, resumable=False)
-    policy = config.find_policy(service.name, account.name)
-    call = calls.Call(id, account, service, path, policy, time.monotonic(), life, raw=raw)
-    call.key = '' if repeatable else key
+    call = _start_call(config, account, service, request, repeatable)
+    call.life.resumable = False
     return expression.Ok(call)
 
 
+def _start_call(
+    config: directory.Directory,
+    account: schema.Account,
+    service: schema.Service,
+    request: Request,
+    repeatable: bool,
+) -> calls.Call:
+    call = calls.Call(
+        request.id,
+        account,
+        service,
+        request.path,
+        config.find_policy(service.name, account.name),
+        time.monotonic(),
+        attempts.Life(repeatable),
+    )
+    call.raw = request.body
+    call.key = '' if repeatable else request.key
+    call.method = request.method
+    call.content_type = request.content_type
+    return call
+
+
+def _is_plain_path(path: str) -> bool:
+    """Return whether a path means what it says, however an upstream may simplify it."""
+    *segments, last = path.split('/')[1:]
+    return all(s not in ('', '.', '..') for s in segments) and last not in ('.', '..')
+
+
 def _parse_body(path: str, raw: bytes) -> CompletionBody | ChatBody | exceptions.Failure:
     kind = ChatBody if path == calls.CHAT_PATH else CompletionBody
     try:
@@ -127,7 +144,11 @@
             message = '; '.join(parts)
         else:
             message = 'the body is not JSON'
-        return exceptions.Failure(exceptions.Code.BAD_REQUEST, exceptions.Outcome.NOT_RUN, message)
+        return _refuse(message)
+
+
+def _refuse(message: str) -> exceptions.Failure:
+    return exceptions.Failure(exceptions.Code.BAD_REQUEST, exceptions.Outcome.NOT_RUN, message)
 
 
 def _refuse_unknown(name: str) -> exceptions.Failure:
--- a/passpier/daemon/limits.py
+++ b/passpier/daemon/limits.py
@@ -151,10 +151,16 @@
         self._borrowed[loan] = address
         self._lenders.add(address)
         self._peers.send(address, messages.Borrow(loan, account))
-        answer = await self._replies.wait(loan, BORROW_TIMEOUT)
-        if isinstance(answer, messages.Lent) and answer.granted:
+        granted = False
+        try:
+            answer = await self._replies.wait(loan, BORROW_TIMEOUT)
+            granted = isinstance(answer, messages.Lent) and answer.granted
+        finally:
+            # Also when the caller has gone while the answer was on its way.
+            if not granted:
+                del self._borrowed[loan]
+        if granted:
             return Unit(account, loan, address), 0.0
-        del self._borrowed[loan]
         return None, answer.retry_after if isinstance(answer, messages.Lent) else 0.0
 
     def _lend(self, sender: str, address: str, message: messages.Borrow) -> None:
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -120,6 +120,8 @@
     path: str
     key: str
     body: bytes
+    method: str
+    content_type: str
 
 
 class Forwarded(Message, tag='fd'):
--- a/passpier/daemon/once.py
+++ b/passpier/daemon/once.py
@@ -139,7 +139,16 @@
         log.info(
             'forwarding decision', extra={'request': call.id, 'home': member.name, 'forward': id}
         )
-        message = messages.Forward(id, call.account.name, service, call.path, call.key, call.raw)
+        message = messages.Forward(
+            id,
+            call.account.name,
+            service,
+            call.path,
+            call.key,
+            call.raw,
+            call.method,
+            call.content_type,
+        )
         self._peers.send(member.peer, message)
         answer = await self._replies.wait(id, FORWARD_TIMEOUT)
         if not isinstance(answer, messages.Forwarded):
--- a/passpier/daemon/plain.py
+++ b/passpier/daemon/plain.py
@@ -61,15 +61,16 @@
         self, call: calls.Call, placement: dispatcher.Placement
     ) -> answers.Answer | attempts.Fault:
         call.life.begin()
-        headers = {'X-Request-Id': placement.attempt, 'Content-Type': 'application/json'}
+        headers = {'X-Request-Id': placement.attempt, 'Content-Type': call.content_type}
         if call.key:
             headers['Idempotency-Key'] = call.key
         url = f'http://{placement.replica.address}{call.path}'
         deadline = call.service.deadline_ms
         timeout = deadline / 1000 if deadline else CALL_TIMEOUT
         try:
+            body = call.raw if call.method != 'GET' else None
             answer = await self._client.fetch(
-                'POST', url, call.raw, headers, timeout, reuse=call.life.repeatable
+                call.method, url, body, headers, timeout, reuse=call.life.repeatable
             )
         except web.ExchangeError as error:
             return attempts.Fault.NO_ANSWER if error.sent else attempts.Fault.NOT_CONNECTED
--- a/passpier/daemon/service.py
+++ b/passpier/daemon/service.py
@@ -170,9 +170,16 @@
                 'the home of this key does not know the account',
             )
             raise calls.RequestFailedError(refusal)
-        built = intake.build_call(
-            config, account, message.id, message.path, message.body, message.key, message.service
+        request = intake.Request(
+            message.id,
+            message.path,
+            message.body,
+            message.key,
+            message.service,
+            message.method,
+            message.content_type,
         )
+        built = intake.build_call(config, account, request)
         if built.is_error():
             # The key may have run here under an earlier configuration.
             refusal = dataclasses.replace(built.error, outcome=exceptions.Outcome.UNKNOWN)
--- a/passpier/standins/fleets.py
+++ b/passpier/standins/fleets.py
@@ -139,13 +139,16 @@
         """Ask a daemon for a streamed completion."""
         return complete(self.daemons[daemon].entry, prompt, tokens, **fields)
 
-    def call_service(self, daemon: int, key: str = '', path: str = '/ack') -> Answer:
+    def call_service(
+        self, daemon: int, key: str = '', path: str = '/ack', method: str = 'POST'
+    ) -> Answer:
         """Call the plain service through a daemon."""
         headers = make_headers()
         if key:
             headers['Idempotency-Key'] = key
         url = f'http://{self.daemons[daemon].entry}/services/ack{path}'
-        return Answer(*processes.call('POST', url, {'n': 1}, headers))
+        body = {'n': 1} if method == 'POST' else None
+        return Answer(*processes.call(method, url, body, headers))
 
     def count_runs(self, key: str) -> int:
         """Return how often the plain services ran a key."""
--- a/passpier/standins/service.py
+++ b/passpier/standins/service.py
@@ -19,7 +19,7 @@
         self.runs[key] += 1
         await asyncio.sleep(float(self.faults.options.get('work', 0.0)))
         self.cut_if_answer_is_lost()
-        self.write({'path': self.request.path, 'key': key, 'run': self.runs[key]})
+        self.write({'path': self.request.uri, 'key': key, 'run': self.runs[key]})
 
     get = post
 
--- /dev/null
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -0,0 +1,121 @@
+"""Placement: queues while replicas are full, prompt refusals, nothing left behind."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import cast
+
+import pytest
+
+from passpier import exceptions
+from passpier.clients import engines, web
+from passpier.config import schema
+from passpier.core import attempts, choice, replicas
+from passpier.daemon import calls, dispatcher, metrics, upstreams
+from passpier.tests import virtual
+
+SLOTS = 2
+BOUND = 3
+"""Requests that a replica of two slots takes: its slots and one that waits."""
+
+
+def make_dispatcher() -> tuple[dispatcher.Dispatcher, replicas.Replica]:
+    known = upstreams.Upstreams(
+        cast(web.Client, None), cast(engines.Engines, None), None, 1000, metrics.Metrics()
+    )
+    replica = replicas.Replica('e', '', 'vm', 'd', slots=SLOTS)
+    known.replicas['e'] = replica
+    known.pools['p'] = ['e']
+    return dispatcher.Dispatcher(known, metrics.Metrics(), random.Random(1)), replica
+
+
+def make_call(id: str, deadline_ms: int = 20_000) -> calls.Call:
+    account = schema.Account(name='a', key_digests=())
+    service = schema.Service(name='s', model='m', pool='p', deadline_ms=deadline_ms)
+    call = calls.Call(id, account, service, '', 'cost', time.monotonic(), attempts.Life(True))
+    call.job = choice.Job([], 64, 1000)
+    return call
+
+
+async def fill(places: dispatcher.Dispatcher) -> list[dispatcher.Placement]:
+    return [(await places.place(make_call(f'f{n}'), f'f{n}')).ok for n in range(BOUND)]
+
+
+def test_a_full_replica_is_waited_for_and_freed_in_turn() -> None:
+    async def run() -> None:
+        places, replica = make_dispatcher()
+        running = await fill(places)
+        waiting = [
+            asyncio.ensure_future(places.place(make_call(f'w{n}'), f'w{n}')) for n in range(3)
+        ]
+        await asyncio.sleep(0)
+        assert places.count_queued() == 3
+        for placement in running:
+            places.end(placement)
+        results = await asyncio.gather(*waiting)
+        assert all(r.is_ok() for r in results)
+        for result in results:
+            places.end(result.ok)
+        assert not replica.dispatches
+
+    virtual.run(run())
+
+
+@pytest.mark.parametrize('placed_first', [False, True])
+def test_a_caller_that_goes_leaves_no_dispatch_behind(placed_first: bool) -> None:
+    """Cancelled while queued, or in the very moment in which its place was found."""
+
+    async def run() -> None:
+        places, replica = make_dispatcher()
+        running = await fill(places)
+        call = make_call('gone')
+        task = asyncio.ensure_future(places.place(call, 'gone'))
+        await asyncio.sleep(0)
+        if placed_first:
+            places.end(running.pop())
+            assert 'gone' in replica.dispatches
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        places.abandon(call)
+        for placement in running:
+            places.end(placement)
+        await asyncio.sleep(1.0)
+        assert not replica.dispatches
+        assert not places.count_queued()
+
+    virtual.run(run())
+
+
+def test_an_unreachable_deadline_is_refused_at_once_with_when_to_come_back() -> None:
+    async def run() -> None:
+        places, _ = make_dispatcher()
+        await fill(places)
+        waiting = [
+            asyncio.ensure_future(places.place(make_call(f'w{n}'), f'w{n}')) for n in range(40)
+        ]
+        await asyncio.sleep(0)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        refused = await places.place(make_call('late', deadline_ms=1), 'late')
+        assert loop.time() == began
+        assert refused.is_error()
+        assert refused.error.code is exceptions.Code.DEADLINE
+        assert refused.error.outcome is exceptions.Outcome.NOT_RUN
+        assert refused.error.retry_after > 0
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+    virtual.run(run())
+
+
+def test_no_upstream_is_refused_at_once() -> None:
+    async def run() -> None:
+        places, replica = make_dispatcher()
+        replicas.set_leaving(replica, 'vm_list', True)
+        refused = await places.place(make_call('x'), 'x')
+        assert refused.error.code is exceptions.Code.NO_UPSTREAM
+
+    virtual.run(run())
--- a/passpier/tests/daemon/path_tests.py
+++ b/passpier/tests/daemon/path_tests.py
@@ -138,6 +138,22 @@
     assert fleet.count_runs('order-1') == 1
 
 
+def test_no_spelling_of_a_path_escapes_its_rules(fleet: fleets.Fleet) -> None:
+    """The HTTP client and upstreams may simplify a path after the rule was looked up."""
+    asked = {
+        '/%61ck': 'idempotency_key_required',
+        '/ack?x=1': 'idempotency_key_required',
+        '/ack/sub': 'idempotency_key_required',
+        '/tile/../ack': 'bad_request',
+        '/tile/%2e%2e/ack': 'bad_request',
+        '//ack': 'bad_request',
+        '/./ack': 'bad_request',
+    }
+    assert {p: fleet.call_service(0, path=p).error['code'] for p in asked} == asked
+    answer = fleet.call_service(0, path='/tile%20a/b?x=%2F&y=1', method='GET')
+    assert json.loads(answer.body)['path'] == '/tile%20a/b?x=%2F&y=1'
+
+
 def test_unrepeatable_completions_run_once_and_answer_again(fleet: fleets.Fleet) -> None:
     body = {'model': 'draft', 'prompt': 'evacuate?', 'max_tokens': 6, 'stream': True}
     headers = {**fleets.make_headers(), 'Idempotency-Key': 'advisory-1'}
