A change of weights stops no request

Cause: from the moment a new weight_version was in force until the first replica had loaded it, its model was refused (the list of known limits said so). Ruled out: asking engines for no version (answers of two versions would share identities). Change: a request asks for the wanted version once a replica serves it, else for the one that most serve; its block identities are rooted in that version; a begun answer keeps it. An open order is closed when its state is observed, so a lost answer no longer holds the next load up for 30 s.

--- a/passpier/core/orders.py
+++ b/passpier/core/orders.py
@@ -51,6 +51,10 @@
         loads new weights everywhere at once.
         """
         versions = {o.upstream: o.weight_version for o in observed}
+        for item in wanted:
+            if versions.get(item.upstream) == item.weight_version:
+                # Carried out, whether or not its answer came.
+                self.finish(item.upstream)
         room = min(self.max_loads, max(1, serving - 1)) - len(self.open)
         orders: list[Wanted] = []
         for item in wanted:
--- a/passpier/daemon/calls.py
+++ b/passpier/daemon/calls.py
@@ -37,6 +37,7 @@
     life: attempts.Life
     body: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     prompt: bytes = b''
+    model: schema.Model | None = None
     job: choice.Job = choice.Job([], 1, 0)
     weight_version: str = ''
     raw: bytes = b''
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -124,6 +124,8 @@
                 call.chat,
             )
         attempt = f'{call.id}-{call.life.attempts}'
+        if not self._text:
+            self._choose_version()
         placed = await self._owner.dispatcher.place(call, attempt, self._excluded)
         if placed.is_error():
             raise calls.RequestFailedError(placed.error)
@@ -142,6 +144,17 @@
             call.life.repeatable,
         )
 
+    def _choose_version(self) -> None:
+        """Ask for the weights that are wanted, or still served; a begun answer keeps its own."""
+        call = self._call
+        assert call.model is not None
+        wanted = call.model.weight_version
+        version = self._owner.upstreams.choose_version(call.service.pool, wanted)
+        if version != call.weight_version:
+            model = call.model.model_copy(update={'weight_version': version})
+            call.weight_version = version
+            call.job = calls.build_job(call.account, call.service, model, call.prompt)
+
     def _build_body(self) -> dict[str, Any]:
         call = self._call
         body = dict(call.body)
--- a/passpier/daemon/intake.py
+++ b/passpier/daemon/intake.py
@@ -83,6 +83,7 @@
     call.life.continuable = not isinstance(call.body.get('prompt'), list)
     call.prompt = _encode(dict(call.body))
     call.job = calls.build_job(account, service, model, call.prompt)
+    call.model = model
     call.weight_version = model.weight_version
     return expression.Ok(call)
 
--- a/passpier/daemon/upstreams.py
+++ b/passpier/daemon/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 import time
 
@@ -91,6 +92,19 @@
         }
         return [usable[name] for name in self.ejector.select(list(usable), now)]
 
+    def choose_version(self, pool: str, wanted: str) -> str:
+        """Return the weight version to ask a pool for.
+
+        It is the wanted one as soon as a replica serves it; until then, while new weights are being
+        loaded, the one that most replicas serve, so that a change of weights stops no request.
+        """
+        versions = collections.Counter(
+            r.weight_version for r in self.list_serving(pool) if r.weight_version
+        )
+        if not versions or wanted in versions:
+            return wanted
+        return max(sorted(versions), key=lambda v: versions[v])
+
     def learn_identity(self, replica: replicas.Replica, identity: engines.Identity) -> None:
         """Learn from an answer's headers."""
         if not identity.incarnation:
--- a/passpier/standins/slopes.py
+++ b/passpier/standins/slopes.py
@@ -219,6 +219,82 @@
     show('revision_spread', members=420, fanout=8, rounds_median=statistics.median(rounds))
 
 
+def measure_detection() -> None:
+    """Gossip among 420 members, one in twenty messages lost: detection and false alarms."""
+    rng = random.Random(6)
+    fleet = [build_member(n) for n in range(420)]
+    daemons = [members.Membership(m, 1.0, 0.0) for m in fleet]
+    for daemon in daemons:
+        for member in fleet:
+            daemon.add(member, 0.0)
+    by_name = {d.own.name: d for d in daemons}
+    dead = set(rng.sample(range(420), 9))
+    observer = next(d for n, d in enumerate(daemons) if n not in dead)
+    found: dict[str, list[float]] = {f'vm-{n}': [] for n in dead}
+    wrong = 0
+    for beat in range(1, 61):
+        live = [d for n, d in enumerate(daemons) if beat <= 20 or n not in dead]
+        for daemon in live:
+            daemon.advance(float(beat), 1, 1, 1, False)
+            for target in daemon.choose_targets(rng):
+                if rng.random() > 0.05:
+                    by_name[target.name].merge(daemon.make_digest(rng), float(beat))
+        alive = {m.name for m in observer.list_alive(beat)}
+        for name, times in found.items():
+            if beat > 20 and name not in alive and not times:
+                times.append(beat - 20)
+        wrong += 420 - len(alive) - sum(name not in alive for name in found)
+    times = [t for many in found.values() for t in many]
+    show(
+        'death_detection',
+        members=420,
+        beats_median=statistics.median(times),
+        beats_max=max(times),
+        found=len(times),
+        false_alarms_of_member_beats=f'{wrong} of {411 * 60}',
+    )
+
+
+def measure_limits() -> None:
+    """Share of a limit of 60 units that stays usable over three daemons."""
+    names = ['i0', 'i1', 'i2']
+    holders = {n: shares.Holder(f'vm-{n}', n) for n in names}
+    grant = shares.Grant(
+        shares.Generation(1, 1), holders, {'a': shares.Limit(60, 10**9)}, len(names)
+    )
+    for case in ('all_at_one', 'one_silent', 'one_cut_off'):
+        books = {n: shares.ShareBook(n) for n in names}
+        for book in books.values():
+            book.install(grant)
+            book.hear(0.0)
+        for book in books.values():
+            book.settle(functools.partial(get_confirmed, books))
+        now = shares.FENCE_SECONDS + 1 if case == 'one_cut_off' else 1.0
+        reachable = names if case == 'all_at_one' else names[:2]
+        for name in reachable:
+            books[name].hear(now)
+        local = count_units(books['i0'], [], now)
+        lenders = [books[n] for n in reachable if n != 'i0']
+        usable = local + count_units(books['i0'], lenders, now)
+        show('limit_usable', case=case, local_only=local / 60, with_borrowing=usable / 60)
+
+
+def get_confirmed(books: dict[str, shares.ShareBook], name: str) -> shares.Generation:
+    """Return what a daemon has confirmed."""
+    return books[name].get_confirmable()
+
+
+def count_units(own: shares.ShareBook, lenders: list[shares.ShareBook], now: float) -> int:
+    """Return how many units a daemon gets, its own or those of lenders."""
+    if not lenders:
+        return sum(own.acquire('a', now) for _ in range(100))
+    return sum(
+        lender.lend(f'{lender.holder}-{n}', 'a', own.holder, now)
+        for lender in lenders
+        for n in range(100)
+    )
+
+
 def measure_configuration() -> None:
     """Bytes and store calls of a configuration change, by accounts."""
     for accounts in (8, 34_000):
@@ -419,6 +495,8 @@
     measure_view()
     measure_heartbeats()
     measure_spread()
+    measure_detection()
+    measure_limits()
 
 
 if __name__ == '__main__':
