A planned stop waits until the last byte is out

Cause (review): a request no longer counted as running once its answer was written to the buffer, so a stop could cut a caller that reads slowly. Also: unused functions and constants removed.

--- a/passpier/commands/main.py
+++ b/passpier/commands/main.py
@@ -17,7 +17,6 @@
 from passpier.utils import differences
 
 EXIT_INVALID = 1
-EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
 EXIT_CONFLICT = 4
 EXIT_REFUSED = 5
--- a/passpier/core/blocks.py
+++ b/passpier/core/blocks.py
@@ -50,11 +50,6 @@
     return xxhash.xxh3_64_intdigest(_FIELD_SEPARATOR.join(f.encode() for f in fields))
 
 
-def extend_chain(parent: int, block: bytes | memoryview) -> int:
-    """Return the identity of the block that follows `parent`."""
-    return xxhash.xxh3_64_intdigest(block, seed=parent)
-
-
 def compute_chain(root: int, data: bytes, block_tokens: int) -> list[int]:
     """Return the identities of the whole blocks in `data`; a partial last block has none."""
     size = block_tokens * BYTES_PER_TOKEN
--- a/passpier/core/shares.py
+++ b/passpier/core/shares.py
@@ -231,10 +231,6 @@
         """Return the units held of an account."""
         return self._get(name).held
 
-    def get_in_flight(self, name: str) -> int:
-        """Return the units of an account in use."""
-        return self._get(name).in_flight
-
     def compute_retry_after(self, name: str) -> float:
         """Return the seconds after which an account's tokens are positive again, at least 0.1."""
         account = self._get(name)
--- a/passpier/daemon/callers.py
+++ b/passpier/daemon/callers.py
@@ -69,15 +69,22 @@
         self._work = asyncio.ensure_future(work)
         self.app.in_flight += 1
         try:
-            await self._work
-        except calls.RequestFailedError as error:
-            self.write_failure(self._qualify(error.failure))
+            await self._run_work()
+            # Until the last byte is out, a planned stop has to wait for this request.
+            await self.finish()
         except (asyncio.CancelledError, tornado.iostream.StreamClosedError):
             log.info('caller gone', extra={'request': self.id})
             self.app.count_gone()
         finally:
             self.app.in_flight -= 1
 
+    async def _run_work(self) -> None:
+        assert self._work is not None
+        try:
+            await self._work
+        except calls.RequestFailedError as error:
+            self.write_failure(self._qualify(error.failure))
+
     def _qualify(self, failure: exceptions.Failure) -> exceptions.Failure:
         """Say no more than is known: a key that was not looked up may have run before."""
         if self._call is None and self.request.headers.get('Idempotency-Key'):
--- a/passpier/standins/service.py
+++ b/passpier/standins/service.py
@@ -19,7 +19,9 @@
         self.runs[key] += 1
         await asyncio.sleep(float(self.faults.options.get('work', 0.0)))
         self.cut_if_answer_is_lost()
-        self.write({'path': self.request.uri, 'key': key, 'run': self.runs[key]})
+        padding = 'x' * int(self.faults.options.get('padding', 0))
+        answer = {'path': self.request.uri, 'key': key, 'run': self.runs[key]}
+        self.write({**answer, 'padding': padding} if padding else answer)
 
     get = post
 
--- a/passpier/tests/daemon/fleet_tests.py
+++ b/passpier/tests/daemon/fleet_tests.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import http.client
 import json
 import signal
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -113,6 +115,27 @@
     restart(fleet, 1)
 
 
+def test_a_planned_stop_waits_for_a_caller_that_reads_slowly(fleet: fleets.Fleet) -> None:
+    daemon = fleet.daemons[2]
+    fleet.services[0].set_faults(padding=12_000_000)
+    connection = http.client.HTTPConnection(daemon.entry, timeout=30)
+    connection.connect()
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 262_144)
+    connection.request('POST', '/services/ack/tile', b'{}', fleets.make_headers())
+    response = connection.getresponse()
+    fleet.services[0].set_faults(padding=0)
+    daemon.send(signal.SIGTERM)
+    processes.wait_until(lambda: daemon.list_events('drain begins'), 'drain begins')
+    processes.wait_until(lambda: fleet.complete(2, 'closing?').status != 200, 'closing', 10)
+    for _ in range(400):
+        # It must go on answering, as there is an answer that has not gone out whole.
+        assert processes.call('GET', f'http://{daemon.entry}/healthz')[0] == 200
+    assert len(json.loads(response.read())['padding']) == 12_000_000
+    connection.close()
+    assert daemon.popen.wait(30) == 0
+    restart(fleet, 2)
+
+
 def test_a_killed_daemon_serves_at_once_while_the_store_is_down(fleet: fleets.Fleet) -> None:
     prefix = ' '.join(f'farm {n}' for n in range(300))
     assert fleet.complete(2, prefix).whole
--- a/passpier/tests/daemon/once_tests.py
+++ b/passpier/tests/daemon/once_tests.py
@@ -24,7 +24,6 @@
 
 ACCOUNT = schema.Account(name='acme', key_digests=())
 SERVICE = schema.Service(name='acks', kind='plain', pool='p', repeatable=False)
-PREFIX_OF_LOST = 'lost'
 
 
 def make_call(key: str, id: str) -> calls.Call:
