Configuration travels in chunks; plain data classes inside the daemon

Change: documents are cut where an item says so (content-defined), so a change of one account changes at most two chunks; daemons and peers fetch only the chunks that they lack, compressed. Inside, a document is decoded into data classes that mirror the schema (a test compares the fields). Also: configuration.py split from fleet.py.

--- a/passpier/config/directory.py
+++ b/passpier/config/directory.py
@@ -4,16 +4,15 @@
 
 import hashlib
 
-from passpier.config import schema
-from passpier.core import shares
+from passpier.config import declarations
 
-DEFAULT_RULE = schema.Rule()
+DEFAULT_RULE = declarations.Rule()
 
 
 class Directory:
     """Services, accounts, pools and rules of one revision."""
 
-    def __init__(self, fleet: schema.Fleet, revision: int) -> None:
+    def __init__(self, fleet: declarations.Fleet, revision: int) -> None:
         self.fleet = fleet
         self.revision = revision
         self.models = {m.name: m for m in fleet.models}
@@ -21,15 +20,12 @@
         self.accounts = {a.name: a for a in fleet.accounts}
         self.pools = {p.name: p for p in fleet.pools}
         self._by_digest = {d: a for a in fleet.accounts for d in a.key_digests}
-        self.limits = {
-            a.name: shares.Limit(a.concurrency, a.tokens_per_second) for a in fleet.accounts
-        }
 
-    def find_account(self, api_key: str) -> schema.Account | None:
+    def find_account(self, api_key: str) -> declarations.Account | None:
         """Return the account that an API key belongs to."""
         return self._by_digest.get(hash_key(api_key))
 
-    def find_service(self, account: schema.Account, name: str) -> schema.Service | None:
+    def find_service(self, account: declarations.Account, name: str) -> declarations.Service | None:
         """Return a service that an account may use."""
         if account.services and name not in account.services:
             return None
@@ -42,7 +38,7 @@
                 return rule.policy
         return DEFAULT_RULE.policy
 
-    def find_model_of_pool(self, pool: str) -> schema.Model | None:
+    def find_model_of_pool(self, pool: str) -> declarations.Model | None:
         """Return the model that a pool's engines serve; none for a pool of plain services."""
         for service in self.fleet.services:
             if service.pool == pool and service.model is not None:
@@ -50,7 +46,7 @@
         return None
 
 
-def is_repeatable(service: schema.Service, path: str) -> bool:
+def is_repeatable(service: declarations.Service, path: str) -> bool:
     """Return whether a call of a path may run more than once; the longest prefix counts."""
     best = max(
         (p for p in service.paths if path == p.path or path.startswith(p.path.rstrip('/') + '/')),
--- a/passpier/core/revisions.py
+++ b/passpier/core/revisions.py
@@ -4,9 +4,18 @@
 
 import dataclasses
 import hashlib
+from collections.abc import Mapping
+
+import xxhash
 
 CHUNK_SIZE = 512 * 1024
-"""Bytes of a configuration document that one store value holds."""
+"""Bytes of a configuration document that one store value holds at most."""
+
+BOUNDARY = b'},{'
+"""Where a document may be cut: between two items of a list."""
+
+CUT_EVERY = 128
+"""Items between two cuts, on average."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,25 +33,48 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Revision:
-    """A whole configuration document with its index."""
+    """A whole configuration: its index and its chunks by content hash."""
 
     index: Index
-    document: bytes
+    chunks: Mapping[str, bytes]
 
+    @property
+    def document(self) -> bytes:
+        """The document."""
+        return b''.join(self.chunks[name] for name in self.index.chunks)
 
-def split_document(document: bytes) -> dict[str, bytes]:
-    """Return a document's parts by content hash, in order."""
-    parts = [document[i : i + CHUNK_SIZE] for i in range(0, len(document), CHUNK_SIZE)]
-    return {hashlib.sha256(part).hexdigest(): part for part in parts}
 
+def hash_chunk(data: bytes) -> str:
+    """Return the name of a chunk."""
+    return hashlib.sha256(data).hexdigest()
 
-def join_document(index: Index, parts: dict[str, bytes]) -> bytes | None:
-    """Return the document of an index; none if a part is missing or damaged."""
+
+def split_document(document: bytes) -> list[bytes]:
+    """Return a document's chunks in order.
+
+    A cut depends only on the item before it, so a change of one item changes one chunk or two.
+    """
+    chunks = []
+    start = 0
+    position = document.find(BOUNDARY)
+    while position >= 0:
+        end = position + len(BOUNDARY)
+        item = document[max(start, document.rfind(BOUNDARY, start, position)) : position]
+        if xxhash.xxh3_64_intdigest(item) % CUT_EVERY == 0:
+            chunks.append(document[start:end])
+            start = end
+        position = document.find(BOUNDARY, end)
+    chunks.append(document[start:])
+    return [chunk[i : i + CHUNK_SIZE] for chunk in chunks for i in range(0, len(chunk), CHUNK_SIZE)]
+
+
+def build_revision(index: Index, chunks: Mapping[str, bytes]) -> Revision | None:
+    """Return the revision of an index; none if a chunk is missing or damaged."""
     for name in index.chunks:
-        part = parts.get(name)
-        if part is None or hashlib.sha256(part).hexdigest() != name:
+        chunk = chunks.get(name)
+        if chunk is None or hash_chunk(chunk) != name:
             return None
-    return b''.join(parts[name] for name in index.chunks)
+    return Revision(index, {name: chunks[name] for name in index.chunks})
 
 
 class Holder:
--- a/passpier/core/shares.py
+++ b/passpier/core/shares.py
@@ -12,6 +12,7 @@
 
 import dataclasses
 from collections.abc import Callable, Mapping
+from typing import Protocol
 
 from passpier.core import rendezvous
 
@@ -37,9 +38,21 @@
         return self.epoch >= other.epoch and self.revision >= other.revision
 
 
+class Limited(Protocol):
+    """What has a limit over the whole fleet: an account."""
+
+    @property
+    def concurrency(self) -> int:
+        """Requests at once."""
+
+    @property
+    def tokens_per_second(self) -> int:
+        """Prompt and answer tokens a second."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limit:
-    """An account's limit over the whole fleet."""
+    """A limit by itself."""
 
     concurrency: int
     tokens_per_second: int
@@ -59,7 +72,7 @@
 
     generation: Generation
     holders: Mapping[str, Holder]
-    limits: Mapping[str, Limit]
+    limits: Mapping[str, Limited]
     count: int
 
     def compute_units(self, account: str, holder: str) -> int:
--- a/passpier/daemon/callers.py
+++ b/passpier/daemon/callers.py
@@ -16,7 +16,7 @@
 
 from passpier import exceptions
 from passpier.clients import engines
-from passpier.config import schema
+from passpier.config import declarations
 from passpier.core import drain, entries
 from passpier.daemon import answers, calls, generation, intake, service
 
@@ -41,7 +41,7 @@
         """Name the daemon in every answer."""
         self.set_header('Server', 'passpier')
 
-    def find_account(self) -> schema.Account:
+    def find_account(self) -> declarations.Account:
         """Return the caller's account; raises `RequestFailedError` if there is none."""
         config = self.app.fleet.config
         if config is None:
--- a/passpier/daemon/calls.py
+++ b/passpier/daemon/calls.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from passpier import exceptions
-from passpier.config import schema
+from passpier.config import declarations
 from passpier.core import attempts, blocks, choice
 
 CHAT_PATH = '/v1/chat/completions'
@@ -29,15 +29,15 @@
     """One request of a caller; `arrived_at` is in seconds of the monotonic clock."""
 
     id: str
-    account: schema.Account
-    service: schema.Service
+    account: declarations.Account
+    service: declarations.Service
     path: str
     policy: str
     arrived_at: float
     life: attempts.Life
     body: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     prompt: bytes = b''
-    model: schema.Model | None = None
+    model: declarations.Model | None = None
     job: choice.Job = choice.Job([], 1, 0)
     weight_version: str = ''
     raw: bytes = b''
@@ -71,7 +71,10 @@
 
 
 def build_job(
-    account: schema.Account, service: schema.Service, model: schema.Model, prompt: bytes
+    account: declarations.Account,
+    service: declarations.Service,
+    model: declarations.Model,
+    prompt: bytes,
 ) -> choice.Job:
     """Return what the policies need to know of a prompt."""
     scope = blocks.Scope(account.name, model.name, model.weight_version, service.adapter)
--- a/passpier/daemon/events.py
+++ b/passpier/daemon/events.py
@@ -11,7 +11,7 @@
 import zmq.asyncio
 
 from passpier.clients import kvevents
-from passpier.config import directory, schema
+from passpier.config import declarations, directory
 from passpier.core import evictions, view
 from passpier.daemon import metrics, upstreams
 
@@ -52,7 +52,7 @@
             task.cancel()
         self._context.destroy(linger=0)
 
-    async def _follow(self, upstream: schema.Upstream, model: schema.Model) -> None:
+    async def _follow(self, upstream: declarations.Upstream, model: declarations.Model) -> None:
         socket = self._context.socket(zmq.SUB)
         socket.linger = 0
         socket.subscribe(kvevents.TOPIC_PREFIX)
@@ -92,7 +92,7 @@
     """The events of one engine."""
 
     def __init__(
-        self, upstream: schema.Upstream, model: schema.Model, known: upstreams.Upstreams
+        self, upstream: declarations.Upstream, model: declarations.Model, known: upstreams.Upstreams
     ) -> None:
         self.name = upstream.name
         self._model = model
--- a/passpier/daemon/fleet.py
+++ b/passpier/daemon/fleet.py
@@ -8,11 +8,19 @@
 import time
 from collections.abc import Callable
 
-import msgspec
-
-from passpier.config import directory, schema, settings
-from passpier.core import drain, members, rendezvous, revisions
-from passpier.daemon import epochs, events, limits, messages, metrics, peers, storage, upstreams
+from passpier.config import directory, settings
+from passpier.core import drain, members, rendezvous
+from passpier.daemon import (
+    configuration,
+    epochs,
+    events,
+    limits,
+    messages,
+    metrics,
+    peers,
+    storage,
+    upstreams,
+)
 
 log = logging.getLogger(__name__)
 
@@ -52,8 +60,6 @@
         self.storage = shared
         self.upstreams = known
         self.limits = account_limits
-        self.holder = revisions.Holder()
-        self.config: directory.Directory | None = None
         self.drain = drain.Drain(options.entry_ttl, options.drain_bound)
         self.stopping = asyncio.Event()
         self._peers = link
@@ -61,6 +67,7 @@
         self._counters = counters
         self._rng = rng
         self._has_view = False
+        self.configuration = configuration.Configuration(membership, link, shared, self._apply)
         self.epochs = epochs.Epochs(
             membership, link, shared, account_limits, self._add_members, self._announce
         )
@@ -81,42 +88,10 @@
         for member in self.membership.list_known():
             self._peers.send(member.peer, messages.Goodbye(self.membership.own.incarnation))
 
-    def install(self, revision: revisions.Revision) -> bool:
-        """Put a configuration in force if it is newer, and pass it on."""
-        if not self.holder.install(revision):
-            return False
-        fleet = msgspec.json.decode(revision.document)
-        config = directory.Directory(schema.Fleet.model_validate(fleet), revision.index.revision)
-        self.config = config
-        self.upstreams.apply(config)
-        if self._events is not None:
-            self._events.apply(config)
-        self.limits.install(config)
-        self._beat()
-        self._counters.revision.set({}, config.revision)
-        log.info('configuration in force', extra={'revision': config.revision})
-        self._push(self._make_heartbeat())
-        return True
-
-    async def wait_for_revision(self, number: int, timeout: float) -> list[str]:
-        """Return the live daemons that have not reported a revision within `timeout` seconds."""
-        end = time.monotonic() + timeout
-        while True:
-            behind = self.list_behind(number)
-            if not behind or time.monotonic() >= end:
-                return behind
-            await asyncio.sleep(0.05)
-
-    def list_behind(self, number: int) -> list[str]:
-        """Return the names of the live daemons whose revision is older than `number`."""
-        behind = []
-        for member in self.membership.list_alive(time.monotonic()):
-            beat = self.membership.get_beat(member.incarnation)
-            own = member == self.membership.own
-            revision = self.holder.number if own else beat.revision if beat else 0
-            if revision < number:
-                behind.append(member.name)
-        return behind
+    @property
+    def config(self) -> directory.Directory | None:
+        """The configuration in force."""
+        return self.configuration.current
 
     async def run_heartbeats(self) -> None:
         """Beat until cancelled."""
@@ -150,21 +125,12 @@
             self._watch(),
         )
 
-    async def pull_revision(self) -> None:
-        """Take over the store's configuration if it is newer."""
-        revision = await self.storage.read_revision(self.holder.number)
-        self._note_store()
-        if revision is not None:
-            self.install(revision)
-
     def _handle_messages(self) -> None:
         handle: Callable = self._peers.handle
         handle(messages.Heartbeat, self._take_heartbeat)
         handle(messages.MembersWanted, self._send_members)
         handle(messages.Members, self._take_members)
         handle(messages.Goodbye, self._take_goodbye)
-        handle(messages.RevisionWanted, self._send_revision)
-        handle(messages.RevisionSent, self._take_revision)
         handle(messages.ViewWanted, self._send_view)
         handle(messages.ViewSent, self._take_view)
         handle(messages.DrainWanted, lambda *_: self.begin_drain())
@@ -172,7 +138,7 @@
     def _ask_for_everything(self, address: str) -> None:
         self._peers.send(address, messages.Members([self.membership.own]))
         self._peers.send(address, messages.MembersWanted([]))
-        self._peers.send(address, messages.RevisionWanted(self.holder.number))
+        self.configuration.ask(address)
         self._peers.send(address, messages.EpochWanted())
         if self.config is not None and not self._has_view:
             self._peers.send(address, messages.ViewWanted(SNAPSHOT_BLOCKS))
@@ -181,13 +147,17 @@
         confirmed = self.limits.book.get_confirmable()
         leaving = self.drain.began_at is not None
         self.membership.advance(
-            time.monotonic(), self.holder.number, confirmed.epoch, confirmed.revision, leaving
+            time.monotonic(),
+            self.configuration.holder.number,
+            confirmed.epoch,
+            confirmed.revision,
+            leaving,
         )
 
     def _make_heartbeat(self) -> messages.Heartbeat:
         epoch = self.limits.epoch.number if self.limits.epoch else 0
         digest = self.membership.make_digest(self._rng)
-        return messages.Heartbeat(digest, self.holder.number, epoch)
+        return messages.Heartbeat(digest, self.configuration.holder.number, epoch)
 
     def _push(self, message: messages.AnyMessage) -> None:
         for member in self.membership.choose_targets(self._rng, PUSH_FANOUT):
@@ -201,9 +171,9 @@
         unknown = [i for i in unknown if not self.limits.has_departed(i)]
         if unknown:
             self._peers.send(address, messages.MembersWanted(unknown))
-        if message.revision > self.holder.number:
-            self._peers.send(address, messages.RevisionWanted(self.holder.number))
-        elif message.revision < self.holder.number:
+        if message.revision > self.configuration.holder.number:
+            self.configuration.ask(address)
+        elif message.revision < self.configuration.holder.number:
             self._peers.send(address, self._make_heartbeat())
         known_epoch = self.limits.epoch.number if self.limits.epoch else 0
         if message.epoch > known_epoch:
@@ -243,14 +213,6 @@
         self.membership.remove(incarnation)
         log.info('member departed', extra={'incarnation': incarnation})
 
-    def _send_revision(self, sender: str, address: str, message: messages.RevisionWanted) -> None:
-        current = self.holder.current
-        if current is not None and current.index.revision > message.revision:
-            self._peers.send(address, messages.RevisionSent(current.index, current.document))
-
-    def _take_revision(self, sender: str, address: str, message: messages.RevisionSent) -> None:
-        self.install(revisions.Revision(message.index, message.document))
-
     def _send_view(self, sender: str, address: str, message: messages.ViewWanted) -> None:
         holdings = []
         for name, key, blocks in self.upstreams.cache.export(message.limit):
@@ -271,6 +233,15 @@
         self._note_store()
         self.epochs.note_registered()
 
+    def _apply(self, config: directory.Directory) -> None:
+        """Have a new configuration take effect here, and tell peers of it."""
+        self.upstreams.apply(config)
+        if self._events is not None:
+            self._events.apply(config)
+        self.limits.install(config)
+        self._counters.revision.set({}, config.revision)
+        self._announce()
+
     def _announce(self) -> None:
         """Beat at once: this daemon has confirmed something new."""
         self._beat()
@@ -279,15 +250,19 @@
     def _note_store(self) -> None:
         self.limits.book.hear(time.monotonic())
 
+    async def _pull(self) -> None:
+        await self.configuration.pull()
+        self._note_store()
+
     async def _poll_revision(self) -> None:
-        await self.pull_revision()
+        await self._pull()
         # At full size all polls together stay under ten a second.
         await asyncio.sleep(len(self.membership) / 10)
 
     async def _watch(self) -> None:
         while not self._is_watcher():
             await asyncio.sleep(self.options.heartbeat)
-        await self.storage.follow(storage.INDEX_KEY, self.pull_revision)
+        await self.storage.follow(storage.INDEX_KEY, self._pull)
 
     def _is_watcher(self) -> bool:
         own = self.membership.own
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -151,7 +151,7 @@
         wanted = call.model.weight_version
         version = self._owner.upstreams.choose_version(call.service.pool, wanted)
         if version != call.weight_version:
-            model = call.model.model_copy(update={'weight_version': version})
+            model = dataclasses.replace(call.model, weight_version=version)
             call.weight_version = version
             call.job = calls.build_job(call.account, call.service, model, call.prompt)
 
--- a/passpier/daemon/intake.py
+++ b/passpier/daemon/intake.py
@@ -12,7 +12,7 @@
 import pydantic
 
 from passpier import exceptions
-from passpier.config import directory, schema
+from passpier.config import declarations, directory
 from passpier.core import attempts, blocks
 from passpier.daemon import calls
 
@@ -63,7 +63,7 @@
 
 
 def build_call(
-    config: directory.Directory, account: schema.Account, request: Request
+    config: directory.Directory, account: declarations.Account, request: Request
 ) -> expression.Result[calls.Call, exceptions.Failure]:
     """Return the call of a request."""
     if request.service:
@@ -89,7 +89,7 @@
 
 
 def _build_plain(
-    config: directory.Directory, account: schema.Account, request: Request
+    config: directory.Directory, account: declarations.Account, request: Request
 ) -> expression.Result[calls.Call, exceptions.Failure]:
     service = config.find_service(account, request.service)
     if service is None or service.kind != 'plain':
@@ -108,8 +108,8 @@
 
 def _start_call(
     config: directory.Directory,
-    account: schema.Account,
-    service: schema.Service,
+    account: declarations.Account,
+    service: declarations.Service,
     request: Request,
     repeatable: bool,
 ) -> calls.Call:
@@ -167,7 +167,7 @@
     return exceptions.Failure(code, exceptions.Outcome.NOT_RUN, message)
 
 
-def _add_preamble(service: schema.Service, body: CompletionBody | ChatBody) -> dict[str, Any]:
+def _add_preamble(service: declarations.Service, body: CompletionBody | ChatBody) -> dict[str, Any]:
     content = body.model_dump()
     if not service.preamble:
         return content
--- a/passpier/daemon/limits.py
+++ b/passpier/daemon/limits.py
@@ -95,7 +95,9 @@
             return
         holders = {i: shares.Holder(seat[0], seat[1]) for i, seat in self.epoch.holders.items()}
         generation = shares.Generation(self.epoch.number, self._config.revision)
-        self.book.install(shares.Grant(generation, holders, self._config.limits, self._entry_count))
+        self.book.install(
+            shares.Grant(generation, holders, self._config.accounts, self._entry_count)
+        )
 
     def tick(self) -> None:
         """Settle what can be; tell lenders which loans are still in use."""
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -48,10 +48,21 @@
 
 
 class RevisionSent(Message, tag='rs'):
-    """A configuration."""
+    """The index of a configuration; the receiver asks for the chunks that it lacks."""
 
     index: revisions.Index
-    document: bytes
+
+
+class ChunksWanted(Message, tag='cw'):
+    """Asks for chunks of the configuration by name."""
+
+    names: list[str]
+
+
+class ChunksSent(Message, tag='cs'):
+    """Chunks of the configuration, compressed, by name."""
+
+    chunks: dict[str, bytes]
 
 
 class Epoch(Message, tag='ep'):
@@ -156,6 +167,8 @@
     | DrainWanted
     | RevisionWanted
     | RevisionSent
+    | ChunksWanted
+    | ChunksSent
     | Epoch
     | EpochWanted
     | Loads
--- a/passpier/daemon/operators.py
+++ b/passpier/daemon/operators.py
@@ -60,21 +60,21 @@
         if not isinstance(result, revisions.Revision):
             data_ = {'base': base, 'in_force': result}
             return jsonrpcserver.Error(CODE_CONFLICT, 'another revision was accepted', data_)
-        self._app.fleet.install(result)
+        self._app.fleet.configuration.install(result)
         log.info('configuration accepted', extra={'revision': result.index.revision})
         return jsonrpcserver.Success({'revision': result.index.revision})
 
     async def show(self) -> jsonrpcserver.Result:
         """Return the configuration in force at this daemon."""
-        current = self._app.fleet.holder.current
+        current = self._app.fleet.configuration.holder.current
         document = msgspec.json.decode(current.document) if current else None
         return jsonrpcserver.Success(
-            {'revision': self._app.fleet.holder.number, 'document': document}
+            {'revision': current.index.revision if current else 0, 'document': document}
         )
 
     async def wait(self, revision: int, timeout: float) -> jsonrpcserver.Result:
         """Wait until every live daemon has a revision; return those that do not."""
-        behind = await self._app.fleet.wait_for_revision(revision, min(timeout, 60.0))
+        behind = await self._app.fleet.configuration.wait_for(revision, min(timeout, 60.0))
         return jsonrpcserver.Success({'revision': revision, 'behind': behind})
 
     async def status(self) -> jsonrpcserver.Result:
@@ -85,7 +85,6 @@
         daemons = []
         for member in sorted(fleet.membership.list_known(), key=lambda m: m.name):
             beat = fleet.membership.get_beat(member.incarnation)
-            own = member == fleet.membership.own
             daemons.append(
                 {
                     'name': member.name,
@@ -93,14 +92,14 @@
                     'failure_domain': member.failure_domain,
                     'alive': member in alive,
                     'leaving': bool(beat and beat.leaving),
-                    'revision': fleet.holder.number if own else beat.revision if beat else 0,
+                    'revision': fleet.configuration.get_revision(member),
                 }
             )
         return jsonrpcserver.Success(
             {
                 'daemon': fleet.membership.own.name,
                 'version': __version__,
-                'revision': fleet.holder.number,
+                'revision': fleet.configuration.holder.number,
                 'store_available': fleet.storage.available,
                 'shares_settled': fleet.limits.book.settled,
                 'daemons': daemons,
--- a/passpier/daemon/storage.py
+++ b/passpier/daemon/storage.py
@@ -61,21 +61,20 @@
         self.renewed_at = float('-inf')
         self.available = False
 
-    async def read_revision(self, newer_than: int) -> revisions.Revision | None:
-        """Return the accepted configuration if it is newer."""
+    async def read_revision(self, current: revisions.Revision | None) -> revisions.Revision | None:
+        """Return the accepted configuration if it is newer; only unknown chunks are read."""
         value = await self.store.get(INDEX_KEY)
         if value is None:
             return None
         index = msgspec.json.decode(value.data, type=revisions.Index)
-        if index.revision <= newer_than:
+        if current is not None and index.revision <= current.index.revision:
             return None
-        parts = {}
-        for name in index.chunks:
+        chunks = dict(current.chunks) if current else {}
+        for name in set(index.chunks) - set(chunks):
             chunk = await self.store.get(CHUNK_PREFIX + name)
             if chunk is not None:
-                parts[name] = zlib.decompress(chunk.data)
-        document = revisions.join_document(index, parts)
-        return revisions.Revision(index, document) if document is not None else None
+                chunks[name] = zlib.decompress(chunk.data)
+        return revisions.build_revision(index, chunks)
 
     async def accept_revision(
         self, document: bytes, base: int, nonce: str
@@ -86,25 +85,27 @@
         that was lost is settled by reading back: the nonce tells whose write took effect.
         """
         parts = revisions.split_document(document)
-        for name, part in parts.items():
-            chunk = CHUNK_PREFIX + name
-            if await self._retry(functools.partial(self.store.get, chunk)) is None:
-                put = store_clients.Put(chunk, zlib.compress(part))
+        names = tuple(revisions.hash_chunk(part) for part in parts)
+        chunks = dict(zip(names, parts, strict=True))
+        for name, part in chunks.items():
+            key = CHUNK_PREFIX + name
+            if await self._retry(functools.partial(self.store.get, key)) is None:
+                put = store_clients.Put(key, zlib.compress(part))
                 await self._retry(functools.partial(self.store.write, [put]))
-        for _ in range(3):
+        for _ in range(CALL_TRIES):
             current = await self._retry(functools.partial(self.store.get, INDEX_KEY))
             known = msgspec.json.decode(current.data, type=revisions.Index) if current else None
             if known is not None and known.nonce == nonce:
-                return revisions.Revision(known, document)
+                return revisions.Revision(known, chunks)
             number = known.revision if known else 0
             if number != base:
                 return number
-            index = revisions.Index(base + 1, tuple(parts), nonce, base)
+            index = revisions.Index(base + 1, names, nonce, base)
             put = store_clients.Put(INDEX_KEY, msgspec.json.encode(index))
             condition = store_clients.IsAt(INDEX_KEY, current.mod_revision if current else 0)
             try:
                 if await self.store.write([put], [condition]):
-                    return revisions.Revision(index, document)
+                    return revisions.Revision(index, chunks)
             except exceptions.StoreError:
                 log.warning('answer lost, reading back', extra={'nonce': nonce})
         raise exceptions.StoreError('the store did not settle the write')
--- a/passpier/standins/slopes.py
+++ b/passpier/standins/slopes.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from passpier.clients import engines, kvevents, store, web
-from passpier.config import schema
+from passpier.config import declarations, directory, schema
 from passpier.core import blocks, choice, members, replicas, revisions, shares, view
 from passpier.daemon import answers, events, messages, metrics, once, storage, upstreams
 from passpier.standins import cache as block_cache
@@ -104,8 +104,8 @@
 
 def build_feed() -> events.Feed:
     """Return a feed of an engine whose incarnation is known."""
-    upstream = schema.Upstream(name='e', address='127.0.0.1:1', vm='v', failure_domain='d')
-    model = schema.Model(name='advisory-7b', weight_version='v1', block_tokens=BLOCK_TOKENS)
+    upstream = declarations.Upstream(name='e', address='127.0.0.1:1', vm='v', failure_domain='d')
+    model = declarations.Model(name='advisory-7b', weight_version='v1', block_tokens=BLOCK_TOKENS)
     client = web.Client()
     known = upstreams.Upstreams(
         client, engines.HttpEngines(client), None, 1_000_000, metrics.Metrics()
@@ -306,7 +306,7 @@
             return shared.calls, shared.bytes
 
         calls, size = asyncio.run(change())
-        parse_us = time_us(functools.partial(parse_document, document))
+        parse_us = time_us(functools.partial(install_document, document))
         show(
             'configuration_change',
             accounts=accounts,
@@ -329,9 +329,9 @@
     return msgspec.json.encode(fleet.model_dump(mode='json'))
 
 
-def parse_document(document: bytes) -> schema.Fleet:
-    """Return the fleet of a document."""
-    return schema.Fleet.model_validate(msgspec.json.decode(document))
+def install_document(document: bytes) -> directory.Directory:
+    """Return the directory of a document, as a daemon makes it."""
+    return directory.Directory(declarations.decode_fleet(document), 1)
 
 
 class CountingStore(store.MemoryStore):
--- a/passpier/tests/config/schema_tests.py
+++ b/passpier/tests/config/schema_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import pathlib
 
 import hypothesis
@@ -11,7 +12,7 @@
 from syrupy.assertion import SnapshotAssertion
 
 from passpier import exceptions
-from passpier.config import directory, loader, schema, settings
+from passpier.config import declarations, directory, loader, schema, settings
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / 'docs' / 'examples'
 BAD = """\
@@ -90,14 +91,25 @@
         assert error.findings
 
 
+def test_declarations_mirror_the_schema() -> None:
+    """What the daemon decodes has the fields of what was validated."""
+    for name in ('Model', 'Path', 'Service', 'Account', 'Upstream', 'Pool', 'Rule', 'Fleet'):
+        model = getattr(schema, name)
+        mirror = {f.name: f for f in dataclasses.fields(getattr(declarations, name))}
+        assert set(model.model_fields) == set(mirror)
+        for field_name, field in model.model_fields.items():
+            if not field.is_required():
+                assert mirror[field_name].default == field.default, field_name
+
+
 def test_longest_path_decides_what_is_repeatable() -> None:
-    service = schema.Service(
+    service = declarations.Service(
         name='s',
         kind='plain',
         pool='p',
         paths=(
-            schema.Path(path='/a', repeatable=False),
-            schema.Path(path='/a/b', repeatable=True),
+            declarations.Path(path='/a', repeatable=False),
+            declarations.Path(path='/a/b', repeatable=True),
         ),
     )
     asked = ['/', '/a', '/a/c', '/a/b', '/a/b/c', '/ab']
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -11,7 +11,7 @@
 
 from passpier import exceptions
 from passpier.clients import engines, web
-from passpier.config import schema
+from passpier.config import declarations
 from passpier.core import attempts, choice, replicas
 from passpier.daemon import calls, dispatcher, metrics, upstreams
 from passpier.tests import virtual
@@ -32,8 +32,8 @@
 
 
 def make_call(id: str, deadline_ms: int = 20_000) -> calls.Call:
-    account = schema.Account(name='a', key_digests=())
-    service = schema.Service(name='s', model='m', pool='p', deadline_ms=deadline_ms)
+    account = declarations.Account(name='a', key_digests=())
+    service = declarations.Service(name='s', model='m', pool='p', deadline_ms=deadline_ms)
     call = calls.Call(id, account, service, '', 'cost', time.monotonic(), attempts.Life(True))
     call.job = choice.Job([], 64, 1000)
     return call
--- a/passpier/tests/daemon/once_tests.py
+++ b/passpier/tests/daemon/once_tests.py
@@ -17,13 +17,13 @@
 
 from passpier import exceptions
 from passpier.clients import store
-from passpier.config import schema
+from passpier.config import declarations
 from passpier.core import attempts, claims, members
 from passpier.daemon import answers, calls, intake, messages, once, peers
 from passpier.tests import fakes, virtual
 
-ACCOUNT = schema.Account(name='acme', key_digests=())
-SERVICE = schema.Service(name='acks', kind='plain', pool='p', repeatable=False)
+ACCOUNT = declarations.Account(name='acme', key_digests=())
+SERVICE = declarations.Service(name='acks', kind='plain', pool='p', repeatable=False)
 
 
 def make_call(key: str, id: str) -> calls.Call:
--- a/passpier/tests/daemon/storage_tests.py
+++ b/passpier/tests/daemon/storage_tests.py
@@ -80,7 +80,7 @@
         for _ in range(40):
             await asyncio.sleep(0.01)
             try:
-                found = await mine.read_revision(holder.number)
+                found = await mine.read_revision(holder.current)
             except exceptions.StoreError:
                 continue
             if found is not None:
@@ -90,7 +90,7 @@
     shared.loss = loss
     await asyncio.gather(*(operate(n) for n in range(operators)), follow())
     shared.loss = 0.0
-    final = await storage.Storage(shared, 10, rng).read_revision(0)
+    final = await storage.Storage(shared, 10, rng).read_revision(None)
     if accepted:
         assert final is not None
         assert final.index.revision >= max(accepted)
@@ -119,10 +119,10 @@
         accepted = await mine.accept_revision(document, 0, 'n')
         assert isinstance(accepted, revisions.Revision)
         assert max(len(v.data) for v in await shared.read('/passpier/')) < 1_000_000
-        found = await mine.read_revision(0)
+        found = await mine.read_revision(None)
         assert found is not None
         assert found.document == document
-        assert await mine.read_revision(1) is None
+        assert await mine.read_revision(found) is None
 
     virtual.run(run())
 
@@ -132,16 +132,34 @@
     holder = revisions.Holder()
     for number in numbers:
         before = holder.number
-        holder.install(revisions.Revision(revisions.Index(number, (), '', 0), b''))
+        holder.install(revisions.Revision(revisions.Index(number, (), '', 0), {}))
         assert holder.number == max(before, number)
 
 
 def test_a_damaged_document_is_not_joined() -> None:
-    parts = revisions.split_document(b'abc')
-    index = revisions.Index(1, tuple(parts), '', 0)
-    assert revisions.join_document(index, parts) == b'abc'
-    assert revisions.join_document(index, dict.fromkeys(parts, b'abd')) is None
-    assert revisions.join_document(index, {}) is None
+    chunks = {revisions.hash_chunk(c): c for c in revisions.split_document(b'abc')}
+    index = revisions.Index(1, tuple(chunks), '', 0)
+    built = revisions.build_revision(index, chunks)
+    assert built is not None
+    assert built.document == b'abc'
+    assert revisions.build_revision(index, dict.fromkeys(chunks, b'abd')) is None
+    assert revisions.build_revision(index, {}) is None
+
+
+@hypothesis.given(st.lists(st.sampled_from([b'},{', b'a', b'"n":1', b'{']), max_size=200))
+def test_chunks_make_the_document_again(parts: list[bytes]) -> None:
+    document = b''.join(parts)
+    assert b''.join(revisions.split_document(document)) == document
+
+
+def test_a_change_of_one_account_changes_two_chunks_at_most() -> None:
+    items = [f'"name":"account-{n}","limit":{n % 7}'.encode() for n in range(5000)]
+    before = set(revisions.split_document(b'},{'.join(items)))
+    items[2500] += b',"weight":2'
+    items.insert(100, b'"name":"newcomer"')
+    after = set(revisions.split_document(b'},{'.join(items)))
+    assert len(before) > 20
+    assert len(after - before) <= 4
 
 
 def test_the_placement_lease_is_held_by_one() -> None:
