--- a/passpier/standins/bench.py
+++ b/passpier/standins/bench.py
@@ -29,6 +29,9 @@
 POLICIES = ('cost', 'round_robin', 'least_load', 'prefix_hash')
 ACCOUNTS = ('tower', 'district', 'coop', 'greedy')
 ENGINE_FLAGS = ('--cache-blocks', '1100', '--prefill-rate', '40000', '--decode-ms', '4')
+COST_ONLY = frozenset({'not_greedy', 'no_events'})
+"""Scenarios that are compared with another one, not with other policies."""
+
 CALLER_PATIENCE = 12.0
 """Seconds after which a caller gives a request up."""
 
@@ -43,6 +46,7 @@
     objective: str = 'first_token'
     actions: tuple[tuple[float, Action], ...] = ()
     setup: Action | None = None
+    daemon_flags: tuple[str, ...] = ()
 
 
 def restart_engine(fleet: fleets.Fleet) -> None:
@@ -78,6 +82,9 @@
     ),
     'greedy': Scenario(lambda rng: workloads.make_greedy(rng, 25, SECONDS, 120)),
     'not_greedy': Scenario(lambda rng: workloads.make_greedy(rng, 25, SECONDS, 0.001)),
+    'no_events': Scenario(
+        lambda rng: workloads.make_radar(rng, 60, SECONDS), daemon_flags=('--events', 'none')
+    ),
     'smoke': Scenario(lambda rng: workloads.make_radar(rng, 15, 2.0)),
 }
 
@@ -285,7 +292,7 @@
         for seed in range(1, arguments.seeds + 1)
         for scenario in arguments.scenarios
         for policy in arguments.policies.split(',')
-        if scenario != 'not_greedy' or policy == 'cost'
+        if policy == 'cost' or scenario not in COST_ONLY
     ]
     with concurrent.futures.ThreadPoolExecutor(arguments.parallel) as pool:
         for line in pool.map(lambda run: run_apart(*run), runs):
--- a/passpier/standins/slopes.py
+++ b/passpier/standins/slopes.py
@@ -10,6 +10,7 @@
 import statistics
 import time
 import tracemalloc
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -119,6 +120,7 @@
     """Memory of a block in view, and of an account's share and an idempotency key."""
     rng = random.Random(3)
     show('view_memory', bytes_a_block=measure_bytes(lambda n: fill_view(rng, n), 100_000))
+    show('account_memory', bytes_an_account=measure_bytes(build_directory, 5_000))
     show('share_memory', bytes_an_account=measure_bytes(fill_shares, 5_000))
 
 
@@ -145,6 +147,11 @@
     return cache
 
 
+def build_directory(count: int) -> directory.Directory:
+    """Return the directory of a configuration with `count` accounts."""
+    return install_document(build_document(count))
+
+
 def fill_shares(count: int) -> shares.ShareBook:
     """Return a book with `count` accounts in use; the limits themselves are counted."""
     limits = {f'account-{n}': shares.Limit(16, 100_000) for n in range(count)}
@@ -314,10 +321,19 @@
             store_calls=calls,
             store_bytes=size,
             chunks=len(revisions.split_document(document)),
+            bytes_of_one_change=measure_change(document),
             install_ms=round(parse_us / 1000, 1),
         )
 
 
+def measure_change(document: bytes) -> int:
+    """Return the compressed bytes of the chunks that a change of one account changes."""
+    before = set(revisions.split_document(document))
+    after = document.replace(b'"concurrency":16', b'"concurrency":17', 1)
+    changed = [c for c in revisions.split_document(after) if c not in before]
+    return sum(len(zlib.compress(c, 1)) for c in changed)
+
+
 def build_document(accounts: int) -> bytes:
     """Return a configuration of that many accounts."""
     fleet = schema.Fleet(
@@ -412,7 +428,24 @@
         show('daemon_throughput', requests_a_second=round(len(load) / seconds), at_once=16)
 
 
-async def time_calls(address: str, at_once: int, count: int) -> list[float]:
+def measure_relay() -> None:
+    """Processor time of a daemon for each streamed token and each request."""
+    flags = ['--decode-ms', '2', '--prefill-rate', '100000000', '--slots', '200']
+    with fleets.run_fleet(daemons=1, engines=4, services=0, engine_flags=flags) as fleet:
+        daemon = fleet.daemons[0]
+        spent = []
+        for tokens, count in ((1, 400), (401, 40)):
+            before = read_process(daemon)[0]
+            asyncio.run(time_calls(daemon.entry, 8, count, tokens))
+            spent.append((read_process(daemon)[0] - before) / count)
+        show(
+            'relay',
+            us_a_request=round(spent[0] * 1e6),
+            us_a_token=round((spent[1] - spent[0]) / 400 * 1e6, 1),
+        )
+
+
+async def time_calls(address: str, at_once: int, count: int, tokens: int = 1) -> list[float]:
     """Return the seconds that whole answers took."""
     client = web.Client()
     left = list(range(count))
@@ -421,7 +454,12 @@
     async def work() -> None:
         while left:
             number = left.pop()
-            body = {'model': 'flag', 'prompt': f'q {number}' * 20, 'max_tokens': 1, 'stream': True}
+            body = {
+                'model': 'flag',
+                'prompt': f'q {number}' * 20,
+                'max_tokens': tokens,
+                'stream': True,
+            }
             began = time.perf_counter()
             await client.fetch(
                 'POST',
@@ -485,6 +523,7 @@
     measure_configuration()
     measure_claims()
     measure_daemon()
+    measure_relay()
     measure_idle()
 
 
--- a/passpier/tests/fakes.py
+++ b/passpier/tests/fakes.py
@@ -39,15 +39,20 @@
         """Write; the answer may be lost before or after the effect, or the effect come late."""
         await self._pass()
         if self.rng.random() < self.loss / 2:
-            late = super().write(operations, conditions)
             delay = self.rng.uniform(0.01, 0.3)
-            asyncio.get_running_loop().call_later(delay, asyncio.ensure_future, late)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._write_late, operations, conditions)
             raise exceptions.StoreError('no answer')
         self.writes += 1
         done = await super().write(operations, conditions)
         await self._pass()
         return done
 
+    def _write_late(
+        self, operations: Sequence[store.Put | store.Delete], conditions: Sequence[store.IsAt]
+    ) -> None:
+        asyncio.ensure_future(super().write(operations, conditions))
+
     async def _pass(self) -> None:
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
         if self.down or self.rng.random() < self.loss:
