Fair queue by accounts first; room of its own for each daemon; steadier home of a family

Strict priorities came before accounts, and engines, which honour priorities strictly, starved less urgent work a second time. Causes: a preamble that was only known of other replicas drew prompts away from their home, and noise in learnt prefill rates did.

--- a/passpier/core/choice.py
+++ b/passpier/core/choice.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+import statistics
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -12,13 +13,16 @@
 TIE_SECONDS = 0.002
 """Costs that differ by less count as equal."""
 
+RATE_TOLERANCE = 2.0
+"""Factor within which a replica's learnt prefill rate counts as the pool's."""
+
 FAMILY_BLOCKS = 2
 """Blocks behind the service's preamble that name a prompt's family."""
 
-REUSE_WEIGHT = {'first_token': 2.0, 'reuse': 3.0}
+REUSE_WEIGHT = {'first_token': 3.0, 'reuse': 4.0}
 """What a second of computing what another replica holds costs against a second of waiting."""
 
-HOME_WEIGHT = {'first_token': 1.0, 'reuse': 1.5}
+HOME_WEIGHT = {'first_token': 2.5, 'reuse': 4.0}
 """What a second of computing costs extra at the replica that ranks last for the family."""
 
 
@@ -135,14 +139,20 @@
 
 
 def estimate(
-    job: Job, replica: replicas.Replica, match: view.Match, duplicated: int, rank: float, now: float
+    job: Job,
+    replica: replicas.Replica,
+    match: view.Match,
+    rate: float,
+    duplicated: int,
+    rank: float,
+    now: float,
 ) -> Candidate:
     """Return a replica's cost terms for a job.
 
-    `duplicated` are the tokens to compute here that another replica holds; `rank` is the
-    replica's place in the rendezvous order of the family, from 0 (first) to 1 (last).
+    `rate` is in seconds a token; `duplicated` are the tokens to compute here that another replica
+    holds; `rank` is the replica's place in the rendezvous order of the family, from 0 (first) to
+    1 (last).
     """
-    rate = replica.seconds_per_token
     matched = match.blocks * job.block_tokens
     miss = max(0.0, job.prompt_tokens - matched * match.confidence)
     over = max(0, replicas.estimate_running(replica, now) + 1 - replica.slots)
@@ -158,15 +168,35 @@
 ) -> list[Candidate]:
     """Return the cost terms of all replicas of a pool."""
     matches = [cache.match(replica.name, job.chain, now) for replica in pool]
+    # Every replica soon holds the preamble, so that its copies are no duplication.
+    shared = job.preamble_blocks
     most = max((m.blocks for m in matches), default=0)
     order = rendezvous.rank_names(get_family(job), [r.name for r in pool])
     ranks = {name: place / max(1, len(order) - 1) for place, name in enumerate(order)}
+    usual = statistics.median(r.seconds_per_token for r in pool) if pool else 0.0
     return [
-        estimate(job, r, m, (most - m.blocks) * job.block_tokens, ranks[r.name], now)
+        estimate(
+            job,
+            r,
+            m,
+            get_rate(r, usual),
+            (max(most, shared) - max(m.blocks, shared)) * job.block_tokens,
+            ranks[r.name],
+            now,
+        )
         for r, m in zip(pool, matches, strict=True)
     ]
 
 
+def get_rate(replica: replicas.Replica, usual: float) -> float:
+    """Return a replica's prefill time a token: the pool's usual one unless it is far from it.
+
+    Small differences are noise of the learning, and would draw prompts away from their homes.
+    """
+    own = replica.seconds_per_token
+    return usual if usual / RATE_TOLERANCE < own < usual * RATE_TOLERANCE else own
+
+
 def choose(
     job: Job,
     pool: Sequence[replicas.Replica],
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -13,6 +13,9 @@
 SMALL_WORK = 512
 """Tokens below which the time to the first token says little of the prefill rate."""
 
+ROOM_SECONDS = 0.1
+"""Seconds of prefill that may wait at a replica; what is behind it stays in our fair queue."""
+
 QUEUE_PER_SLOT = 0.5
 """Requests that may wait at a replica for each of its slots."""
 
@@ -128,12 +131,23 @@
     return tuple(pending)
 
 
-def has_room(replica: Replica, now: float) -> bool:
-    """Return whether another request would start soon enough to be sent now."""
+def is_open(replica: Replica, now: float) -> bool:
+    """Return whether a replica takes another request at all."""
     bound = replica.slots + max(1, int(replica.slots * QUEUE_PER_SLOT))
     return estimate_running(replica, now) < bound
 
 
+def has_room(replica: Replica, now: float) -> bool:
+    """Return whether another request would start soon enough to be sent now."""
+    if not is_open(replica, now):
+        return False
+    # Every daemon has a part of the room to itself: whoever has a request there hears first when
+    # one ends, and would take all the room as long as its queue lasts.
+    sharers = 1 + sum(p.running > 0 for p in _list_peers(replica, now))
+    own = sum(count_pending(replica, now)) * replica.seconds_per_token
+    return own < ROOM_SECONDS / sharers
+
+
 def begin_dispatch(
     replica: Replica, attempt: str, tokens: int, now: float, priority: int = 1
 ) -> None:
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -111,6 +111,10 @@
         """Return the logged decisions of a request as JSON."""
         return self._decisions.get(request, [])
 
+    def has_waiting(self, call: calls.Call) -> bool:
+        """Return whether the account of a call has more work waiting for the same pool."""
+        return self._pools[call.service.pool].queue.has_waiting(call.account.name)
+
     def count_queued(self) -> int:
         """Return how many calls wait."""
         return sum(len(pool.queue) for pool in self._pools.values())
@@ -135,9 +139,12 @@
             )
             self._log_refusal(call, refusal)
             return expression.Error(refusal)
-        room = [r for r in usable if replicas.has_room(r, now)]
+        if not any(replicas.has_room(r, now) for r in usable):
+            return None
+        # While the pool has room, a busy replica that holds the prefix may still be the best.
+        open_ones = [r for r in usable if replicas.is_open(r, now)]
         chosen = choice.choose(
-            call.job, room, self._upstreams.cache, self._policies[call.policy], now
+            call.job, open_ones, self._upstreams.cache, self._policies[call.policy], now
         )
         if chosen is None:
             return None
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -26,6 +26,12 @@
 RESUME_TIMEOUT = 1.0
 """Seconds that an engine has to take up a stream again."""
 
+PRIORITY_STEP_MS = 250
+"""Milliseconds by which a request overtakes those of the next lower urgency."""
+
+QUEUED_STEP_MS = 1000
+"""Milliseconds by which it goes after accounts that have nothing waiting, if its own has."""
+
 TOKEN_TIMEOUT = 2.0
 """Seconds between two tokens after which a stream counts as cut."""
 
@@ -162,7 +168,7 @@
             model=call.service.adapter or call.service.model,
             stream=True,
             cache_salt=call.account.name,
-            priority=call.service.priority,
+            priority=self._compute_priority(),
             max_tokens=call.max_tokens - len(self._text),
         )
         if self._text:
@@ -175,6 +181,17 @@
                 body['prompt'] = body['prompt'] + text
         return body
 
+    def _compute_priority(self) -> int:
+        """Return the engine's priority number: lower goes first.
+
+        It ages: a less urgent request is overtaken only by what is sent shortly after it, or one
+        service's flood would keep it waiting at the engine for good.
+        """
+        number = int(time.time() * 1000) + self._call.service.priority * PRIORITY_STEP_MS
+        if self._owner.dispatcher.has_waiting(self._call):
+            number += QUEUED_STEP_MS
+        return number
+
     async def _check_head(self, exchange: web.Exchange) -> None:
         assert self._placement is not None
         replica = self._placement.replica
--- a/passpier/tests/core/admission_tests.py
+++ b/passpier/tests/core/admission_tests.py
@@ -66,6 +66,26 @@
     assert queue.count_ahead('modest', 1, 1, 1000) < queue.count_ahead('greedy', 1, 1, 1000) / 10
 
 
+def test_urgent_floods_do_not_starve_other_accounts() -> None:
+    """First version: priorities came before accounts, so a flood of urgent work stopped others."""
+    queue: admission.FairQueue[int] = admission.FairQueue()
+    for number in range(500):
+        queue.put(make_ticket(number, 'greedy', 0, 1000))
+    for number in range(5):
+        queue.put(make_ticket(9000 + number, 'modest', 3, 1000))
+    order = [ticket.account for _ in range(20) if (ticket := queue.take())]
+    assert order.count('modest') == 5
+
+
+def test_urgent_work_goes_first_within_a_round() -> None:
+    queue: admission.FairQueue[int] = admission.FairQueue()
+    queue.put(make_ticket(1, 'a', 2, 1000))
+    queue.put(make_ticket(2, 'b', 0, 1000))
+    first = queue.take()
+    assert first is not None
+    assert first.item == 2
+
+
 def test_weights_divide_the_work() -> None:
     queue: admission.FairQueue[int] = admission.FairQueue()
     for number in range(300):
