Test of patience by objective: the threshold itself instead of one backlog

The weights moved, so one fixed backlog no longer lay between the two objectives. The test now finds the backlog up to which each waits and asserts their order, for every weight.

--- a/passpier/tests/core/choice_tests.py
+++ b/passpier/tests/core/choice_tests.py
@@ -45,15 +45,19 @@
     assert choose(pool, cache).name != other.name
 
 
-def test_reuse_waits_longer_for_a_cached_prefix_than_first_token() -> None:
-    picked = {}
-    for objective in ('first_token', 'reuse'):
+def find_patience(objective: str) -> int:
+    """Return the tokens ahead up to which a cached prefix is waited for."""
+    for tokens in range(1000, 200_000, 1000):
         pool, cache = make_pool()
         cache.add('r1', 'i', CHAIN, view.Evidence.ANSWER, 1.0)
-        replicas.begin_dispatch(pool[1], 'a', 9_000, 1.0)
-        picked[objective] = choose(pool, cache, objective=objective).name
-    assert picked['reuse'] == 'r1'
-    assert picked['first_token'] != 'r1'
+        replicas.begin_dispatch(pool[1], 'a', tokens, 1.0)
+        if choose(pool, cache, objective=objective).name != 'r1':
+            return tokens
+    raise AssertionError('it is waited for without end')
+
+
+def test_reuse_waits_longer_for_a_cached_prefix_than_first_token() -> None:
+    assert 2_000 < find_patience('first_token') < find_patience('reuse')
 
 
 def test_a_hot_prefix_widens_and_narrows_again() -> None:
