--- a/passpier/tests/config/schema_tests.py
+++ b/passpier/tests/config/schema_tests.py
@@ -136,3 +136,12 @@
     with pytest.raises(exceptions.FindingsError) as caught:
         settings.load_settings(['--name', 'vm-1', '--caller-port', '70000', '--store', 'x'])
     assert [str(f) for f in caught.value.findings] == snapshot
+
+
+def test_every_setting_is_documented() -> None:
+    page = (EXAMPLES.parent / 'user-guide' / 'settings.md').read_text()
+    for name, field in settings.Settings.model_fields.items():
+        row = next(line for line in page.splitlines() if f'`PASSPIER_{name.upper()}`' in line)
+        assert f'`--{name.replace("_", "-")}`' in row
+        if not field.is_required() and field.default not in ((), None):
+            assert f'| {field.default} |' in row
