--- a/passpier/standins/engine.py
+++ b/passpier/standins/engine.py
@@ -8,216 +8,23 @@
 
 import argparse
 import asyncio
-import collections
-import dataclasses
-import heapq
 import json
 import os
-import time
 from typing import Any
 
 import tornado.iostream
-import xxhash
 import zmq
 import zmq.asyncio
 
-from passpier.clients import kvevents
 from passpier.core import blocks
 from passpier.standins import cache as block_cache
-from passpier.standins import common
-
-RETENTION = 10.0
-"""Seconds for which a cut stream can be resumed."""
-
-
-@dataclasses.dataclass
-class Stream:
-    """One generation: its pieces so far, and who waits for more."""
-
-    id: str
-    prompt: bytes
-    raw: bytes
-    salt: str
-    max_tokens: int
-    priority: int
-    chain: list[int]
-    cached: int = 0
-    pieces: list[str] = dataclasses.field(default_factory=list)
-    done: bool = False
-    cancelled: bool = False
-    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-
-    def wake(self) -> None:
-        """Tell the readers that there is more."""
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
-class Engine:
-    """Scheduler, cache and counters of one engine incarnation."""
-
-    def __init__(self, arguments: argparse.Namespace, faults: common.Faults) -> None:
-        self.arguments = arguments
-        self.faults = faults
-        self.version: str = arguments.weight_version
-        self.fence = 0
-        self.role = 'serve'
-        self.leaving = False
-        self.loading = False
-        self.runs: collections.Counter[str] = collections.Counter()
-        self.totals: collections.Counter[str] = collections.Counter()
-        self.orders: list[dict[str, Any]] = []
-        self.reports: collections.deque[tuple[float, dict[str, Any]]] = collections.deque()
-        self.sequence = 0
-        self.history: collections.deque[tuple[int, bytes, bytes]] = collections.deque(maxlen=4096)
-        self.reset()
-
-    def reset(self) -> None:
-        """Start a new incarnation with an empty cache."""
-        self.incarnation = os.urandom(6).hex()
-        self.cache = block_cache.BlockCache(
-            self.arguments.cache_blocks, self.arguments.block_tokens
-        )
-        for stream in getattr(self, 'streams', {}).values():
-            stream.cancelled = True
-            stream.wake()
-        self.streams: dict[str, Stream] = {}
-        self.waiting: list[tuple[int, float, Stream]] = []
-        self.running = 0
-        self.backlog = 0
-        self.arrived = asyncio.Event()
-
-    def submit(self, stream: Stream) -> None:
-        """Queue a generation."""
-        self.streams[stream.id] = stream
-        self.runs[stream.id] += 1
-        self.backlog += blocks.count_tokens(stream.prompt)
-        heapq.heappush(self.waiting, (stream.priority, time.monotonic(), stream))
-        self.arrived.set()
-
-    async def schedule(self) -> None:
-        """Prefill one prompt at a time while a slot is free."""
-        while True:
-            if not self.waiting or self.running >= self.arguments.slots or self.faults.frozen:
-                self.arrived.clear()
-                try:
-                    await asyncio.wait_for(self.arrived.wait(), 0.05)
-                except TimeoutError:
-                    continue
-                continue
-            _, _, stream = heapq.heappop(self.waiting)
-            self.backlog -= blocks.count_tokens(stream.prompt)
-            if stream.cancelled:
-                continue
-            incarnation = self.incarnation
-            await self.prefill(stream)
-            if incarnation == self.incarnation and not stream.cancelled:
-                self.running += 1
-                asyncio.get_running_loop().create_task(self.decode(stream, incarnation))
-
-    async def prefill(self, stream: Stream) -> None:
-        """Compute what the cache lacks."""
-        stream.cached = self.cache.count_cached(stream.chain)
-        cached_tokens = stream.cached * self.arguments.block_tokens
-        tokens = blocks.count_tokens(stream.prompt)
-        self.totals['prompt_tokens'] += tokens
-        self.totals['cached_tokens'] += cached_tokens
-        await asyncio.sleep((tokens - cached_tokens) / self.arguments.prefill_rate)
-        if stream.id in self.streams:
-            self.cache.store(stream.chain, stream.cached, stream.prompt, stream.salt)
-
-    async def decode(self, stream: Stream, incarnation: str) -> None:
-        """Emit one piece a step."""
-        state = xxhash.xxh64(stream.raw)
-        while len(stream.pieces) < stream.max_tokens and not stream.cancelled:
-            piece = f' {state.intdigest() % 4096:03x}'
-            state.update(piece.encode())
-            stream.pieces.append(piece)
-            stream.wake()
-            await asyncio.sleep(self.arguments.decode_ms / 1000 * (1 + 0.05 * self.running))
-            while self.faults.frozen:
-                await asyncio.sleep(0.01)
-        stream.done = not stream.cancelled
-        stream.wake()
-        if incarnation == self.incarnation:
-            self.running -= 1
-            self.arrived.set()
-            loop = asyncio.get_running_loop()
-            loop.call_later(RETENTION, self.streams.pop, stream.id, None)
-
-    async def finish_running(self) -> None:
-        """Take no more requests and wait for those that run."""
-        self.loading = True
-        while any(not s.done and not s.cancelled for s in self.streams.values()):
-            await asyncio.sleep(0.01)
-
-    def describe(self) -> dict[str, Any]:
-        """Return the load as it is now."""
-        return {
-            'incarnation': self.incarnation,
-            'weight_version': self.version,
-            'model': self.arguments.model,
-            'running': self.running,
-            'waiting': len(self.waiting),
-            'backlog': self.backlog,
-            'slots': self.arguments.slots,
-            'capacity': self.arguments.cache_blocks,
-            'leaving': self.leaving,
-        }
-
-    async def sample(self) -> None:
-        """Keep load reports, so that they can be given late."""
-        while True:
-            self.reports.append((time.monotonic(), self.describe()))
-            while len(self.reports) > 2 and self.reports[1][0] <= self.get_horizon():
-                self.reports.popleft()
-            await asyncio.sleep(0.02)
-
-    def get_horizon(self) -> float:
-        """Return the time that reports speak of."""
-        return time.monotonic() - self.arguments.load_lag
-
-    def report(self) -> dict[str, Any]:
-        """Return the load as it was a lag ago; identity is always current."""
-        late = self.reports[0][1] if self.reports else self.describe()
-        current = self.describe()
-        return {**late, **{k: current[k] for k in ('incarnation', 'weight_version', 'leaving')}}
-
-    async def publish(self, publisher: zmq.asyncio.Socket) -> None:
-        """Publish cache events, late and with gaps as the faults say."""
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(0.02)
-            events = self.cache.take_events()
-            if not events:
-                continue
-            payload = kvevents.encode_batch(kvevents.Batch(time.time(), events))
-            topic = kvevents.build_topic(self.incarnation, self.arguments.model)
-            self.history.append((self.sequence, topic, payload))
-            frames = [topic, self.sequence.to_bytes(8, 'big'), payload]
-            self.sequence += 1
-            if self.sequence % 100 < float(self.faults.options.get('gap_percent', 0)):
-                continue
-            lag = float(self.faults.options.get('event_lag', 0.0))
-            loop.call_later(lag, publisher.send_multipart, frames)
-
-    async def replay(self, router: zmq.asyncio.Socket) -> None:
-        """Answer requests for events from a sequence number on."""
-        while True:
-            frames = await router.recv_multipart()
-            start = int.from_bytes(frames[-1], 'big')
-            for sequence, _, payload in self.history:
-                if sequence >= start:
-                    await router.send_multipart(
-                        [frames[0], b'', sequence.to_bytes(8, 'big'), payload]
-                    )
-            await router.send_multipart([frames[0], b'', kvevents.REPLAY_END, b''])
+from passpier.standins import common, scheduler
 
 
 class EngineHandler(common.Handler):
     """Base of the engine's calls."""
 
-    engine: Engine
+    engine: scheduler.Engine
 
     def set_report_headers(self) -> None:
         """Add identity and load, which cost the caller nothing extra."""
@@ -229,7 +36,7 @@
             'X-Engine-Load', f'{report["running"]},{report["waiting"]},{report["backlog"]}'
         )
 
-    async def send_pieces(self, stream: Stream, offset: int) -> None:
+    async def send_pieces(self, stream: scheduler.Stream, offset: int) -> None:
         """Stream pieces from `offset`, then usage and the end mark."""
         self.set_header('Content-Type', 'text/event-stream')
         self.set_report_headers()
@@ -251,7 +58,7 @@
         except tornado.iostream.StreamClosedError:
             return
 
-    async def _send_piece(self, stream: Stream, position: int) -> None:
+    async def _send_piece(self, stream: scheduler.Stream, position: int) -> None:
         options = self.faults.options
         if options.get('cut_at') == position:
             options['cut_at'] = None
@@ -269,7 +76,7 @@
         await self.flush()
 
     def _write_chunk(
-        self, stream: Stream, sequence: int, text: str, finish: str | None, id: str = ''
+        self, stream: scheduler.Stream, sequence: int, text: str, finish: str | None, id: str = ''
     ) -> None:
         choice: dict[str, Any] = {'index': 0, 'text': text, 'finish_reason': finish}
         if 'chat' in self.request.path or self.get_argument('chat', ''):
@@ -310,7 +117,7 @@
         self.engine.submit(stream)
         await self.send_pieces(stream, 0)
 
-    def _build_stream(self, body: dict[str, Any]) -> Stream:
+    def _build_stream(self, body: dict[str, Any]) -> scheduler.Stream:
         prompt = body.get('prompt')
         if prompt is None:
             prompt = render_chat(body['messages'], bool(body.get('continue_final_message')))
@@ -320,7 +127,7 @@
         arguments = self.engine.arguments
         scope = blocks.Scope(salt, arguments.model, self.engine.version, body.get('model', ''))
         chain = blocks.compute_chain(blocks.compute_root(scope), data, arguments.block_tokens)
-        return Stream(
+        return scheduler.Stream(
             self.request.headers.get('X-Request-Id') or os.urandom(8).hex(),
             data,
             raw,
@@ -437,7 +244,7 @@
 async def run(arguments: argparse.Namespace) -> None:
     """Serve until told to stop."""
     faults = common.Faults()
-    engine = Engine(arguments, faults)
+    engine = scheduler.Engine(arguments, faults)
     context = zmq.asyncio.Context()
     publisher = context.socket(zmq.PUB)
     router = context.socket(zmq.ROUTER)
--- a/passpier/tests/daemon/bench_tests.py
+++ b/passpier/tests/daemon/bench_tests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from passpier.standins import bench, slopes
+from passpier.standins import bench, microbenchmarks
 
 
 @pytest.mark.parametrize('policy', ['cost', 'prefix_hash'])
@@ -18,7 +18,7 @@
 
 
 def test_slopes_print_json(capsys: pytest.CaptureFixture[str]) -> None:
-    slopes.measure_spread()
-    slopes.measure_view()
+    microbenchmarks.measure_spread()
+    microbenchmarks.measure_view()
     lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
     assert {line['slope'] for line in lines} >= {'revision_spread', 'view_memory'}
