--- a/passpier/core/view.py
+++ b/passpier/core/view.py
@@ -21,11 +21,11 @@
 
 
 class Evidence(enum.Enum):
-    """Where an entry comes from; the value is its initial confidence."""
+    """Where an entry comes from; the value is the age, in seconds, at which it starts."""
 
-    ANSWER = 1.0
-    EVENT = 0.95
-    DISPATCH = 0.8
+    ANSWER = 0.0
+    EVENT = 20.0
+    DISPATCH = 100.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,7 +100,7 @@
         if holdings is None:
             return
         blocks = holdings.blocks
-        stamp = now if evidence is not Evidence.DISPATCH else now - HALF_LIFE / 3
+        stamp = now - evidence.value
         # Later blocks are marked older: engines evict the end of a chain before its beginning.
         for block in reversed(chain):
             previous = blocks.get(block)
--- a/passpier/daemon/epochs.py
+++ b/passpier/daemon/epochs.py
@@ -15,6 +15,9 @@
 PROPOSE_INTERVAL = 2.0
 """Seconds between looks at whether the epoch's holders are still right."""
 
+RETRY_SECONDS = 0.2
+"""Seconds after which a newcomer that is in no epoch yet looks again."""
+
 SMALL_FLEET = 16
 """Daemons up to which a newcomer may write the next epoch itself."""
 
@@ -80,7 +83,14 @@
         epoch, at = await self._storage.read_epoch()
         if epoch is not None:
             self.install(epoch)
-        wanted = self._choose_holders(listed, epoch)
+        await self._write(epoch, at, self._choose_holders(listed, epoch))
+        if self._is_newcomer():
+            # Another newcomer was quicker, or this one was not listed yet.
+            asyncio.get_running_loop().call_later(RETRY_SECONDS, self._hurry.set)
+
+    async def _write(
+        self, epoch: storage.EpochRecord | None, at: int, wanted: dict[str, storage.Seat]
+    ) -> None:
         if epoch is None or wanted != epoch.holders:
             record = storage.EpochRecord(epoch.number + 1 if epoch else 1, wanted)
             if await self._storage.write_epoch(record, at):
--- a/passpier/daemon/limits.py
+++ b/passpier/daemon/limits.py
@@ -21,7 +21,7 @@
 BORROW_TIMEOUT = 0.25
 """Seconds to wait for a holder's answer."""
 
-FIRST_SHARE_SECONDS = 2.0
+FIRST_SHARE_SECONDS = 3.0
 """Seconds for which a daemon that has just started waits for its first share."""
 
 
@@ -56,8 +56,10 @@
 
     async def acquire(self, account: str) -> expression.Result[Unit, exceptions.Failure]:
         """Return a unit, or the refusal; a daemon that has just started waits for its first."""
+        # Looked at before the try: the first share may come while a peer is being asked.
+        started = not self._settled.is_set()
         result = await self._try_acquire(account)
-        if result.is_ok() or self._settled.is_set():
+        if result.is_ok() or not started:
             return result
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._settled.wait(), FIRST_SHARE_SECONDS)
--- /dev/null
+++ b/passpier/tests/daemon/events_tests.py
@@ -0,0 +1,51 @@
+"""Cache events, where they are taken: what one daemon brought is seen by another."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from passpier.clients import kvevents
+from passpier.standins import fleets, processes
+
+
+@pytest.fixture(scope='module')
+def fleet() -> Iterator[fleets.Fleet]:
+    with fleets.run_fleet(daemon_flags=['--events', 'all']) as started:
+        yield started
+
+
+def count_view(fleet: fleets.Fleet) -> float:
+    """Return the blocks in view of the second daemon."""
+    page = processes.call('GET', f'http://{fleet.daemons[1].entry}/metrics')[2].decode()
+    lines = [line for line in page.splitlines() if line.startswith('passpier_view_blocks')]
+    return float(lines[-1].split()[-1]) if lines else 0.0
+
+
+@pytest.mark.parametrize('gap_percent', [0, 40])
+def test_blocks_are_known_from_events(fleet: fleets.Fleet, gap_percent: int) -> None:
+    """Also when a part of the events is lost and comes by replay only.
+
+    The second daemon is sent nothing after its warm-up, so that it can know of events only.
+    """
+    for engine in fleet.engines:
+        engine.set_faults(gap_percent=gap_percent)
+    for number in range(4):
+        assert fleet.complete(1, f'warm {gap_percent} {number} ' * 40).whole
+    before = count_view(fleet)
+    for number in range(12):
+        prefix = ' '.join(f'{gap_percent}.{number} farm {n}' for n in range(120))
+        assert fleet.complete(0, prefix).whole
+    processes.wait_until(lambda: count_view(fleet) >= before + 12 * 4, 'blocks are known', 10)
+
+
+def test_topics_and_batches() -> None:
+    topic = kvevents.build_topic('boot', 'm')
+    assert kvevents.parse_topic(topic) == ('boot', 'm')
+    assert kvevents.parse_topic(b'other') == ('', '')
+    batch = kvevents.Batch(1.0, [kvevents.BlockRemoved([1]), kvevents.AllBlocksCleared()])
+    assert kvevents.decode_batch(kvevents.encode_batch(batch)) == batch
+    stored = kvevents.BlockStored([1], None, [1, 2], 2, extra_keys=[['acme']])
+    again = kvevents.decode_batch(kvevents.encode_batch(kvevents.Batch(1.0, [stored])))
+    assert again.events == [stored]
