--- a/passpier/core/choice.py
+++ b/passpier/core/choice.py
@@ -64,6 +64,11 @@
     candidates: tuple[Candidate, ...]
     miss_tokens: int
 
+    @property
+    def winner(self) -> Candidate:
+        """The chosen replica's cost terms."""
+        return next(c for c in self.candidates if c.name == self.name)
+
 
 class Policy(Protocol):
     """A way of choosing among candidates."""
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -314,8 +314,7 @@
         replicas.note_usage(replica, prompt_tokens, cached_tokens)
         self._owner.upstreams.ejector.note_success(replica.name)
         job = self._call.job
-        chosen = self._placement.choice
-        matched = next(c.matched_tokens for c in chosen.candidates if c.name == chosen.name)
+        matched = self._placement.choice.winner.matched_tokens
         self._owner.upstreams.cache.correct(
             replica.name,
             f'{replica.incarnation}/{replica.weight_version}',
@@ -334,8 +333,7 @@
 
     def _get_first_timeout(self) -> float:
         assert self._placement is not None
-        chosen = self._placement.choice
-        estimate = next(c.total for c in chosen.candidates if c.name == chosen.name)
+        estimate = self._placement.choice.winner.total
         return max(FIRST_TOKEN_MIN, FIRST_TOKEN_FACTOR * estimate)
 
     async def _recover(self, error: _AttemptError) -> None:
