--- a/passpier/core/attempts.py
+++ b/passpier/core/attempts.py
@@ -64,6 +64,7 @@
     delivered: int = 0
     may_have_run: bool = False
     completed: bool = False
+    max_attempts: int = MAX_ATTEMPTS
 
     @property
     def outcome(self) -> exceptions.Outcome:
@@ -87,7 +88,7 @@
             # The same stream at the same engine is no second run, even of an unrepeatable request.
             self.resumes += 1
             return Step.RESUME
-        if self.attempts >= MAX_ATTEMPTS or not has_budget:
+        if self.attempts >= self.max_attempts or not has_budget:
             return Step.FAIL
         if not self.repeatable and (ran_before or self.may_have_run):
             return Step.FAIL
--- a/passpier/core/choice.py
+++ b/passpier/core/choice.py
@@ -36,6 +36,17 @@
     preamble_blocks: int = 0
     objective: str = 'first_token'
     priority: int = 1
+    ends: tuple[int, ...] = ()
+    """Tokens up to the end of each block, where blocks differ in size."""
+
+    family: str = ''
+    """What prompts that share a prefix have in common, if the request says so itself."""
+
+    def count_tokens(self, blocks: int) -> int:
+        """Return the tokens of the first `blocks` blocks."""
+        if not self.ends:
+            return blocks * self.block_tokens
+        return self.ends[blocks - 1] if blocks else 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,8 +149,8 @@
 
 def get_family(job: Job) -> str:
     """Return the key under which prompts that share a prefix are kept together."""
-    if not job.chain:
-        return ''
+    if job.family or not job.chain:
+        return job.family
     return str(job.chain[min(job.preamble_blocks + FAMILY_BLOCKS, len(job.chain) - 1)])
 
 
@@ -158,9 +169,11 @@
     holds; `rank` is the replica's place in the rendezvous order of the family, from 0 (first) to
     1 (last).
     """
-    matched = match.blocks * job.block_tokens
+    matched = job.count_tokens(match.blocks)
     miss = max(0.0, job.prompt_tokens - matched * match.confidence)
-    over = max(0, replicas.estimate_running(replica, now) + 1 - replica.slots)
+    running = replicas.estimate_running(replica, now)
+    # Without a prompt, how busy a replica is tells all that can be told of its speed.
+    over = max(0, running + 1 - replica.slots) if job.prompt_tokens else running
     slot_wait = over * replica.service_seconds / max(1, replica.slots)
     wait = replicas.estimate_backlog(replica, now, job.priority) * rate + slot_wait
     duplication = duplicated * rate * REUSE_WEIGHT[job.objective]
@@ -185,7 +198,7 @@
             r,
             m,
             get_rate(r, usual),
-            (max(most, shared) - max(m.blocks, shared)) * job.block_tokens,
+            job.count_tokens(max(most, shared)) - job.count_tokens(max(m.blocks, shared)),
             ranks[r.name],
             now,
         )
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -81,6 +81,11 @@
     seconds_per_token: float = DEFAULT_SECONDS_PER_TOKEN
     service_seconds: float = 0.2
     leaving_reasons: frozenset[str] = frozenset()
+    paused_until: float = float('-inf')
+    """Until when it takes no new requests, as while it loads weights."""
+
+    room_seconds: float = ROOM_SECONDS
+    """Seconds of prefill that may wait at this replica."""
 
     @property
     def leaving(self) -> bool:
@@ -133,6 +138,8 @@
 
 def is_open(replica: Replica, now: float) -> bool:
     """Return whether a replica takes another request at all."""
+    if now < replica.paused_until:
+        return False
     bound = replica.slots + max(1, int(replica.slots * QUEUE_PER_SLOT))
     return estimate_running(replica, now) < bound
 
@@ -145,7 +152,7 @@
     # one ends, and would take all the room as long as its queue lasts.
     sharers = 1 + sum(p.running > 0 for p in _list_peers(replica, now))
     own = sum(count_pending(replica, now)) * replica.seconds_per_token
-    return own < ROOM_SECONDS / sharers
+    return own < replica.room_seconds / sharers
 
 
 def begin_dispatch(
--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import random
 
@@ -14,6 +15,9 @@
 BUDGET_TRICKLE = 0.2
 """Retries earned each second, so that a quiet daemon can retry at all."""
 
+BUDGET_CAUTION = 0.8
+"""Part of a shared budget that is used: windows of others slide, and a restart forgets."""
+
 BACKOFF_BASE = 0.02
 BACKOFF_MAX = 1.0
 
@@ -45,3 +49,38 @@
     """Return the seconds to wait before a further attempt, the first retry being 1."""
     bound = min(BACKOFF_MAX, BACKOFF_BASE * 2 ** (attempt - 1))
     return rng.uniform(bound / 2, bound)
+
+
+class SharedBudget:
+    """One daemon's part of a budget of retries that all keep together without talking.
+
+    In each window, all daemons together may send `ratio` times their requests plus `slack` retries.
+    Each spends at most `ratio` times its own requests and its even part of the slack, so that the
+    sum holds whoever else is alive or in reach.
+    """
+
+    def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+        self._requests: collections.deque[float] = collections.deque()
+        self._spent: collections.deque[float] = collections.deque()
+
+    def note_request(self, now: float) -> None:
+        """Count a client's request."""
+        self._forget(now)
+        self._requests.append(now)
+
+    def spend(self, now: float, daemons: int) -> bool:
+        """Take one retry, if `daemons` daemons share the slack; return false if none is left."""
+        self._forget(now)
+        allowed = self._ratio * len(self._requests) + self._slack / max(1, daemons)
+        if len(self._spent) + 1 > allowed * BUDGET_CAUTION:
+            return False
+        self._spent.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        for times in (self._requests, self._spent):
+            while times and times[0] <= now - self._window:
+                times.popleft()
--- /dev/null
+++ b/passpier/core/rollout.py
@@ -0,0 +1,84 @@
+"""Which replicas are to load new weights next, and which may still be used with old ones."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+AT_ONCE = 2
+"""Replicas that load weights at the same time; the weight source serves no more at full rate."""
+
+ORDER_PATIENCE = 4.0
+"""Seconds after which an order without visible effect is given again."""
+
+OLD_WEIGHTS_MARGIN = 1.5
+"""Seconds before the bound at which a replica with old weights gets no more requests."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """A named version of a model's weights; `known_at` is when this daemon learnt of it."""
+
+    model: str
+    version: int
+    known_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """A replica's weights; `draining` ones are left as they are."""
+
+    id: str
+    versions: Mapping[str, int]
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """A replica that is to load a version of a model."""
+
+    replica: str
+    model: str
+    version: int
+
+
+class Rollout:
+    """The orders under way."""
+
+    def __init__(self) -> None:
+        self._open: dict[str, float] = {}
+
+    def choose(self, wanted: Iterable[Wanted], states: Iterable[State], now: float) -> list[Order]:
+        """Return the orders to give now and count them as under way."""
+        targets = {w.model: w.version for w in wanted}
+        missing = [
+            Order(s.id, model, targets[model])
+            for s in states
+            if not s.draining
+            for model, version in s.versions.items()
+            if version < targets.get(model, 0)
+        ]
+        self._open = {r: at for r, at in self._open.items() if now - at < ORDER_PATIENCE}
+        chosen = []
+        for order in missing:
+            if len(self._open) >= AT_ONCE:
+                break
+            if order.replica not in self._open:
+                self._open[order.replica] = now
+                chosen.append(order)
+        return chosen
+
+    def end(self, replica: str) -> None:
+        """Note that an order is carried out, or was not taken."""
+        self._open.pop(replica, None)
+
+    def reset(self) -> None:
+        """Forget all orders: another daemon gives them now."""
+        self._open.clear()
+
+
+def may_serve(version: int, wanted: Wanted | None, bound: float, now: float) -> bool:
+    """Return whether a replica with `version` may begin a request; `bound` is in seconds."""
+    if wanted is None or version >= wanted.version:
+        return True
+    return now < wanted.known_at + bound - OLD_WEIGHTS_MARGIN
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -9,13 +9,14 @@
 import random
 import time
 from collections.abc import Collection, Mapping
+from typing import Protocol
 
 import expression
 import msgspec
 
 from passpier import exceptions
-from passpier.core import admission, choice, replicas
-from passpier.daemon import calls, metrics, upstreams
+from passpier.core import admission, choice, replicas, view
+from passpier.daemon import calls, metrics
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +30,18 @@
 """Weight of a new sample in the measured drain rate."""
 
 
+class Pools(Protocol):
+    """The upstreams that calls are placed on."""
+
+    cache: view.CacheView
+
+    def get(self, name: str) -> replicas.Replica:
+        """Return a known upstream."""
+
+    def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
+        """Return the upstreams of a pool that take new work and serve the wanted weights."""
+
+
 @dataclasses.dataclass(slots=True)
 class Placement:
     """A call's place at a replica, until it is ended."""
@@ -60,9 +73,7 @@
 class Dispatcher:
     """Decides when and where each call goes."""
 
-    def __init__(
-        self, known: upstreams.Upstreams, counters: metrics.Metrics, rng: random.Random
-    ) -> None:
+    def __init__(self, known: Pools, counters: metrics.Metrics, rng: random.Random) -> None:
         self._upstreams = known
         self._counters = counters
         self._pools: dict[str, _Pool] = collections.defaultdict(_Pool)
@@ -148,7 +159,7 @@
         )
         if chosen is None:
             return None
-        replica = self._upstreams.replicas[chosen.name]
+        replica = self._upstreams.get(chosen.name)
         priority = call.service.priority
         replicas.begin_dispatch(replica, waiting.attempt, chosen.miss_tokens, now, priority)
         self._log_choice(call, waiting.attempt, chosen, now)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -159,6 +159,20 @@
     decisions: list[bytes]
 
 
+class Loading(Message, tag='lg'):
+    """A replica is about to load weights and should get nothing for so many seconds."""
+
+    replica: str
+    seconds: float
+
+
+class Loaded(Message, tag='ly'):
+    """A replica has a weight version, or was left as it was if `weight_version` is 0."""
+
+    replica: str
+    weight_version: int
+
+
 AnyMessage = (
     Heartbeat
     | MembersWanted
@@ -182,6 +196,8 @@
     | Forwarded
     | ExplainWanted
     | Explained
+    | Loading
+    | Loaded
 )
 
 
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -21,6 +21,12 @@
             registry=registry,
             buckets=list(SECONDS_BUCKETS),
         )
+        self.answer_seconds = aioprometheus.Histogram(
+            'passpier_answer_seconds',
+            'Time from a whole request to the end of its answer, by status.',
+            registry=registry,
+            buckets=list(SECONDS_BUCKETS),
+        )
         self.token_gap = aioprometheus.Histogram(
             'passpier_token_gap_seconds',
             'Time between tokens, by service.',
--- a/passpier/daemon/upstreams.py
+++ b/passpier/daemon/upstreams.py
@@ -81,6 +81,10 @@
         """Return whether an upstream is a model engine."""
         return bool(self._models.get(name))
 
+    def get(self, name: str) -> replicas.Replica:
+        """Return a known upstream."""
+        return self.replicas[name]
+
     def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
         """Return the upstreams of a pool that take new work and serve the wanted weights."""
         now = time.monotonic()
--- /dev/null
+++ b/passpier/platform/dialect.py
@@ -0,0 +1,219 @@
+"""Requests, answers, reports and orders on the platform's wire, as the router's own types."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Sequence
+
+import msgspec
+import tornado.httputil
+
+from passpier import exceptions
+from passpier.clients import exchanges
+from passpier.core import catalogue, prompts, routes
+from passpier.platform import names, records
+from passpier.routing import dialect
+
+log = logging.getLogger(__name__)
+
+REPORT_TIMEOUT = 0.5
+"""Seconds; a report takes no slot and comes in milliseconds."""
+
+ORDER_TIMEOUT = 1.0
+"""Seconds after which an order counts as unanswered."""
+
+MODE = 'keep'
+"""What becomes of running requests when weights change: they go on."""
+
+_PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a client that the request has not run and never will."""
+
+
+class Requests:
+    """Implements `dialect.Dialect`."""
+
+    id_header = names.REQUEST_ID
+
+    def read_request(
+        self, start: tornado.httputil.RequestStartLine, headers: tornado.httputil.HTTPHeaders
+    ) -> dialect.Ask:
+        """Return a client's request; raises `ValueError` saying what is wrong."""
+        id = headers.get(names.REQUEST_ID, '')
+        if not id:
+            raise ValueError('the request has no id')
+        host = headers.get('Host', '').partition(':')[0]
+        passed = [
+            (name, value)
+            for name, value in headers.get_all()
+            if name.lower() not in names.CONNECTION_HEADERS
+            and name.lower() not in names.OURS_TO_SET
+            and name.lower() != names.LAST_EVENT.lower()
+        ]
+        return dialect.Ask(
+            id,
+            start.method,
+            host,
+            start.path,
+            _read_key(headers),
+            _read_patience(headers),
+            _read_prompt(headers),
+            headers.get(names.LAST_EVENT, ''),
+            passed,
+        )
+
+    def write_request(self, ask: dialect.Ask, sending: dialect.Sending) -> exchanges.Headers:
+        """Return the headers of one attempt."""
+        added = {
+            names.DEADLINE: str(max(1, int(sending.time_left * 1000))),
+            names.EXPECT_INCARNATION: sending.incarnation,
+            names.EXPECT_VERSION: sending.weight_version,
+            names.ACCOUNT: sending.account,
+            names.PRIORITY: '' if sending.priority is None else str(sending.priority),
+            names.SALT: sending.salt,
+            names.CACHE_SOURCE: sending.source,
+            names.CACHE_TARGET: sending.target,
+            names.LAST_EVENT: sending.last_event,
+        }
+        return [*ask.headers, *((n, v) for n, v in added.items() if v)]
+
+    def judge(self, head: exchanges.Head) -> dialect.Verdict:
+        """Return what the head of an answer says."""
+        if head.status == 421:
+            return dialect.Verdict.WRONG_UPSTREAM
+        if head.get(names.NOT_RUN) is not None:
+            return dialect.Verdict.NOT_RUN
+        if head.get('Content-Encoding') is not None or head.status in _PROMISES:
+            return dialect.Verdict.INVALID
+        if 200 <= head.status < 300:
+            signed = head.get(names.STAMP) is not None
+            return dialect.Verdict.SUCCESS if signed else dialect.Verdict.INVALID
+        return dialect.Verdict.FAILURE
+
+    def read_version(self, head: exchanges.Head) -> str:
+        """Return the weight version that an answer was made with, or an empty string."""
+        return head.get(names.WEIGHT_VERSION) or ''
+
+    def clean_answer(self, headers: exchanges.Headers) -> list[tuple[str, str]]:
+        """Return the headers of an answer that travel on to the client."""
+        return [(n, v) for n, v in headers if n.lower() not in names.CONNECTION_HEADERS]
+
+
+class Records:
+    """Implements `dialect.Records`."""
+
+    configuration_key = names.CONFIGURATION_KEY
+    version_prefix = names.VERSION_PREFIX
+    replica_prefix = names.REPLICA_PREFIX
+    own_prefix = names.OWN_PREFIX
+
+    def decode_configuration(self, data: bytes) -> routes.Configuration:
+        """Return the operator's configuration."""
+        return records.decode_configuration(data)
+
+    def decode_replica(self, id: str, data: bytes) -> catalogue.Entry:
+        """Return a replica's entry."""
+        return records.decode_replica(id, data)
+
+    def decode_named_version(self, data: bytes) -> tuple[str, int]:
+        """Return a model and its wanted weight version."""
+        return records.decode_named_version(data)
+
+
+class Directory:
+    """Implements `dialect.Directory`."""
+
+    directory_path = names.RESOLVE_PATH
+    ready_path = names.READY_PATH
+
+    def read_query(self, request: tornado.httputil.HTTPServerRequest) -> dialect.Query:
+        """Return what a client says of itself."""
+        values = {k: v[0].decode('utf-8', 'replace') for k, v in request.arguments.items()}
+        return dialect.Query(values.get('region', ''), values.get('zone', ''))
+
+    def render_entries(self, addresses: Sequence[str], ttl: float) -> dict[str, object]:
+        """Return the body of the answer."""
+        return {'addresses': list(addresses), 'ttl_s': ttl}
+
+
+class Engines:
+    """Implements `dialect.Engines`."""
+
+    def __init__(self, pool: exchanges.Pool) -> None:
+        self._pool = pool
+
+    async def report(self, address: str, incarnation: str) -> dialect.Report:
+        """Return a replica's report; raises `ExchangeError`."""
+        headers = [('Host', address), (names.EXPECT_INCARNATION, incarnation)]
+        request = exchanges.Request('GET', names.REPORT_PATH, headers)
+        answer = await self._pool.fetch(address, request, REPORT_TIMEOUT)
+        if answer.head.status != 200:
+            text = f'report answered with status {answer.head.status}'
+            raise exchanges.ExchangeError(exchanges.Fault.GARBLED, text, True)
+        try:
+            raw = records.decode_report(answer.body)
+        except exceptions.StoreError as error:
+            raise exchanges.ExchangeError(exchanges.Fault.GARBLED, str(error), True) from error
+        versions = {m.name: m.version for m in raw.models}
+        return dialect.Report(versions, raw.utilization, raw.sequence, raw.active, raw.queued)
+
+    async def order(self, address: str, order: dialect.WeightOrder) -> dialect.OrderResult:
+        """Give an order."""
+        body = {
+            'op': 'version',
+            'model': order.model,
+            'version': order.version,
+            'mode': MODE,
+            'holder': order.holder,
+            'fencing_token': order.token,
+            'expected_revision': order.expected_orders,
+        }
+        headers = [
+            ('Host', address),
+            ('Content-Type', 'application/json'),
+            (names.EXPECT_INCARNATION, order.incarnation),
+        ]
+        data = msgspec.json.encode(body)
+        request = exchanges.Request('POST', names.ORDER_PATH, headers, data, once=True)
+        try:
+            answer = await self._pool.fetch(address, request, ORDER_TIMEOUT)
+        except exchanges.ExchangeError as error:
+            log.warning('order without answer', extra={'upstream': address, 'error': str(error)})
+            return dialect.OrderResult.UNKNOWN
+        return _ORDER_RESULTS.get(answer.head.status, dialect.OrderResult.REFUSED)
+
+
+_ORDER_RESULTS = {
+    200: dialect.OrderResult.HOLDS,
+    202: dialect.OrderResult.TAKEN,
+    409: dialect.OrderResult.BUSY,
+}
+
+
+def _read_key(headers: tornado.httputil.HTTPHeaders) -> str | None:
+    value = headers.get(names.KEY)
+    if value is None:
+        return None
+    return value[len(names.KEY_SCHEME) :] if value.startswith(names.KEY_SCHEME) else ''
+
+
+def _read_patience(headers: tornado.httputil.HTTPHeaders) -> float | None:
+    value = headers.get(names.DEADLINE)
+    if value is None:
+        return None
+    seconds = float(value) / 1000
+    if not math.isfinite(seconds) or seconds < 0:
+        raise ValueError('the deadline is no time')
+    return seconds
+
+
+def _read_prompt(headers: tornado.httputil.HTTPHeaders) -> prompts.Prompt | None:
+    model = headers.get(names.MODEL)
+    if model is None:
+        return None
+    parts = []
+    for item in filter(None, headers.get(names.PARTS, '').split(',')):
+        name, _, tokens = item.strip().partition(':')
+        parts.append(prompts.Part(name, int(tokens)))
+    _, _, most = headers.get(names.TOKENS, '').partition(',')
+    return prompts.Prompt(model, tuple(parts), int(most or 0))
--- /dev/null
+++ b/passpier/platform/main.py
@@ -0,0 +1,126 @@
+"""Starts the router on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import pathlib
+import random
+import signal
+import sys
+
+from passpier import exceptions
+from passpier.clients import exchanges
+from passpier.daemon import logs
+from passpier.platform import dialect as wire
+from passpier.platform import names, settings, store
+from passpier.routing import dialect, router
+
+log = logging.getLogger(__name__)
+
+EXIT_SETTINGS = 2
+METRICS_PORT = 9464
+"""Port of the metrics page, as the deploy file tells it."""
+
+ANSWER_TTL = 1.5
+"""Seconds for which clients may keep an answer of the directory; some keep it three times that."""
+
+LEASE_TTL = 1.5
+"""Seconds of the lease behind the right to give orders; a successor waits for its end."""
+
+STOP_SHARE = 0.9
+"""Part of the time before a kill that a planned stop uses."""
+
+SETTINGS_CHECK = 1.0
+"""Seconds between looks at whether the settings file has changed."""
+
+
+def build_options(read: settings.Settings) -> dialect.Options:
+    """Return what the router needs of the settings."""
+    bounds = read.bounds
+    return dialect.Options(
+        name=read.node_name,
+        ip=read.ip,
+        failure_domain=read.zone,
+        region=read.region,
+        caller=read.listen.frontend,
+        ready=read.listen.ready,
+        directory=read.listen.directory,
+        peer_port=read.internal_ports[0],
+        key_bound=bounds.revoke_ms / 1000,
+        keys_expire=bounds.revoke_fail_closed,
+        stop_bound=bounds.grace_s * STOP_SHARE,
+        answer_ttl=min(ANSWER_TTL, bounds.ttl_max_s),
+        order_hold=bounds.lease_ms / 1000,
+        version_bound=bounds.version_ms / 1000,
+        lease_ttl=max(LEASE_TTL, read.platform.ttl_min_ms / 1000),
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_slack=bounds.retry_budget_slack,
+        retry_window=bounds.budget_window_s,
+        metrics_port=METRICS_PORT,
+    )
+
+
+async def run(path: str, read: settings.Settings) -> None:
+    """Serve until a planned stop is done."""
+    pool = exchanges.Pool()
+    adapter = router.Adapter(
+        wire.Requests(),
+        wire.Records(),
+        wire.Directory(),
+        wire.Engines(pool),
+        store.Store(read.platform.address, pool),
+        pool,
+    )
+    process = router.Router(build_options(read), adapter, random.Random())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.begin_stop)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, process)
+    watching = asyncio.ensure_future(_watch_file(path, process))
+    await process.run()
+    watching.cancel()
+
+
+async def _watch_file(path: str, process: router.Router) -> None:
+    seen = _read_stamp(path)
+    while True:
+        await asyncio.sleep(SETTINGS_CHECK)
+        stamp = _read_stamp(path)
+        if stamp != seen:
+            seen = stamp
+            _reload(path, process)
+
+
+def _read_stamp(path: str) -> int:
+    try:
+        return pathlib.Path(path).stat().st_mtime_ns
+    except OSError:
+        # A file that is being replaced is looked at again the next time.
+        return 0
+
+
+def _reload(path: str, process: router.Router) -> None:
+    try:
+        process.reload(build_options(settings.load_settings(path)))
+    except exceptions.FindingsError as error:
+        for finding in error.findings:
+            log.error('settings not taken over', extra={'finding': str(finding)})
+
+
+def main() -> None:
+    """Run the router; exits with 2 if the settings are wrong."""
+    path = os.environ.get(names.SETTINGS_VARIABLE, '/etc/passpier/settings.toml')
+    try:
+        read = settings.load_settings(path)
+    except exceptions.FindingsError as error:
+        for finding in error.findings:
+            print(f'passpier: {finding}', file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    logs.configure_logging('info', 'json', read.node_name, sys.stdout)
+    asyncio.run(run(path, read))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/passpier/platform/records.py
@@ -0,0 +1,188 @@
+"""Decodes the records of the platform's store: configuration, replicas, named weight versions."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from passpier import exceptions
+from passpier.core import catalogue, routes
+
+_KINDS = {
+    ('idempotent', False): routes.Kind.REPEATABLE,
+    ('non_idempotent', False): routes.Kind.ONCE,
+    ('streaming', False): routes.Kind.STREAM,
+    ('streaming', True): routes.Kind.RESUMABLE_STREAM,
+}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    type: str = 'idempotent'
+    timeout_ms: float = 30_000
+    target_latency_ms: float = 1000
+    priority: int = 1
+    service: str = ''
+    split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    kv_capacity: int = 0
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+    kv_store_address: str = ''
+    """Set for a store of KV cache, which is in no route."""
+
+    zone: str = ''
+    kv_capacity: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _Limits(msgspec.Struct):
+    max_body_bytes: int = 4 * 1024 * 1024
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] | None = None
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _WeightVersion(msgspec.Struct):
+    name: str
+    version: int = 0
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str = ''
+    slots: int = 1
+    state: str = 'ready'
+    models: list[_WeightVersion] = []
+
+
+class _Named(msgspec.Struct):
+    model: str
+    version: int
+
+
+class _Report(msgspec.Struct):
+    """A replica's own state, some hundred milliseconds old."""
+
+    models: list[_WeightVersion] = []
+    utilization: bool = False
+    """Whether an order is being carried out; the name on the wire says otherwise."""
+
+    sequence: int = 0
+    """Orders taken so far."""
+
+    queued: int = 0
+    active: int = 0
+
+
+def decode_configuration(data: bytes) -> routes.Configuration:
+    """Return an operator's configuration; raises `StoreError` if it is not understood."""
+    raw = _decode(data, _Configuration)
+    services = {s.name: _convert_service(s) for s in raw.services if not s.kv_store_address}
+    stores = tuple(
+        routes.CacheStore(s.kv_store_address, s.zone, s.kv_capacity)
+        for s in raw.services
+        if s.kv_store_address
+    )
+    accounts = tuple(
+        routes.Account(t.name, tuple(t.api_keys), t.priority, t.isolated) for t in raw.tenants or ()
+    )
+    return routes.Configuration(
+        raw.version,
+        tuple(_convert_route(r) for r in raw.routes),
+        services,
+        stores,
+        accounts,
+        raw.tenants is not None,
+        raw.limits.max_body_bytes,
+    )
+
+
+def decode_replica(id: str, data: bytes) -> catalogue.Entry:
+    """Return a replica's entry; raises `StoreError` if it is not understood."""
+    raw = _decode(data, _Server)
+    versions = {m.name: m.version for m in raw.models}
+    draining = raw.state != 'ready'
+    return catalogue.Entry(id, raw.service, raw.address, raw.zone, raw.slots, draining, versions)
+
+
+def decode_named_version(data: bytes) -> tuple[str, int]:
+    """Return a model and the weight version that is wanted."""
+    raw = _decode(data, _Named)
+    return raw.model, raw.version
+
+
+def decode_report(data: bytes) -> _Report:
+    """Return a replica's report."""
+    return _decode(data, _Report)
+
+
+def _convert_route(raw: _Route) -> routes.Route:
+    kind = _KINDS.get((raw.type, raw.resumable and raw.type == 'streaming'), routes.Kind.ONCE)
+    shares = tuple(routes.Share(s.service, s.weight) for s in raw.split)
+    return routes.Route(
+        raw.name,
+        raw.host,
+        raw.path_prefix,
+        kind,
+        shares or (routes.Share(raw.service, 1),),
+        raw.timeout_ms / 1000,
+        raw.target_latency_ms / 1000,
+        raw.max_attempts,
+        raw.priority,
+        raw.public,
+        raw.gap_target_ms / 1000,
+    )
+
+
+def _convert_service(raw: _Service) -> routes.Service:
+    engine = raw.engine
+    if engine is None:
+        return routes.Service(raw.name, raw.max_connections)
+    models = tuple(m.name for m in engine.models)
+    return routes.Service(
+        raw.name, raw.max_connections, routes.Engine(models, engine.slots, engine.kv_capacity)
+    )
+
+
+def _decode(data: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise exceptions.StoreError(f'record not understood: {error}') from error
--- /dev/null
+++ b/passpier/platform/store.py
@@ -0,0 +1,171 @@
+"""Client of the platform's metadata store, as a `Registry`."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import logging
+import time
+import urllib.parse
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from passpier import exceptions
+from passpier.clients import exchanges, registry
+
+log = logging.getLogger(__name__)
+
+CALL_TIMEOUT = 1.0
+"""Seconds for a call; the store answers in milliseconds, slowed ones in a quarter of a second."""
+
+
+class _Item(msgspec.Struct):
+    private_key: str
+    revision: int
+    value: str = ''
+    lease: int = 0
+    removed: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    store_revision: int
+    truncated: bool = False
+
+
+class _Watch(msgspec.Struct):
+    events: list[_Item]
+    store_revision: int
+
+
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class Store:
+    """Speaks to the store over kept connections."""
+
+    def __init__(self, address: str, pool: exchanges.Pool) -> None:
+        self._address = address
+        self._pool = pool
+        self.calls = 0
+
+    async def read(self, prefix: str) -> registry.Reading:
+        """Return all items under a prefix, page by page."""
+        sent_at = time.monotonic()
+        items: dict[str, registry.Item] = {}
+        revision: int | None = None
+        after = ''
+        while True:
+            query = {'path_prefix': prefix}
+            if after:
+                query['after'] = after
+            page = _decode(await self._call('GET', '/kv-range', query), _Range)
+            # The pages are no snapshot: what changed since the first one comes by the watch.
+            revision = page.store_revision if revision is None else revision
+            for item in page.items:
+                items[item.private_key] = _convert(item)
+            if not page.truncated or not page.items:
+                return registry.Reading(tuple(items.values()), revision, sent_at)
+            after = page.items[-1].private_key
+
+    async def watch(self, prefix: str, after: int, wait: float) -> registry.Changes:
+        """Return the changes behind a revision, at the latest after `wait` seconds."""
+        sent_at = time.monotonic()
+        query = {'path_prefix': prefix, 'after': str(after), 'wait_ms': str(int(wait * 1000))}
+        answer = await self._call('GET', '/kv-watch', query, timeout=wait + CALL_TIMEOUT)
+        told = _decode(answer, _Watch)
+        items = tuple(_convert(i) for i in told.events)
+        return registry.Changes(items, told.store_revision, sent_at, time.monotonic())
+
+    async def write(
+        self, puts: Sequence[registry.Put], conditions: Sequence[registry.IsAt] = ()
+    ) -> int:
+        """Carry out all writes and return their revision."""
+        body = _render_transaction(puts, conditions, ())
+        return _decode(await self._call('POST', '/kv-txn', body=body), _Written).revision
+
+    async def remove(self, key: str, revision: int) -> None:
+        """Remove a key if it was last written at `revision`."""
+        body = _render_transaction((), (registry.IsAt(key, revision),), (key,))
+        await self._call('POST', '/kv-txn', body=body)
+
+    async def grant(self, ttl: float) -> int:
+        """Return a new lease of `ttl` seconds."""
+        answer = await self._call('POST', '/kv-lease', body={'ttl_ms': int(ttl * 1000)})
+        return _decode(answer, _Lease).lease
+
+    async def renew(self, lease: int) -> None:
+        """Renew a lease."""
+        await self._call('POST', f'/kv-keep/{lease}', body={})
+
+    async def end(self, lease: int) -> None:
+        """End a lease."""
+        await self._call('DELETE', f'/kv-lease-end/{lease}')
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: dict[str, Any] | None = None,
+        timeout: float = CALL_TIMEOUT,
+    ) -> bytes:
+        self.calls += 1
+        target = f'{path}?{urllib.parse.urlencode(query)}' if query else path
+        headers = [('Host', self._address), ('Content-Type', 'application/json')]
+        data = msgspec.json.encode(body) if body is not None else b''
+        request = exchanges.Request(method, target, headers, data)
+        try:
+            answer = await self._pool.fetch(self._address, request, timeout)
+        except exchanges.ExchangeError as error:
+            raise exceptions.StoreError(f'{method} {path}: {error}') from error
+        status = answer.head.status
+        if status == 200:
+            return answer.body
+        text = f'{method} {path}: status {status}'
+        if status == 410:
+            raise registry.HistoryGoneError(text)
+        if status == 412:
+            raise exceptions.ConflictError(text)
+        if status == 404:
+            raise registry.LeaseGoneError(text)
+        raise exceptions.StoreError(text)
+
+
+def _render_transaction(
+    puts: Sequence[registry.Put], conditions: Sequence[registry.IsAt], removed: Sequence[str]
+) -> dict[str, Any]:
+    return {
+        'expected_revision': [{'private_key': c.key, 'revision': c.revision} for c in conditions],
+        'puts': [
+            {
+                'private_key': p.key,
+                'value': base64.b64encode(p.data).decode(),
+                'lease': p.lease,
+            }
+            for p in puts
+        ],
+        'remove': list(removed),
+    }
+
+
+def _convert(item: _Item) -> registry.Item:
+    try:
+        data = base64.b64decode(item.value)
+    except binascii.Error as error:
+        raise exceptions.StoreError(f'{item.private_key}: value is no base64: {error}') from error
+    return registry.Item(item.private_key, data, item.revision, item.lease, item.removed)
+
+
+def _decode(data: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise exceptions.StoreError(f'answer not understood: {error}') from error
--- /dev/null
+++ b/passpier/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes requests whose rules, upstreams and members come from a registry."""
--- /dev/null
+++ b/passpier/routing/forwarding.py
@@ -0,0 +1,486 @@
+"""Carries one request to an upstream and its answer back: attempts, outcomes, streams."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import time
+
+from passpier import exceptions
+from passpier.clients import exchanges
+from passpier.config import declarations
+from passpier.core import attempts, choice, events, prompts, replicas, retries, routes
+from passpier.daemon import calls, dispatcher, metrics
+from passpier.routing import answering, dialect, knowledge, pools
+
+log = logging.getLogger(__name__)
+
+CONNECT_TRIES = 3
+"""Connections tried for one send; nothing has reached an upstream until one stands."""
+
+ATTEMPT_SHARE = 0.5
+"""Part of the time left that an attempt may take before its head, if another may follow."""
+
+EVENT_GAP_MIN = 1.0
+"""Seconds without an event after which a stream that can move is taken from its replica."""
+
+EVENT_GAP_FACTOR = 2.0
+"""The same, in multiples of the longest pause that the route allows."""
+
+HOLD_SHARE = 0.5
+"""Part of a request's objective for which it may wait here for a replica."""
+
+RETRY_AFTER = 0.25
+"""Seconds after which a refused client should come back, where nothing better is known."""
+
+RETRY_AFTER_FAILURE = 0.1
+WHOLE_MAX = 1024 * 1024
+"""Bytes of an answer that is read whole before any of it is passed on."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request with the rules that it falls under."""
+
+    ask: dialect.Ask
+    route: routes.Route
+    account: routes.Account | None
+    body: bytes
+    arrived_at: float
+
+    @property
+    def priority(self) -> int:
+        """0 is the most urgent."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def ends_at(self) -> float:
+        """When the client, or the operator, no longer wants an answer."""
+        patience = self.route.timeout
+        if self.ask.patience is not None:
+            patience = min(patience, self.ask.patience)
+        return self.arrived_at + patience
+
+
+class _AttemptError(Exception):
+    """An attempt brought no answer; `passed` is the upstream's own failure, if there is one."""
+
+    def __init__(
+        self, fault: attempts.Fault, message: str, passed: exchanges.Answer | None = None
+    ) -> None:
+        super().__init__(message)
+        self.fault = fault
+        self.passed = passed
+
+
+class Forwarder:
+    """Runs admitted requests."""
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        places: dispatcher.Dispatcher,
+        pool: exchanges.Pool,
+        wire: dialect.Dialect,
+        counters: metrics.Metrics,
+        options: dialect.Options,
+    ) -> None:
+        self.known = known
+        self.pools = known.pools
+        self.dispatcher = places
+        self.pool = pool
+        self.wire = wire
+        self.counters = counters
+        self.options = options
+        self.daemons = 1
+        """Daemons that share the budget of retries; never counted down."""
+
+        self._budgets: dict[str, retries.SharedBudget] = collections.defaultdict(
+            lambda: retries.SharedBudget(
+                options.retry_ratio, options.retry_slack, options.retry_window
+            )
+        )
+
+    def get_budget(self, service: str) -> retries.SharedBudget:
+        """Return the retries of a service."""
+        return self._budgets[service]
+
+    async def run(self, admitted: Admitted, client: answering.Client) -> None:
+        """Answer a request, one way or the other."""
+        run = _Run(self, admitted, client)
+        started = time.monotonic()
+        try:
+            await run.run()
+        finally:
+            run.log_end(time.monotonic() - started)
+
+
+class _Run:
+    """The life of one request."""
+
+    def __init__(self, owner: Forwarder, admitted: Admitted, client: answering.Client) -> None:
+        self._owner = owner
+        self._admitted = admitted
+        self._client = client
+        route = admitted.route
+        table = owner.known.table
+        assert table is not None
+        self._service = table.choose_service(route, admitted.ask.id)
+        self._splitter = events.Splitter()
+        self._splitter.last_id = admitted.ask.last_event
+        self._call = self._build_call()
+        self._excluded: set[str] = set()
+        self._connects = 0
+        self._outcome = 'client_gone'
+        self._last: str = ''
+
+    async def run(self) -> None:
+        """Try until there is an answer or a reason why there is none."""
+        budget = self._owner.get_budget(self._service)
+        budget.note_request(self._call.arrived_at)
+        while True:
+            try:
+                if await self._attempt():
+                    return
+            except _AttemptError as error:
+                if not await self._go_on(error):
+                    return
+
+    def log_end(self, seconds: float) -> None:
+        """Log how the request ended."""
+        labels = {'service': self._service, 'outcome': self._outcome}
+        self._owner.counters.requests.inc(labels)
+        log.info(
+            'request ended',
+            extra={
+                'request': self._admitted.ask.id,
+                'route': self._admitted.route.name,
+                'kind': self._admitted.route.kind.value,
+                'outcome': self._outcome,
+                'ran': self._call.life.outcome.value,
+                'attempts': self._call.life.attempts,
+                'upstream': self._last,
+                'seconds': round(seconds, 4),
+                'configuration_age': round(
+                    self._owner.known.freshness.compute_age(time.monotonic()), 3
+                ),
+            },
+        )
+
+    def _build_call(self) -> calls.Call:
+        admitted = self._admitted
+        route = admitted.route
+        priority = min(max(0, admitted.priority), replicas.LEAST_URGENT)
+        hold = min(route.objective * HOLD_SHARE, admitted.ends_at - admitted.arrived_at)
+        service = declarations.Service(
+            self._service,
+            self._service,
+            'model' if admitted.ask.prompt else 'plain',
+            priority=priority,
+            deadline_ms=max(1, int(hold * 1000)),
+        )
+        name = admitted.account.name if admitted.account else ''
+        life = attempts.Life(
+            route.kind.is_repeatable,
+            resumable=False,
+            continuable=route.kind is routes.Kind.RESUMABLE_STREAM,
+            max_attempts=route.max_attempts,
+        )
+        policy = 'cost' if admitted.ask.prompt else 'least_load'
+        call = calls.Call(
+            admitted.ask.id,
+            declarations.Account(name),
+            service,
+            admitted.ask.target,
+            policy,
+            admitted.arrived_at,
+            life,
+        )
+        if admitted.ask.prompt is not None:
+            call.job = prompts.build_job(admitted.ask.prompt, admitted.account, priority)
+        else:
+            call.job = choice.Job([], 1, 0, priority=priority)
+        return call
+
+    async def _attempt(self) -> bool:
+        """Make one attempt; return whether the request has its final answer."""
+        call = self._call
+        attempt = f'{call.id}-{call.life.attempts}.{self._connects}'
+        placed = await self._owner.dispatcher.place(call, attempt, self._excluded)
+        if placed.is_error():
+            await self._refuse(placed.error)
+            return True
+        placement = placed.ok
+        try:
+            await self._send(placement)
+            return True
+        finally:
+            self._owner.dispatcher.end(placement)
+
+    async def _send(self, placement: dispatcher.Placement) -> None:
+        admitted = self._admitted
+        if not self._may_use_key():
+            await self._end(503, 'stale_configuration', 'keys may have changed', RETRY_AFTER)
+            return
+        time_left = admitted.ends_at - time.monotonic()
+        if time_left <= 0:
+            raise _AttemptError(attempts.Fault.NOT_CONNECTED, 'no time left')
+        self._last = placement.replica.name
+        exchange = await self._open(placement.replica, time_left)
+        try:
+            await self._relay(exchange, placement)
+        finally:
+            exchange.close()
+
+    async def _open(self, replica: replicas.Replica, time_left: float) -> exchanges.Exchange:
+        admitted = self._admitted
+        request = self._build_request(replica, time_left)
+        self._call.life.begin()
+        try:
+            async with asyncio.timeout(time_left):
+                return await self._owner.pool.open(replica.address, request)
+        except exchanges.ExchangeError as error:
+            self._call.life.attempts -= not error.sent
+            fault = attempts.Fault.NO_ANSWER if error.sent else attempts.Fault.NOT_CONNECTED
+            raise _AttemptError(fault, str(error)) from error
+        except TimeoutError as error:
+            self._call.life.attempts -= 1
+            text = f'no connection for {admitted.ask.id} in time'
+            raise _AttemptError(attempts.Fault.NOT_CONNECTED, text) from error
+
+    def _build_request(self, replica: replicas.Replica, time_left: float) -> exchanges.Request:
+        admitted = self._admitted
+        ask = admitted.ask
+        salt = ''
+        source = pools.Source()
+        if ask.prompt is not None:
+            version = replica.weight_version
+            salt = self._owner.pools.render_salt(ask.prompt, admitted.account, version)
+            source = self._owner.pools.choose_source(replica, self._call.job)
+        sending = dialect.Sending(
+            replica.incarnation,
+            replica.weight_version,
+            admitted.account.name if admitted.account else '',
+            time_left,
+            admitted.priority if ask.prompt is not None else None,
+            salt,
+            source.fetch,
+            source.save,
+            self._splitter.last_id,
+        )
+        return exchanges.Request(
+            ask.method,
+            ask.target,
+            self._owner.wire.write_request(ask, sending),
+            admitted.body,
+            self._owner.wire.id_header,
+            ask.id,
+            once=not admitted.route.kind.is_repeatable,
+        )
+
+    async def _relay(self, exchange: exchanges.Exchange, placement: dispatcher.Placement) -> None:
+        head = await self._read_head(exchange)
+        now = time.monotonic()
+        self._judge(head, placement)
+        verdict = self._owner.wire.judge(head)
+        if verdict is dialect.Verdict.FAILURE:
+            answer = await self._read_whole(exchange, head)
+            raise _AttemptError(attempts.Fault.FAILED, f'status {head.status}', answer)
+        replicas.note_first_token(placement.replica, placement.attempt, now)
+        if self._admitted.route.kind.is_stream:
+            await self._relay_events(exchange, head, placement)
+        else:
+            await self._pass(await self._read_whole(exchange, head))
+            self._outcome = 'answered'
+        self._owner.pools.ejector.note_success(placement.replica.name)
+
+    async def _read_head(self, exchange: exchanges.Exchange) -> exchanges.Head:
+        left = self._admitted.ends_at - time.monotonic()
+        life = self._call.life
+        may_follow = life.repeatable and life.attempts < life.max_attempts
+        wait = left * ATTEMPT_SHARE if may_follow else left
+        try:
+            async with asyncio.timeout(max(0.0, wait)):
+                return await exchange.read_head()
+        except TimeoutError as error:
+            raise _AttemptError(attempts.Fault.NO_ANSWER, 'no answer in time') from error
+        except exchanges.ExchangeError as error:
+            raise _AttemptError(attempts.Fault.NO_ANSWER, str(error)) from error
+
+    def _judge(self, head: exchanges.Head, placement: dispatcher.Placement) -> None:
+        """Raise for heads that bring no answer; learn from all of them."""
+        verdict = self._owner.wire.judge(head)
+        known = self._owner.pools
+        name = placement.replica.name
+        version = self._owner.wire.read_version(head)
+        if version.isdigit():
+            known.learn_version(name, int(version), 'answer')
+        if verdict is dialect.Verdict.NOT_RUN:
+            known.pause(name, pools.PAUSE_FULL, f'status {head.status}')
+            raise _AttemptError(attempts.Fault.REFUSED, f'refused with status {head.status}')
+        if verdict is dialect.Verdict.WRONG_UPSTREAM:
+            known.pause(name, pools.PAUSE_FULL, 'another incarnation or other weights')
+            raise _AttemptError(attempts.Fault.REFUSED, 'another incarnation or other weights')
+        if verdict is dialect.Verdict.INVALID:
+            raise _AttemptError(attempts.Fault.FAILED, f'no sound answer, status {head.status}')
+
+    async def _read_whole(
+        self, exchange: exchanges.Exchange, head: exchanges.Head
+    ) -> exchanges.Answer:
+        try:
+            async with asyncio.timeout(max(0.0, self._admitted.ends_at - time.monotonic())):
+                return await exchange.read_all(WHOLE_MAX)
+        except TimeoutError as error:
+            raise _AttemptError(attempts.Fault.NO_ANSWER, 'not whole in time') from error
+        except exchanges.ExchangeError as error:
+            raise _AttemptError(attempts.Fault.CUT, str(error)) from error
+
+    async def _relay_events(
+        self, exchange: exchanges.Exchange, head: exchanges.Head, placement: dispatcher.Placement
+    ) -> None:
+        splitter = events.Splitter()
+        splitter.last_id = self._splitter.last_id
+        self._splitter = splitter
+        while (part := await self._read_part(exchange)) is not None:
+            for event in splitter.feed(part):
+                await self._begin_stream(head)
+                self._call.life.delivered += 1
+                await self._client.write(event)
+        if splitter.has_rest:
+            raise _AttemptError(attempts.Fault.CUT, 'ended within an event')
+        await self._begin_stream(head)
+        await self._client.finish()
+        self._call.life.completed = True
+        self._outcome = 'answered'
+
+    async def _read_part(self, exchange: exchanges.Exchange) -> bytes | None:
+        left = self._admitted.ends_at - time.monotonic()
+        gap = max(EVENT_GAP_MIN, self._admitted.route.event_gap * EVENT_GAP_FACTOR)
+        can_move = self._call.life.continuable and self._call.life.delivered > 0
+        try:
+            async with asyncio.timeout(max(0.0, min(left, gap) if can_move else left)):
+                return await exchange.read()
+        except TimeoutError as error:
+            raise _AttemptError(attempts.Fault.CUT, 'no event in time') from error
+        except exchanges.ExchangeError as error:
+            raise _AttemptError(attempts.Fault.CUT, str(error)) from error
+
+    async def _begin_stream(self, head: exchanges.Head) -> None:
+        if not self._client.started:
+            headers = self._owner.wire.clean_answer(head.headers)
+            await self._client.begin(head.status, head.reason, headers, None)
+
+    async def _pass(self, answer: exchanges.Answer) -> None:
+        """Hand an upstream's whole answer on."""
+        self._call.life.completed = True
+        head = answer.head
+        headers = self._owner.wire.clean_answer(head.headers)
+        await self._client.begin(head.status, head.reason, headers, len(answer.body))
+        await self._client.write(answer.body)
+        await self._client.finish()
+
+    async def _go_on(self, error: _AttemptError) -> bool:
+        """Decide what follows a failed attempt; return whether there is another one."""
+        life = self._call.life
+        now = time.monotonic()
+        if error.fault is not attempts.Fault.REFUSED:
+            self._owner.pools.note_failure(self._last)
+        has_time = now < self._admitted.ends_at
+        step = attempts.Step.FAIL
+        if error.fault is attempts.Fault.NOT_CONNECTED:
+            self._connects += 1
+            if has_time and self._connects < CONNECT_TRIES:
+                step = attempts.Step.RETRY
+        else:
+            step = life.decide(error.fault, has_time)
+            if step is not attempts.Step.FAIL and not self._spend(now):
+                step = attempts.Step.FAIL
+        self._owner.counters.retries.inc({'step': step.value})
+        log.info(
+            'attempt failed',
+            extra={
+                'request': self._call.id,
+                'upstream': self._last,
+                'fault': error.fault.value,
+                'detail': str(error),
+                'step': step.value,
+                'attempts': life.attempts,
+                'ran': life.outcome.value,
+                'time_left': round(self._admitted.ends_at - now, 3),
+            },
+        )
+        if step is attempts.Step.FAIL:
+            await self._fail(error)
+            return False
+        self._excluded.add(self._last)
+        return True
+
+    def _spend(self, now: float) -> bool:
+        budget = self._owner.get_budget(self._service)
+        return budget.spend(now, self._owner.daemons)
+
+    async def _fail(self, error: _AttemptError) -> None:
+        """Give the final answer of a request that has none from an upstream."""
+        if self._client.started:
+            self._outcome = 'stream_cut'
+            self._client.abort()
+            return
+        if error.passed is not None:
+            self._outcome = 'upstream_failed'
+            await self._pass(error.passed)
+            return
+        if self._call.life.outcome is exceptions.Outcome.NOT_RUN:
+            await self._end(503, error.fault.value, str(error), RETRY_AFTER_FAILURE)
+            return
+        late = time.monotonic() >= self._admitted.ends_at
+        await self._end(504 if late else 502, error.fault.value, str(error), None)
+
+    async def _refuse(self, failure: exceptions.Failure) -> None:
+        """Answer with the dispatcher's refusal."""
+        if self._client.started:
+            self._outcome = 'stream_cut'
+            self._client.abort()
+            return
+        not_run = self._call.life.outcome is exceptions.Outcome.NOT_RUN
+        status = 503 if not_run else 502
+        await self._end(status, failure.code.value, failure.message, failure.retry_after)
+
+    async def _end(self, status: int, reason: str, message: str, retry_after: float | None) -> None:
+        self._outcome = reason
+        refusal = answering.Refusal(status, reason, message, retry_after)
+        await write_refusal(self._client, refusal, self._owner.wire.id_header, self._call.id)
+
+    def _may_use_key(self) -> bool:
+        """Return whether the client's key is certainly still good."""
+        if self._admitted.account is None or not self._owner.options.keys_expire:
+            return True
+        return self._owner.known.freshness.is_fresh(time.monotonic())
+
+
+async def write_refusal(
+    client: answering.Client, refusal: answering.Refusal, id_header: str, id: str
+) -> None:
+    """Send an answer of our own."""
+    headers = [('Content-Type', 'application/json')]
+    if id:
+        headers.append((id_header, id))
+    if refusal.retry_after is not None:
+        headers.append(('Retry-After', f'{refusal.retry_after:.3f}'))
+    body = b'{"error":"%s"}' % refusal.reason.encode()
+    log.info(
+        'request refused',
+        extra={
+            'request': id,
+            'status': refusal.status,
+            'reason': refusal.reason,
+            'detail': refusal.message,
+            'retry_after': refusal.retry_after,
+        },
+    )
+    await client.begin(refusal.status, '', headers, len(body))
+    await client.write(body)
+    await client.finish()
--- /dev/null
+++ b/passpier/routing/ingress.py
@@ -0,0 +1,216 @@
+"""The port of the clients: reads requests, checks them against the configuration, has them run."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Sequence
+
+import tornado.http1connection
+import tornado.httpserver
+import tornado.httputil
+import tornado.iostream
+
+from passpier.daemon import metrics
+from passpier.routing import answering, dialect, forwarding, knowledge
+
+log = logging.getLogger(__name__)
+
+HEAD_MAX = 64 * 1024
+"""Bytes of a request's head that are read at all."""
+
+BODY_MAX = 16 * 1024 * 1024
+"""Bytes of a body that are read at all; the configuration's limit is checked below it."""
+
+REST_MAX = 60.0
+"""Seconds for which a client's connection may rest."""
+
+RETRY_AFTER_UNKNOWING = 0.3
+"""Seconds after which a client should come back to a daemon that knows too little yet."""
+
+SURE_AGE = 3.5
+"""Seconds of age up to which an unknown key or route is certain enough to be refused for good."""
+
+
+class HttpClient:
+    """Implements `answering.Client` on a connection of tornado's server."""
+
+    def __init__(self, connection: tornado.http1connection.HTTP1Connection) -> None:
+        self._connection = connection
+        self.started = False
+        self.status = 0
+        self.aborted = False
+
+    async def begin(
+        self, status: int, reason: str, headers: Sequence[tuple[str, str]], length: int | None
+    ) -> None:
+        """Send the head; without a length the body comes in chunks."""
+        rendered = tornado.httputil.HTTPHeaders()
+        for name, value in headers:
+            rendered.add(name, value)
+        if length is not None:
+            rendered['Content-Length'] = str(length)
+        self.started = True
+        self.status = status
+        start = tornado.httputil.ResponseStartLine(
+            'HTTP/1.1', status, reason or tornado.httputil.responses.get(status, 'Unknown')
+        )
+        # The head goes out with the first part of the body; its own future says nothing more.
+        self._connection.write_headers(start, rendered).add_done_callback(lambda f: f.exception())
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body; waits while the client does not read."""
+        if data:
+            await self._connection.write(data)
+
+    async def finish(self) -> None:
+        """End the answer as complete."""
+        self._connection.finish()
+
+    def abort(self) -> None:
+        """End the connection, so that the answer cannot look complete."""
+        self.aborted = True
+        self._connection.close()
+
+
+class Ingress(tornado.httputil.HTTPServerConnectionDelegate):
+    """Takes clients' connections."""
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        forwarder: forwarding.Forwarder,
+        wire: dialect.Dialect,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.known = known
+        self.forwarder = forwarder
+        self.wire = wire
+        self.counters = counters
+        self.in_flight = 0
+        self.last_request_at = time.monotonic()
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: tornado.httputil.HTTPConnection,
+    ) -> tornado.httputil.HTTPMessageDelegate:
+        """Begin to read a request."""
+        assert isinstance(request_conn, tornado.http1connection.HTTP1Connection)
+        return _Incoming(self, request_conn)
+
+    def build_server(self) -> tornado.httpserver.HTTPServer:
+        """Return the server of the clients' port."""
+        return tornado.httpserver.HTTPServer(
+            self,
+            max_header_size=HEAD_MAX,
+            max_body_size=BODY_MAX,
+            max_buffer_size=BODY_MAX + HEAD_MAX,
+            idle_connection_timeout=REST_MAX,
+        )
+
+
+class _Incoming(tornado.httputil.HTTPMessageDelegate):
+    """One request while it is read and answered."""
+
+    def __init__(self, owner: Ingress, connection: tornado.http1connection.HTTP1Connection) -> None:
+        self._owner = owner
+        self._connection = connection
+        self._client = HttpClient(connection)
+        self._ask: dialect.Ask | None = None
+        self._refusal: answering.Refusal | None = None
+        self._body = bytearray()
+        self._arrived_at = 0.0
+        self._work: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self,
+        start_line: tornado.httputil.RequestStartLine | tornado.httputil.ResponseStartLine,
+        headers: tornado.httputil.HTTPHeaders,
+    ) -> None:
+        """Take the head."""
+        self._arrived_at = time.monotonic()
+        assert isinstance(start_line, tornado.httputil.RequestStartLine)
+        try:
+            self._ask = self._owner.wire.read_request(start_line, headers)
+        except ValueError as error:
+            self._refusal = answering.Refusal(400, 'bad_request', str(error))
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        self._body += chunk
+
+    def finish(self) -> None:
+        """Answer: the request is whole."""
+        self._connection.set_close_callback(self._note_gone)
+        self._work = asyncio.ensure_future(self._run())
+
+    def on_connection_close(self) -> None:
+        """Note that the client left before its request was whole."""
+        id = self._ask.id if self._ask else ''
+        log.info('client left while sending', extra={'request': id, 'bytes': len(self._body)})
+
+    def _note_gone(self) -> None:
+        if self._work is not None and not self._work.done():
+            self._work.cancel()
+
+    async def _run(self) -> None:
+        owner = self._owner
+        owner.in_flight += 1
+        owner.last_request_at = time.monotonic()
+        id = self._ask.id if self._ask else ''
+        try:
+            await self._answer()
+        except (asyncio.CancelledError, tornado.iostream.StreamClosedError):
+            log.info('client gone', extra={'request': id, 'status': self._client.status})
+        except Exception:
+            # Whatever went wrong here, the client must not wait for an answer that cannot come.
+            log.exception('request failed inside', extra={'request': id})
+            self._client.abort()
+        finally:
+            owner.in_flight -= 1
+            owner.counters.answer_seconds.observe(
+                {'status': str(self._client.status)}, time.monotonic() - self._arrived_at
+            )
+
+    async def _answer(self) -> None:
+        admitted = self._admit()
+        if isinstance(admitted, forwarding.Admitted):
+            await self._owner.forwarder.run(admitted, self._client)
+            return
+        id = self._ask.id if self._ask else ''
+        self._owner.counters.refusals.inc({'code': admitted.reason, 'outcome': 'not_run'})
+        await forwarding.write_refusal(self._client, admitted, self._owner.wire.id_header, id)
+
+    def _admit(self) -> forwarding.Admitted | answering.Refusal:
+        """Return the request with its rules, or why it is refused."""
+        if self._refusal is not None:
+            return self._refusal
+        ask = self._ask
+        assert ask is not None
+        table = self._owner.known.table
+        if table is None:
+            return _refuse_for_now('no configuration is known yet')
+        if len(self._body) > table.configuration.max_body:
+            return answering.Refusal(413, 'body_too_large', 'the body is too large')
+        route = table.find_route(ask.host, ask.path)
+        if route is None:
+            return self._refuse_unknown(404, 'no_route', f'no route for {ask.host}{ask.path}')
+        account = None
+        if table.configuration.has_accounts and not route.public:
+            account = table.find_account(ask.key) if ask.key else None
+            if account is None:
+                return self._refuse_unknown(401, 'unknown_key', 'the key is missing or unknown')
+        return forwarding.Admitted(ask, route, account, bytes(self._body), self._arrived_at)
+
+    def _refuse_unknown(self, status: int, reason: str, message: str) -> answering.Refusal:
+        """Refuse for good only if a newer configuration cannot say otherwise."""
+        age = self._owner.known.freshness.compute_age(time.monotonic())
+        if age > SURE_AGE:
+            return _refuse_for_now(f'{message}, by a configuration proved {age:.1f} s ago')
+        return answering.Refusal(status, reason, message)
+
+
+def _refuse_for_now(message: str) -> answering.Refusal:
+    return answering.Refusal(503, 'not_known_yet', message, RETRY_AFTER_UNKNOWING)
--- /dev/null
+++ b/passpier/routing/knowledge.py
@@ -0,0 +1,120 @@
+"""What a router process knows from the registry, and how old it may be."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from passpier import exceptions
+from passpier.clients import registry
+from passpier.core import catalogue, freshness, routes
+from passpier.routing import dialect, pools
+
+log = logging.getLogger(__name__)
+
+FIRST_VERSION_AGE = 5.0
+"""Seconds for which a version that is found at the start counts as known: it may be that old."""
+
+
+class Knowledge:
+    """Configuration, replicas and wanted weights; nothing here steps back in one life."""
+
+    def __init__(self, records: dialect.Records, known: pools.Pools, key_bound: float) -> None:
+        self.records = records
+        self.pools = known
+        self.freshness = freshness.Freshness(key_bound)
+        self.table: routes.Table | None = None
+        self.catalogue = catalogue.Catalogue()
+        self.revision = 0
+        """The registry's revision up to which everything is known."""
+
+        self._revisions: dict[str, int] = {}
+        self._members: dict[str, registry.Item] = {}
+
+    @property
+    def members(self) -> dict[str, registry.Item]:
+        """Items that router processes wrote, by key."""
+        return self._members
+
+    def take_reading(self, reading: registry.Reading, now: float) -> None:
+        """Take over a whole reading of the registry."""
+        first = self.table is None
+        keys = {i.key for i in reading.items}
+        for item in reading.items:
+            self._take(item, now - FIRST_VERSION_AGE if first else now)
+        gone = [k for k in self._revisions if k not in keys]
+        for key in gone:
+            # Only what was older than the reading can be missing from it.
+            if self._revisions[key] <= reading.revision:
+                self._remove(key, now)
+        self.revision = max(self.revision, reading.revision)
+        self.freshness.prove(reading.sent_at)
+
+    def take_changes(self, changes: registry.Changes, wait: float, now: float) -> None:
+        """Take over what a watch told."""
+        for item in changes.items:
+            if item.removed:
+                if self._revisions.get(item.key, 0) <= item.revision:
+                    self._remove(item.key, now)
+            else:
+                self._take(item, now)
+        self.revision = max(self.revision, changes.revision)
+        self.freshness.prove_by_watch(changes.sent_at, wait, changes.answered_at, not changes.items)
+
+    def is_ready(self) -> bool:
+        """Return whether requests can be decided on."""
+        return self.table is not None
+
+    def expire(self, now: float) -> None:
+        """Drop replicas whose entries have not come back."""
+        for change in self.catalogue.expire(now):
+            self.pools.apply_change(change)
+
+    def _take(self, item: registry.Item, now: float) -> None:
+        if self._revisions.get(item.key, 0) >= item.revision:
+            return
+        self._revisions[item.key] = item.revision
+        try:
+            self._apply(item, now)
+        except exceptions.StoreError as error:
+            log.error('record skipped', extra={'key': item.key, 'error': str(error)})
+
+    def _apply(self, item: registry.Item, now: float) -> None:
+        records = self.records
+        if item.key == records.configuration_key:
+            self._take_configuration(records.decode_configuration(item.data), item.revision)
+        elif item.key.startswith(records.version_prefix):
+            model, version = records.decode_named_version(item.data)
+            if self.pools.set_wanted(model, version, now):
+                log.info('weights named', extra={'model': model, 'weight_version': version})
+        elif item.key.startswith(records.replica_prefix):
+            id = item.key.removeprefix(records.replica_prefix)
+            change = self.catalogue.put(records.decode_replica(id, item.data))
+            if change is not None:
+                self.pools.apply_change(change)
+        elif item.key.startswith(records.own_prefix):
+            self._members[item.key] = item
+
+    def _take_configuration(self, configuration: routes.Configuration, revision: int) -> None:
+        if self.table is not None and self.table.configuration.version >= configuration.version:
+            return
+        self.table = routes.Table(configuration)
+        self.pools.apply_configuration(configuration)
+        log.info(
+            'configuration in force',
+            extra={
+                'version': configuration.version,
+                'revision': revision,
+                'routes': len(configuration.routes),
+                'accounts': len(configuration.accounts),
+                'age': round(self.freshness.compute_age(time.monotonic()), 3),
+            },
+        )
+
+    def _remove(self, key: str, now: float) -> None:
+        self._revisions.pop(key, None)
+        self._members.pop(key, None)
+        if key.startswith(self.records.replica_prefix):
+            change = self.catalogue.remove(key.removeprefix(self.records.replica_prefix), now)
+            if change is not None:
+                self.pools.apply_change(change)
--- /dev/null
+++ b/passpier/routing/pools.py
@@ -0,0 +1,205 @@
+"""The upstreams as the router believes them to be: who serves what, with which weights."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import time
+from collections.abc import Mapping
+
+from passpier.core import catalogue, choice, ejection, prompts, replicas, rollout, routes, view
+
+log = logging.getLogger(__name__)
+
+ROOM_SECONDS = 0.6
+"""Seconds of prefill that may wait at an engine; its own queue knows priorities."""
+
+PAUSE_FULL = 0.03
+"""Seconds for which a replica that refused a request for want of room gets no other."""
+
+PAUSE_LOADING = 1.2
+"""Seconds for which a replica that was told to load weights gets nothing, unless it ends sooner."""
+
+TOKENS_PER_PART = 300
+"""Tokens of a typical part: how many parts a cache holds is not told, only its tokens."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Where an engine finds cache that it lacks, and where it leaves what it has computed."""
+
+    fetch: str = ''
+    save: str = ''
+
+
+class Pools:
+    """Replicas by service, with their load, weights and caches."""
+
+    def __init__(self, version_bound: float, view_blocks: int = 100_000) -> None:
+        self.replicas: dict[str, replicas.Replica] = {}
+        self.cache = view.CacheView(view_blocks)
+        self.ejector = ejection.Ejector()
+        self.wanted: dict[str, rollout.Wanted] = {}
+        self._version_bound = version_bound
+        self._pools: dict[str, list[str]] = {}
+        self._models: dict[str, str] = {}
+        self._services: Mapping[str, routes.Service] = {}
+        self._stores: tuple[routes.CacheStore, ...] = ()
+
+    def apply_configuration(self, configuration: routes.Configuration) -> None:
+        """Take over services and cache stores."""
+        self._services = configuration.services
+        self._stores = configuration.cache_stores
+        for replica in self.replicas.values():
+            self._models[replica.name] = self._find_model(self._service_of(replica.name))
+
+    def apply_change(self, change: catalogue.Change) -> None:
+        """Take over a replica that came, changed or went."""
+        fields = {'upstream': change.id, 'reason': change.reason}
+        if change.entry is None:
+            self._drop(change.id)
+            log.info('upstream gone', extra=fields)
+            return
+        entry = change.entry
+        replica = self.replicas.get(entry.id)
+        if replica is None:
+            replica = self._add(entry)
+        replica.slots = entry.slots
+        replicas.set_leaving(replica, 'registry', entry.draining)
+        version = entry.versions.get(self._models[entry.id], 0)
+        if version:
+            self.learn_version(entry.id, version, 'registry')
+        log.info(
+            'upstream changed',
+            extra={
+                **fields,
+                'service': entry.service,
+                'address': entry.address,
+                'weight_version': replica.weight_version,
+                'leaving': replica.leaving,
+            },
+        )
+
+    def set_wanted(self, model: str, version: int, known_at: float) -> bool:
+        """Note a named weight version; return whether it is newer than the known one."""
+        known = self.wanted.get(model)
+        if known is not None and known.version >= version:
+            return False
+        self.wanted[model] = rollout.Wanted(model, version, known_at)
+        return True
+
+    def learn_version(self, name: str, version: int, source: str) -> None:
+        """Note a replica's weight version; it only rises within an incarnation."""
+        replica = self.replicas.get(name)
+        if replica is None or int(replica.weight_version or 0) >= version:
+            return
+        replica.weight_version = str(version)
+        replica.paused_until = float('-inf')
+        self.cache.set_incarnation(name, f'{name}/{version}', self.cache.get_capacity(name))
+        log.info(
+            'upstream weights',
+            extra={'upstream': name, 'weight_version': version, 'source': source},
+        )
+
+    def pause(self, name: str, seconds: float, reason: str) -> None:
+        """Give a replica no new requests for a while."""
+        replica = self.replicas.get(name)
+        if replica is None:
+            return
+        replica.paused_until = max(replica.paused_until, time.monotonic() + seconds)
+        log.info('upstream paused', extra={'upstream': name, 'seconds': seconds, 'reason': reason})
+
+    def resume(self, name: str) -> None:
+        """End a pause."""
+        if name in self.replicas:
+            self.replicas[name].paused_until = float('-inf')
+
+    def get(self, name: str) -> replicas.Replica:
+        """Return a known upstream."""
+        return self.replicas[name]
+
+    def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
+        """Return the upstreams of a pool that may begin a request now or shortly."""
+        now = time.monotonic()
+        usable = {}
+        for name in self._pools.get(pool, ()):
+            replica = self.replicas[name]
+            if not replica.leaving and self._may_serve(replica, now):
+                usable[name] = replica
+        return [usable[name] for name in self.ejector.select(list(usable), now)]
+
+    def count_listed(self, pool: str) -> int:
+        """Return how many upstreams a pool has, whatever their state."""
+        return len(self._pools.get(pool, ()))
+
+    def note_failure(self, name: str) -> None:
+        """Count a failed attempt against a replica."""
+        if self.ejector.note_failure(name, time.monotonic()):
+            log.warning('upstream ejected', extra={'upstream': name})
+
+    def find_model(self, name: str) -> str:
+        """Return the model that a replica runs, or an empty string."""
+        return self._models.get(name, '')
+
+    def find_engine(self, service: str) -> routes.Engine | None:
+        """Return what the replicas of a model service can do."""
+        found = self._services.get(service)
+        return found.engine if found else None
+
+    def choose_source(self, replica: replicas.Replica, job: choice.Job) -> Source:
+        """Return where a replica should look for the parts of a prompt that it lacks."""
+        if not job.chain or not self._stores:
+            return Source()
+        store = self._stores[0]
+        return Source(store.address, store.address)
+
+    def list_states(self) -> list[rollout.State]:
+        """Return the weights of all engines."""
+        return [
+            rollout.State(r.name, {self._models[r.name]: int(r.weight_version)}, r.leaving)
+            for r in self.replicas.values()
+            if r.weight_version
+        ]
+
+    def render_salt(
+        self, prompt: prompts.Prompt, account: routes.Account | None, version: str
+    ) -> str:
+        """Return the salt for a prompt at a replica with a weight version."""
+        return prompts.render_salt(account, prompt.model, version)
+
+    def _may_serve(self, replica: replicas.Replica, now: float) -> bool:
+        wanted = self.wanted.get(self._models.get(replica.name, ''))
+        version = int(replica.weight_version or 0)
+        if not version:
+            return True
+        return rollout.may_serve(version, wanted, self._version_bound, now)
+
+    def _add(self, entry: catalogue.Entry) -> replicas.Replica:
+        replica = replicas.Replica(
+            entry.id, entry.address, entry.id, entry.failure_domain, entry.id, slots=entry.slots
+        )
+        self._models[entry.id] = self._find_model(entry.service) or next(iter(entry.versions), '')
+        if self._models[entry.id]:
+            replica.room_seconds = ROOM_SECONDS
+        engine = self.find_engine(entry.service)
+        capacity = engine.cache_tokens // TOKENS_PER_PART if engine else 0
+        self.cache.set_incarnation(entry.id, f'{entry.id}/0', capacity)
+        self.replicas[entry.id] = replica
+        self._pools.setdefault(entry.service, []).append(entry.id)
+        return replica
+
+    def _drop(self, name: str) -> None:
+        self.replicas.pop(name, None)
+        self._models.pop(name, None)
+        self.cache.forget(name)
+        self.ejector.note_success(name)
+        for names in self._pools.values():
+            if name in names:
+                names.remove(name)
+
+    def _find_model(self, service: str) -> str:
+        engine = self.find_engine(service)
+        return engine.models[0] if engine and engine.models else ''
+
+    def _service_of(self, name: str) -> str:
+        return next((s for s, names in self._pools.items() if name in names), '')
--- /dev/null
+++ b/passpier/routing/rollouts.py
@@ -0,0 +1,221 @@
+"""Brings replicas to the named weights: elects one process that gives orders, and gives them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+
+from passpier import exceptions
+from passpier.clients import exchanges, registry
+from passpier.core import holders, rollout
+from passpier.daemon import messages, peers
+from passpier.routing import dialect, following, knowledge, pools, roster
+
+log = logging.getLogger(__name__)
+
+CHECK_INTERVAL = 0.2
+"""Seconds between looks at what is to be ordered."""
+
+ELECTION_SPREAD = 0.3
+"""Seconds over which the processes spread their tries to be elected."""
+
+QUIET_TIME = 0.15
+"""Seconds between telling peers that a replica will load and the order, so that its runs end."""
+
+LOAD_POLL = 0.15
+"""Seconds between looks at whether a replica has loaded."""
+
+LOAD_PATIENCE = 3.0
+"""Seconds after which a load that was taken counts as lost."""
+
+LOAD_FIRST_LOOK = 0.55
+"""Seconds after an order before the first look: a load takes about 0.8 s, each look is priced."""
+
+_KEY = 'order-holder'
+
+
+class Rollouts:
+    """One process's part in bringing weights up to date."""
+
+    def __init__(
+        self,
+        source: registry.Registry,
+        known: knowledge.Knowledge,
+        follower: following.Follower,
+        members: roster.Roster,
+        engines: dialect.Engines,
+        link: peers.Peers,
+        options: dialect.Options,
+        rng: random.Random,
+    ) -> None:
+        self.holder = holders.Holder(options.order_hold, options.lease_ttl)
+        self._source = source
+        self._known = known
+        self._pools = known.pools
+        self._follower = follower
+        self._roster = members
+        self._engines = engines
+        self._peers = link
+        self._name = options.name
+        self._rng = rng
+        self._key = known.records.own_prefix + _KEY
+        self._rollout = rollout.Rollout()
+        self._lease = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        link.handle(messages.Loading, self._take_loading)
+        link.handle(messages.Loaded, self._take_loaded)
+
+    async def run_election(self) -> None:
+        """Hold or seek the right to give orders until cancelled."""
+        while True:
+            try:
+                if self._roster.leaving:
+                    await self._resign()
+                    await asyncio.sleep(CHECK_INTERVAL)
+                elif self.holder.token:
+                    await self._renew()
+                else:
+                    await self._seek()
+            except (exceptions.StoreError, exceptions.ConflictError) as error:
+                log.info('election put off', extra={'error': str(error)})
+                await asyncio.sleep(self._rng.uniform(0.1, 0.3))
+
+    async def run_orders(self) -> None:
+        """Give orders while this process may, until cancelled."""
+        while True:
+            now = time.monotonic()
+            if self.holder.may_order(now):
+                wanted = self._pools.wanted.values()
+                for order in self._rollout.choose(wanted, self._pools.list_states(), now):
+                    self._start(order)
+            await asyncio.sleep(CHECK_INTERVAL)
+
+    async def _seek(self) -> None:
+        if self._key in self._known.members or not self._follower.reachable:
+            await asyncio.sleep(CHECK_INTERVAL)
+            return
+        await asyncio.sleep(self._rng.uniform(0, ELECTION_SPREAD))
+        if self._key in self._known.members:
+            return
+        sent_at = time.monotonic()
+        lease = await self._source.grant(self.holder.lease_ttl)
+        put = registry.Put(self._key, self._name.encode(), lease)
+        try:
+            token = await self._source.write([put], [registry.IsAt(self._key, 0)])
+        except exceptions.ConflictError:
+            await self._source.end(lease)
+            return
+        self._lease = lease
+        self.holder.elect(token, sent_at, time.monotonic())
+        log.info('elected to give orders', extra={'token': token, 'lease': lease})
+
+    async def _renew(self) -> None:
+        await asyncio.sleep(self.holder.lease_ttl / holders.RENEWALS_PER_LEASE)
+        sent_at = time.monotonic()
+        try:
+            await self._source.renew(self._lease)
+        except registry.LeaseGoneError:
+            self._lose('the lease lapsed')
+            return
+        except exceptions.StoreError:
+            if not self.holder.is_held(time.monotonic()):
+                self._lose('the lease could not be renewed')
+            raise
+        self.holder.renew(sent_at)
+
+    async def _resign(self) -> None:
+        if not self.holder.token:
+            return
+        lease = self._lease
+        self._lose('this process stops')
+        await self._source.end(lease)
+
+    def _lose(self, reason: str) -> None:
+        log.info('gives no more orders', extra={'token': self.holder.token, 'reason': reason})
+        self.holder.resign()
+        self._rollout.reset()
+        self._lease = 0
+
+    def _start(self, order: rollout.Order) -> None:
+        task = asyncio.ensure_future(self._carry_out(order))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry_out(self, order: rollout.Order) -> None:
+        version = 0
+        try:
+            version = await self._load(order)
+        except exchanges.ExchangeError as error:
+            fields = {'upstream': order.replica, 'error': str(error)}
+            log.warning('replica not reached for an order', extra=fields)
+        finally:
+            self._rollout.end(order.replica)
+            self._tell(messages.Loaded(order.replica, version))
+            if version:
+                self._pools.learn_version(order.replica, version, 'report')
+            self._pools.resume(order.replica)
+
+    async def _load(self, order: rollout.Order) -> int:
+        """Have a replica load weights; return the version that it has, or 0 if that is unknown."""
+        replica = self._pools.replicas.get(order.replica)
+        if replica is None:
+            return 0
+        self._pools.pause(order.replica, pools.PAUSE_LOADING, 'is to load weights')
+        self._tell(messages.Loading(order.replica, pools.PAUSE_LOADING))
+        await asyncio.sleep(QUIET_TIME)
+        report = await self._engines.report(replica.address, replica.incarnation)
+        if report.versions.get(order.model, 0) >= order.version:
+            return report.versions[order.model]
+        # Checked right before the send: this process may have been stopped for a while.
+        if not self.holder.may_order(time.monotonic()):
+            return 0
+        wire = dialect.WeightOrder(
+            replica.incarnation,
+            order.model,
+            order.version,
+            self._name,
+            self.holder.token,
+            report.orders,
+        )
+        result = await self._engines.order(replica.address, wire)
+        log.info(
+            'order given',
+            extra={
+                'upstream': order.replica,
+                'model': order.model,
+                'weight_version': order.version,
+                'token': wire.token,
+                'expected_orders': wire.expected_orders,
+                'running': report.running,
+                'result': result.value,
+            },
+        )
+        if result in (dialect.OrderResult.REFUSED, dialect.OrderResult.BUSY):
+            return 0
+        return await self._wait_loaded(order, replica.address)
+
+    async def _wait_loaded(self, order: rollout.Order, address: str) -> int:
+        deadline = time.monotonic() + LOAD_PATIENCE
+        await asyncio.sleep(LOAD_FIRST_LOOK)
+        while time.monotonic() < deadline:
+            report = await self._engines.report(address, order.replica)
+            version = report.versions.get(order.model, 0)
+            if version >= order.version and not report.ordered:
+                return version
+            await asyncio.sleep(LOAD_POLL)
+        log.warning('load not seen', extra={'upstream': order.replica})
+        return 0
+
+    def _tell(self, message: messages.Loading | messages.Loaded) -> None:
+        for member in self._roster.membership.list_alive(time.monotonic()):
+            self._peers.send(member.peer, message)
+
+    def _take_loading(self, sender: str, address: str, message: messages.Loading) -> None:
+        self._pools.pause(message.replica, message.seconds, f'peer {address} has it load weights')
+
+    def _take_loaded(self, sender: str, address: str, message: messages.Loaded) -> None:
+        if message.weight_version:
+            self._pools.learn_version(message.replica, message.weight_version, 'peer')
+        self._pools.resume(message.replica)
--- /dev/null
+++ b/passpier/routing/router.py
@@ -0,0 +1,237 @@
+"""Starts, reloads and stops a router process."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+import tornado.httpserver
+import tornado.web
+import uuid_utils
+
+from passpier.clients import exchanges, registry
+from passpier.core import drain, members
+from passpier.daemon import dispatcher, metrics, peers
+from passpier.routing import (
+    dialect,
+    following,
+    forwarding,
+    ingress,
+    knowledge,
+    pools,
+    rollouts,
+    roster,
+)
+
+log = logging.getLogger(__name__)
+
+STOP_CHECK = 0.05
+"""Seconds between looks at whether a planned stop is done."""
+
+UPKEEP_INTERVAL = 1.0
+"""Seconds between rounds that close connections which have rested long enough."""
+
+
+class Adapter:
+    """What a platform's adapter brings."""
+
+    def __init__(
+        self,
+        wire: dialect.Dialect,
+        records: dialect.Records,
+        directory: dialect.Directory,
+        engines: dialect.Engines,
+        source: registry.Registry,
+        pool: exchanges.Pool,
+    ) -> None:
+        self.wire = wire
+        self.records = records
+        self.directory = directory
+        self.engines = engines
+        self.source = source
+        self.pool = pool
+
+
+class Router:
+    """All tasks of one router process, wired together."""
+
+    def __init__(self, options: dialect.Options, adapter: Adapter, rng: random.Random) -> None:
+        self.options = options
+        self._adapter = adapter
+        self.counters = metrics.Metrics()
+        self.pools = pools.Pools(options.version_bound)
+        self.known = knowledge.Knowledge(adapter.records, self.pools, options.key_bound)
+        incarnation = uuid_utils.uuid7().hex
+        self.peers = peers.Peers(incarnation, options.ip, options.peer_port, self.counters)
+        own = members.Member(
+            options.name,
+            incarnation,
+            options.ip,
+            int(options.caller.rpartition(':')[2]),
+            self.peers.port,
+            options.failure_domain,
+        )
+        self.follower = following.Follower(adapter.source, self.known, rng)
+        self.roster = roster.Roster(own, self.known, self.peers, rng)
+        self.rollouts = rollouts.Rollouts(
+            adapter.source,
+            self.known,
+            self.follower,
+            self.roster,
+            adapter.engines,
+            self.peers,
+            options,
+            rng,
+        )
+        places = dispatcher.Dispatcher(self.pools, self.counters, rng)
+        self.forwarder = forwarding.Forwarder(
+            self.known, places, adapter.pool, adapter.wire, self.counters, options
+        )
+        self.ingress = ingress.Ingress(self.known, self.forwarder, adapter.wire, self.counters)
+        self._drain = drain.Drain(options.answer_ttl, options.stop_bound)
+        self._stopping = asyncio.Event()
+        self._client_server = self.ingress.build_server()
+
+    async def run(self) -> None:
+        """Serve until a planned stop is done."""
+        source = self._adapter.source
+        tasks = [
+            _start(self.peers.run()),
+            _start(self.follower.run()),
+            _start(self.roster.run_registration(source)),
+            _start(self.roster.run_heartbeats()),
+            _start(self.rollouts.run_election()),
+            _start(self.rollouts.run_orders()),
+            _start(self._run_upkeep()),
+        ]
+        servers = self._listen()
+        log.info(
+            'started',
+            extra={
+                'entry': self.options.caller,
+                'peers': self.peers.address,
+                'incarnation': self.roster.membership.own.incarnation,
+                'failure_domain': self.options.failure_domain,
+            },
+        )
+        await self._stopping.wait()
+        await self._finish()
+        await self.roster.end(source)
+        for server in servers:
+            server.stop()
+        for task in tasks:
+            task.cancel()
+        self._adapter.pool.close()
+        self.peers.close()
+        log.info('stopped', extra={'cut': self.ingress.in_flight})
+
+    def begin_stop(self) -> None:
+        """Start a planned stop; a second call ends it early."""
+        self._drain.begin(time.monotonic())
+        log.info(
+            'stop begins',
+            extra={'in_flight': self.ingress.in_flight, 'hurried': self._drain.hurried},
+        )
+        # From here on each answer ends its connection, so that clients go elsewhere.
+        self._client_server.conn_params.no_keep_alive = True
+        self.roster.begin_leaving()
+        self._stopping.set()
+
+    def reload(self, options: dialect.Options) -> None:
+        """Take over changed bounds; addresses stay until the next start."""
+        self.options = options
+        self.known.freshness.bound = options.key_bound
+        self.forwarder.options = options
+        self.rollouts.holder.hold = options.order_hold
+        log.info('settings reloaded', extra={'key_bound': options.key_bound})
+
+    def is_ready(self) -> bool:
+        """Return whether clients should be sent here."""
+        now = time.monotonic()
+        fresh = self.known.freshness.is_fresh(now)
+        return self.known.is_ready() and fresh and not self.roster.leaving
+
+    async def _finish(self) -> None:
+        while True:
+            phase = self._drain.get_phase(self.ingress.in_flight, time.monotonic())
+            if phase is drain.Phase.STOPPED:
+                return
+            await asyncio.sleep(STOP_CHECK)
+
+    async def _run_upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_INTERVAL)
+            self._adapter.pool.close_expired()
+            self.forwarder.daemons = self.roster.most
+
+    def _listen(self) -> list[tornado.httpserver.HTTPServer]:
+        directory = self._adapter.directory
+        state = {'app': self, 'directory': directory}
+        pages = tornado.web.Application(
+            [
+                (directory.directory_path, _DirectoryHandler, state),
+                (directory.ready_path, _ReadyHandler, state),
+                ('/metrics', _MetricsHandler, state),
+            ]
+        )
+        _listen_on(self._client_server, self.options.caller)
+        servers = [self._client_server]
+        metrics_address = f'{self.options.ip}:{self.options.metrics_port}'
+        for address in {self.options.ready, self.options.directory, metrics_address}:
+            server = tornado.httpserver.HTTPServer(pages)
+            _listen_on(server, address)
+            servers.append(server)
+        return servers
+
+
+class _PageHandler(tornado.web.RequestHandler):
+    def initialize(self, app: Router, directory: dialect.Directory) -> None:
+        self.app = app
+        self.directory = directory
+
+
+class _DirectoryHandler(_PageHandler):
+    def get(self) -> None:
+        """Answer with the addresses that a client should use."""
+        query = self.directory.read_query(self.request)
+        app = self.app
+        addresses = app.roster.choose_entries(query, time.monotonic(), app.is_ready())
+        self.write(self.directory.render_entries(addresses, app.options.answer_ttl))
+
+
+class _ReadyHandler(_PageHandler):
+    def get(self) -> None:
+        """Answer whether clients should be sent here."""
+        if not self.app.is_ready():
+            self.set_status(503)
+        self.finish()
+
+
+class _MetricsHandler(_PageHandler):
+    def get(self) -> None:
+        """Answer with all metrics."""
+        body, headers = self.app.counters.render(self.request.headers.get_list('Accept'))
+        for name, value in headers.items():
+            self.set_header(name, value)
+        self.write(body)
+
+
+def _listen_on(server: tornado.httpserver.HTTPServer, address: str) -> None:
+    host, _, port = address.rpartition(':')
+    server.listen(int(port), host)
+
+
+def _start(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    task = asyncio.ensure_future(work)
+    task.add_done_callback(_check_task)
+    return task
+
+
+def _check_task(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.critical('task failed', exc_info=task.exception())
+        raise SystemExit(1)
