The gone stay gone: old heartbeats bring no daemon back; a stop waits out late requests

A member removed after its entry lapsed came back with the digest of a peer that still counted it, as newly met and so alive. Ruled out: lease length (4 or 6 s made no difference to the mechanism). Change: removed members keep their last counter, silent ones are left out of digests, members only heard of have 3 heartbeats to speak up. Tests: three new ones in members_tests failed before.

--- a/passpier/core/drain.py
+++ b/passpier/core/drain.py
@@ -40,7 +40,7 @@
             self.hurried = True
 
     def get_phase(self, in_flight: int, now: float) -> Phase:
-        """Return the phase at this time with so many requests running."""
+        """Return the phase at this time with so many requests running or just ended."""
         if self.began_at is None:
             return Phase.SERVING
         elapsed = now - self.began_at
--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -19,6 +19,12 @@
 SUSPECT_BEATS = 6.0
 """Heartbeats without advance after which a member counts as gone, in a small fleet."""
 
+FIRST_BEATS = 3.0
+"""Heartbeats within which a member that was only heard of has to be heard from."""
+
+REMOVED_KEPT = 1000
+"""Removed members whose last counter is remembered."""
+
 FORGET_SECONDS = 600.0
 """Seconds after which a member that is gone is forgotten."""
 
@@ -74,6 +80,8 @@
         self.own = own
         self.heartbeat = heartbeat
         self._records = {own.incarnation: _Record(own, Beat(own.incarnation, 1), now)}
+        self._removed: dict[str, int] = {}
+        """The last counter of members that were removed: older beats still travel."""
 
     def __len__(self) -> int:
         return len(self._records)
@@ -87,7 +95,7 @@
 
     def add(self, member: Member, now: float) -> bool:
         """Add a member; an older incarnation of the same name is dropped."""
-        if member.incarnation in self._records:
+        if member.incarnation in self._records or member.incarnation in self._removed:
             return False
         for known in list(self._records.values()):
             if known.member.name != member.name or known.member == self.own:
@@ -104,7 +112,9 @@
         for beat in beats:
             record = self._records.get(beat.incarnation)
             if record is None:
-                unknown.append(beat.incarnation)
+                if beat.counter > self._removed.get(beat.incarnation, -1):
+                    self._removed.pop(beat.incarnation, None)
+                    unknown.append(beat.incarnation)
             elif beat.counter > record.beat.counter and record.member != self.own:
                 record.beat = beat
                 record.advanced_at = now
@@ -113,7 +123,11 @@
     def remove(self, incarnation: str) -> None:
         """Forget a member that said that it stops, or that the store no longer lists."""
         if incarnation != self.own.incarnation:
-            self._records.pop(incarnation, None)
+            record = self._records.pop(incarnation, None)
+            if record is not None:
+                self._removed[incarnation] = record.beat.counter
+                while len(self._removed) > REMOVED_KEPT:
+                    self._removed.pop(next(iter(self._removed)))
 
     def get(self, incarnation: str) -> Member | None:
         """Return a known member."""
@@ -136,12 +150,7 @@
 
     def list_alive(self, now: float) -> list[Member]:
         """Return the members whose counter advanced lately, this daemon included."""
-        bound = now - self.compute_timeout()
-        return [
-            r.member
-            for r in self._records.values()
-            if r.advanced_at >= bound or r.member == self.own
-        ]
+        return [r.member for r in self._records.values() if self._is_alive(r, now)]
 
     def list_serving(self, now: float) -> list[Member]:
         """Return the live members that are not leaving."""
@@ -152,10 +161,22 @@
         rounds = len(self._records) / (FANOUT * DIGEST_LIMIT)
         return self.heartbeat * (SUSPECT_BEATS + 2 * rounds)
 
-    def make_digest(self, rng: random.Random) -> list[Beat]:
-        """Return the own beat, half the freshest others and a random rest."""
+    def _is_alive(self, record: _Record, now: float) -> bool:
+        if record.member == self.own:
+            return True
+        patience = self.compute_timeout()
+        if not record.beat.counter:
+            patience = min(patience, self.heartbeat * FIRST_BEATS)
+        return record.advanced_at >= now - patience
+
+    def make_digest(self, rng: random.Random, now: float) -> list[Beat]:
+        """Return the own beat, half the freshest others and a random rest.
+
+        Who is silent is left out: whoever hears of a member for the first time takes it for alive.
+        """
         own = self._records[self.own.incarnation].beat
         others = [r for r in self._records.values() if r.member != self.own]
+        others = [r for r in others if r.beat.counter and self._is_alive(r, now)]
         if len(others) >= DIGEST_LIMIT:
             others.sort(key=lambda r: -r.advanced_at)
             fresh = others[: DIGEST_LIMIT // 2]
--- a/passpier/daemon/fleet.py
+++ b/passpier/daemon/fleet.py
@@ -156,7 +156,7 @@
 
     def _make_heartbeat(self) -> messages.Heartbeat:
         epoch = self.limits.epoch.number if self.limits.epoch else 0
-        digest = self.membership.make_digest(self._rng)
+        digest = self.membership.make_digest(self._rng, time.monotonic())
         return messages.Heartbeat(digest, self.configuration.holder.number, epoch)
 
     def _push(self, message: messages.AnyMessage) -> None:
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -23,7 +23,7 @@
 HEARTBEAT = 0.5
 """Seconds between heartbeats."""
 
-MEMBER_LEASE = 6.0
+MEMBER_LEASE = 4.0
 """Seconds after which the entry of a process that is gone vanishes; heartbeats notice sooner."""
 
 RETRY = 0.5
@@ -135,7 +135,9 @@
             age = round(self._known.freshness.compute_age(now), 3)
             log.info('ready' if not refuses else 'not ready', extra={'configuration_age': age})
         self.membership.advance(now, self._known.revision, 0, 0, refuses)
-        beat = messages.Heartbeat(self.membership.make_digest(self._rng), self._known.revision, 0)
+        beat = messages.Heartbeat(
+            self.membership.make_digest(self._rng, now), self._known.revision, 0
+        )
         for member in targets:
             self._peers.send(member.peer, beat)
 
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -32,6 +32,9 @@
 STOP_CHECK = 0.05
 """Seconds between looks at whether a planned stop is done."""
 
+QUIET_BEFORE_STOP = 0.3
+"""Seconds without a request before a planned stop ends: one may be on its way just then."""
+
 UPKEEP_INTERVAL = 1.0
 """Seconds between rounds that close connections which have rested long enough."""
 
@@ -120,9 +123,11 @@
         )
         await self._stopping.wait()
         await self._finish()
-        await self.roster.end(source)
         for server in servers:
             server.stop()
+        await self.roster.end(source)
+        # A request may have come on a kept connection since.
+        await self._finish()
         for task in tasks:
             task.cancel()
         self._adapter.pool.close()
@@ -157,7 +162,9 @@
 
     async def _finish(self) -> None:
         while True:
-            phase = self._drain.get_phase(self.ingress.in_flight, time.monotonic())
+            now = time.monotonic()
+            recent = now - self.ingress.last_request_at < QUIET_BEFORE_STOP
+            phase = self._drain.get_phase(self.ingress.in_flight + recent, now)
             if phase is drain.Phase.STOPPED:
                 return
             await asyncio.sleep(STOP_CHECK)
--- a/passpier/standins/microbenchmarks.py
+++ b/passpier/standins/microbenchmarks.py
@@ -194,7 +194,7 @@
 
 def encode_heartbeat(membership: members.Membership, rng: random.Random) -> bytes:
     """Return an encoded heartbeat."""
-    beat = messages.Heartbeat(membership.make_digest(rng), 7, 3)
+    beat = messages.Heartbeat(membership.make_digest(rng, 0.0), 7, 3)
     own = membership.own
     return messages.encode(messages.Envelope(own.incarnation, own.peer, beat))
 
@@ -244,7 +244,7 @@
             daemon.advance(float(beat), 1, 1, 1, False)
             for target in daemon.choose_targets(rng):
                 if rng.random() > 0.05:
-                    by_name[target.name].merge(daemon.make_digest(rng), float(beat))
+                    by_name[target.name].merge(daemon.make_digest(rng, float(beat)), float(beat))
         alive = {m.name for m in observer.list_alive(beat)}
         for name, times in found.items():
             if beat > 20 and name not in alive and not times:
--- a/passpier/tests/core/members_tests.py
+++ b/passpier/tests/core/members_tests.py
@@ -48,7 +48,7 @@
         for target in daemon.choose_targets(self.rng):
             number = int(target.name.removeprefix('vm-'))
             if number not in self.stopped and self.rng.random() >= self.loss:
-                self.daemons[number].merge(daemon.make_digest(self.rng), self.now)
+                self.daemons[number].merge(daemon.make_digest(self.rng, self.now), self.now)
 
 
 @pytest.mark.parametrize(('size', 'loss'), [(8, 0.0), (8, 0.3), (120, 0.1)])
@@ -180,3 +180,33 @@
     assert not book.plan(wanted, seen, 6, 1.0)
     book.expire(orders.LONGEST_ORDER + 1)
     assert len(book.plan(wanted, seen, 2, 40.0)) == 1
+
+
+def test_old_beats_do_not_bring_back_who_is_gone() -> None:
+    own = members.Membership(make_member(0), 1.0, 0.0)
+    own.add(make_member(1), 0.0)
+    own.merge([members.Beat('i0001', 7)], 1.0)
+    own.remove('i0001')
+    assert own.merge([members.Beat('i0001', 7)], 20.0) == []
+    assert not own.add(make_member(1), 20.0)
+    assert own.merge([members.Beat('i0001', 8)], 21.0) == ['i0001']
+    assert own.add(make_member(1), 21.0)
+
+
+def test_who_is_silent_is_not_told_of_as_if_alive() -> None:
+    own = members.Membership(make_member(0), 1.0, 0.0)
+    own.add(make_member(1), 0.0)
+    own.merge([members.Beat('i0001', 7)], 1.0)
+    rng = random.Random(1)
+    assert {b.incarnation for b in own.make_digest(rng, 2.0)} == {'i0000', 'i0001'}
+    late = 2.0 + own.compute_timeout()
+    assert {b.incarnation for b in own.make_digest(rng, late)} == {'i0000'}
+
+
+def test_a_listed_daemon_that_never_beats_is_soon_not_named() -> None:
+    own = members.Membership(make_member(0), 1.0, 0.0)
+    own.add(make_member(1), 10.0)
+    assert [m.name for m in own.list_serving(11.0)] == ['vm-0', 'vm-1']
+    assert [m.name for m in own.list_serving(10.1 + members.FIRST_BEATS)] == ['vm-0']
+    own.merge([members.Beat('i0001', 1)], 14.0)
+    assert len(own.list_serving(14.0 + members.FIRST_BEATS)) == 2
