Proofs of freshness pass between daemons; the right to give orders survives lost answers and restarts

Change: daemons ask each other for the age of their proofs and of named versions; renewals don't wait for each other; whoever succeeds itself need not wait; young processes are elected first, a stopping holder ends its rollout first; a new order follows as soon as one is done.

--- a/passpier/core/holders.py
+++ b/passpier/core/holders.py
@@ -2,15 +2,16 @@
 
 Two daemons must not give orders within `hold` of each other. The holder gives orders only while
 its lease certainly holds, counted from when the renewal was sent. A successor waits for `hold`
-from when it was elected, which is after the predecessor's lease ended.
+from when it was elected, which is after the predecessor's lease ended. Whoever succeeds itself need
+not wait.
 """
 
 from __future__ import annotations
 
 import dataclasses
 
-RENEWALS_PER_LEASE = 4
-"""Renewals sent in the life of a lease, so that one or two may be lost."""
+RENEWALS_PER_LEASE = 5
+"""Renewals sent in the life of a lease, each without waiting for the one before."""
 
 SAFETY = 0.2
 """Part of a lease kept unused, for an order's way to the upstream and drift of clocks."""
@@ -28,11 +29,14 @@
     renewed_at: float = float('-inf')
     may_order_from: float = float('inf')
 
-    def elect(self, token: int, sent_at: float, answered_at: float) -> None:
-        """Note a won election whose lease was granted or renewed at `sent_at`."""
+    def elect(self, token: int, sent_at: float, answered_at: float, again: bool) -> None:
+        """Note a won election whose lease was granted at `sent_at`.
+
+        `again` says that certainly nobody else was elected since this daemon was.
+        """
         self.token = token
         self.renewed_at = sent_at
-        self.may_order_from = answered_at + self.hold
+        self.may_order_from = answered_at if again else answered_at + self.hold
 
     def renew(self, sent_at: float) -> None:
         """Note that the registry confirmed the lease."""
--- a/passpier/core/rollout.py
+++ b/passpier/core/rollout.py
@@ -68,6 +68,16 @@
                 chosen.append(order)
         return chosen
 
+    def is_pending(self, wanted: Iterable[Wanted], states: Iterable[State]) -> bool:
+        """Return whether some replica still lacks a named version."""
+        targets = {w.model: w.version for w in wanted}
+        return any(
+            version < targets.get(model, 0)
+            for s in states
+            if not s.draining
+            for model, version in s.versions.items()
+        )
+
     def end(self, replica: str) -> None:
         """Note that an order is carried out, or was not taken."""
         self._open.pop(replica, None)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -159,6 +159,25 @@
     decisions: list[bytes]
 
 
+class ProofWanted(Message, tag='pw'):
+    """Asks how old the receiver's knowledge of the registry is; `sent_at` is echoed."""
+
+    sent_at: float
+
+
+class Proof(Message, tag='pr'):
+    """The sender knows all changes up to `revision` that were made more than `age` seconds ago.
+
+    `sent_at` is that of the question; `weights` are model, named version and the seconds for which
+    the sender has known it.
+    """
+
+    sent_at: float
+    revision: int
+    age: float
+    weights: list[tuple[str, int, float]]
+
+
 class Loading(Message, tag='lg'):
     """A replica is about to load weights and should get nothing for so many seconds."""
 
@@ -196,6 +215,8 @@
     | Forwarded
     | ExplainWanted
     | Explained
+    | ProofWanted
+    | Proof
     | Loading
     | Loaded
 )
--- a/passpier/routing/knowledge.py
+++ b/passpier/routing/knowledge.py
@@ -61,6 +61,13 @@
         self.revision = max(self.revision, changes.revision)
         self.freshness.prove_by_watch(changes.sent_at, wait, changes.answered_at, not changes.items)
 
+    def take_proof(self, revision: int, proved_at: float) -> bool:
+        """Take over a peer's proof: it holds here if all that the peer knew is known here too."""
+        if self.table is None or self.revision < revision:
+            return False
+        self.freshness.prove(proved_at)
+        return True
+
     def is_ready(self) -> bool:
         """Return whether requests can be decided on."""
         return self.table is not None
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -20,6 +20,12 @@
 PAUSE_LOADING = 1.2
 """Seconds for which a replica that was told to load weights gets nothing, unless it ends sooner."""
 
+OLD_WEIGHTS_GRACE = 1.5
+"""Seconds after new weights are named from which answers of old ones are worth less."""
+
+ENOUGH_NEW = 0.75
+"""Part of a pool that must have new weights before all requests go there."""
+
 TOKENS_PER_PART = 300
 """Tokens of a typical part: how many parts a cache holds is not told, only its tokens."""
 
@@ -88,6 +94,12 @@
         self.wanted[model] = rollout.Wanted(model, version, known_at)
         return True
 
+    def learn_naming(self, model: str, version: int, known_at: float) -> None:
+        """Note that a wanted version was known earlier than this process learnt of it."""
+        known = self.wanted.get(model)
+        if known is not None and known.version == version and known_at < known.known_at:
+            self.wanted[model] = rollout.Wanted(model, version, known_at)
+
     def learn_version(self, name: str, version: int, source: str) -> None:
         """Note a replica's weight version; it only rises within an incarnation."""
         replica = self.replicas.get(name)
@@ -126,6 +138,7 @@
             replica = self.replicas[name]
             if not replica.leaving and self._may_serve(replica, now):
                 usable[name] = replica
+        usable = self._prefer_new(usable, now)
         return [usable[name] for name in self.ejector.select(list(usable), now)]
 
     def count_listed(self, pool: str) -> int:
@@ -174,6 +187,20 @@
             return True
         return rollout.may_serve(version, wanted, self._version_bound, now)
 
+    def _prefer_new(
+        self, usable: dict[str, replicas.Replica], now: float
+    ) -> dict[str, replicas.Replica]:
+        """Leave out replicas with old weights once enough others have the new ones."""
+        new = {n: r for n, r in usable.items() if not self._is_outdated(r, now)}
+        ready = sum(now >= r.paused_until for r in new.values())
+        return new if ready >= max(1.0, len(usable) * ENOUGH_NEW) else usable
+
+    def _is_outdated(self, replica: replicas.Replica, now: float) -> bool:
+        wanted = self.wanted.get(self._models.get(replica.name, ''))
+        if wanted is None or now < wanted.known_at + OLD_WEIGHTS_GRACE:
+            return False
+        return 0 < int(replica.weight_version or 0) < wanted.version
+
     def _add(self, entry: catalogue.Entry) -> replicas.Replica:
         replica = replicas.Replica(
             entry.id, entry.address, entry.id, entry.failure_domain, entry.id, slots=entry.slots
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
+from collections.abc import Coroutine
+from typing import Any
 
 from passpier import exceptions
 from passpier.clients import exchanges, registry
@@ -34,6 +37,8 @@
 """Seconds after an order before the first look: a load takes about 0.8 s, each look is priced."""
 
 _KEY = 'order-holder'
+_LAST_KEY = 'last-order-holder'
+"""Outlasts the lease, so that whoever succeeds itself knows it."""
 
 
 class Rollouts:
@@ -61,9 +66,11 @@
         self._name = options.name
         self._rng = rng
         self._key = known.records.own_prefix + _KEY
+        self._last_key = known.records.own_prefix + _LAST_KEY
         self._rollout = rollout.Rollout()
         self._lease = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._due = asyncio.Event()
         link.handle(messages.Loading, self._take_loading)
         link.handle(messages.Loaded, self._take_loaded)
 
@@ -71,11 +78,12 @@
         """Hold or seek the right to give orders until cancelled."""
         while True:
             try:
-                if self._roster.leaving:
+                if self._roster.leaving and not (self.holder.token and self._is_pending()):
+                    # Whoever succeeds has to wait; better now than while replicas lack weights.
                     await self._resign()
                     await asyncio.sleep(CHECK_INTERVAL)
                 elif self.holder.token:
-                    await self._renew()
+                    await self._keep()
                 else:
                     await self._seek()
             except (exceptions.StoreError, exceptions.ConflictError) as error:
@@ -89,41 +97,71 @@
             if self.holder.may_order(now):
                 wanted = self._pools.wanted.values()
                 for order in self._rollout.choose(wanted, self._pools.list_states(), now):
-                    self._start(order)
-            await asyncio.sleep(CHECK_INTERVAL)
+                    self._start(self._carry_out(order))
+            self._due.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._due.wait(), CHECK_INTERVAL)
 
     async def _seek(self) -> None:
         if self._key in self._known.members or not self._follower.reachable:
             await asyncio.sleep(CHECK_INTERVAL)
             return
-        await asyncio.sleep(self._rng.uniform(0, ELECTION_SPREAD))
+        await asyncio.sleep(self._choose_delay())
         if self._key in self._known.members:
             return
         sent_at = time.monotonic()
         lease = await self._source.grant(self.holder.lease_ttl)
-        put = registry.Put(self._key, self._name.encode(), lease)
+        last = self._known.members.get(self._last_key)
+        name = self._name.encode()
+        puts = [registry.Put(self._key, name, lease), registry.Put(self._last_key, name)]
+        conditions = [
+            registry.IsAt(self._key, 0),
+            registry.IsAt(self._last_key, last.revision if last else 0),
+        ]
         try:
-            token = await self._source.write([put], [registry.IsAt(self._key, 0)])
+            token = await self._source.write(puts, conditions)
         except exceptions.ConflictError:
             await self._source.end(lease)
             return
+        # Nobody else was elected since the item that the condition names.
+        again = last is not None and last.data == name
         self._lease = lease
-        self.holder.elect(token, sent_at, time.monotonic())
-        log.info('elected to give orders', extra={'token': token, 'lease': lease})
+        self.holder.elect(token, sent_at, time.monotonic(), again)
+        self._due.set()
+        log.info('elected to give orders', extra={'token': token, 'lease': lease, 'again': again})
+
+    def _is_pending(self) -> bool:
+        return self._rollout.is_pending(self._pools.wanted.values(), self._pools.list_states())
+
+    def _choose_delay(self) -> float:
+        """Return the seconds to wait before seeking election: young processes go first.
 
-    async def _renew(self) -> None:
+        A rolling restart reaches the youngest last, so it keeps the right for longest.
+        """
+        ordered = sorted(m.incarnation for m in self._roster.membership.list_known())
+        older = ordered.index(self._roster.membership.own.incarnation)
+        rank = (len(ordered) - 1 - older) / len(ordered)
+        return (rank + self._rng.uniform(0, 1 / len(ordered))) * ELECTION_SPREAD
+
+    async def _keep(self) -> None:
+        """Renew the lease at short intervals, whatever became of the renewals before."""
+        self._start(self._renew(self._lease))
         await asyncio.sleep(self.holder.lease_ttl / holders.RENEWALS_PER_LEASE)
+        if self.holder.token and not self.holder.is_held(time.monotonic()):
+            self._lose('the lease could not be renewed')
+
+    async def _renew(self, lease: int) -> None:
         sent_at = time.monotonic()
         try:
-            await self._source.renew(self._lease)
+            await self._source.renew(lease)
         except registry.LeaseGoneError:
-            self._lose('the lease lapsed')
-            return
-        except exceptions.StoreError:
-            if not self.holder.is_held(time.monotonic()):
-                self._lose('the lease could not be renewed')
-            raise
-        self.holder.renew(sent_at)
+            if lease == self._lease:
+                self._lose('the lease lapsed')
+        except exceptions.StoreError as error:
+            log.info('renewal without answer', extra={'lease': lease, 'error': str(error)})
+        else:
+            if lease == self._lease:
+                self.holder.renew(sent_at)
 
     async def _resign(self) -> None:
         if not self.holder.token:
@@ -138,8 +176,8 @@
         self._rollout.reset()
         self._lease = 0
 
-    def _start(self, order: rollout.Order) -> None:
-        task = asyncio.ensure_future(self._carry_out(order))
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -156,6 +194,7 @@
             if version:
                 self._pools.learn_version(order.replica, version, 'report')
             self._pools.resume(order.replica)
+            self._due.set()
 
     async def _load(self, order: rollout.Order) -> int:
         """Have a replica load weights; return the version that it has, or 0 if that is unknown."""
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -58,6 +58,8 @@
         link.handle(messages.MembersWanted, self._send_members)
         link.handle(messages.Members, self._take_members)
         link.handle(messages.Goodbye, self._take_goodbye)
+        link.handle(messages.ProofWanted, self._send_proof)
+        link.handle(messages.Proof, self._take_proof)
 
     async def run_registration(self, source: registry.Registry) -> None:
         """Keep this process's entry alive until cancelled."""
@@ -140,6 +142,7 @@
         )
         for member in targets:
             self._peers.send(member.peer, beat)
+            self._peers.send(member.peer, messages.ProofWanted(now))
 
     async def _register(self, source: registry.Registry) -> None:
         if self._lease:
@@ -164,6 +167,19 @@
         if unknown:
             self._peers.send(address, messages.MembersWanted(unknown))
 
+    def _send_proof(self, sender: str, address: str, message: messages.ProofWanted) -> None:
+        now = time.monotonic()
+        known = self._known
+        weights = [(w.model, w.version, now - w.known_at) for w in known.pools.wanted.values()]
+        age = known.freshness.compute_age(now)
+        self._peers.send(address, messages.Proof(message.sent_at, known.revision, age, weights))
+
+    def _take_proof(self, sender: str, address: str, message: messages.Proof) -> None:
+        # The peer answered after the question was sent, so its ages count from there at the latest.
+        self._known.take_proof(message.revision, message.sent_at - message.age)
+        for model, version, age in message.weights:
+            self._known.pools.learn_naming(model, version, message.sent_at - age)
+
     def _send_members(self, sender: str, address: str, message: messages.MembersWanted) -> None:
         wanted = message.incarnations
         found = [m for m in self.membership.list_known() if not wanted or m.incarnation in wanted]
