--- a/passpier/core/holders.py
+++ b/passpier/core/holders.py
@@ -3,7 +3,7 @@
 Two daemons must not give orders within `hold` of each other. The holder gives orders only while
 its lease certainly holds, counted from when the renewal was sent. A successor waits for `hold`
 from when it was elected, which is after the predecessor's lease ended. Whoever succeeds itself need
-not wait.
+not wait again.
 """
 
 from __future__ import annotations
@@ -28,15 +28,21 @@
 
     renewed_at: float = float('-inf')
     may_order_from: float = float('inf')
+    last_token: int = 0
+    """Fencing number of the last election that this daemon knows that it won."""
 
-    def elect(self, token: int, sent_at: float, answered_at: float, again: bool) -> None:
+    def elect(self, token: int, sent_at: float, answered_at: float, succeeds: int) -> None:
         """Note a won election whose lease was granted at `sent_at`.
 
-        `again` says that certainly nobody else was elected since this daemon was.
+        `succeeds` is the fencing number of the election before, won by whomever. If it is this
+        daemon's own, nobody else can have given orders since, and the wait of then goes on.
         """
+        again = bool(succeeds) and succeeds == self.last_token
+        if not again:
+            self.may_order_from = answered_at + self.hold
         self.token = token
+        self.last_token = token
         self.renewed_at = sent_at
-        self.may_order_from = answered_at if again else answered_at + self.hold
 
     def renew(self, sent_at: float) -> None:
         """Note that the registry confirmed the lease."""
@@ -45,7 +51,6 @@
     def resign(self) -> None:
         """Give no more orders."""
         self.token = 0
-        self.may_order_from = float('inf')
 
     def is_held(self, now: float) -> bool:
         """Return whether the lease certainly holds."""
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -123,12 +123,12 @@
         except exceptions.ConflictError:
             await self._source.end(lease)
             return
-        # Nobody else was elected since the item that the condition names.
-        again = last is not None and last.data == name
+        # The condition held, so that the election before is the one that the item tells of.
         self._lease = lease
-        self.holder.elect(token, sent_at, time.monotonic(), again)
+        self.holder.elect(token, sent_at, time.monotonic(), last.revision if last else 0)
         self._due.set()
-        log.info('elected to give orders', extra={'token': token, 'lease': lease, 'again': again})
+        wait = round(max(0.0, self.holder.may_order_from - time.monotonic()), 3)
+        log.info('elected to give orders', extra={'token': token, 'lease': lease, 'wait': wait})
 
     def _is_pending(self) -> bool:
         return self._rollout.is_pending(self._pools.wanted.values(), self._pools.list_states())
--- /dev/null
+++ b/passpier/tests/core/freshness_tests.py
@@ -0,0 +1,78 @@
+"""How old knowledge may be, against a registry that changes at random times."""
+
+from __future__ import annotations
+
+import hypothesis
+import hypothesis.strategies as st
+
+from passpier.core import freshness
+
+
+def test_an_empty_watch_proves_the_end_of_its_wait() -> None:
+    known = freshness.Freshness(5.0)
+    known.prove_by_watch(10.0, 3.0, 13.01, True)
+    assert known.proved_at == 13.0
+
+
+def test_a_watch_cut_short_proves_no_more_than_when_it_was_sent() -> None:
+    known = freshness.Freshness(5.0)
+    known.prove_by_watch(10.0, 3.0, 11.0, True)
+    assert known.proved_at == 10.0
+    known.prove_by_watch(12.0, 3.0, 15.5, False)
+    assert known.proved_at == 12.0
+
+
+def test_nothing_is_fresh_before_the_first_proof() -> None:
+    assert not freshness.Freshness(5.0).is_fresh(0.0)
+
+
+def test_proofs_never_go_back() -> None:
+    known = freshness.Freshness(5.0)
+    known.prove(10.0)
+    known.prove(4.0)
+    assert known.proved_at == 10.0
+    assert known.is_fresh(14.4)
+    assert not known.is_fresh(14.6)
+
+
+@hypothesis.given(
+    delays=st.lists(
+        st.tuples(st.floats(0, 2), st.floats(0, 2), st.booleans()), min_size=1, max_size=12
+    ),
+    changes=st.lists(st.floats(0, 40), max_size=6),
+)
+def test_a_change_is_known_or_the_bound_has_passed(
+    delays: list[tuple[float, float, bool]], changes: list[float]
+) -> None:
+    """The registry tells changes made before it answers; links delay calls; watches are cut."""
+    known = freshness.Freshness(5.0)
+    now = 0.0
+    learnt_up_to = 0.0
+    known.prove(now)
+    for out, back, cut in delays:
+        wait = known.choose_wait(now)
+        sent_at, arrived = now, now + out
+        pending = sorted(c for c in changes if learnt_up_to < c <= arrived + wait)
+        if cut:
+            now = arrived + back
+            continue
+        # The registry answers at the first change or at the end of the wait.
+        ended = arrived + wait
+        if pending:
+            ended = min(ended, max(arrived, pending[0]))
+        told = [c for c in pending if c <= ended]
+        now = ended + back
+        known.prove_by_watch(sent_at, wait, now, not told)
+        learnt_up_to = ended
+        unknown = [c for c in changes if learnt_up_to < c <= now]
+        for change in unknown:
+            assert change > known.proved_at
+        assert known.proved_at <= learnt_up_to
+
+
+def test_waits_grow_short_as_the_proof_ages() -> None:
+    known = freshness.Freshness(5.0)
+    known.prove(100.0)
+    assert known.choose_wait(100.0) == freshness.WAIT_MAX
+    assert known.choose_wait(102.75) == 1.0
+    assert known.choose_wait(110.0) == freshness.WAIT_MIN
--- /dev/null
+++ b/passpier/tests/core/prompts_tests.py
@@ -0,0 +1,68 @@
+"""Identities of prompt parts: walls between accounts, families, sizes."""
+
+from __future__ import annotations
+
+import hypothesis
+import hypothesis.strategies as st
+
+from passpier.core import prompts, routes, view
+
+parts = st.lists(
+    st.builds(prompts.Part, st.sampled_from(['p', 'q', 'r', 'p/q']), st.integers(1, 500)),
+    min_size=1,
+    max_size=5,
+).map(tuple)
+
+OPEN = routes.Account('open', ())
+ALSO_OPEN = routes.Account('also-open', ())
+WALLED = routes.Account('walled', (), isolated=True)
+ALSO_WALLED = routes.Account('also-walled', (), isolated=True)
+
+
+@hypothesis.given(parts)
+def test_isolated_accounts_share_nothing(given: tuple[prompts.Part, ...]) -> None:
+    prompt = prompts.Prompt('m', given)
+    chains = [
+        set(prompts.build_job(prompt, account, 1).chain) for account in (OPEN, WALLED, ALSO_WALLED)
+    ]
+    assert not chains[0] & chains[1]
+    assert not chains[1] & chains[2]
+    assert chains[0] == set(prompts.build_job(prompt, ALSO_OPEN, 1).chain)
+
+
+def test_salts_keep_accounts_models_and_versions_apart() -> None:
+    salts = {
+        prompts.render_salt(account, model, version)
+        for account in (OPEN, WALLED, ALSO_WALLED)
+        for model in ('m', 'n')
+        for version in ('1', '2')
+    }
+    assert len(salts) == 12
+    assert prompts.render_salt(OPEN, 'm', '1') == prompts.render_salt(ALSO_OPEN, 'm', '1')
+    assert prompts.render_salt(None, 'm', '1') == prompts.render_salt(OPEN, 'm', '1')
+
+
+@hypothesis.given(parts, parts)
+def test_a_match_is_a_common_beginning(
+    held: tuple[prompts.Part, ...], asked: tuple[prompts.Part, ...]
+) -> None:
+    cache = view.CacheView()
+    cache.set_incarnation('r', 'i')
+    chain = prompts.build_job(prompts.Prompt('m', held), OPEN, 1).chain
+    cache.add('r', 'i', chain, view.Evidence.ANSWER, 0.0)
+    job = prompts.build_job(prompts.Prompt('m', asked), OPEN, 1)
+    match = cache.match('r', job.chain, 0.0)
+    common = 0
+    for one, other in zip(held, asked, strict=False):
+        if one.name != other.name:
+            break
+        common += 1
+    assert match.blocks == common
+    assert job.count_tokens(match.blocks) == sum(p.tokens for p in asked[:common])
+
+
+def test_a_family_is_the_last_shared_part_whatever_the_version() -> None:
+    given = (prompts.Part('base', 10), prompts.Part('station', 20), prompts.Part('own', 5))
+    assert prompts.get_family(prompts.Prompt('m', given)) == 'station'
+    assert prompts.get_family(prompts.Prompt('m', given[:1])) == 'base'
+    assert prompts.get_family(prompts.Prompt('m', ())) == ''
--- /dev/null
+++ b/passpier/tests/core/rollout_tests.py
@@ -0,0 +1,86 @@
+"""Bringing replicas to named weights, against replicas that lose, delay and forget orders."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+
+from passpier.core import rollout
+
+
+def make_states(versions: dict[str, int], draining: tuple[str, ...] = ()) -> list[rollout.State]:
+    return [rollout.State(r, {'m': v}, r in draining) for r, v in versions.items()]
+
+
+def test_at_most_two_load_at_once() -> None:
+    plan = rollout.Rollout()
+    wanted = [rollout.Wanted('m', 2, 0.0)]
+    states = make_states(dict.fromkeys('abcde', 1))
+    assert len(plan.choose(wanted, states, 0.0)) == rollout.AT_ONCE
+    assert plan.choose(wanted, states, 0.1) == []
+    plan.end('a')
+    assert [o.replica for o in plan.choose(wanted, states, 0.2)] == ['a']
+
+
+def test_an_order_without_effect_is_given_again() -> None:
+    plan = rollout.Rollout()
+    wanted = [rollout.Wanted('m', 2, 0.0)]
+    states = make_states({'a': 1})
+    assert plan.choose(wanted, states, 0.0)
+    assert plan.choose(wanted, states, rollout.ORDER_PATIENCE + 0.1)
+
+
+def test_the_newest_version_is_ordered_straight_away() -> None:
+    plan = rollout.Rollout()
+    orders = plan.choose([rollout.Wanted('m', 5, 0.0)], make_states({'a': 1, 'b': 4}), 0.0)
+    assert {o.version for o in orders} == {5}
+
+
+def test_leaving_and_foreign_replicas_are_left_alone() -> None:
+    plan = rollout.Rollout()
+    states = [*make_states({'a': 1, 'b': 1}, draining=('a',)), rollout.State('c', {'other': 1})]
+    assert [o.replica for o in plan.choose([rollout.Wanted('m', 2, 0.0)], states, 0.0)] == ['b']
+
+
+def test_pending_until_all_have_the_version() -> None:
+    plan = rollout.Rollout()
+    wanted = [rollout.Wanted('m', 2, 0.0)]
+    assert plan.is_pending(wanted, make_states({'a': 2, 'b': 1}))
+    assert not plan.is_pending(wanted, make_states({'a': 2, 'b': 3}))
+
+
+def test_old_weights_serve_until_shortly_before_the_bound() -> None:
+    wanted = rollout.Wanted('m', 3, 100.0)
+    assert rollout.may_serve(2, wanted, 10.0, 108.0)
+    assert not rollout.may_serve(2, wanted, 10.0, 109.0)
+    assert rollout.may_serve(3, wanted, 10.0, 500.0)
+    assert rollout.may_serve(1, None, 10.0, 500.0)
+
+
+@hypothesis.given(st.integers(0, 10_000), st.integers(1, 9))
+def test_every_replica_comes_to_the_newest_version(seed: int, count: int) -> None:
+    rng = random.Random(seed)
+    plan = rollout.Rollout()
+    versions = {str(n): 1 for n in range(count)}
+    loading: dict[str, tuple[float, int]] = {}
+    target = 2
+    now = 0.0
+    while now < 90.0:
+        now += 0.2
+        if now < 20 and rng.random() < 0.02:
+            target += 1
+        for replica, (at, version) in list(loading.items()):
+            if now >= at:
+                del loading[replica]
+                versions[replica] = max(versions[replica], version)
+                plan.end(replica)
+        wanted = [rollout.Wanted('m', target, 0.0)]
+        for order in plan.choose(wanted, make_states(versions), now):
+            fate = rng.random() if now < 40 else 1.0
+            if fate < 0.2:
+                continue
+            late = rng.uniform(2, 12) if fate < 0.4 else 0.8
+            loading[order.replica] = (now + late, order.version)
+    assert set(versions.values()) == {target}
