Stand-ins of the platform and tests of the path on its wire

What: a store (revisions, leases, watches, history) and replicas (runs, streams, orders, faults) in one event loop with routers, used by tests/platform/path_tests.py; exchanges_tests.py plays scripted bytes: other requests' answers, stray bytes, answers without length, resets, idle limits.

--- /dev/null
+++ b/passpier/standins/platform/deployment.py
@@ -0,0 +1,252 @@
+"""A whole deployment on loopback in one event loop: store, replicas, routers, an operator."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from typing import Any
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from passpier.clients import exchanges
+from passpier.platform import dialect, names, store
+from passpier.routing import dialect as routing
+from passpier.routing import router
+from passpier.standins.platform import metastore, replica
+
+HOST = 'desk.example'
+MODEL = 'm1'
+KEY = 'secret-1'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A client's view of an answer."""
+
+    status: int
+    headers: exchanges.Head
+    body: bytes
+
+
+class Deployment:
+    """The parts of a deployment, each reachable by tests."""
+
+    def __init__(self) -> None:
+        self.meta = metastore.MetaStore(time.monotonic)
+        self.faults = metastore.Faults()
+        self.store_address = ''
+        self.replicas: dict[str, replica.Replica] = {}
+        self.routers: list[router.Router] = []
+        self.version = 0
+        self.configuration: dict[str, Any] = build_configuration()
+        self.pool = exchanges.Pool()
+        self._servers: list[tornado.httpserver.HTTPServer] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._ids = 0
+
+    async def start(self, routers: int = 1) -> None:
+        """Start the store with a configuration, the usual replicas and some routers."""
+        application = metastore.build_application(self.meta, self.faults)
+        self.store_address = self._listen(application)
+        self.configure()
+        for number in range(2):
+            self.add_replica(replica.Replica(f'llm-{number}', 'llm', f'zone-{number}', MODEL))
+            self.add_replica(replica.Replica(f'app-{number}', 'app', f'zone-{number}'))
+        for number in range(routers):
+            self.add_router(f'vm-{number}', f'zone-{number % 2}')
+        await self.wait_ready()
+
+    def configure(self, **changes: Any) -> None:
+        """Put a new configuration in force, as the operator does."""
+        self.version += 1
+        self.configuration = {**self.configuration, **changes, 'version': self.version}
+        self.meta.put(names.CONFIGURATION_KEY, self.configuration)
+
+    def name_version(self, version: int) -> None:
+        """Name new weights."""
+        self.meta.put(f'{names.VERSION_PREFIX}{MODEL}', {'model': MODEL, 'version': version})
+
+    def add_replica(self, added: replica.Replica) -> None:
+        """Start a replica and record it."""
+        added.address = self._listen(replica.build_application(added))
+        self.replicas[added.id] = added
+        self.record(added.id)
+
+    def record(self, id: str) -> None:
+        """Write a replica's entry."""
+        self.meta.put(names.REPLICA_PREFIX + id, self.replicas[id].render_entry())
+
+    def remove_replica(self, id: str) -> None:
+        """Let a replica's entry vanish."""
+        self.meta.remove(names.REPLICA_PREFIX + id)
+
+    def add_router(self, name: str, zone: str, **changes: Any) -> router.Router:
+        """Start a router."""
+        pool = exchanges.Pool()
+        adapter = router.Adapter(
+            dialect.Requests(),
+            dialect.Records(),
+            dialect.Directory(),
+            dialect.Engines(pool),
+            store.Store(self.store_address, pool),
+            pool,
+        )
+        options = dataclasses.replace(build_options(name, zone), **changes)
+        process = router.Router(options, adapter, random.Random(name))
+        self.routers.append(process)
+        self._tasks.append(asyncio.ensure_future(process.run()))
+        return process
+
+    async def wait_ready(self, bound: float = 5.0) -> None:
+        """Wait until all routers know the configuration and see each other."""
+        async with asyncio.timeout(bound):
+            while not all(r.is_ready() and self._sees_all(r) for r in self.routers):
+                await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """Stop everything at once."""
+        for process in self.routers:
+            process.begin_stop()
+            process.begin_stop()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self._servers:
+            server.stop()
+        self.pool.close()
+
+    async def ask(
+        self,
+        path: str,
+        entry: int = 0,
+        id: str = '',
+        key: str | None = KEY,
+        patience_ms: int = 2000,
+        headers: Sequence[tuple[str, str]] = (),
+        body: bytes = b'question',
+        host: str = HOST,
+        method: str = 'POST',
+    ) -> Reply:
+        """Send a client's request to a router and return the whole answer."""
+        self._ids += 1
+        given = [
+            ('Host', host),
+            (names.REQUEST_ID, id or f'r{self._ids}'),
+            (names.DEADLINE, str(patience_ms)),
+            *headers,
+        ]
+        if key is not None:
+            given.append((names.KEY, names.KEY_SCHEME + key))
+        request = exchanges.Request(method, path, given, body)
+        address = self.routers[entry].options.caller
+        answer = await self.pool.fetch(address, request, patience_ms / 1000 + 2)
+        return Reply(answer.head.status, answer.head, answer.body)
+
+    def list_runs(self, id: str) -> list[replica.Run]:
+        """Return all runs of a request, wherever."""
+        return [r for known in self.replicas.values() for r in known.runs if r.id == id]
+
+    def _sees_all(self, process: router.Router) -> bool:
+        now = time.monotonic()
+        seen = process.roster.membership.list_serving(now)
+        enough = len(seen) >= len(self.routers)
+        return enough and len(process.pools.replicas) >= len(self.replicas)
+
+    def _listen(self, application: tornado.web.Application) -> str:
+        sockets = tornado.netutil.bind_sockets(0, '127.0.0.1')
+        server = tornado.httpserver.HTTPServer(application)
+        server.add_sockets(sockets)
+        self._servers.append(server)
+        return f'127.0.0.1:{sockets[0].getsockname()[1]}'
+
+
+def build_configuration() -> dict[str, Any]:
+    """Return a configuration with a route of each kind."""
+
+    def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+        return {
+            'name': name,
+            'host': HOST,
+            'path_prefix': f'/{name}/',
+            'type': kind,
+            'timeout_ms': 3000,
+            'target_latency_ms': 400,
+            'priority': 1,
+            'service': service,
+            'max_attempts': 2,
+            'public': False,
+            **more,
+        }
+
+    return {
+        'routes': [
+            route('stream', 'streaming', 'llm', sticky=True),
+            route('resume', 'streaming', 'llm', sticky=True, resumable=True),
+            route('safe', 'idempotent', 'app'),
+            route('once', 'non_idempotent', 'app'),
+            route('open', 'idempotent', 'app', public=True),
+            route('brief', 'idempotent', 'app', timeout_ms=150, max_attempts=1),
+        ],
+        'services': [
+            {
+                'name': 'llm',
+                'health_path': '/healthz',
+                'max_connections': 100,
+                'engine': {'slots': 16, 'kv_capacity': 10000, 'models': [{'name': MODEL}]},
+            },
+            {'name': 'app', 'health_path': '/healthz', 'max_connections': 100},
+        ],
+        'limits': {'max_body_bytes': 100_000},
+        'tenants': [
+            {'name': 'tower', 'api_keys': [KEY], 'priority': 0, 'isolated': True},
+            {'name': 'farm', 'api_keys': ['secret-2'], 'isolated': False},
+        ],
+    }
+
+
+def build_options(name: str, zone: str) -> routing.Options:
+    """Return options for a router on loopback, with short bounds."""
+    ports = [_find_port() for _ in range(4)]
+    return routing.Options(
+        name=name,
+        ip='127.0.0.1',
+        failure_domain=zone,
+        region='here',
+        caller=f'127.0.0.1:{ports[0]}',
+        ready=f'127.0.0.1:{ports[1]}',
+        directory=f'127.0.0.1:{ports[2]}',
+        peer_port=0,
+        key_bound=2.0,
+        keys_expire=True,
+        stop_bound=5.0,
+        answer_ttl=0.2,
+        order_hold=0.5,
+        version_bound=8.0,
+        lease_ttl=1.0,
+        retry_ratio=0.2,
+        retry_slack=40,
+        retry_window=10.0,
+        metrics_port=ports[3],
+    )
+
+
+def _find_port() -> int:
+    sockets = tornado.netutil.bind_sockets(0, '127.0.0.1')
+    port: int = sockets[0].getsockname()[1]
+    sockets[0].close()
+    return port
+
+
+@asynccontextmanager
+async def running(routers: int = 1) -> AsyncIterator[Deployment]:
+    """Start a deployment and stop it in the end."""
+    deployment = Deployment()
+    try:
+        await deployment.start(routers)
+        yield deployment
+    finally:
+        await deployment.stop()
--- /dev/null
+++ b/passpier/standins/platform/metastore.py
@@ -0,0 +1,274 @@
+"""Stand-in of the platform's store: items, leases, watches, history; with fault switches."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import dataclasses
+import json
+from collections.abc import Callable
+from typing import Any
+
+import tornado.web
+
+PAGE = 500
+"""Items in one page of a range."""
+
+
+@dataclasses.dataclass(slots=True)
+class Item:
+    """A key's value."""
+
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What is wrong with the store; delays in seconds."""
+
+    down: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+    """Writing calls that take effect and are not answered."""
+
+    late_effects: int = 0
+    """Writing calls that are not answered and take effect after `late_by`."""
+
+    late_by: float = 0.5
+    refuse: int = 0
+    """Calls that are answered with 429."""
+
+
+class MetaStore:
+    """The store's state; `clock` gives seconds."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self.items: dict[str, Item] = {}
+        self.revision = 0
+        self.oldest = 0
+        """Revision up to which the history is gone."""
+
+        self.history: list[dict[str, Any]] = []
+        self.leases: dict[int, tuple[float, float]] = {}
+        """Lease to its length and its end."""
+
+        self._changed: list[asyncio.Future[None]] = []
+        self._next_lease = 1000
+
+    def put(self, key: str, value: Any, lease: int = 0) -> int:
+        """Write one item as the platform's own parts do."""
+        self.revision += 1
+        self._write(key, base64.b64encode(json.dumps(value).encode()).decode(), lease)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove one item."""
+        self.revision += 1
+        self._remove(key)
+
+    def forget_history(self) -> None:
+        """Drop all history; watches behind it get 410."""
+        self.oldest = self.revision
+        self.history.clear()
+        self._wake()
+
+    def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Carry out a transaction; return status and answer."""
+        self.expire()
+        conditions = body.get('expected_revision', [])
+        for row in conditions:
+            item = self.items.get(row['private_key'])
+            if (item.revision if item else 0) != row['revision']:
+                keys = [r['private_key'] for r in conditions]
+                return 412, {'items': [self.render(k) for k in keys if k in self.items]}
+        if any(p.get('lease') and p['lease'] not in self.leases for p in body.get('puts', [])):
+            return 404, {}
+        self.revision += 1
+        for put in body.get('puts', []):
+            self._write(put['private_key'], put['value'], put.get('lease', 0))
+        for key in body.get('remove', []):
+            self._remove(key)
+        return 200, {'revision': self.revision}
+
+    def grant(self, ttl: float) -> int:
+        """Return a new lease."""
+        self._next_lease += 1
+        self.leases[self._next_lease] = (ttl, self._clock() + ttl)
+        return self._next_lease
+
+    def renew(self, lease: int) -> bool:
+        """Renew a lease; return false if it is over."""
+        self.expire()
+        if lease not in self.leases:
+            return False
+        ttl, _ = self.leases[lease]
+        self.leases[lease] = (ttl, self._clock() + ttl)
+        return True
+
+    def end(self, lease: int) -> None:
+        """End a lease; its keys go with it."""
+        if self.leases.pop(lease, None) is None:
+            return
+        for key in [k for k, i in self.items.items() if i.lease == lease]:
+            self.remove(key)
+
+    def expire(self) -> None:
+        """End the leases that have run out."""
+        now = self._clock()
+        for lease in [i for i, (_, ends_at) in self.leases.items() if ends_at <= now]:
+            self.end(lease)
+
+    def list_changes(self, prefix: str, after: int) -> list[dict[str, Any]] | None:
+        """Return the changes behind a revision; none if the history is gone."""
+        self.expire()
+        if after < self.oldest:
+            return None
+        return [
+            e for e in self.history if e['revision'] > after and e['private_key'].startswith(prefix)
+        ]
+
+    async def wait(self, seconds: float) -> None:
+        """Wait for a change, at most for so long."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._changed.append(future)
+        await asyncio.wait([future], timeout=seconds)
+        if future in self._changed:
+            self._changed.remove(future)
+
+    def render(self, key: str) -> dict[str, Any]:
+        """Return an item as it is sent."""
+        item = self.items[key]
+        return {
+            'private_key': key,
+            'value': item.value,
+            'revision': item.revision,
+            'created': item.created,
+            'lease': item.lease,
+        }
+
+    def _write(self, key: str, value: str, lease: int) -> None:
+        before = self.items.get(key)
+        created = before.created if before else self.revision
+        self.items[key] = Item(value, self.revision, created, lease)
+        self.history.append(self.render(key))
+        self._wake()
+
+    def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.history.append({'private_key': key, 'revision': self.revision, 'removed': True})
+            self._wake()
+
+    def _wake(self) -> None:
+        for future in self._changed:
+            if not future.done():
+                future.set_result(None)
+        self._changed.clear()
+
+
+class _Handler(tornado.web.RequestHandler):
+    def initialize(self, store: MetaStore, faults: Faults) -> None:
+        self.store = store
+        self.faults = faults
+
+    async def prepare(self) -> None:
+        await asyncio.sleep(self.faults.delay)
+        if self.faults.down:
+            self.cut()
+        if self.faults.refuse:
+            self.faults.refuse -= 1
+            self.set_status(429)
+            raise tornado.web.Finish
+
+    def cut(self) -> None:
+        self.request.connection.stream.close()  # type: ignore[union-attr]
+        raise tornado.web.Finish
+
+
+class _Range(_Handler):
+    def get(self) -> None:
+        prefix = self.get_argument('path_prefix', '')
+        after = self.get_argument('after', '')
+        self.store.expire()
+        keys = sorted(k for k in self.store.items if k.startswith(prefix) and k > after)
+        self.write(
+            {
+                'items': [self.store.render(k) for k in keys[:PAGE]],
+                'truncated': len(keys) > PAGE,
+                'store_revision': self.store.revision,
+            }
+        )
+
+
+class _Watch(_Handler):
+    async def get(self) -> None:
+        prefix = self.get_argument('path_prefix', '')
+        after = int(self.get_argument('after'))
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + int(self.get_argument('wait_ms')) / 1000
+        while True:
+            if self.faults.down:
+                self.cut()
+            events = self.store.list_changes(prefix, after)
+            if events is None:
+                self.set_status(410)
+                return
+            left = ends_at - loop.time()
+            if events or left <= 0:
+                break
+            # Leases run out unseen, so that it has to look now and then.
+            await self.store.wait(min(left, 0.05))
+        self.write({'events': events, 'store_revision': self.store.revision})
+
+
+class _Transaction(_Handler):
+    async def post(self) -> None:
+        body = json.loads(self.request.body)
+        if self.faults.late_effects:
+            self.faults.late_effects -= 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.late_by, self.store.transact, body)
+            self.cut()
+        status, answer = self.store.transact(body)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            self.cut()
+        self.set_status(status)
+        self.write(answer)
+
+
+class _Lease(_Handler):
+    def post(self) -> None:
+        ttl = json.loads(self.request.body)['ttl_ms']
+        self.write({'lease': self.store.grant(ttl / 1000), 'ttl_ms': ttl})
+
+
+class _Keep(_Handler):
+    def post(self, lease: str) -> None:
+        if not self.store.renew(int(lease)):
+            self.set_status(404)
+        self.write({'ttl_ms': 0})
+
+
+class _End(_Handler):
+    def delete(self, lease: str) -> None:
+        self.store.end(int(lease))
+        self.write({})
+
+
+def build_application(store: MetaStore, faults: Faults) -> tornado.web.Application:
+    """Return the store's HTTP interface."""
+    state = {'store': store, 'faults': faults}
+    return tornado.web.Application(
+        [
+            ('/kv-range', _Range, state),
+            ('/kv-watch', _Watch, state),
+            ('/kv-txn', _Transaction, state),
+            ('/kv-lease', _Lease, state),
+            (r'/kv-keep/(\d+)', _Keep, state),
+            (r'/kv-lease-end/(\d+)', _End, state),
+        ]
+    )
--- /dev/null
+++ b/passpier/standins/platform/replica.py
@@ -0,0 +1,253 @@
+"""Stand-in of a service's replica: runs requests, streams, takes orders; with fault switches."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import socket
+import struct
+
+import tornado.web
+
+from passpier.platform import names
+
+EVENT_PAUSE = 0.005
+"""Seconds between two events of a stream."""
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What is wrong with a replica; counts are of requests yet to be hit."""
+
+    refuse: int = 0
+    """Refused as full, not run."""
+
+    fail: int = 0
+    """Run, then answered with 500."""
+
+    lose: int = 0
+    """Run, then the connection is reset without an answer."""
+
+    cut: int = 0
+    """Streams that are reset within their second event."""
+
+    swap: int = 0
+    """Answered with another request's id."""
+
+    silent: bool = False
+    """Takes requests and never answers."""
+
+    lie: int = 0
+    """Run, then answered with 503 but without the word that it did not run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that a replica began to work on."""
+
+    id: str
+    account: str
+    salt: str
+    version: int
+    after: str
+    time_left_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Replica:
+    """A replica's state; `model` is empty for plain services."""
+
+    id: str
+    service: str
+    zone: str
+    model: str = ''
+    version: int = 1
+    slots: int = 16
+    work: float = 0.01
+    events: int = 5
+    load: float = 0.2
+    """Seconds that new weights take."""
+
+    address: str = ''
+    state: str = 'ready'
+    active: int = 0
+    orders: int = 0
+    loading: bool = False
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    finished: list[str] = dataclasses.field(default_factory=list)
+    dropped: list[str] = dataclasses.field(default_factory=list)
+    taken: list[dict[str, object]] = dataclasses.field(default_factory=list)
+    faults: Faults = dataclasses.field(default_factory=Faults)
+
+    def render_entry(self) -> dict[str, object]:
+        """Return what the replica records of itself."""
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': self.state,
+            'cold_remaining_ms': 0,
+            'models': [{'name': self.model, 'version': self.version}] if self.model else [],
+            'sequence': 1,
+        }
+
+
+class _Handler(tornado.web.RequestHandler):
+    def initialize(self, replica: Replica) -> None:
+        self.replica = replica
+
+    def is_foreign(self) -> bool:
+        expected = self.request.headers.get(names.EXPECT_INCARNATION, self.replica.id)
+        return expected != self.replica.id
+
+    def reset(self) -> None:
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        linger = struct.pack('ii', 1, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        stream.close()
+        raise tornado.web.Finish
+
+
+class _Report(_Handler):
+    def get(self) -> None:
+        replica = self.replica
+        models = [{'name': replica.model, 'version': replica.version, 'adapters': []}]
+        self.write(
+            {
+                'stage': 'both',
+                'models': models,
+                'utilization': replica.loading,
+                'sequence': replica.orders,
+                'queued': 0,
+                'active': replica.active,
+            }
+        )
+
+
+class _Order(_Handler):
+    def post(self) -> None:
+        replica = self.replica
+        body = json.loads(self.request.body)
+        if self.is_foreign():
+            self.set_status(421)
+        elif replica.loading or body.get('expected_revision', replica.orders) != replica.orders:
+            self.set_status(409)
+        elif replica.version == body['version']:
+            self.set_status(200)
+        else:
+            replica.taken.append(body)
+            replica.orders += 1
+            replica.loading = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(replica.load, self._finish_load, body['version'])
+            self.set_status(202)
+
+    def _finish_load(self, version: int) -> None:
+        self.replica.version = version
+        self.replica.loading = False
+
+
+class _Work(_Handler):
+    """Any other path: a request."""
+
+    async def get(self) -> None:
+        """Run a request."""
+        self.set_header(names.REQUEST_ID, self.request.headers.get(names.REQUEST_ID, ''))
+        replica = self.replica
+        wanted = self.request.headers.get(names.EXPECT_VERSION, str(replica.version))
+        if self.is_foreign() or (replica.model and wanted != str(replica.version)):
+            self.set_status(421)
+            return
+        full = replica.active >= replica.slots or replica.loading
+        if full or self._hits('refuse'):
+            self.set_header(names.NOT_RUN, '1')
+            self.set_status(503)
+            return
+        await self._run()
+
+    post = get
+
+    async def _run(self) -> None:
+        replica = self.replica
+        headers = self.request.headers
+        id = headers[names.REQUEST_ID]
+        replica.runs.append(
+            Run(
+                id,
+                headers.get(names.ACCOUNT, ''),
+                headers.get(names.SALT, ''),
+                replica.version,
+                headers.get(names.LAST_EVENT, ''),
+                int(headers[names.DEADLINE]),
+            )
+        )
+        replica.active += 1
+        self._ended = False
+        try:
+            while replica.faults.silent:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(replica.work)
+            await self._answer(id)
+        finally:
+            replica.active -= 1
+            self._ended = True
+
+    def on_connection_close(self) -> None:
+        """Note a request whose caller has left."""
+        self.replica.dropped.append(self.request.headers.get(names.REQUEST_ID, ''))
+
+    async def _answer(self, id: str) -> None:
+        if self._hits('lose'):
+            self.reset()
+        if self._hits('lie'):
+            self.set_status(503)
+            return
+        self.set_header(names.STAMP, f'{self.replica.id}.{id}')
+        if self._hits('swap'):
+            self.set_header(names.REQUEST_ID, 'of-somebody-else')
+        if self._hits('fail'):
+            self.set_status(500)
+            self.write('failed')
+            return
+        if not self.replica.model:
+            self.write(f'{self.request.method} {self.request.uri} {len(self.request.body)}')
+            self.replica.finished.append(id)
+            return
+        await self._stream(id)
+
+    async def _stream(self, id: str) -> None:
+        self.set_header('Content-Type', 'text/event-stream')
+        self.set_header(names.WEIGHT_VERSION, str(self.replica.version))
+        first = int(self.request.headers.get(names.LAST_EVENT) or -1) + 1
+        cut = self._hits('cut')
+        for number in range(first, self.replica.events):
+            if cut and number == first + 1:
+                self.write(f'id: {number}\nda')
+                await self.flush()
+                await asyncio.sleep(EVENT_PAUSE)
+                self.reset()
+            self.write(f'id: {number}\ndata: piece {number}\n\n')
+            await self.flush()
+            await asyncio.sleep(EVENT_PAUSE)
+        self.replica.finished.append(id)
+
+    def _hits(self, fault: str) -> bool:
+        left = getattr(self.replica.faults, fault)
+        if left:
+            setattr(self.replica.faults, fault, left - 1)
+        return bool(left)
+
+
+def build_application(replica: Replica) -> tornado.web.Application:
+    """Return a replica's HTTP interface."""
+    state = {'replica': replica}
+    return tornado.web.Application(
+        [
+            (names.REPORT_PATH, _Report, state),
+            (names.ORDER_PATH, _Order, state),
+            ('/.*', _Work, state),
+        ]
+    )
--- /dev/null
+++ b/passpier/tests/clients/exchanges_tests.py
@@ -0,0 +1,320 @@
+"""Exchanges against a server that plays scripted bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+
+from passpier.clients import exchanges
+
+ID = 'Request-Id'
+Play = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def answer(id: str, body: bytes = b'ok', extra: str = '') -> bytes:
+    head = f'HTTP/1.1 200 OK\r\n{ID}: {id}\r\nContent-Length: {len(body)}\r\n{extra}\r\n'
+    return head.encode() + body
+
+
+def make_request(id: str = '1', once: bool = False, body: bytes = b'') -> exchanges.Request:
+    return exchanges.Request(
+        'POST', '/x', [('Host', 'h'), (ID, id)], body, id_header=ID, id=id, once=once
+    )
+
+
+class Server:
+    """Counts connections and requests; `play` answers one connection."""
+
+    def __init__(self, play: Play) -> None:
+        self.play = play
+        self.connections = 0
+        self.address = ''
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            await self.play(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def serving(play: Play) -> AsyncIterator[Server]:
+    server = Server(play)
+    listening = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    server.address = f'127.0.0.1:{listening.sockets[0].getsockname()[1]}'
+    try:
+        yield server
+    finally:
+        listening.close()
+
+
+async def read_request(reader: asyncio.StreamReader) -> str:
+    """Return the id of the next request."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    headers = dict(line.split(': ', 1) for line in head.splitlines()[1:] if line)
+    lowered = {k.lower(): v for k, v in headers.items()}
+    await reader.readexactly(int(lowered.get('content-length', 0)))
+    return lowered[ID.lower()]
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    writer.transport.abort()
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(work, 10))
+
+
+async def fetch(pool: exchanges.Pool, server: Server, id: str = '1', **more: Any) -> bytes:
+    return (await pool.fetch(server.address, make_request(id, **more), 2.0)).body
+
+
+def test_connections_are_kept_and_used_again() -> None:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            id = await read_request(reader)
+            writer.write(answer(id, id.encode()))
+
+    async def check() -> None:
+        async with serving(play) as server:
+            pool = exchanges.Pool()
+            for id in ('a', 'b', 'c'):
+                assert await fetch(pool, server, id, body=b'x' * 5000) == id.encode()
+            assert (server.connections, pool.opened, pool.reused) == (1, 1, 2)
+            pool.close()
+
+    run(check())
+
+
+def test_an_answer_to_another_request_is_dropped_and_ours_follows() -> None:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        id = await read_request(reader)
+        writer.write(answer('stranger', b'not yours') + answer(id, b'mine'))
+        await reader.read()
+
+    async def check() -> None:
+        async with serving(play) as server:
+            assert await fetch(exchanges.Pool(), server) == b'mine'
+
+    run(check())
+
+
+def test_only_a_strangers_answer_is_no_answer() -> None:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(answer('stranger'))
+
+    async def check() -> None:
+        async with serving(play) as server:
+            with pytest.raises(exchanges.ExchangeError) as caught:
+                await fetch(exchanges.Pool(), server)
+            assert caught.value.sent
+
+    run(check())
+
+
+def test_bytes_behind_an_answer_end_the_connection() -> None:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            id = await read_request(reader)
+            writer.write(answer(id, b'mine') + b'HTTP/1.1 200 OK\r\n')
+
+    async def check() -> None:
+        async with serving(play) as server:
+            pool = exchanges.Pool()
+            assert await fetch(pool, server, 'a') == b'mine'
+            assert await fetch(pool, server, 'b') == b'mine'
+            assert server.connections == 2
+
+    run(check())
+
+
+def test_bytes_on_a_resting_connection_end_it() -> None:
+    late = asyncio.Event()
+
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            id = await read_request(reader)
+            writer.write(answer(id, b'mine'))
+            if id == 'a':
+                await late.wait()
+                writer.write(answer('b', b'forged'))
+
+    async def check() -> None:
+        async with serving(play) as server:
+            pool = exchanges.Pool()
+            assert await fetch(pool, server, 'a') == b'mine'
+            late.set()
+            await asyncio.sleep(0.05)
+            assert await fetch(pool, server, 'b') == b'mine'
+            assert server.connections == 2
+
+    run(check())
+
+
+@pytest.mark.parametrize('orderly', [True, False])
+def test_without_length_only_an_orderly_end_is_whole(orderly: bool) -> None:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        id = await read_request(reader)
+        writer.write(f'HTTP/1.1 200 OK\r\n{ID}: {id}\r\n\r\nall of it'.encode())
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if not orderly:
+            reset(writer)
+
+    async def check() -> None:
+        async with serving(play) as server:
+            if orderly:
+                assert await fetch(exchanges.Pool(), server) == b'all of it'
+                return
+            with pytest.raises(exchanges.ExchangeError):
+                await fetch(exchanges.Pool(), server)
+
+    run(check())
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'no protocol at all\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\nContent-Length: 3\r\n\r\nabc',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n' + ID.encode() + b': 1\r\n\r\nzz\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n' + ID.encode() + b': 1\r\n\r\nabc',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n' + ID.encode() + b': 1\r\n\r\n2\r\nab',
+        b'HTTP/1.1 200',
+        b'',
+    ],
+)
+def test_broken_answers_are_errors_that_may_have_run(data: bytes) -> None:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(data)
+
+    async def check() -> None:
+        async with serving(play) as server:
+            with pytest.raises(exchanges.ExchangeError) as caught:
+                await fetch(exchanges.Pool(), server)
+            assert caught.value.sent
+
+    run(check())
+
+
+def test_a_closed_port_says_that_nothing_was_sent() -> None:
+    async def check() -> None:
+        with socket.socket() as taken:
+            taken.bind(('127.0.0.1', 0))
+            address = f'127.0.0.1:{taken.getsockname()[1]}'
+            with pytest.raises(exchanges.ExchangeError) as caught:
+                await exchanges.Pool().open(address, make_request())
+        assert not caught.value.sent
+        assert caught.value.fault is exchanges.Fault.CONNECT
+
+    run(check())
+
+
+def test_the_upstreams_idle_limit_is_heeded() -> None:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            id = await read_request(reader)
+            writer.write(answer(id, extra='Keep-Alive: timeout=0\r\n'))
+
+    async def check() -> None:
+        async with serving(play) as server:
+            pool = exchanges.Pool()
+            await fetch(pool, server, 'a')
+            await fetch(pool, server, 'b')
+            assert server.connections == 2
+
+    run(check())
+
+
+def test_connection_close_is_heeded() -> None:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            id = await read_request(reader)
+            writer.write(answer(id, extra='Connection: close\r\n'))
+
+    async def check() -> None:
+        async with serving(play) as server:
+            pool = exchanges.Pool()
+            await fetch(pool, server, 'a')
+            await fetch(pool, server, 'b')
+            assert server.connections == 2
+
+    run(check())
+
+
+def test_a_long_rest_is_not_trusted_with_what_runs_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(exchanges, 'ONCE_IDLE', 0.0)
+
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            id = await read_request(reader)
+            writer.write(answer(id))
+
+    async def check() -> None:
+        async with serving(play) as server:
+            pool = exchanges.Pool()
+            await fetch(pool, server, 'a')
+            await fetch(pool, server, 'b', once=True)
+            assert server.connections == 2
+            await fetch(pool, server, 'c')
+            assert server.connections == 2
+
+    run(check())
+
+
+def test_a_reader_that_is_behind_holds_the_upstream_up() -> None:
+    total = 64 * exchanges.BUFFERED_MAX
+    written = 0
+
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal written
+        id = await read_request(reader)
+        writer.write(f'HTTP/1.1 200 OK\r\n{ID}: {id}\r\nContent-Length: {total}\r\n\r\n'.encode())
+        while written < total:
+            writer.write(b'x' * 65536)
+            written += 65536
+            await writer.drain()
+
+    async def check() -> None:
+        async with serving(play) as server:
+            exchange = await exchanges.Pool().open(server.address, make_request())
+            await exchange.read_head()
+            await asyncio.sleep(0.3)
+            assert written < total / 2
+            got = 0
+            while (part := await exchange.read()) is not None:
+                got += len(part)
+            assert got == total
+
+    run(check())
+
+
+def test_an_exchange_that_is_given_up_closes_its_connection() -> None:
+    gone = asyncio.Event()
+
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        await reader.read()
+        gone.set()
+
+    async def check() -> None:
+        async with serving(play) as server:
+            exchange = await exchanges.Pool().open(server.address, make_request())
+            await asyncio.sleep(0.02)
+            exchange.close()
+            await gone.wait()
+
+    run(check())
--- /dev/null
+++ b/passpier/tests/platform/path_tests.py
@@ -0,0 +1,196 @@
+"""Requests through a router on the platform's wire, with stand-ins of the store and replicas."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from passpier.platform import names
+from passpier.standins.platform import deployment
+
+Check = Callable[[deployment.Deployment], Awaitable[None]]
+PROMPT = [
+    (names.MODEL, deployment.MODEL),
+    (names.TOKENS, '1460,80'),
+    (names.PARTS, '5c1e07a2:800,91bd3f06:410,e4402b7d:250'),
+]
+WHOLE = ''.join(f'id: {n}\ndata: piece {n}\n\n' for n in range(5)).encode()
+
+
+def play(check: Check, routers: int = 1) -> None:
+    async def run() -> None:
+        async with deployment.running(routers) as running:
+            await check(running)
+
+    asyncio.run(asyncio.wait_for(run(), 30))
+
+
+def test_each_kind_is_answered_whole() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for path in ('/safe/x?y=1', '/once/x?y=1', '/open/x?y=1'):
+            reply = await running.ask(path, id='a' + path[1:4])
+            assert reply.status == 200
+            assert reply.body == f'POST {path} 8'.encode()
+            assert reply.headers.get(names.STAMP)
+            assert reply.headers.get(names.REQUEST_ID) == 'a' + path[1:4]
+        for path in ('/stream/x', '/resume/x'):
+            reply = await running.ask(path, headers=PROMPT)
+            assert (reply.status, reply.body) == (200, WHOLE)
+
+    play(check)
+
+
+def test_replicas_see_what_the_system_sets_and_nothing_else() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        forged = [
+            (names.ACCOUNT, 'somebody'),
+            (names.SALT, 'somebody'),
+            ('X-Passpier-Kv-Hold', '7'),
+            (names.EXPECT_INCARNATION, 'nobody'),
+            (names.CACHE_SOURCE, '127.0.0.1:1'),
+        ]
+        await running.ask('/stream/x', id='one', headers=[*PROMPT, *forged], patience_ms=900)
+        (run,) = running.list_runs('one')
+        assert run.account == 'tower'
+        assert run.salt == f'tower/{deployment.MODEL}/1'
+        assert 0 < run.time_left_ms <= 900
+        await running.ask('/stream/x', id='two', headers=PROMPT, key='secret-2')
+        (run,) = running.list_runs('two')
+        assert (run.account, run.salt) == ('farm', f'/{deployment.MODEL}/1')
+
+    play(check)
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'host', 'status'),
+    [
+        ('/nowhere/x', deployment.KEY, deployment.HOST, 404),
+        ('/safe/x', deployment.KEY, 'other.example', 404),
+        ('/safe/x', 'wrong', deployment.HOST, 401),
+        ('/safe/x', None, deployment.HOST, 401),
+        ('/open/x', None, deployment.HOST, 200),
+    ],
+)
+def test_what_no_configuration_allows_does_not_run(
+    path: str, key: str | None, host: str, status: int
+) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        reply = await running.ask(path, key=key, host=host, id='one')
+        assert reply.status == status
+        assert len(running.list_runs('one')) == (status == 200)
+
+    play(check)
+
+
+def test_a_body_over_the_limit_is_refused() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        reply = await running.ask('/safe/x', body=b'x' * 100_001, id='one')
+        assert reply.status == 413
+        assert not running.list_runs('one')
+
+    play(check)
+
+
+@pytest.mark.parametrize(
+    ('path', 'fault', 'status', 'runs'),
+    [
+        ('/safe/x', 'refuse', 200, 1),
+        ('/once/x', 'refuse', 200, 1),
+        ('/safe/x', 'fail', 200, 2),
+        ('/once/x', 'fail', 500, 1),
+        ('/safe/x', 'lose', 200, 2),
+        ('/once/x', 'lose', 502, 1),
+        ('/safe/x', 'swap', 200, 2),
+        ('/once/x', 'swap', 504, 1),
+        ('/safe/x', 'lie', 200, 2),
+        ('/once/x', 'lie', 502, 1),
+        ('/stream/x', 'refuse', 200, 1),
+        ('/stream/x', 'lose', 502, 1),
+        ('/resume/x', 'lose', 200, 2),
+        ('/resume/x', 'cut', 200, 2),
+    ],
+)
+def test_outcomes_of_one_fault(path: str, fault: str, status: int, runs: int) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        # One request is hit, whichever replica it goes to first.
+        wants_model = path.startswith(('/stream/', '/resume/'))
+        hit = [r for r in running.replicas.values() if bool(r.model) == wants_model]
+        headers = PROMPT if wants_model else []
+        for known in hit:
+            setattr(known.faults, fault, 1)
+
+        async def clear_others() -> None:
+            while not any(known.runs or not getattr(known.faults, fault) for known in hit):
+                await asyncio.sleep(0.001)
+            for known in hit:
+                if not known.runs and getattr(known.faults, fault):
+                    setattr(known.faults, fault, 0)
+
+        clearing = asyncio.ensure_future(clear_others())
+        reply = await running.ask(path, id='one', headers=headers, patience_ms=800)
+        clearing.cancel()
+        assert reply.status == status
+        assert len(running.list_runs('one')) == runs
+        if status == 200 and headers:
+            assert reply.body == WHOLE
+        stamped = reply.headers.get(names.STAMP) is not None
+        assert stamped == (status in (200, 500))
+
+    play(check)
+
+
+def test_a_cut_stream_that_may_not_go_on_does_not_look_whole() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for known in running.replicas.values():
+            known.faults.cut = 1
+        with pytest.raises(Exception, match='closed|peer'):
+            await running.ask('/stream/x', id='one', headers=PROMPT)
+        assert len(running.list_runs('one')) == 1
+
+    play(check)
+
+
+def test_without_replicas_the_refusal_is_at_once_and_says_when_to_come_back() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for id in list(running.replicas):
+            running.remove_replica(id)
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        reply = await running.ask('/once/x', id='one')
+        assert reply.status == 503
+        assert loop.time() - began < 1.0
+        assert float(reply.headers.get('Retry-After') or 0) > 0
+
+    play(check)
+
+
+def test_a_route_ends_at_its_timeout() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for known in running.replicas.values():
+            known.faults.silent = True
+        reply = await running.ask('/brief/x', id='one')
+        assert reply.status == 504
+        (run,) = running.list_runs('one')
+        assert run.time_left_ms <= 150
+        for known in running.replicas.values():
+            known.faults.silent = False
+
+    play(check)
+
+
+def test_a_client_that_leaves_leaves_nothing_running() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for known in running.replicas.values():
+            known.work = 1.0
+        asked = asyncio.ensure_future(running.ask('/safe/x', id='one'))
+        while not running.list_runs('one'):
+            await asyncio.sleep(0.01)
+        asked.cancel()
+        while not any('one' in known.dropped for known in running.replicas.values()):
+            await asyncio.sleep(0.01)
+        assert running.routers[0].ingress.in_flight == 0
+
+    play(check)
