--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -166,7 +166,7 @@
 
 
 class Proof(Message, tag='pr'):
-    """The sender knows all changes up to `revision` that were made more than `age` seconds ago.
+    """The newest change that is older than `age` seconds was made at `revision`, or before.
 
     `sent_at` is that of the question; `weights` are model, named version and the seconds for which
     the sender has known it.
--- a/passpier/daemon/peers.py
+++ b/passpier/daemon/peers.py
@@ -51,7 +51,7 @@
 
     def send(self, address: str, message: messages.AnyMessage) -> None:
         """Send without waiting; the message is dropped if the peer does not take it."""
-        if address == self.address or address in self.cut:
+        if address == self.address or address in self.cut or self._context.closed:
             return
         data = messages.encode(messages.Envelope(self.incarnation, self.address, message))
         self._counters.control_bytes.add({'channel': 'peer_out'}, len(data))
@@ -77,6 +77,7 @@
         """Send what is still queued, for half a second at most, and close."""
         for outbox in self._outboxes.values():
             outbox.close(linger=500)
+        self._outboxes.clear()
         self._inbox.close(linger=0)
         self._context.term()
 
--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -52,7 +52,7 @@
     """Speaks to the store over kept connections."""
 
     def __init__(self, address: str, pool: exchanges.Pool) -> None:
-        self._address = address
+        self.address = address
         self._pool = pool
         self.calls = 0
 
@@ -119,11 +119,11 @@
     ) -> bytes:
         self.calls += 1
         target = f'{path}?{urllib.parse.urlencode(query)}' if query else path
-        headers = [('Host', self._address), ('Content-Type', 'application/json')]
+        headers = [('Host', self.address), ('Content-Type', 'application/json')]
         data = msgspec.json.encode(body) if body is not None else b''
         request = exchanges.Request(method, target, headers, data)
         try:
-            answer = await self._pool.fetch(self._address, request, timeout)
+            answer = await self._pool.fetch(self.address, request, timeout)
         except exchanges.ExchangeError as error:
             raise exceptions.StoreError(f'{method} {path}: {error}') from error
         status = answer.head.status
--- a/passpier/routing/knowledge.py
+++ b/passpier/routing/knowledge.py
@@ -28,6 +28,9 @@
         self.revision = 0
         """The registry's revision up to which everything is known."""
 
+        self.changed_at = 0
+        """The revision of the newest known change that routers did not write themselves."""
+
         self._revisions: dict[str, int] = {}
         self._members: dict[str, registry.Item] = {}
 
@@ -46,7 +49,7 @@
         for key in gone:
             # Only what was older than the reading can be missing from it.
             if self._revisions[key] <= reading.revision:
-                self._remove(key, now)
+                self._remove(key, reading.revision, now)
         self.revision = max(self.revision, reading.revision)
         self.freshness.prove(reading.sent_at)
 
@@ -55,14 +58,14 @@
         for item in changes.items:
             if item.removed:
                 if self._revisions.get(item.key, 0) <= item.revision:
-                    self._remove(item.key, now)
+                    self._remove(item.key, item.revision, now)
             else:
                 self._take(item, now)
         self.revision = max(self.revision, changes.revision)
         self.freshness.prove_by_watch(changes.sent_at, wait, changes.answered_at, not changes.items)
 
     def take_proof(self, revision: int, proved_at: float) -> bool:
-        """Take over a peer's proof: it holds here if all that the peer knew is known here too."""
+        """Take over a peer's proof: it holds here if all changes that the peer knew are known."""
         if self.table is None or self.revision < revision:
             return False
         self.freshness.prove(proved_at)
@@ -81,6 +84,7 @@
         if self._revisions.get(item.key, 0) >= item.revision:
             return
         self._revisions[item.key] = item.revision
+        self._note_change(item.key, item.revision)
         try:
             self._apply(item, now)
         except exceptions.StoreError as error:
@@ -118,8 +122,13 @@
             },
         )
 
-    def _remove(self, key: str, now: float) -> None:
+    def _note_change(self, key: str, revision: int) -> None:
+        if not key.startswith(self.records.own_prefix):
+            self.changed_at = max(self.changed_at, revision)
+
+    def _remove(self, key: str, revision: int, now: float) -> None:
         self._revisions.pop(key, None)
+        self._note_change(key, revision)
         self._members.pop(key, None)
         if key.startswith(self.records.replica_prefix):
             change = self.catalogue.remove(key.removeprefix(self.records.replica_prefix), now)
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -102,6 +102,16 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._due.wait(), CHECK_INTERVAL)
 
+    async def stop(self) -> None:
+        """Give up what is under way and the right to give orders."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        try:
+            await self._resign()
+        except exceptions.StoreError as error:
+            log.info('the right to give orders is left to lapse', extra={'error': str(error)})
+
     async def _seek(self) -> None:
         if self._key in self._known.members or not self._follower.reachable:
             await asyncio.sleep(CHECK_INTERVAL)
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -172,7 +172,7 @@
         known = self._known
         weights = [(w.model, w.version, now - w.known_at) for w in known.pools.wanted.values()]
         age = known.freshness.compute_age(now)
-        self._peers.send(address, messages.Proof(message.sent_at, known.revision, age, weights))
+        self._peers.send(address, messages.Proof(message.sent_at, known.changed_at, age, weights))
 
     def _take_proof(self, sender: str, address: str, message: messages.Proof) -> None:
         # The peer answered after the question was sent, so its ages count from there at the latest.
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -64,7 +64,7 @@
 
     def __init__(self, options: dialect.Options, adapter: Adapter, rng: random.Random) -> None:
         self.options = options
-        self._adapter = adapter
+        self.adapter = adapter
         self.counters = metrics.Metrics()
         self.pools = pools.Pools(options.version_bound)
         self.known = knowledge.Knowledge(adapter.records, self.pools, options.key_bound)
@@ -101,7 +101,7 @@
 
     async def run(self) -> None:
         """Serve until a planned stop is done."""
-        source = self._adapter.source
+        source = self.adapter.source
         tasks = [
             _start(self.peers.run()),
             _start(self.follower.run()),
@@ -125,12 +125,14 @@
         await self._finish()
         for server in servers:
             server.stop()
+        for task in tasks:
+            task.cancel()
+        await self.rollouts.stop()
         await self.roster.end(source)
         # A request may have come on a kept connection since.
         await self._finish()
-        for task in tasks:
-            task.cancel()
-        self._adapter.pool.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.adapter.pool.close()
         self.peers.close()
         log.info('stopped', extra={'cut': self.ingress.in_flight})
 
@@ -172,11 +174,11 @@
     async def _run_upkeep(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_INTERVAL)
-            self._adapter.pool.close_expired()
+            self.adapter.pool.close_expired()
             self.forwarder.daemons = self.roster.most
 
     def _listen(self) -> list[tornado.httpserver.HTTPServer]:
-        directory = self._adapter.directory
+        directory = self.adapter.directory
         state = {'app': self, 'directory': directory}
         pages = tornado.web.Application(
             [
