--- a/passpier/core/freshness.py
+++ b/passpier/core/freshness.py
@@ -18,6 +18,10 @@
 BOUND_MARGIN = 0.5
 """Seconds kept off the bound, for the way to the upstream and late timers."""
 
+WAIT_SPREAD = 0.75
+"""Part of the longest wait that is drawn: a change wakes all daemons at once, and with equal waits
+their proofs would go on ageing together, instead of one of them always having a young one."""
+
 RENEWAL_SHARE = 0.75
 """Part of the bound at which a new proof should be at hand."""
 
@@ -46,7 +50,8 @@
         """Return whether a key that was revoked longer ago than the bound would be known."""
         return self.compute_age(now) <= self.bound - BOUND_MARGIN
 
-    def choose_wait(self, now: float) -> float:
-        """Return the seconds for which the next watch may wait."""
+    def choose_wait(self, now: float, draw: float) -> float:
+        """Return the seconds for which the next watch may wait; `draw` is from 0 to 1."""
         left = self.proved_at + self.bound * RENEWAL_SHARE - now
-        return min(WAIT_MAX, max(WAIT_MIN, left))
+        longest = WAIT_MAX * (1 - WAIT_SPREAD * draw)
+        return min(longest, max(WAIT_MIN, left))
--- a/passpier/routing/following.py
+++ b/passpier/routing/following.py
@@ -51,7 +51,7 @@
 
     async def _watch(self) -> None:
         while True:
-            wait = self._known.freshness.choose_wait(time.monotonic())
+            wait = self._known.freshness.choose_wait(time.monotonic(), self._rng.random())
             try:
                 changes = await self._source.watch(EVERYTHING, self._known.revision, wait)
             except registry.HistoryGoneError:
--- a/passpier/tests/core/freshness_tests.py
+++ b/passpier/tests/core/freshness_tests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import hypothesis
 import hypothesis.strategies as st
 
@@ -50,7 +52,7 @@
     learnt_up_to = 0.0
     known.prove(now)
     for out, back, cut in delays:
-        wait = known.choose_wait(now)
+        wait = known.choose_wait(now, 0.3)
         sent_at, arrived = now, now + out
         pending = sorted(c for c in changes if learnt_up_to < c <= arrived + wait)
         if cut:
@@ -73,6 +75,18 @@
 def test_waits_grow_short_as_the_proof_ages() -> None:
     known = freshness.Freshness(5.0)
     known.prove(100.0)
-    assert known.choose_wait(100.0) == freshness.WAIT_MAX
-    assert known.choose_wait(102.75) == 1.0
-    assert known.choose_wait(110.0) == freshness.WAIT_MIN
+    assert known.choose_wait(100.0, 0.0) == freshness.WAIT_MAX
+    assert known.choose_wait(102.75, 0.0) == 1.0
+    assert known.choose_wait(110.0, 0.0) == freshness.WAIT_MIN
+
+
+def test_daemons_that_a_change_woke_together_prove_at_different_times() -> None:
+    rng = random.Random(5)
+    worst = 0.0
+    for _ in range(200):
+        fleet = [freshness.Freshness(5.0) for _ in range(8)]
+        for known in fleet:
+            known.prove(0.0)
+        first = min(known.choose_wait(0.7, rng.random()) for known in fleet)
+        worst = max(worst, 0.7 + first)
+    assert worst < 3.0
