Silent replicas are found by asking them, and left

Change: a request without a sign of life for 0.4 s has its replica asked for a report; two unanswered questions stop new requests there, move those that may move, and tell peers to see for themselves. Tests: path_tests, silent and slow replicas.

--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -178,6 +178,12 @@
     weights: list[tuple[str, int, float]]
 
 
+class Silent(Message, tag='si'):
+    """A replica gives the sender no sign of life; the receiver should see for itself."""
+
+    replica: str
+
+
 class Loading(Message, tag='lg'):
     """A replica is about to load weights and should get nothing for so many seconds."""
 
@@ -217,6 +223,7 @@
     | Explained
     | ProofWanted
     | Proof
+    | Silent
     | Loading
     | Loaded
 )
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -17,9 +17,6 @@
 
 log = logging.getLogger(__name__)
 
-REPORT_TIMEOUT = 0.5
-"""Seconds; a report takes no slot and comes in milliseconds."""
-
 ORDER_TIMEOUT = 1.0
 """Seconds after which an order counts as unanswered."""
 
@@ -146,7 +143,10 @@
         """Return a replica's report; raises `ExchangeError`."""
         headers = [('Host', address), (names.EXPECT_INCARNATION, incarnation)]
         request = exchanges.Request('GET', names.REPORT_PATH, headers)
-        answer = await self._pool.fetch(address, request, REPORT_TIMEOUT)
+        answer = await self._pool.fetch(address, request, dialect.ASK_TIMEOUT)
+        if answer.head.status in (400, 404, 405):
+            # Plain services have no report, but they live.
+            return dialect.Report({}, False, 0, 0, 0)
         if answer.head.status != 200:
             text = f'report answered with status {answer.head.status}'
             raise exchanges.ExchangeError(exchanges.Fault.GARBLED, text, True)
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -129,11 +129,18 @@
     expected_orders: int
 
 
+ASK_TIMEOUT = 0.4
+"""Seconds in which a replica has to answer a question about itself; it takes milliseconds."""
+
+
 class Engines(Protocol):
     """Calls to replicas beside requests."""
 
     async def report(self, address: str, incarnation: str) -> Report:
-        """Return a replica's report; raises `ExchangeError`."""
+        """Return a replica's report within `ASK_TIMEOUT`; raises `ExchangeError`.
+
+        A replica of a plain service, which has none, gives an empty one.
+        """
 
     async def order(self, address: str, order: WeightOrder) -> OrderResult:
         """Give an order."""
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -7,22 +7,28 @@
 import dataclasses
 import logging
 import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from passpier import exceptions
 from passpier.clients import exchanges
 from passpier.config import declarations
 from passpier.core import attempts, choice, events, prompts, replicas, retries, routes
 from passpier.daemon import calls, dispatcher, metrics
-from passpier.routing import answering, dialect, knowledge, pools
+from passpier.routing import answering, dialect, knowledge, pools, probing
 
 log = logging.getLogger(__name__)
 
+T = TypeVar('T')
+
 CONNECT_TRIES = 3
 """Connections tried for one send; nothing has reached an upstream until one stands."""
 
-ATTEMPT_SHARE = 0.5
+ATTEMPT_SHARE = 0.4
 """Part of the time left that an attempt may take before its head, if another may follow."""
 
+SILENT = 'the replica gives no sign of life'
+
 EVENT_GAP_MIN = 1.0
 """Seconds without an event after which a stream that can move is taken from its replica."""
 
@@ -88,7 +94,9 @@
         wire: dialect.Dialect,
         counters: metrics.Metrics,
         options: dialect.Options,
+        prober: probing.Prober,
     ) -> None:
+        self.prober = prober
         self.known = known
         self.pools = known.pools
         self.dispatcher = places
@@ -244,6 +252,7 @@
             async with asyncio.timeout(time_left):
                 return await self._owner.pool.open(replica.address, request)
         except exchanges.ExchangeError as error:
+            self._owner.prober.suspect(replica.name, 0.0)
             self._call.life.attempts -= not error.sent
             fault = attempts.Fault.NO_ANSWER if error.sent else attempts.Fault.NOT_CONNECTED
             raise _AttemptError(fault, str(error)) from error
@@ -303,13 +312,30 @@
         life = self._call.life
         may_follow = life.repeatable and life.attempts < life.max_attempts
         wait = left * ATTEMPT_SHARE if may_follow else left
-        try:
-            async with asyncio.timeout(max(0.0, wait)):
-                return await exchange.read_head()
-        except TimeoutError as error:
-            raise _AttemptError(attempts.Fault.NO_ANSWER, 'no answer in time') from error
-        except exchanges.ExchangeError as error:
-            raise _AttemptError(attempts.Fault.NO_ANSWER, str(error)) from error
+        return await self._await_life(exchange.read_head, wait, attempts.Fault.NO_ANSWER)
+
+    async def _await_life(
+        self, read: Callable[[], Awaitable[T]], wait: float, fault: attempts.Fault
+    ) -> T:
+        """Return what `read` gives within `wait` seconds, from a replica that shows life."""
+        ends_at = time.monotonic() + max(0.0, wait)
+        prober = self._owner.prober
+        while True:
+            left = ends_at - time.monotonic()
+            try:
+                async with asyncio.timeout(max(0.0, min(left, probing.SUSPECT_AFTER))):
+                    got = await read()
+            except TimeoutError as error:
+                if left <= probing.SUSPECT_AFTER:
+                    raise _AttemptError(fault, 'no answer in time') from error
+                if prober.is_silent(self._last):
+                    raise _AttemptError(fault, SILENT) from error
+                prober.suspect(self._last)
+            except exchanges.ExchangeError as error:
+                raise _AttemptError(fault, str(error)) from error
+            else:
+                prober.note_heard(self._last)
+                return got
 
     def _judge(self, head: exchanges.Head, placement: dispatcher.Placement) -> None:
         """Raise for heads that bring no answer; learn from all of them."""
@@ -361,13 +387,8 @@
         left = self._admitted.ends_at - time.monotonic()
         gap = max(EVENT_GAP_MIN, self._admitted.route.event_gap * EVENT_GAP_FACTOR)
         can_move = self._call.life.continuable and self._call.life.delivered > 0
-        try:
-            async with asyncio.timeout(max(0.0, min(left, gap) if can_move else left)):
-                return await exchange.read()
-        except TimeoutError as error:
-            raise _AttemptError(attempts.Fault.CUT, 'no event in time') from error
-        except exchanges.ExchangeError as error:
-            raise _AttemptError(attempts.Fault.CUT, str(error)) from error
+        wait = min(left, gap) if can_move else left
+        return await self._await_life(exchange.read, wait, attempts.Fault.CUT)
 
     async def _begin_stream(self, head: exchanges.Head) -> None:
         if not self._client.started:
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -62,7 +62,6 @@
         self._follower = follower
         self._roster = members
         self._engines = engines
-        self._peers = link
         self._name = options.name
         self._rng = rng
         self._key = known.records.own_prefix + _KEY
@@ -200,7 +199,7 @@
             log.warning('replica not reached for an order', extra=fields)
         finally:
             self._rollout.end(order.replica)
-            self._tell(messages.Loaded(order.replica, version))
+            self._roster.tell(messages.Loaded(order.replica, version))
             if version:
                 self._pools.learn_version(order.replica, version, 'report')
             self._pools.resume(order.replica)
@@ -212,7 +211,7 @@
         if replica is None:
             return 0
         self._pools.pause(order.replica, pools.PAUSE_LOADING, 'is to load weights')
-        self._tell(messages.Loading(order.replica, pools.PAUSE_LOADING))
+        self._roster.tell(messages.Loading(order.replica, pools.PAUSE_LOADING))
         await asyncio.sleep(QUIET_TIME)
         report = await self._engines.report(replica.address, replica.incarnation)
         if report.versions.get(order.model, 0) >= order.version:
@@ -257,10 +256,6 @@
         log.warning('load not seen', extra={'upstream': order.replica})
         return 0
 
-    def _tell(self, message: messages.Loading | messages.Loaded) -> None:
-        for member in self._roster.membership.list_alive(time.monotonic()):
-            self._peers.send(member.peer, message)
-
     def _take_loading(self, sender: str, address: str, message: messages.Loading) -> None:
         self._pools.pause(message.replica, message.seconds, f'peer {address} has it load weights')
 
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -86,6 +86,11 @@
             self.most = max(self.most, len(self.membership.list_alive(now)))
             await asyncio.sleep(HEARTBEAT * self._rng.uniform(0.9, 1.1))
 
+    def tell(self, message: messages.AnyMessage) -> None:
+        """Send a message to all live processes."""
+        for member in self.membership.list_alive(time.monotonic()):
+            self._peers.send(member.peer, message)
+
     def begin_leaving(self) -> None:
         """Tell everybody that no client should be sent here any more."""
         self.leaving = True
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -15,7 +15,7 @@
 
 from passpier.clients import exchanges, registry
 from passpier.core import drain, members
-from passpier.daemon import dispatcher, metrics, peers
+from passpier.daemon import dispatcher, messages, metrics, peers
 from passpier.routing import (
     dialect,
     following,
@@ -23,6 +23,7 @@
     ingress,
     knowledge,
     pools,
+    probing,
     rollouts,
     roster,
 )
@@ -90,9 +91,11 @@
             options,
             rng,
         )
+        self.prober = probing.Prober(self.pools, adapter.engines, self.roster.tell)
+        self.peers.handle(messages.Silent, self._take_silent)
         places = dispatcher.Dispatcher(self.pools, self.counters, rng)
         self.forwarder = forwarding.Forwarder(
-            self.known, places, adapter.pool, adapter.wire, self.counters, options
+            self.known, places, adapter.pool, adapter.wire, self.counters, options, self.prober
         )
         self.ingress = ingress.Ingress(self.known, self.forwarder, adapter.wire, self.counters)
         self._drain = drain.Drain(options.answer_ttl, options.stop_bound)
@@ -127,6 +130,7 @@
             server.stop()
         for task in tasks:
             task.cancel()
+        self.prober.stop()
         await self.rollouts.stop()
         await self.roster.end(source)
         # A request may have come on a kept connection since.
@@ -162,6 +166,9 @@
         fresh = self.known.freshness.is_fresh(now)
         return self.known.is_ready() and fresh and not self.roster.leaving
 
+    def _take_silent(self, sender: str, address: str, message: messages.Silent) -> None:
+        self.prober.suspect(message.replica)
+
     async def _finish(self) -> None:
         while True:
             now = time.monotonic()
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -86,6 +86,14 @@
         """Let a replica's entry vanish."""
         self.meta.remove(names.REPLICA_PREFIX + id)
 
+    def go_dark(self, id: str) -> None:
+        """Let a replica answer nothing any more."""
+        self.replicas[id].faults.dark = True
+
+    def go_light(self, id: str) -> None:
+        """Let a replica answer again."""
+        self.replicas[id].faults.dark = False
+
     def add_router(self, name: str, zone: str, **changes: Any) -> router.Router:
         """Start a router."""
         pool = exchanges.Pool()
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -38,6 +38,9 @@
     silent: bool = False
     """Takes requests and never answers."""
 
+    dark: bool = False
+    """Answers nothing at all, reports included."""
+
     lie: int = 0
     """Run, then answered with 503 but without the word that it did not run."""
 
@@ -99,6 +102,10 @@
     def initialize(self, replica: Replica) -> None:
         self.replica = replica
 
+    async def prepare(self) -> None:
+        while self.replica.faults.dark:
+            await asyncio.sleep(0.01)
+
     def is_foreign(self) -> bool:
         expected = self.request.headers.get(names.EXPECT_INCARNATION, self.replica.id)
         return expected != self.replica.id
--- a/passpier/tests/platform/path_tests.py
+++ b/passpier/tests/platform/path_tests.py
@@ -194,3 +194,38 @@
         assert running.routers[0].ingress.in_flight == 0
 
     play(check)
+
+
+@pytest.mark.parametrize(('path', 'status'), [('/safe/x', 200), ('/resume/x', 200)])
+def test_a_silent_replica_is_left_and_gets_nothing_more(path: str, status: int) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        wants_model = path.startswith('/resume/')
+        headers = PROMPT if wants_model else []
+        silent = running.replicas['llm-0' if wants_model else 'app-0']
+        running.go_dark(silent.id)
+        loop = asyncio.get_running_loop()
+        for number in range(8):
+            began = loop.time()
+            reply = await running.ask(path, id=f'q{number}', headers=headers)
+            assert reply.status == status
+            assert loop.time() - began < 1.9
+        arrived = len(silent.runs)
+        assert arrived <= 2
+        running.go_light(silent.id)
+        known = running.routers[0].pools.replicas[silent.id]
+        while loop.time() < known.paused_until:
+            await asyncio.sleep(0.02)
+        assert not running.routers[0].prober.is_silent(silent.id)
+
+    play(check)
+
+
+def test_a_slow_replica_that_shows_life_is_waited_for() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for known in running.replicas.values():
+            known.work = 0.9
+        reply = await running.ask('/once/x', id='one')
+        assert reply.status == 200
+        assert len(running.list_runs('one')) == 1
+
+    play(check)
