--- /dev/null
+++ b/passpier/core/kept.py
@@ -0,0 +1,62 @@
+"""What a shared cache store holds, as its events tell, so that nothing is sent there in vain.
+
+A prompt is saved whole, its private end included. Saving a prompt whose shared parts are held
+already only pushes other shared parts out of the store.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+SAVING_SECONDS = 1.5
+"""Seconds for which a part that is being saved counts as held before an event confirms it."""
+
+
+def identify(salt: str, part: str) -> int:
+    """Return the identity of a part under a salt."""
+    return xxhash.xxh3_64_intdigest(f'{salt}\x00{part}'.encode())
+
+
+class Kept:
+    """The parts held by one store in one of its lives; `up` is false while it does not answer."""
+
+    def __init__(self) -> None:
+        self.epoch = 0
+        self.up = True
+        self._held: set[int] = set()
+        self._saving: dict[int, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def begin_epoch(self, epoch: int) -> None:
+        """Forget everything if the store has been restarted."""
+        if epoch != self.epoch:
+            self.epoch = epoch
+            self._held.clear()
+            self._saving.clear()
+
+    def apply(self, added: Iterable[int], removed: Iterable[int]) -> None:
+        """Take over what was added and removed."""
+        for part in added:
+            self._held.add(part)
+            self._saving.pop(part, None)
+        for part in removed:
+            self._held.discard(part)
+
+    def note_saving(self, parts: Iterable[int], now: float) -> None:
+        """Note that an engine was told to save some parts."""
+        self._saving = {p: until for p, until in self._saving.items() if until > now}
+        for part in parts:
+            if part not in self._held:
+                self._saving[part] = now + SAVING_SECONDS
+
+    def holds_all(self, parts: Sequence[int], now: float) -> bool:
+        """Return whether all of some parts are held, or are just being saved."""
+        return all(p in self._held or self._saving.get(p, 0.0) > now for p in parts)
+
+    def export(self) -> list[int]:
+        """Return all parts that are held."""
+        return list(self._held)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -178,6 +178,14 @@
     weights: list[tuple[str, int, float]]
 
 
+class Kept(Message, tag='ke'):
+    """What a shared cache store took and dropped since the last message; `epoch` 0: it is down."""
+
+    epoch: int
+    added: list[int]
+    removed: list[int]
+
+
 class Silent(Message, tag='si'):
     """A replica gives the sender no sign of life; the receiver should see for itself."""
 
@@ -223,6 +231,7 @@
     | Explained
     | ProofWanted
     | Proof
+    | Kept
     | Silent
     | Loading
     | Loaded
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -157,6 +157,28 @@
         versions = {m.name: m.version for m in raw.models}
         return dialect.Report(versions, raw.utilization, raw.sequence, raw.active, raw.queued)
 
+    async def read_cache_changes(
+        self, address: str, since: int, wait: float
+    ) -> dialect.CacheChanges:
+        """Return a cache's events from number `since`; raises `ExchangeError`."""
+        headers = [('Host', address), (names.WAIT, str(int(wait * 1000)))]
+        target = f'{names.CACHE_EVENTS_PATH}?since={since}'
+        request = exchanges.Request('GET', target, headers)
+        answer = await self._pool.fetch(address, request, wait + dialect.ASK_TIMEOUT)
+        if answer.head.status != 200:
+            text = f'events answered with status {answer.head.status}'
+            raise exchanges.ExchangeError(exchanges.Fault.GARBLED, text, True)
+        try:
+            raw = records.decode_cache_events(answer.body)
+        except exceptions.StoreError as error:
+            raise exchanges.ExchangeError(exchanges.Fault.GARBLED, str(error), True) from error
+        changes = tuple(
+            # What is left of a part that was dropped in part is of no use without the rest.
+            dialect.CacheChange(sign == '+', salt, part)
+            for _, sign, salt, part, _, _ in raw.events
+        )
+        return dialect.CacheChanges(raw.boot_epoch, raw.next_token, raw.lost, changes)
+
     async def order(self, address: str, order: dialect.WeightOrder) -> dialect.OrderResult:
         """Give an order."""
         body = {
--- a/passpier/platform/names.py
+++ b/passpier/platform/names.py
@@ -71,6 +71,8 @@
 RESOLVE_PATH = '/resolve'
 READY_PATH = '/readyz'
 REPORT_PATH = '/report'
+CACHE_EVENTS_PATH = '/kv-events'
+WAIT = 'Wait-Ms'
 ORDER_PATH = '/order'
 
 CONFIGURATION_KEY = 'op/config'
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -111,6 +111,15 @@
     active: int = 0
 
 
+class _CacheEvents(msgspec.Struct):
+    boot_epoch: int
+    next_token: int
+    events: list[tuple[int, str, str, str, int, str]] = []
+    """Number, `+` or `-`, salt, part, tokens of it now kept, model."""
+
+    lost: bool = False
+
+
 def decode_configuration(data: bytes) -> routes.Configuration:
     """Return an operator's configuration; raises `StoreError` if it is not understood."""
     raw = _decode(data, _Configuration)
@@ -153,6 +162,11 @@
     return _decode(data, _Report)
 
 
+def decode_cache_events(data: bytes) -> _CacheEvents:
+    """Return the events of a replica's or store's cache."""
+    return _decode(data, _CacheEvents)
+
+
 def _convert_route(raw: _Route) -> routes.Route:
     kind = _KINDS.get((raw.type, raw.resumable and raw.type == 'streaming'), routes.Kind.ONCE)
     shares = tuple(routes.Share(s.service, s.weight) for s in raw.split)
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -133,6 +133,25 @@
 """Seconds in which a replica has to answer a question about itself; it takes milliseconds."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheChange:
+    """A part that a cache took or dropped."""
+
+    added: bool
+    salt: str
+    part: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheChanges:
+    """Events of a cache; `lost` says that some before them are missing."""
+
+    epoch: int
+    next: int
+    lost: bool
+    changes: tuple[CacheChange, ...]
+
+
 class Engines(Protocol):
     """Calls to replicas beside requests."""
 
@@ -142,6 +161,9 @@
         A replica of a plain service, which has none, gives an empty one.
         """
 
+    async def read_cache_changes(self, address: str, since: int, wait: float) -> CacheChanges:
+        """Return a cache's events from number `since`; raises `ExchangeError`."""
+
     async def order(self, address: str, order: WeightOrder) -> OrderResult:
         """Give an order."""
 
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -269,7 +269,7 @@
         if ask.prompt is not None:
             version = replica.weight_version
             salt = self._owner.pools.render_salt(ask.prompt, admitted.account, version)
-            source = self._owner.pools.choose_source(replica, self._call.job)
+            source = self._owner.pools.choose_source(replica, self._call.job, ask.prompt, salt)
         sending = dialect.Sending(
             replica.incarnation,
             replica.weight_version,
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -7,7 +7,17 @@
 import time
 from collections.abc import Mapping
 
-from passpier.core import catalogue, choice, ejection, prompts, replicas, rollout, routes, view
+from passpier.core import (
+    catalogue,
+    choice,
+    ejection,
+    kept,
+    prompts,
+    replicas,
+    rollout,
+    routes,
+    view,
+)
 
 log = logging.getLogger(__name__)
 
@@ -45,6 +55,7 @@
         self.replicas: dict[str, replicas.Replica] = {}
         self.cache = view.CacheView(view_blocks)
         self.ejector = ejection.Ejector()
+        self.kept = kept.Kept()
         self.wanted: dict[str, rollout.Wanted] = {}
         self._version_bound = version_bound
         self._pools: dict[str, list[str]] = {}
@@ -159,12 +170,36 @@
         found = self._services.get(service)
         return found.engine if found else None
 
-    def choose_source(self, replica: replicas.Replica, job: choice.Job) -> Source:
-        """Return where a replica should look for the parts of a prompt that it lacks."""
-        if not job.chain or not self._stores:
-            return Source()
-        store = self._stores[0]
-        return Source(store.address, store.address)
+    def get_cache_store(self) -> str:
+        """Return the address of the shared cache store, or an empty string."""
+        return self._stores[0].address if self._stores else ''
+
+    def choose_source(
+        self, replica: replicas.Replica, job: choice.Job, prompt: prompts.Prompt, salt: str
+    ) -> Source:
+        """Return where a replica finds parts that it lacks, and where it should leave its own."""
+        store = self.get_cache_store()
+        if not store or not self.kept.up:
+            return Source(self._find_holder(replica, job))
+        shared = [kept.identify(salt, p.name) for p in prompt.parts[:-1]]
+        now = time.monotonic()
+        if self.kept.holds_all(shared, now):
+            return Source(store)
+        self.kept.note_saving(shared, now)
+        return Source(store, store)
+
+    def _find_holder(self, replica: replicas.Replica, job: choice.Job) -> str:
+        """Return the address of the replica that holds most of a prompt, if it is another one."""
+        now = time.monotonic()
+        own = self.cache.match(replica.name, job.chain, now).blocks
+        best = ''
+        for other in self.replicas.values():
+            if other.weight_version != replica.weight_version or other.leaving:
+                continue
+            blocks = self.cache.match(other.name, job.chain, now).blocks
+            if blocks > own and now >= other.paused_until:
+                own, best = blocks, other.address
+        return best
 
     def list_states(self) -> list[rollout.State]:
         """Return the weights of all engines."""
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -21,6 +21,7 @@
     following,
     forwarding,
     ingress,
+    keeping,
     knowledge,
     pools,
     probing,
@@ -91,6 +92,13 @@
             options,
             rng,
         )
+        self.keeper = keeping.Keeper(
+            self.pools,
+            adapter.engines,
+            self.roster,
+            self.peers,
+            lambda: bool(self.rollouts.holder.token),
+        )
         self.prober = probing.Prober(self.pools, adapter.engines, self.roster.tell)
         self.peers.handle(messages.Silent, self._take_silent)
         places = dispatcher.Dispatcher(self.pools, self.counters, rng)
@@ -113,6 +121,7 @@
             _start(self.rollouts.run_election()),
             _start(self.rollouts.run_orders()),
             _start(self._run_upkeep()),
+            _start(self.keeper.run()),
         ]
         servers = self._listen()
         log.info(
