--- a/passpier/core/view.py
+++ b/passpier/core/view.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import enum
+from collections.abc import Sequence
 
 GAP_CONFIDENCE = 0.98
 """Factor on the trust in a replica's entries after a gap in its events; answers restore it."""
@@ -36,6 +37,10 @@
     blocks: collections.OrderedDict[int, float] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    sizes: dict[int, int] = dataclasses.field(default_factory=dict)
+    """Sizes of blocks that are larger than one."""
+
+    size: int = 0
     trust: float = 1.0
     capacity: int = 0
     gaps: int = 0
@@ -77,7 +82,7 @@
         return holdings.incarnation if holdings else ''
 
     def get_capacity(self, replica: str) -> int:
-        """Return how many blocks a replica can hold; 0 if it has not said."""
+        """Return the sizes of blocks that a replica can hold together; 0 if it has not said."""
         holdings = self._holdings.get(replica)
         return holdings.capacity if holdings else 0
 
@@ -90,20 +95,37 @@
         holdings = self._get_current(replica, incarnation)
         if holdings is not None:
             holdings.blocks.clear()
+            holdings.sizes.clear()
+            holdings.size = 0
             holdings.trust = 1.0
 
     def add(
-        self, replica: str, incarnation: str, chain: list[int], evidence: Evidence, now: float
+        self,
+        replica: str,
+        incarnation: str,
+        chain: list[int],
+        evidence: Evidence,
+        now: float,
+        sizes: Sequence[int] = (),
     ) -> None:
-        """Note that a replica holds `chain`; evidence on another incarnation is ignored."""
+        """Note that a replica holds `chain`; evidence on another incarnation is ignored.
+
+        `sizes` are those of the blocks, where they differ; otherwise each counts one.
+        """
         holdings = self._get_current(replica, incarnation)
         if holdings is None:
             return
         blocks = holdings.blocks
         stamp = now - evidence.value
         # Later blocks are marked older: engines evict the end of a chain before its beginning.
-        for block in reversed(chain):
+        for place in range(len(chain) - 1, -1, -1):
+            block = chain[place]
             previous = blocks.get(block)
+            if previous is None:
+                size = sizes[place] if sizes else 1
+                holdings.size += size
+                if size != 1:
+                    holdings.sizes[block] = size
             blocks[block] = stamp if previous is None or previous < stamp else previous
             blocks.move_to_end(block)
         self._shrink(holdings)
@@ -112,7 +134,7 @@
         """Note that a replica did not hold a block at `now`; later evidence stands."""
         holdings = self._get_current(replica, incarnation)
         if holdings is not None and holdings.blocks.get(block, now + 1) <= now:
-            del holdings.blocks[block]
+            self._drop(holdings, block)
 
     def correct(
         self,
@@ -184,7 +206,11 @@
 
     def _shrink(self, holdings: Holdings) -> None:
         bound = self.max_blocks // max(1, len(self._holdings))
-        if holdings.capacity:
-            bound = min(bound, holdings.capacity)
         while len(holdings.blocks) > bound:
-            holdings.blocks.popitem(last=False)
+            self._drop(holdings, next(iter(holdings.blocks)))
+        while holdings.capacity and holdings.size > holdings.capacity:
+            self._drop(holdings, next(iter(holdings.blocks)))
+
+    def _drop(self, holdings: Holdings, block: int) -> None:
+        del holdings.blocks[block]
+        holdings.size -= holdings.sizes.pop(block, 1)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -178,6 +178,12 @@
     weights: list[tuple[str, int, float]]
 
 
+class Placed(Message, tag='pl'):
+    """Prompts that were sent to replicas: name, weight version, blocks, tokens up to their ends."""
+
+    prompts: list[tuple[str, str, list[int], list[int]]]
+
+
 class Kept(Message, tag='ke'):
     """What a shared cache store took and dropped since the last message; `epoch` 0: it is down."""
 
@@ -231,6 +237,7 @@
     | Explained
     | ProofWanted
     | Proof
+    | Placed
     | Kept
     | Silent
     | Loading
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -15,7 +15,7 @@
 from passpier.config import declarations
 from passpier.core import attempts, choice, events, prompts, replicas, retries, routes
 from passpier.daemon import calls, dispatcher, metrics
-from passpier.routing import answering, dialect, knowledge, pools, probing
+from passpier.routing import answering, dialect, knowledge, pools, probing, sharing
 
 log = logging.getLogger(__name__)
 
@@ -95,8 +95,10 @@
         counters: metrics.Metrics,
         options: dialect.Options,
         prober: probing.Prober,
+        shared: sharing.Sharing,
     ) -> None:
         self.prober = prober
+        self.sharing = shared
         self.known = known
         self.pools = known.pools
         self.dispatcher = places
@@ -300,6 +302,8 @@
             answer = await self._read_whole(exchange, head)
             raise _AttemptError(attempts.Fault.FAILED, f'status {head.status}', answer)
         replicas.note_first_token(placement.replica, placement.attempt, now)
+        if self._call.job.chain:
+            self._owner.sharing.note_placed(placement.replica, self._call.job)
         if self._admitted.route.kind.is_stream:
             await self._relay_events(exchange, head, placement)
         else:
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -5,7 +5,7 @@
 import dataclasses
 import logging
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from passpier.core import (
     catalogue,
@@ -36,9 +36,6 @@
 ENOUGH_NEW = 0.75
 """Part of a pool that must have new weights before all requests go there."""
 
-TOKENS_PER_PART = 300
-"""Tokens of a typical part: how many parts a cache holds is not told, only its tokens."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Source:
@@ -186,7 +183,13 @@
         if self.kept.holds_all(shared, now):
             return Source(store)
         self.kept.note_saving(shared, now)
-        return Source(store, store)
+        return Source(self._find_holder(replica, job) or store, store)
+
+    def note_placed(self, name: str, version: str, chain: list[int], ends: Sequence[int]) -> None:
+        """Note that a replica has read a prompt, or is about to."""
+        sizes = [end - start for start, end in zip((0, *ends), ends, strict=False)]
+        now = time.monotonic()
+        self.cache.add(name, f'{name}/{version}', chain, view.Evidence.EVENT, now, sizes)
 
     def _find_holder(self, replica: replicas.Replica, job: choice.Job) -> str:
         """Return the address of the replica that holds most of a prompt, if it is another one."""
@@ -244,7 +247,7 @@
         if self._models[entry.id]:
             replica.room_seconds = ROOM_SECONDS
         engine = self.find_engine(entry.service)
-        capacity = engine.cache_tokens // TOKENS_PER_PART if engine else 0
+        capacity = engine.cache_tokens if engine else 0
         self.cache.set_incarnation(entry.id, f'{entry.id}/0', capacity)
         self.replicas[entry.id] = replica
         self._pools.setdefault(entry.service, []).append(entry.id)
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -86,6 +86,10 @@
             self.most = max(self.most, len(self.membership.list_alive(now)))
             await asyncio.sleep(HEARTBEAT * self._rng.uniform(0.9, 1.1))
 
+    def count_alive(self) -> int:
+        """Return how many processes are alive, this one included."""
+        return len(self.membership.list_alive(time.monotonic()))
+
     def tell(self, message: messages.AnyMessage) -> None:
         """Send a message to all live processes."""
         for member in self.membership.list_alive(time.monotonic()):
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -27,6 +27,7 @@
     probing,
     rollouts,
     roster,
+    sharing,
 )
 
 log = logging.getLogger(__name__)
@@ -99,11 +100,19 @@
             self.peers,
             lambda: bool(self.rollouts.holder.token),
         )
+        self.sharing = sharing.Sharing(self.pools, self.roster, self.peers)
         self.prober = probing.Prober(self.pools, adapter.engines, self.roster.tell)
         self.peers.handle(messages.Silent, self._take_silent)
         places = dispatcher.Dispatcher(self.pools, self.counters, rng)
         self.forwarder = forwarding.Forwarder(
-            self.known, places, adapter.pool, adapter.wire, self.counters, options, self.prober
+            self.known,
+            places,
+            adapter.pool,
+            adapter.wire,
+            self.counters,
+            options,
+            self.prober,
+            self.sharing,
         )
         self.ingress = ingress.Ingress(self.known, self.forwarder, adapter.wire, self.counters)
         self._drain = drain.Drain(options.answer_ttl, options.stop_bound)
@@ -122,6 +131,7 @@
             _start(self.rollouts.run_orders()),
             _start(self._run_upkeep()),
             _start(self.keeper.run()),
+            _start(self.sharing.run()),
         ]
         servers = self._listen()
         log.info(
--- /dev/null
+++ b/passpier/routing/sharing.py
@@ -0,0 +1,48 @@
+"""Tells other processes which prompts went where, so that all know which caches hold them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from passpier.core import choice, replicas
+from passpier.daemon import messages, peers
+from passpier.routing import pools, roster
+
+INTERVAL = 0.05
+"""Seconds over which prompts are collected into one message."""
+
+MAX_PEERS = 16
+"""Processes beyond which prompts are not told: each is told of all that all others do."""
+
+
+class Sharing:
+    """Exchange of placements between processes."""
+
+    def __init__(self, known: pools.Pools, members: roster.Roster, link: peers.Peers) -> None:
+        self._pools = known
+        self._roster = members
+        self._unsent: list[tuple[str, str, list[int], list[int]]] = []
+        link.handle(messages.Placed, self._take)
+
+    def note_placed(self, replica: replicas.Replica, job: choice.Job) -> None:
+        """Note that a replica has begun to answer a prompt."""
+        version = replica.weight_version
+        self._pools.note_placed(replica.name, version, job.chain, job.ends)
+        # The last part is the prompt's own: nobody else can use it.
+        shared = (replica.name, version, job.chain[:-1], list(job.ends[:-1]))
+        if shared[2]:
+            self._unsent.append(shared)
+
+    async def run(self) -> None:
+        """Tell others until cancelled."""
+        while True:
+            await asyncio.sleep(INTERVAL)
+            if not self._unsent:
+                continue
+            prompts, self._unsent = self._unsent, []
+            if self._roster.count_alive() <= MAX_PEERS:
+                self._roster.tell(messages.Placed(prompts))
+
+    def _take(self, sender: str, address: str, message: messages.Placed) -> None:
+        for name, version, chain, ends in message.prompts:
+            self._pools.note_placed(name, version, chain, ends)
