A replica that takes no order holds up no other; unanswered orders are repeated at once

Change: who fails is passed over for 1 s, silent and replaced replicas are left out, a replaced one is known by its 421; an unanswered order is sent again with the same count of orders taken, so that only one of them takes effect. Test: rollout_tests, failed first.

--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -55,6 +55,9 @@
     CLOSED = 'closed'
     """The connection ended before the answer was whole."""
 
+    REPLACED = 'replaced'
+    """Another process answers at the address."""
+
     GARBLED = 'garbled'
     """The bytes that came are no answer in the protocol."""
 
--- a/passpier/core/rollout.py
+++ b/passpier/core/rollout.py
@@ -11,6 +11,9 @@
 ORDER_PATIENCE = 4.0
 """Seconds after which an order without visible effect is given again."""
 
+FAILURE_PAUSE = 1.0
+"""Seconds for which a replica that did not take an order is passed over."""
+
 OLD_WEIGHTS_MARGIN = 1.5
 """Seconds before the bound at which a replica with old weights gets no more requests."""
 
@@ -47,6 +50,7 @@
 
     def __init__(self) -> None:
         self._open: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
 
     def choose(self, wanted: Iterable[Wanted], states: Iterable[State], now: float) -> list[Order]:
         """Return the orders to give now and count them as under way."""
@@ -61,6 +65,8 @@
         self._open = {r: at for r, at in self._open.items() if now - at < ORDER_PATIENCE}
         chosen = []
         for order in missing:
+            if now - self._failed_at.get(order.replica, float('-inf')) < FAILURE_PAUSE:
+                continue
             if len(self._open) >= AT_ONCE:
                 break
             if order.replica not in self._open:
@@ -79,12 +85,19 @@
         )
 
     def end(self, replica: str) -> None:
-        """Note that an order is carried out, or was not taken."""
+        """Note that an order is carried out."""
+        self._open.pop(replica, None)
+        self._failed_at.pop(replica, None)
+
+    def fail(self, replica: str, now: float) -> None:
+        """Note that an order was not taken, or had no effect that could be seen."""
         self._open.pop(replica, None)
+        self._failed_at[replica] = now
 
     def reset(self) -> None:
         """Forget all orders: another daemon gives them now."""
         self._open.clear()
+        self._failed_at.clear()
 
 
 def may_serve(version: int, wanted: Wanted | None, bound: float, now: float) -> bool:
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -17,8 +17,8 @@
 
 log = logging.getLogger(__name__)
 
-ORDER_TIMEOUT = 1.0
-"""Seconds after which an order counts as unanswered."""
+ORDER_TIMEOUT = 0.4
+"""Seconds after which an order counts as unanswered; a replica takes it in milliseconds."""
 
 MODE = 'keep'
 """What becomes of running requests when weights change: they go on."""
@@ -147,6 +147,9 @@
         if answer.head.status in (400, 404, 405):
             # Plain services have no report, but they live.
             return dialect.Report({}, False, 0, 0, 0)
+        if answer.head.status == 421:
+            text = f'{incarnation} is no longer at {address}'
+            raise exchanges.ExchangeError(exchanges.Fault.REPLACED, text, True)
         if answer.head.status != 200:
             text = f'report answered with status {answer.head.status}'
             raise exchanges.ExchangeError(exchanges.Fault.GARBLED, text, True)
@@ -206,6 +209,7 @@
 
 
 _ORDER_RESULTS = {
+    421: dialect.OrderResult.REPLACED,
     200: dialect.OrderResult.HOLDS,
     202: dialect.OrderResult.TAKEN,
     409: dialect.OrderResult.BUSY,
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -113,6 +113,9 @@
     """Another order is under way, or others were taken since."""
 
     REFUSED = 'refused'
+    REPLACED = 'replaced'
+    """Another incarnation is at the address."""
+
     UNKNOWN = 'unknown'
     """No answer; the order may be carried out yet."""
 
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -354,6 +354,7 @@
             raise _AttemptError(attempts.Fault.REFUSED, f'refused with status {head.status}')
         if verdict is dialect.Verdict.WRONG_UPSTREAM:
             known.pause(name, pools.PAUSE_FULL, 'another incarnation or other weights')
+            self._owner.prober.suspect(name, 0.0)
             raise _AttemptError(attempts.Fault.REFUSED, 'another incarnation or other weights')
         if verdict is dialect.Verdict.INVALID:
             raise _AttemptError(attempts.Fault.FAILED, f'no sound answer, status {head.status}')
--- a/passpier/routing/keeping.py
+++ b/passpier/routing/keeping.py
@@ -13,7 +13,7 @@
 
 log = logging.getLogger(__name__)
 
-READ_INTERVAL = 0.5
+READ_INTERVAL = 0.3
 """Seconds between two readings: a reading that need not wait for events is priced."""
 
 READ_WAIT = 1.0
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -53,6 +53,9 @@
         self.cache = view.CacheView(view_blocks)
         self.ejector = ejection.Ejector()
         self.kept = kept.Kept()
+        self.silent: set[str] = set()
+        """Replicas that give this process no sign of life."""
+
         self.wanted: dict[str, rollout.Wanted] = {}
         self._version_bound = version_bound
         self._pools: dict[str, list[str]] = {}
@@ -121,6 +124,12 @@
             extra={'upstream': name, 'weight_version': version, 'source': source},
         )
 
+    def note_replaced(self, name: str) -> None:
+        """Note that a replica's process is gone, though its entry may still be there."""
+        replica = self.replicas.get(name)
+        if replica is not None and replicas.set_leaving(replica, 'replaced', True):
+            log.info('upstream replaced', extra={'upstream': name, 'address': replica.address})
+
     def pause(self, name: str, seconds: float, reason: str) -> None:
         """Give a replica no new requests for a while."""
         replica = self.replicas.get(name)
@@ -207,7 +216,11 @@
     def list_states(self) -> list[rollout.State]:
         """Return the weights of all engines."""
         return [
-            rollout.State(r.name, {self._models[r.name]: int(r.weight_version)}, r.leaving)
+            rollout.State(
+                r.name,
+                {self._models[r.name]: int(r.weight_version)},
+                r.leaving or r.name in self.silent,
+            )
             for r in self.replicas.values()
             if r.weight_version
         ]
@@ -255,6 +268,7 @@
 
     def _drop(self, name: str) -> None:
         self.replicas.pop(name, None)
+        self.silent.discard(name)
         self._models.pop(name, None)
         self.cache.forget(name)
         self.ejector.note_success(name)
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -45,7 +45,6 @@
         self._engines = engines
         self._tell = tell
         self._heard_at: dict[str, float] = {}
-        self._silent: set[str] = set()
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def note_heard(self, name: str) -> None:
@@ -54,7 +53,7 @@
 
     def is_silent(self, name: str) -> bool:
         """Return whether a replica gives no sign of life."""
-        return name in self._silent
+        return name in self._pools.silent
 
     def suspect(self, name: str, patience: float = SUSPECT_AFTER) -> None:
         """Ask a replica, unless it was heard from within `patience` seconds or is being asked."""
@@ -77,6 +76,9 @@
             try:
                 await self._engines.report(replica.address, replica.incarnation)
             except exchanges.ExchangeError as error:
+                if error.fault is exchanges.Fault.REPLACED:
+                    self._pools.note_replaced(name)
+                    break
                 unanswered += 1
                 if unanswered == QUESTIONS:
                     self._begin_silence(name, str(error))
@@ -86,10 +88,10 @@
             if unanswered >= QUESTIONS:
                 self._pools.pause(name, 2 * ASK_INTERVAL + dialect.ASK_TIMEOUT, 'silent')
                 await asyncio.sleep(ASK_INTERVAL)
-        self._silent.discard(name)
+        self._pools.silent.discard(name)
 
     def _begin_silence(self, name: str, error: str) -> None:
-        self._silent.add(name)
+        self._pools.silent.add(name)
         self._tell(messages.Silent(name))
         heard = self._heard_at.get(name)
         age = round(time.monotonic() - heard, 3) if heard else None
@@ -99,7 +101,7 @@
 
     def _end_silence(self, name: str) -> None:
         self._heard_at[name] = time.monotonic()
-        if name in self._silent:
-            self._silent.discard(name)
+        if name in self._pools.silent:
+            self._pools.silent.discard(name)
             self._pools.resume(name)
             log.info('upstream answers again', extra={'upstream': name})
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -27,6 +27,9 @@
 QUIET_TIME = 0.15
 """Seconds between telling peers that a replica will load and the order, so that its runs end."""
 
+ORDER_TRIES = 3
+"""Times that an order without an answer is sent before the replica is passed over."""
+
 LOAD_POLL = 0.15
 """Seconds between looks at whether a replica has loaded."""
 
@@ -197,8 +200,13 @@
         except exchanges.ExchangeError as error:
             fields = {'upstream': order.replica, 'error': str(error)}
             log.warning('replica not reached for an order', extra=fields)
+            if error.fault is exchanges.Fault.REPLACED:
+                self._pools.note_replaced(order.replica)
         finally:
-            self._rollout.end(order.replica)
+            if version >= order.version:
+                self._rollout.end(order.replica)
+            else:
+                self._rollout.fail(order.replica, time.monotonic())
             self._roster.tell(messages.Loaded(order.replica, version))
             if version:
                 self._pools.learn_version(order.replica, version, 'report')
@@ -216,9 +224,6 @@
         report = await self._engines.report(replica.address, replica.incarnation)
         if report.versions.get(order.model, 0) >= order.version:
             return report.versions[order.model]
-        # Checked right before the send: this process may have been stopped for a while.
-        if not self.holder.may_order(time.monotonic()):
-            return 0
         wire = dialect.WeightOrder(
             replica.incarnation,
             order.model,
@@ -227,7 +232,7 @@
             self.holder.token,
             report.orders,
         )
-        result = await self._engines.order(replica.address, wire)
+        result = await self._order(replica.address, wire)
         log.info(
             'order given',
             extra={
@@ -240,10 +245,25 @@
                 'result': result.value,
             },
         )
-        if result in (dialect.OrderResult.REFUSED, dialect.OrderResult.BUSY):
+        if result is dialect.OrderResult.REPLACED:
+            self._pools.note_replaced(order.replica)
+        if result not in (dialect.OrderResult.TAKEN, dialect.OrderResult.HOLDS):
+            # Without an answer it may yet be taken; then the next one names too few orders.
             return 0
         return await self._wait_loaded(order, replica.address)
 
+    async def _order(self, address: str, order: dialect.WeightOrder) -> dialect.OrderResult:
+        """Give an order, again if there is no answer: only one of them can take effect."""
+        result = dialect.OrderResult.UNKNOWN
+        for _ in range(ORDER_TRIES):
+            # Checked right before each send: this process may have been stopped for a while.
+            if not self.holder.may_order(time.monotonic()):
+                break
+            result = await self._engines.order(address, order)
+            if result is not dialect.OrderResult.UNKNOWN:
+                break
+        return result
+
     async def _wait_loaded(self, order: rollout.Order, address: str) -> int:
         deadline = time.monotonic() + LOAD_PATIENCE
         await asyncio.sleep(LOAD_FIRST_LOOK)
--- a/passpier/tests/core/rollout_tests.py
+++ b/passpier/tests/core/rollout_tests.py
@@ -32,6 +32,25 @@
     assert plan.choose(wanted, states, rollout.ORDER_PATIENCE + 0.1)
 
 
+def test_a_replica_that_takes_no_order_holds_up_no_other() -> None:
+    plan = rollout.Rollout()
+    wanted = [rollout.Wanted('m', 2, 0.0)]
+    versions = {'a': 1, 'b': 1, 'c': 1, 'd': 1}
+    ordered = []
+    now = 0.0
+    for _ in range(20):
+        now += 0.15
+        for order in plan.choose(wanted, make_states(versions), now):
+            ordered.append(order.replica)
+            if order.replica in 'ab':
+                plan.fail(order.replica, now)
+            else:
+                versions[order.replica] = 2
+                plan.end(order.replica)
+    assert {'c', 'd'} <= set(ordered[:4])
+    assert ordered.count('a') <= 4
+
+
 def test_the_newest_version_is_ordered_straight_away() -> None:
     plan = rollout.Rollout()
     orders = plan.choose([rollout.Wanted('m', 5, 0.0)], make_states({'a': 1, 'b': 4}), 0.0)
