--- a/passpier/core/rollout.py
+++ b/passpier/core/rollout.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from collections.abc import Iterable, Mapping
 
 AT_ONCE = 2
 """Replicas that load weights at the same time; the weight source serves no more at full rate."""
 
+LOADING_SHARE = 0.5
+"""Part of a model's replicas that may load at the same time, but for one that always may."""
+
 ORDER_PATIENCE = 4.0
 """Seconds after which an order without visible effect is given again."""
 
@@ -55,19 +59,20 @@
     def choose(self, wanted: Iterable[Wanted], states: Iterable[State], now: float) -> list[Order]:
         """Return the orders to give now and count them as under way."""
         targets = {w.model: w.version for w in wanted}
+        live = [s for s in states if not s.draining]
         missing = [
             Order(s.id, model, targets[model])
-            for s in states
-            if not s.draining
+            for s in live
             for model, version in s.versions.items()
             if version < targets.get(model, 0)
         ]
+        sizes = collections.Counter(model for s in live for model in s.versions)
         self._open = {r: at for r, at in self._open.items() if now - at < ORDER_PATIENCE}
         chosen = []
         for order in missing:
             if now - self._failed_at.get(order.replica, float('-inf')) < FAILURE_PAUSE:
                 continue
-            if len(self._open) >= AT_ONCE:
+            if len(self._open) >= min(AT_ONCE, max(1, int(sizes[order.model] * LOADING_SHARE))):
                 break
             if order.replica not in self._open:
                 self._open[order.replica] = now
--- a/passpier/tests/core/rollout_tests.py
+++ b/passpier/tests/core/rollout_tests.py
@@ -24,6 +24,14 @@
     assert [o.replica for o in plan.choose(wanted, states, 0.2)] == ['a']
 
 
+def test_half_of_a_small_pool_goes_on_serving() -> None:
+    plan = rollout.Rollout()
+    wanted = [rollout.Wanted('m', 2, 0.0)]
+    states = make_states({'a': 1, 'b': 1, 'c': 1, 'd': 1}, draining=('d',))
+    assert len(plan.choose(wanted, states, 0.0)) == 1
+    assert len(rollout.Rollout().choose(wanted, make_states({'a': 1}), 0.0)) == 1
+
+
 def test_an_order_without_effect_is_given_again() -> None:
     plan = rollout.Rollout()
     wanted = [rollout.Wanted('m', 2, 0.0)]
@@ -35,7 +43,7 @@
 def test_a_replica_that_takes_no_order_holds_up_no_other() -> None:
     plan = rollout.Rollout()
     wanted = [rollout.Wanted('m', 2, 0.0)]
-    versions = {'a': 1, 'b': 1, 'c': 1, 'd': 1}
+    versions = {'a': 1, 'b': 1, 'c': 1, 'd': 1, 'e': 2}
     ordered = []
     now = 0.0
     for _ in range(20):
