A stream that has begun gets no second head; what may have run is never called not run

Ruled out: the dispatcher's refusals, which looked first. Change: every answer of our own goes through one place that looks.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -145,6 +145,9 @@
         self._call = self._build_call()
         self._excluded: set[str] = set()
         self._connects = 0
+        self._sent = False
+        """Whether the current attempt has reached an upstream."""
+
         self._outcome = 'client_gone'
         self._last: str = ''
 
@@ -219,6 +222,7 @@
     async def _attempt(self) -> bool:
         """Make one attempt; return whether the request has its final answer."""
         call = self._call
+        self._sent = False
         attempt = f'{call.id}-{call.life.attempts}.{self._connects}'
         placed = await self._owner.dispatcher.place(call, attempt, self._excluded)
         if placed.is_error():
@@ -228,6 +232,10 @@
         try:
             await self._send(placement)
             return True
+        except asyncio.CancelledError:
+            # The client has left; what was sent may have run.
+            self._call.life.may_have_run |= self._sent
+            raise
         finally:
             self._owner.dispatcher.end(placement)
 
@@ -241,6 +249,7 @@
             raise _AttemptError(attempts.Fault.NOT_CONNECTED, 'no time left')
         self._last = placement.replica.name
         exchange = await self._open(placement.replica, time_left)
+        self._sent = True
         try:
             await self._relay(exchange, placement)
         finally:
@@ -451,31 +460,28 @@
 
     async def _fail(self, error: _AttemptError) -> None:
         """Give the final answer of a request that has none from an upstream."""
-        if self._client.started:
-            self._outcome = 'stream_cut'
-            self._client.abort()
-            return
-        if error.passed is not None:
+        if error.passed is not None and not self._client.started:
             self._outcome = 'upstream_failed'
             await self._pass(error.passed)
             return
-        if self._call.life.outcome is exceptions.Outcome.NOT_RUN:
-            await self._end(503, error.fault.value, str(error), RETRY_AFTER_FAILURE)
-            return
-        late = time.monotonic() >= self._admitted.ends_at
-        await self._end(504 if late else 502, error.fault.value, str(error), None)
+        status = 503
+        if self._call.life.outcome is not exceptions.Outcome.NOT_RUN:
+            status = 504 if time.monotonic() >= self._admitted.ends_at else 502
+        retry_after = RETRY_AFTER_FAILURE if status == 503 else None
+        await self._end(status, error.fault.value, str(error), retry_after)
 
     async def _refuse(self, failure: exceptions.Failure) -> None:
         """Answer with the dispatcher's refusal."""
+        await self._end(503, failure.code.value, failure.message, failure.retry_after)
+
+    async def _end(self, status: int, reason: str, message: str, retry_after: float | None) -> None:
         if self._client.started:
             self._outcome = 'stream_cut'
             self._client.abort()
             return
-        not_run = self._call.life.outcome is exceptions.Outcome.NOT_RUN
-        status = 503 if not_run else 502
-        await self._end(status, failure.code.value, failure.message, failure.retry_after)
-
-    async def _end(self, status: int, reason: str, message: str, retry_after: float | None) -> None:
+        if self._call.life.outcome is not exceptions.Outcome.NOT_RUN and status == 503:
+            # A 503 would promise that the request has not run.
+            status, retry_after = 502, None
         self._outcome = reason
         refusal = answering.Refusal(status, reason, message, retry_after)
         await write_refusal(self._client, refusal, self._owner.wire.id_header, self._call.id)
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -46,6 +46,7 @@
         self, status: int, reason: str, headers: Sequence[tuple[str, str]], length: int | None
     ) -> None:
         """Send the head; without a length the body comes in chunks."""
+        assert not self.started, 'an answer has one head'
         rendered = tornado.httputil.HTTPHeaders()
         for name, value in headers:
             rendered.add(name, value)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -121,6 +121,13 @@
 
     async def run(self) -> None:
         """Serve until a planned stop is done."""
+        try:
+            await self._serve()
+        finally:
+            self.adapter.pool.close()
+            self.peers.close()
+
+    async def _serve(self) -> None:
         source = self.adapter.source
         tasks = [
             _start(self.peers.run()),
@@ -155,8 +162,6 @@
         # A request may have come on a kept connection since.
         await self._finish()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self.adapter.pool.close()
-        self.peers.close()
         log.info('stopped', extra={'cut': self.ingress.in_flight})
 
     def begin_stop(self) -> None:
--- /dev/null
+++ b/passpier/tests/platform/layout_tests.py
@@ -0,0 +1,52 @@
+"""Nothing outside the adapter knows the platform's names."""
+
+from __future__ import annotations
+
+import pathlib
+
+import passpier
+from passpier.platform import names
+
+ROOT = pathlib.Path(passpier.__file__).parent
+ALLOWED = ('platform', 'standins/platform', 'tests/platform')
+COMMON = {names.READY_PATH, names.REPORT_PATH, names.LAST_EVENT, names.KEY, names.OWN_PREFIX}
+"""Names that are in wide use, or this project's own."""
+
+FIELDS = {
+    'api_keys',
+    'boot_epoch',
+    'expected_revision',
+    'fencing_token',
+    'kv_capacity',
+    'kv_store_address',
+    'path_prefix',
+    'private_key',
+    'store_revision',
+    'target_latency_ms',
+    'timeout_ms',
+    'X-Passpier-Kv',
+}
+
+
+def list_wire_names() -> set[str]:
+    values = {v for k, v in vars(names).items() if k.isupper() and isinstance(v, str)}
+    return {v for v in values if len(v) > 6} - COMMON | FIELDS
+
+
+def test_no_name_of_the_platform_stands_outside_the_adapter() -> None:
+    known = list_wire_names()
+    assert names.REQUEST_ID in known
+    for path in sorted(ROOT.rglob('*.py')):
+        relative = path.relative_to(ROOT).as_posix()
+        if relative.startswith(tuple(f'{a}/' for a in ALLOWED)):
+            continue
+        text = path.read_text()
+        found = {name for name in known if name in text}
+        assert not found, f'{relative}: {found}'
+
+
+def test_only_the_adapter_and_its_stand_ins_import_the_adapter() -> None:
+    for path in sorted(ROOT.rglob('*.py')):
+        relative = path.relative_to(ROOT).as_posix()
+        if not relative.startswith(tuple(f'{a}/' for a in ALLOWED)):
+            assert 'passpier.platform' not in path.read_text(), relative
--- /dev/null
+++ b/passpier/tests/platform/settings_tests.py
@@ -0,0 +1,60 @@
+"""The platform's settings file: unknown fields are skipped, all findings come at once."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from passpier import exceptions
+from passpier.platform import main, settings
+
+GOOD = """
+node_name = "edge-1"
+ip = "10.1.0.30"
+zone = "hall"
+region = "north"
+internal_ports = [7340, 7355]
+something_new = 7
+[listen]
+frontend = "10.1.0.30:8782"
+ready = "10.1.0.30:8789"
+directory = "10.1.0.30:8780"
+[bounds]
+revoke_ms = 4000
+lease_ms = 3000
+unheard_of = true
+[platform]
+address = "10.200.1.7:8784"
+"""
+
+
+def write(folder: pathlib.Path, text: str) -> str:
+    path = folder / 'settings.toml'
+    path.write_text(text)
+    return str(path)
+
+
+def test_a_good_file_becomes_options(tmp_path: pathlib.Path) -> None:
+    options = main.build_options(settings.load_settings(write(tmp_path, GOOD)))
+    assert options.name == 'edge-1'
+    assert options.failure_domain == 'hall'
+    assert options.key_bound == 4.0
+    assert options.order_hold == 3.0
+    assert options.peer_port == 7340
+
+
+def test_all_findings_come_at_once(tmp_path: pathlib.Path) -> None:
+    broken = GOOD.replace('"10.1.0.30:8782"', '"nowhere"').replace('zone = "hall"\n', '')
+    with pytest.raises(exceptions.FindingsError) as caught:
+        settings.load_settings(write(tmp_path, broken))
+    places = [f.place for f in caught.value.findings]
+    assert any('zone' in p for p in places)
+    assert any('listen.frontend' in p for p in places)
+
+
+@pytest.mark.parametrize('text', ['no toml [', None])
+def test_an_unreadable_file_is_a_finding(tmp_path: pathlib.Path, text: str | None) -> None:
+    path = str(tmp_path / 'missing') if text is None else write(tmp_path, text)
+    with pytest.raises(exceptions.FindingsError):
+        settings.load_settings(path)
