--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import sys
+from collections.abc import Mapping
 
 from passpier import exceptions
 from passpier.clients import exchanges
@@ -20,9 +21,13 @@
 log = logging.getLogger(__name__)
 
 EXIT_SETTINGS = 2
+METRICS_VARIABLE = 'PASSPIER_METRICS_PORT'
 METRICS_PORT = 9464
 """Port of the metrics page, as the deploy file tells it."""
 
+LEVEL_VARIABLE = 'PASSPIER_LOG_LEVEL'
+LEVELS = ('debug', 'info', 'warning', 'error')
+
 ANSWER_TTL = 1.5
 """Seconds for which clients may keep an answer of the directory; some keep it three times that."""
 
@@ -36,7 +41,21 @@
 """Seconds between looks at whether the settings file has changed."""
 
 
-def build_options(read: settings.Settings) -> dialect.Options:
+def read_environment(environment: Mapping[str, str]) -> tuple[int, str]:
+    """Return the metrics port and the log level; raises `FindingsError` with all findings."""
+    findings = []
+    port = environment.get(METRICS_VARIABLE, str(METRICS_PORT))
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        findings.append(exceptions.Finding(METRICS_VARIABLE, 'must be a port'))
+    level = environment.get(LEVEL_VARIABLE, 'info')
+    if level not in LEVELS:
+        findings.append(exceptions.Finding(LEVEL_VARIABLE, f'must be one of {", ".join(LEVELS)}'))
+    if findings:
+        raise exceptions.FindingsError(findings)
+    return int(port), level
+
+
+def build_options(read: settings.Settings, metrics_port: int = METRICS_PORT) -> dialect.Options:
     """Return what the router needs of the settings."""
     bounds = read.bounds
     return dialect.Options(
@@ -58,11 +77,11 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_budget_slack,
         retry_window=bounds.budget_window_s,
-        metrics_port=METRICS_PORT,
+        metrics_port=metrics_port,
     )
 
 
-async def run(path: str, read: settings.Settings) -> None:
+async def run(path: str, read: settings.Settings, metrics_port: int) -> None:
     """Serve until a planned stop is done."""
     pool = exchanges.Pool()
     adapter = router.Adapter(
@@ -73,7 +92,7 @@
         store.Store(read.platform.address, pool),
         pool,
     )
-    process = router.Router(build_options(read), adapter, random.Random())
+    process = router.Router(build_options(read, metrics_port), adapter, random.Random())
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, process.begin_stop)
@@ -113,13 +132,14 @@
     """Run the router; exits with 2 if the settings are wrong."""
     path = os.environ.get(names.SETTINGS_VARIABLE, '/etc/passpier/settings.toml')
     try:
+        metrics_port, level = read_environment(os.environ)
         read = settings.load_settings(path)
     except exceptions.FindingsError as error:
         for finding in error.findings:
             print(f'passpier: {finding}', file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    logs.configure_logging('info', 'json', read.node_name, sys.stdout)
-    asyncio.run(run(path, read))
+    logs.configure_logging(level, 'json', read.node_name, sys.stdout)
+    asyncio.run(run(path, read, metrics_port))
 
 
 if __name__ == '__main__':
--- a/passpier/tests/platform/settings_tests.py
+++ b/passpier/tests/platform/settings_tests.py
@@ -58,3 +58,10 @@
     path = str(tmp_path / 'missing') if text is None else write(tmp_path, text)
     with pytest.raises(exceptions.FindingsError):
         settings.load_settings(path)
+
+
+def test_the_environment_is_checked_whole() -> None:
+    assert main.read_environment({}) == (main.METRICS_PORT, 'info')
+    with pytest.raises(exceptions.FindingsError) as caught:
+        main.read_environment({main.METRICS_VARIABLE: '0', main.LEVEL_VARIABLE: 'loud'})
+    assert len(caught.value.findings) == 2
