--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -38,7 +38,7 @@
 IDLE_MARGIN = 0.5
 """Seconds before the upstream's own idle limit at which a connection is given up."""
 
-ONCE_IDLE = 2.0
+ONCE_IDLE = 4.0
 """Seconds of rest after which a connection is not trusted with a request that runs only once."""
 
 READ_SIZE = 65536
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -24,19 +24,20 @@
 ELECTION_SPREAD = 0.3
 """Seconds over which the processes spread their tries to be elected."""
 
-QUIET_TIME = 0.15
-"""Seconds between telling peers that a replica will load and the order, so that its runs end."""
+QUIET_TIME = 0.05
+"""Seconds between telling peers that a replica will load and the order: requests on their way
+arrive before it, a few milliseconds; longer waits cost more in old weights than they spare."""
 
 ORDER_TRIES = 3
 """Times that an order without an answer is sent before the replica is passed over."""
 
-LOAD_POLL = 0.15
+LOAD_POLL = 0.1
 """Seconds between looks at whether a replica has loaded."""
 
 LOAD_PATIENCE = 3.0
 """Seconds after which a load that was taken counts as lost."""
 
-LOAD_FIRST_LOOK = 0.55
+LOAD_FIRST_LOOK = 0.7
 """Seconds after an order before the first look: a load takes about 0.8 s, each look is priced."""
 
 _KEY = 'order-holder'
