Late in a planned stop new requests are refused, not cut

Change: from the closing phase on (three times the directory's lifetime after the signal) a new request gets a 503, to come back at once elsewhere.

--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import tornado.http1connection
 import tornado.httpserver
@@ -29,6 +29,9 @@
 RETRY_AFTER_UNKNOWING = 0.3
 """Seconds after which a client should come back to a daemon that knows too little yet."""
 
+RETRY_AFTER_STOPPING = 0.02
+"""Seconds after which a client should come back, to another process."""
+
 SURE_AGE = 3.5
 """Seconds of age up to which an unknown key or route is certain enough to be refused for good."""
 
@@ -90,6 +93,9 @@
         self.wire = wire
         self.counters = counters
         self.in_flight = 0
+        self.is_closing: Callable[[], bool] = lambda: False
+        """Whether a planned stop has come so far that new requests might not end in time."""
+
         self.last_request_at = time.monotonic()
 
     def start_request(
@@ -190,6 +196,8 @@
             return self._refusal
         ask = self._ask
         assert ask is not None
+        if self._owner.is_closing():
+            return answering.Refusal(503, 'stopping', 'this process stops', RETRY_AFTER_STOPPING)
         table = self._owner.known.table
         if table is None:
             return _refuse_for_now('no configuration is known yet')
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -117,6 +117,7 @@
         self.ingress = ingress.Ingress(self.known, self.forwarder, adapter.wire, self.counters)
         self._drain = drain.Drain(options.answer_ttl, options.stop_bound)
         self._stopping = asyncio.Event()
+        self.ingress.is_closing = self._is_closing
         self._client_server = self.ingress.build_server()
 
     async def run(self) -> None:
@@ -193,6 +194,10 @@
     def _take_silent(self, sender: str, address: str, message: messages.Silent) -> None:
         self.prober.suspect(message.replica)
 
+    def _is_closing(self) -> bool:
+        phase = self._drain.get_phase(self.ingress.in_flight, time.monotonic())
+        return phase in (drain.Phase.CLOSING, drain.Phase.STOPPED)
+
     async def _finish(self) -> None:
         while True:
             now = time.monotonic()
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -198,6 +198,7 @@
             route('once', 'non_idempotent', 'app'),
             route('open', 'idempotent', 'app', public=True),
             route('brief', 'idempotent', 'app', timeout_ms=150, max_attempts=1),
+            route('slow', 'non_idempotent', 'app', timeout_ms=9000, max_attempts=1),
         ],
         'services': [
             {
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -270,3 +270,21 @@
         assert {r.status for r in replies} == {200}
 
     play(check)
+
+
+def test_what_comes_late_in_a_stop_is_refused_instead_of_cut() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for known in running.replicas.values():
+            known.work = 4.5
+        process = running.routers[0]
+        early = asyncio.ensure_future(running.ask('/slow/x', entry=0, patience_ms=6000))
+        await wait_for(lambda: process.ingress.in_flight == 1)
+        process.begin_stop()
+        await asyncio.sleep(process.options.answer_ttl + 3.2)
+        reply = await running.ask('/slow/x', entry=0, id='late', patience_ms=6000)
+        assert reply.status == 503
+        assert float(reply.headers.get('Retry-After') or 9) < 1
+        assert not running.list_runs('late')
+        assert (await early).status == 200
+
+    play(check)
