--- a/passpier/daemon/loads.py
+++ b/passpier/daemon/loads.py
@@ -8,9 +8,10 @@
 
 import asyncio
 import time
+from typing import Protocol
 
 from passpier.core import members, replicas
-from passpier.daemon import messages, peers, upstreams
+from passpier.daemon import messages, peers
 
 INTERVAL = 0.05
 """Seconds between two messages to a peer, at the least."""
@@ -19,12 +20,23 @@
 """Daemons beyond which loads are not told."""
 
 
+class Known(Protocol):
+    """The upstreams whose loads are told."""
+
+    replicas: dict[str, replicas.Replica]
+
+
 class Loads:
     """Exchange of loads with peers."""
 
     def __init__(
-        self, membership: members.Membership, known: upstreams.Upstreams, link: peers.Peers
+        self,
+        membership: members.Membership,
+        known: Known,
+        link: peers.Peers,
+        interval: float = INTERVAL,
     ) -> None:
+        self._interval = interval
         self._membership = membership
         self._upstreams = known
         self._peers = link
@@ -34,7 +46,7 @@
     async def run(self) -> None:
         """Tell peers whenever the loads have changed."""
         while True:
-            await asyncio.sleep(INTERVAL)
+            await asyncio.sleep(self._interval)
             loads = self._collect()
             others = self._membership.list_alive(time.monotonic())
             complete = len(others) <= MAX_PEERS
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -15,7 +15,7 @@
 
 from passpier.clients import exchanges, registry
 from passpier.core import drain, members
-from passpier.daemon import dispatcher, messages, metrics, peers
+from passpier.daemon import dispatcher, loads, messages, metrics, peers
 from passpier.routing import (
     dialect,
     following,
@@ -38,6 +38,9 @@
 QUIET_BEFORE_STOP = 0.3
 """Seconds without a request before a planned stop ends: one may be on its way just then."""
 
+LOADS_INTERVAL = 0.1
+"""Seconds between two messages of loads to a peer: bytes between failure domains are priced."""
+
 UPKEEP_INTERVAL = 1.0
 """Seconds between rounds that close connections which have rested long enough."""
 
@@ -100,6 +103,7 @@
             self.peers,
             lambda: bool(self.rollouts.holder.token),
         )
+        self.loads = loads.Loads(self.roster.membership, self.pools, self.peers, LOADS_INTERVAL)
         self.sharing = sharing.Sharing(self.pools, self.roster, self.peers)
         self.prober = probing.Prober(self.pools, adapter.engines, self.roster.tell)
         self.peers.handle(messages.Silent, self._take_silent)
@@ -140,6 +144,7 @@
             _start(self._run_upkeep()),
             _start(self.keeper.run()),
             _start(self.sharing.run()),
+            _start(self.loads.run()),
         ]
         servers = self._listen()
         log.info(
