One 421 tells that a replica is replaced

Ruled out by trial: lower weights of reuse and home (no difference beyond noise). Test: fleet_tests, failed before.

--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -91,6 +91,10 @@
         """Return the weight version that an answer was made with, or an empty string."""
         return head.get(names.WEIGHT_VERSION) or ''
 
+    def read_incarnation(self, head: exchanges.Head) -> str:
+        """Return which incarnation an upstream says that it is, or an empty string."""
+        return head.get(names.INCARNATION) or ''
+
     def clean_answer(self, headers: exchanges.Headers) -> list[tuple[str, str]]:
         """Return the headers of an answer that travel on to the client."""
         return [(n, v) for n, v in headers if n.lower() not in names.CONNECTION_HEADERS]
@@ -147,7 +151,8 @@
         if answer.head.status in (400, 404, 405):
             # Plain services have no report, but they live.
             return dialect.Report({}, False, 0, 0, 0)
-        if answer.head.status == 421:
+        told = answer.head.get(names.INCARNATION)
+        if answer.head.status == 421 or (told is not None and told != incarnation):
             text = f'{incarnation} is no longer at {address}'
             raise exchanges.ExchangeError(exchanges.Fault.REPLACED, text, True)
         if answer.head.status != 200:
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -87,6 +87,9 @@
     def read_version(self, head: exchanges.Head) -> str:
         """Return the weight version that an answer was made with, or an empty string."""
 
+    def read_incarnation(self, head: exchanges.Head) -> str:
+        """Return which incarnation an upstream says that it is, or an empty string."""
+
     def clean_answer(self, headers: exchanges.Headers) -> list[tuple[str, str]]:
         """Return the headers of an answer that travel on to the client."""
 
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -362,9 +362,12 @@
             known.pause(name, pools.PAUSE_FULL, f'status {head.status}')
             raise _AttemptError(attempts.Fault.REFUSED, f'refused with status {head.status}')
         if verdict is dialect.Verdict.WRONG_UPSTREAM:
-            known.pause(name, pools.PAUSE_FULL, 'another incarnation or other weights')
-            self._owner.prober.suspect(name, 0.0)
-            raise _AttemptError(attempts.Fault.REFUSED, 'another incarnation or other weights')
+            told = self._owner.wire.read_incarnation(head)
+            if told and told != placement.replica.incarnation:
+                known.note_replaced(name)
+                raise _AttemptError(attempts.Fault.REFUSED, f'{told} has the address now')
+            known.pause(name, pools.PAUSE_FULL, 'other weights')
+            raise _AttemptError(attempts.Fault.REFUSED, 'other weights than asked for')
         if verdict is dialect.Verdict.INVALID:
             raise _AttemptError(attempts.Fault.FAILED, f'no sound answer, status {head.status}')
 
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -76,6 +76,9 @@
     state: str = 'ready'
     active: int = 0
     orders: int = 0
+    misdirected: int = 0
+    """Requests that named another incarnation or other weights."""
+
     loading: bool = False
     runs: list[Run] = dataclasses.field(default_factory=list)
     finished: list[str] = dataclasses.field(default_factory=list)
@@ -166,6 +169,8 @@
         replica = self.replica
         wanted = self.request.headers.get(names.EXPECT_VERSION, str(replica.version))
         if self.is_foreign() or (replica.model and wanted != str(replica.version)):
+            replica.misdirected += 1
+            self.set_header(names.INCARNATION, replica.id)
             self.set_status(421)
             return
         full = replica.active >= replica.slots or replica.loading
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -226,9 +226,12 @@
     async def check(running: deployment.Deployment) -> None:
         stranger = running.replicas['app-0']
         stranger.id = 'somebody-else'
-        for number in range(6):
+        for number in range(12):
             assert (await running.ask('/once/x', id=f'q{number}')).status == 200
+            await asyncio.sleep(0.05)
         assert not stranger.runs
+        # One answer tells that the replica is gone, whatever the registry still says.
+        assert stranger.misdirected <= 1
 
     play(check)
 
