A seeded play of load and overlapping trouble against the stand-ins (make play)

Judges from outside: once-only requests, promises of 'not run', whole answers, keys that were taken away, salts and versions, one holder of orders. A broken variant (repeating what may run once) is caught.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: quickstart test check format bench slopes setup lock
+.PHONY: quickstart test check format bench slopes play setup lock
 
 quickstart: setup
 	$(PY) -m passpier.standins.quickstart
@@ -25,6 +25,9 @@
 slopes: setup
 	$(PY) -m passpier.standins.slopes
 
+play: setup
+	$(PY) -m passpier.standins.platform.play $(PLAY)
+
 setup: $(STAMP)
 
 $(STAMP): requirements.lock pyproject.toml
--- /dev/null
+++ b/passpier/standins/platform/play.py
@@ -0,0 +1,280 @@
+"""Plays seeded load and trouble against a deployment on loopback, and checks promises from outside.
+
+What is judged is what clients and replicas saw: a request that may run only once ran once, a
+refusal that promises "not run" did not run, answers are whole and the client's own, keys that were
+taken away run nothing, one router gives orders at a time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import random
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import fire
+
+from passpier.clients import exchanges
+from passpier.platform import names
+from passpier.standins.platform import deployment, replica
+
+PROMPT_PARTS = 6
+"""Subjects that prompts are about."""
+
+TROUBLE_PAUSE = 0.25
+"""Mean seconds between two troubles, which overlap."""
+
+REVOKE_AFTER = 6
+"""Troubles after which a key may be taken away."""
+
+PROMISES = frozenset({408, 421, 429, 503})
+SETTLE = 1.5
+"""Seconds after the last trouble in which everything has to be well again."""
+
+ORDER_GAP = 0.5
+"""Seconds between orders of two routers, as the deployment's options ask for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """One request and what its client saw; status 0 is no whole answer."""
+
+    id: str
+    kind: str
+    key: str
+    sent_at: float
+    status: int
+    body: bytes
+    seconds: float
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What a play showed."""
+
+    seed: int
+    asked: list[Asked] = dataclasses.field(default_factory=list)
+    troubles: list[str] = dataclasses.field(default_factory=list)
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+    def render(self) -> str:
+        """Return the report as text."""
+        lines = [f'seed {self.seed}: {len(self.asked)} requests, {len(self.troubles)} troubles']
+        kinds = sorted({a.kind for a in self.asked})
+        for kind in kinds:
+            mine = [a for a in self.asked if a.kind == kind]
+            counts = collections.Counter(a.status for a in mine)
+            times = sorted(a.seconds for a in mine if a.status == 200)
+            middle = times[len(times) // 2] * 1000 if times else 0.0
+            told = ', '.join(f'{status}: {count}' for status, count in sorted(counts.items()))
+            lines.append(f'  {kind:8} {told}; median of answers {middle:.0f} ms')
+        lines += [f'  broken: {text}' for text in self.broken] or ['  no promise broken']
+        return '\n'.join(lines)
+
+
+class Play:
+    """One play."""
+
+    def __init__(self, running: deployment.Deployment, seed: int, rate: float) -> None:
+        self._running = running
+        self._rng = random.Random(seed)
+        self._rate = rate
+        self._revoked_at: dict[str, float] = {}
+        self._version = 1
+        self._spare = 0
+        self.report = Report(seed)
+
+    async def run(self, seconds: float) -> Report:
+        """Play for so long, then check."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        trouble = asyncio.ensure_future(self._trouble(ends_at - SETTLE))
+        asking: set[asyncio.Task[None]] = set()
+        number = 0
+        while loop.time() < ends_at:
+            task = asyncio.ensure_future(self._ask(number))
+            asking.add(task)
+            task.add_done_callback(asking.discard)
+            number += 1
+            await asyncio.sleep(self._rng.expovariate(self._rate))
+        await asyncio.gather(trouble, *asking)
+        self._check()
+        return self.report
+
+    async def _ask(self, number: int) -> None:
+        kind = self._rng.choice(['stream', 'resume', 'safe', 'once'])
+        key = self._rng.choice(['secret-1', 'secret-2'])
+        entry = self._rng.randrange(len(self._running.routers))
+        headers = self._make_prompt() if kind in ('stream', 'resume') else []
+        began = time.monotonic()
+        status, body = 0, b''
+        id = f'n{number}'
+        try:
+            reply = await self._running.ask(
+                f'/{kind}/x', entry, id, key, headers=headers, patience_ms=1500
+            )
+            status, body = reply.status, reply.body
+            if reply.headers.get(names.REQUEST_ID) != id:
+                self.report.broken.append(f'{id} got the answer of another request')
+        except exchanges.ExchangeError:
+            # A closed connection promises nothing; what ran is judged at the replicas.
+            status = 0
+        seconds = time.monotonic() - began
+        self.report.asked.append(Asked(id, kind, key, began, status, body, seconds))
+
+    def _make_prompt(self) -> list[tuple[str, str]]:
+        subject = self._rng.randrange(PROMPT_PARTS)
+        parts = f'aa:800,b{subject}:400,c{self._rng.getrandbits(32):x}:200'
+        return [(names.MODEL, deployment.MODEL), (names.TOKENS, '1400,20'), (names.PARTS, parts)]
+
+    async def _trouble(self, ends_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        kinds: list[Callable[[], Awaitable[None]]] = [
+            self._spoil_answers,
+            self._spoil_answers,
+            self._spoil_answers,
+            self._silence_replica,
+            self._replace_replica,
+            self._drain_replica,
+            self._take_store_down,
+            self._lose_store_answers,
+            self._forget_history,
+            self._name_version,
+            self._revoke_key,
+            self._stop_router,
+        ]
+        begun: list[asyncio.Task[None]] = []
+        while loop.time() < ends_at:
+            trouble = self._rng.choice(kinds)
+            self.report.troubles.append(trouble.__name__.removeprefix('_'))
+            begun.append(asyncio.ensure_future(_run(trouble)))
+            await asyncio.sleep(self._rng.expovariate(1 / TROUBLE_PAUSE))
+        await asyncio.gather(*begun)
+        self._running.faults.down = False
+
+    def _pick(self) -> replica.Replica:
+        return self._rng.choice(list(self._running.replicas.values()))
+
+    async def _spoil_answers(self) -> None:
+        fault = self._rng.choice(['refuse', 'fail', 'lose', 'cut', 'swap', 'lie'])
+        setattr(self._pick().faults, fault, self._rng.randint(2, 6))
+
+    async def _silence_replica(self) -> None:
+        chosen = self._pick()
+        chosen.faults.dark = True
+        await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+        chosen.faults.dark = False
+
+    async def _replace_replica(self) -> None:
+        chosen = self._pick()
+        chosen.id = f'{chosen.id}-again'
+        self._running.replicas = {r.id: r for r in self._running.replicas.values()}
+        self._running.record(chosen.id)
+        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        self._running.meta.remove(names.REPLICA_PREFIX + chosen.id.removesuffix('-again'))
+
+    async def _drain_replica(self) -> None:
+        chosen = self._pick()
+        self._spare += 1
+        fresh = replica.Replica(
+            f'spare-{self._spare}', chosen.service, chosen.zone, chosen.model, chosen.version
+        )
+        self._running.add_replica(fresh)
+        chosen.state = 'draining'
+        self._running.record(chosen.id)
+
+    async def _take_store_down(self) -> None:
+        self._running.faults.down = True
+        await asyncio.sleep(self._rng.uniform(0.2, 3.0))
+        self._running.faults.down = False
+
+    async def _lose_store_answers(self) -> None:
+        faults = self._running.faults
+        faults.lose_answers = self._rng.randint(0, 3)
+        faults.late_effects = self._rng.randint(0, 3)
+
+    async def _forget_history(self) -> None:
+        self._running.meta.forget_history()
+
+    async def _name_version(self) -> None:
+        self._version += 1
+        self._running.name_version(self._version)
+
+    async def _revoke_key(self) -> None:
+        # Not early, or half of the requests would test nothing else any more.
+        if len(self.report.troubles) > REVOKE_AFTER and 'secret-2' not in self._revoked_at:
+            accounts = self._running.configuration['tenants']
+            self._running.configure(tenants=accounts[:1])
+            self._revoked_at['secret-2'] = time.monotonic()
+
+    async def _stop_router(self) -> None:
+        if len(self._running.routers) < 4:
+            number = len(self._running.routers)
+            self._running.add_router(f'vm-{number}', 'zone-0')
+        self._rng.choice(self._running.routers[:1]).begin_stop()
+
+    def _check(self) -> None:
+        runs = collections.defaultdict(list)
+        for known in self._running.replicas.values():
+            for run in known.runs:
+                runs[run.id].append(run)
+                if run.salt and not run.salt.endswith(f'/{run.version}'):
+                    self.report.broken.append(f'{run.id} ran on {run.version} with {run.salt}')
+        for asked in self.report.asked:
+            self._check_request(asked, len(runs[asked.id]))
+        self._check_orders()
+
+    def _check_request(self, asked: Asked, runs: int) -> None:
+        broken = self.report.broken
+        if asked.kind in ('once', 'stream') and runs > 1:
+            broken.append(f'{asked.id} ({asked.kind}) ran {runs} times')
+        if asked.status in PROMISES and runs and asked.kind in ('once', 'stream'):
+            broken.append(f'{asked.id} was told {asked.status} and ran')
+        whole = b''.join(b'id: %d\ndata: piece %d\n\n' % (n, n) for n in range(5))
+        if asked.status == 200 and asked.kind in ('stream', 'resume') and asked.body != whole:
+            broken.append(f'{asked.id} looks whole and is not')
+        revoked = self._revoked_at.get(asked.key)
+        bound = self._running.routers[0].options.key_bound
+        if revoked is not None and runs and asked.sent_at > revoked + bound:
+            broken.append(f'{asked.id} ran {asked.sent_at - revoked:.2f} s after its key went')
+
+    def _check_orders(self) -> None:
+        orders = sorted(
+            (at, str(order['holder']), int(str(order['fencing_token'])))
+            for known in self._running.replicas.values()
+            for at, order in known.taken
+        )
+        for (at, holder, token), (later, other, next_token) in zip(
+            orders, orders[1:], strict=False
+        ):
+            if holder != other and later - at < ORDER_GAP:
+                self.report.broken.append(f'{holder} and {other} gave orders within the hold time')
+            if next_token < token:
+                self.report.broken.append(f'the token fell from {token} to {next_token}')
+
+
+async def _run(trouble: Callable[[], Awaitable[None]]) -> None:
+    await trouble()
+
+
+async def play(seed: int, seconds: float, rate: float, routers: int = 3) -> Report:
+    """Play one seed against a new deployment."""
+    async with deployment.running(routers) as running:
+        return await Play(running, seed, rate).run(seconds)
+
+
+def main(seed: int = 1, count: int = 1, seconds: float = 8.0, rate: float = 60.0) -> None:
+    """Play `count` seeds from `seed` on, `rate` requests a second; exit with 1 on a break."""
+    broken = 0
+    for number in range(seed, seed + count):
+        report = asyncio.run(play(number, seconds, rate))
+        broken += bool(report.broken)
+        print(report.render(), flush=True)
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -7,6 +7,7 @@
 import json
 import socket
 import struct
+import time
 
 import tornado.web
 
@@ -83,7 +84,9 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     finished: list[str] = dataclasses.field(default_factory=list)
     dropped: list[str] = dataclasses.field(default_factory=list)
-    taken: list[dict[str, object]] = dataclasses.field(default_factory=list)
+    taken: list[tuple[float, dict[str, object]]] = dataclasses.field(default_factory=list)
+    """Orders with the times at which they came."""
+
     faults: Faults = dataclasses.field(default_factory=Faults)
 
     def render_entry(self) -> dict[str, object]:
@@ -148,7 +151,7 @@
         elif replica.version == body['version']:
             self.set_status(200)
         else:
-            replica.taken.append(body)
+            replica.taken.append((time.monotonic(), body))
             replica.orders += 1
             replica.loading = True
             loop = asyncio.get_running_loop()
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -63,7 +63,7 @@
         await asyncio.sleep(0.2)
         running.name_version(3)
         await wait_for(lambda: all(r.version == 3 for r in list_engines(running)))
-        orders = [o for r in list_engines(running) for o in r.taken]
+        orders = [o for r in list_engines(running) for _, o in r.taken]
         assert len({o['holder'] for o in orders}) == 1
         assert len({o['fencing_token'] for o in orders}) == 1
         known = running.routers[0].pools
--- /dev/null
+++ b/passpier/tests/platform/play_tests.py
@@ -0,0 +1,32 @@
+"""Seeded load and trouble: the promises hold, and a broken variant is caught."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from passpier.core import routes
+from passpier.standins.platform import play
+
+SECONDS = 4.0
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_no_promise_is_broken(seed: int) -> None:
+    report = asyncio.run(play.play(seed, SECONDS, 60.0))
+    assert report.broken == []
+    assert any(a.status == 200 for a in report.asked)
+
+
+def test_a_router_that_repeats_what_may_run_once_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(routes.Kind, 'is_repeatable', property(lambda self: True))
+    found = 0
+    for seed in range(4, 12):
+        report = asyncio.run(play.play(seed, SECONDS, 60.0))
+        found += any('times' in text for text in report.broken)
+        if found:
+            return
+    pytest.fail('no seed shows a second run')
