--- a/passpier/commands/main.py
+++ b/passpier/commands/main.py
@@ -12,7 +12,7 @@
 
 from passpier import __version__, exceptions
 from passpier.clients import rpc
-from passpier.commands import output
+from passpier.commands import output, traces
 from passpier.config import loader, schema
 from passpier.utils import differences
 
@@ -91,8 +91,12 @@
         lines = [f'{e["address"]}  {e["failure_domain"]}  {e["incarnation"]}' for e in ranked]
         self._show(ranked, '\n'.join(lines))
 
-    def explain(self, request: str) -> None:
-        """Show why a request went where it went."""
+    def explain(self, request: str, logs: str = '') -> None:
+        """Show why a request went where it went: from a daemon, or from log files (a pattern)."""
+        if logs:
+            lines = traces.read_lines([logs], str(request))
+            self._show(lines, traces.render(lines) or f'no line about {request}')
+            return
         decisions = self._call('explain', request=str(request))
         self._show(decisions, '\n'.join(output.render_decision(d) for d in decisions))
 
--- /dev/null
+++ b/passpier/commands/traces.py
@@ -0,0 +1,52 @@
+"""Finds the lines of one request in log files."""
+
+from __future__ import annotations
+
+import glob
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from passpier import exceptions
+
+Line = dict[str, Any]
+
+_ORDER = ('time', 'daemon', 'event')
+_LEFT_OUT = frozenset({*_ORDER, 'level', 'name', 'request', 'candidates'})
+
+
+def read_lines(patterns: Iterable[str], request: str) -> list[Line]:
+    """Return a request's lines of all files that match, in the order of their times."""
+    paths = [p for pattern in patterns for p in sorted(glob.glob(pattern))]
+    if not paths:
+        finding = exceptions.Finding(' '.join(patterns), 'no log file there')
+        raise exceptions.FindingsError([finding])
+    found = [line for path in paths for line in _read_file(path) if line.get('request') == request]
+    return sorted(found, key=lambda line: str(line.get('time', '')))
+
+
+def render(lines: Iterable[Line]) -> str:
+    """Return lines as text, one an event, with the inputs that decided it."""
+    texts = []
+    for line in lines:
+        start = ' '.join(str(line.get(name, '-')) for name in _ORDER)
+        rest = ' '.join(f'{k}={v}' for k, v in line.items() if k not in _LEFT_OUT)
+        texts.append(f'{start}: {rest}')
+        for candidate in line.get('candidates', ()):
+            texts.append('    ' + ' '.join(f'{k}={v}' for k, v in candidate.items()))
+    return '\n'.join(texts)
+
+
+def _read_file(path: str) -> Iterator[Line]:
+    with open(path, errors='replace') as file:
+        for text in file:
+            # Other programs may write to the same file, and times may stand before a line.
+            start = text.find('{')
+            if start < 0:
+                continue
+            try:
+                line = json.loads(text[start:])
+            except ValueError:
+                continue
+            if isinstance(line, dict):
+                yield line
