No hang when a port is taken; keys are checked once more when the connection stands

Ports now open first, their failure ends the start, tasks end before the sockets; stand-ins take ports from another range. Test: fleet_tests, a taken port. Also: a process may stand still while it connects; whether the key may still be used is asked right before the first byte (exchanges_tests). forwarding.py split (requests.py); one copy of the types of a transaction; election and registration end with the stop.

--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -15,7 +15,7 @@
 import logging
 import socket
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import h11
 import tornado.iostream
@@ -58,6 +58,9 @@
     REPLACED = 'replaced'
     """Another process answers at the address."""
 
+    WITHHELD = 'withheld'
+    """Not sent, since it was no longer allowed once the connection stood."""
+
     GARBLED = 'garbled'
     """The bytes that came are no answer in the protocol."""
 
@@ -85,6 +88,8 @@
     id_header: str = ''
     id: str = ''
     once: bool = False
+    may_send: Callable[[], bool] | None = None
+    """Asked right before the first byte goes out: a process may stand still while it connects."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -336,6 +341,9 @@
             connection = await self._connect(address)
         else:
             self.reused += 1
+        if request.may_send is not None and not request.may_send():
+            connection.close()
+            raise ExchangeError(Fault.WITHHELD, 'no longer allowed when connected', False)
         exchange = Exchange(self, connection, request)
         try:
             exchange.send()
--- a/passpier/clients/store.py
+++ b/passpier/clients/store.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from passpier import exceptions
-from passpier.clients import web
+from passpier.clients import registry, web
 
 CALL_TIMEOUT = 2.0
 """Seconds after which a call counts as unanswered."""
@@ -28,15 +28,6 @@
     create_revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Put:
-    """A write of a transaction; `lease` 0 binds it to none."""
-
-    key: str
-    data: bytes
-    lease: int = 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delete:
     """A deletion of a transaction."""
@@ -44,12 +35,8 @@
     key: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class IsAt:
-    """A condition: the key was last written at `mod_revision`; 0 means it is absent."""
-
-    key: str
-    mod_revision: int
+Put = registry.Put
+IsAt = registry.IsAt
 
 
 class Store(Protocol):
@@ -102,7 +89,7 @@
     ) -> bool:
         """Carry out all operations if all conditions hold; return whether they did."""
         compare = [
-            {'key': _encode(c.key), 'target': 'MOD', 'mod_revision': str(c.mod_revision)}
+            {'key': _encode(c.key), 'target': 'MOD', 'mod_revision': str(c.revision)}
             for c in conditions
         ]
         body = {'compare': compare, 'success': [_render(o) for o in operations]}
@@ -172,7 +159,7 @@
         """Carry out all operations if all conditions hold; return whether they did."""
         for condition in conditions:
             value = self._values.get(condition.key)
-            if (value.mod_revision if value else 0) != condition.mod_revision:
+            if (value.mod_revision if value else 0) != condition.revision:
                 return False
         self._revision += 1
         for operation in operations:
--- a/passpier/routing/answering.py
+++ b/passpier/routing/answering.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import logging
 from collections.abc import Sequence
 from typing import Protocol
 
+log = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
@@ -39,3 +42,26 @@
 
     def abort(self) -> None:
         """End the connection, so that the answer cannot look complete."""
+
+
+async def write_refusal(client: Client, refusal: Refusal, id_header: str, id: str) -> None:
+    """Send an answer of our own."""
+    headers = [('Content-Type', 'application/json')]
+    if id:
+        headers.append((id_header, id))
+    if refusal.retry_after is not None:
+        headers.append(('Retry-After', f'{refusal.retry_after:.3f}'))
+    body = b'{"error":"%s"}' % refusal.reason.encode()
+    log.info(
+        'request refused',
+        extra={
+            'request': id,
+            'status': refusal.status,
+            'reason': refusal.reason,
+            'detail': refusal.message,
+            'retry_after': refusal.retry_after,
+        },
+    )
+    await client.begin(refusal.status, '', headers, len(body))
+    await client.write(body)
+    await client.finish()
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -12,10 +12,9 @@
 
 from passpier import exceptions
 from passpier.clients import exchanges
-from passpier.config import declarations
-from passpier.core import attempts, choice, events, prompts, replicas, retries, routes
-from passpier.daemon import calls, dispatcher, metrics
-from passpier.routing import answering, dialect, knowledge, pools, probing, sharing
+from passpier.core import attempts, events, replicas, retries
+from passpier.daemon import dispatcher, metrics
+from passpier.routing import answering, dialect, knowledge, pools, probing, requests, sharing
 
 log = logging.getLogger(__name__)
 
@@ -35,9 +34,6 @@
 EVENT_GAP_FACTOR = 2.0
 """The same, in multiples of the longest pause that the route allows."""
 
-HOLD_SHARE = 0.5
-"""Part of a request's objective for which it may wait here for a replica."""
-
 RETRY_AFTER = 0.25
 """Seconds after which a refused client should come back, where nothing better is known."""
 
@@ -46,32 +42,6 @@
 """Bytes of an answer that is read whole before any of it is passed on."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admitted:
-    """A request with the rules that it falls under."""
-
-    ask: dialect.Ask
-    route: routes.Route
-    account: routes.Account | None
-    body: bytes
-    arrived_at: float
-
-    @property
-    def priority(self) -> int:
-        """0 is the most urgent."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
-
-    @property
-    def ends_at(self) -> float:
-        """When the client, or the operator, no longer wants an answer."""
-        patience = self.route.timeout
-        if self.ask.patience is not None:
-            patience = min(patience, self.ask.patience)
-        return self.arrived_at + patience
-
-
 class _AttemptError(Exception):
     """An attempt brought no answer; `passed` is the upstream's own failure, if there is one."""
 
@@ -83,6 +53,10 @@
         self.passed = passed
 
 
+class _WithheldError(Exception):
+    """Nothing was sent, since the client's key may have been taken away unseen."""
+
+
 class Forwarder:
     """Runs admitted requests."""
 
@@ -119,7 +93,7 @@
         """Return the retries of a service."""
         return self._budgets[service]
 
-    async def run(self, admitted: Admitted, client: answering.Client) -> None:
+    async def run(self, admitted: requests.Admitted, client: answering.Client) -> None:
         """Answer a request, one way or the other."""
         run = _Run(self, admitted, client)
         started = time.monotonic()
@@ -132,7 +106,9 @@
 class _Run:
     """The life of one request."""
 
-    def __init__(self, owner: Forwarder, admitted: Admitted, client: answering.Client) -> None:
+    def __init__(
+        self, owner: Forwarder, admitted: requests.Admitted, client: answering.Client
+    ) -> None:
         self._owner = owner
         self._admitted = admitted
         self._client = client
@@ -142,7 +118,7 @@
         self._service = table.choose_service(route, admitted.ask.id)
         self._splitter = events.Splitter()
         self._splitter.last_id = admitted.ask.last_event
-        self._call = self._build_call()
+        self._call = requests.build_call(admitted, self._service)
         self._excluded: set[str] = set()
         self._connects = 0
         self._sent = False
@@ -159,6 +135,9 @@
             try:
                 if await self._attempt():
                     return
+            except _WithheldError:
+                await self._end(503, 'stale_configuration', 'keys may have changed', RETRY_AFTER)
+                return
             except _AttemptError as error:
                 if not await self._go_on(error):
                     return
@@ -184,41 +163,6 @@
             },
         )
 
-    def _build_call(self) -> calls.Call:
-        admitted = self._admitted
-        route = admitted.route
-        priority = min(max(0, admitted.priority), replicas.LEAST_URGENT)
-        hold = min(route.objective * HOLD_SHARE, admitted.ends_at - admitted.arrived_at)
-        service = declarations.Service(
-            self._service,
-            self._service,
-            'model' if admitted.ask.prompt else 'plain',
-            priority=priority,
-            deadline_ms=max(1, int(hold * 1000)),
-        )
-        name = admitted.account.name if admitted.account else ''
-        life = attempts.Life(
-            route.kind.is_repeatable,
-            resumable=False,
-            continuable=route.kind is routes.Kind.RESUMABLE_STREAM,
-            max_attempts=route.max_attempts,
-        )
-        policy = 'cost' if admitted.ask.prompt else 'least_load'
-        call = calls.Call(
-            admitted.ask.id,
-            declarations.Account(name),
-            service,
-            admitted.ask.target,
-            policy,
-            admitted.arrived_at,
-            life,
-        )
-        if admitted.ask.prompt is not None:
-            call.job = prompts.build_job(admitted.ask.prompt, admitted.account, priority)
-        else:
-            call.job = choice.Job([], 1, 0, priority=priority)
-        return call
-
     async def _attempt(self) -> bool:
         """Make one attempt; return whether the request has its final answer."""
         call = self._call
@@ -242,11 +186,11 @@
     async def _send(self, placement: dispatcher.Placement) -> None:
         admitted = self._admitted
         if not self._may_use_key():
-            await self._end(503, 'stale_configuration', 'keys may have changed', RETRY_AFTER)
-            return
+            raise _WithheldError
         time_left = admitted.ends_at - time.monotonic()
         if time_left <= 0:
-            raise _AttemptError(attempts.Fault.NOT_CONNECTED, 'no time left')
+            await self._end(503, 'no_time', 'no time was left for an attempt', RETRY_AFTER)
+            return
         self._last = placement.replica.name
         exchange = await self._open(placement.replica, time_left)
         self._sent = True
@@ -257,51 +201,31 @@
 
     async def _open(self, replica: replicas.Replica, time_left: float) -> exchanges.Exchange:
         admitted = self._admitted
-        request = self._build_request(replica, time_left)
+        request = requests.build_request(
+            admitted,
+            self._call.job,
+            replica,
+            time_left,
+            self._splitter.last_id,
+            self._owner.pools,
+            self._owner.wire,
+        )
+        request = dataclasses.replace(request, may_send=self._may_use_key)
         self._call.life.begin()
         try:
             async with asyncio.timeout(time_left):
                 return await self._owner.pool.open(replica.address, request)
         except exchanges.ExchangeError as error:
+            self._call.life.attempts -= 1
+            if error.fault is exchanges.Fault.WITHHELD:
+                raise _WithheldError from error
             self._owner.prober.suspect(replica.name, 0.0)
-            self._call.life.attempts -= not error.sent
-            fault = attempts.Fault.NO_ANSWER if error.sent else attempts.Fault.NOT_CONNECTED
-            raise _AttemptError(fault, str(error)) from error
+            raise _AttemptError(attempts.Fault.NOT_CONNECTED, str(error)) from error
         except TimeoutError as error:
             self._call.life.attempts -= 1
             text = f'no connection for {admitted.ask.id} in time'
             raise _AttemptError(attempts.Fault.NOT_CONNECTED, text) from error
 
-    def _build_request(self, replica: replicas.Replica, time_left: float) -> exchanges.Request:
-        admitted = self._admitted
-        ask = admitted.ask
-        salt = ''
-        source = pools.Source()
-        if ask.prompt is not None:
-            version = replica.weight_version
-            salt = self._owner.pools.render_salt(ask.prompt, admitted.account, version)
-            source = self._owner.pools.choose_source(replica, self._call.job, ask.prompt, salt)
-        sending = dialect.Sending(
-            replica.incarnation,
-            replica.weight_version,
-            admitted.account.name if admitted.account else '',
-            time_left,
-            admitted.priority if ask.prompt is not None else None,
-            salt,
-            source.fetch,
-            source.save,
-            self._splitter.last_id,
-        )
-        return exchanges.Request(
-            ask.method,
-            ask.target,
-            self._owner.wire.write_request(ask, sending),
-            admitted.body,
-            self._owner.wire.id_header,
-            ask.id,
-            once=not admitted.route.kind.is_repeatable,
-        )
-
     async def _relay(self, exchange: exchanges.Exchange, placement: dispatcher.Placement) -> None:
         head = await self._read_head(exchange)
         now = time.monotonic()
@@ -487,35 +411,12 @@
             status, retry_after = 502, None
         self._outcome = reason
         refusal = answering.Refusal(status, reason, message, retry_after)
-        await write_refusal(self._client, refusal, self._owner.wire.id_header, self._call.id)
+        await answering.write_refusal(
+            self._client, refusal, self._owner.wire.id_header, self._call.id
+        )
 
     def _may_use_key(self) -> bool:
         """Return whether the client's key is certainly still good."""
         if self._admitted.account is None or not self._owner.options.keys_expire:
             return True
         return self._owner.known.freshness.is_fresh(time.monotonic())
-
-
-async def write_refusal(
-    client: answering.Client, refusal: answering.Refusal, id_header: str, id: str
-) -> None:
-    """Send an answer of our own."""
-    headers = [('Content-Type', 'application/json')]
-    if id:
-        headers.append((id_header, id))
-    if refusal.retry_after is not None:
-        headers.append(('Retry-After', f'{refusal.retry_after:.3f}'))
-    body = b'{"error":"%s"}' % refusal.reason.encode()
-    log.info(
-        'request refused',
-        extra={
-            'request': id,
-            'status': refusal.status,
-            'reason': refusal.reason,
-            'detail': refusal.message,
-            'retry_after': refusal.retry_after,
-        },
-    )
-    await client.begin(refusal.status, '', headers, len(body))
-    await client.write(body)
-    await client.finish()
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -13,7 +13,7 @@
 import tornado.iostream
 
 from passpier.daemon import metrics
-from passpier.routing import answering, dialect, forwarding, knowledge
+from passpier.routing import answering, dialect, forwarding, knowledge, requests
 
 log = logging.getLogger(__name__)
 
@@ -183,14 +183,14 @@
 
     async def _answer(self) -> None:
         admitted = self._admit()
-        if isinstance(admitted, forwarding.Admitted):
+        if isinstance(admitted, requests.Admitted):
             await self._owner.forwarder.run(admitted, self._client)
             return
         id = self._ask.id if self._ask else ''
         self._owner.counters.refusals.inc({'code': admitted.reason, 'outcome': 'not_run'})
-        await forwarding.write_refusal(self._client, admitted, self._owner.wire.id_header, id)
+        await answering.write_refusal(self._client, admitted, self._owner.wire.id_header, id)
 
-    def _admit(self) -> forwarding.Admitted | answering.Refusal:
+    def _admit(self) -> requests.Admitted | answering.Refusal:
         """Return the request with its rules, or why it is refused."""
         if self._refusal is not None:
             return self._refusal
@@ -211,7 +211,7 @@
             account = table.find_account(ask.key) if ask.key else None
             if account is None:
                 return self._refuse_unknown(401, 'unknown_key', 'the key is missing or unknown')
-        return forwarding.Admitted(ask, route, account, bytes(self._body), self._arrived_at)
+        return requests.Admitted(ask, route, account, bytes(self._body), self._arrived_at)
 
     def _refuse_unknown(self, status: int, reason: str, message: str) -> answering.Refusal:
         """Refuse for good only if a newer configuration cannot say otherwise."""
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -225,12 +225,6 @@
             if r.weight_version
         ]
 
-    def render_salt(
-        self, prompt: prompts.Prompt, account: routes.Account | None, version: str
-    ) -> str:
-        """Return the salt for a prompt at a replica with a weight version."""
-        return prompts.render_salt(account, prompt.model, version)
-
     def _may_serve(self, replica: replicas.Replica, now: float) -> bool:
         wanted = self.wanted.get(self._models.get(replica.name, ''))
         version = int(replica.weight_version or 0)
--- /dev/null
+++ b/passpier/routing/requests.py
@@ -0,0 +1,114 @@
+"""A client's request with its rules, as the dispatcher takes it and as an upstream gets it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from passpier.clients import exchanges
+from passpier.config import declarations
+from passpier.core import attempts, choice, prompts, replicas, routes
+from passpier.daemon import calls
+from passpier.routing import dialect, pools
+
+HOLD_SHARE = 0.5
+"""Part of a request's objective for which it may wait here for a replica."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request with the rules that it falls under."""
+
+    ask: dialect.Ask
+    route: routes.Route
+    account: routes.Account | None
+    body: bytes
+    arrived_at: float
+
+    @property
+    def priority(self) -> int:
+        """0 is the most urgent."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def ends_at(self) -> float:
+        """When the client, or the operator, no longer wants an answer."""
+        patience = self.route.timeout
+        if self.ask.patience is not None:
+            patience = min(patience, self.ask.patience)
+        return self.arrived_at + patience
+
+
+def build_call(admitted: Admitted, service: str) -> calls.Call:
+    """Return a request as the dispatcher takes it."""
+    route = admitted.route
+    prompt = admitted.ask.prompt
+    priority = min(max(0, admitted.priority), replicas.LEAST_URGENT)
+    hold = min(route.objective * HOLD_SHARE, admitted.ends_at - admitted.arrived_at)
+    declared = declarations.Service(
+        service,
+        service,
+        'model' if prompt else 'plain',
+        priority=priority,
+        deadline_ms=max(1, int(hold * 1000)),
+    )
+    life = attempts.Life(
+        route.kind.is_repeatable,
+        resumable=False,
+        continuable=route.kind is routes.Kind.RESUMABLE_STREAM,
+        max_attempts=route.max_attempts,
+    )
+    call = calls.Call(
+        admitted.ask.id,
+        declarations.Account(admitted.account.name if admitted.account else ''),
+        declared,
+        admitted.ask.target,
+        'cost' if prompt else 'least_load',
+        admitted.arrived_at,
+        life,
+    )
+    if prompt is None:
+        call.job = choice.Job([], 1, 0, priority=priority)
+    else:
+        call.job = prompts.build_job(prompt, admitted.account, priority)
+    return call
+
+
+def build_request(
+    admitted: Admitted,
+    job: choice.Job,
+    replica: replicas.Replica,
+    time_left: float,
+    last_event: str,
+    known: pools.Pools,
+    wire: dialect.Dialect,
+) -> exchanges.Request:
+    """Return one attempt as an upstream gets it; `time_left` is in seconds."""
+    ask = admitted.ask
+    salt = ''
+    source = pools.Source()
+    if ask.prompt is not None:
+        # The salt names the weights that the replica has, and the same send asks for just those.
+        salt = prompts.render_salt(admitted.account, ask.prompt.model, replica.weight_version)
+        source = known.choose_source(replica, job, ask.prompt, salt)
+    sending = dialect.Sending(
+        replica.incarnation,
+        replica.weight_version,
+        admitted.account.name if admitted.account else '',
+        time_left,
+        admitted.priority if ask.prompt is not None else None,
+        salt,
+        source.fetch,
+        source.save,
+        last_event,
+    )
+    return exchanges.Request(
+        ask.method,
+        ask.target,
+        wire.write_request(ask, sending),
+        admitted.body,
+        wire.id_header,
+        ask.id,
+        once=not admitted.route.kind.is_repeatable,
+    )
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -72,6 +72,7 @@
         self._last_key = known.records.own_prefix + _LAST_KEY
         self._rollout = rollout.Rollout()
         self._lease = 0
+        self._stopped = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._due = asyncio.Event()
         link.handle(messages.Loading, self._take_loading)
@@ -79,7 +80,7 @@
 
     async def run_election(self) -> None:
         """Hold or seek the right to give orders until cancelled."""
-        while True:
+        while not self._stopped:
             try:
                 if self._roster.leaving and not (self.holder.token and self._is_pending()):
                     # Whoever succeeds has to wait; better now than while replicas lack weights.
@@ -95,7 +96,7 @@
 
     async def run_orders(self) -> None:
         """Give orders while this process may, until cancelled."""
-        while True:
+        while not self._stopped:
             now = time.monotonic()
             if self.holder.may_order(now):
                 wanted = self._pools.wanted.values()
@@ -107,6 +108,7 @@
 
     async def stop(self) -> None:
         """Give up what is under way and the right to give orders."""
+        self._stopped = True
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -54,6 +54,7 @@
         self._listed: set[str] = set()
         self._refused = False
         self._lease = 0
+        self._ended = False
         link.handle(messages.Heartbeat, self._take_heartbeat)
         link.handle(messages.MembersWanted, self._send_members)
         link.handle(messages.Members, self._take_members)
@@ -63,7 +64,7 @@
 
     async def run_registration(self, source: registry.Registry) -> None:
         """Keep this process's entry alive until cancelled."""
-        while True:
+        while not self._ended:
             try:
                 await self._register(source)
             except registry.LeaseGoneError:
@@ -102,6 +103,7 @@
 
     async def end(self, source: registry.Registry) -> None:
         """Take the own entry out of the registry and say goodbye."""
+        self._ended = True
         for member in self.membership.list_known():
             self._peers.send(member.peer, messages.Goodbye(self.membership.own.incarnation))
         if self._lease:
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -126,14 +126,9 @@
 
     async def run(self) -> None:
         """Serve until a planned stop is done."""
-        try:
-            await self._serve()
-        finally:
-            self.adapter.pool.close()
-            self.peers.close()
-
-    async def _serve(self) -> None:
         source = self.adapter.source
+        # Before the tasks, so that a port that is taken ends the start and nothing else.
+        servers = self._listen()
         tasks = [
             _start(self.peers.run()),
             _start(self.follower.run()),
@@ -146,7 +141,17 @@
             _start(self.sharing.run()),
             _start(self.loads.run()),
         ]
-        servers = self._listen()
+        try:
+            await self._serve(servers)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self.adapter.pool.close()
+            self.peers.close()
+        log.info('stopped', extra={'cut': self.ingress.in_flight})
+
+    async def _serve(self, servers: list[tornado.httpserver.HTTPServer]) -> None:
         log.info(
             'started',
             extra={
@@ -160,15 +165,11 @@
         await self._finish()
         for server in servers:
             server.stop()
-        for task in tasks:
-            task.cancel()
         self.prober.stop()
         await self.rollouts.stop()
-        await self.roster.end(source)
+        await self.roster.end(self.adapter.source)
         # A request may have come on a kept connection since.
         await self._finish()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        log.info('stopped', extra={'cut': self.ingress.in_flight})
 
     def begin_stop(self) -> None:
         """Start a planned stop; a second call ends it early."""
@@ -219,6 +220,14 @@
             self.forwarder.daemons = self.roster.most
 
     def _listen(self) -> list[tornado.httpserver.HTTPServer]:
+        """Open all ports; raises `OSError`, with the peers' sockets closed, if one is taken."""
+        try:
+            return self._open_ports()
+        except OSError:
+            self.peers.close()
+            raise
+
+    def _open_ports(self) -> list[tornado.httpserver.HTTPServer]:
         directory = self.adapter.directory
         state = {'app': self, 'directory': directory}
         pages = tornado.web.Application(
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import dataclasses
+import itertools
+import os
 import random
 import time
 from collections.abc import AsyncIterator, Sequence
@@ -20,6 +22,10 @@
 from passpier.routing import router
 from passpier.standins.platform import metastore, replica
 
+FIRST_PORT = 20_000
+"""Ports from here to `LAST_PORT` lie below those that the kernel gives to outgoing connections."""
+
+LAST_PORT = 30_000
 HOST = 'desk.example'
 MODEL = 'm1'
 KEY = 'secret-1'
@@ -117,6 +123,10 @@
             while not all(r.is_ready() and self._sees_all(r) for r in self.routers):
                 await asyncio.sleep(0.01)
 
+    async def wait_ended(self, process: router.Router) -> None:
+        """Wait until a router has ended; raises what ended it."""
+        await self._tasks[self.routers.index(process)]
+
     async def stop(self) -> None:
         """Stop everything at once."""
         for process in self.routers:
@@ -243,11 +253,20 @@
     )
 
 
+_ports: Iterator[int] = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+_ports = itertools.dropwhile(lambda p: p < FIRST_PORT + os.getpid() * 61 % 10_000, _ports)
+
+
 def _find_port() -> int:
-    sockets = tornado.netutil.bind_sockets(0, '127.0.0.1')
-    port: int = sockets[0].getsockname()[1]
-    sockets[0].close()
-    return port
+    """Return a free port that no outgoing connection of another process takes meanwhile."""
+    for port in _ports:
+        try:
+            sockets = tornado.netutil.bind_sockets(port, '127.0.0.1')
+        except OSError:
+            continue
+        sockets[0].close()
+        return port
+    raise AssertionError('the cycle of ports does not end')
 
 
 @asynccontextmanager
--- a/passpier/tests/clients/exchanges_tests.py
+++ b/passpier/tests/clients/exchanges_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
@@ -318,3 +319,27 @@
             await gone.wait()
 
     run(check())
+
+
+def test_a_request_that_may_no_longer_be_sent_is_withheld_after_the_connection_stands() -> None:
+    arrived = 0
+
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal arrived
+        await read_request(reader)
+        arrived += 1
+
+    async def check() -> None:
+        async with serving(play) as server:
+            request = dataclasses.replace(make_request(), may_send=lambda: server.connections == 0)
+            # The connection stands, and with it the reason to send is gone.
+            pool = exchanges.Pool()
+            server.connections = 1
+            with pytest.raises(exchanges.ExchangeError) as caught:
+                await pool.open(server.address, request)
+            assert caught.value.fault is exchanges.Fault.WITHHELD
+            assert not caught.value.sent
+            await asyncio.sleep(0.05)
+            assert arrived == 0
+
+    run(check())
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -291,3 +291,15 @@
         assert (await early).status == 200
 
     play(check)
+
+
+def test_a_taken_port_ends_the_start_and_nothing_hangs() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        taken = running.routers[0].options.caller
+        process = running.add_router('second', 'zone-0', caller=taken)
+        with pytest.raises(OSError, match='in use'):
+            await running.wait_ended(process)
+        running.routers.remove(process)
+        assert (await running.ask('/safe/x')).status == 200
+
+    play(check)
