A stopping process takes requests for three lifetimes of the directory's answers, 3 s

Change: answers live 1 s, requests later than 3 s after the signal are refused, the stop may use 95 in 100 of the grace period.

--- a/passpier/core/drain.py
+++ b/passpier/core/drain.py
@@ -29,6 +29,7 @@
 
     entry_ttl: float
     bound: float
+    margin: float = MARGIN
     began_at: float | None = None
     hurried: bool = False
 
@@ -46,6 +47,6 @@
         elapsed = now - self.began_at
         if self.hurried or elapsed >= self.bound:
             return Phase.STOPPED
-        if elapsed < self.entry_ttl + MARGIN:
+        if elapsed < self.entry_ttl + self.margin:
             return Phase.ANNOUNCED
         return Phase.CLOSING if in_flight else Phase.STOPPED
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -28,13 +28,14 @@
 LEVEL_VARIABLE = 'PASSPIER_LOG_LEVEL'
 LEVELS = ('debug', 'info', 'warning', 'error')
 
-ANSWER_TTL = 1.5
-"""Seconds for which clients may keep an answer of the directory; some keep it three times that."""
+ANSWER_TTL = 1.0
+"""Seconds for which clients may keep an answer of the directory; some keep it three times that, and
+what a stopping process takes later than 3 s after its signal may not end in time."""
 
 LEASE_TTL = 1.5
 """Seconds of the lease behind the right to give orders; a successor waits for its end."""
 
-STOP_SHARE = 0.9
+STOP_SHARE = 0.95
 """Part of the time before a kill that a planned stop uses."""
 
 SETTINGS_CHECK = 1.0
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -35,6 +35,9 @@
 STOP_CHECK = 0.05
 """Seconds between looks at whether a planned stop is done."""
 
+KEPT_TIMES = 3
+"""Lifetimes for which some clients keep an answer of the directory."""
+
 QUIET_BEFORE_STOP = 0.3
 """Seconds without a request before a planned stop ends: one may be on its way just then."""
 
@@ -119,7 +122,9 @@
             self.sharing,
         )
         self.ingress = ingress.Ingress(self.known, self.forwarder, adapter.wire, self.counters)
-        self._drain = drain.Drain(options.answer_ttl, options.stop_bound)
+        self._drain = drain.Drain(
+            options.answer_ttl, options.stop_bound, options.answer_ttl * (KEPT_TIMES - 1)
+        )
         self._stopping = asyncio.Event()
         self.ingress.is_closing = self._is_closing
         self._client_server = self.ingress.build_server()
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -8,7 +8,7 @@
 import os
 import random
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import asynccontextmanager
 from typing import Any
 
--- a/passpier/tests/core/members_tests.py
+++ b/passpier/tests/core/members_tests.py
@@ -116,6 +116,13 @@
     assert stop.get_phase(1, 102.0) is drain.Phase.STOPPED
 
 
+def test_the_margin_of_a_stop_can_be_set() -> None:
+    stop = drain.Drain(entry_ttl=1.0, bound=7.0, margin=2.0)
+    stop.begin(100.0)
+    assert stop.get_phase(1, 102.9) is drain.Phase.ANNOUNCED
+    assert stop.get_phase(1, 103.1) is drain.Phase.CLOSING
+
+
 class Engine:
     """An upstream that does or does not check fencing numbers."""
 
