A restart under a clock that was set back is listed

Cause, found by reading: incarnations rise with the time of day; a process that restarts after its clock was set back looked older than its dead self, and no directory named it again. Now a silent record gives way. Test: failed before.

--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -100,7 +100,9 @@
         for known in list(self._records.values()):
             if known.member.name != member.name or known.member == self.own:
                 continue
-            if known.member.incarnation > member.incarnation:
+            # Incarnations rise with the clock, but a clock may have been set back.
+            newer = known.member.incarnation > member.incarnation
+            if newer and self._is_alive(known, now):
                 return False
             del self._records[known.member.incarnation]
         self._records[member.incarnation] = _Record(member, Beat(member.incarnation, 0), now)
--- a/passpier/tests/core/members_tests.py
+++ b/passpier/tests/core/members_tests.py
@@ -217,3 +217,13 @@
     assert [m.name for m in own.list_serving(10.1 + members.FIRST_BEATS)] == ['vm-0']
     own.merge([members.Beat('i0001', 1)], 14.0)
     assert len(own.list_serving(14.0 + members.FIRST_BEATS)) == 2
+
+
+def test_a_restart_under_a_clock_that_was_set_back_is_listed_once_the_old_one_is_silent() -> None:
+    own = members.Membership(make_member(0), 1.0, 0.0)
+    own.add(make_member(1, 'later'), 0.0)
+    own.merge([members.Beat('later', 5)], 1.0)
+    assert not own.add(make_member(1, 'earlier'), 2.0)
+    silent = 2.0 + own.compute_timeout()
+    assert own.add(make_member(1, 'earlier'), silent)
+    assert own.get('later') is None
