A router that has just started assumes many others share the budget of retries

Cause, found by reading: until it knew the others, each process took the whole slack of the budget for its own; after a loss of power all start at once and could have spent eight times the slack. Test: fleet_tests (does not exist without the constant).

--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -41,6 +41,13 @@
 QUIET_BEFORE_STOP = 0.3
 """Seconds without a request before a planned stop ends: one may be on its way just then."""
 
+DAEMONS_AT_START = 32
+"""Processes assumed to share the budget of retries while the others are not known yet: after a loss
+of power all start at once, and none may spend what belongs to all."""
+
+YOUNG_SECONDS = 5.0
+"""Seconds after a start in which that is assumed; heartbeats take about one to make all known."""
+
 LOADS_INTERVAL = 0.1
 """Seconds between two messages of loads to a peer: bytes between failure domains are priced."""
 
@@ -125,6 +132,8 @@
         self._drain = drain.Drain(
             options.answer_ttl, options.stop_bound, options.answer_ttl * (KEPT_TIMES - 1)
         )
+        self.forwarder.daemons = DAEMONS_AT_START
+        self._started_at = time.monotonic()
         self._stopping = asyncio.Event()
         self.ingress.is_closing = self._is_closing
         self._client_server = self.ingress.build_server()
@@ -222,7 +231,8 @@
         while True:
             await asyncio.sleep(UPKEEP_INTERVAL)
             self.adapter.pool.close_expired()
-            self.forwarder.daemons = self.roster.most
+            young = time.monotonic() - self._started_at < YOUNG_SECONDS
+            self.forwarder.daemons = max(self.roster.most, DAEMONS_AT_START if young else 1)
 
     def _listen(self) -> list[tornado.httpserver.HTTPServer]:
         """Open all ports; raises `OSError`, with the peers' sockets closed, if one is taken."""
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -11,6 +11,7 @@
 
 from passpier.clients import exchanges
 from passpier.platform import names
+from passpier.routing import router
 from passpier.standins.platform import deployment, replica
 
 Check = Callable[[deployment.Deployment], Awaitable[None]]
@@ -303,3 +304,14 @@
         assert (await running.ask('/safe/x')).status == 200
 
     play(check)
+
+
+def test_a_router_that_has_just_started_spends_little_of_the_shared_budget() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        process = running.routers[0]
+        assert process.forwarder.daemons >= router.DAEMONS_AT_START
+        budget = process.forwarder.get_budget('app')
+        granted = sum(budget.spend(time.monotonic(), process.forwarder.daemons) for _ in range(100))
+        assert granted <= process.options.retry_slack / router.DAEMONS_AT_START
+
+    play(check)
