--- a/passpier/tests/platform/layout_tests.py
+++ b/passpier/tests/platform/layout_tests.py
@@ -50,3 +50,12 @@
         relative = path.relative_to(ROOT).as_posix()
         if not relative.startswith(tuple(f'{a}/' for a in ALLOWED)):
             assert 'passpier.platform' not in path.read_text(), relative
+
+
+def test_the_run_time_set_is_pinned_as_the_development_set_is() -> None:
+    root = ROOT.parent
+    locked = set((root / 'requirements.lock').read_text().lower().replace('-', '_').split())
+    lines = (root / 'requirements.txt').read_text().splitlines()
+    wanted = {x.lower().replace('-', '_') for x in lines if x and not x.startswith('#')}
+    assert wanted
+    assert not wanted - locked
