--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -123,6 +123,12 @@
             while not all(r.is_ready() and self._sees_all(r) for r in self.routers):
                 await asyncio.sleep(0.01)
 
+    async def wait_settled(self, bound: float = 15.0) -> None:
+        """Wait until the routers have been up for long enough to use their part of all retries."""
+        async with asyncio.timeout(bound):
+            while any(r.forwarder.daemons >= router.DAEMONS_AT_START for r in self.routers):
+                await asyncio.sleep(0.05)
+
     async def wait_ended(self, process: router.Router) -> None:
         """Wait until a router has ended; raises what ended it."""
         await self._tasks[self.routers.index(process)]
--- a/passpier/tests/platform/path_tests.py
+++ b/passpier/tests/platform/path_tests.py
@@ -202,6 +202,7 @@
         wants_model = path.startswith('/resume/')
         headers = PROMPT if wants_model else []
         silent = running.replicas['llm-0' if wants_model else 'app-0']
+        await running.wait_settled()
         running.go_dark(silent.id)
         loop = asyncio.get_running_loop()
         for number in range(8):
