--- /dev/null
+++ b/passpier/clients/connections.py
@@ -0,0 +1,202 @@
+"""Connections to upstreams: opened with short patience, kept while both sides allow it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+
+import h11
+import tornado.iostream
+
+from passpier.clients import exchanges
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT = 0.5
+"""Seconds; a connection takes milliseconds, and nothing was sent when it fails."""
+
+UNACKED_TIMEOUT = 1500
+"""Milliseconds for which sent bytes may stay unacknowledged (TCP_USER_TIMEOUT)."""
+
+KEEPALIVE_IDLE = 1
+"""Seconds of silence before the kernel probes a connection, and between probes."""
+
+KEEPALIVE_PROBES = 2
+IDLE_DEFAULT = 5.0
+"""Seconds for which a connection is kept if the upstream does not say how long it keeps it."""
+
+IDLE_MARGIN = 0.5
+"""Seconds before the upstream's own idle limit at which a connection is given up."""
+
+ONCE_IDLE = 4.0
+"""Seconds of rest after which a connection is not trusted with a request that runs only once."""
+
+READ_SIZE = 65536
+
+
+class Connection:
+    """One connection; reads all the time, so that an end or stray bytes at rest are noticed."""
+
+    def __init__(self, pool: Pool, address: str, stream: tornado.iostream.IOStream) -> None:
+        self._pool = pool
+        self.address = address
+        self.stream = stream
+        self.exchange: exchanges.Exchange | None = None
+        self.idle_since = 0.0
+        self.idle_limit = IDLE_DEFAULT
+        self._reader = asyncio.ensure_future(self._read())
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection can no longer be used."""
+        return self.stream.closed()
+
+    def close(self) -> None:
+        """Close at once."""
+        self.stream.close()
+
+    def rest(self, head: exchanges.Head) -> None:
+        """Be kept for the next exchange; `head` may say for how long."""
+        self._pool.keep(self, head)
+
+    async def _read(self) -> None:
+        while True:
+            try:
+                data = await self.stream.read_bytes(READ_SIZE, partial=True)
+            except tornado.iostream.StreamClosedError:
+                if self.exchange is not None:
+                    self.exchange.note_closed(self.stream.error)
+                return
+            if self.exchange is None:
+                log.warning('bytes on a resting connection', extra={'address': self.address})
+                self.close()
+                return
+            await self.exchange.take(data)
+
+
+class Pool:
+    """Opens exchanges and keeps connections; `opened` counts new connections."""
+
+    def __init__(self) -> None:
+        self._resting: dict[str, list[Connection]] = {}
+        self.opened = 0
+        self.reused = 0
+
+    async def open(self, address: str, request: exchanges.Request) -> exchanges.Exchange:
+        """Send a request and return its exchange; raises `ExchangeError`."""
+        connection = self._take_resting(address, request.once)
+        if connection is None:
+            connection = await self._connect(address)
+        else:
+            self.reused += 1
+        if request.may_send is not None and not request.may_send():
+            connection.close()
+            raise exchanges.ExchangeError(
+                exchanges.Fault.WITHHELD, 'no longer allowed when connected', False
+            )
+        exchange = exchanges.Exchange(connection, request)
+        try:
+            exchange.send()
+        except (h11.LocalProtocolError, tornado.iostream.StreamClosedError) as error:
+            exchange.close()
+            raise exchanges.ExchangeError(exchanges.Fault.CONNECT, str(error), False) from error
+        return exchange
+
+    async def fetch(
+        self, address: str, request: exchanges.Request, timeout: float
+    ) -> exchanges.Answer:
+        """Return a whole answer within `timeout` seconds; raises `ExchangeError`."""
+        exchange: exchanges.Exchange | None = None
+        try:
+            async with asyncio.timeout(timeout):
+                exchange = await self.open(address, request)
+                return await exchange.read_all()
+        except TimeoutError as error:
+            raise exchanges.ExchangeError(
+                exchanges.Fault.CLOSED, 'timed out', exchange is not None
+            ) from error
+        finally:
+            if exchange is not None:
+                exchange.close()
+
+    def keep(self, connection: Connection, head: exchanges.Head) -> None:
+        """Let a connection rest for the next exchange."""
+        limit = _parse_idle_limit(head.get('keep-alive'))
+        connection.idle_limit = IDLE_DEFAULT if limit is None else limit
+        connection.idle_since = time.monotonic()
+        self._resting.setdefault(connection.address, []).append(connection)
+
+    def close(self) -> None:
+        """Close all resting connections."""
+        for resting in self._resting.values():
+            for connection in resting:
+                connection.close()
+        self._resting.clear()
+
+    def close_expired(self) -> None:
+        """Close connections that have rested for as long as the upstream allows."""
+        now = time.monotonic()
+        for address, resting in list(self._resting.items()):
+            kept = [c for c in resting if not c.closed and not _is_expired(c, now)]
+            for connection in resting:
+                if connection not in kept:
+                    connection.close()
+            if kept:
+                self._resting[address] = kept
+            else:
+                del self._resting[address]
+
+    def _take_resting(self, address: str, once: bool) -> Connection | None:
+        resting = self._resting.get(address, [])
+        now = time.monotonic()
+        while resting:
+            connection = resting.pop()
+            if connection.closed:
+                continue
+            if _is_expired(connection, now):
+                connection.close()
+                continue
+            if once and now - connection.idle_since > ONCE_IDLE:
+                # The ones below have rested for longer still.
+                resting.append(connection)
+                return None
+            return connection
+        return None
+
+    async def _connect(self, address: str) -> Connection:
+        host, _, port = address.rpartition(':')
+        plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT)
+        plain.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
+        plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE)
+        plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        stream = tornado.iostream.IOStream(plain)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                await stream.connect((host, int(port)))
+        except (TimeoutError, OSError, tornado.iostream.StreamClosedError) as error:
+            stream.close()
+            message = f'no connection to {address}: {error}'
+            raise exchanges.ExchangeError(exchanges.Fault.CONNECT, message, False) from error
+        except BaseException:
+            stream.close()
+            raise
+        self.opened += 1
+        return Connection(self, address, stream)
+
+
+def _is_expired(connection: Connection, now: float) -> bool:
+    return now - connection.idle_since > connection.idle_limit - IDLE_MARGIN
+
+
+def _parse_idle_limit(text: str | None) -> float | None:
+    """Return the seconds of a `Keep-Alive: timeout=N` header."""
+    for part in (text or '').split(','):
+        name, _, value = part.strip().partition('=')
+        if name.lower() == 'timeout' and value.strip().isdigit():
+            return float(value)
+    return None
--- a/passpier/clients/registry.py
+++ b/passpier/clients/registry.py
@@ -80,9 +80,6 @@
     async def write(self, puts: Sequence[Put], conditions: Sequence[IsAt] = ()) -> int:
         """Carry out all writes and return their revision; raise `ConflictError` if not."""
 
-    async def remove(self, key: str, revision: int) -> None:
-        """Remove a key if it was last written at `revision`."""
-
     async def grant(self, ttl: float) -> int:
         """Return a new lease of `ttl` seconds."""
 
--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -45,9 +45,12 @@
         return True
 
 
-def compute_backoff(attempt: int, rng: random.Random) -> float:
+def compute_backoff(
+    attempt: int, rng: random.Random, base: float = BACKOFF_BASE, most: float = BACKOFF_MAX
+) -> float:
     """Return the seconds to wait before a further attempt, the first retry being 1."""
-    bound = min(BACKOFF_MAX, BACKOFF_BASE * 2 ** (attempt - 1))
+    # The exponent is bounded, for an outage may last for thousands of attempts.
+    bound = min(most, base * 2 ** min(attempt - 1, 16))
     return rng.uniform(bound / 2, bound)
 
 
--- a/passpier/daemon/loads.py
+++ b/passpier/daemon/loads.py
@@ -55,8 +55,7 @@
             if loads == self._sent or not complete:
                 continue
             self._sent = loads
-            for member in others:
-                self._peers.send(member.peer, messages.Loads(loads))
+            self._peers.send_all([m.peer for m in others], messages.Loads(loads))
 
     def _collect(self) -> list[tuple[str, tuple[int, ...], int]]:
         now = time.monotonic()
--- a/passpier/daemon/main.py
+++ b/passpier/daemon/main.py
@@ -34,6 +34,7 @@
     plain,
     service,
     storage,
+    tasks,
     upstreams,
 )
 
@@ -112,9 +113,7 @@
             self.placement.run(),
             self.loads.run(),
         ]
-        tasks = [asyncio.ensure_future(job) for job in jobs]
-        for task in tasks:
-            task.add_done_callback(_check_task)
+        running = [tasks.start(job) for job in jobs]
         servers = self._listen()
         self._handle_signals()
         log.info(
@@ -130,7 +129,7 @@
         await self._finish()
         for server in servers:
             server.stop()
-        for task in tasks:
+        for task in running:
             task.cancel()
         await self._close()
 
@@ -189,11 +188,5 @@
     await Daemon(options).run()
 
 
-def _check_task(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log.critical('task failed', exc_info=task.exception())
-        raise SystemExit(1)
-
-
 if __name__ == '__main__':
     main()
--- a/passpier/daemon/peers.py
+++ b/passpier/daemon/peers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
 import msgspec
@@ -51,9 +51,17 @@
 
     def send(self, address: str, message: messages.AnyMessage) -> None:
         """Send without waiting; the message is dropped if the peer does not take it."""
+        self.send_all([address], message)
+
+    def send_all(self, addresses: Iterable[str], message: messages.AnyMessage) -> None:
+        """Send one message to several peers; it is encoded once."""
+        data = messages.encode(messages.Envelope(self.incarnation, self.address, message))
+        for address in addresses:
+            self._send(address, data)
+
+    def _send(self, address: str, data: bytes) -> None:
         if address == self.address or address in self.cut or self._context.closed:
             return
-        data = messages.encode(messages.Envelope(self.incarnation, self.address, message))
         self._counters.control_bytes.add({'channel': 'peer_out'}, len(data))
         try:
             self._get_outbox(address).send(data, flags=zmq.NOBLOCK, copy=True)
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -4,19 +4,22 @@
 
 import logging
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import msgspec
 import tornado.httputil
 
 from passpier import exceptions
-from passpier.clients import exchanges
+from passpier.clients import connections, exchanges
 from passpier.core import catalogue, prompts, routes
 from passpier.platform import names, records
 from passpier.routing import dialect
 
 log = logging.getLogger(__name__)
 
+T = TypeVar('T')
+
 ORDER_TIMEOUT = 0.4
 """Seconds after which an order counts as unanswered; a replica takes it in milliseconds."""
 
@@ -140,7 +143,7 @@
 class Engines:
     """Implements `dialect.Engines`."""
 
-    def __init__(self, pool: exchanges.Pool) -> None:
+    def __init__(self, pool: connections.Pool) -> None:
         self._pool = pool
 
     async def report(self, address: str, incarnation: str) -> dialect.Report:
@@ -155,13 +158,7 @@
         if answer.head.status == 421 or (told is not None and told != incarnation):
             text = f'{incarnation} is no longer at {address}'
             raise exchanges.ExchangeError(exchanges.Fault.REPLACED, text, True)
-        if answer.head.status != 200:
-            text = f'report answered with status {answer.head.status}'
-            raise exchanges.ExchangeError(exchanges.Fault.GARBLED, text, True)
-        try:
-            raw = records.decode_report(answer.body)
-        except exceptions.StoreError as error:
-            raise exchanges.ExchangeError(exchanges.Fault.GARBLED, str(error), True) from error
+        raw = _decode_answer(answer, records.decode_report)
         versions = {m.name: m.version for m in raw.models}
         return dialect.Report(versions, raw.utilization, raw.sequence, raw.active, raw.queued)
 
@@ -173,13 +170,7 @@
         target = f'{names.CACHE_EVENTS_PATH}?since={since}'
         request = exchanges.Request('GET', target, headers)
         answer = await self._pool.fetch(address, request, wait + dialect.ASK_TIMEOUT)
-        if answer.head.status != 200:
-            text = f'events answered with status {answer.head.status}'
-            raise exchanges.ExchangeError(exchanges.Fault.GARBLED, text, True)
-        try:
-            raw = records.decode_cache_events(answer.body)
-        except exceptions.StoreError as error:
-            raise exchanges.ExchangeError(exchanges.Fault.GARBLED, str(error), True) from error
+        raw = _decode_answer(answer, records.decode_cache_events)
         changes = tuple(
             # What is left of a part that was dropped in part is of no use without the rest.
             dialect.CacheChange(sign == '+', salt, part)
@@ -221,6 +212,17 @@
 }
 
 
+def _decode_answer(answer: exchanges.Answer, decode: Callable[[bytes], T]) -> T:
+    """Return what a replica's answer says; raises `ExchangeError` if it says nothing."""
+    if answer.head.status != 200:
+        text = f'answered with status {answer.head.status}'
+        raise exchanges.ExchangeError(exchanges.Fault.GARBLED, text, True)
+    try:
+        return decode(answer.body)
+    except exceptions.StoreError as error:
+        raise exchanges.ExchangeError(exchanges.Fault.GARBLED, str(error), True) from error
+
+
 def _read_key(headers: tornado.httputil.HTTPHeaders) -> str | None:
     value = headers.get(names.KEY)
     if value is None:
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 
 from passpier import exceptions
-from passpier.clients import exchanges
+from passpier.clients import connections
 from passpier.daemon import logs
 from passpier.platform import dialect as wire
 from passpier.platform import names, settings, store
@@ -84,7 +84,7 @@
 
 async def run(path: str, read: settings.Settings, metrics_port: int) -> None:
     """Serve until a planned stop is done."""
-    pool = exchanges.Pool()
+    pool = connections.Pool()
     adapter = router.Adapter(
         wire.Requests(),
         wire.Records(),
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -122,7 +122,7 @@
 
 def decode_configuration(data: bytes) -> routes.Configuration:
     """Return an operator's configuration; raises `StoreError` if it is not understood."""
-    raw = _decode(data, _Configuration)
+    raw = decode(data, _Configuration)
     services = {s.name: _convert_service(s) for s in raw.services if not s.kv_store_address}
     stores = tuple(
         routes.CacheStore(s.kv_store_address, s.zone, s.kv_capacity)
@@ -145,7 +145,7 @@
 
 def decode_replica(id: str, data: bytes) -> catalogue.Entry:
     """Return a replica's entry; raises `StoreError` if it is not understood."""
-    raw = _decode(data, _Server)
+    raw = decode(data, _Server)
     versions = {m.name: m.version for m in raw.models}
     draining = raw.state != 'ready'
     return catalogue.Entry(id, raw.service, raw.address, raw.zone, raw.slots, draining, versions)
@@ -153,18 +153,18 @@
 
 def decode_named_version(data: bytes) -> tuple[str, int]:
     """Return a model and the weight version that is wanted."""
-    raw = _decode(data, _Named)
+    raw = decode(data, _Named)
     return raw.model, raw.version
 
 
 def decode_report(data: bytes) -> _Report:
     """Return a replica's report."""
-    return _decode(data, _Report)
+    return decode(data, _Report)
 
 
 def decode_cache_events(data: bytes) -> _CacheEvents:
     """Return the events of a replica's or store's cache."""
-    return _decode(data, _CacheEvents)
+    return decode(data, _CacheEvents)
 
 
 def _convert_route(raw: _Route) -> routes.Route:
@@ -195,8 +195,9 @@
     )
 
 
-def _decode(data: bytes, kind: Any) -> Any:
+def decode(data: bytes, kind: Any) -> Any:
+    """Return JSON of the platform as `kind`; raises `StoreError` if it is not understood."""
     try:
         return msgspec.json.decode(data, type=kind)
     except (msgspec.MsgspecError, ValueError) as error:
-        raise exceptions.StoreError(f'record not understood: {error}') from error
+        raise exceptions.StoreError(f'not understood: {error}') from error
--- a/passpier/platform/settings.py
+++ b/passpier/platform/settings.py
@@ -27,7 +27,6 @@
 class Bounds(_Section):
     """Figures of the platform's rules, in the units that their names end in."""
 
-    drain_ms: float = 2000
     grace_s: float = 8
     revoke_fail_closed: bool = True
     revoke_ms: float = 5000
--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from passpier import exceptions
-from passpier.clients import exchanges, registry
+from passpier.clients import connections, exchanges, registry
+from passpier.platform import records
 
 log = logging.getLogger(__name__)
 
@@ -51,10 +52,9 @@
 class Store:
     """Speaks to the store over kept connections."""
 
-    def __init__(self, address: str, pool: exchanges.Pool) -> None:
+    def __init__(self, address: str, pool: connections.Pool) -> None:
         self.address = address
         self._pool = pool
-        self.calls = 0
 
     async def read(self, prefix: str) -> registry.Reading:
         """Return all items under a prefix, page by page."""
@@ -66,7 +66,7 @@
             query = {'path_prefix': prefix}
             if after:
                 query['after'] = after
-            page = _decode(await self._call('GET', '/kv-range', query), _Range)
+            page = records.decode(await self._call('GET', '/kv-range', query), _Range)
             # The pages are no snapshot: what changed since the first one comes by the watch.
             revision = page.store_revision if revision is None else revision
             for item in page.items:
@@ -80,7 +80,7 @@
         sent_at = time.monotonic()
         query = {'path_prefix': prefix, 'after': str(after), 'wait_ms': str(int(wait * 1000))}
         answer = await self._call('GET', '/kv-watch', query, timeout=wait + CALL_TIMEOUT)
-        told = _decode(answer, _Watch)
+        told = records.decode(answer, _Watch)
         items = tuple(_convert(i) for i in told.events)
         return registry.Changes(items, told.store_revision, sent_at, time.monotonic())
 
@@ -88,18 +88,13 @@
         self, puts: Sequence[registry.Put], conditions: Sequence[registry.IsAt] = ()
     ) -> int:
         """Carry out all writes and return their revision."""
-        body = _render_transaction(puts, conditions, ())
-        return _decode(await self._call('POST', '/kv-txn', body=body), _Written).revision
-
-    async def remove(self, key: str, revision: int) -> None:
-        """Remove a key if it was last written at `revision`."""
-        body = _render_transaction((), (registry.IsAt(key, revision),), (key,))
-        await self._call('POST', '/kv-txn', body=body)
+        body = _render_transaction(puts, conditions)
+        return records.decode(await self._call('POST', '/kv-txn', body=body), _Written).revision
 
     async def grant(self, ttl: float) -> int:
         """Return a new lease of `ttl` seconds."""
         answer = await self._call('POST', '/kv-lease', body={'ttl_ms': int(ttl * 1000)})
-        return _decode(answer, _Lease).lease
+        return records.decode(answer, _Lease).lease
 
     async def renew(self, lease: int) -> None:
         """Renew a lease."""
@@ -117,7 +112,6 @@
         body: dict[str, Any] | None = None,
         timeout: float = CALL_TIMEOUT,
     ) -> bytes:
-        self.calls += 1
         target = f'{path}?{urllib.parse.urlencode(query)}' if query else path
         headers = [('Host', self.address), ('Content-Type', 'application/json')]
         data = msgspec.json.encode(body) if body is not None else b''
@@ -140,7 +134,7 @@
 
 
 def _render_transaction(
-    puts: Sequence[registry.Put], conditions: Sequence[registry.IsAt], removed: Sequence[str]
+    puts: Sequence[registry.Put], conditions: Sequence[registry.IsAt]
 ) -> dict[str, Any]:
     return {
         'expected_revision': [{'private_key': c.key, 'revision': c.revision} for c in conditions],
@@ -152,7 +146,7 @@
             }
             for p in puts
         ],
-        'remove': list(removed),
+        'remove': [],
     }
 
 
@@ -162,10 +156,3 @@
     except binascii.Error as error:
         raise exceptions.StoreError(f'{item.private_key}: value is no base64: {error}') from error
     return registry.Item(item.private_key, data, item.revision, item.lease, item.removed)
-
-
-def _decode(data: bytes, kind: Any) -> Any:
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
-        raise exceptions.StoreError(f'answer not understood: {error}') from error
--- a/passpier/routing/following.py
+++ b/passpier/routing/following.py
@@ -9,11 +9,12 @@
 
 from passpier import exceptions
 from passpier.clients import registry
+from passpier.core import retries
 from passpier.routing import knowledge
 
 log = logging.getLogger(__name__)
 
-RETRY_MIN = 0.05
+RETRY_BASE = 0.1
 """Seconds before a failed call is made again; doubled up to `RETRY_MAX`."""
 
 RETRY_MAX = 0.4
@@ -31,9 +32,6 @@
         self._known = known
         self._rng = rng
         self._failures = 0
-        self.changed = asyncio.Event()
-        """Set after each change; whoever waits clears it."""
-
         self.reachable = False
 
     async def run(self) -> None:
@@ -62,9 +60,9 @@
             now = time.monotonic()
             self._known.take_changes(changes, wait, now)
             self._known.expire(now)
-            self._note_answer(bool(changes.items))
+            self._note_answer()
 
-    def _note_answer(self, changed: bool = True) -> None:
+    def _note_answer(self) -> None:
         if not self.reachable:
             self.reachable = True
             log.info(
@@ -74,8 +72,6 @@
             if self._failures:
                 self._known.catalogue.note_disturbance(time.monotonic())
         self._failures = 0
-        if changed:
-            self.changed.set()
 
     async def _note_failure(self, error: exceptions.StoreError) -> None:
         now = time.monotonic()
@@ -90,5 +86,6 @@
                     'age': round(self._known.freshness.compute_age(now), 3),
                 },
             )
-        bound = min(RETRY_MAX, RETRY_MIN * 2 ** min(self._failures, 8))
-        await asyncio.sleep(self._rng.uniform(bound / 2, bound))
+        await asyncio.sleep(
+            retries.compute_backoff(self._failures, self._rng, RETRY_BASE, RETRY_MAX)
+        )
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -43,7 +43,6 @@
         self._connection = connection
         self.started = False
         self.status = 0
-        self.aborted = False
 
     async def begin(
         self, status: int, reason: str, headers: Sequence[tuple[str, str]], length: int | None
@@ -74,7 +73,6 @@
 
     def abort(self) -> None:
         """End the connection, so that the answer cannot look complete."""
-        self.aborted = True
         self._connection.close()
 
 
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -158,19 +158,11 @@
         usable = self._prefer_new(usable, now)
         return [usable[name] for name in self.ejector.select(list(usable), now)]
 
-    def count_listed(self, pool: str) -> int:
-        """Return how many upstreams a pool has, whatever their state."""
-        return len(self._pools.get(pool, ()))
-
     def note_failure(self, name: str) -> None:
         """Count a failed attempt against a replica."""
         if self.ejector.note_failure(name, time.monotonic()):
             log.warning('upstream ejected', extra={'upstream': name})
 
-    def find_model(self, name: str) -> str:
-        """Return the model that a replica runs, or an empty string."""
-        return self._models.get(name, '')
-
     def find_engine(self, service: str) -> routes.Engine | None:
         """Return what the replicas of a model service can do."""
         found = self._services.get(service)
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -28,9 +28,6 @@
 QUESTIONS = 2
 """Unanswered questions after which a replica counts as silent: a packet may be lost."""
 
-RECENT = 1.0
-"""Seconds for which an answer to a question stands."""
-
 
 class Prober:
     """Knows which replicas are silent towards this process."""
--- /dev/null
+++ b/passpier/routing/reading.py
@@ -0,0 +1,80 @@
+"""Reads an answer from a replica for as long as it shows life and the client waits."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from passpier.clients import exchanges
+from passpier.core import attempts
+from passpier.routing import probing
+
+T = TypeVar('T')
+
+WHOLE_MAX = 1024 * 1024
+"""Bytes of an answer that is read whole before any of it is passed on."""
+
+
+class AttemptError(Exception):
+    """An attempt brought no answer; `passed` is the upstream's own failure, if there is one."""
+
+    def __init__(
+        self, fault: attempts.Fault, message: str, passed: exchanges.Answer | None = None
+    ) -> None:
+        super().__init__(message)
+        self.fault = fault
+        self.passed = passed
+
+
+class Reader:
+    """Reads one exchange with the replica `name`; `ends_at` is when the client's time is over."""
+
+    def __init__(
+        self, exchange: exchanges.Exchange, prober: probing.Prober, name: str, ends_at: float
+    ) -> None:
+        self._exchange = exchange
+        self._prober = prober
+        self._name = name
+        self._ends_at = ends_at
+
+    async def read_head(self, wait: float) -> exchanges.Head:
+        """Return status and headers within `wait` seconds; raises `AttemptError`."""
+        return await self._await_life(self._exchange.read_head, wait, attempts.Fault.NO_ANSWER)
+
+    async def read_part(self, wait: float) -> bytes | None:
+        """Return the next part of the body, or none at its end; raises `AttemptError`."""
+        return await self._await_life(self._exchange.read, wait, attempts.Fault.CUT)
+
+    async def read_whole(self) -> exchanges.Answer:
+        """Return the whole answer, before the client's time is over."""
+        try:
+            async with asyncio.timeout(max(0.0, self._ends_at - time.monotonic())):
+                return await self._exchange.read_all(WHOLE_MAX)
+        except TimeoutError as error:
+            raise AttemptError(attempts.Fault.NO_ANSWER, 'not whole in time') from error
+        except exchanges.ExchangeError as error:
+            raise AttemptError(attempts.Fault.CUT, str(error)) from error
+
+    async def _await_life(
+        self, read: Callable[[], Awaitable[T]], wait: float, fault: attempts.Fault
+    ) -> T:
+        """Return what `read` gives within `wait` seconds, from a replica that shows life."""
+        ends_at = time.monotonic() + max(0.0, wait)
+        while True:
+            left = ends_at - time.monotonic()
+            try:
+                async with asyncio.timeout(max(0.0, min(left, probing.SUSPECT_AFTER))):
+                    got = await read()
+            except TimeoutError as error:
+                if left <= probing.SUSPECT_AFTER:
+                    raise AttemptError(fault, 'no answer in time') from error
+                if self._prober.is_silent(self._name):
+                    raise AttemptError(fault, 'the replica gives no sign of life') from error
+                self._prober.suspect(self._name)
+            except exchanges.ExchangeError as error:
+                raise AttemptError(fault, str(error)) from error
+            else:
+                self._prober.note_heard(self._name)
+                return got
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Callable
 
 from passpier.clients import exchanges
 from passpier.config import declarations
@@ -83,6 +84,7 @@
     last_event: str,
     known: pools.Pools,
     wire: dialect.Dialect,
+    may_send: Callable[[], bool],
 ) -> exchanges.Request:
     """Return one attempt as an upstream gets it; `time_left` is in seconds."""
     ask = admitted.ask
@@ -111,4 +113,5 @@
         wire.id_header,
         ask.id,
         once=not admitted.route.kind.is_repeatable,
+        may_send=may_send,
     )
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -93,8 +93,8 @@
 
     def tell(self, message: messages.AnyMessage) -> None:
         """Send a message to all live processes."""
-        for member in self.membership.list_alive(time.monotonic()):
-            self._peers.send(member.peer, message)
+        alive = self.membership.list_alive(time.monotonic())
+        self._peers.send_all([m.peer for m in alive], message)
 
     def begin_leaving(self) -> None:
         """Tell everybody that no client should be sent here any more."""
@@ -104,8 +104,8 @@
     async def end(self, source: registry.Registry) -> None:
         """Take the own entry out of the registry and say goodbye."""
         self._ended = True
-        for member in self.membership.list_known():
-            self._peers.send(member.peer, messages.Goodbye(self.membership.own.incarnation))
+        known = [m.peer for m in self.membership.list_known()]
+        self._peers.send_all(known, messages.Goodbye(self.membership.own.incarnation))
         if self._lease:
             try:
                 await source.end(self._lease)
@@ -151,9 +151,9 @@
         beat = messages.Heartbeat(
             self.membership.make_digest(self._rng, now), self._known.revision, 0
         )
-        for member in targets:
-            self._peers.send(member.peer, beat)
-            self._peers.send(member.peer, messages.ProofWanted(now))
+        addresses = [m.peer for m in targets]
+        self._peers.send_all(addresses, beat)
+        self._peers.send_all(addresses, messages.ProofWanted(now))
 
     async def _register(self, source: registry.Registry) -> None:
         if self._lease:
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -6,16 +6,14 @@
 import logging
 import random
 import time
-from collections.abc import Coroutine
-from typing import Any
 
 import tornado.httpserver
 import tornado.web
 import uuid_utils
 
-from passpier.clients import exchanges, registry
+from passpier.clients import connections, registry
 from passpier.core import drain, members
-from passpier.daemon import dispatcher, loads, messages, metrics, peers
+from passpier.daemon import dispatcher, loads, messages, metrics, peers, tasks
 from passpier.routing import (
     dialect,
     following,
@@ -65,7 +63,7 @@
         directory: dialect.Directory,
         engines: dialect.Engines,
         source: registry.Registry,
-        pool: exchanges.Pool,
+        pool: connections.Pool,
     ) -> None:
         self.wire = wire
         self.records = records
@@ -143,24 +141,24 @@
         source = self.adapter.source
         # Before the tasks, so that a port that is taken ends the start and nothing else.
         servers = self._listen()
-        tasks = [
-            _start(self.peers.run()),
-            _start(self.follower.run()),
-            _start(self.roster.run_registration(source)),
-            _start(self.roster.run_heartbeats()),
-            _start(self.rollouts.run_election()),
-            _start(self.rollouts.run_orders()),
-            _start(self._run_upkeep()),
-            _start(self.keeper.run()),
-            _start(self.sharing.run()),
-            _start(self.loads.run()),
+        running = [
+            tasks.start(self.peers.run()),
+            tasks.start(self.follower.run()),
+            tasks.start(self.roster.run_registration(source)),
+            tasks.start(self.roster.run_heartbeats()),
+            tasks.start(self.rollouts.run_election()),
+            tasks.start(self.rollouts.run_orders()),
+            tasks.start(self._run_upkeep()),
+            tasks.start(self.keeper.run()),
+            tasks.start(self.sharing.run()),
+            tasks.start(self.loads.run()),
         ]
         try:
             await self._serve(servers)
         finally:
-            for task in tasks:
+            for task in running:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await asyncio.gather(*running, return_exceptions=True)
             self.adapter.pool.close()
             self.peers.close()
         log.info('stopped', extra={'cut': self.ingress.in_flight})
@@ -297,15 +295,3 @@
 def _listen_on(server: tornado.httpserver.HTTPServer, address: str) -> None:
     host, _, port = address.rpartition(':')
     server.listen(int(port), host)
-
-
-def _start(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-    task = asyncio.ensure_future(work)
-    task.add_done_callback(_check_task)
-    return task
-
-
-def _check_task(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log.critical('task failed', exc_info=task.exception())
-        raise SystemExit(1)
--- a/passpier/tests/platform/path_tests.py
+++ b/passpier/tests/platform/path_tests.py
@@ -181,14 +181,19 @@
     play(check)
 
 
+async def ask_and_leave(running: deployment.Deployment) -> None:
+    """Close a client's connection while a replica works on its request."""
+    for known in running.replicas.values():
+        known.work = 1.0
+    asked = asyncio.ensure_future(running.ask('/safe/x', id='one'))
+    while not running.list_runs('one'):
+        await asyncio.sleep(0.01)
+    asked.cancel()
+
+
 def test_a_client_that_leaves_leaves_nothing_running() -> None:
     async def check(running: deployment.Deployment) -> None:
-        for known in running.replicas.values():
-            known.work = 1.0
-        asked = asyncio.ensure_future(running.ask('/safe/x', id='one'))
-        while not running.list_runs('one'):
-            await asyncio.sleep(0.01)
-        asked.cancel()
+        await ask_and_leave(running)
         while not any('one' in known.dropped for known in running.replicas.values()):
             await asyncio.sleep(0.01)
         assert running.routers[0].ingress.in_flight == 0
@@ -278,12 +283,7 @@
     caplog.set_level('INFO')
 
     async def check(running: deployment.Deployment) -> None:
-        for known in running.replicas.values():
-            known.work = 1.0
-        asked = asyncio.ensure_future(running.ask('/safe/x', id='one'))
-        while not running.list_runs('one'):
-            await asyncio.sleep(0.01)
-        asked.cancel()
+        await ask_and_leave(running)
         while running.routers[0].ingress.in_flight:
             await asyncio.sleep(0.01)
 
