--- a/passpier/tests/core/shares_tests.py
+++ b/passpier/tests/core/shares_tests.py
@@ -237,3 +237,19 @@
     assert not book.acquire('acme', 1.0)
     assert 1.5 < book.compute_retry_after('acme') < 2.5
     assert book.acquire('acme', 4.0)
+
+
+def test_a_unit_lent_to_a_killed_daemon_is_out_until_it_is_certainly_gone() -> None:
+    lender = shares.ShareBook('d1')
+    lender.hear(0.0)
+    lender.install(make_grant(1, ['d1', 'd2']))
+    lender.settle(lambda name: None)
+    units = lender.get_held('acme')
+    assert lender.lend('loan', 'acme', 'd9', 0.0)
+    taken = sum(lender.acquire('acme', 0.0) for _ in range(LIMIT))
+    assert taken == units - 1
+    # Nothing is heard of the borrower any more; its request may still be running.
+    assert not lender.acquire('acme', 10.0)
+    lender.hear(20.0)
+    lender.drop_borrower('d9', 20.0)
+    assert lender.acquire('acme', 20.0)
