--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -45,6 +45,9 @@
     def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
         """Return the upstreams of a pool that take new work and serve the wanted weights."""
 
+    def describe_weights(self, name: str) -> Mapping[str, object]:
+        """Return what the line of a decision tells of an upstream's weights, and how old it is."""
+
 
 @dataclasses.dataclass(slots=True)
 class Placement:
@@ -277,6 +280,7 @@
             'waited': round(now - call.arrived_at, 4),
             'chosen': chosen.name,
             'reason': chosen.reason,
+            **self._upstreams.describe_weights(chosen.name),
             'candidate_count': len(chosen.candidates),
             'candidates': [_render(c) for c in _list_best(chosen)],
         }
--- a/passpier/daemon/upstreams.py
+++ b/passpier/daemon/upstreams.py
@@ -6,6 +6,7 @@
 import collections
 import logging
 import time
+from collections.abc import Mapping
 
 import msgspec
 
@@ -96,6 +97,10 @@
         }
         return [usable[name] for name in self.ejector.select(list(usable), now)]
 
+    def describe_weights(self, name: str) -> Mapping[str, object]:
+        """Return what the line of a decision tells of an upstream's weights."""
+        return {'weight_version': self.replicas[name].weight_version}
+
     def choose_version(self, pool: str, wanted: str) -> str:
         """Return the weight version to ask a pool for.
 
--- a/passpier/routing/knowledge.py
+++ b/passpier/routing/knowledge.py
@@ -152,7 +152,16 @@
         elif item.key.startswith(records.version_prefix):
             model, version = records.decode_named_version(item.data)
             if self.pools.set_wanted(model, version, now):
-                log.info('weights named', extra={'model': model, 'weight_version': version})
+                log.info(
+                    'weights named',
+                    extra={
+                        'model': model,
+                        'weight_version': version,
+                        'revision': item.revision,
+                        'named_for': round(time.monotonic() - now, 3),
+                        'age': round(self.freshness.compute_age(time.monotonic()), 3),
+                    },
+                )
         elif item.key.startswith(records.replica_prefix):
             id = item.key.removeprefix(records.replica_prefix)
             change = self.catalogue.put(records.decode_replica(id, item.data))
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -121,6 +121,15 @@
         known = self.wanted.get(model)
         if known is not None and known.version == version and known_at < known.known_at:
             self.wanted[model] = rollout.Wanted(model, version, known_at)
+            log.info(
+                'weights named earlier',
+                extra={
+                    'model': model,
+                    'weight_version': version,
+                    'earlier': round(known.known_at - known_at, 3),
+                    'named_for': round(time.monotonic() - known_at, 3),
+                },
+            )
 
     def learn_version(self, name: str, version: int, source: str) -> None:
         """Note a replica's weight version; it only rises within an incarnation."""
@@ -169,6 +178,20 @@
         usable = self._prefer_new(usable, now)
         return [usable[name] for name in self.ejector.select(list(usable), now)]
 
+    def describe_weights(self, name: str) -> Mapping[str, object]:
+        """Return what the line of a decision tells of a replica's weights.
+
+        `named_for` is for how many seconds the newest version has been known to be named.
+        """
+        wanted = self.wanted.get(self._models.get(name, ''))
+        if wanted is None:
+            return {}
+        return {
+            'weight_version': int(self.replicas[name].weight_version or 0),
+            'named_version': wanted.version,
+            'named_for': round(time.monotonic() - wanted.known_at, 3),
+        }
+
     def note_failure(self, name: str) -> None:
         """Count a failed attempt against a replica."""
         if self.ejector.note_failure(name, time.monotonic()):
