--- a/passpier/tests/routing/pools_tests.py
+++ b/passpier/tests/routing/pools_tests.py
@@ -95,3 +95,23 @@
     known.note_read('r7', job.chain[:-1])
     monkeypatch.setattr(time, 'monotonic', lambda: 100.0 + pools.READ_FRESH + 0.1)
     assert choose(known, 'r0', 'f').fetch == store
+
+
+def test_newer_weights_do_not_prolong_the_use_of_older_ones(
+    known: pools.Pools, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A request began on weights that had been outdated for longer than the bound.
+
+    A replica crashed before it had loaded version 8 and came back with 7, again and again, while
+    the process that gives orders was killed as well. When 9 was named, 5.5 seconds after 8, the
+    routers counted the replica's time from 9: only the newest naming was kept, with its own time.
+    The times in the log proved it: 10.6 seconds since 8 was known, 5.0 since 9.
+    """
+    known.set_wanted('m', 8, 100.0)
+    known.set_wanted('m', 9, 105.5)
+    known.learn_version('r0', 7, 'registry')
+    known.learn_version('r1', 8, 'registry')
+    known.learn_version('r2', 9, 'registry')
+    monkeypatch.setattr(time, 'monotonic', lambda: 109.0)
+    serving = {r.name for r in known.list_serving('s')}
+    assert serving & {'r0', 'r1', 'r2'} == {'r1', 'r2'}
--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 import time
 
@@ -21,6 +22,12 @@
 
 KEY_BOUND = 5.0
 
+VERSION_BOUND = 10.0
+"""Seconds after newer weights were named within which older ones may be used."""
+
+CONTACT = 3.0
+"""Seconds from its start after which a process is bound by that."""
+
 
 class Records:
     """Keys and values of a registry that is easy to read."""
@@ -34,7 +41,8 @@
         return routes.Configuration(int(data))
 
     def decode_replica(self, id: str, data: bytes) -> catalogue.Entry:
-        return catalogue.Entry(id, 'service', 'a:1', 'd0', 8, data == b'draining', {})
+        versions = {'model': int(data)} if data.isdigit() else {}
+        return catalogue.Entry(id, 'service', 'a:1', 'd0', 8, data == b'draining', versions)
 
     def decode_named_version(self, data: bytes) -> tuple[str, int]:
         return 'model', int(data)
@@ -105,6 +113,10 @@
     membership: members.Membership
     relay: relaying.Relay
     view: View
+    started_at: float
+
+    def uses(self, replica: str) -> bool:
+        return replica in {r.name for r in self.known.pools.list_serving('service')}
 
 
 class Fleet:
@@ -119,29 +131,44 @@
             members.Member(f'vm-{n}', f'i{n:03}', '10.0.0.1', n, 1000 + n, f'd{n % 4}')
             for n in range(size)
         ]
+        self.fleet = fleet
         self.processes = [self.make(m, fleet) for m in fleet]
-        self.tasks: list[asyncio.Task[None]] = []
+        self.tasks: dict[str, list[asyncio.Task[None]]] = {}
 
     def make(self, own: members.Member, fleet: list[members.Member]) -> Process:
-        known = knowledge.Knowledge(Records(), pools.Pools(10.0), KEY_BOUND)
+        known = knowledge.Knowledge(Records(), pools.Pools(VERSION_BOUND), KEY_BOUND)
         membership = members.Membership(own, 1e6, time.monotonic())
         for member in fleet:
             membership.add(member, time.monotonic())
         link = self.network.connect(own)
         relay = relaying.Relay(known, membership, link, self.rng)  # type: ignore[arg-type]
         view = View(self.registry, self.rng)
-        return Process(known, membership, relay, view)
+        return Process(known, membership, relay, view, time.monotonic())
 
     def start(self) -> None:
         for process in self.processes:
-            self.tasks.append(asyncio.ensure_future(process.relay.run()))
-            follower = following.Follower(process.view, process.known, process.relay, self.rng)  # type: ignore[arg-type]
-            self.tasks.append(asyncio.ensure_future(follower.run()))
+            self.run(process)
+
+    def run(self, process: Process) -> None:
+        follower = following.Follower(process.view, process.known, process.relay, self.rng)  # type: ignore[arg-type]
+        self.tasks[process.membership.own.name] = [
+            asyncio.ensure_future(process.relay.run()),
+            asyncio.ensure_future(follower.run()),
+        ]
+
+    def restart(self, number: int) -> None:
+        """End one process and start it again, knowing nothing."""
+        own = self.processes[number].membership.own
+        for task in self.tasks[own.name]:
+            task.cancel()
+        self.processes[number] = self.make(own, self.fleet)
+        self.run(self.processes[number])
 
     async def stop(self) -> None:
-        for task in self.tasks:
+        tasks = [t for group in self.tasks.values() for t in group]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 @pytest.fixture(autouse=True)
@@ -366,3 +393,95 @@
         assert known.freshness.proved_at == proved_at
 
     play(4, 6, check)
+
+
+class Weights:
+    """Names versions, and tells which replicas are outdated; all stay at the weights they have."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.named_at: dict[int, float] = {}
+
+    def name(self, version: int) -> None:
+        self.fleet.registry.put('weights/model', str(version).encode())
+        self.named_at[version] = time.monotonic()
+
+    def put(self, version: int) -> None:
+        self.fleet.registry.put(f'replicas/r{version}', str(version).encode())
+
+    async def watch(self, seconds: float) -> None:
+        """Check for so long that no process uses a replica whose weights are outdated."""
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            await asyncio.sleep(0.1)
+            self.check()
+
+    def check(self) -> None:
+        now = time.monotonic()
+        for process in self.fleet.processes:
+            if process.known.table is None or now - process.started_at < CONTACT:
+                continue
+            for version in range(1, max(self.named_at)):
+                newer = min(at for v, at in self.named_at.items() if v > version)
+                if now - newer > VERSION_BOUND:
+                    assert not process.uses(f'r{version}'), (now - newer, now - process.started_at)
+
+
+def test_processes_that_start_use_no_outdated_weights() -> None:
+    """Whoever starts reads only the newest naming, and not how long ago any of them was.
+
+    Its peers tell it, if one of them has seen them; otherwise it must not count on its luck.
+    """
+
+    async def check(fleet: Fleet, restarted: int) -> None:
+        weights = Weights(fleet)
+        for version in range(1, 5):
+            weights.put(version)
+        await asyncio.sleep(1.0)
+        weights.name(2)
+        await weights.watch(5.5)
+        weights.name(3)
+        await weights.watch(2.5)
+        for number in range(restarted):
+            fleet.restart(number)
+        await weights.watch(4.0)
+        weights.name(4)
+        await weights.watch(20.0)
+
+    for restarted in (1, 4, 8):
+        for seed in range(4):
+            play(8, seed, functools.partial(check, restarted=restarted))
+
+
+def test_nobody_uses_outdated_weights_whatever_is_cut_off_or_named() -> None:
+    """Namings come quickly; processes are told by others, miss some, and start again."""
+
+    async def check(fleet: Fleet) -> None:
+        rng = random.Random(fleet.rng.random())
+        weights = Weights(fleet)
+        weights.name(1)
+        version = 1
+        weights.put(1)
+        await asyncio.sleep(3.0)
+        for _ in range(30):
+            version += rng.randint(1, 2)
+            weights.name(version)
+            weights.put(version - rng.randint(0, 2))
+            trouble_of_processes(fleet, rng)
+            await weights.watch(rng.uniform(0.1, 6.0))
+
+    for seed in range(8):
+        play(8, seed, check)
+
+
+def trouble_of_processes(fleet: Fleet, rng: random.Random) -> None:
+    """Restart a process, let the registry forget its history, cut one off from the registry."""
+    for process in fleet.processes:
+        process.view.cut = False
+    draw = rng.random()
+    if draw < 0.3:
+        fleet.restart(rng.randrange(len(fleet.processes)))
+    elif draw < 0.5:
+        fleet.registry.forgotten = fleet.registry.revision
+    elif draw < 0.8:
+        rng.choice(fleet.processes).view.cut = True
