--- a/passpier/tests/fakes.py
+++ b/passpier/tests/fakes.py
@@ -65,6 +65,9 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.loss = 0.0
+        self.delay = (0.0005, 0.005)
+        """Least and longest way of a message, in seconds."""
+
         self.links: dict[str, Link] = {}
         self.cut: set[str] = set()
 
@@ -77,7 +80,7 @@
         """Deliver a message later, or never."""
         if self.rng.random() < self.loss or {source.address, address} & self.cut:
             return
-        delay = self.rng.uniform(0.0005, 0.005)
+        delay = self.rng.uniform(*self.delay)
         asyncio.get_running_loop().call_later(delay, self._deliver, source, address, message)
 
     def _deliver(self, source: Link, address: str, message: Any) -> None:
--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -16,7 +16,7 @@
 
 from passpier import exceptions
 from passpier.clients import registry
-from passpier.core import catalogue, members, routes
+from passpier.core import catalogue, members, namings, routes
 from passpier.routing import following, history, knowledge, pools, relaying
 from passpier.tests import fakes, virtual
 
@@ -454,6 +454,42 @@
             play(8, seed, functools.partial(check, restarted=restarted))
 
 
+def test_who_starts_among_others_uses_old_weights_as_long_as_they_do() -> None:
+    async def check(fleet: Fleet) -> None:
+        weights = Weights(fleet)
+        weights.name(1)
+        weights.put(1)
+        await asyncio.sleep(3.0)
+        weights.name(2)
+        await asyncio.sleep(3.0)
+        fleet.restart(0)
+        await asyncio.sleep(VERSION_BOUND - 3.0 - namings.OLD_WEIGHTS_MARGIN - 0.5)
+        assert all('r1' in p.list_used() for p in fleet.processes)
+        await asyncio.sleep(1.0)
+        assert not any('r1' in p.list_used() for p in fleet.processes)
+
+    for seed in range(4):
+        play(8, seed, check)
+
+
+def test_slow_messages_do_not_move_a_naming_into_the_past() -> None:
+    """A peer that stood still answers late; what it tells then must not count as older."""
+
+    async def check(fleet: Fleet) -> None:
+        weights = Weights(fleet)
+        weights.name(1)
+        await asyncio.sleep(3.0)
+        fleet.network.delay = (0.1, 0.4)
+        weights.name(2)
+        await asyncio.sleep(VERSION_BOUND)
+        for process in fleet.processes:
+            outdated_at = process.known.pools.namings['model'].get_outdated_at(1)
+            assert outdated_at is not None
+            assert weights.named_at[2] <= outdated_at <= weights.named_at[2] + 1.0
+
+    play(8, 1, check)
+
+
 def test_nobody_uses_outdated_weights_whatever_is_cut_off_or_named() -> None:
     """Namings come quickly; processes are told by others, miss some, and start again."""
 
