--- /dev/null
+++ b/passpier/tests/routing/rollouts_tests.py
@@ -0,0 +1,135 @@
+"""Orders for weights, while the right to give them is lost and won again."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Any, cast
+
+import pytest
+
+from passpier.clients import registry
+from passpier.core import catalogue, members
+from passpier.daemon import messages, peers
+from passpier.routing import dialect, following, knowledge, pools, rollouts, roster
+from passpier.tests import fakes, virtual
+from passpier.tests.routing import relaying_tests
+
+MODEL = 'model'
+LOAD_SECONDS = 0.8
+
+
+class Roster:
+    """Counts what peers are told."""
+
+    def __init__(self) -> None:
+        self.told: list[messages.Message] = []
+
+    def tell_interested(self, message: messages.Message) -> None:
+        self.told.append(message)
+
+
+class Engines:
+    """Replicas that take orders, answer some, and load; `orders` are those that arrived."""
+
+    def __init__(self) -> None:
+        self.orders: list[dialect.WeightOrder] = []
+        self.versions: dict[str, int] = {}
+        self.before_answer: dict[int, Any] = {}
+        """By the number of the order: what happens in place of an answer."""
+
+    async def report(self, address: str, incarnation: str) -> dialect.Report:
+        taken = sum(o.incarnation == incarnation for o in self.orders)
+        return dialect.Report({MODEL: self.versions[incarnation]}, False, taken, 0, 0)
+
+    async def order(self, address: str, order: dialect.WeightOrder) -> dialect.OrderResult:
+        self.orders.append(order)
+        happening = self.before_answer.get(len(self.orders))
+        await asyncio.sleep(0.01)
+        if happening is not None:
+            happening()
+            return dialect.OrderResult.UNKNOWN
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOAD_SECONDS, self.versions.update, {order.incarnation: order.version})
+        return dialect.OrderResult.TAKEN
+
+
+@pytest.fixture(autouse=True)
+def _virtual_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(time, 'monotonic', lambda: asyncio.get_running_loop().time())
+
+
+class Fleet:
+    """One process that may give orders, and replicas with version 1."""
+
+    def __init__(self, *names: str) -> None:
+        self.engines = Engines()
+        self.roster = Roster()
+        known = knowledge.Knowledge(relaying_tests.Records(), pools.Pools(10.0), 5.0)
+        self.pools = known.pools
+        link = fakes.Network(random.Random(1)).connect(
+            members.Member('vm-0', 'i0', '10.0.0.1', 1, 2, 'd0')
+        )
+        options = cast(dialect.Options, Options())
+        self.rollouts = rollouts.Rollouts(
+            cast(registry.Registry, None),
+            known,
+            cast(following.Follower, None),
+            cast(roster.Roster, self.roster),
+            cast(dialect.Engines, self.engines),
+            cast(peers.Peers, link),
+            options,
+            random.Random(1),
+        )
+        for name in names:
+            self.engines.versions[name] = 1
+            entry = catalogue.Entry(name, 's', f'{name}:1', 'd0', 8, False, {MODEL: 1})
+            self.pools.apply_change(catalogue.Change(name, entry, 'recorded'))
+
+    def elect(self, token: int, succeeds: int = 0) -> None:
+        now = time.monotonic()
+        self.rollouts.holder.elect(token, now, now - 10.0, succeeds)
+
+    def lose_and_win(self, token: int) -> None:
+        """Lose the right to give orders and win it again at once, as its own successor."""
+        before = self.rollouts.holder.token
+        self.rollouts._lose('the lease lapsed')
+        self.elect(token, before)
+
+    def name(self, version: int) -> None:
+        self.pools.note_naming(MODEL, version, time.monotonic())
+
+
+class Options:
+    """The options that orders need."""
+
+    name = 'vm-0'
+    order_hold = 3.0
+    lease_ttl = 30.0
+
+
+async def run_orders(fleet: Fleet, seconds: float) -> None:
+    task = asyncio.ensure_future(fleet.rollouts.run_orders())
+    await asyncio.sleep(seconds)
+    task.cancel()
+
+
+def test_an_order_is_not_repeated_under_a_token_that_is_over() -> None:
+    """An order without answer was sent again after its sender had been elected anew.
+
+    The new token had arrived at the replica by then; the repetition still had the old one.
+    """
+
+    async def check() -> None:
+        fleet = Fleet('r1')
+        fleet.elect(5)
+        fleet.name(2)
+        fleet.engines.before_answer[1] = lambda: fleet.lose_and_win(9)
+        await run_orders(fleet, 8.0)
+        tokens = [o.token for o in fleet.engines.orders]
+        assert tokens[0] == 5
+        assert set(tokens[1:]) == {9}
+        assert fleet.engines.versions == {'r1': 2}
+
+    virtual.run(check())
