--- a/passpier/routing/knowledge.py
+++ b/passpier/routing/knowledge.py
@@ -102,9 +102,13 @@
         awaited: Mapping[str, float] | None = None,
     ) -> None:
         first = self.table is None
+        known = self.revision
         keys = {i.key for i in items}
         for item in items:
-            self._take(item, now, first)
+            # Peers may have told more since the reading was asked for: an item of before that is
+            # not known here has been removed meanwhile, and no watch would tell of it again.
+            if item.revision > known:
+                self._take(item, now, first)
         gone = [k for k in self._revisions if k not in keys]
         for key in gone:
             # Only what was older than the reading can be missing from it.
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -267,8 +267,9 @@
         """Give an order, again if there is no answer: only one of them can take effect."""
         result = dialect.OrderResult.UNKNOWN
         for _ in range(ORDER_TRIES):
-            # Checked right before each send: this process may have been stopped for a while.
-            if not self.holder.may_order(time.monotonic()):
+            # Checked right before each send: this process may have been stopped for a while, or
+            # elected anew, and a token must not follow a higher one.
+            if order.token != self.holder.token or not self.holder.may_order(time.monotonic()):
                 break
             result = await self._engines.order(address, order)
             if result is not dialect.OrderResult.UNKNOWN:
