--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -215,9 +215,9 @@
                 self._pools.note_replaced(order.replica)
         finally:
             if version >= order.version:
-                self._rollout.end(order.replica)
+                self._rollout.end(order)
             else:
-                self._rollout.fail(order.replica, time.monotonic())
+                self._rollout.fail(order, time.monotonic())
             self._roster.tell_interested(messages.Loaded(order.replica, version))
             if version:
                 self._pools.learn_version(order.replica, version, 'report')
--- a/passpier/tests/core/rollout_tests.py
+++ b/passpier/tests/core/rollout_tests.py
@@ -19,9 +19,10 @@
     plan = rollout.Rollout()
     wanted = [rollout.Wanted('m', 2)]
     states = make_states(dict.fromkeys('abcde', 1))
-    assert len(plan.choose(wanted, states, 0.0)) == 2
+    orders = plan.choose(wanted, states, 0.0)
+    assert len(orders) == 2
     assert plan.choose(wanted, states, 0.1) == []
-    plan.end('a')
+    plan.end(orders[0])
     assert [o.replica for o in plan.choose(wanted, states, 0.2)] == ['a']
 
 
@@ -35,7 +36,7 @@
         assert len(orders) <= size * 0.4
         for order in orders:
             versions[order.replica] = 2
-            plan.end(order.replica)
+            plan.end(order)
         rounds += 1
     assert set(versions.values()) == {2}
     assert rounds == 3
@@ -68,10 +69,10 @@
         for order in plan.choose(wanted, make_states(versions), now):
             ordered.append(order.replica)
             if order.replica in 'ab':
-                plan.fail(order.replica, now)
+                plan.fail(order, now)
             else:
                 versions[order.replica] = 2
-                plan.end(order.replica)
+                plan.end(order)
     assert {'c', 'd'} <= set(ordered[:4])
     assert ordered.count('a') <= 4
 
@@ -88,6 +89,36 @@
     assert [o.replica for o in plan.choose([rollout.Wanted('m', 2)], states, 0.0)] == ['b']
 
 
+def test_a_model_that_is_being_loaded_holds_up_no_other() -> None:
+    plan = rollout.Rollout()
+    wanted = [rollout.Wanted('m', 2), rollout.Wanted('n', 2)]
+    states = [rollout.State(r, {m: 1}) for r, m in (('a', 'm'), ('b', 'm'), ('c', 'n'), ('d', 'n'))]
+    assert [o.replica for o in plan.choose(wanted, states, 0.0)] == ['a', 'c']
+
+
+def test_the_most_outdated_weights_are_replaced_first() -> None:
+    """They leave routing first, and may not serve any more while they wait for their turn."""
+    plan = rollout.Rollout()
+    states = make_states({'a': 8, 'b': 8, 'c': 7, 'd': 9, 'e': 8})
+    orders = plan.choose([rollout.Wanted('m', 10)], states, 0.0)
+    assert [o.replica for o in orders] == ['c', 'a']
+
+
+def test_the_late_end_of_an_order_ends_no_newer_one() -> None:
+    """The newer one lost its mark, and the replica was passed over while it was loading."""
+    plan = rollout.Rollout()
+    wanted = [rollout.Wanted('m', 2)]
+    states = make_states({'a': 1})
+    (old,) = plan.choose(wanted, states, 0.0)
+    plan.reset()
+    (new,) = plan.choose(wanted, states, 0.1)
+    plan.fail(old, 0.2)
+    plan.end(old)
+    assert plan.choose(wanted, states, 0.3) == []
+    plan.end(new)
+    assert plan.choose(wanted, states, 0.4)
+
+
 def test_pending_until_all_have_the_version() -> None:
     plan = rollout.Rollout()
     wanted = [rollout.Wanted('m', 2)]
@@ -100,23 +131,23 @@
     rng = random.Random(seed)
     plan = rollout.Rollout()
     versions = {str(n): 1 for n in range(count)}
-    loading: dict[str, tuple[float, int]] = {}
+    loading: dict[str, tuple[float, rollout.Order]] = {}
     target = 2
     now = 0.0
     while now < 90.0:
         now += 0.2
         if now < 20 and rng.random() < 0.02:
             target += 1
-        for replica, (at, version) in list(loading.items()):
+        for replica, (at, order) in list(loading.items()):
             if now >= at:
                 del loading[replica]
-                versions[replica] = max(versions[replica], version)
-                plan.end(replica)
+                versions[replica] = max(versions[replica], order.version)
+                plan.end(order)
         wanted = [rollout.Wanted('m', target)]
         for order in plan.choose(wanted, make_states(versions), now):
             fate = rng.random() if now < 40 else 1.0
             if fate < 0.2:
                 continue
             late = rng.uniform(2, 12) if fate < 0.4 else 0.8
-            loading[order.replica] = (now + late, order.version)
+            loading[order.replica] = (now + late, order)
     assert set(versions.values()) == {target}
