--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -227,16 +227,21 @@
 
 
 class Loading(Message, tag='lg'):
-    """A replica is about to load weights and should get nothing for so many seconds."""
+    """A replica is about to load `ordered` weights and should get nothing for so many seconds."""
 
     replica: str
     seconds: float
+    ordered: int
 
 
 class Loaded(Message, tag='ly'):
-    """A replica has a weight version, or was left as it was if `weight_version` is 0."""
+    """An order for `ordered` weights is over.
+
+    The replica has `weight_version`, or was left as it was if that is 0.
+    """
 
     replica: str
+    ordered: int
     weight_version: int
 
 
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import enum
 import logging
 import time
 from collections.abc import Mapping, Sequence
@@ -47,6 +48,22 @@
 """Part of a pool that must have new weights before all requests go there."""
 
 
+class Pause(enum.Enum):
+    """Why a replica gets no requests for a while; the end of one reason ends no other."""
+
+    FULL = 'full'
+    LOADING = 'loading'
+    SILENT = 'silent'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Paused:
+    """One pause of a replica; `version` is the weights that it is to load, or 0."""
+
+    until: float
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Source:
     """Where an engine finds cache that it lacks, and where it leaves what it has computed."""
@@ -72,6 +89,7 @@
         self._readers: collections.OrderedDict[int, tuple[str, float]] = collections.OrderedDict()
         """By the last shared part of prompts: who read it last, and when."""
 
+        self._pauses: dict[str, dict[Pause, _Paused]] = {}
         self._version_bound = version_bound
         self._pools: dict[str, list[str]] = {}
         self._models: dict[str, str] = {}
@@ -141,7 +159,7 @@
         if replica is None or int(replica.weight_version or 0) >= version:
             return
         replica.weight_version = str(version)
-        replica.paused_until = float('-inf')
+        self.resume(name, Pause.LOADING, version)
         self.cache.set_incarnation(name, f'{name}/{version}', self.cache.get_capacity(name))
         log.info(
             'upstream weights',
@@ -154,18 +172,37 @@
         if replica is not None and replicas.set_leaving(replica, 'replaced', True):
             log.info('upstream replaced', extra={'upstream': name, 'address': replica.address})
 
-    def pause(self, name: str, seconds: float, reason: str) -> None:
-        """Give a replica no new requests for a while."""
+    def pause(self, name: str, why: Pause, seconds: float, detail: str, version: int = 0) -> None:
+        """Give a replica no new requests for a while; a load's `version` is what it is to load."""
         replica = self.replicas.get(name)
         if replica is None:
             return
-        replica.paused_until = max(replica.paused_until, time.monotonic() + seconds)
-        log.info('upstream paused', extra={'upstream': name, 'seconds': seconds, 'reason': reason})
+        known = self._pauses.setdefault(name, {})
+        until = time.monotonic() + seconds
+        before = known.get(why, _Paused(until, version))
+        known[why] = _Paused(max(until, before.until), max(version, before.version))
+        self._set_paused(replica)
+        log.info(
+            'upstream paused',
+            extra={
+                'upstream': name,
+                'why': why.value,
+                'seconds': seconds,
+                'reason': detail,
+                'weight_version': version,
+            },
+        )
+
+    def resume(self, name: str, why: Pause, version: int = 0) -> None:
+        """End a pause, but not that of a load of newer weights than `version`."""
+        known = self._pauses.get(name, {})
+        if why in known and known[why].version <= version:
+            del known[why]
+            self._set_paused(self.replicas[name])
 
-    def resume(self, name: str) -> None:
-        """End a pause."""
-        if name in self.replicas:
-            self.replicas[name].paused_until = float('-inf')
+    def _set_paused(self, replica: replicas.Replica) -> None:
+        pauses = self._pauses[replica.name].values()
+        replica.paused_until = max((p.until for p in pauses), default=float('-inf'))
 
     def get(self, name: str) -> replicas.Replica:
         """Return a known upstream."""
@@ -325,6 +362,7 @@
     def _drop(self, name: str) -> None:
         self.replicas.pop(name, None)
         self.silent.discard(name)
+        self._pauses.pop(name, None)
         self._models.pop(name, None)
         self.cache.forget(name)
         self.ejector.note_success(name)
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -83,7 +83,8 @@
                 self._end_silence(name)
                 return
             if unanswered >= QUESTIONS:
-                self._pools.pause(name, 2 * ASK_INTERVAL + dialect.ASK_TIMEOUT, 'silent')
+                seconds = 2 * ASK_INTERVAL + dialect.ASK_TIMEOUT
+                self._pools.pause(name, pools.Pause.SILENT, seconds, 'gives no answer')
                 await asyncio.sleep(ASK_INTERVAL)
         self._pools.silent.discard(name)
 
@@ -100,5 +101,5 @@
         self._heard_at[name] = time.monotonic()
         if name in self._pools.silent:
             self._pools.silent.discard(name)
-            self._pools.resume(name)
+            self._pools.resume(name, pools.Pause.SILENT)
             log.info('upstream answers again', extra={'upstream': name})
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -218,10 +218,10 @@
                 self._rollout.end(order)
             else:
                 self._rollout.fail(order, time.monotonic())
-            self._roster.tell_interested(messages.Loaded(order.replica, version))
+            self._roster.tell_interested(messages.Loaded(order.replica, order.version, version))
             if version:
                 self._pools.learn_version(order.replica, version, 'report')
-            self._pools.resume(order.replica)
+            self._pools.resume(order.replica, pools.Pause.LOADING, order.version)
             self._due.set()
 
     async def _load(self, order: rollout.Order) -> int:
@@ -229,8 +229,9 @@
         replica = self._pools.replicas.get(order.replica)
         if replica is None:
             return 0
-        self._pools.pause(order.replica, pools.PAUSE_LOADING, 'is to load weights')
-        self._roster.tell_interested(messages.Loading(order.replica, pools.PAUSE_LOADING))
+        loading = messages.Loading(order.replica, pools.PAUSE_LOADING, order.version)
+        self._pause(loading, 'is to load weights')
+        self._roster.tell_interested(loading)
         await asyncio.sleep(QUIET_TIME)
         report = await self._engines.report(replica.address, replica.incarnation)
         if report.versions.get(order.model, 0) >= order.version:
@@ -289,9 +290,13 @@
         return 0
 
     def _take_loading(self, sender: str, address: str, message: messages.Loading) -> None:
-        self._pools.pause(message.replica, message.seconds, f'peer {address} has it load weights')
+        self._pause(message, f'peer {address} has it load weights')
+
+    def _pause(self, message: messages.Loading, detail: str) -> None:
+        why = pools.Pause.LOADING
+        self._pools.pause(message.replica, why, message.seconds, detail, message.ordered)
 
     def _take_loaded(self, sender: str, address: str, message: messages.Loaded) -> None:
         if message.weight_version:
             self._pools.learn_version(message.replica, message.weight_version, 'peer')
-        self._pools.resume(message.replica)
+        self._pools.resume(message.replica, pools.Pause.LOADING, message.ordered)
--- a/passpier/tests/routing/pools_tests.py
+++ b/passpier/tests/routing/pools_tests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from passpier.core import catalogue, kept, prompts, routes
+from passpier.core import catalogue, kept, prompts, replicas, routes
 from passpier.routing import pools
 
 STORES = {f'10.0.{n}.1:80': f'd{n}' for n in range(3)}
@@ -115,3 +115,32 @@
     monkeypatch.setattr(time, 'monotonic', lambda: 109.0)
     serving = {r.name for r in known.list_serving('s')}
     assert serving & {'r0', 'r1', 'r2'} == {'r1', 'r2'}
+
+
+def test_the_end_of_an_older_load_does_not_end_the_pause_of_a_newer_one(
+    known: pools.Pools, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Late word of version 8 came while the replica loaded 9: it got requests and refused them."""
+    known.pause('r0', pools.Pause.LOADING, pools.PAUSE_LOADING, 'is to load', 9)
+    known.learn_version('r0', 8, 'registry')
+    known.resume('r0', pools.Pause.LOADING, 8)
+    assert not replicas.is_open(known.get('r0'), 100.0)
+    monkeypatch.setattr(time, 'monotonic', lambda: 100.5)
+    known.learn_version('r0', 9, 'registry')
+    assert replicas.is_open(known.get('r0'), 100.5)
+
+
+def test_the_end_of_one_pause_ends_no_other(known: pools.Pools) -> None:
+    """A silent replica got requests when another process, which it answers, had it load."""
+    known.pause('r0', pools.Pause.SILENT, 1.4, 'gives no answer')
+    known.pause('r0', pools.Pause.LOADING, pools.PAUSE_LOADING, 'is to load', 2)
+    known.learn_version('r0', 2, 'peer')
+    assert not replicas.is_open(known.get('r0'), 100.0)
+    known.resume('r0', pools.Pause.SILENT)
+    assert replicas.is_open(known.get('r0'), 100.0)
+
+
+def test_an_order_that_failed_ends_its_pause(known: pools.Pools) -> None:
+    known.pause('r0', pools.Pause.LOADING, pools.PAUSE_LOADING, 'is to load', 2)
+    known.resume('r0', pools.Pause.LOADING, 2)
+    assert replicas.is_open(known.get('r0'), 100.0)
