--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -26,7 +26,7 @@
 """Seconds after newer weights were named within which older ones may be used."""
 
 CONTACT = 3.0
-"""Seconds from its start after which a process is bound by that."""
+"""Seconds without disturbance after which a process is bound by that."""
 
 
 class Records:
@@ -113,7 +113,8 @@
     membership: members.Membership
     relay: relaying.Relay
     view: View
-    started_at: float
+    disturbed_at: float
+    """When it started or thawed; it is bound by time only a while after that."""
 
     def list_used(self) -> set[str]:
         return {r.name for r in self.known.pools.list_serving('service')}
@@ -156,6 +157,20 @@
             asyncio.ensure_future(follower.run()),
         ]
 
+    def freeze(self, number: int) -> None:
+        """Let one process stand still until `thaw`; what others send it is lost."""
+        own = self.processes[number].membership.own
+        for task in self.tasks[own.name]:
+            task.cancel()
+        self.network.cut.add(own.peer)
+
+    def thaw(self, number: int) -> None:
+        """Let a process go on with what it knew."""
+        process = self.processes[number]
+        self.network.cut.discard(process.membership.own.peer)
+        process.disturbed_at = time.monotonic()
+        self.run(process)
+
     def restart(self, number: int) -> None:
         """End one process and start it again, knowing nothing."""
         own = self.processes[number].membership.own
@@ -420,8 +435,8 @@
         now = time.monotonic()
         outdated = {f'r{v}' for v in range(1, max(self.named_at)) if self.is_outdated(v, now)}
         for process in self.fleet.processes:
-            if process.known.table is not None and now - process.started_at >= CONTACT:
-                assert not outdated & process.list_used(), (now, process.started_at)
+            if process.known.table is not None and now - process.disturbed_at >= CONTACT:
+                assert not outdated & process.list_used(), (now, process.disturbed_at)
 
     def is_outdated(self, version: int, now: float) -> bool:
         newer = min(at for v, at in self.named_at.items() if v > version)
@@ -454,6 +469,31 @@
             play(8, seed, functools.partial(check, restarted=restarted))
 
 
+@pytest.mark.parametrize('still', [5.0, 8.0])
+def test_who_stood_still_at_a_naming_does_not_date_it(still: float) -> None:
+    """It learnt of the naming when it went on, and took that for the time of it.
+
+    All others had just started, so that it was the only one that seemed to know.
+    """
+
+    async def check(fleet: Fleet) -> None:
+        weights = Weights(fleet)
+        weights.name(1)
+        weights.put(1)
+        await asyncio.sleep(3.0)
+        fleet.freeze(0)
+        await asyncio.sleep(0.5)
+        weights.name(2)
+        await asyncio.sleep(still)
+        for number in range(1, len(fleet.processes)):
+            fleet.restart(number)
+        fleet.thaw(0)
+        await weights.watch(14.0)
+
+    for seed in range(4):
+        play(8, seed, check)
+
+
 def test_who_starts_among_others_uses_old_weights_as_long_as_they_do() -> None:
     async def check(fleet: Fleet) -> None:
         weights = Weights(fleet)
