--- a/passpier/core/namings.py
+++ b/passpier/core/namings.py
@@ -1,130 +1,119 @@
-"""The named versions of a model's weights, and since when each older version is outdated.
+"""The named versions of a model's weights, and since when each older version may be outdated.
 
-A version is outdated from the first naming of any newer one, however many follow: each naming keeps
-its own time. What processes know is merged to the earliest time that any of them knew.
+A version is outdated from the first naming of any newer one, however many follow. Nobody is told
+when that was: a process knows until when it had not happened yet. Each such time is a true limit,
+so that of all that processes tell each other the latest is the best, and late messages do no harm.
 """
 
 from __future__ import annotations
 
 import dataclasses
-import itertools
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 OLD_WEIGHTS_MARGIN = 1.5
-"""Seconds before the bound at which a replica with old weights gets no more requests: a naming is
-known everywhere within a second, and a request may wait at its replica for half a second."""
+"""Seconds before the bound at which a replica with old weights gets no more requests: half a second
+for a connection, the rest for what waits at the replica longer than was predicted."""
 
-FOUND_GRACE = 2.0
-"""Seconds after its start for which a process uses weights that were outdated at an unknown time.
-Its peers tell the time in half a second if they know it; without this nobody would be served when
-all processes have started again, and a process is not yet held to the bound so early."""
-
-NEGLIGIBLE = 0.05
-"""Seconds by which times of two processes differ for the message's way alone."""
+LATE_GRACE = 2.0
+"""Seconds for which a process that learns late, as after its start, uses weights that may have been
+outdated for any time. Its peers tell it in half a second if they know better; without this nobody
+would be served when all processes have started again. Platforms hold a process to their bounds only
+3 s after a disturbance."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Naming:
-    """A named version; times are of the monotonic clock, in seconds."""
+    """A named version: no version newer than the one before it was named until `not_before`."""
 
     version: int
-    known_at: float
-    """When the first process that told of it learnt that this or a newer version was named."""
+    not_before: float
+    """Monotonic time in seconds; minus infinity if nothing is known."""
 
 
 class Namings:
     """The namings of one model."""
 
-    def __init__(self, found: int = 0, found_at: float = float('-inf')) -> None:
-        self.found = found
-        """The version that was named already when it was first looked for; older ones than this are
-        outdated, but nobody here knows since when. 0 if all namings were seen."""
+    def __init__(self) -> None:
+        self._known: list[Naming] = []
+        """Versions and times ascending."""
 
-        self._found_at = found_at
-        self._seen: list[Naming] = []
-        """What was named since, both versions and times ascending."""
+        self._learnt: list[tuple[int, float]] = []
+        """The versions that this process has learnt of, with when it did, ascending."""
 
     @property
     def newest(self) -> int:
         """The newest named version, or 0."""
-        return self._seen[-1].version if self._seen else self.found
+        return self._known[-1].version if self._known else 0
 
     @property
-    def seen(self) -> tuple[Naming, ...]:
-        """The namings whose times are known and matter."""
-        return tuple(self._seen)
+    def known(self) -> tuple[Naming, ...]:
+        """The namings that matter, ascending."""
+        return tuple(self._known)
 
-    def note(self, version: int, known_at: float) -> bool:
-        """Note that a version was named; return whether it is newer than all known ones."""
+    def note(self, version: int, not_before: float, now: float) -> bool:
+        """Note that a version is named; return whether it is newer than all known ones."""
         if version <= self.newest:
             return False
-        self._seen.append(Naming(version, known_at))
+        if self._known:
+            not_before = max(not_before, self._known[-1].not_before)
+        self._known.append(Naming(version, not_before))
+        self._learnt.append((version, now))
         return True
 
-    def merge(self, found: int, seen: Sequence[Naming]) -> bool:
-        """Take over what another process knows; return whether anything was learnt.
+    def merge(self, told: Sequence[Naming]) -> float:
+        """Take over what another process knows; return by how many seconds a time changed most.
 
-        Somebody whose newest version is another one is behind or ahead, and is not listened to.
+        What it knows of versions that were not yet named to this process waits for those.
         """
-        told = Namings(found)
-        told._seen = list(seen)
-        if told.newest != self.newest:
-            return False
-        merged = self._join(told)
-        if found >= self.found and not self._is_earlier(merged):
-            return False
-        self.found = min(found, self.found)
-        self._seen = merged
-        return True
+        joined = self._join(told)
+        gains = [self._gain(naming) for naming in joined]
+        self._known = joined
+        return max(gains, default=0.0)
 
-    def _join(self, other: Namings) -> list[Naming]:
-        """Return the earliest times that either knows."""
-        versions = {n.version for n in (*self._seen, *other._seen)}
-        steps = sorted(versions | {self.found, other.found})
-        joined: list[Naming] = []
-        # All versions from one step on, but before the next, have been outdated for equally long,
-        # and for longer than those behind them.
-        for newer, older in itertools.pairwise(reversed(steps)):
-            told = (self.get_outdated_at(older), other.get_outdated_at(older))
-            times = [t for t in told if t is not None]
-            if joined:
-                times.append(joined[-1].known_at)
-            if not joined or min(times) < joined[-1].known_at:
-                joined.append(Naming(newer, min(times)))
-        return joined[::-1]
-
-    def _is_earlier(self, merged: Iterable[Naming]) -> bool:
-        """Return whether some version was outdated earlier than is known here."""
-        for naming in merged:
-            known_at = self.get_outdated_at(naming.version - 1)
-            if known_at is not None and naming.known_at < known_at - NEGLIGIBLE:
-                return True
-        return False
-
-    def get_outdated_at(self, version: int) -> float | None:
-        """Return since when a version is outdated; none if it is not, or if that is unknown."""
-        if version < self.found:
-            return None
-        return next((n.known_at for n in self._seen if n.version > version), None)
+    def get_outdated(self, version: int) -> Naming | None:
+        """Return the naming by which a version is outdated; none if it is not."""
+        return _find_newer(self._known, version)
 
     def is_outdated(self, version: int, now: float, grace: float = 0.0) -> bool:
-        """Return whether a version has been outdated for `grace` seconds."""
-        if version >= self.newest:
-            return False
-        outdated_at = self.get_outdated_at(version)
-        return outdated_at is None or now >= outdated_at + grace
+        """Return whether a version may have been outdated for `grace` seconds."""
+        naming = self.get_outdated(version)
+        return naming is not None and now >= naming.not_before + grace
 
     def may_use(self, version: int, bound: float, now: float) -> bool:
         """Return whether a request may begin on a version; `bound` is in seconds."""
-        if version >= self.newest:
+        naming = self.get_outdated(version)
+        if naming is None:
             return True
-        outdated_at = self.get_outdated_at(version)
-        if outdated_at is None:
-            return now < self._found_at + FOUND_GRACE
-        return now < outdated_at + bound - OLD_WEIGHTS_MARGIN
+        learnt_at = next(at for named, at in self._learnt if named > version)
+        return now < max(naming.not_before + bound - OLD_WEIGHTS_MARGIN, learnt_at + LATE_GRACE)
 
     def forget(self, before: float) -> None:
-        """Drop namings that a newer one, known before that time, makes needless."""
-        needless = sum(n.known_at < before for n in self._seen) - 1
-        if needless > 0:
-            del self._seen[:needless]
+        """Drop namings that a newer one, certainly named before that time, makes needless."""
+        while len(self._known) > 1 and self._known[1].not_before < before:
+            del self._known[0]
+        while len(self._learnt) > 1 and self._learnt[1][1] < before:
+            del self._learnt[0]
+
+    def _join(self, told: Sequence[Naming]) -> list[Naming]:
+        """Return the latest times that either knows, for the versions that are named here."""
+        versions = {n.version for n in (*self._known, *told) if n.version <= self.newest}
+        joined: list[Naming] = []
+        for version in sorted(versions):
+            older = version - 1
+            found = (_find_newer(self._known, older), _find_newer(told, older), *joined[-1:])
+            not_before = max(n.not_before for n in found if n is not None)
+            if joined and joined[-1].not_before == not_before:
+                joined.pop()
+            joined.append(Naming(version, not_before))
+        return joined
+
+    def _gain(self, naming: Naming) -> float:
+        before = self.get_outdated(naming.version - 1)
+        assert before is not None
+        if before.not_before == naming.not_before:
+            return 0.0
+        return naming.not_before - before.not_before
+
+
+def _find_newer(namings: Sequence[Naming], version: int) -> Naming | None:
+    return next((n for n in namings if n.version > version), None)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -171,15 +171,10 @@
 
 
 class Named(msgspec.Struct, array_like=True):
-    """The named weights of a model.
-
-    `found` is the version that was named already when the sender began to look, or 0; `seen` are
-    those named since, with the seconds for which the sender has known them.
-    """
+    """The named weights of a model: versions, with the seconds that each was named ago at most."""
 
     model: str
-    found: int
-    seen: list[tuple[int, float]]
+    ages: list[tuple[int, float]]
 
 
 class Proof(Message, tag='pr'):
--- a/passpier/routing/knowledge.py
+++ b/passpier/routing/knowledge.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import logging
+import math
 import time
 from collections.abc import Mapping, Sequence
 
@@ -101,14 +102,13 @@
         now: float,
         awaited: Mapping[str, float] | None = None,
     ) -> None:
-        first = self.table is None
         known = self.revision
         keys = {i.key for i in items}
         for item in items:
             # Peers may have told more since the reading was asked for: an item of before that is
             # not known here has been removed meanwhile, and no watch would tell of it again.
             if item.revision > known:
-                self._take(item, now, first)
+                self._take(item, now)
         gone = [k for k in self._revisions if k not in keys]
         for key in gone:
             # Only what was older than the reading can be missing from it.
@@ -135,24 +135,23 @@
                 self._remove(item.key, item.revision, now, awaited)
         self.revision = max(self.revision, revision)
 
-    def _take(self, item: registry.Item, now: float, found: bool = False) -> None:
-        """Take over an item; one that is `found` may have been there for any time."""
+    def _take(self, item: registry.Item, now: float) -> None:
         if self._revisions.get(item.key, 0) >= item.revision:
             return
         self._revisions[item.key] = item.revision
         self._history.note(item)
         self._note_change(item.key, item.revision)
         try:
-            self._apply(item, now, found)
+            self._apply(item, now)
         except exceptions.StoreError as error:
             log.error('record skipped', extra={'key': item.key, 'error': str(error)})
 
-    def _apply(self, item: registry.Item, now: float, found: bool) -> None:
+    def _apply(self, item: registry.Item, now: float) -> None:
         records = self.records
         if item.key == records.configuration_key:
             self._take_configuration(records.decode_configuration(item.data), item.revision)
         elif item.key.startswith(records.version_prefix):
-            self._take_naming(item, now, found)
+            self._take_naming(item, now)
         elif item.key.startswith(records.replica_prefix):
             id = item.key.removeprefix(records.replica_prefix)
             change = self.catalogue.put(records.decode_replica(id, item.data))
@@ -177,20 +176,19 @@
             },
         )
 
-    def _take_naming(self, item: registry.Item, now: float, found: bool) -> None:
+    def _take_naming(self, item: registry.Item, now: float) -> None:
         model, version = self.records.decode_named_version(item.data)
-        if found:
-            self.pools.find_naming(model, version, now)
-        elif not self.pools.note_naming(model, version, now):
+        # What was proved last did not have it yet; at a start that is nothing.
+        if not self.pools.note_naming(model, version, self.freshness.proved_at, now):
             return
+        age = self.freshness.compute_age(now)
         log.info(
             'weights named',
             extra={
                 'model': model,
                 'weight_version': version,
                 'revision': item.revision,
-                'found': found,
-                'age': round(self.freshness.compute_age(time.monotonic()), 3),
+                'age': round(age, 3) if math.isfinite(age) else None,
             },
         )
 
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 import logging
+import math
 import time
 from collections.abc import Mapping, Sequence
 
@@ -44,6 +45,9 @@
 OLD_WEIGHTS_GRACE = 1.5
 """Seconds after new weights are named from which answers of old ones are worth less."""
 
+GAIN_LOGGED = 0.5
+"""Seconds by which a peer knows better when weights were named for a line in the log."""
+
 ENOUGH_NEW = 0.75
 """Part of a pool that must have new weights before all requests go there."""
 
@@ -100,7 +104,8 @@
         self._services = configuration.services
         self.stores.set_domains({s.address: s.failure_domain for s in configuration.cache_stores})
         for replica in self.replicas.values():
-            self._models[replica.name] = self._find_model(self._service_of(replica.name))
+            model = self._find_model(self._service_of(replica.name))
+            self._models[replica.name] = model or self._models[replica.name]
 
     def apply_change(self, change: catalogue.Change) -> None:
         """Take over a replica that came, changed or went."""
@@ -129,25 +134,23 @@
             },
         )
 
-    def find_naming(self, model: str, version: int, found_at: float) -> None:
-        """Note a version that was named before this process began to look."""
-        self.namings[model] = namings.Namings(version, found_at)
+    def note_naming(self, model: str, version: int, not_before: float, now: float) -> bool:
+        """Note a named version; return whether it is newer than the known ones.
 
-    def note_naming(self, model: str, version: int, known_at: float) -> bool:
-        """Note a named version; return whether it is newer than the known ones."""
+        Until `not_before` it was certainly not named.
+        """
         known = self.namings.setdefault(model, namings.Namings())
-        known.forget(known_at - self._version_bound)
-        return known.note(version, known_at)
+        known.forget(now - self._version_bound)
+        return known.note(version, not_before, now)
 
-    def learn_namings(self, model: str, found: int, seen: Sequence[namings.Naming]) -> None:
-        """Take over since when a peer has known what was named."""
+    def learn_namings(self, model: str, told: Sequence[namings.Naming]) -> None:
+        """Take over what a peer knows of when versions were named."""
         known = self.namings.get(model)
-        if known is None or not known.merge(found, seen):
+        if known is None or known.merge(told) < GAIN_LOGGED:
             return
         now = time.monotonic()
-        named_for = {n.version: round(now - n.known_at, 3) for n in known.seen}
-        fields = {'model': model, 'found': known.found, 'named_for': named_for}
-        log.info('weights named earlier', extra=fields)
+        ages = {n.version: _compute_age(n, now) for n in known.known}
+        log.info('weights named later', extra={'model': model, 'ages': ages})
 
     def list_wanted(self) -> list[rollout.Wanted]:
         """Return the newest weights of each model."""
@@ -222,18 +225,17 @@
     def describe_weights(self, name: str) -> Mapping[str, object]:
         """Return what the line of a decision tells of a replica's weights.
 
-        `outdated_for` is for how many seconds newer ones are known to have been named; it is left
-        out if none are, and none if nobody knows.
+        `outdated_for` are the seconds for which they may have been outdated; it is left out if they
+        are not, and null if nobody knows.
         """
         known = self.namings.get(self._models.get(name, ''))
         if known is None:
             return {}
         version = int(self.replicas[name].weight_version or 0)
         fields: dict[str, object] = {'weight_version': version, 'named_version': known.newest}
-        if version < known.newest:
-            outdated_at = known.get_outdated_at(version)
-            age = None if outdated_at is None else round(time.monotonic() - outdated_at, 3)
-            fields['outdated_for'] = age
+        naming = known.get_outdated(version)
+        if naming is not None:
+            fields['outdated_for'] = _compute_age(naming, time.monotonic())
         return fields
 
     def note_failure(self, name: str) -> None:
@@ -328,7 +330,11 @@
     def _may_serve(self, replica: replicas.Replica, now: float) -> bool:
         known = self.namings.get(self._models.get(replica.name, ''))
         version = int(replica.weight_version or 0)
-        return not version or known is None or known.may_use(version, self._version_bound, now)
+        if not version or known is None or version >= known.newest:
+            return True
+        # A request begins when those before it have been read.
+        wait = replicas.estimate_backlog(replica, now) * replica.seconds_per_token
+        return known.may_use(version, self._version_bound, now + wait)
 
     def _prefer_new(
         self, usable: dict[str, replicas.Replica], now: float
@@ -376,3 +382,9 @@
 
     def _service_of(self, name: str) -> str:
         return next((s for s, names in self._pools.items() if name in names), '')
+
+
+def _compute_age(naming: namings.Naming, now: float) -> float | None:
+    """Return for how many seconds a version may have been named at most, if that is known."""
+    age = now - naming.not_before
+    return round(age, 3) if math.isfinite(age) else None
--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -138,21 +138,19 @@
         known = self._known
         if message.items or message.whole:
             news = history.News(decode_items(message.items), message.whole)
-            told = knowledge.Told(news, message.since, message.known_revision, message.awaited)
-            if not known.take_news(told, now):
+            changes = knowledge.Told(news, message.since, message.known_revision, message.awaited)
+            if not known.take_news(changes, now):
                 return
         # The peer answered after the question was sent, so its ages count from there at the latest.
         known.take_proof(message.revision, message.sent_at - message.age)
         for named in message.weights:
-            # Counted from the arrival: times that are told to and fro must not drift to the past.
-            seen = [namings.Naming(version, now - age) for version, age in named.seen]
-            known.pools.learn_namings(named.model, named.found, seen)
+            told = [namings.Naming(v, message.sent_at - age) for v, age in named.ages]
+            known.pools.learn_namings(named.model, told)
 
 
 def export_namings(model: str, known: namings.Namings, now: float) -> messages.Named:
     """Return what a peer is told of the named weights of a model."""
-    seen = [(n.version, now - n.known_at) for n in known.seen]
-    return messages.Named(model, known.found, seen)
+    return messages.Named(model, [(n.version, now - n.not_before) for n in known.known])
 
 
 _decoder = msgspec.msgpack.Decoder(tuple[registry.Item, ...])
