--- a/passpier/core/catalogue.py
+++ b/passpier/core/catalogue.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 RETURN_GRACE = 2.0
 """Seconds after the registry's return in which a lapsed entry comes back if its replica lives."""
@@ -103,13 +103,6 @@
         del self._known[id]
         return Change(id, None, 'entry removed')
 
-    def replace_all(self, entries: Iterable[Entry], now: float) -> list[Change]:
-        """Take over a whole reading."""
-        told = {e.id: e for e in entries}
-        changes = [self.put(e) for e in told.values()]
-        changes += [self.remove(id, now) for id in set(self._known) - set(told)]
-        return [c for c in changes if c is not None]
-
     def expire(self, now: float) -> list[Change]:
         """Drop replicas whose entries did not come back in time."""
         awaited = self.list_awaited(now)
--- /dev/null
+++ b/passpier/core/pauses.py
@@ -0,0 +1,46 @@
+"""Why, and until when, a replica gets no requests.
+
+Each reason has its own end: word that one is over says nothing of the others.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Pause(enum.Enum):
+    """Why a replica gets no requests for a while."""
+
+    FULL = 'full'
+    LOADING = 'loading'
+    SILENT = 'silent'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Paused:
+    until: float
+    version: int
+
+
+class Pauses:
+    """The pauses of one replica; times in seconds of the monotonic clock."""
+
+    def __init__(self) -> None:
+        self._paused: dict[Pause, _Paused] = {}
+
+    @property
+    def until(self) -> float:
+        """When the last of them ends."""
+        return max((p.until for p in self._paused.values()), default=float('-inf'))
+
+    def begin(self, why: Pause, until: float, version: int = 0) -> None:
+        """Begin or prolong a pause; `version` is the weights that are to be loaded."""
+        before = self._paused.get(why, _Paused(until, version))
+        self._paused[why] = _Paused(max(until, before.until), max(version, before.version))
+
+    def end(self, why: Pause, version: int = 0) -> None:
+        """End a pause, but not that of a load of newer weights than `version`."""
+        paused = self._paused.get(why)
+        if paused is not None and paused.version <= version:
+            del self._paused[why]
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -9,7 +9,7 @@
 
 from passpier import exceptions
 from passpier.clients import connections, exchanges
-from passpier.core import attempts, events, replicas, retries
+from passpier.core import attempts, events, pauses, replicas, retries
 from passpier.daemon import dispatcher, metrics
 from passpier.routing import (
     answering,
@@ -199,7 +199,7 @@
             replica,
             time_left,
             self._splitter.last_id,
-            self._owner.pools,
+            self._owner.sharing.sources,
             self._owner.wire,
             self._may_use_key,
         )
@@ -251,14 +251,14 @@
         if version.isdigit():
             known.learn_version(name, int(version), 'answer')
         if verdict is dialect.Verdict.NOT_RUN:
-            known.pause(name, pools.Pause.FULL, pools.PAUSE_FULL, f'status {head.status}')
+            known.pause(name, pauses.Pause.FULL, pools.PAUSE_FULL, f'status {head.status}')
             raise reading.AttemptError(attempts.Fault.REFUSED, f'refused with status {head.status}')
         if verdict is dialect.Verdict.WRONG_UPSTREAM:
             told = self._owner.wire.read_incarnation(head)
             if told and told != placement.replica.incarnation:
                 known.note_replaced(name)
                 raise reading.AttemptError(attempts.Fault.REFUSED, f'{told} has the address now')
-            known.pause(name, pools.Pause.FULL, pools.PAUSE_FULL, 'other weights')
+            known.pause(name, pauses.Pause.FULL, pools.PAUSE_FULL, 'other weights')
             raise reading.AttemptError(attempts.Fault.REFUSED, 'other weights than asked for')
         if verdict is dialect.Verdict.INVALID:
             raise reading.AttemptError(
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import collections
-import dataclasses
-import enum
 import logging
 import math
 import time
@@ -12,12 +9,10 @@
 
 from passpier.core import (
     catalogue,
-    choice,
     ejection,
     kept,
     namings,
-    prompts,
-    rendezvous,
+    pauses,
     replicas,
     rollout,
     routes,
@@ -35,13 +30,6 @@
 PAUSE_LOADING = 1.2
 """Seconds for which a replica that was told to load weights gets nothing, unless it ends sooner."""
 
-READ_FRESH = 3.0
-"""Seconds for which parts that a replica has read are sure to be in its memory: it takes in a fifth
-to a tenth of its memory each second under full load."""
-
-READERS_KEPT = 20_000
-"""Parts for which the last reader is remembered."""
-
 OLD_WEIGHTS_GRACE = 1.5
 """Seconds after new weights are named from which answers of old ones are worth less."""
 
@@ -52,30 +40,6 @@
 """Part of a pool that must have new weights before all requests go there."""
 
 
-class Pause(enum.Enum):
-    """Why a replica gets no requests for a while; the end of one reason ends no other."""
-
-    FULL = 'full'
-    LOADING = 'loading'
-    SILENT = 'silent'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Paused:
-    """One pause of a replica; `version` is the weights that it is to load, or 0."""
-
-    until: float
-    version: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Source:
-    """Where an engine finds cache that it lacks, and where it leaves what it has computed."""
-
-    fetch: str = ''
-    save: str = ''
-
-
 class Pools:
     """Replicas by service, with their load, weights and caches."""
 
@@ -90,11 +54,10 @@
         self.namings: dict[str, namings.Namings] = {}
         """By model: which weights were named, and since when older ones are outdated."""
 
-        self._readers: collections.OrderedDict[int, tuple[str, float]] = collections.OrderedDict()
-        """By the last shared part of prompts: who read it last, and when."""
+        self._pauses: dict[str, pauses.Pauses] = {}
+        self.version_bound = version_bound
+        """Seconds after newer weights were named within which a request may begin on older ones."""
 
-        self._pauses: dict[str, dict[Pause, _Paused]] = {}
-        self._version_bound = version_bound
         self._pools: dict[str, list[str]] = {}
         self._models: dict[str, str] = {}
         self._services: Mapping[str, routes.Service] = {}
@@ -140,7 +103,7 @@
         Until `not_before` it was certainly not named.
         """
         known = self.namings.setdefault(model, namings.Namings())
-        known.forget(now - self._version_bound)
+        known.forget(now - self.version_bound)
         return known.note(version, not_before, now)
 
     def learn_namings(self, model: str, told: Sequence[namings.Naming]) -> None:
@@ -162,7 +125,7 @@
         if replica is None or int(replica.weight_version or 0) >= version:
             return
         replica.weight_version = str(version)
-        self.resume(name, Pause.LOADING, version)
+        self.resume(name, pauses.Pause.LOADING, version)
         self.cache.set_incarnation(name, f'{name}/{version}', self.cache.get_capacity(name))
         log.info(
             'upstream weights',
@@ -175,16 +138,16 @@
         if replica is not None and replicas.set_leaving(replica, 'replaced', True):
             log.info('upstream replaced', extra={'upstream': name, 'address': replica.address})
 
-    def pause(self, name: str, why: Pause, seconds: float, detail: str, version: int = 0) -> None:
+    def pause(
+        self, name: str, why: pauses.Pause, seconds: float, detail: str, version: int = 0
+    ) -> None:
         """Give a replica no new requests for a while; a load's `version` is what it is to load."""
         replica = self.replicas.get(name)
         if replica is None:
             return
-        known = self._pauses.setdefault(name, {})
-        until = time.monotonic() + seconds
-        before = known.get(why, _Paused(until, version))
-        known[why] = _Paused(max(until, before.until), max(version, before.version))
-        self._set_paused(replica)
+        known = self._pauses[name]
+        known.begin(why, time.monotonic() + seconds, version)
+        replica.paused_until = known.until
         log.info(
             'upstream paused',
             extra={
@@ -196,16 +159,13 @@
             },
         )
 
-    def resume(self, name: str, why: Pause, version: int = 0) -> None:
+    def resume(self, name: str, why: pauses.Pause, version: int = 0) -> None:
         """End a pause, but not that of a load of newer weights than `version`."""
-        known = self._pauses.get(name, {})
-        if why in known and known[why].version <= version:
-            del known[why]
-            self._set_paused(self.replicas[name])
-
-    def _set_paused(self, replica: replicas.Replica) -> None:
-        pauses = self._pauses[replica.name].values()
-        replica.paused_until = max((p.until for p in pauses), default=float('-inf'))
+        replica = self.replicas.get(name)
+        if replica is not None:
+            known = self._pauses[name]
+            known.end(why, version)
+            replica.paused_until = known.until
 
     def get(self, name: str) -> replicas.Replica:
         """Return a known upstream."""
@@ -248,73 +208,6 @@
         found = self._services.get(service)
         return found.engine if found else None
 
-    def choose_source(
-        self, replica: replicas.Replica, job: choice.Job, prompt: prompts.Prompt, salt: str
-    ) -> Source:
-        """Return where a replica finds parts that it lacks, and where it should leave its own."""
-        now = time.monotonic()
-        recent = self._find_recent_reader(replica, job, now)
-        store = self._choose_store(replica, choice.get_family(job))
-        held = self.stores.get(store)
-        if held is None:
-            return Source(recent or self._find_holder(replica, job))
-        shared = [kept.identify(salt, p.name) for p in prompt.parts[:-1]]
-        if held.holds_all(shared, now):
-            return Source(recent or store)
-        held.note_saving(shared, now)
-        return Source(recent or self._find_holder(replica, job) or store, store)
-
-    def note_placed(self, name: str, version: str, chain: list[int], ends: Sequence[int]) -> None:
-        """Note that a replica has read a prompt, or is about to."""
-        sizes = [end - start for start, end in zip((0, *ends), ends, strict=False)]
-        now = time.monotonic()
-        self.cache.add(name, f'{name}/{version}', chain, view.Evidence.EVENT, now, sizes)
-
-    def note_read(self, name: str, shared: Sequence[int]) -> None:
-        """Note that a replica has just read the parts of a prompt that others share."""
-        if not shared:
-            return
-        self._readers[shared[-1]] = (name, time.monotonic())
-        self._readers.move_to_end(shared[-1])
-        while len(self._readers) > READERS_KEPT:
-            self._readers.popitem(last=False)
-
-    def _find_recent_reader(self, replica: replicas.Replica, job: choice.Job, now: float) -> str:
-        """Return the address of the replica that has read a prompt's shared parts last.
-
-        Its link is many times as fast as that of a cache store, and what it read moments ago is
-        still there.
-        """
-        shared = job.chain[:-1]
-        name, read_at = self._readers.get(shared[-1], ('', 0.0)) if shared else ('', 0.0)
-        other = self.replicas.get(name)
-        if other is None or other is replica or now - read_at > READ_FRESH:
-            return ''
-        usable = not other.leaving and now >= other.paused_until and name not in self.silent
-        same = other.weight_version == replica.weight_version
-        return other.address if usable and same else ''
-
-    def _choose_store(self, replica: replicas.Replica, family: str) -> str:
-        """Return the cache store for a family: near the replica that is the family's home."""
-        # A replica that has just gone may still be asked about.
-        names = self._pools.get(self._service_of(replica.name)) or [replica.name]
-        home = max(names, key=lambda name: rendezvous.compute_weight(family, name))
-        domain = self.replicas.get(home, replica).failure_domain
-        return self.stores.choose(family, domain)
-
-    def _find_holder(self, replica: replicas.Replica, job: choice.Job) -> str:
-        """Return the address of the replica that holds most of a prompt, if it is another one."""
-        now = time.monotonic()
-        own = self.cache.match(replica.name, job.chain, now).blocks
-        best = ''
-        for other in self.replicas.values():
-            if other.weight_version != replica.weight_version or other.leaving:
-                continue
-            blocks = self.cache.match(other.name, job.chain, now).blocks
-            if blocks > own and now >= other.paused_until:
-                own, best = blocks, other.address
-        return best
-
     def list_states(self) -> list[rollout.State]:
         """Return the weights of all engines."""
         return [
@@ -334,7 +227,7 @@
             return True
         # A request begins when those before it have been read.
         wait = replicas.estimate_backlog(replica, now) * replica.seconds_per_token
-        return known.may_use(version, self._version_bound, now + wait)
+        return known.may_use(version, self.version_bound, now + wait)
 
     def _prefer_new(
         self, usable: dict[str, replicas.Replica], now: float
@@ -362,6 +255,7 @@
         capacity = engine.cache_tokens if engine else 0
         self.cache.set_incarnation(entry.id, f'{entry.id}/0', capacity)
         self.replicas[entry.id] = replica
+        self._pauses[entry.id] = pauses.Pauses()
         self._pools.setdefault(entry.service, []).append(entry.id)
         return replica
 
@@ -380,6 +274,10 @@
         engine = self.find_engine(service)
         return engine.models[0] if engine and engine.models else ''
 
+    def list_siblings(self, name: str) -> list[str]:
+        """Return all replicas of a replica's service; itself alone if it has just gone."""
+        return self._pools.get(self._service_of(name)) or [name]
+
     def _service_of(self, name: str) -> str:
         return next((s for s, names in self._pools.items() if name in names), '')
 
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from passpier.clients import exchanges
+from passpier.core import pauses
 from passpier.daemon import messages
 from passpier.routing import dialect, pools
 
@@ -84,7 +85,7 @@
                 return
             if unanswered >= QUESTIONS:
                 seconds = 2 * ASK_INTERVAL + dialect.ASK_TIMEOUT
-                self._pools.pause(name, pools.Pause.SILENT, seconds, 'gives no answer')
+                self._pools.pause(name, pauses.Pause.SILENT, seconds, 'gives no answer')
                 await asyncio.sleep(ASK_INTERVAL)
         self._pools.silent.discard(name)
 
@@ -101,5 +102,5 @@
         self._heard_at[name] = time.monotonic()
         if name in self._pools.silent:
             self._pools.silent.discard(name)
-            self._pools.resume(name, pools.Pause.SILENT)
+            self._pools.resume(name, pauses.Pause.SILENT)
             log.info('upstream answers again', extra={'upstream': name})
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -9,7 +9,7 @@
 from passpier.config import declarations
 from passpier.core import attempts, choice, prompts, replicas, routes
 from passpier.daemon import calls
-from passpier.routing import dialect, pools
+from passpier.routing import dialect, sources
 
 HOLD_SHARE = 0.5
 """Part of a request's objective for which it may wait here for a replica."""
@@ -82,18 +82,18 @@
     replica: replicas.Replica,
     time_left: float,
     last_event: str,
-    known: pools.Pools,
+    known: sources.Sources,
     wire: dialect.Dialect,
     may_send: Callable[[], bool],
 ) -> exchanges.Request:
     """Return one attempt as an upstream gets it; `time_left` is in seconds."""
     ask = admitted.ask
     salt = ''
-    source = pools.Source()
+    source = sources.Source()
     if ask.prompt is not None:
         # The salt names the weights that the replica has, and the same send asks for just those.
         salt = prompts.render_salt(admitted.account, ask.prompt.model, replica.weight_version)
-        source = known.choose_source(replica, job, ask.prompt, salt)
+        source = known.choose(replica, job, ask.prompt, salt)
     sending = dialect.Sending(
         replica.incarnation,
         replica.weight_version,
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -12,7 +12,7 @@
 
 from passpier import exceptions
 from passpier.clients import exchanges, registry
-from passpier.core import holders, rollout
+from passpier.core import holders, pauses, rollout
 from passpier.daemon import messages, peers
 from passpier.routing import dialect, following, knowledge, pools, roster
 
@@ -221,7 +221,7 @@
             self._roster.tell_interested(messages.Loaded(order.replica, order.version, version))
             if version:
                 self._pools.learn_version(order.replica, version, 'report')
-            self._pools.resume(order.replica, pools.Pause.LOADING, order.version)
+            self._pools.resume(order.replica, pauses.Pause.LOADING, order.version)
             self._due.set()
 
     async def _load(self, order: rollout.Order) -> int:
@@ -293,10 +293,10 @@
         self._pause(message, f'peer {address} has it load weights')
 
     def _pause(self, message: messages.Loading, detail: str) -> None:
-        why = pools.Pause.LOADING
+        why = pauses.Pause.LOADING
         self._pools.pause(message.replica, why, message.seconds, detail, message.ordered)
 
     def _take_loaded(self, sender: str, address: str, message: messages.Loaded) -> None:
         if message.weight_version:
             self._pools.learn_version(message.replica, message.weight_version, 'peer')
-        self._pools.resume(message.replica, pools.Pause.LOADING, message.ordered)
+        self._pools.resume(message.replica, pauses.Pause.LOADING, message.ordered)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -27,6 +27,7 @@
     rollouts,
     roster,
     sharing,
+    sources,
 )
 
 log = logging.getLogger(__name__)
@@ -116,7 +117,7 @@
             lambda: bool(self.rollouts.holder.token),
         )
         self.loads = loads.Loads(self.roster.membership, self.pools, self.peers, LOADS_INTERVAL)
-        self.sharing = sharing.Sharing(self.pools, self.roster, self.peers)
+        self.sharing = sharing.Sharing(sources.Sources(self.pools), self.roster, self.peers)
         self.prober = probing.Prober(self.pools, adapter.engines, self.roster.tell_interested)
         self.peers.handle(messages.Silent, self._take_silent)
         places = dispatcher.Dispatcher(self.pools, self.counters, rng)
@@ -208,6 +209,7 @@
         self.known.freshness.bound = options.key_bound
         self.forwarder.options = options
         self.rollouts.holder.hold = options.order_hold
+        self.pools.version_bound = options.version_bound
         log.info('settings reloaded', extra={'key_bound': options.key_bound})
 
     def is_ready(self) -> bool:
--- a/passpier/routing/sharing.py
+++ b/passpier/routing/sharing.py
@@ -6,7 +6,7 @@
 
 from passpier.core import choice, replicas
 from passpier.daemon import messages, peers
-from passpier.routing import pools, roster
+from passpier.routing import roster, sources
 
 INTERVAL = 0.05
 """Seconds over which prompts are collected into one message."""
@@ -18,8 +18,8 @@
 class Sharing:
     """Exchange of placements between processes."""
 
-    def __init__(self, known: pools.Pools, members: roster.Roster, link: peers.Peers) -> None:
-        self._pools = known
+    def __init__(self, known: sources.Sources, members: roster.Roster, link: peers.Peers) -> None:
+        self.sources = known
         self._roster = members
         self._unsent: list[tuple[str, str, list[int], list[int]]] = []
         self._due = asyncio.Event()
@@ -28,8 +28,7 @@
     def note_placed(self, replica: replicas.Replica, job: choice.Job) -> None:
         """Note that a replica has begun to answer a prompt."""
         version = replica.weight_version
-        self._pools.note_placed(replica.name, version, job.chain, job.ends)
-        self._pools.note_read(replica.name, job.chain[:-1])
+        self.sources.note_read(replica.name, version, job.chain, job.ends, len(job.chain) - 1)
         # The last part is the prompt's own: nobody else can use it.
         shared = (replica.name, version, job.chain[:-1], list(job.ends[:-1]))
         if shared[2]:
@@ -47,5 +46,4 @@
 
     def _take(self, sender: str, address: str, message: messages.Placed) -> None:
         for name, version, chain, ends in message.prompts:
-            self._pools.note_placed(name, version, chain, ends)
-            self._pools.note_read(name, chain)
+            self.sources.note_read(name, version, chain, ends, len(chain))
