--- a/passpier/core/namings.py
+++ b/passpier/core/namings.py
@@ -16,7 +16,7 @@
 
 LATE_GRACE = 2.0
 """Seconds for which a process that learns late, as after its start, uses weights that may have been
-outdated for any time. Its peers tell it in half a second if they know better; without this nobody
+outdated for any time, until a peer knows better: that takes half a second. Without this nobody
 would be served when all processes have started again. Platforms hold a process to their bounds only
 3 s after a disturbance."""
 
@@ -30,6 +30,13 @@
     """Monotonic time in seconds; minus infinity if nothing is known."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Learnt:
+    version: int
+    not_before: float
+    at: float
+
+
 class Namings:
     """The namings of one model."""
 
@@ -37,8 +44,8 @@
         self._known: list[Naming] = []
         """Versions and times ascending."""
 
-        self._learnt: list[tuple[int, float]] = []
-        """The versions that this process has learnt of, with when it did, ascending."""
+        self._learnt: list[_Learnt] = []
+        """What this process has learnt of by itself, ascending."""
 
     @property
     def newest(self) -> int:
@@ -57,7 +64,7 @@
         if self._known:
             not_before = max(not_before, self._known[-1].not_before)
         self._known.append(Naming(version, not_before))
-        self._learnt.append((version, now))
+        self._learnt.append(_Learnt(version, not_before, now))
         return True
 
     def merge(self, told: Sequence[Naming]) -> float:
@@ -84,14 +91,16 @@
         naming = self.get_outdated(version)
         if naming is None:
             return True
-        learnt_at = next(at for named, at in self._learnt if named > version)
-        return now < max(naming.not_before + bound - OLD_WEIGHTS_MARGIN, learnt_at + LATE_GRACE)
+        learnt = next(x for x in self._learnt if x.version > version)
+        # Once others have told of an earlier naming, or of a better time, it is no guess any more.
+        grace = LATE_GRACE if naming.not_before == learnt.not_before else 0.0
+        return now < max(naming.not_before + bound - OLD_WEIGHTS_MARGIN, learnt.at + grace)
 
     def forget(self, before: float) -> None:
         """Drop namings that a newer one, certainly named before that time, makes needless."""
         while len(self._known) > 1 and self._known[1].not_before < before:
             del self._known[0]
-        while len(self._learnt) > 1 and self._learnt[1][1] < before:
+        while len(self._learnt) > 1 and self._learnt[1].at < before:
             del self._learnt[0]
 
     def _join(self, told: Sequence[Naming]) -> list[Naming]:
--- a/passpier/standins/platform/promises.py
+++ b/passpier/standins/platform/promises.py
@@ -14,6 +14,9 @@
 THAW_SECONDS = 0.3
 """Seconds after a pause in which an order may have been on its way since before the pause."""
 
+CONTACT = 3.0
+"""Seconds after its start, or after it stood still, for which a router is not held to bounds."""
+
 EVENTS = 5
 """Events of the stand-ins' streams."""
 
@@ -34,6 +37,9 @@
     echoed: str = ''
     """The request id that the answer named."""
 
+    router: str = ''
+    """The router that was asked."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Thaw:
@@ -72,6 +78,30 @@
     return broken + _check_orders(known, order_gap, thaws)
 
 
+def find_outdated(
+    asked: Iterable[Asked],
+    replicas: Iterable[replica.Replica],
+    named: Mapping[int, float],
+    bound: float,
+    returns: Sequence[Thaw] = (),
+) -> list[str]:
+    """Return each run that began on weights which had been outdated for longer than the bound.
+
+    `named` has the times at which versions were named, `returns` when routers started or went on
+    after they had stood still: for a while after that they are not held to the bound.
+    """
+    routers = {one.id: one.router for one in asked}
+    broken = []
+    for known in replicas:
+        for run in known.runs if known.model else ():
+            newer = min((at for v, at in named.items() if v > run.version), default=run.at)
+            since = [run.at - r.at for r in returns if r.name == routers.get(run.id)]
+            if run.at > newer + bound and not any(0 <= s < CONTACT for s in since):
+                late = run.at - newer
+                broken.append(f'{run.id} began on weights {run.version}, outdated for {late:.2f} s')
+    return broken
+
+
 def _check_request(asked: Asked, runs: int) -> list[str]:
     broken = []
     once = asked.kind in ('once', 'stream')
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -45,6 +45,9 @@
     lie: int = 0
     """Run, then answered with 503 but without the word that it did not run."""
 
+    stick: int = 0
+    """Orders that are taken and have no effect."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
@@ -56,6 +59,7 @@
     version: int
     after: str
     time_left_ms: int
+    at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,6 +120,12 @@
         expected = self.request.headers.get(names.EXPECT_INCARNATION, self.replica.id)
         return expected != self.replica.id
 
+    def hits(self, fault: str) -> bool:
+        left = getattr(self.replica.faults, fault)
+        if left:
+            setattr(self.replica.faults, fault, left - 1)
+        return bool(left)
+
     def reset(self) -> None:
         stream = self.request.connection.stream  # type: ignore[union-attr]
         linger = struct.pack('ii', 1, 0)
@@ -153,10 +163,11 @@
         else:
             replica.taken.append((time.monotonic(), body))
             replica.orders += 1
-            replica.loading = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(replica.load, self._finish_load, body['version'])
             self.set_status(202)
+            if not self.hits('stick'):
+                replica.loading = True
+                loop = asyncio.get_running_loop()
+                loop.call_later(replica.load, self._finish_load, body['version'])
 
     def _finish_load(self, version: int) -> None:
         self.replica.version = version
@@ -177,7 +188,7 @@
             self.set_status(421)
             return
         full = replica.active >= replica.slots or replica.loading
-        if full or self._hits('refuse'):
+        if full or self.hits('refuse'):
             self.set_header(names.NOT_RUN, '1')
             self.set_status(503)
             return
@@ -197,6 +208,7 @@
                 replica.version,
                 headers.get(names.LAST_EVENT, ''),
                 int(headers[names.DEADLINE]),
+                time.monotonic(),
             )
         )
         replica.active += 1
@@ -215,15 +227,15 @@
         self.replica.dropped.append(self.request.headers.get(names.REQUEST_ID, ''))
 
     async def _answer(self, id: str) -> None:
-        if self._hits('lose'):
+        if self.hits('lose'):
             self.reset()
-        if self._hits('lie'):
+        if self.hits('lie'):
             self.set_status(503)
             return
         self.set_header(names.STAMP, f'{self.replica.id}.{id}')
-        if self._hits('swap'):
+        if self.hits('swap'):
             self.set_header(names.REQUEST_ID, 'of-somebody-else')
-        if self._hits('fail'):
+        if self.hits('fail'):
             self.set_status(500)
             self.write('failed')
             return
@@ -237,7 +249,7 @@
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header(names.WEIGHT_VERSION, str(self.replica.version))
         first = int(self.request.headers.get(names.LAST_EVENT) or -1) + 1
-        cut = self._hits('cut')
+        cut = self.hits('cut')
         for number in range(first, self.replica.events):
             if cut and number == first + 1:
                 self.write(f'id: {number}\nda')
@@ -249,12 +261,6 @@
             await asyncio.sleep(EVENT_PAUSE)
         self.replica.finished.append(id)
 
-    def _hits(self, fault: str) -> bool:
-        left = getattr(self.replica.faults, fault)
-        if left:
-            setattr(self.replica.faults, fault, left - 1)
-        return bool(left)
-
 
 def build_application(replica: Replica) -> tornado.web.Application:
     """Return a replica's HTTP interface."""
--- a/passpier/standins/platform/routers.py
+++ b/passpier/standins/platform/routers.py
@@ -16,6 +16,9 @@
 ORDER_GAP = 1.5
 """Seconds between orders of two routers, as the settings say."""
 
+VERSION_BOUND = 8.0
+"""Seconds after which nothing may begin on outdated weights, as the settings say."""
+
 STOP_BOUND = 6.0
 """Seconds after SIGTERM at which the platform kills."""
 
@@ -36,7 +39,7 @@
 grace_s = {grace}
 revoke_ms = {key_ms}
 lease_ms = {lease_ms}
-version_ms = 8000
+version_ms = {version_ms}
 retry_budget_slack = {slack}
 [platform]
 address = "{store}"
@@ -88,6 +91,7 @@
             grace=STOP_BOUND,
             key_ms=int(KEY_BOUND * 1000),
             lease_ms=int(ORDER_GAP * 1000),
+            version_ms=int(VERSION_BOUND * 1000),
             slack=self.slack,
             store=self.store_link.address,
         )
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -72,6 +72,7 @@
         self._routers: list[routers.RouterProcess] = []
         self._stage = troubles.Stage(self._deployment, self._routers, {})
         self._troubles = troubles.Troubles(self._stage, self._rng)
+        self._weights = troubles.WeightTroubles(self._stage, random.Random(seed))
         self._named: dict[int, tuple[float, list[str]]] = {}
         self.report = Report(seed)
 
@@ -98,6 +99,13 @@
             routers.ORDER_GAP,
             self._troubles.thaws,
         )
+        self.report.broken += promises.find_outdated(
+            self.report.asked,
+            self._deployment.replicas.values(),
+            self._stage.named,
+            routers.VERSION_BOUND,
+            self._troubles.thaws + self._troubles.starts,
+        )
         return self.report
 
     async def _start(self) -> None:
@@ -134,7 +142,7 @@
     async def _play(self, seconds: float) -> None:
         ends_at = time.monotonic() + seconds
         asking: set[asyncio.Task[None]] = set()
-        trouble = asyncio.ensure_future(self._troubles.run(ends_at))
+        trouble = asyncio.gather(self._troubles.run(ends_at), self._weights.run(ends_at))
         number = 0
         while time.monotonic() < ends_at:
             task = asyncio.ensure_future(self._ask(f'n{number}'))
@@ -168,7 +176,7 @@
             echoed = reply.headers.get(names.REQUEST_ID) or 'nobody'
         seconds = time.monotonic() - began
         self.report.asked.append(
-            promises.Asked(id, kind, key, began, status, body, seconds, echoed)
+            promises.Asked(id, kind, key, began, status, body, seconds, echoed, router.name)
         )
 
     def _judge_cut(self, router: routers.RouterProcess, id: str, began: float) -> None:
@@ -226,7 +234,7 @@
         return [
             r.id
             for r in self._deployment.replicas.values()
-            if r.model and r.state == 'ready' and r.version < self._troubles.version
+            if r.model and r.state == 'ready' and r.version < self._stage.version
         ]
 
 
--- a/passpier/standins/platform/troubles.py
+++ b/passpier/standins/platform/troubles.py
@@ -17,6 +17,15 @@
 REVOKE_AFTER = 12
 """Troubles after which a change of the configuration takes a key away."""
 
+START_SECONDS = 0.5
+"""Seconds that the code of a router takes to load."""
+
+NAMING_PAUSES = (1.0, 5.0)
+"""Least and most seconds between two namings of weights."""
+
+STUCK_ORDERS = 1000
+"""Orders without effect: more than are given in any play."""
+
 
 @dataclasses.dataclass(slots=True)
 class Stage:
@@ -27,6 +36,20 @@
     links: dict[str, proxy.Proxy]
     """Proxies before replicas, by the replicas' ids."""
 
+    named: dict[int, float] = dataclasses.field(default_factory=dict)
+    """The weights that were named, with the times."""
+
+    @property
+    def version(self) -> int:
+        """The weights named last; replicas begin with 1."""
+        return max(self.named, default=1)
+
+    def name_version(self) -> None:
+        """Name the next weights."""
+        version = self.version + 1
+        self.named[version] = time.monotonic()
+        self.deployment.name_version(version)
+
     async def put_behind_proxy(self, known: replica.Replica) -> None:
         """Record a replica at the address of a proxy of its own."""
         link = self.links[known.id] = proxy.Proxy(known.address)
@@ -45,10 +68,8 @@
         self.broken: list[str] = []
         self.revoked: dict[str, float] = {}
         self.thaws: list[promises.Thaw] = []
+        self.starts: list[promises.Thaw] = []
         self.unplanned_until = 0.0
-        self.version = 1
-        """The weights named last."""
-
         self._stage = stage
         self._rng = rng
         self._spare = 0
@@ -110,7 +131,7 @@
         self._note(f'{router.name} is killed, back after {seconds:.2f} s', seconds + 2.0)
         router.kill()
         await asyncio.sleep(seconds)
-        router.start()
+        self._start(router)
         router.busy = False
 
     async def _stop_router(self) -> None:
@@ -126,9 +147,13 @@
         if router.runs:
             self.broken.append(f'{router.name} did not end within {routers.STOP_BOUND} s')
             router.kill()
-        router.start()
+        self._start(router)
         router.busy = False
 
+    def _start(self, router: routers.RouterProcess) -> None:
+        router.start()
+        self.starts.append(promises.Thaw(router.name, time.monotonic() + START_SECONDS))
+
     async def _reload_router(self) -> None:
         router = self._pick_router()
         if router is None or not router.hears(signal.SIGHUP):
@@ -202,9 +227,8 @@
             faults.down, faults.delay = False, 0.0
 
     async def _name_version(self) -> None:
-        self.version += 1
-        self._note(f'weights {self.version} are named')
-        self._stage.deployment.name_version(self.version)
+        self._stage.name_version()
+        self._note(f'weights {self._stage.version} are named')
 
     async def _change_configuration(self) -> None:
         accounts = self._stage.deployment.configuration['tenants']
@@ -219,5 +243,23 @@
         self._stage.deployment.configure()
 
 
+class WeightTroubles:
+    """Names weights in quick succession while a replica takes orders and stays as it is."""
+
+    def __init__(self, stage: Stage, rng: random.Random) -> None:
+        self._stage = stage
+        self._rng = rng
+
+    async def run(self, ends_at: float) -> None:
+        """Go on until `ends_at`; then the replica loads as it should."""
+        engines = [r for r in self._stage.deployment.replicas.values() if r.model]
+        stuck = self._rng.choice(engines)
+        stuck.faults.stick = STUCK_ORDERS
+        while time.monotonic() < ends_at:
+            self._stage.name_version()
+            await asyncio.sleep(self._rng.uniform(*NAMING_PAUSES))
+        stuck.faults.stick = 0
+
+
 async def _run(trouble: Callable[[], Awaitable[None]]) -> None:
     await trouble()
--- a/passpier/tests/core/namings_tests.py
+++ b/passpier/tests/core/namings_tests.py
@@ -50,6 +50,15 @@
     assert not known.may_use(8, BOUND, 1.0 + BOUND - namings.OLD_WEIGHTS_MARGIN)
 
 
+def test_whoever_is_told_needs_no_grace() -> None:
+    """A process that had just started used weights that its peers knew to be outdated long ago."""
+    known = namings.Namings()
+    known.note(9, UNKNOWN, 0.0)
+    known.merge([namings.Naming(8, -9.0), namings.Naming(9, -4.0)])
+    assert not known.may_use(7, BOUND, 0.3)
+    assert known.may_use(8, BOUND, 0.3)
+
+
 def test_a_newer_naming_gives_no_new_grace() -> None:
     known = namings.Namings()
     known.note(8, UNKNOWN, 0.0)
--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import pathlib
 import signal
 
@@ -69,6 +70,19 @@
     assert not promises.find_broken([asked], [make_replica('a')], {'k': 8.0}, 3.0, 1.0)
 
 
+def test_a_run_on_weights_that_were_outdated_too_long_is_found() -> None:
+    known = make_replica('a')
+    known.model = 'm'
+    known.runs = [dataclasses.replace(known.runs[0], version=7, at=69.3)]
+    named = {7: 40.0, 8: 58.5, 9: 64.0}
+    asked = [dataclasses.replace(make_asked('a', 'resume', 200), router='vm-0')]
+    assert len(promises.find_outdated(asked, [known], named, 10.0)) == 1
+    assert not promises.find_outdated(asked, [known], {7: 40.0, 9: 64.0}, 10.0)
+    for name, at, found in (('vm-0', 67.0, 0), ('vm-0', 60.0, 1), ('vm-1', 67.0, 1)):
+        returns = [promises.Thaw(name, at)]
+        assert len(promises.find_outdated(asked, [known], named, 10.0, returns)) == found
+
+
 def test_two_routers_that_give_orders_at_once_are_found() -> None:
     known = make_replica()
     known.taken = [
