--- a/passpier/daemon/epochs.py
+++ b/passpier/daemon/epochs.py
@@ -147,4 +147,7 @@
         silent_since = self._membership.get_advanced_at(incarnation)
         if silent_since is None:
             silent_since = self._missing_since.setdefault(incarnation, now)
+        else:
+            # Heard again: were it unknown once more, its silence would count from then.
+            self._missing_since.pop(incarnation, None)
         return now - silent_since > shares.GONE_SECONDS
--- a/passpier/tests/core/shares_tests.py
+++ b/passpier/tests/core/shares_tests.py
@@ -204,6 +204,28 @@
     assert shares.FENCE_SECONDS < shares.GONE_SECONDS
 
 
+def test_daemons_that_are_cut_off_together_spend_nothing() -> None:
+    """Two halves of a fleet hear only their own; one of them reaches the store and goes on alone.
+
+    The other half is dropped from the epoch as certainly gone, but its daemons hear each other, and
+    so none of them counts as cut off: more than the limit is in flight.
+    """
+    left, right = DAEMONS[:2], DAEMONS[2:4]
+    books = {name: shares.ShareBook(name) for name in (*left, *right)}
+    for book in books.values():
+        book.install(make_grant(1, [*left, *right]))
+        book.hear(0.0)
+    settle_all(list(books.values()))
+    now = shares.GONE_SECONDS + 1.0
+    for book in books.values():
+        book.hear(now - 1.0)
+    for name in right:
+        books[name].install(make_grant(2, list(right)))
+        books[name].settle(lambda n: None if n in left else shares.Generation(2, 1))
+    taken = sum(book.acquire('acme', now) for book in books.values() for _ in range(LIMIT))
+    assert taken <= LIMIT
+
+
 def test_a_raised_limit_counts_once_all_have_it_and_a_lowered_one_at_once() -> None:
     books = [shares.ShareBook(name) for name in DAEMONS[:2]]
     for book in books:
