--- a/passpier/core/namings.py
+++ b/passpier/core/namings.py
@@ -97,7 +97,7 @@
         return now < max(naming.not_before + bound - OLD_WEIGHTS_MARGIN, learnt.at + grace)
 
     def forget(self, before: float) -> None:
-        """Drop namings that a newer one, certainly named before that time, makes needless."""
+        """Drop each naming whose successor counts from before that time, as it then does itself."""
         while len(self._known) > 1 and self._known[1].not_before < before:
             del self._known[0]
         while len(self._learnt) > 1 and self._learnt[1].at < before:
