--- a/passpier/core/namings.py
+++ b/passpier/core/namings.py
@@ -120,6 +120,7 @@
         before = self.get_outdated(naming.version - 1)
         assert before is not None
         if before.not_before == naming.not_before:
+            # Both may be unknown, and the difference of two infinities is no number.
             return 0.0
         return naming.not_before - before.not_before
 
--- a/passpier/routing/knowledge.py
+++ b/passpier/routing/knowledge.py
@@ -102,20 +102,14 @@
         now: float,
         awaited: Mapping[str, float] | None = None,
     ) -> None:
-        known = self.revision
+        self._take_changed(items, revision, now, awaited)
         keys = {i.key for i in items}
-        for item in items:
-            # Peers may have told more since the reading was asked for: an item of before that is
-            # not known here has been removed meanwhile, and no watch would tell of it again.
-            if item.revision > known:
-                self._take(item, now)
         gone = [k for k in self._revisions if k not in keys]
         for key in gone:
             # Only what was older than the reading can be missing from it.
             if self._revisions[key] <= revision:
                 self._remove(key, revision, now, awaited)
         self._history.begin(revision)
-        self.revision = max(self.revision, revision)
 
     def _take_changed(
         self,
@@ -126,7 +120,8 @@
     ) -> None:
         known = self.revision
         for item in items:
-            # Watch and peers tell the same changes; an old one would bring back what is gone.
+            # Watch, readings and peers tell the same changes in any order; an old one would bring
+            # back what is gone, and nobody would tell again that it is.
             if item.revision <= known:
                 continue
             if not item.removed:
