--- a/passpier/standins/platform/promises.py
+++ b/passpier/standins/platform/promises.py
@@ -43,8 +43,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Thaw:
-    """A router that went on at a time after it had stood still."""
+class Return:
+    """A router that started, or went on after it had stood still, at a time."""
 
     name: str
     at: float
@@ -69,7 +69,7 @@
     revoked: Mapping[str, float],
     key_bound: float,
     order_gap: float,
-    thaws: Sequence[Thaw] = (),
+    thaws: Sequence[Return] = (),
 ) -> list[str]:
     """Return each broken promise in words.
 
@@ -97,7 +97,7 @@
     replicas: Iterable[replica.Replica],
     named: Mapping[int, float],
     bound: float,
-    returns: Sequence[Thaw] = (),
+    returns: Sequence[Return] = (),
     holds: Sequence[Hold] = (),
 ) -> list[str]:
     """Return each run that began on weights which had been outdated for longer than the bound.
@@ -135,7 +135,7 @@
 
 
 def _check_orders(
-    replicas: Sequence[replica.Replica], order_gap: float, thaws: Sequence[Thaw]
+    replicas: Sequence[replica.Replica], order_gap: float, thaws: Sequence[Return]
 ) -> list[str]:
     orders = sorted(
         (at, str(order['holder']), int(str(order['fencing_token'])))
--- a/passpier/standins/platform/troubles.py
+++ b/passpier/standins/platform/troubles.py
@@ -67,8 +67,8 @@
 
         self.broken: list[str] = []
         self.revoked: dict[str, float] = {}
-        self.thaws: list[promises.Thaw] = []
-        self.starts: list[promises.Thaw] = []
+        self.thaws: list[promises.Return] = []
+        self.starts: list[promises.Return] = []
         self.holds: list[promises.Hold] = []
         self.unplanned_until = 0.0
         self._stage = stage
@@ -120,7 +120,7 @@
         router.send(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         router.send(signal.SIGCONT)
-        self.thaws.append(promises.Thaw(router.name, time.monotonic()))
+        self.thaws.append(promises.Return(router.name, time.monotonic()))
         router.busy = False
 
     async def _kill_router(self) -> None:
@@ -153,7 +153,7 @@
 
     def _start(self, router: routers.RouterProcess) -> None:
         router.start()
-        self.starts.append(promises.Thaw(router.name, time.monotonic() + START_SECONDS))
+        self.starts.append(promises.Return(router.name, time.monotonic() + START_SECONDS))
 
     async def _reload_router(self) -> None:
         router = self._pick_router()
--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -80,7 +80,7 @@
     assert len(promises.find_outdated(asked, [known], named, 10.0)) == 1
     assert not promises.find_outdated(asked, [known], {7: 40.0, 9: 64.0}, 10.0)
     for name, at, found in (('vm-0', 67.0, 0), ('vm-0', 60.0, 1), ('vm-1', 67.0, 1)):
-        returns = [promises.Thaw(name, at)]
+        returns = [promises.Return(name, at)]
         assert len(promises.find_outdated(asked, [known], named, 10.0, returns)) == found
     for id, ended, found in (('r', 69.0, 0), ('r', 60.0, 1), ('other', 69.0, 1)):
         holds = [promises.Hold(id, 59.0, ended)]
@@ -94,7 +94,7 @@
         (1.4, {'holder': 'vm-1', 'fencing_token': 4}),
     ]
     assert len(promises.find_broken([], [known], {}, 3.0, 1.0)) == 2
-    thaws = [promises.Thaw('vm-1', 1.3)]
+    thaws = [promises.Return('vm-1', 1.3)]
     assert not promises.find_broken([], [known], {}, 3.0, 1.0, thaws)
 
 
--- /dev/null
+++ b/passpier/tests/routing/fleets.py
@@ -0,0 +1,189 @@
+"""Processes in virtual time that learn of a registry from each other or by themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+from passpier import exceptions
+from passpier.clients import registry
+from passpier.core import catalogue, members, routes
+from passpier.routing import following, knowledge, pools, relaying
+from passpier.tests import fakes, virtual
+
+KEY_BOUND = 5.0
+
+VERSION_BOUND = 10.0
+"""Seconds after newer weights were named within which older ones may be used."""
+
+
+class Records:
+    """Keys and values of a registry that is easy to read."""
+
+    configuration_key = 'configuration'
+    version_prefix = 'weights/'
+    replica_prefix = 'replicas/'
+    own_prefix = 'own/'
+
+    def decode_configuration(self, data: bytes) -> routes.Configuration:
+        return routes.Configuration(int(data))
+
+    def decode_replica(self, id: str, data: bytes) -> catalogue.Entry:
+        versions = {'model': int(data)} if data.isdigit() else {}
+        return catalogue.Entry(id, 'service', 'a:1', 'd0', 8, data == b'draining', versions)
+
+    def decode_named_version(self, data: bytes) -> tuple[str, int]:
+        return 'model', int(data)
+
+
+class Registry:
+    """Keeps all changes; each process has a view of it that can be cut."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, registry.Item] = {}
+        self.changes: list[registry.Item] = []
+        self.revision = 0
+        self.forgotten = 0
+        self.calls = 0
+
+    def put(self, key: str, data: bytes) -> None:
+        self.revision += 1
+        self.items[key] = registry.Item(key, data, self.revision)
+        self.changes.append(self.items[key])
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        del self.items[key]
+        self.changes.append(registry.Item(key, b'', self.revision, removed=True))
+
+
+class View:
+    """One process's calls."""
+
+    def __init__(self, source: Registry, rng: random.Random) -> None:
+        self.source = source
+        self.rng = rng
+        self.cut = False
+
+    async def read(self, prefix: str) -> registry.Reading:
+        sent_at = time.monotonic()
+        await self._pass()
+        items = tuple(self.source.items.values())
+        revision = self.source.revision
+        await self._pass()
+        return registry.Reading(items, revision, sent_at)
+
+    async def watch(self, prefix: str, after: int, wait: float) -> registry.Changes:
+        sent_at = time.monotonic()
+        await self._pass()
+        ends_at = time.monotonic() + wait
+        while time.monotonic() < ends_at and self.source.revision <= after:
+            await asyncio.sleep(0.01)
+        if after < self.source.forgotten:
+            raise registry.HistoryGoneError('forgotten')
+        items = tuple(c for c in self.source.changes if c.revision > after)
+        revision = self.source.revision
+        await self._pass()
+        return registry.Changes(items, revision, sent_at, time.monotonic())
+
+    async def _pass(self) -> None:
+        self.source.calls += 1
+        await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+        if self.cut:
+            raise exceptions.StoreError('cut off')
+
+
+@dataclasses.dataclass
+class Process:
+    """One process: what it knows and how it learns."""
+
+    known: knowledge.Knowledge
+    membership: members.Membership
+    relay: relaying.Relay
+    view: View
+    disturbed_at: float
+    """When it started or thawed; it is bound by time only a while after that."""
+
+    def list_used(self) -> set[str]:
+        return {r.name for r in self.known.pools.list_serving('service')}
+
+
+class Fleet:
+    """Processes in virtual time; membership is given, knowledge is not."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.registry = Registry()
+        self.registry.put('configuration', b'1')
+        self.network = fakes.Network(self.rng)
+        fleet = [
+            members.Member(f'vm-{n}', f'i{n:03}', '10.0.0.1', n, 1000 + n, f'd{n % 4}')
+            for n in range(size)
+        ]
+        self.fleet = fleet
+        self.processes = [self.make(m, fleet) for m in fleet]
+        self.tasks: dict[str, list[asyncio.Task[None]]] = {}
+
+    def make(self, own: members.Member, fleet: list[members.Member]) -> Process:
+        known = knowledge.Knowledge(Records(), pools.Pools(VERSION_BOUND), KEY_BOUND)
+        membership = members.Membership(own, 1e6, time.monotonic())
+        for member in fleet:
+            membership.add(member, time.monotonic())
+        link = self.network.connect(own)
+        relay = relaying.Relay(known, membership, link, self.rng)  # type: ignore[arg-type]
+        view = View(self.registry, self.rng)
+        return Process(known, membership, relay, view, time.monotonic())
+
+    def start(self) -> None:
+        for process in self.processes:
+            self.run(process)
+
+    def run(self, process: Process) -> None:
+        follower = following.Follower(process.view, process.known, process.relay, self.rng)  # type: ignore[arg-type]
+        self.tasks[process.membership.own.name] = [
+            asyncio.ensure_future(process.relay.run()),
+            asyncio.ensure_future(follower.run()),
+        ]
+
+    def freeze(self, number: int) -> None:
+        """Let one process stand still until `thaw`; what others send it is lost."""
+        own = self.processes[number].membership.own
+        for task in self.tasks[own.name]:
+            task.cancel()
+        self.network.cut.add(own.peer)
+
+    def thaw(self, number: int) -> None:
+        """Let a process go on with what it knew."""
+        process = self.processes[number]
+        self.network.cut.discard(process.membership.own.peer)
+        process.disturbed_at = time.monotonic()
+        self.run(process)
+
+    def restart(self, number: int) -> None:
+        """End one process and start it again, knowing nothing."""
+        own = self.processes[number].membership.own
+        for task in self.tasks[own.name]:
+            task.cancel()
+        self.processes[number] = self.make(own, self.fleet)
+        self.run(self.processes[number])
+
+    async def stop(self) -> None:
+        tasks = [t for group in self.tasks.values() for t in group]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def play(size: int, seed: int, check: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def run() -> None:
+        fleet = Fleet(size, seed)
+        fleet.start()
+        try:
+            await check(fleet)
+        finally:
+            await fleet.stop()
+
+    virtual.run(run())
--- a/passpier/tests/routing/knowledge_tests.py
+++ b/passpier/tests/routing/knowledge_tests.py
@@ -6,7 +6,7 @@
 
 from passpier.clients import registry
 from passpier.routing import history, knowledge, pools
-from passpier.tests.routing import relaying_tests
+from passpier.tests.routing import fleets
 
 NOW = 100.0
 CONFIGURATION = registry.Item('configuration', b'1', 10)
@@ -17,7 +17,7 @@
 
 
 def make_knowledge() -> knowledge.Knowledge:
-    return knowledge.Knowledge(relaying_tests.Records(), pools.Pools(10.0), 5.0)
+    return knowledge.Knowledge(fleets.Records(), pools.Pools(10.0), 5.0)
 
 
 def tell(known: knowledge.Knowledge, revision: int, *items: registry.Item) -> None:
--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -7,207 +7,21 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import functools
 import random
 import time
 
 import pytest
 
-from passpier import exceptions
 from passpier.clients import registry
-from passpier.core import catalogue, members, namings, routes
-from passpier.routing import following, history, knowledge, pools, relaying
-from passpier.tests import fakes, virtual
-
-KEY_BOUND = 5.0
+from passpier.core import catalogue
+from passpier.routing import history, knowledge, relaying
+from passpier.tests.routing import fleets
 
-VERSION_BOUND = 10.0
-"""Seconds after newer weights were named within which older ones may be used."""
-
-PROOF_AGE = 1.0
-"""Seconds that the youngest proof of some process is old at most while readers are sound."""
-
-CONTACT = 3.0
-"""Seconds without disturbance after which a process is bound by that."""
-
-
-class Records:
-    """Keys and values of a registry that is easy to read."""
-
-    configuration_key = 'configuration'
-    version_prefix = 'weights/'
-    replica_prefix = 'replicas/'
-    own_prefix = 'own/'
-
-    def decode_configuration(self, data: bytes) -> routes.Configuration:
-        return routes.Configuration(int(data))
-
-    def decode_replica(self, id: str, data: bytes) -> catalogue.Entry:
-        versions = {'model': int(data)} if data.isdigit() else {}
-        return catalogue.Entry(id, 'service', 'a:1', 'd0', 8, data == b'draining', versions)
-
-    def decode_named_version(self, data: bytes) -> tuple[str, int]:
-        return 'model', int(data)
-
-
-class Registry:
-    """Keeps all changes; each process has a view of it that can be cut."""
-
-    def __init__(self) -> None:
-        self.items: dict[str, registry.Item] = {}
-        self.changes: list[registry.Item] = []
-        self.revision = 0
-        self.forgotten = 0
-        self.calls = 0
-
-    def put(self, key: str, data: bytes) -> None:
-        self.revision += 1
-        self.items[key] = registry.Item(key, data, self.revision)
-        self.changes.append(self.items[key])
-
-    def remove(self, key: str) -> None:
-        self.revision += 1
-        del self.items[key]
-        self.changes.append(registry.Item(key, b'', self.revision, removed=True))
-
-
-class View:
-    """One process's calls."""
-
-    def __init__(self, source: Registry, rng: random.Random) -> None:
-        self.source = source
-        self.rng = rng
-        self.cut = False
-
-    async def read(self, prefix: str) -> registry.Reading:
-        sent_at = time.monotonic()
-        await self._pass()
-        items = tuple(self.source.items.values())
-        revision = self.source.revision
-        await self._pass()
-        return registry.Reading(items, revision, sent_at)
-
-    async def watch(self, prefix: str, after: int, wait: float) -> registry.Changes:
-        sent_at = time.monotonic()
-        await self._pass()
-        ends_at = time.monotonic() + wait
-        while time.monotonic() < ends_at and self.source.revision <= after:
-            await asyncio.sleep(0.01)
-        if after < self.source.forgotten:
-            raise registry.HistoryGoneError('forgotten')
-        items = tuple(c for c in self.source.changes if c.revision > after)
-        revision = self.source.revision
-        await self._pass()
-        return registry.Changes(items, revision, sent_at, time.monotonic())
-
-    async def _pass(self) -> None:
-        self.source.calls += 1
-        await asyncio.sleep(self.rng.uniform(0.001, 0.01))
-        if self.cut:
-            raise exceptions.StoreError('cut off')
-
-
-@dataclasses.dataclass
-class Process:
-    """One process: what it knows and how it learns."""
-
-    known: knowledge.Knowledge
-    membership: members.Membership
-    relay: relaying.Relay
-    view: View
-    disturbed_at: float
-    """When it started or thawed; it is bound by time only a while after that."""
-
-    def list_used(self) -> set[str]:
-        return {r.name for r in self.known.pools.list_serving('service')}
-
-
-class Fleet:
-    """Processes in virtual time; membership is given, knowledge is not."""
-
-    def __init__(self, size: int, seed: int) -> None:
-        self.rng = random.Random(seed)
-        self.registry = Registry()
-        self.registry.put('configuration', b'1')
-        self.network = fakes.Network(self.rng)
-        fleet = [
-            members.Member(f'vm-{n}', f'i{n:03}', '10.0.0.1', n, 1000 + n, f'd{n % 4}')
-            for n in range(size)
-        ]
-        self.fleet = fleet
-        self.processes = [self.make(m, fleet) for m in fleet]
-        self.tasks: dict[str, list[asyncio.Task[None]]] = {}
-
-    def make(self, own: members.Member, fleet: list[members.Member]) -> Process:
-        known = knowledge.Knowledge(Records(), pools.Pools(VERSION_BOUND), KEY_BOUND)
-        membership = members.Membership(own, 1e6, time.monotonic())
-        for member in fleet:
-            membership.add(member, time.monotonic())
-        link = self.network.connect(own)
-        relay = relaying.Relay(known, membership, link, self.rng)  # type: ignore[arg-type]
-        view = View(self.registry, self.rng)
-        return Process(known, membership, relay, view, time.monotonic())
-
-    def start(self) -> None:
-        for process in self.processes:
-            self.run(process)
-
-    def run(self, process: Process) -> None:
-        follower = following.Follower(process.view, process.known, process.relay, self.rng)  # type: ignore[arg-type]
-        self.tasks[process.membership.own.name] = [
-            asyncio.ensure_future(process.relay.run()),
-            asyncio.ensure_future(follower.run()),
-        ]
-
-    def freeze(self, number: int) -> None:
-        """Let one process stand still until `thaw`; what others send it is lost."""
-        own = self.processes[number].membership.own
-        for task in self.tasks[own.name]:
-            task.cancel()
-        self.network.cut.add(own.peer)
-
-    def thaw(self, number: int) -> None:
-        """Let a process go on with what it knew."""
-        process = self.processes[number]
-        self.network.cut.discard(process.membership.own.peer)
-        process.disturbed_at = time.monotonic()
-        self.run(process)
-
-    def restart(self, number: int) -> None:
-        """End one process and start it again, knowing nothing."""
-        own = self.processes[number].membership.own
-        for task in self.tasks[own.name]:
-            task.cancel()
-        self.processes[number] = self.make(own, self.fleet)
-        self.run(self.processes[number])
-
-    async def stop(self) -> None:
-        tasks = [t for group in self.tasks.values() for t in group]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
-@pytest.fixture(autouse=True)
-def _virtual_clock(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(time, 'monotonic', lambda: asyncio.get_running_loop().time())
-
-
-def play(size: int, seed: int, check: object) -> None:
-    async def run() -> None:
-        fleet = Fleet(size, seed)
-        fleet.start()
-        try:
-            await check(fleet)  # type: ignore[operator]
-        finally:
-            await fleet.stop()
-
-    virtual.run(run())
+pytestmark = pytest.mark.usefixtures('virtual_clock')
 
 
 def test_a_change_reaches_everybody_while_few_read() -> None:
-    async def check(fleet: Fleet) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
         await asyncio.sleep(5.0)
         calls = fleet.registry.calls
         for number in range(2, 12):
@@ -218,11 +32,11 @@
         assert (fleet.registry.calls - calls) / 2 <= 10 * 3 * 4
         assert all(p.known.freshness.is_fresh(time.monotonic()) for p in fleet.processes)
 
-    play(69, 1, check)
+    fleets.play(69, 1, check)
 
 
 def test_everybody_keeps_up_when_all_readers_are_cut_off() -> None:
-    async def check(fleet: Fleet) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
         await asyncio.sleep(5.0)
         for process in fleet.processes:
             process.view.cut = process.relay.is_reader(time.monotonic())
@@ -233,12 +47,12 @@
             assert all(p.known.freshness.is_fresh(time.monotonic()) for p in fleet.processes)
         assert all(p.known.table.configuration.version == 2 for p in fleet.processes)  # type: ignore[union-attr]
 
-    play(40, 2, check)
+    fleets.play(40, 2, check)
 
 
 @pytest.mark.parametrize('cut', [1, 2, 3])
 def test_a_leaving_replica_is_known_in_time_whichever_readers_are_cut_off(cut: int) -> None:
-    async def check(fleet: Fleet) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
         fleet.registry.put('replicas/r1', b'ready')
         await asyncio.sleep(5.0)
         found = [p for p in fleet.processes if p.relay.is_reader(time.monotonic())]
@@ -251,11 +65,11 @@
                 assert process.known.pools.replicas['r1'].leaving
 
     for seed in range(12):
-        play(12, seed, check)
+        fleets.play(12, seed, check)
 
 
 def test_a_process_that_starts_without_the_registry_learns_all_from_peers() -> None:
-    async def check(fleet: Fleet) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
         fleet.processes[0].view.cut = True
         fleet.registry.put('replicas/r1', b'ready')
         await asyncio.sleep(3.0)
@@ -264,15 +78,15 @@
         assert late.freshness.is_fresh(time.monotonic())
         assert 'r1' in late.pools.replicas
 
-    play(8, 3, check)
+    fleets.play(8, 3, check)
 
 
 def test_nobody_is_fresh_when_nobody_reads() -> None:
-    async def check(fleet: Fleet) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
         await asyncio.sleep(5.0)
         for process in fleet.processes:
             process.view.cut = True
-        await asyncio.sleep(KEY_BOUND)
+        await asyncio.sleep(fleets.KEY_BOUND)
         assert not any(p.known.freshness.is_fresh(time.monotonic()) for p in fleet.processes)
         calls = fleet.registry.calls
         await asyncio.sleep(10.0)
@@ -283,11 +97,11 @@
         await asyncio.sleep(2.0)
         assert all(p.known.freshness.is_fresh(time.monotonic()) for p in fleet.processes)
 
-    play(69, 4, check)
+    fleets.play(69, 4, check)
 
 
 def test_one_process_cut_off_keeps_no_gone_replica_alive_elsewhere() -> None:
-    async def check(fleet: Fleet) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
         fleet.registry.put('replicas/r1', b'ready')
         await asyncio.sleep(5.0)
         cut = next(p for p in fleet.processes if p.relay.is_reader(time.monotonic()))
@@ -297,11 +111,11 @@
         await asyncio.sleep(1.5)
         assert not any('r1' in p.known.pools.replicas for p in fleet.processes)
 
-    play(12, 7, check)
+    fleets.play(12, 7, check)
 
 
 def test_a_removal_told_in_a_disturbance_is_not_taken_for_an_end() -> None:
-    async def check(fleet: Fleet) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
         fleet.registry.put('replicas/r1', b'ready')
         await asyncio.sleep(3.0)
         for process in fleet.processes:
@@ -317,14 +131,14 @@
         assert not any('r1' in p.known.pools.replicas for p in fleet.processes)
 
     for seed in range(12):
-        play(12, seed, check)
+        fleets.play(12, seed, check)
 
 
 @pytest.mark.parametrize('seed', range(12))
 def test_nobody_steps_back_or_claims_too_young_a_proof(seed: int) -> None:
     """The oracle is the registry's own list of changes with their times."""
 
-    async def check(fleet: Fleet) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
         rng = random.Random(seed)
         fleet.network.loss = 0.1
         made_at = {1: time.monotonic()}
@@ -351,10 +165,10 @@
         for process in fleet.processes:
             assert {i.key for i in process.known.export_since(-1).items} == wanted
 
-    play(10, seed, check)
+    fleets.play(10, seed, check)
 
 
-def trouble(fleet: Fleet, rng: random.Random, step: int) -> None:
+def trouble(fleet: fleets.Fleet, rng: random.Random, step: int) -> None:
     """Make changes, cut off processes from the registry or each other, forget history."""
     source = fleet.registry
     if rng.random() < 0.2:
@@ -401,7 +215,7 @@
 
 
 def test_a_proof_by_who_knows_more_is_worth_nothing_without_the_news() -> None:
-    async def check(fleet: Fleet) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
         await asyncio.sleep(3.0)
         known = fleet.processes[0].known
         proved_at = known.freshness.proved_at
@@ -410,167 +224,4 @@
         assert not known.take_news(told, 0.0)
         assert known.freshness.proved_at == proved_at
 
-    play(4, 6, check)
-
-
-class Weights:
-    """Names versions, and tells which replicas are outdated; all stay at the weights they have."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet = fleet
-        self.named_at: dict[int, float] = {}
-
-    def name(self, version: int) -> None:
-        self.fleet.registry.put('weights/model', str(version).encode())
-        self.named_at[version] = time.monotonic()
-
-    def put(self, version: int) -> None:
-        self.fleet.registry.put(f'replicas/r{version}', str(version).encode())
-
-    async def watch(self, seconds: float) -> None:
-        """Check for so long that no process uses a replica whose weights are outdated."""
-        ends_at = time.monotonic() + seconds
-        while time.monotonic() < ends_at:
-            await asyncio.sleep(0.2)
-            self.check()
-
-    def check(self) -> None:
-        now = time.monotonic()
-        outdated = {f'r{v}' for v in range(1, max(self.named_at)) if self.is_outdated(v, now)}
-        for process in self.fleet.processes:
-            frozen = process.membership.own.peer in self.fleet.network.cut
-            if frozen or process.known.table is None:
-                continue
-            if now - process.disturbed_at >= CONTACT:
-                assert not outdated & process.list_used(), (now, process.disturbed_at)
-
-    def is_outdated(self, version: int, now: float) -> bool:
-        newer = min(at for v, at in self.named_at.items() if v > version)
-        return now - newer > VERSION_BOUND
-
-
-def test_processes_that_start_use_no_outdated_weights() -> None:
-    """Whoever starts reads only the newest naming, and not how long ago any of them was.
-
-    Its peers tell it, if one of them has seen them; otherwise it must not count on its luck.
-    """
-
-    async def check(fleet: Fleet, restarted: int) -> None:
-        weights = Weights(fleet)
-        for version in range(1, 5):
-            weights.put(version)
-        await asyncio.sleep(1.0)
-        weights.name(2)
-        await weights.watch(5.5)
-        weights.name(3)
-        await weights.watch(2.5)
-        for number in range(restarted):
-            fleet.restart(number)
-        await weights.watch(4.0)
-        weights.name(4)
-        await weights.watch(20.0)
-
-    for restarted in (1, 4, 8):
-        for seed in range(4):
-            play(8, seed, functools.partial(check, restarted=restarted))
-
-
-@pytest.mark.parametrize('still', [5.0, 8.0])
-def test_who_stood_still_at_a_naming_does_not_date_it(still: float) -> None:
-    """It learnt of the naming when it went on, and took that for the time of it.
-
-    All others had just started, so that it was the only one that seemed to know.
-    """
-
-    async def check(fleet: Fleet) -> None:
-        weights = Weights(fleet)
-        weights.name(1)
-        weights.put(1)
-        await asyncio.sleep(3.0)
-        fleet.freeze(0)
-        await asyncio.sleep(0.5)
-        weights.name(2)
-        await asyncio.sleep(still)
-        for number in range(1, len(fleet.processes)):
-            fleet.restart(number)
-        fleet.thaw(0)
-        await weights.watch(14.0)
-
-    for seed in range(4):
-        play(8, seed, check)
-
-
-def test_who_starts_among_others_uses_old_weights_as_long_as_they_do() -> None:
-    async def check(fleet: Fleet) -> None:
-        weights = Weights(fleet)
-        weights.name(1)
-        weights.put(1)
-        await asyncio.sleep(3.0)
-        weights.name(2)
-        await asyncio.sleep(3.0)
-        fleet.restart(0)
-        await asyncio.sleep(VERSION_BOUND - 3.0 - namings.OLD_WEIGHTS_MARGIN - PROOF_AGE)
-        assert all('r1' in p.list_used() for p in fleet.processes)
-        await asyncio.sleep(PROOF_AGE)
-        assert not any('r1' in p.list_used() for p in fleet.processes)
-
-    for seed in range(4):
-        play(8, seed, check)
-
-
-def test_slow_messages_hardly_move_a_naming_into_the_past() -> None:
-    """What is told to and fro must not drift, or old weights would be given up too early."""
-
-    async def check(fleet: Fleet) -> None:
-        weights = Weights(fleet)
-        weights.name(1)
-        await asyncio.sleep(3.0)
-        fleet.network.delay = (0.1, 0.4)
-        weights.name(2)
-        await asyncio.sleep(VERSION_BOUND)
-        for process in fleet.processes:
-            outdated = process.known.pools.namings['model'].get_outdated(1)
-            assert outdated is not None
-            assert 0.0 <= weights.named_at[2] - outdated.not_before <= PROOF_AGE
-
-    play(8, 1, check)
-
-
-def test_nobody_uses_outdated_weights_whatever_is_cut_off_or_named() -> None:
-    """Namings come quickly; processes are told by others, miss some, and start again."""
-
-    async def check(fleet: Fleet) -> None:
-        rng = random.Random(fleet.rng.random())
-        weights = Weights(fleet)
-        weights.name(1)
-        version = 1
-        weights.put(1)
-        await asyncio.sleep(3.0)
-        for _ in range(30):
-            version += rng.randint(1, 2)
-            weights.name(version)
-            weights.put(version - rng.randint(0, 2))
-            trouble_of_processes(fleet, rng)
-            await weights.watch(rng.uniform(0.1, 6.0))
-
-    for seed in range(8):
-        play(8, seed, check)
-
-
-def trouble_of_processes(fleet: Fleet, rng: random.Random) -> None:
-    """Restart or freeze processes, forget the registry's history, cut one off from it."""
-    for number, process in enumerate(fleet.processes):
-        process.view.cut = False
-        if process.membership.own.peer in fleet.network.cut:
-            fleet.thaw(number)
-    draw = rng.random()
-    if draw < 0.15:
-        fleet.freeze(rng.randrange(len(fleet.processes)))
-    if draw < 0.3:
-        for number in rng.sample(range(len(fleet.processes)), rng.choice([1, 1, 7])):
-            if fleet.processes[number].membership.own.peer not in fleet.network.cut:
-                fleet.restart(number)
-    elif draw < 0.5:
-        fleet.registry.forgotten = fleet.registry.revision
-    elif draw < 0.8:
-        rng.choice(fleet.processes).view.cut = True
+    fleets.play(4, 6, check)
--- a/passpier/tests/routing/rollouts_tests.py
+++ b/passpier/tests/routing/rollouts_tests.py
@@ -14,7 +14,9 @@
 from passpier.daemon import messages, peers
 from passpier.routing import dialect, following, knowledge, pools, rollouts, roster
 from passpier.tests import fakes, virtual
-from passpier.tests.routing import relaying_tests
+from passpier.tests.routing import fleets
+
+pytestmark = pytest.mark.usefixtures('virtual_clock')
 
 MODEL = 'model'
 LOAD_SECONDS = 0.8
@@ -55,18 +57,13 @@
         return dialect.OrderResult.TAKEN
 
 
-@pytest.fixture(autouse=True)
-def _virtual_clock(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(time, 'monotonic', lambda: asyncio.get_running_loop().time())
-
-
 class Fleet:
     """One process that may give orders, and replicas with version 1."""
 
     def __init__(self, *names: str) -> None:
         self.engines = Engines()
         self.roster = Roster()
-        known = knowledge.Knowledge(relaying_tests.Records(), pools.Pools(10.0), 5.0)
+        known = knowledge.Knowledge(fleets.Records(), pools.Pools(10.0), 5.0)
         self.pools = known.pools
         link = fakes.Network(random.Random(1)).connect(
             members.Member('vm-0', 'i0', '10.0.0.1', 1, 2, 'd0')
