Up to 64 routers tell each other of loads and prompts

Cause: above 24 routers that take requests nobody was told anything, as after a loss of VMs, when clients go to those that stand by. Change: 64, with intervals that grow with their number.

--- a/passpier/daemon/loads.py
+++ b/passpier/daemon/loads.py
@@ -22,8 +22,10 @@
 STANDBY_INTERVAL = 0.5
 """Seconds between looks at loads of a daemon that takes no requests."""
 
-MAX_PEERS = 24
-"""Daemons that take requests beyond which loads are not told."""
+MAX_PEERS = 64
+"""Daemons that take requests beyond which loads are not told. In the fleet model (59 replicas 60 in
+100 busy, two seeds) 16 in 100 long prompts come late with 30 routers that tell nothing, 5 if they
+do; with 60 routers 21 and 9."""
 
 
 class Known(Protocol):
--- a/passpier/routing/sharing.py
+++ b/passpier/routing/sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from passpier.core import choice, replicas
 from passpier.daemon import messages, peers
@@ -11,8 +12,16 @@
 INTERVAL = 0.05
 """Seconds over which prompts are collected into one message."""
 
-MAX_PEERS = 24
-"""Processes carrying requests beyond which prompts are not told: each is told of what all do."""
+USUAL_PEERS = 24
+"""Processes carrying requests up to which that holds; it grows with more, so that one process does
+not send more messages."""
+
+MAX_PEERS = 64
+"""Processes carrying requests beyond which prompts are not told: each is told of what all do.
+
+In the fleet model (59 replicas a third busy, two seeds) 30 routers that tell each other come late
+with 1.0 in 100 long prompts and find 36 in 100 tokens cached, with 2.9 and 34 if they don't.
+"""
 
 
 class Sharing:
@@ -39,7 +48,8 @@
         """Tell others until cancelled."""
         while True:
             await self._due.wait()
-            await asyncio.sleep(INTERVAL)
+            others = len(self._roster.membership.list_interested(time.monotonic()))
+            await asyncio.sleep(INTERVAL * max(1.0, others / USUAL_PEERS))
             self._due.clear()
             prompts, self._unsent = self._unsent, []
             self._roster.tell_interested(messages.Placed(prompts), MAX_PEERS)
