A ready router accepts: a long backlog, and resting clients give way

Cause: 128 connections could wait while the event loop was busy; of 600 clients at once the others were dropped and came again after a second (test fails on the code of before). Without descriptors left nothing could be accepted at all. Change: 1,024 may wait; clients hold half of the descriptors at most, who rests longest goes first.

--- /dev/null
+++ b/passpier/routing/clients.py
@@ -0,0 +1,53 @@
+"""The open connections of clients: how many there may be, and which goes if there are too many."""
+
+from __future__ import annotations
+
+import logging
+
+import tornado.iostream
+
+log = logging.getLogger(__name__)
+
+
+class Clients:
+    """Keeps the number of clients' connections below a bound, so that new ones can be accepted.
+
+    Without descriptors left nothing can be accepted any more, nor any upstream be reached. The
+    connection that has rested longest is closed first: its client opens another one, and has no
+    request under way.
+    """
+
+    def __init__(self, most: int = 1000) -> None:
+        self.most = most
+        self._open: set[tornado.iostream.IOStream] = set()
+        self._resting: dict[tornado.iostream.IOStream, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def note_rest(self, stream: tornado.iostream.IOStream) -> None:
+        """Note a connection that waits for its first or next request."""
+        if stream not in self._open:
+            self._open.add(stream)
+            self._make_room()
+        self._resting.pop(stream, None)
+        self._resting[stream] = None
+
+    def note_request(self, stream: tornado.iostream.IOStream) -> None:
+        """Note that a request has begun on a connection."""
+        self._resting.pop(stream, None)
+
+    def _make_room(self) -> None:
+        if len(self._open) <= self.most:
+            return
+        self._open = {s for s in self._open if not s.closed()}
+        self._resting = {s: None for s in self._resting if not s.closed()}
+        closed = 0
+        while len(self._open) > self.most and self._resting:
+            oldest = next(iter(self._resting))
+            del self._resting[oldest]
+            self._open.discard(oldest)
+            oldest.close()
+            closed += 1
+        if closed:
+            log.warning('resting clients closed', extra={'closed': closed, 'open': len(self._open)})
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -15,7 +15,7 @@
 
 from passpier.core import rates
 from passpier.daemon import metrics
-from passpier.routing import answering, dialect, forwarding, knowledge, requests
+from passpier.routing import answering, clients, dialect, forwarding, knowledge, requests
 
 log = logging.getLogger(__name__)
 
@@ -115,6 +115,7 @@
         """Whether a planned stop has come so far that new requests might not end in time."""
 
         self.last_request_at = time.monotonic()
+        self.clients = clients.Clients()
 
     def start_request(
         self,
@@ -123,6 +124,7 @@
     ) -> tornado.httputil.HTTPMessageDelegate:
         """Begin to read a request."""
         assert isinstance(request_conn, tornado.http1connection.HTTP1Connection)
+        self.clients.note_rest(request_conn.stream)
         return _Incoming(self, request_conn)
 
     def build_server(self) -> tornado.httpserver.HTTPServer:
@@ -157,6 +159,7 @@
     ) -> None:
         """Take the head."""
         self._arrived_at = time.monotonic()
+        self._owner.clients.note_request(self._connection.stream)
         assert isinstance(start_line, tornado.httputil.RequestStartLine)
         try:
             self._ask = self._owner.wire.read_request(start_line, headers)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+import resource
 import time
 
 import tornado.httpserver
@@ -52,6 +53,14 @@
 LOADS_INTERVAL = 0.1
 """Seconds between two messages of loads to a peer: bytes between failure domains are priced."""
 
+BACKLOG = 1024
+"""Connections that may wait to be accepted while the event loop is busy. Others are dropped and
+tried again after a second: after a loss of power hundreds of clients come at once."""
+
+FILES_KEPT = 0.5
+"""Part of the descriptors that clients' connections may take; the rest is for upstreams, peers and
+the registry."""
+
 UPKEEP_INTERVAL = 1.0
 """Seconds between rounds that close connections which have rested long enough."""
 
@@ -142,6 +151,8 @@
         self._started_at = time.monotonic()
         self._stopping = asyncio.Event()
         self.ingress.is_closing = self._is_closing
+        files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.ingress.clients.most = int(files * FILES_KEPT)
         self._client_server = self.ingress.build_server()
 
     async def run(self) -> None:
@@ -304,7 +315,7 @@
 
 def _listen_on(server: tornado.httpserver.HTTPServer, address: str) -> None:
     host, _, port = address.rpartition(':')
-    sockets = tornado.netutil.bind_sockets(int(port), host)
+    sockets = tornado.netutil.bind_sockets(int(port), host, backlog=BACKLOG)
     for listening in sockets:
         # A client that has fallen silent must not keep a replica at work on a stream for it.
         connections.guard(listening)
--- /dev/null
+++ b/passpier/tests/platform/accepting_tests.py
@@ -0,0 +1,75 @@
+"""A router that is ready takes new connections, however many come or stay."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+from passpier.standins.platform import deployment
+from passpier.tests.platform import leaving_tests
+
+CROWD = 600
+"""Clients that connect while the event loop is busy: as after a loss of power of a domain."""
+
+RESTING = 40
+"""Connections that may stay open in the test of a full table."""
+
+
+def test_a_crowd_that_comes_while_the_loop_is_busy_is_not_turned_away() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        host, _, port = running.routers[0].options.caller.rpartition(':')
+        with contextlib.ExitStack() as stack:
+            # The router shares this thread: it accepts nobody until all have connected.
+            for _ in range(CROWD):
+                client = stack.enter_context(socket.socket())
+                client.settimeout(0.5)
+                client.connect((host, int(port)))
+            reply = await running.ask('/safe/x')
+            assert reply.status == 200
+
+    leaving_tests.play(check)
+
+
+def test_resting_clients_give_way_to_new_ones() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        clients = running.routers[0].ingress.clients
+        clients.most = RESTING
+        leaving_tests.set_work(running, 1.0)
+        at_work = leaving_tests.connect(running)
+        at_work.setblocking(False)
+        at_work.sendall(leaving_tests.render('/safe/x', 'one'))
+        await leaving_tests.wait_for(lambda: bool(running.list_runs('one')))
+        with contextlib.ExitStack() as stack:
+            resting = [
+                stack.enter_context(leaving_tests.connect(running)) for _ in range(2 * RESTING)
+            ]
+            await leaving_tests.wait_for(lambda: len(clients) == RESTING)
+            # The first to rest is the first to go; who has a request under way stays.
+            resting[0].settimeout(1.0)
+            assert await asyncio.to_thread(resting[0].recv, 1) == b''
+            loop = asyncio.get_running_loop()
+            assert b'200 OK' in await loop.sock_recv(at_work, 1000)
+            assert (await running.ask('/open/x', key=None)).status == 200
+
+    leaving_tests.play(check)
+
+
+def test_connections_that_have_ended_take_no_place() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        clients = running.routers[0].ingress.clients
+        clients.most = RESTING
+        for _ in range(4 * RESTING):
+            client = leaving_tests.connect(running)
+            await asyncio.sleep(0.002)
+            client.close()
+        kept = leaving_tests.connect(running)
+        kept.setblocking(False)
+        await asyncio.sleep(0.05)
+        for _ in range(RESTING // 2):
+            leaving_tests.connect(running).close()
+        await asyncio.sleep(0.05)
+        kept.sendall(leaving_tests.render('/open/x', 'one'))
+        assert b'200 OK' in await asyncio.get_running_loop().sock_recv(kept, 1000)
+
+    leaving_tests.play(check)
