--- a/passpier/tests/standins/fleet_tests.py
+++ b/passpier/tests/standins/fleet_tests.py
@@ -18,7 +18,7 @@
 import pytest
 
 from passpier.core import choice, prompts, replicas
-from passpier.standins.fleet import model
+from passpier.standins.fleet import model, reports
 
 QUIET_SECONDS = 20.0
 QUIET_LATE_MAX = 0.025
@@ -42,11 +42,11 @@
     logging.disable(logging.NOTSET)
 
 
-def play_quiet(**changes: int) -> model.Report:
+def play_quiet(**changes: int) -> reports.Report:
     return model.play(seconds=QUIET_SECONDS, seed=2, **changes)
 
 
-def play_heavy() -> model.Report:
+def play_heavy() -> reports.Report:
     return model.play(seconds=HEAVY_SECONDS, seed=2, rate=HEAVY_RATE, renew=0.0)
 
 
