Loads: changes are told, and all of them once a second

Change: what has changed by 1,000 tokens or an eighth of the slots is told at once, all of it once a second; who is told of no answer goes on counting what waits for it.

--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -208,7 +208,8 @@
     """Return the tokens of other daemons' requests still to be computed.
 
     All requests of a replica are one queue: what it has computed since the others told of theirs
-    was a part of theirs only, and is not taken off each daemon's in full.
+    was a part of theirs only, and is not taken off each daemon's in full. Who is not told of an
+    answer goes on counting what waits for it.
     """
     told = 0.0
     aged = 0.0
@@ -219,7 +220,7 @@
     if not told:
         return 0.0
     computed = aged / told / replica.seconds_per_token
-    return max(0.0, told - computed * told / (told + own))
+    return max(told * UNANSWERED_SHARE, told - computed * told / (told + own))
 
 
 def _list_peers(replica: Replica, now: float) -> list[PeerLoad]:
--- a/passpier/daemon/loads.py
+++ b/passpier/daemon/loads.py
@@ -22,12 +22,28 @@
 STANDBY_INTERVAL = 0.5
 """Seconds between looks at loads of a daemon that takes no requests."""
 
+WHOLE_INTERVAL = 1.0
+"""Seconds between two messages that tell of all replicas: others are told of changes only. A lost
+message is made good by the next whole one, before what it told would have lapsed."""
+
+CHANGED_TOKENS = 1000
+"""Tokens by which the work left at a replica has to change to be told: 20 to 50 ms of reading."""
+
+CHANGED_SLOTS = 0.125
+"""Part of a replica's slots by which the requests running there have to change to be told."""
+
 MAX_PEERS = 64
 """Daemons that take requests beyond which loads are not told. In the fleet model (59 replicas 60 in
 100 busy, two seeds) 16 in 100 long prompts come late with 30 routers that tell nothing, 5 if they
 do; with 60 routers 21 and 9."""
 
 
+Load = tuple[tuple[int, ...], int]
+"""Tokens left to compute, by priority, and requests running."""
+
+NO_LOAD: Load = ((), 0)
+
+
 class Known(Protocol):
     """The upstreams whose loads are told."""
 
@@ -48,7 +64,8 @@
         self._membership = membership
         self._upstreams = known
         self._peers = link
-        self._sent: list[tuple[str, tuple[int, ...], int]] = []
+        self._sent: dict[str, Load] = {}
+        self._whole_at = float('-inf')
         link.handle(messages.Loads, self._take)
 
     async def run(self) -> None:
@@ -56,34 +73,56 @@
         others: list[members.Member] = []
         while True:
             await asyncio.sleep(self._choose_pause(len(others)))
-            loads = self._collect()
             others = self._membership.list_interested(time.monotonic())
             complete = len(others) < MAX_PEERS
             for replica in self._upstreams.replicas.values():
                 replica.peers_complete = complete
-            if loads == self._sent or not complete:
-                continue
+            message = self._choose_message(time.monotonic())
+            if complete and message is not None:
+                self._peers.send_all([m.peer for m in others], message)
+
+    def _choose_message(self, now: float) -> messages.Loads | None:
+        """Return what peers have to be told, or none."""
+        loads = self._collect(now)
+        if now - self._whole_at >= WHOLE_INTERVAL and (loads or self._sent):
+            self._whole_at = now
             self._sent = loads
-            self._peers.send_all([m.peer for m in others], messages.Loads(loads))
+            return messages.Loads([(name, *load) for name, load in loads.items()], True)
+        ended = {name: NO_LOAD for name, load in self._sent.items() if name not in loads}
+        changed = {n: load for n, load in loads.items() if self._is_changed(n, load)} | ended
+        if not changed:
+            return None
+        self._sent.update(changed)
+        for name in ended:
+            del self._sent[name]
+        return messages.Loads([(name, *load) for name, load in changed.items()], False)
+
+    def _is_changed(self, name: str, load: Load) -> bool:
+        tokens, running = load
+        told_tokens, told_running = self._sent.get(name, NO_LOAD)
+        if name not in self._sent or abs(sum(tokens) - sum(told_tokens)) >= CHANGED_TOKENS:
+            return True
+        slots = self._upstreams.replicas[name].slots
+        return abs(running - told_running) >= max(1, slots * CHANGED_SLOTS)
 
     def _choose_pause(self, peers: int) -> float:
         if not self._sent and self._membership.is_standing_by(time.monotonic()):
             return max(self._interval, STANDBY_INTERVAL)
         return self._interval * max(1.0, peers / USUAL_PEERS)
 
-    def _collect(self) -> list[tuple[str, tuple[int, ...], int]]:
-        now = time.monotonic()
-        return [
-            (r.name, replicas.count_pending(r, now), len(r.dispatches))
+    def _collect(self, now: float) -> dict[str, Load]:
+        return {
+            r.name: (replicas.count_pending(r, now), len(r.dispatches))
             for r in self._upstreams.replicas.values()
             if r.dispatches
-        ]
+        }
 
     def _take(self, sender: str, address: str, message: messages.Loads) -> None:
         now = time.monotonic()
         told = {name: (tokens, running) for name, tokens, running in message.loads}
         for name, replica in self._upstreams.replicas.items():
-            if name in told:
-                replica.peers[sender] = replicas.PeerLoad(*told[name], now)
-            else:
+            tokens, running = told.get(name, NO_LOAD)
+            if running:
+                replica.peers[sender] = replicas.PeerLoad(tokens, running, now)
+            elif message.whole or name in told:
                 replica.peers.pop(sender, None)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -77,9 +77,14 @@
 
 
 class Loads(Message, tag='ld'):
-    """The sender's own load at replicas: name, tokens to compute by priority, requests running."""
+    """The sender's own load at replicas: name, tokens to compute by priority, requests running.
+
+    Of replicas that are not named nothing has changed, or, if it is `whole`, the sender has nothing
+    there.
+    """
 
     loads: list[tuple[str, tuple[int, ...], int]]
+    whole: bool = True
 
 
 class Borrow(Message, tag='bo'):
--- a/passpier/tests/conftest.py
+++ b/passpier/tests/conftest.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
+import time
 
 import hypothesis
 import pytest
@@ -26,6 +28,12 @@
     return {name.strip(): rest.strip() for name, _, rest in (x.partition('|') for x in lines)}
 
 
+@pytest.fixture
+def virtual_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have the steady clock follow the event loop's, in tests in virtual time."""
+    monkeypatch.setattr(time, 'monotonic', lambda: asyncio.get_running_loop().time())
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Run the known ones all the same, but let them fail."""
     known = read_known_red()
