--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -44,6 +44,10 @@
 FORGOTTEN_MEMORY = 30.0
 """Seconds for which that is remembered; a new connection is cheaper than a lost request."""
 
+SILENCE_MEMORY = 5.0
+"""Seconds after a connection fell silent in which an answer on a new one speaks for the network; it
+takes 0.4 to 3.1 s until either is known. What answers later may have been started again."""
+
 READ_SIZE = 65536
 
 UNACKED_AT = 24
@@ -213,8 +217,14 @@
         self._resting.clear()
 
     def close_expired(self) -> None:
-        """Close connections that have rested for as long as the upstream allows."""
+        """Close connections that have rested for as long as the upstream allows.
+
+        Forgets silences that are long over.
+        """
         now = time.monotonic()
+        for address, since in list(self._silent_since.items()):
+            if now - since > SILENCE_MEMORY:
+                del self._silent_since[address]
         for address, resting in list(self._resting.items()):
             kept = [c for c in resting if not c.closed and not _is_expired(c, now)]
             for connection in resting:
@@ -273,6 +283,8 @@
         if since is None or connection.opened_at < since:
             return
         del self._silent_since[connection.address]
+        if time.monotonic() - since > SILENCE_MEMORY:
+            return
         closed = 0
         for resting in self._resting.values():
             for other in resting:
--- a/passpier/tests/platform/silence_tests.py
+++ b/passpier/tests/platform/silence_tests.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from passpier.clients import connections
 from passpier.daemon import messages, metrics, peers
 from passpier.standins.platform import deployment, proxy
 from passpier.tests.platform import leaving_tests
@@ -155,6 +156,29 @@
     play(check)
 
 
+def test_an_upstream_that_was_down_costs_no_connections_elsewhere() -> None:
+    async def check(scene: Scene) -> None:
+        running = scene.running
+        await asyncio.gather(*(running.ask('/safe/x') for _ in range(6)))
+        pool = running.routers[0].adapter.pool
+        address = scene.links['app-0'].address
+        others = [c for c in list_resting(pool) if c.address != address]
+        assert others
+        # Silent since long before: what answers there now was started again.
+        pool.note_silent(address, time.monotonic() - 2 * connections.SILENCE_MEMORY)
+        await running.routers[0].adapter.engines.report(address, 'app-0')
+        assert not [c for c in others if c.closed]
+        pool.note_silent(address, time.monotonic())
+        await running.routers[0].adapter.engines.report(address, 'app-0')
+        assert [c for c in others if c.closed]
+
+    play(check)
+
+
+def list_resting(pool: connections.Pool) -> list[connections.Connection]:
+    return [c for resting in pool._resting.values() for c in resting]
+
+
 @pytest.mark.parametrize(('path', 'prompt'), [('/safe/x', False), ('/resume/x', True)])
 def test_living_replicas_are_not_given_up(path: str, prompt: bool) -> None:
     headers = PROMPT if prompt else []
