--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -187,14 +187,13 @@
     ) -> exchanges.Answer:
         """Return a whole answer within `timeout` seconds; raises `ExchangeError`."""
         exchange: exchanges.Exchange | None = None
-        began = time.monotonic()
         try:
             async with asyncio.timeout(timeout):
                 exchange = await self.open(address, request)
                 return await exchange.read_all()
         except TimeoutError as error:
             if exchange is not None and not exchange.heard:
-                self.note_silent(address, began)
+                exchange.note_silent()
             raise exchanges.ExchangeError(
                 exchanges.Fault.CLOSED, 'timed out', exchange is not None
             ) from error
--- a/passpier/core/rendezvous.py
+++ b/passpier/core/rendezvous.py
@@ -15,9 +15,19 @@
     return xxhash.xxh3_64_intdigest(f'{key}\x00{name}'.encode())
 
 
-@functools.lru_cache(maxsize=8192)
 def find_first(key: str, names: tuple[str, ...], count: int) -> tuple[str, ...]:
     """Return the `count` names with the highest weights for `key`, the highest first."""
+    return _find_first(key, _share(names), count)
+
+
+@functools.lru_cache(maxsize=64)
+def _share(names: tuple[str, ...]) -> tuple[str, ...]:
+    """Return one object for equal tuples: a cache must not hold a large pool for each key."""
+    return names
+
+
+@functools.lru_cache(maxsize=8192)
+def _find_first(key: str, names: tuple[str, ...], count: int) -> tuple[str, ...]:
     return tuple(heapq.nsmallest(count, names, key=lambda name: (-compute_weight(key, name), name)))
 
 
--- a/passpier/daemon/peers.py
+++ b/passpier/daemon/peers.py
@@ -11,6 +11,7 @@
 import zmq
 import zmq.asyncio
 
+from passpier.clients import connections
 from passpier.daemon import messages, metrics
 
 log = logging.getLogger(__name__)
@@ -21,10 +22,6 @@
 MAX_SOCKETS = 512
 """Peers that this daemon keeps connections to."""
 
-UNACKED_TIMEOUT = 1500
-"""Milliseconds for which sent bytes may stay unacknowledged before a connection is opened anew: a
-connection may fall silent while new ones work, and these sockets never read."""
-
 KEEPALIVE_IDLE = 5
 """Seconds of silence after which the kernel looks whether a sender still exists, so that the
 descriptors of those that are gone come back; heartbeats come more often."""
@@ -114,7 +111,8 @@
             outbox = self._context.socket(zmq.PUSH)
             outbox.linger = 0
             outbox.sndhwm = MAX_QUEUED
-            outbox.setsockopt(zmq.TCP_MAXRT, UNACKED_TIMEOUT)
+            # It may fall silent while new ones work, and these sockets never read.
+            outbox.setsockopt(zmq.TCP_MAXRT, connections.UNACKED_TIMEOUT)
             outbox.setsockopt(zmq.RECONNECT_IVL, 100)
             outbox.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
             outbox.connect(f'tcp://{address}')
--- a/passpier/routing/clients.py
+++ b/passpier/routing/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import weakref
 
 import tornado.iostream
 
@@ -19,8 +20,11 @@
 
     def __init__(self, most: int = 1000) -> None:
         self.most = most
-        self._open: set[tornado.iostream.IOStream] = set()
-        self._resting: dict[tornado.iostream.IOStream, None] = {}
+        self._open: weakref.WeakSet[tornado.iostream.IOStream] = weakref.WeakSet()
+        self._resting: weakref.WeakKeyDictionary[tornado.iostream.IOStream, None] = (
+            weakref.WeakKeyDictionary()
+        )
+        """In the order in which they came to rest."""
 
     def __len__(self) -> int:
         return len(self._open)
@@ -40,8 +44,9 @@
     def _make_room(self) -> None:
         if len(self._open) <= self.most:
             return
-        self._open = {s for s in self._open if not s.closed()}
-        self._resting = {s: None for s in self._resting if not s.closed()}
+        for ended in [s for s in self._open if s.closed()]:
+            self._open.discard(ended)
+            self._resting.pop(ended, None)
         closed = 0
         while len(self._open) > self.most and self._resting:
             oldest = next(iter(self._resting))
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -56,7 +56,7 @@
         if stream is None or stream.closed():
             return True
         try:
-            return not stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return not stream.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return False
         except OSError:
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -91,10 +91,10 @@
             self.most = max(self.most, len(self.membership.list_alive(now)))
             await asyncio.sleep(HEARTBEAT * self._rng.uniform(0.9, 1.1))
 
-    def tell_interested(self, message: messages.AnyMessage, most: int = MAX_TOLD) -> None:
-        """Send a message about loads or caches, unless more than `most` would have to know."""
+    def tell_interested(self, message: messages.AnyMessage) -> None:
+        """Send a message about replicas or caches, unless too many would have to know."""
         interested = self.membership.list_interested(time.monotonic())
-        if len(interested) <= most:
+        if len(interested) <= MAX_TOLD:
             self._peers.send_all([m.peer for m in interested], message)
 
     def begin_leaving(self) -> None:
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -127,7 +127,9 @@
             lambda: bool(self.rollouts.holder.token),
         )
         self.loads = loads.Loads(self.roster.membership, self.pools, self.peers, LOADS_INTERVAL)
-        self.sharing = sharing.Sharing(sources.Sources(self.pools), self.roster, self.peers)
+        self.sharing = sharing.Sharing(
+            sources.Sources(self.pools), self.roster.membership, self.peers
+        )
         self.prober = probing.Prober(self.pools, adapter.engines, self.roster.tell_interested)
         self.peers.handle(messages.Silent, self._take_silent)
         places = dispatcher.Dispatcher(self.pools, self.counters, rng)
--- a/passpier/routing/sharing.py
+++ b/passpier/routing/sharing.py
@@ -5,9 +5,9 @@
 import asyncio
 import time
 
-from passpier.core import choice, replicas
+from passpier.core import choice, members, replicas
 from passpier.daemon import messages, peers
-from passpier.routing import roster, sources
+from passpier.routing import sources
 
 INTERVAL = 0.05
 """Seconds over which prompts are collected into one message."""
@@ -27,9 +27,12 @@
 class Sharing:
     """Exchange of placements between processes."""
 
-    def __init__(self, known: sources.Sources, members: roster.Roster, link: peers.Peers) -> None:
+    def __init__(
+        self, known: sources.Sources, membership: members.Membership, link: peers.Peers
+    ) -> None:
         self.sources = known
-        self._roster = members
+        self._membership = membership
+        self._peers = link
         self._unsent: list[tuple[str, str, list[int], list[int]]] = []
         self._due = asyncio.Event()
         link.handle(messages.Placed, self._take)
@@ -46,13 +49,15 @@
 
     async def run(self) -> None:
         """Tell others until cancelled."""
+        others: list[members.Member] = []
         while True:
             await self._due.wait()
-            others = len(self._roster.membership.list_interested(time.monotonic()))
-            await asyncio.sleep(INTERVAL * max(1.0, others / USUAL_PEERS))
+            await asyncio.sleep(INTERVAL * max(1.0, len(others) / USUAL_PEERS))
             self._due.clear()
             prompts, self._unsent = self._unsent, []
-            self._roster.tell_interested(messages.Placed(prompts), MAX_PEERS)
+            others = self._membership.list_interested(time.monotonic())
+            if len(others) <= MAX_PEERS:
+                self._peers.send_all([m.peer for m in others], messages.Placed(prompts))
 
     def _take(self, sender: str, address: str, message: messages.Placed) -> None:
         for name, version, chain, ends in message.prompts:
--- a/passpier/standins/fleet/engines.py
+++ b/passpier/standins/fleet/engines.py
@@ -63,7 +63,6 @@
     made: int = 0
     held: int = 0
     ready_at: float = 0.0
-    cancelled: bool = False
 
     @property
     def tokens(self) -> int:
@@ -78,7 +77,6 @@
         self.name = name
         self.domain = domain
         self.speed = speed
-        self.version = 1
         self.read = 0
         self.found = 0
         self.moves = 0
@@ -108,7 +106,7 @@
         """Return how many of the leading parts are cached."""
         return sum(1 for _ in itertools.takewhile(lambda p: p[0] in self._cache, parts))
 
-    async def load(self, version: int) -> None:
+    async def load(self) -> None:
         """Load new weights: the cache goes, nothing new is taken meanwhile."""
         self._loading = True
         while self._running:
@@ -116,7 +114,6 @@
         await asyncio.sleep(self.speed.load)
         self._cache.clear()
         self._cached = 0
-        self.version = version
         self._loading = False
         self._wake()
 
--- a/passpier/standins/fleet/model.py
+++ b/passpier/standins/fleet/model.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import logging
 import random
@@ -185,8 +184,7 @@
             one.pools.pause(
                 engine.name, pauses.Pause.LOADING, pools.PAUSE_LOADING, 'loads', version
             )
-        with contextlib.suppress(asyncio.CancelledError):
-            await engine.load(version)
+        await engine.load()
         for one in self.routers:
             one.pools.learn_version(engine.name, version, 'model')
 
--- a/passpier/standins/fleet/routers.py
+++ b/passpier/standins/fleet/routers.py
@@ -6,7 +6,7 @@
 import time
 
 from passpier.core import catalogue, members, routes
-from passpier.daemon import dispatcher, loads, messages, metrics, peers
+from passpier.daemon import dispatcher, loads, metrics, peers
 from passpier.routing import pools, router, sharing, sources
 from passpier.standins import network
 from passpier.standins.fleet import engines
@@ -16,20 +16,6 @@
 """Requests a second that each router tells of itself, so that all count as taking requests."""
 
 
-class Members:
-    """The part of a roster that exchanges need: who else takes requests."""
-
-    def __init__(self, membership: members.Membership, link: network.Link) -> None:
-        self.membership = membership
-        self._link = link
-
-    def tell_interested(self, message: messages.AnyMessage, most: int = 128) -> None:
-        """Send a message to all others that take requests, unless there are more than `most`."""
-        interested = self.membership.list_interested(time.monotonic())
-        if len(interested) <= most:
-            self._link.send_all([m.peer for m in interested], message)
-
-
 class Router:
     """One router's decisions."""
 
@@ -63,14 +49,9 @@
         beats = [members.Beat(m.incarnation, 1, rate=RATE) for m in fleet]
         self.membership.merge(beats, now)
         self.membership.advance(now, 0, 0, 0, False, RATE)
-        self.link = net.connect(own)
-        link: peers.Peers = self.link  # type: ignore[assignment]
+        link: peers.Peers = net.connect(own)  # type: ignore[assignment]
         self.loads = loads.Loads(self.membership, self.pools, link, router.LOADS_INTERVAL)
-        self.sharing = sharing.Sharing(
-            sources.Sources(self.pools),
-            Members(self.membership, self.link),  # type: ignore[arg-type]
-            link,
-        )
+        self.sharing = sharing.Sharing(sources.Sources(self.pools), self.membership, link)
         self.dispatcher = dispatcher.Dispatcher(self.pools, metrics.Metrics(), rng)
 
 
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -158,15 +158,8 @@
     ) -> Reply:
         """Send a client's request to an address and return the whole answer."""
         self._ids += 1
-        given = [
-            ('Host', host),
-            (names.REQUEST_ID, id or f'r{self._ids}'),
-            (names.DEADLINE, str(patience_ms)),
-            *headers,
-        ]
-        if key is not None:
-            given.append((names.KEY, names.KEY_SCHEME + key))
-        request = exchanges.Request(method, path, given, body)
+        given = build_headers(id or f'r{self._ids}', patience_ms, key, host)
+        request = exchanges.Request(method, path, [*given, *headers], body)
         answer = await self.pool.fetch(address, request, patience_ms / 1000 + 2)
         return Reply(answer.head.status, answer.head, answer.body)
 
@@ -188,6 +181,30 @@
         return f'127.0.0.1:{sockets[0].getsockname()[1]}'
 
 
+def build_headers(
+    id: str, patience_ms: int, key: str | None = KEY, host: str = HOST
+) -> list[tuple[str, str]]:
+    """Return the headers that each request of a client has."""
+    headers = [('Host', host), (names.REQUEST_ID, id), (names.DEADLINE, str(patience_ms))]
+    if key is not None:
+        headers.append((names.KEY, names.KEY_SCHEME + key))
+    return headers
+
+
+def render_request(
+    path: str,
+    id: str,
+    patience_ms: int,
+    headers: Sequence[tuple[str, str]] = (),
+    body: bytes = b'',
+) -> bytes:
+    """Return a request as bytes, for clients that keep to themselves when they leave."""
+    length = ('Content-Length', str(len(body)))
+    given = [*build_headers(id, patience_ms), length, *headers]
+    lines = [f'POST {path} HTTP/1.1', *(f'{name}: {value}' for name, value in given), '', '']
+    return '\r\n'.join(lines).encode() + body
+
+
 def make_prompt(rng: random.Random) -> list[tuple[str, str]]:
     """Return the headers of a prompt about one of a few subjects, with an end of its own."""
     subject = rng.randrange(PROMPT_SUBJECTS)
--- a/passpier/standins/platform/leaving.py
+++ b/passpier/standins/platform/leaving.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import logging
 import pathlib
@@ -18,8 +17,6 @@
 
 import fire
 
-from passpier.clients import exchanges
-from passpier.platform import names
 from passpier.standins.platform import deployment, replica, routers
 
 WORK = 1.5
@@ -35,6 +32,7 @@
 """Seconds after a client has left within which its upstream should know."""
 
 KINDS = ('safe', 'once', 'stream', 'resume')
+PATIENCE_MS = 5000
 READY_SECONDS = 20.0
 
 
@@ -107,16 +105,9 @@
             self._routers.append(router)
             await router.open()
         async with asyncio.timeout(READY_SECONDS):
-            while not all([await self._is_ready(r) for r in self._routers]):
+            while not all([await r.is_ready(self._deployment.pool) for r in self._routers]):
                 await asyncio.sleep(0.1)
 
-    async def _is_ready(self, router: routers.RouterProcess) -> bool:
-        request = exchanges.Request('GET', names.READY_PATH, [('Host', router.ready)])
-        with contextlib.suppress(exchanges.ExchangeError):
-            answer = await self._deployment.pool.fetch(router.ready, request, 1.0)
-            return answer.head.status == 200
-        return False
-
     async def _play_wave(self, wave: int) -> None:
         leaves_at = time.monotonic() + self._rng.uniform(0.3, WORK / 2)
         tasks = [
@@ -136,17 +127,8 @@
         writer.close()
 
     def _render(self, kind: str, id: str) -> bytes:
-        headers = [
-            ('Host', deployment.HOST),
-            (names.REQUEST_ID, f'{kind} {id}'),
-            (names.DEADLINE, '5000'),
-            (names.KEY, names.KEY_SCHEME + deployment.KEY),
-            ('Content-Length', '0'),
-        ]
-        if kind in ('stream', 'resume'):
-            headers += deployment.make_prompt(self._rng)
-        lines = [f'POST /{kind}/x HTTP/1.1', *(f'{n}: {v}' for n, v in headers), '', '']
-        return '\r\n'.join(lines).encode()
+        prompt = deployment.make_prompt(self._rng) if kind in ('stream', 'resume') else []
+        return deployment.render_request(f'/{kind}/x', f'{kind} {id}', PATIENCE_MS, prompt)
 
     def _report(self) -> Report:
         report = Report(len(self._left_at))
--- a/passpier/standins/platform/routers.py
+++ b/passpier/standins/platform/routers.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 
+from passpier.clients import connections, exchanges
 from passpier.platform import names
 from passpier.standins import processes
 from passpier.standins.platform import proxy
@@ -79,6 +80,15 @@
         os.environ['PASSPIER_METRICS_PORT'] = str(self._metrics)
         super().start()
 
+    async def is_ready(self, pool: connections.Pool) -> bool:
+        """Return whether the router says that clients should be sent to it."""
+        request = exchanges.Request('GET', names.READY_PATH, [('Host', self.ready)])
+        try:
+            answer = await pool.fetch(self.ready, request, 1.0)
+        except exchanges.ExchangeError:
+            return False
+        return answer.head.status == 200
+
     def write_settings(self) -> None:
         """Write the settings file."""
         text = SETTINGS.format(
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -126,19 +126,12 @@
     async def _wait_ready(self, bound: float) -> bool:
         ends_at = time.monotonic() + bound
         while time.monotonic() < ends_at:
-            answers = [await self._is_ready(r) for r in self._routers]
+            answers = [await r.is_ready(self._pool) for r in self._routers]
             if all(answers):
                 return True
             await asyncio.sleep(0.1)
         return False
 
-    async def _is_ready(self, router: routers.RouterProcess) -> bool:
-        try:
-            answer = await self._fetch(router.ready, names.READY_PATH)
-        except exchanges.ExchangeError:
-            return False
-        return answer.head.status == 200
-
     async def _fetch(self, address: str, target: str) -> exchanges.Answer:
         request = exchanges.Request('GET', target, [('Host', address)])
         return await self._pool.fetch(address, request, 1.0)
--- a/passpier/tests/platform/accepting_tests.py
+++ b/passpier/tests/platform/accepting_tests.py
@@ -7,7 +7,7 @@
 import socket
 
 from passpier.standins.platform import deployment
-from passpier.tests.platform import leaving_tests
+from passpier.tests.platform import leaving_tests, scenes
 
 CROWD = 600
 """Clients that connect while the event loop is busy: as after a loss of power of a domain."""
@@ -28,7 +28,7 @@
             reply = await running.ask('/safe/x')
             assert reply.status == 200
 
-    leaving_tests.play(check)
+    scenes.play(check)
 
 
 def test_resting_clients_give_way_to_new_ones() -> None:
@@ -39,12 +39,12 @@
         at_work = leaving_tests.connect(running)
         at_work.setblocking(False)
         at_work.sendall(leaving_tests.render('/safe/x', 'one'))
-        await leaving_tests.wait_for(lambda: bool(running.list_runs('one')))
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
         with contextlib.ExitStack() as stack:
             resting = [
                 stack.enter_context(leaving_tests.connect(running)) for _ in range(2 * RESTING)
             ]
-            await leaving_tests.wait_for(lambda: len(clients) == RESTING)
+            await scenes.wait_for(lambda: len(clients) == RESTING)
             # The first to rest is the first to go; who has a request under way stays.
             resting[0].settimeout(1.0)
             assert await asyncio.to_thread(resting[0].recv, 1) == b''
@@ -52,7 +52,7 @@
             assert b'200 OK' in await loop.sock_recv(at_work, 1000)
             assert (await running.ask('/open/x', key=None)).status == 200
 
-    leaving_tests.play(check)
+    scenes.play(check)
 
 
 def test_connections_that_have_ended_take_no_place() -> None:
@@ -72,4 +72,4 @@
         kept.sendall(leaving_tests.render('/open/x', 'one'))
         assert b'200 OK' in await asyncio.get_running_loop().sock_recv(kept, 1000)
 
-    leaving_tests.play(check)
+    scenes.play(check)
--- a/passpier/tests/platform/input_tests.py
+++ b/passpier/tests/platform/input_tests.py
@@ -3,22 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import pytest
 
 from passpier.platform import names
 from passpier.standins.platform import deployment
-
-Check = Callable[[deployment.Deployment], Awaitable[None]]
-
-
-def play(check: Check) -> None:
-    async def run() -> None:
-        async with deployment.running() as running:
-            await check(running)
-
-    asyncio.run(asyncio.wait_for(run(), 30))
+from passpier.tests.platform import scenes
 
 
 def make_head(*lines: str, id: str = 'one') -> bytes:
@@ -63,7 +53,7 @@
         assert got.startswith(b'HTTP/1.1 200')
         assert got.endswith(b'POST /safe/x 5')
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_body_without_length_is_none() -> None:
@@ -71,7 +61,7 @@
         got = await send(running, make_head())
         assert got.endswith(b'POST /safe/x 0')
 
-    play(check)
+    scenes.play(check)
 
 
 @pytest.mark.parametrize(
@@ -96,7 +86,7 @@
         assert count_runs(running) == 0
         assert (await running.ask('/safe/x')).status == 200
 
-    play(check)
+    scenes.play(check)
 
 
 @pytest.mark.parametrize(
@@ -116,7 +106,7 @@
         assert got.startswith(b'HTTP/1.1 400')
         assert count_runs(running) == 0
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_request_without_id_is_answered_400() -> None:
@@ -124,7 +114,7 @@
         head = make_head('Content-Length: 0').replace(f'{names.REQUEST_ID}: one\r\n'.encode(), b'')
         assert (await send(running, head)).startswith(b'HTTP/1.1 400')
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_torn_request_leaves_nothing_behind() -> None:
@@ -135,7 +125,7 @@
         assert count_runs(running) == 0
         assert running.routers[0].ingress.in_flight == 0
 
-    play(check)
+    scenes.play(check)
 
 
 def test_two_requests_on_one_connection_get_their_own_answers() -> None:
@@ -146,4 +136,4 @@
         assert len(running.list_runs('first')) == len(running.list_runs('second')) == 1
         assert got.index(b'first') < got.index(b'second')
 
-    play(check)
+    scenes.play(check)
--- a/passpier/tests/platform/leaving_tests.py
+++ b/passpier/tests/platform/leaving_tests.py
@@ -12,21 +12,13 @@
 import socket
 import struct
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
-from passpier.platform import names
 from passpier.standins.platform import deployment, leaving
+from passpier.tests.platform import scenes
 
-Check = Callable[[deployment.Deployment], Awaitable[None]]
-Condition = Callable[[], bool]
-
-PROMPT = [
-    (names.MODEL, deployment.MODEL),
-    (names.TOKENS, '1460,80'),
-    (names.PARTS, '5c1e07a2:800,91bd3f06:410,e4402b7d:250'),
-]
 WHILE_NOTHING_COMES = 0.3
 """Seconds in which what must not come would have come."""
 
@@ -34,31 +26,9 @@
 """Clients that leave within a tenth of a second."""
 
 
-def play(check: Check, routers: int = 1) -> None:
-    async def run() -> None:
-        async with deployment.running(routers) as running:
-            await check(running)
-
-    asyncio.run(asyncio.wait_for(run(), 30))
-
-
-async def wait_for(condition: Condition) -> None:
-    while not condition():
-        await asyncio.sleep(0.005)
-
-
 def render(path: str, id: str, body: bytes = b'question', prompt: bool = False) -> bytes:
     """Return a request as a client writes it."""
-    headers = [
-        ('Host', deployment.HOST),
-        (names.REQUEST_ID, id),
-        (names.DEADLINE, '3000'),
-        (names.KEY, names.KEY_SCHEME + deployment.KEY),
-        ('Content-Length', str(len(body))),
-        *(PROMPT if prompt else []),
-    ]
-    lines = [f'POST {path} HTTP/1.1', *(f'{name}: {value}' for name, value in headers), '', '']
-    return '\r\n'.join(lines).encode() + body
+    return deployment.render_request(path, id, 3000, scenes.PROMPT if prompt else [], body)
 
 
 def connect(running: deployment.Deployment, received: int = 0) -> socket.socket:
@@ -104,7 +74,7 @@
     async def check(running: deployment.Deployment) -> None:
         # On connections that stand already, a request goes out in the turn in which it is read.
         for number in range(8):
-            await running.ask(path, id=f'w{number}', headers=PROMPT if prompt else [])
+            await running.ask(path, id=f'w{number}', headers=scenes.PROMPT if prompt else [])
         # The router shares this thread: it reads nothing until the client has gone.
         client = connect(running)
         client.sendall(render(path, 'one', prompt=prompt))
@@ -113,7 +83,7 @@
         assert not running.list_runs('one')
         assert is_idle(running)
 
-    play(check)
+    scenes.play(check)
 
 
 def test_who_left_while_it_waited_reaches_nobody() -> None:
@@ -123,16 +93,16 @@
             replica.paused_until = time.monotonic() + 30.0
         client = connect(running)
         client.sendall(render('/safe/x', 'one'))
-        await wait_for(lambda: running.routers[0].forwarder.dispatcher.count_queued() == 1)
+        await scenes.wait_for(lambda: running.routers[0].forwarder.dispatcher.count_queued() == 1)
         client.close()
         # Room comes in the same turn in which the end of the connection can be seen.
         for replica in known.replicas.values():
             replica.paused_until = 0.0
-        await wait_for(lambda: is_idle(running))
+        await scenes.wait_for(lambda: is_idle(running))
         await asyncio.sleep(WHILE_NOTHING_COMES)
         assert not running.list_runs('one')
 
-    play(check)
+    scenes.play(check)
 
 
 @contextlib.contextmanager
@@ -173,14 +143,14 @@
             client.sendall(render('/safe/x', 'one'))
             await asyncio.sleep(0.1)
             client.close()
-            await wait_for(lambda: is_idle(running))
+            await scenes.wait_for(lambda: is_idle(running))
             server.accept()[0].close()
             server.settimeout(1.5)
             with contextlib.suppress(TimeoutError):
                 connection, _ = await asyncio.to_thread(server.accept)
                 assert await asyncio.to_thread(read_all, connection) == 0
 
-    play(check)
+    scenes.play(check)
 
 
 def test_the_rest_of_a_body_stays_here_when_its_client_has_left() -> None:
@@ -190,7 +160,9 @@
     async def check(running: deployment.Deployment) -> None:
         running.configure(limits={'max_body_bytes': len(body)})
         table = running.routers[0].known
-        await wait_for(lambda: table.table is not None and table.table.configuration.version == 2)
+        await scenes.wait_for(
+            lambda: table.table is not None and table.table.configuration.version == 2
+        )
         with listening(received=2048) as server:
             put_in_place(running, server)
             client = connect(running)
@@ -198,10 +170,10 @@
             connection, _ = await asyncio.to_thread(server.accept)
             await asyncio.sleep(0.05)
             client.close()
-            await wait_for(lambda: is_idle(running))
+            await scenes.wait_for(lambda: is_idle(running))
             assert await asyncio.to_thread(read_all, connection) < len(body)
 
-    play(check)
+    scenes.play(check)
 
 
 @pytest.mark.parametrize('path', ['/safe/x', '/stream/x', '/resume/x'])
@@ -210,12 +182,12 @@
         set_work(running, 5.0)
         client = connect(running)
         client.sendall(render(path, 'one', prompt=path != '/safe/x'))
-        await wait_for(lambda: bool(running.list_runs('one')))
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
         client.close()
-        await wait_for(lambda: list_dropped(running) == ['one'])
+        await scenes.wait_for(lambda: list_dropped(running) == ['one'])
         assert is_idle(running)
 
-    play(check)
+    scenes.play(check)
 
 
 def test_what_runs_only_once_is_not_broken_off() -> None:
@@ -223,14 +195,14 @@
         set_work(running, 0.2)
         client = connect(running)
         client.sendall(render('/once/x', 'one'))
-        await wait_for(lambda: bool(running.list_runs('one')))
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
         client.close()
-        await wait_for(lambda: list_finished(running) == ['one'])
-        await wait_for(lambda: is_idle(running))
+        await scenes.wait_for(lambda: list_finished(running) == ['one'])
+        await scenes.wait_for(lambda: is_idle(running))
         assert list_dropped(running) == []
         assert len(running.list_runs('one')) == 1
 
-    play(check)
+    scenes.play(check)
 
 
 def test_what_runs_only_once_is_not_sent_on_for_who_has_left() -> None:
@@ -240,13 +212,13 @@
             known.faults.late_refusal = 0.1
         client = connect(running)
         client.sendall(render('/once/x', 'one'))
-        await wait_for(lambda: any(known.asked for known in plain))
+        await scenes.wait_for(lambda: any(known.asked for known in plain))
         client.close()
-        await wait_for(lambda: is_idle(running))
+        await scenes.wait_for(lambda: is_idle(running))
         assert sum(known.asked for known in plain) == 1
         assert not running.list_runs('one')
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_planned_stop_waits_for_what_runs_only_once() -> None:
@@ -254,13 +226,13 @@
         set_work(running, 0.6)
         client = connect(running)
         client.sendall(render('/once/x', 'one'))
-        await wait_for(lambda: bool(running.list_runs('one')))
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
         client.close()
         running.routers[0].begin_stop()
         await running.wait_ended(running.routers[0])
         assert list_finished(running) == ['one']
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_stream_is_told_in_its_middle() -> None:
@@ -273,9 +245,9 @@
         loop = asyncio.get_running_loop()
         assert b'200 OK' in await loop.sock_recv(client, 1000)
         client.close()
-        await wait_for(lambda: list_dropped(running) == ['one'])
+        await scenes.wait_for(lambda: list_dropped(running) == ['one'])
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_stream_that_goes_on_elsewhere_does_not_for_who_has_left() -> None:
@@ -286,14 +258,14 @@
         client = connect(running)
         client.setblocking(False)
         client.sendall(render('/resume/x', 'one', prompt=True))
-        await wait_for(lambda: len(running.list_runs('one')) == 2)
+        await scenes.wait_for(lambda: len(running.list_runs('one')) == 2)
         client.close()
-        await wait_for(lambda: is_idle(running))
+        await scenes.wait_for(lambda: is_idle(running))
         await asyncio.sleep(WHILE_NOTHING_COMES)
         assert len(running.list_runs('one')) == 2
         assert all(known.active == 0 for known in running.replicas.values())
 
-    play(check)
+    scenes.play(check)
 
 
 @pytest.mark.parametrize('leave', [socket.socket.close, reset, None])
@@ -306,16 +278,16 @@
             known.event_bytes = 65_536
         client = connect(running, received=4096)
         client.sendall(render('/stream/x', 'one', prompt=True))
-        await wait_for(lambda: bool(running.list_runs('one')))
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
         # By now everything on the way to the client is full, so that nothing is written any more.
         await asyncio.sleep(1.0)
         if leave is not None:
             leave(client)
-        await wait_for(lambda: list_dropped(running) == ['one'])
-        await wait_for(lambda: is_idle(running))
+        await scenes.wait_for(lambda: list_dropped(running) == ['one'])
+        await scenes.wait_for(lambda: is_idle(running))
         client.close()
 
-    play(check)
+    scenes.play(check)
 
 
 def test_hundreds_may_leave_at_once() -> None:
@@ -326,20 +298,20 @@
             running.record(known.id)
         pools = running.routers[0].pools
         plain = [r.id for r in running.replicas.values() if not r.model]
-        await wait_for(lambda: all(pools.replicas[id].slots == CROWD for id in plain))
+        await scenes.wait_for(lambda: all(pools.replicas[id].slots == CROWD for id in plain))
         clients = []
         for number in range(CROWD):
             client = connect(running)
             client.sendall(render('/safe/x', f'n{number}'))
             clients.append(client)
             # One by one: clients, router and replicas share this thread.
-            await wait_for(lambda id=f'n{number}': bool(running.list_runs(id)))  # type: ignore[misc]
+            await scenes.wait_for(lambda id=f'n{number}': bool(running.list_runs(id)))  # type: ignore[misc]
         for client in clients:
             client.close()
-        await wait_for(lambda: len(set(list_dropped(running))) == CROWD)
+        await scenes.wait_for(lambda: len(set(list_dropped(running))) == CROWD)
         assert is_idle(running)
 
-    play(check)
+    scenes.play(check)
 
 
 def test_clients_that_leave_in_waves_are_all_noticed_by_router_processes() -> None:
--- a/passpier/tests/platform/path_tests.py
+++ b/passpier/tests/platform/path_tests.py
@@ -3,30 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import pytest
 
 from passpier.platform import names
 from passpier.standins.platform import deployment, replica
+from passpier.tests.platform import scenes
 
-Check = Callable[[deployment.Deployment], Awaitable[None]]
-PROMPT = [
-    (names.MODEL, deployment.MODEL),
-    (names.TOKENS, '1460,80'),
-    (names.PARTS, '5c1e07a2:800,91bd3f06:410,e4402b7d:250'),
-]
 WHOLE = ''.join(f'id: {n}\ndata: piece {n}\n\n' for n in range(5)).encode()
 
 
-def play(check: Check, routers: int = 1) -> None:
-    async def run() -> None:
-        async with deployment.running(routers) as running:
-            await check(running)
-
-    asyncio.run(asyncio.wait_for(run(), 30))
-
-
 def test_each_kind_is_answered_whole() -> None:
     async def check(running: deployment.Deployment) -> None:
         for path in ('/safe/x?y=1', '/once/x?y=1', '/open/x?y=1'):
@@ -36,10 +22,10 @@
             assert reply.headers.get(names.STAMP)
             assert reply.headers.get(names.REQUEST_ID) == 'a' + path[1:4]
         for path in ('/stream/x', '/resume/x'):
-            reply = await running.ask(path, headers=PROMPT)
+            reply = await running.ask(path, headers=scenes.PROMPT)
             assert (reply.status, reply.body) == (200, WHOLE)
 
-    play(check)
+    scenes.play(check)
 
 
 def test_replicas_see_what_the_system_sets_and_nothing_else() -> None:
@@ -51,16 +37,16 @@
             (names.EXPECT_INCARNATION, 'nobody'),
             (names.CACHE_SOURCE, '127.0.0.1:1'),
         ]
-        await running.ask('/stream/x', id='one', headers=[*PROMPT, *forged], patience_ms=900)
+        await running.ask('/stream/x', id='one', headers=[*scenes.PROMPT, *forged], patience_ms=900)
         (run,) = running.list_runs('one')
         assert run.account == 'tower'
         assert run.salt == f'tower/{deployment.MODEL}/1'
         assert 0 < run.time_left_ms <= 900
-        await running.ask('/stream/x', id='two', headers=PROMPT, key='secret-2')
+        await running.ask('/stream/x', id='two', headers=scenes.PROMPT, key='secret-2')
         (run,) = running.list_runs('two')
         assert (run.account, run.salt) == ('farm', f'/{deployment.MODEL}/1')
 
-    play(check)
+    scenes.play(check)
 
 
 @pytest.mark.parametrize(
@@ -81,7 +67,7 @@
         assert reply.status == status
         assert len(running.list_runs('one')) == (status == 200)
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_body_over_the_limit_is_refused() -> None:
@@ -90,7 +76,7 @@
         assert reply.status == 413
         assert not running.list_runs('one')
 
-    play(check)
+    scenes.play(check)
 
 
 @pytest.mark.parametrize(
@@ -116,7 +102,7 @@
     async def check(running: deployment.Deployment) -> None:
         # One request is hit, whichever replica it goes to first: they share the one fault.
         wants_model = path.startswith(('/stream/', '/resume/'))
-        headers = PROMPT if wants_model else []
+        headers = scenes.PROMPT if wants_model else []
         shared = replica.Faults()
         setattr(shared, fault, 1)
         for known in running.replicas.values():
@@ -131,7 +117,7 @@
         stamped = reply.headers.get(names.STAMP) is not None
         assert stamped == (status in (200, 500))
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_cut_stream_that_may_not_go_on_does_not_look_whole() -> None:
@@ -139,10 +125,10 @@
         for known in running.replicas.values():
             known.faults.cut = 1
         with pytest.raises(Exception, match='ended|closed|peer'):
-            await running.ask('/stream/x', id='one', headers=PROMPT)
+            await running.ask('/stream/x', id='one', headers=scenes.PROMPT)
         assert len(running.list_runs('one')) == 1
 
-    play(check)
+    scenes.play(check)
 
 
 def test_without_replicas_the_refusal_is_at_once_and_says_when_to_come_back() -> None:
@@ -159,7 +145,7 @@
         assert loop.time() - began < 1.0
         assert float(reply.headers.get('Retry-After') or 0) > 0
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_route_ends_at_its_timeout() -> None:
@@ -173,7 +159,7 @@
         for known in running.replicas.values():
             known.faults.silent = False
 
-    play(check)
+    scenes.play(check)
 
 
 async def ask_and_leave(running: deployment.Deployment) -> None:
@@ -193,14 +179,14 @@
             await asyncio.sleep(0.01)
         assert running.routers[0].ingress.in_flight == 0
 
-    play(check)
+    scenes.play(check)
 
 
 @pytest.mark.parametrize(('path', 'status'), [('/safe/x', 200), ('/resume/x', 200)])
 def test_a_silent_replica_is_left_and_gets_nothing_more(path: str, status: int) -> None:
     async def check(running: deployment.Deployment) -> None:
         wants_model = path.startswith('/resume/')
-        headers = PROMPT if wants_model else []
+        headers = scenes.PROMPT if wants_model else []
         silent = running.replicas['llm-0' if wants_model else 'app-0']
         await running.wait_settled()
         running.go_dark(silent.id)
@@ -218,7 +204,7 @@
             await asyncio.sleep(0.02)
         assert not running.routers[0].prober.is_silent(silent.id)
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_slow_replica_that_shows_life_is_waited_for() -> None:
@@ -229,7 +215,7 @@
         assert reply.status == 200
         assert len(running.list_runs('one')) == 1
 
-    play(check)
+    scenes.play(check)
 
 
 def test_a_stream_that_has_begun_never_gets_a_second_head(
@@ -241,7 +227,7 @@
         for known in running.replicas.values():
             known.faults.cut = 1
         freshness = running.routers[0].known.freshness
-        asked = asyncio.ensure_future(running.ask('/resume/x', id='one', headers=PROMPT))
+        asked = asyncio.ensure_future(running.ask('/resume/x', id='one', headers=scenes.PROMPT))
         running.faults.down = True
         while not running.list_runs('one'):
             await asyncio.sleep(0.001)
@@ -251,7 +237,7 @@
             await asked
         assert len(running.list_runs('one')) == 1
 
-    play(check)
+    scenes.play(check)
     ended = [r for r in caplog.records if r.message == 'request ended']
     assert [r.__dict__['outcome'] for r in ended] == ['stream_cut']
 
@@ -269,7 +255,7 @@
         freshness.proved_at = float('-inf')
         assert (await asked).status == 502
 
-    play(check)
+    scenes.play(check)
 
 
 def test_the_log_does_not_call_a_request_not_run_that_its_client_left(
@@ -282,6 +268,6 @@
         while running.routers[0].ingress.in_flight:
             await asyncio.sleep(0.01)
 
-    play(check)
+    scenes.play(check)
     (ended,) = [r.__dict__ for r in caplog.records if r.message == 'request ended']
     assert (ended['outcome'], ended['ran']) == ('client_gone', 'unknown')
--- a/passpier/tests/platform/silence_tests.py
+++ b/passpier/tests/platform/silence_tests.py
@@ -19,15 +19,12 @@
 from passpier.clients import connections
 from passpier.daemon import messages, metrics, peers
 from passpier.standins.platform import deployment, proxy
-from passpier.tests.platform import leaving_tests
-
-Condition = Callable[[], bool]
-PROMPT = leaving_tests.PROMPT
+from passpier.tests.platform import leaving_tests, scenes
 
 log = logging.getLogger(__name__)
 
 
-async def wait_for(condition: Condition, what: str) -> float:
+async def wait_for(condition: scenes.Condition, what: str) -> float:
     """Return after how many seconds a condition holds; the time is told, not judged."""
     began = time.monotonic()
     while not condition():
@@ -181,7 +178,7 @@
 
 @pytest.mark.parametrize(('path', 'prompt'), [('/safe/x', False), ('/resume/x', True)])
 def test_living_replicas_are_not_given_up(path: str, prompt: bool) -> None:
-    headers = PROMPT if prompt else []
+    headers = scenes.PROMPT if prompt else []
 
     async def check(scene: Scene) -> None:
         running = scene.running
@@ -205,7 +202,7 @@
         for known in scene.running.replicas.values():
             known.events = 100
         asked = asyncio.ensure_future(
-            scene.running.ask('/resume/x', id='one', headers=PROMPT, patience_ms=8000)
+            scene.running.ask('/resume/x', id='one', headers=scenes.PROMPT, patience_ms=8000)
         )
         await wait_for(lambda: bool(scene.running.list_runs('one')), 'run')
         await asyncio.sleep(0.1)
@@ -227,7 +224,9 @@
         link = proxy.Proxy(running.routers[0].options.caller)
         await link.start()
         asked = asyncio.ensure_future(
-            running.ask_at(link.address, '/patient/x', 'one', headers=PROMPT, patience_ms=25_000)
+            running.ask_at(
+                link.address, '/patient/x', 'one', headers=scenes.PROMPT, patience_ms=25_000
+            )
         )
         await wait_for(lambda: bool(running.list_runs('one')), 'run')
         await asyncio.sleep(0.1)
