Stops tell when their signal came, and which requests they cut

Cause: the logs could not tell the hypotheses apart. A request that the process cut as it ended was logged as 'client gone', and nothing told when the signal had come if the event loop was late. Change: the signal's handler notes the time ('stop begins', noticed_after); 'request cut by the stop' has the request, seconds between signal and taking, upstream, whether it was sent and begun. No decision changes.

--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import sys
+import time
 from collections.abc import Mapping
 
 from passpier import exceptions
@@ -97,7 +98,12 @@
     process = router.Router(build_options(read, metrics_port), adapter, random.Random())
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.begin_stop)
+        # The handler itself runs between two steps of the interpreter, so that it tells the time of
+        # the signal also if the event loop is late.
+        signal.signal(
+            number,
+            lambda *_: loop.call_soon_threadsafe(process.begin_stop, time.monotonic()),
+        )
     loop.add_signal_handler(signal.SIGHUP, _reload, path, process)
     watching = asyncio.ensure_future(_watch_file(path, stamp, process))
     await process.run()
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -110,21 +110,28 @@
         self._call = requests.build_call(admitted, self._service)
         self._excluded: set[str] = set()
         self._connects = 0
-        self._sent = False
+        self.sent = False
         """Whether the current attempt has reached an upstream."""
 
+        self.upstream = ''
+        """The upstream of the current attempt, or of the last one."""
+
         self._outcome = 'client_gone'
-        self._last: str = ''
 
     @property
     def id(self) -> str:
         """The request's id."""
         return self._admitted.ask.id
 
+    @property
+    def ends_at(self) -> float:
+        """When the request's time is over."""
+        return self._admitted.ends_at
+
     @property
     def must_end(self) -> bool:
         """Whether an upstream is at work on what must neither be repeated nor broken off."""
-        return self._sent and self._admitted.route.kind is routes.Kind.ONCE
+        return self.sent and self._admitted.route.kind is routes.Kind.ONCE
 
     async def run(self) -> None:
         """Answer the request, one way or the other; raises `ClientGoneError`."""
@@ -167,7 +174,7 @@
                 'outcome': self._outcome,
                 'ran': self._call.life.outcome.value,
                 'attempts': self._call.life.attempts,
-                'upstream': self._last,
+                'upstream': self.upstream,
                 'seconds': round(seconds, 4),
                 'configuration_age': round(
                     self._owner.known.freshness.compute_age(time.monotonic()), 3
@@ -178,7 +185,7 @@
     async def _attempt(self) -> bool:
         """Make one attempt; return whether the request has its final answer."""
         call = self._call
-        self._sent = False
+        self.sent = False
         if self._client.gone:
             raise answering.ClientGoneError
         attempt = f'{call.id}-{call.life.attempts}.{self._connects}'
@@ -193,7 +200,7 @@
             return True
         except asyncio.CancelledError:
             # The client has left; what was sent may have run.
-            self._call.life.may_have_run |= self._sent
+            self._call.life.may_have_run |= self.sent
             raise
         finally:
             self._owner.dispatcher.end(placement)
@@ -206,11 +213,15 @@
         if time_left <= 0:
             await self._end(503, 'no_time', 'no time was left for an attempt', RETRY_AFTER)
             return
-        self._last = placement.replica.name
+        self.upstream = placement.replica.name
         exchange = await self._open(placement.replica, time_left)
-        self._sent = True
+        self.sent = True
         reader = reading.Reader(
-            exchange, self._owner.prober, self._last, admitted.ends_at, self._call.life.repeatable
+            exchange,
+            self._owner.prober,
+            self.upstream,
+            admitted.ends_at,
+            self._call.life.repeatable,
         )
         try:
             await self._relay(reader, placement)
@@ -336,7 +347,7 @@
         life = self._call.life
         now = time.monotonic()
         if error.fault is not attempts.Fault.REFUSED:
-            self._owner.pools.note_failure(self._last)
+            self._owner.pools.note_failure(self.upstream)
         has_time = now < self._admitted.ends_at
         step = attempts.Step.FAIL
         if error.fault is attempts.Fault.NOT_CONNECTED:
@@ -352,7 +363,7 @@
             'attempt failed',
             extra={
                 'request': self._call.id,
-                'upstream': self._last,
+                'upstream': self.upstream,
                 'fault': error.fault.value,
                 'detail': str(error),
                 'step': step.value,
@@ -364,7 +375,7 @@
         if step is attempts.Step.FAIL:
             await self._fail(error)
             return False
-        self._excluded.add(self._last)
+        self._excluded.add(self.upstream)
         return True
 
     def _spend(self, now: float) -> bool:
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -110,13 +110,20 @@
         self.forwarder = forwarder
         self.wire = wire
         self.counters = counters
-        self.in_flight = 0
+        self.running: set[_Incoming] = set()
+        """Requests that are whole and not answered yet."""
+
         self.is_closing: Callable[[], bool] = lambda: False
         """Whether a planned stop has come so far that new requests might not end in time."""
 
         self.last_request_at = time.monotonic()
         self.clients = clients.Clients()
 
+    @property
+    def in_flight(self) -> int:
+        """How many requests are under way."""
+        return len(self.running)
+
     def start_request(
         self,
         server_conn: object,
@@ -127,6 +134,11 @@
         self.clients.note_rest(request_conn.stream)
         return _Incoming(self, request_conn)
 
+    def log_cut(self, stopped_at: float) -> None:
+        """Log each request that is still under way as the process ends."""
+        for incoming in self.running:
+            incoming.log_cut(stopped_at)
+
     def build_server(self) -> tornado.httpserver.HTTPServer:
         """Return the server of the clients' port."""
         return tornado.httpserver.HTTPServer(
@@ -180,6 +192,21 @@
         id = self._ask.id if self._ask else ''
         log.info('client left while sending', extra={'request': id, 'bytes': len(self._body)})
 
+    def log_cut(self, stopped_at: float) -> None:
+        """Log that the process ends before this request does."""
+        run = self._run
+        log.warning(
+            'request cut by the stop',
+            extra={
+                'request': self._ask.id if self._ask else '',
+                'taken_after_signal': round(self._arrived_at - stopped_at, 3),
+                'answer_begun': self._client.started,
+                'upstream': run.upstream if run else '',
+                'sent': bool(run and run.sent),
+                'time_left': round(run.ends_at - time.monotonic(), 3) if run else 0.0,
+            },
+        )
+
     def _note_gone(self) -> None:
         if self._work is None or self._work.done():
             return
@@ -190,7 +217,7 @@
 
     async def _serve(self) -> None:
         owner = self._owner
-        owner.in_flight += 1
+        owner.running.add(self)
         owner.meter.note()
         owner.last_request_at = time.monotonic()
         id = self._ask.id if self._ask else ''
@@ -208,7 +235,7 @@
             log.exception('request failed inside', extra={'request': id})
             self._client.abort()
         finally:
-            owner.in_flight -= 1
+            owner.running.discard(self)
             owner.counters.answer_seconds.observe(
                 {'status': str(self._client.status)}, time.monotonic() - self._arrived_at
             )
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -184,6 +184,7 @@
             self.adapter.pool.close()
             self.peers.close()
         log.info('stopped', extra={'cut': self.ingress.in_flight})
+        self.ingress.log_cut(self._drain.began_at or self._started_at)
 
     async def _serve(self, servers: list[tornado.httpserver.HTTPServer]) -> None:
         log.info(
@@ -205,12 +206,20 @@
         # A request may have come on a kept connection since.
         await self._finish()
 
-    def begin_stop(self) -> None:
-        """Start a planned stop; a second call ends it early."""
-        self._drain.begin(time.monotonic())
+    def begin_stop(self, signalled_at: float | None = None) -> None:
+        """Start a planned stop; a second call ends it early.
+
+        `signalled_at` is when the signal came, if the event loop has only got round to it now.
+        """
+        now = time.monotonic()
+        self._drain.begin(now)
         log.info(
             'stop begins',
-            extra={'in_flight': self.ingress.in_flight, 'hurried': self._drain.hurried},
+            extra={
+                'in_flight': self.ingress.in_flight,
+                'hurried': self._drain.hurried,
+                'noticed_after': round(now - signalled_at, 4) if signalled_at else 0.0,
+            },
         )
         # From here on each answer ends its connection, so that clients go elsewhere.
         self._client_server.conn_params.no_keep_alive = True
