Planned stops: a failing test for a signal that is noticed late, one for a second signal

Reproduced on real processes: a router that gets no time for 0.8 s after SIGTERM takes a request 3.3 s after the signal that lasts longer than its stop; the client's connection ends without an answer. The same for what runs when a second SIGTERM comes.

--- /dev/null
+++ b/passpier/tests/platform/stopping_tests.py
@@ -0,0 +1,102 @@
+"""Planned stops: whatever a stopping process takes is answered.
+
+Seen: long streams that a process took several seconds after its signal were cut in the middle as it
+ended, and requests without an answer yet were closed without one. How it came about: a stop takes
+requests for as long as clients may keep old addresses, then lets them end until its bound. Cause:
+a request was taken without asking whether it can end before the bound does. The time since the
+signal stood in for that; it is counted from when the signal is noticed, a second signal set it to
+nothing, and at the bound nobody gave the answers that were still owed. Proved by the tests below:
+a process that notices its signal late, one that gets two, and one whose replicas are too slow.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from passpier.standins.platform import deployment, routers
+from passpier.tests.platform import scenes
+
+
+@contextlib.asynccontextmanager
+async def running_process(
+    folder: pathlib.Path,
+) -> AsyncIterator[tuple[deployment.Deployment, routers.RouterProcess]]:
+    """Start the stand-ins and one router as a process."""
+    async with deployment.running(routers=0) as running:
+        process = routers.RouterProcess(0, folder, running.store_address)
+        await process.open()
+        try:
+            while not await process.is_ready(running.pool):
+                await asyncio.sleep(0.05)
+            yield running, process
+        finally:
+            await process.close()
+
+
+def play_process(
+    folder: pathlib.Path,
+    check: Callable[[deployment.Deployment, routers.RouterProcess], Awaitable[None]],
+) -> None:
+    """Run a check against one router process."""
+
+    async def run() -> None:
+        async with running_process(folder) as (running, process):
+            await check(running, process)
+
+    asyncio.run(asyncio.wait_for(run(), scenes.BOUND))
+
+
+def set_work(running: deployment.Deployment, seconds: float) -> None:
+    for known in running.replicas.values():
+        known.work = seconds
+
+
+def test_a_signal_that_is_noticed_late_lets_nothing_in_that_cannot_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        set_work(running, 7.0)
+        process.send(signal.SIGSTOP)
+        process.send(signal.SIGTERM)
+        await asyncio.sleep(0.8)
+        process.send(signal.SIGCONT)
+        # Three lifetimes of the directory's answers, and a little more, after the signal.
+        await asyncio.sleep(2.5)
+        late = await running.ask_at(process.caller, '/slow/x', 'late', patience_ms=9000)
+        assert late.status == 503
+        assert float(late.headers.get('Retry-After') or 9) < 1
+        assert not running.list_runs('late')
+
+    play_process(tmp_path, check)
+
+
+def test_what_surely_ends_in_time_is_still_taken(tmp_path: pathlib.Path) -> None:
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        process.send(signal.SIGTERM)
+        await asyncio.sleep(2.5)
+        late = await running.ask_at(process.caller, '/once/x', patience_ms=1500)
+        assert late.status == 200
+
+    play_process(tmp_path, check)
+
+
+def test_a_second_signal_cuts_nothing(tmp_path: pathlib.Path) -> None:
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        set_work(running, 0.9)
+        asked = [
+            asyncio.ensure_future(
+                running.ask_at(process.caller, f'/{kind}/x', kind, patience_ms=3000)
+            )
+            for kind in ('once', 'safe')
+        ]
+        await scenes.wait_for(lambda: bool(running.list_runs('once') and running.list_runs('safe')))
+        process.send(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        process.send(signal.SIGTERM)
+        assert [r.status for r in await asyncio.gather(*asked)] == [200, 200]
+
+    play_process(tmp_path, check)
