Planned stops: only what can end is taken, a second signal cuts nothing, what is owed is answered

Cause: a stopping process took requests by the time since it had noticed its signal, without asking whether they can end before it does. Noticed 0.8 s late, it took a request 3.3 s after the signal that lasts 7 s, and closed it without an answer; a second SIGTERM ended the stop at once and cut what ran; at the bound of a stop nobody gave the answers that were still owed, and the end of an answer that waited to be written was lost. Class: work is accepted on a clock that stands in for the question whether it can be finished. Ruled out: refusing everything from the signal on (clients keep old addresses for up to three lifetimes); measuring the delay alone (a VM that gives a process no time is seen by none of the process's clocks). Change: Drain.takes asks for the request's own end once clients should have left, with 1 s for a late signal; the signal's time comes from its handler; a second SIGTERM goes on with the stop, a second SIGINT ends it; at the bound each request gets 503 (not run) or 502 (unknown), begun streams are cut; an answer is done when its last byte is out. core/members_tests asked that a second begin() ends a stop: that was the fault. It now asks that it changes nothing, and that hurry() ends it.

--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import os
 import pathlib
@@ -97,19 +98,29 @@
     )
     process = router.Router(build_options(read, metrics_port), adapter, random.Random())
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        # The handler itself runs between two steps of the interpreter, so that it tells the time of
-        # the signal also if the event loop is late.
-        signal.signal(
-            number,
-            lambda *_: loop.call_soon_threadsafe(process.begin_stop, time.monotonic()),
-        )
+    signal.signal(signal.SIGTERM, functools.partial(_note_stop, loop, process))
+    loop.add_signal_handler(signal.SIGINT, _interrupt, process)
     loop.add_signal_handler(signal.SIGHUP, _reload, path, process)
     watching = asyncio.ensure_future(_watch_file(path, stamp, process))
     await process.run()
     watching.cancel()
 
 
+def _note_stop(
+    loop: asyncio.AbstractEventLoop, process: router.Router, number: int, frame: object
+) -> None:
+    """Have the process stop; called by the interpreter itself, also while the loop is late."""
+    loop.call_soon_threadsafe(process.begin_stop, time.monotonic())
+
+
+def _interrupt(process: router.Router) -> None:
+    """Stop as planned at the first interrupt of a person at the terminal, at once at the second."""
+    if process.stopping:
+        process.hurry_stop()
+    else:
+        process.begin_stop()
+
+
 async def _watch_file(path: str, seen: int, process: router.Router) -> None:
     while True:
         await asyncio.sleep(SETTINGS_CHECK)
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -42,6 +42,9 @@
 RETRY_AFTER_FAILURE = 0.1
 """The same, where another replica may do better at once."""
 
+RETRY_AFTER_STOPPING = 0.02
+"""The same, where this process stops: the client goes to another one."""
+
 UNREAD_GRACE = 0.25
 """Seconds after a request's time is over in which its answer may still go out. A client that has
 stopped reading keeps a replica at work until then, and no longer."""
@@ -117,6 +120,7 @@
         """The upstream of the current attempt, or of the last one."""
 
         self._outcome = 'client_gone'
+        self._stopping = False
 
     @property
     def id(self) -> str:
@@ -133,6 +137,10 @@
         """Whether an upstream is at work on what must neither be repeated nor broken off."""
         return self.sent and self._admitted.route.kind is routes.Kind.ONCE
 
+    def note_stop(self) -> None:
+        """Note that the process ends: being cancelled now does not mean that the client left."""
+        self._stopping = True
+
     async def run(self) -> None:
         """Answer the request, one way or the other; raises `ClientGoneError`."""
         started = time.monotonic()
@@ -144,6 +152,10 @@
                 raise
             self._outcome = 'not_read'
             self._client.abort()
+        except asyncio.CancelledError:
+            if not self._stopping:
+                raise
+            await self._end(503, 'stopping', 'this process stops', RETRY_AFTER_STOPPING)
         finally:
             self._log_end(time.monotonic() - started)
 
@@ -199,7 +211,7 @@
             await self._send(placement)
             return True
         except asyncio.CancelledError:
-            # The client has left; what was sent may have run.
+            # The client has left or the process ends; what was sent may have run.
             self._call.life.may_have_run |= self.sent
             raise
         finally:
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -31,8 +31,8 @@
 RETRY_AFTER_UNKNOWING = 0.3
 """Seconds after which a client should come back to a daemon that knows too little yet."""
 
-RETRY_AFTER_STOPPING = 0.02
-"""Seconds after which a client should come back, to another process."""
+END_SECONDS = 0.2
+"""Seconds in which the last answers of a stopping process have to be out."""
 
 SURE_AGE = 3.5
 """Seconds of age up to which an unknown key or route is certain enough to be refused for good."""
@@ -86,8 +86,15 @@
             await self._connection.write(data)
 
     async def finish(self) -> None:
-        """End the answer as complete."""
+        """End the answer as complete; returns when its last byte is out.
+
+        A process that stops ends as soon as nothing is under way, and what is still to be written
+        would be lost with it.
+        """
+        stream = self._connection.stream
         self._connection.finish()
+        if not stream.closed() and stream.writing():
+            await stream.write(b'')
 
     def abort(self) -> None:
         """End the connection, so that the answer cannot look complete."""
@@ -113,8 +120,8 @@
         self.running: set[_Incoming] = set()
         """Requests that are whole and not answered yet."""
 
-        self.is_closing: Callable[[], bool] = lambda: False
-        """Whether a planned stop has come so far that new requests might not end in time."""
+        self.takes: Callable[[float], bool] = lambda ends_at: True
+        """Whether a planned stop leaves enough time for a request that is over at a given time."""
 
         self.last_request_at = time.monotonic()
         self.clients = clients.Clients()
@@ -134,10 +141,11 @@
         self.clients.note_rest(request_conn.stream)
         return _Incoming(self, request_conn)
 
-    def log_cut(self, stopped_at: float) -> None:
-        """Log each request that is still under way as the process ends."""
-        for incoming in self.running:
-            incoming.log_cut(stopped_at)
+    async def end_running(self, stopped_at: float) -> None:
+        """Have all requests that are still under way answered at once: the process ends."""
+        ending = [i.end(stopped_at) for i in list(self.running)]
+        if ending:
+            await asyncio.wait(ending, timeout=END_SECONDS)
 
     def build_server(self) -> tornado.httpserver.HTTPServer:
         """Return the server of the clients' port."""
@@ -192,11 +200,11 @@
         id = self._ask.id if self._ask else ''
         log.info('client left while sending', extra={'request': id, 'bytes': len(self._body)})
 
-    def log_cut(self, stopped_at: float) -> None:
-        """Log that the process ends before this request does."""
+    def end(self, stopped_at: float) -> asyncio.Task[None]:
+        """Have the request answered now, and return what does it; the signal came `stopped_at`."""
         run = self._run
         log.warning(
-            'request cut by the stop',
+            'request ended by the stop',
             extra={
                 'request': self._ask.id if self._ask else '',
                 'taken_after_signal': round(self._arrived_at - stopped_at, 3),
@@ -206,6 +214,11 @@
                 'time_left': round(run.ends_at - time.monotonic(), 3) if run else 0.0,
             },
         )
+        assert self._work is not None, 'what is under way has a task'
+        if run is not None:
+            run.note_stop()
+            self._work.cancel()
+        return self._work
 
     def _note_gone(self) -> None:
         if self._work is None or self._work.done():
@@ -256,8 +269,6 @@
             return self._refusal
         ask = self._ask
         assert ask is not None
-        if self._owner.is_closing():
-            return answering.Refusal(503, 'stopping', 'this process stops', RETRY_AFTER_STOPPING)
         table = self._owner.known.table
         if table is None:
             return _refuse_for_now('no configuration is known yet')
@@ -271,7 +282,11 @@
             account = table.find_account(ask.key) if ask.key else None
             if account is None:
                 return self._refuse_unknown(401, 'unknown_key', 'the key is missing or unknown')
-        return requests.Admitted(ask, route, account, bytes(self._body), self._arrived_at)
+        admitted = requests.Admitted(ask, route, account, bytes(self._body), self._arrived_at)
+        if not self._owner.takes(admitted.ends_at):
+            message = 'this process stops before the request is certain to end'
+            return answering.Refusal(503, 'stopping', message, forwarding.RETRY_AFTER_STOPPING)
+        return admitted
 
     def _refuse_unknown(self, status: int, reason: str, message: str) -> answering.Refusal:
         """Refuse for good only if a newer configuration cannot say otherwise."""
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -152,7 +152,7 @@
         self.forwarder.daemons = DAEMONS_AT_START
         self._started_at = time.monotonic()
         self._stopping = asyncio.Event()
-        self.ingress.is_closing = self._is_closing
+        self.ingress.takes = self._takes
         files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.ingress.clients.most = int(files * FILES_KEPT)
         self._client_server = self.ingress.build_server()
@@ -184,7 +184,6 @@
             self.adapter.pool.close()
             self.peers.close()
         log.info('stopped', extra={'cut': self.ingress.in_flight})
-        self.ingress.log_cut(self._drain.began_at or self._started_at)
 
     async def _serve(self, servers: list[tornado.httpserver.HTTPServer]) -> None:
         log.info(
@@ -207,18 +206,22 @@
         await self._finish()
 
     def begin_stop(self, signalled_at: float | None = None) -> None:
-        """Start a planned stop; a second call ends it early.
+        """Start a planned stop; a second call changes nothing.
 
         `signalled_at` is when the signal came, if the event loop has only got round to it now.
         """
         now = time.monotonic()
-        self._drain.begin(now)
+        began_at = now if signalled_at is None else signalled_at
+        if self._drain.began_at is not None:
+            since = round(now - self._drain.began_at, 3)
+            log.info('stop goes on', extra={'seconds': since})
+            return
+        self._drain.begin(began_at)
         log.info(
             'stop begins',
             extra={
                 'in_flight': self.ingress.in_flight,
-                'hurried': self._drain.hurried,
-                'noticed_after': round(now - signalled_at, 4) if signalled_at else 0.0,
+                'noticed_after': round(now - began_at, 4),
             },
         )
         # From here on each answer ends its connection, so that clients go elsewhere.
@@ -226,6 +229,12 @@
         self.roster.begin_leaving()
         self._stopping.set()
 
+    def hurry_stop(self) -> None:
+        """End a planned stop early, or stop at once: what runs is answered as it stands."""
+        self.begin_stop()
+        self._drain.hurry()
+        log.info('stop hurried', extra={'in_flight': self.ingress.in_flight})
+
     def reload(self, options: dialect.Options) -> None:
         """Take over changed bounds; addresses stay until the next start."""
         self.options = options
@@ -235,6 +244,11 @@
         self.pools.version_bound = options.version_bound
         log.info('settings reloaded', extra={'key_bound': options.key_bound})
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._drain.began_at is not None
+
     def is_ready(self) -> bool:
         """Return whether clients should be sent here."""
         now = time.monotonic()
@@ -244,9 +258,8 @@
     def _take_silent(self, sender: str, address: str, message: messages.Silent) -> None:
         self.prober.suspect(message.replica)
 
-    def _is_closing(self) -> bool:
-        phase = self._drain.get_phase(self.ingress.in_flight, time.monotonic())
-        return phase in (drain.Phase.CLOSING, drain.Phase.STOPPED)
+    def _takes(self, ends_at: float) -> bool:
+        return self._drain.takes(ends_at, time.monotonic())
 
     async def _finish(self) -> None:
         while True:
@@ -254,8 +267,9 @@
             recent = now - self.ingress.last_request_at < QUIET_BEFORE_STOP
             phase = self._drain.get_phase(self.ingress.in_flight + recent, now)
             if phase is drain.Phase.STOPPED:
-                return
+                break
             await asyncio.sleep(STOP_CHECK)
+        await self.ingress.end_running(self._drain.began_at or self._started_at)
 
     async def _run_upkeep(self) -> None:
         while True:
--- a/passpier/tests/core/members_tests.py
+++ b/passpier/tests/core/members_tests.py
@@ -148,8 +148,10 @@
     assert stop.get_phase(1, 114.0) is drain.Phase.CLOSING
     assert stop.get_phase(0, 114.0) is drain.Phase.STOPPED
     assert stop.get_phase(1, 161.0) is drain.Phase.STOPPED
-    stop.begin(101.0)
-    assert stop.get_phase(1, 102.0) is drain.Phase.STOPPED
+    stop.begin(120.0)
+    assert stop.get_phase(1, 114.0) is drain.Phase.CLOSING
+    stop.hurry()
+    assert stop.get_phase(1, 114.0) is drain.Phase.STOPPED
 
 
 def test_the_margin_of_a_stop_can_be_set() -> None:
--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -17,9 +17,15 @@
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+import pytest
+
+from passpier.clients import exchanges
 from passpier.standins.platform import deployment, routers
 from passpier.tests.platform import scenes
 
+SHORT_STOP = 1.0
+"""Seconds that a stop may take in tests in which it is too short for what runs."""
+
 
 @contextlib.asynccontextmanager
 async def running_process(
@@ -84,7 +90,8 @@
     play_process(tmp_path, check)
 
 
-def test_a_second_signal_cuts_nothing(tmp_path: pathlib.Path) -> None:
+@pytest.mark.parametrize('pause', [0.0, 0.3])
+def test_a_second_signal_cuts_nothing(tmp_path: pathlib.Path, pause: float) -> None:
     async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
         set_work(running, 0.9)
         asked = [
@@ -95,8 +102,64 @@
         ]
         await scenes.wait_for(lambda: bool(running.list_runs('once') and running.list_runs('safe')))
         process.send(signal.SIGTERM)
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(pause)
         process.send(signal.SIGTERM)
         assert [r.status for r in await asyncio.gather(*asked)] == [200, 200]
 
     play_process(tmp_path, check)
+
+
+def test_at_the_end_of_a_stop_what_runs_is_answered_as_unknown(tmp_path: pathlib.Path) -> None:
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        set_work(running, 20.0)
+        asked = asyncio.ensure_future(
+            running.ask_at(process.caller, '/slow/x', 'one', patience_ms=9000)
+        )
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
+        process.send(signal.SIGTERM)
+        assert (await asked).status == 502
+
+    play_process(tmp_path, check)
+
+
+def test_at_the_end_of_a_stop_what_waits_is_refused_as_not_run() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        set_work(running, 20.0)
+        running.configure(
+            routes=[{**r, 'target_latency_ms': 8000} for r in running.configuration['routes']]
+        )
+        plain = [r for r in running.replicas.values() if not r.model]
+        for known in plain:
+            known.slots = 1
+            running.record(known.id)
+        process = running.add_router('vm-0', 'zone-0', stop_bound=SHORT_STOP)
+        await running.wait_ready()
+        asked = []
+        for number in range(4):
+            id = f'n{number}'
+            asked.append(asyncio.ensure_future(running.ask('/slow/x', id=id, patience_ms=9000)))
+        await scenes.wait_for(lambda: process.ingress.in_flight == len(asked))
+        process.begin_stop()
+        replies = await asyncio.gather(*asked)
+        for number, reply in enumerate(replies):
+            assert reply.status == (502 if running.list_runs(f'n{number}') else 503)
+        assert any(reply.status == 503 for reply in replies)
+
+    scenes.play(check, routers=0)
+
+
+def test_a_stream_that_has_begun_never_looks_whole_at_the_end_of_a_stop() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for known in running.replicas.values():
+            known.events = 100_000
+        process = running.add_router('vm-0', 'zone-0', stop_bound=SHORT_STOP)
+        await running.wait_ready()
+        asked = asyncio.ensure_future(
+            running.ask('/patient/x', id='one', patience_ms=9000, headers=scenes.PROMPT)
+        )
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
+        process.begin_stop()
+        with pytest.raises(exchanges.ExchangeError):
+            await asked
+
+    scenes.play(check, routers=0)
