Planned stops: what is still coming counts, nothing holds up the loop to the end, the clock starts no later than the signal

Cause of the reported loss, from the trace: a request whose body was still coming did not count as under way, so that the stop believed itself done; then closing the sockets to peers held up the event loop for half a second, since one peer was gone, with the clients' connections open. Class: a process ends on its own count of time and of work, not on what its clients are owed. Change: requests that are coming count; peers are told, and given 50 ms, while the loop turns; resting clients are closed last, and nothing waits after that. Messages to and from peers go without asyncio's layer over ZeroMQ (a future and three calls each), bytes are tallied.

--- a/passpier/core/drain.py
+++ b/passpier/core/drain.py
@@ -22,14 +22,6 @@
 MARGIN = 3.0
 """Seconds on top of the entry lifetime for which old addresses are served."""
 
-LATE_NOTICE = 1.0
-"""Seconds by which a stop may begin later here than its signal was sent: the VM may have given the
-process no time meanwhile, and no clock of the process tells of that."""
-
-END_MARGIN = 0.5
-"""Seconds before the bound of a stop by which a request's time must be over for it to end in the
-stop for certain: its answer may go out 0.25 s later, and the event loop may be late."""
-
 
 @dataclasses.dataclass(slots=True)
 class Drain:
@@ -41,30 +33,24 @@
     began_at: float | None = None
     hurried: bool = False
 
-    def begin(self, now: float) -> None:
-        """Start the stop; a second call changes nothing."""
+    def begin(self, not_later: float) -> None:
+        """Start the stop; a second call changes nothing.
+
+        All its times count from `not_later`, at which the stop had certainly not been asked for
+        yet: a process that got no time since has noticed late, and may be killed soon.
+        """
         if self.began_at is None:
-            self.began_at = now
+            self.began_at = not_later
 
     def hurry(self) -> None:
         """End the stop now, whatever runs."""
         self.hurried = True
 
-    def takes(self, ends_at: float, now: float) -> bool:
-        """Return whether a request may be taken whose time is over at `ends_at`.
-
-        What is taken has to end before the stop does. While most clients still come with old
-        addresses their requests are taken however long they may last: few last for so long, and
-        they have most of the stop. From `LATE_NOTICE` before the end of that time on, when the
-        signal may be older than it seems, only what is certain to end is taken.
-        """
+    def takes(self, now: float) -> bool:
+        """Return whether new requests are taken, as long as many come with old addresses."""
         if self.began_at is None:
             return True
-        if self.hurried or now - self.began_at >= self.entry_ttl + self.margin:
-            return False
-        if now - self.began_at < self.entry_ttl + self.margin - LATE_NOTICE:
-            return True
-        return ends_at + END_MARGIN <= self.began_at - LATE_NOTICE + self.bound
+        return not self.hurried and now - self.began_at < self.entry_ttl + self.margin
 
     def get_phase(self, in_flight: int, now: float) -> Phase:
         """Return the phase at this time with so many requests running or just ended."""
--- a/passpier/daemon/main.py
+++ b/passpier/daemon/main.py
@@ -145,6 +145,7 @@
             await self.fleet.storage.unregister()
         if self.events is not None:
             self.events.close()
+        await self.peers.say_last_words()
         self.peers.close()
         self.client.close()
         log.info('stopped')
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -10,10 +10,33 @@
 GAP_BUCKETS = (0.005, 0.01, 0.02, 0.048, 0.1, 0.2, 0.5, 1.0)
 
 
+class Tally:
+    """What is added to a counter several times a request: a number, handed on when it is read.
+
+    To add to a counter takes 25 microseconds, as long as to send a small message; to add here 0.1.
+    """
+
+    def __init__(self, counter: aioprometheus.Counter, labels: dict[str, str]) -> None:
+        self._counter = counter
+        self._labels = labels
+        self._since = 0
+
+    def add(self, amount: int) -> None:
+        """Add to the counter."""
+        self._since += amount
+
+    def hand_on(self) -> None:
+        """Bring the counter up to date."""
+        if self._since:
+            self._counter.add(self._labels, self._since)
+            self._since = 0
+
+
 class Metrics:
     """All metrics of one daemon, in a registry of its own."""
 
     def __init__(self) -> None:
+        self._tallies: list[Tally] = []
         registry = self.registry = aioprometheus.Registry()
         self.first_token = aioprometheus.Histogram(
             'passpier_first_token_seconds',
@@ -68,9 +91,17 @@
             registry, 'passpier_processor_seconds', 'Processor time of this process.'
         )
 
+    def tally(self, counter: aioprometheus.Counter, labels: dict[str, str]) -> Tally:
+        """Return a way to add often to a counter."""
+        made = Tally(counter, labels)
+        self._tallies.append(made)
+        return made
+
     def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
         """Return the body and the headers of a metrics page."""
         self.processor.set({}, time.process_time())
+        for made in self._tallies:
+            made.hand_on()
         content, headers = aioprometheus.render(self.registry, accept)
         return content, dict(headers)
 
--- a/passpier/daemon/peers.py
+++ b/passpier/daemon/peers.py
@@ -9,7 +9,6 @@
 
 import msgspec
 import zmq
-import zmq.asyncio
 
 from passpier.clients import connections
 from passpier.daemon import messages, metrics
@@ -22,14 +21,19 @@
 MAX_SOCKETS = 512
 """Peers that this daemon keeps connections to."""
 
-LAST_WORDS = 150
-"""Milliseconds in which the last messages to peers may go out as a process ends. It waits that long
-if one of them is gone, and may be killed soon."""
+LAST_WORDS = 0.05
+"""Seconds in which the last messages go out as a process ends; it takes some milliseconds."""
 
 KEEPALIVE_IDLE = 5
 """Seconds of silence after which the kernel looks whether a sender still exists, so that the
 descriptors of those that are gone come back; heartbeats come more often."""
 
+BATCH = 64
+"""Messages that are handled before other work gets its turn."""
+
+NOBLOCK = int(zmq.NOBLOCK)
+"""As a plain number: to combine members of an enumeration takes as long as to send."""
+
 M = TypeVar('M', bound=messages.Message)
 Handler = Callable[[str, str, M], Awaitable[None] | None]
 
@@ -39,7 +43,7 @@
 
     def __init__(self, incarnation: str, ip: str, port: int, counters: metrics.Metrics) -> None:
         self.incarnation = incarnation
-        self._context = zmq.asyncio.Context()
+        self._context = zmq.Context()
         self._inbox = self._context.socket(zmq.PULL)
         self._inbox.linger = 0
         self._inbox.setsockopt(zmq.TCP_KEEPALIVE, 1)
@@ -51,9 +55,10 @@
         else:
             self.port = self._inbox.bind_to_random_port(f'tcp://{ip}')
         self.address = f'{ip}:{self.port}'
-        self._outboxes: dict[str, zmq.asyncio.Socket] = {}
+        self._outboxes: dict[str, zmq.Socket[bytes]] = {}
         self._handlers: dict[type, Handler] = {}
-        self._counters = counters
+        self._bytes_in = counters.tally(counters.control_bytes, {'channel': 'peer_in'})
+        self._bytes_out = counters.tally(counters.control_bytes, {'channel': 'peer_out'})
         self.cut: set[str] = set()
         """Peer addresses whose messages are dropped both ways; set by tests only."""
 
@@ -74,32 +79,56 @@
     def _send(self, address: str, data: bytes) -> None:
         if address == self.address or address in self.cut or self._context.closed:
             return
-        self._counters.control_bytes.add({'channel': 'peer_out'}, len(data))
+        self._bytes_out.add(len(data))
         try:
-            self._get_outbox(address).send(data, flags=zmq.NOBLOCK, copy=True)
+            self._get_outbox(address).send(data, NOBLOCK)
         except zmq.ZMQError:
             log.debug('message dropped', extra={'peer': address})
 
     async def run(self) -> None:
         """Receive until cancelled."""
-        while True:
-            data = await self._inbox.recv()
-            self._counters.control_bytes.add({'channel': 'peer_in'}, len(data))
+        loop = asyncio.get_running_loop()
+        inbox = self._inbox.fileno()
+        loop.add_reader(inbox, self._receive, loop)
+        try:
+            # What has come before is told of no more.
+            self._receive(loop)
+            await loop.create_future()
+        finally:
+            loop.remove_reader(inbox)
+
+    def _receive(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Hand on what has come; the descriptor tells only once of messages that came together."""
+        for _ in range(BATCH):
             try:
-                envelope = messages.decode(data)
-            except msgspec.MsgspecError:
-                log.warning('message not understood', extra={'bytes': len(data)})
-                continue
-            if envelope.address not in self.cut:
-                self._dispatch(envelope)
+                data = self._inbox.recv(NOBLOCK)
+            except zmq.Again:
+                return
+            self._take(data)
+        loop.call_soon(self._receive, loop)
+
+    def _take(self, data: bytes) -> None:
+        self._bytes_in.add(len(data))
+        try:
+            envelope = messages.decode(data)
+        except msgspec.MsgspecError:
+            log.warning('message not understood', extra={'bytes': len(data)})
+            return
+        if envelope.address not in self.cut:
+            self._dispatch(envelope)
 
     async def say_last_words(self) -> None:
-        """Wait until the last messages are out."""
+        """Wait until the last messages are out, without holding anything up.
+
+        To have `close` wait for them would hold up the event loop, and so whoever is still to be
+        answered, for as long as a peer that is gone does not take them.
+        """
+        await asyncio.sleep(LAST_WORDS)
 
     def close(self) -> None:
-        """Send what is still queued, for `LAST_WORDS` at most, and close."""
+        """Close at once; what is still queued is lost."""
         for outbox in self._outboxes.values():
-            outbox.close(linger=LAST_WORDS)
+            outbox.close(linger=0)
         self._outboxes.clear()
         self._inbox.close(linger=0)
         self._context.term()
@@ -112,7 +141,7 @@
         if result is not None:
             asyncio.ensure_future(result)
 
-    def _get_outbox(self, address: str) -> zmq.asyncio.Socket:
+    def _get_outbox(self, address: str) -> zmq.Socket[bytes]:
         outbox = self._outboxes.pop(address, None)
         if outbox is None:
             outbox = self._context.socket(zmq.PUSH)
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -10,7 +10,6 @@
 import random
 import signal
 import sys
-import time
 from collections.abc import Mapping
 
 from passpier import exceptions
@@ -39,7 +38,7 @@
 
 STOP_SHARE = 0.92
 """Part of the time before a kill that requests in a planned stop may take. Of 8 s, 0.64 s are left
-for the last answers (0.2 s), the registry (0.15 s) and the last messages to other processes."""
+for the last answers (0.2 s twice), the registry (0.15 s) and the last messages (0.05 s)."""
 
 SETTINGS_CHECK = 1.0
 """Seconds between looks at whether the settings file has changed."""
@@ -110,8 +109,8 @@
 def _note_stop(
     loop: asyncio.AbstractEventLoop, process: router.Router, number: int, frame: object
 ) -> None:
-    """Have the process stop; called by the interpreter itself, also while the loop is late."""
-    loop.call_soon_threadsafe(process.begin_stop, time.monotonic())
+    """Have the process stop; called before the event loop's next turn."""
+    loop.call_soon_threadsafe(process.begin_stop, process.turned_at)
 
 
 def _interrupt(process: router.Router) -> None:
--- a/passpier/routing/clients.py
+++ b/passpier/routing/clients.py
@@ -41,6 +41,15 @@
         """Note that a request has begun on a connection."""
         self._resting.pop(stream, None)
 
+    def close_resting(self) -> None:
+        """Close all connections on which nothing is under way, as the process ends.
+
+        A client sees that at once, and does not send a request that nobody would read.
+        """
+        for stream in list(self._resting):
+            stream.close()
+        self._resting.clear()
+
     def _make_room(self) -> None:
         if len(self._open) <= self.most:
             return
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -120,16 +120,19 @@
         self.running: set[_Incoming] = set()
         """Requests that are whole and not answered yet."""
 
-        self.takes: Callable[[float], bool] = lambda ends_at: True
-        """Whether a planned stop leaves enough time for a request that is over at a given time."""
+        self.coming: set[_Incoming] = set()
+        """Requests of which the head is there, and not yet the whole body."""
+
+        self.takes: Callable[[], bool] = lambda: True
+        """Whether new requests are taken: not late in a planned stop."""
 
         self.last_request_at = time.monotonic()
         self.clients = clients.Clients()
 
     @property
     def in_flight(self) -> int:
-        """How many requests are under way."""
-        return len(self.running)
+        """How many requests are under way, those included that are still coming."""
+        return len(self.running) + len(self.coming)
 
     def start_request(
         self,
@@ -180,6 +183,7 @@
         """Take the head."""
         self._arrived_at = time.monotonic()
         self._owner.clients.note_request(self._connection.stream)
+        self._owner.coming.add(self)
         assert isinstance(start_line, tornado.httputil.RequestStartLine)
         try:
             self._ask = self._owner.wire.read_request(start_line, headers)
@@ -192,11 +196,13 @@
 
     def finish(self) -> None:
         """Answer: the request is whole."""
+        self._owner.coming.discard(self)
         self._connection.set_close_callback(self._note_gone)
         self._work = asyncio.ensure_future(self._serve())
 
     def on_connection_close(self) -> None:
         """Note that the client left before its request was whole."""
+        self._owner.coming.discard(self)
         id = self._ask.id if self._ask else ''
         log.info('client left while sending', extra={'request': id, 'bytes': len(self._body)})
 
@@ -269,6 +275,9 @@
             return self._refusal
         ask = self._ask
         assert ask is not None
+        if not self._owner.takes():
+            message = 'this process stops'
+            return answering.Refusal(503, 'stopping', message, forwarding.RETRY_AFTER_STOPPING)
         table = self._owner.known.table
         if table is None:
             return _refuse_for_now('no configuration is known yet')
@@ -282,11 +291,7 @@
             account = table.find_account(ask.key) if ask.key else None
             if account is None:
                 return self._refuse_unknown(401, 'unknown_key', 'the key is missing or unknown')
-        admitted = requests.Admitted(ask, route, account, bytes(self._body), self._arrived_at)
-        if not self._owner.takes(admitted.ends_at):
-            message = 'this process stops before the request is certain to end'
-            return answering.Refusal(503, 'stopping', message, forwarding.RETRY_AFTER_STOPPING)
-        return admitted
+        return requests.Admitted(ask, route, account, bytes(self._body), self._arrived_at)
 
     def _refuse_unknown(self, status: int, reason: str, message: str) -> answering.Refusal:
         """Refuse for good only if a newer configuration cannot say otherwise."""
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -40,6 +40,10 @@
 KEPT_TIMES = 3
 """Lifetimes for which some clients keep an answer of the directory."""
 
+TURN_INTERVAL = 0.1
+"""Seconds between looks at whether the event loop turns. A signal counts as sent at the last one,
+up to this much too early."""
+
 GOODBYE_SECONDS = 0.15
 """Seconds in which a stopping process gives up its entry and rights in the registry. Both lapse by
 themselves; a registry that is slow must not keep the process until it is killed."""
@@ -136,7 +140,8 @@
         )
         self.prober = probing.Prober(self.pools, adapter.engines, self.roster.tell_interested)
         self.peers.handle(messages.Silent, self._take_silent)
-        places = dispatcher.Dispatcher(self.pools, self.counters, rng)
+        # Nobody asks this process for decisions: they are in its log.
+        places = dispatcher.Dispatcher(self.pools, self.counters, rng, decisions_kept=0)
         self.forwarder = forwarding.Forwarder(
             self.known,
             places,
@@ -155,6 +160,11 @@
         )
         self.forwarder.daemons = DAEMONS_AT_START
         self._started_at = time.monotonic()
+        self.turned_at = self._started_at
+        """When the event loop last turned, as far as it is looked at. A signal that is handled now
+        came later than that; how much later nobody can tell, for the VM may have given the process
+        no time since."""
+
         self._stopping = asyncio.Event()
         self.ingress.takes = self._takes
         files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -174,6 +184,7 @@
             tasks.start(self.roster.run_heartbeats()),
             tasks.start(self.rollouts.run_election()),
             tasks.start(self.rollouts.run_orders()),
+            tasks.start(self._note_turns()),
             tasks.start(self._run_upkeep()),
             tasks.start(self.keeper.run()),
             tasks.start(self.sharing.run()),
@@ -207,6 +218,8 @@
         await self._say_goodbye()
         # A request may have come on a kept connection since.
         await self._finish()
+        # Nothing may hold up the loop from here on: what comes now is answered by nobody.
+        self.ingress.clients.close_resting()
 
     async def _say_goodbye(self) -> None:
         self.roster.say_goodbye()
@@ -216,14 +229,15 @@
                 await self.roster.end(self.adapter.source)
         except TimeoutError:
             log.info('entry and rights are left to lapse', extra={'seconds': GOODBYE_SECONDS})
+        await self.peers.say_last_words()
 
-    def begin_stop(self, signalled_at: float | None = None) -> None:
+    def begin_stop(self, not_later: float | None = None) -> None:
         """Start a planned stop; a second call changes nothing.
 
-        `signalled_at` is when the signal came, if the event loop has only got round to it now.
+        Its times count from `not_later`, or from now: see `turned_at`.
         """
         now = time.monotonic()
-        began_at = now if signalled_at is None else signalled_at
+        began_at = now if not_later is None else not_later
         if self._drain.began_at is not None:
             since = round(now - self._drain.began_at, 3)
             log.info('stop goes on', extra={'seconds': since})
@@ -270,8 +284,8 @@
     def _take_silent(self, sender: str, address: str, message: messages.Silent) -> None:
         self.prober.suspect(message.replica)
 
-    def _takes(self, ends_at: float) -> bool:
-        return self._drain.takes(ends_at, time.monotonic())
+    def _takes(self) -> bool:
+        return self._drain.takes(time.monotonic())
 
     async def _finish(self) -> None:
         while True:
@@ -283,6 +297,11 @@
             await asyncio.sleep(STOP_CHECK)
         await self.ingress.end_running(self._drain.began_at or self._started_at)
 
+    async def _note_turns(self) -> None:
+        while True:
+            self.turned_at = time.monotonic()
+            await asyncio.sleep(TURN_INTERVAL)
+
     async def _run_upkeep(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_INTERVAL)
