--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -111,7 +111,9 @@
 
 def estimate_running(replica: Replica, now: float) -> int:
     """Return how many requests are running or waiting, by reports and by all known dispatches."""
-    known = len(replica.dispatches) + sum(p.running for p in _list_peers(replica, now))
+    known = len(replica.dispatches)
+    if replica.peers:
+        known += sum(p.running for p in _list_peers(replica, now))
     report = replica.report
     if report is None or replica.peers_complete:
         return known
@@ -123,8 +125,11 @@
 
 def estimate_backlog(replica: Replica, now: float, priority: int = LEAST_URGENT) -> float:
     """Return the tokens still to be computed before those of a new request of that priority."""
-    own = float(sum(count_pending(replica, now)[: priority + 1]))
-    known = own + _estimate_peers(replica, now, priority, own)
+    known = 0.0
+    if replica.dispatches:
+        known = float(sum(count_pending(replica, now)[: priority + 1]))
+    if replica.peers:
+        known += _estimate_peers(replica, now, priority, known)
     report = replica.report
     if report is None or replica.peers_complete:
         return known
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -80,9 +80,16 @@
 class Dispatcher:
     """Decides when and where each call goes."""
 
-    def __init__(self, known: Pools, counters: metrics.Metrics, rng: random.Random) -> None:
+    def __init__(
+        self,
+        known: Pools,
+        counters: metrics.Metrics,
+        rng: random.Random,
+        decisions_kept: int = DECISIONS_KEPT,
+    ) -> None:
         self._upstreams = known
         self._counters = counters
+        self._decisions_kept = decisions_kept
         self._pools: dict[str, _Pool] = collections.defaultdict(_Pool)
         self._policies = choice.build_policies(rng)
         self._decisions: collections.OrderedDict[str, list[bytes]] = collections.OrderedDict()
@@ -301,8 +308,10 @@
         log.info('refusal', extra=fields)
 
     def _keep(self, request: str, fields: Mapping[str, object]) -> None:
+        if not self._decisions_kept:
+            return
         self._decisions.setdefault(request, []).append(msgspec.json.encode(fields))
-        while len(self._decisions) > DECISIONS_KEPT:
+        while len(self._decisions) > self._decisions_kept:
             self._decisions.popitem(last=False)
 
 
