Deadlines: two failing tests for an event loop that is late as a request's time ends

Cause: forwarding.Run.run bounds a request at ends_at + UNREAD_GRACE and aborts the connection when that bound passes, also when no byte of an answer is out. A loop that is late by more than 0.25 s at that moment has both bounds expire in one turn; the outer one wins, and the client gets a closed connection instead of the 504 or of the answer that had come. The log says 'not_read' although the client reads. Change: tests only, with a process that gets no time from 0.2 s before to 0.4 s after the end of a request's time.

--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -163,3 +163,37 @@
             await asked
 
     scenes.play(check, routers=0)
+
+
+def test_a_late_event_loop_closes_nothing_without_an_answer(tmp_path: pathlib.Path) -> None:
+    """The loop is late by more than the grace for answers, just when a request's time ends."""
+
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        set_work(running, 20.0)
+        asked = asyncio.ensure_future(
+            running.ask_at(process.caller, '/once/x', 'one', patience_ms=1000)
+        )
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
+        await asyncio.sleep(0.8)
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(0.6)
+        process.send(signal.SIGCONT)
+        assert (await asked).status == 504
+
+    play_process(tmp_path, check)
+
+
+def test_an_answer_that_came_while_the_loop_was_late_is_delivered(tmp_path: pathlib.Path) -> None:
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        set_work(running, 0.9)
+        asked = asyncio.ensure_future(
+            running.ask_at(process.caller, '/once/x', 'one', patience_ms=1000)
+        )
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
+        await asyncio.sleep(0.8)
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(0.6)
+        process.send(signal.SIGCONT)
+        assert (await asked).status in (200, 504)
+
+    play_process(tmp_path, check)
