Planned stops: a failing test for the connection of what began before the signal

Cause: tornado decides whether an answer ends its connection when it parses the request's head. Requests read before begin_stop sets no_keep_alive keep their connection; the process ends up to 0.05 s after the last of them is answered (QUIET_BEFORE_STOP counts from when a request came, not from its answer), and the client's next request is reset. Change: test only.

--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -197,3 +197,24 @@
         assert (await asked).status in (200, 504)
 
     play_process(tmp_path, check)
+
+
+async def connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.rpartition(':')
+    return await asyncio.open_connection(host, int(port))
+
+
+def test_what_began_before_the_signal_ends_its_connection_too(tmp_path: pathlib.Path) -> None:
+    """Else its client sends the next request on a connection that ends with the process."""
+
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        set_work(running, 0.5)
+        reader, writer = await connect(process.caller)
+        writer.write(deployment.render_request('/once/x', 'one', 3000, body=b'question'))
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
+        process.send(signal.SIGTERM)
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+        assert b'\r\nconnection: close\r\n' in head.lower()
+
+    play_process(tmp_path, check)
