Planned stops: a failing test for an answer that is going out as the stop ends

Cause: _Incoming.end cancels every task that has a run. One whose upstream is done and that waits for its client to read is cancelled as well; Run._end finds the answer begun and aborts the connection, which drops what is still to be written, although END_SECONDS are there for just that. Change: test only.

--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -15,13 +15,15 @@
 import contextlib
 import pathlib
 import signal
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
 
 from passpier.clients import exchanges
+from passpier.routing import router
 from passpier.standins.platform import deployment, routers
-from passpier.tests.platform import scenes
+from passpier.tests.platform import leaving_tests, scenes
 
 SHORT_STOP = 1.0
 """Seconds that a stop may take in tests in which it is too short for what runs."""
@@ -218,3 +220,27 @@
         assert b'\r\nconnection: close\r\n' in head.lower()
 
     play_process(tmp_path, check)
+
+
+def test_an_answer_that_is_going_out_at_the_end_of_a_stop_goes_out_whole() -> None:
+    """Its upstream is done with it: only its client has yet to read."""
+
+    async def check(running: deployment.Deployment) -> None:
+        process = running.add_router('vm-0', 'zone-0', stop_bound=SHORT_STOP)
+        await running.wait_ready()
+        for listening in process._client_server._sockets.values():
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        path = '/slow/' + 'x' * 40_000
+        loop = asyncio.get_running_loop()
+        with leaving_tests.connect(running, received=2048) as client:
+            client.setblocking(False)
+            await loop.sock_sendall(client, deployment.render_request(path, 'one', 9000))
+            await scenes.wait_for(lambda: any(r.finished for r in running.replicas.values()))
+            process.begin_stop()
+            await asyncio.sleep(SHORT_STOP + 2 * router.STOP_CHECK)
+            got = b''
+            while path.encode() not in got and (data := await loop.sock_recv(client, 65536)):
+                got += data
+        assert path.encode() in got
+
+    scenes.play(check, routers=0)
