Planned stops: failing tests for a changed bound and for a body that comes slowly

Cause: Router.reload takes over changed bounds, but not that of the stop: Drain keeps stop_bound, entry_ttl and margin of the start, so that after a shorter grace period the process is killed under requests that it had taken. And in_flight counts only requests that are whole: a body that is being read keeps no stop open, and its client gets a closed connection in place of a 503 that could be given. Change: tests only.

--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import pathlib
 import signal
 import socket
@@ -244,3 +245,36 @@
         assert path.encode() in got
 
     scenes.play(check, routers=0)
+
+
+def test_a_changed_bound_holds_for_the_next_stop() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        set_work(running, 20.0)
+        process = running.add_router('vm-0', 'zone-0', stop_bound=60.0)
+        await running.wait_ready()
+        process.reload(dataclasses.replace(process.options, stop_bound=SHORT_STOP))
+        asked = asyncio.ensure_future(running.ask('/slow/x', id='one', patience_ms=4000))
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
+        process.begin_stop()
+        # Its own time would be over later, with another status.
+        assert (await asked).status == 502
+
+    scenes.play(check, routers=0)
+
+
+def test_a_body_that_comes_slowly_is_answered_before_the_process_ends(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        reader, writer = await connect(process.caller)
+        asked = deployment.render_request('/once/x', 'one', 9000, body=b'question')
+        process.send(signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        writer.write(asked[:-4])
+        # Longer than old addresses are kept, shorter than the stop may last.
+        await asyncio.sleep(3.5)
+        writer.write(asked[-4:])
+        assert (await reader.readline()).startswith(b'HTTP/1.1 503')
+        writer.close()
+
+    play_process(tmp_path, check)
