--- a/passpier/tests/core/drain_tests.py
+++ b/passpier/tests/core/drain_tests.py
@@ -66,3 +66,10 @@
     stop = begin(0.0)
     stop.hurry()
     assert not stop.takes(1.0, 0.5)
+
+
+def test_after_its_bound_a_stop_takes_nothing() -> None:
+    """A platform whose grace period is shorter than the time for which old addresses are kept."""
+    stop = drain.Drain(ENTRY_TTL, 1.5, MARGIN)
+    stop.begin(0.0)
+    assert not stop.takes(1.7, 1.6)
--- a/passpier/tests/platform/accepting_tests.py
+++ b/passpier/tests/platform/accepting_tests.py
@@ -73,3 +73,22 @@
         assert b'200 OK' in await asyncio.get_running_loop().sock_recv(kept, 1000)
 
     scenes.play(check)
+
+
+def test_who_has_sent_a_request_does_not_rest() -> None:
+    """The request has arrived, but the busy event loop has yet to read it."""
+
+    async def check(running: deployment.Deployment) -> None:
+        clients = running.routers[0].ingress.clients
+        clients.most = 2
+        with contextlib.ExitStack() as stack:
+            first = stack.enter_context(leaving_tests.connect(running))
+            stack.enter_context(leaving_tests.connect(running))
+            await scenes.wait_for(lambda: len(clients) == clients.most)
+            stack.enter_context(leaving_tests.connect(running))
+            first.sendall(leaving_tests.render('/safe/x', 'one'))
+            first.setblocking(False)
+            got = await asyncio.get_running_loop().sock_recv(first, 1000)
+        assert b'200 OK' in got
+
+    scenes.play(check)
--- a/passpier/tests/platform/settings_tests.py
+++ b/passpier/tests/platform/settings_tests.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import importlib
 import pathlib
 import runpy
 import signal
+from unittest import mock
 
 import pytest
 
 from passpier import exceptions
 from passpier.platform import main, settings
+from passpier.routing import router
 
 GOOD = """
 node_name = "edge-1"
@@ -89,3 +92,11 @@
     finally:
         signal.signal(signal.SIGHUP, before)
     assert handlers == [('passpier.platform.main', signal.SIG_IGN)]
+
+
+def test_a_signal_that_comes_when_the_loop_is_closed_raises_nothing() -> None:
+    """A second SIGTERM in the last milliseconds of a process."""
+    loop = asyncio.new_event_loop()
+    loop.close()
+    process = mock.create_autospec(router.Router, instance=True)
+    main._note_stop(loop, process, signal.SIGTERM, None)
