Planned stops: a failing test for a signal that is noticed later than LATE_NOTICE

Cause: LATE_NOTICE is a fixed guess. A process that got no time for 1.6 s takes a request without limit 3.3 s after its signal and is killed under it; the client's connection ends without an answer. The loop can bound the lateness itself: the signal came after the last turn of the loop before it, so that a task that notes the time every 0.05 s gives the earliest time of the signal. Change: test only.

--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -22,6 +22,7 @@
 import pytest
 
 from passpier.clients import exchanges
+from passpier.core import drain
 from passpier.routing import router
 from passpier.standins.platform import deployment, routers
 from passpier.tests.platform import leaving_tests, scenes
@@ -278,3 +279,23 @@
         writer.close()
 
     play_process(tmp_path, check)
+
+
+def test_a_signal_that_is_noticed_very_late_lets_nothing_in_that_cannot_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Later than the stop reckons with; the process is killed before its own bound comes."""
+
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        set_work(running, 7.0)
+        process.send(signal.SIGSTOP)
+        process.send(signal.SIGTERM)
+        asyncio.get_running_loop().call_later(routers.STOP_BOUND, process.kill)
+        await asyncio.sleep(drain.LATE_NOTICE + 0.6)
+        process.send(signal.SIGCONT)
+        await asyncio.sleep(1.7)
+        late = await running.ask_at(process.caller, '/slow/x', 'late', patience_ms=9000)
+        assert late.status == 503
+        assert not running.list_runs('late')
+
+    play_process(tmp_path, check)
