--- a/passpier/tests/core/drain_tests.py
+++ b/passpier/tests/core/drain_tests.py
@@ -54,3 +54,10 @@
     stop.hurry()
     assert not stop.takes(0.5)
     assert stop.get_phase(1, 0.5) is drain.Phase.STOPPED
+
+
+def test_after_its_bound_a_stop_takes_nothing() -> None:
+    """A platform whose grace period is shorter than the time for which old addresses are kept."""
+    stop = drain.Drain(ENTRY_TTL, 1.5, MARGIN)
+    stop.begin(0.0)
+    assert not stop.takes(1.6)
--- a/passpier/tests/platform/scenes.py
+++ b/passpier/tests/platform/scenes.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+import pathlib
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from passpier.platform import names
-from passpier.standins.platform import deployment
+from passpier.standins.platform import deployment, routers
 
 Check = Callable[[deployment.Deployment], Awaitable[None]]
 Condition = Callable[[], bool]
@@ -34,3 +36,32 @@
     """Wait until a condition holds; the test's own bound ends it."""
     while not condition():
         await asyncio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def running_process(
+    folder: pathlib.Path,
+) -> AsyncIterator[tuple[deployment.Deployment, routers.RouterProcess]]:
+    """Start the stand-ins and one router as a process."""
+    async with deployment.running(routers=0) as running:
+        process = routers.RouterProcess(0, folder, running.store_address)
+        await process.open()
+        try:
+            while not await process.is_ready(running.pool):
+                await asyncio.sleep(0.05)
+            yield running, process
+        finally:
+            await process.close()
+
+
+def play_process(
+    folder: pathlib.Path,
+    check: Callable[[deployment.Deployment, routers.RouterProcess], Awaitable[None]],
+) -> None:
+    """Run a check against one router process."""
+
+    async def run() -> None:
+        async with running_process(folder) as (running, process):
+            await check(running, process)
+
+    asyncio.run(asyncio.wait_for(run(), BOUND))
--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -18,57 +18,36 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import pathlib
 import signal
+import socket
 import subprocess
-from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
 
 from passpier.clients import exchanges
+from passpier.routing import router
 from passpier.standins.platform import deployment, routers
-from passpier.tests.platform import scenes
+from passpier.tests.platform import leaving_tests, scenes
 
 SHORT_STOP = 1.0
 """Seconds that a stop may take in tests in which it is too short for what runs."""
 
 
-@contextlib.asynccontextmanager
-async def running_process(
-    folder: pathlib.Path,
-) -> AsyncIterator[tuple[deployment.Deployment, routers.RouterProcess]]:
-    """Start the stand-ins and one router as a process."""
-    async with deployment.running(routers=0) as running:
-        process = routers.RouterProcess(0, folder, running.store_address)
-        await process.open()
-        try:
-            while not await process.is_ready(running.pool):
-                await asyncio.sleep(0.05)
-            yield running, process
-        finally:
-            await process.close()
-
-
-def play_process(
-    folder: pathlib.Path,
-    check: Callable[[deployment.Deployment, routers.RouterProcess], Awaitable[None]],
-) -> None:
-    """Run a check against one router process."""
-
-    async def run() -> None:
-        async with running_process(folder) as (running, process):
-            await check(running, process)
-
-    asyncio.run(asyncio.wait_for(run(), scenes.BOUND))
-
-
 def set_work(running: deployment.Deployment, seconds: float) -> None:
     for known in running.replicas.values():
         known.work = seconds
 
 
+async def connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.rpartition(':')
+    return await asyncio.open_connection(host, int(port))
+
+
+@pytest.mark.parametrize('late', [0.8, 1.6])
 def test_a_signal_that_is_noticed_late_lets_nothing_in_that_cannot_end(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, late: float
 ) -> None:
     async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
         set_work(running, 7.0)
@@ -79,17 +58,17 @@
         await scenes.wait_for(lambda: bool(running.list_runs('early')))
         process.send(signal.SIGSTOP)
         process.send(signal.SIGTERM)
-        await asyncio.sleep(0.8)
+        await asyncio.sleep(late)
         process.send(signal.SIGCONT)
         # Three lifetimes of the directory's answers, and a little more, after the signal.
-        await asyncio.sleep(2.5)
-        late = await running.ask_at(process.caller, '/slow/x', 'late', patience_ms=9000)
-        assert late.status == 503
-        assert float(late.headers.get('Retry-After') or 9) < 1
+        await asyncio.sleep(3.3 - late)
+        refused = await running.ask_at(process.caller, '/slow/x', 'late', patience_ms=9000)
+        assert refused.status == 503
+        assert float(refused.headers.get('Retry-After') or 9) < 1
         assert not running.list_runs('late')
         assert (await early).status == 502
 
-    play_process(tmp_path, check)
+    scenes.play_process(tmp_path, check)
 
 
 def test_what_comes_with_an_old_address_is_taken(tmp_path: pathlib.Path) -> None:
@@ -99,7 +78,7 @@
         late = await running.ask_at(process.caller, '/once/x', patience_ms=1500)
         assert late.status == 200
 
-    play_process(tmp_path, check)
+    scenes.play_process(tmp_path, check)
 
 
 @pytest.mark.parametrize('pause', [0.0, 0.3])
@@ -118,7 +97,7 @@
         process.send(signal.SIGTERM)
         assert [r.status for r in await asyncio.gather(*asked)] == [200, 200]
 
-    play_process(tmp_path, check)
+    scenes.play_process(tmp_path, check)
 
 
 def test_at_the_end_of_a_stop_what_runs_is_answered_as_unknown(tmp_path: pathlib.Path) -> None:
@@ -131,7 +110,7 @@
         process.send(signal.SIGTERM)
         assert (await asked).status == 502
 
-    play_process(tmp_path, check)
+    scenes.play_process(tmp_path, check)
 
 
 def test_at_the_end_of_a_stop_what_waits_is_refused_as_not_run() -> None:
@@ -201,13 +180,12 @@
         assert (await asked).status == 502
         assert ended == 0
 
-    play_process(tmp_path, check)
+    scenes.play_process(tmp_path, check)
 
 
 def test_a_request_that_is_still_coming_is_waited_for(tmp_path: pathlib.Path) -> None:
     async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
-        address, _, port = process.caller.rpartition(':')
-        reader, writer = await asyncio.open_connection(address, int(port))
+        reader, writer = await connect(process.caller)
         body = b'x' * 1000
         request = deployment.render_request('/once/x', 'one', 5000, body=body)
         process.send(signal.SIGTERM)
@@ -218,4 +196,59 @@
         assert (await reader.readline()).startswith(b'HTTP/1.1 503')
         writer.close()
 
-    play_process(tmp_path, check)
+    scenes.play_process(tmp_path, check)
+
+
+def test_what_began_before_the_signal_ends_its_connection_too(tmp_path: pathlib.Path) -> None:
+    """Else its client sends the next request on a connection that ends with the process."""
+
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        set_work(running, 0.5)
+        reader, writer = await connect(process.caller)
+        writer.write(deployment.render_request('/once/x', 'one', 3000, body=b'question'))
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
+        process.send(signal.SIGTERM)
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+        assert b'\r\nconnection: close\r\n' in head.lower()
+
+    scenes.play_process(tmp_path, check)
+
+
+def test_an_answer_that_is_going_out_at_the_end_of_a_stop_goes_out_whole() -> None:
+    """Its upstream is done with it: only its client has yet to read."""
+
+    async def check(running: deployment.Deployment) -> None:
+        process = running.add_router('vm-0', 'zone-0', stop_bound=SHORT_STOP)
+        await running.wait_ready()
+        for listening in process._client_server._sockets.values():
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        path = '/slow/' + 'x' * 40_000
+        loop = asyncio.get_running_loop()
+        with leaving_tests.connect(running, received=2048) as client:
+            client.setblocking(False)
+            await loop.sock_sendall(client, deployment.render_request(path, 'one', 9000))
+            await scenes.wait_for(lambda: any(r.finished for r in running.replicas.values()))
+            process.begin_stop()
+            await asyncio.sleep(SHORT_STOP + 2 * router.STOP_CHECK)
+            got = b''
+            while path.encode() not in got and (data := await loop.sock_recv(client, 65536)):
+                got += data
+        assert path.encode() in got
+
+    scenes.play(check, routers=0)
+
+
+def test_a_changed_bound_holds_for_the_next_stop() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        set_work(running, 20.0)
+        process = running.add_router('vm-0', 'zone-0', stop_bound=60.0)
+        await running.wait_ready()
+        process.reload(dataclasses.replace(process.options, stop_bound=SHORT_STOP))
+        asked = asyncio.ensure_future(running.ask('/slow/x', id='one', patience_ms=4000))
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
+        process.begin_stop()
+        # Its own time would be over later, with another status.
+        assert (await asked).status == 502
+
+    scenes.play(check, routers=0)
