Deadlines and ends: late loops deliver or answer, answers going out go out, a stop follows its settings

Change: that bound holds only while something goes out; one last look of 20 ms at what has arrived; the last answers say that they are; a stop waits 0.3 s after the last answer, too; answers that are on their way are left to go out. A slow replica's stream is left only if another attempt may follow.

--- a/passpier/core/drain.py
+++ b/passpier/core/drain.py
@@ -33,6 +33,12 @@
     began_at: float | None = None
     hurried: bool = False
 
+    def configure(self, entry_ttl: float, bound: float, margin: float = MARGIN) -> None:
+        """Set the times, also of a stop that has begun."""
+        self.entry_ttl = entry_ttl
+        self.bound = bound
+        self.margin = margin
+
     def begin(self, not_later: float) -> None:
         """Start the stop; a second call changes nothing.
 
@@ -50,7 +56,8 @@
         """Return whether new requests are taken, as long as many come with old addresses."""
         if self.began_at is None:
             return True
-        return not self.hurried and now - self.began_at < self.entry_ttl + self.margin
+        taking = min(self.entry_ttl + self.margin, self.bound)
+        return not self.hurried and now - self.began_at < taking
 
     def get_phase(self, in_flight: int, now: float) -> Phase:
         """Return the phase at this time with so many requests running or just ended."""
--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -63,11 +63,15 @@
     """
 
     def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self.configure(ratio, slack, window)
+        self._requests: collections.deque[float] = collections.deque()
+        self._spent: collections.deque[float] = collections.deque()
+
+    def configure(self, ratio: float, slack: float, window: float) -> None:
+        """Set the figures; what was counted before stays."""
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._requests: collections.deque[float] = collections.deque()
-        self._spent: collections.deque[float] = collections.deque()
 
     def note_request(self, now: float) -> None:
         """Count a client's request."""
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -31,7 +31,7 @@
 
 ANSWER_TTL = 1.0
 """Seconds for which clients may keep an answer of the directory; some keep it three times that, and
-what a stopping process takes later than 3 s after its signal may not end in time."""
+a stopping process takes requests for as long."""
 
 LEASE_TTL = 1.5
 """Seconds of the lease behind the right to give orders; a successor waits for its end."""
@@ -103,6 +103,8 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, path, process)
     watching = asyncio.ensure_future(_watch_file(path, stamp, process))
     await process.run()
+    # It ends of its own accord, with nothing left to do.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     watching.cancel()
 
 
@@ -110,7 +112,8 @@
     loop: asyncio.AbstractEventLoop, process: router.Router, number: int, frame: object
 ) -> None:
     """Have the process stop; called before the event loop's next turn."""
-    loop.call_soon_threadsafe(process.begin_stop, process.turned_at)
+    if not loop.is_closed():
+        loop.call_soon_threadsafe(process.begin_stop, process.turned_at)
 
 
 def _interrupt(process: router.Router) -> None:
--- a/passpier/routing/answering.py
+++ b/passpier/routing/answering.py
@@ -7,6 +7,8 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from passpier.clients import exchanges
+
 log = logging.getLogger(__name__)
 
 
@@ -70,6 +72,19 @@
             'retry_after': refusal.retry_after,
         },
     )
-    await client.begin(refusal.status, '', headers, len(body))
+    await _write(client, refusal.status, '', headers, body)
+
+
+async def write_whole(
+    client: Client, head: exchanges.Head, headers: Sequence[tuple[str, str]], body: bytes
+) -> None:
+    """Hand an upstream's whole answer on, with these headers."""
+    await _write(client, head.status, head.reason, headers, body)
+
+
+async def _write(
+    client: Client, status: int, reason: str, headers: Sequence[tuple[str, str]], body: bytes
+) -> None:
+    await client.begin(status, reason, headers, len(body))
     await client.write(body)
     await client.finish()
--- a/passpier/routing/clients.py
+++ b/passpier/routing/clients.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import enum
 import logging
+import socket
 import weakref
 
 import tornado.iostream
@@ -10,6 +12,35 @@
 log = logging.getLogger(__name__)
 
 
+class Unread(enum.Enum):
+    """What has come on a connection that the event loop has not read yet."""
+
+    NOTHING = 'nothing'
+    BYTES = 'bytes'
+    END = 'end'
+    """The client has closed; or its sending side, after which no answer is owed."""
+
+
+def _rests(stream: tornado.iostream.IOStream) -> bool:
+    """Return whether no request has come that the event loop has yet to get round to.
+
+    A stream that is not waiting for bytes has got some.
+    """
+    return stream.reading() and look(stream) is not Unread.BYTES
+
+
+def look(stream: tornado.iostream.IOStream) -> Unread:
+    """Return what has come on a connection, without reading it."""
+    if stream.closed():
+        return Unread.END
+    try:
+        return Unread.BYTES if stream.socket.recv(1, socket.MSG_PEEK) else Unread.END
+    except BlockingIOError:
+        return Unread.NOTHING
+    except OSError:
+        return Unread.END
+
+
 class Clients:
     """Keeps the number of clients' connections below a bound, so that new ones can be accepted.
 
@@ -41,14 +72,17 @@
         """Note that a request has begun on a connection."""
         self._resting.pop(stream, None)
 
-    def close_resting(self) -> None:
+    def close_resting(self) -> bool:
         """Close all connections on which nothing is under way, as the process ends.
 
-        A client sees that at once, and does not send a request that nobody would read.
+        A client sees that at once, and does not send a request that nobody would read. Returns
+        whether there is still one on which a request has come that is yet to be read.
         """
         for stream in list(self._resting):
-            stream.close()
-        self._resting.clear()
+            if stream.closed() or _rests(stream):
+                del self._resting[stream]
+                stream.close()
+        return bool(self._resting)
 
     def _make_room(self) -> None:
         if len(self._open) <= self.most:
@@ -57,8 +91,11 @@
             self._open.discard(ended)
             self._resting.pop(ended, None)
         closed = 0
-        while len(self._open) > self.most and self._resting:
-            oldest = next(iter(self._resting))
+        for oldest in list(self._resting):
+            if len(self._open) <= self.most:
+                break
+            if not _rests(oldest):
+                continue
             del self._resting[oldest]
             self._open.discard(oldest)
             oldest.close()
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -6,6 +6,7 @@
 import collections
 import logging
 import time
+from collections.abc import Awaitable
 
 from passpier import exceptions
 from passpier.clients import connections, exchanges
@@ -46,14 +47,19 @@
 """The same, where this process stops: the client goes to another one."""
 
 UNREAD_GRACE = 0.25
-"""Seconds after a request's time is over in which its answer may still go out. A client that has
-stopped reading keeps a replica at work until then, and no longer."""
+"""Seconds after a request's time is over, or after its answer is there if that is later, in which
+the answer may still go out. A client that has stopped reading keeps a replica at work until then,
+and no longer."""
 
 
 class _WithheldError(Exception):
     """Nothing was sent, since the client's key may have been taken away unseen."""
 
 
+class _NotReadError(Exception):
+    """The client has not read its answer in time."""
+
+
 class Forwarder:
     """Runs admitted requests."""
 
@@ -80,11 +86,17 @@
         self.daemons = 1
         """Daemons that share the budget of retries; never counted down."""
 
-        self._budgets: dict[str, retries.SharedBudget] = collections.defaultdict(
-            lambda: retries.SharedBudget(
-                options.retry_ratio, options.retry_slack, options.retry_window
-            )
-        )
+        self._budgets: dict[str, retries.SharedBudget] = collections.defaultdict(self._build_budget)
+
+    def reload(self, options: dialect.Options) -> None:
+        """Take over changed bounds."""
+        self.options = options
+        for budget in self._budgets.values():
+            budget.configure(options.retry_ratio, options.retry_slack, options.retry_window)
+
+    def _build_budget(self) -> retries.SharedBudget:
+        options = self.options
+        return retries.SharedBudget(options.retry_ratio, options.retry_slack, options.retry_window)
 
     def get_budget(self, service: str) -> retries.SharedBudget:
         """Return the retries of a service."""
@@ -121,6 +133,8 @@
 
         self._outcome = 'client_gone'
         self._stopping = False
+        self.final = False
+        """Whether the end of the answer is on its way to the client."""
 
     @property
     def id(self) -> str:
@@ -145,11 +159,8 @@
         """Answer the request, one way or the other; raises `ClientGoneError`."""
         started = time.monotonic()
         try:
-            async with asyncio.timeout(self._admitted.ends_at + UNREAD_GRACE - started) as bound:
-                await self._answer()
-        except TimeoutError:
-            if not bound.expired():
-                raise
+            await self._answer()
+        except _NotReadError:
             self._outcome = 'not_read'
             self._client.abort()
         except asyncio.CancelledError:
@@ -210,7 +221,9 @@
         try:
             await self._send(placement)
             return True
-        except asyncio.CancelledError:
+        except reading.AttemptError:
+            raise
+        except BaseException:
             # The client has left or the process ends; what was sent may have run.
             self._call.life.may_have_run |= self.sent
             raise
@@ -323,23 +336,32 @@
         self._splitter = splitter
         while (part := await self._read_part(reader)) is not None:
             for event in splitter.feed(part):
-                await self._begin_stream(head)
+                await self._deliver(self._write_event(head, event))
                 self._call.life.delivered += 1
-                await self._client.write(event)
         if splitter.has_rest:
             raise reading.AttemptError(attempts.Fault.CUT, 'ended within an event')
-        await self._begin_stream(head)
-        await self._client.finish()
         self._call.life.completed = True
+        self.final = True
+        await self._deliver(self._finish_stream(head))
         self._outcome = 'answered'
 
     async def _read_part(self, reader: reading.Reader) -> bytes | None:
         left = self._admitted.ends_at - time.monotonic()
         gap = max(EVENT_GAP_MIN, self._admitted.route.event_gap * EVENT_GAP_FACTOR)
-        can_move = self._call.life.continuable and self._call.life.delivered > 0
+        life = self._call.life
+        # A replica that is slow is left only for another one: its next event may still come.
+        can_move = life.continuable and life.delivered > 0 and life.attempts < life.max_attempts
         wait = min(left, gap) if can_move else left
         return await reader.read_part(wait)
 
+    async def _write_event(self, head: exchanges.Head, event: bytes) -> None:
+        await self._begin_stream(head)
+        await self._client.write(event)
+
+    async def _finish_stream(self, head: exchanges.Head) -> None:
+        await self._begin_stream(head)
+        await self._client.finish()
+
     async def _begin_stream(self, head: exchanges.Head) -> None:
         if not self._client.started:
             headers = self._owner.wire.clean_answer(head.headers)
@@ -348,11 +370,18 @@
     async def _pass(self, answer: exchanges.Answer) -> None:
         """Hand an upstream's whole answer on."""
         self._call.life.completed = True
+        self.final = True
         head = answer.head
         headers = self._owner.wire.clean_answer(head.headers)
-        await self._client.begin(head.status, head.reason, headers, len(answer.body))
-        await self._client.write(answer.body)
-        await self._client.finish()
+        await self._deliver(answering.write_whole(self._client, head, headers, answer.body))
+
+    async def _deliver(self, sending: Awaitable[None]) -> None:
+        """Wait until a part of the answer is out; raises `_NotReadError`."""
+        try:
+            async with asyncio.timeout(max(0.0, self.ends_at - time.monotonic()) + UNREAD_GRACE):
+                await sending
+        except TimeoutError as error:
+            raise _NotReadError from error
 
     async def _go_on(self, error: reading.AttemptError) -> bool:
         """Decide what follows a failed attempt; return whether there is another one."""
@@ -416,9 +445,11 @@
             # A 503 would promise that the request has not run.
             status, retry_after = 502, None
         self._outcome = reason
+        self.final = True
         refusal = answering.Refusal(status, reason, message, retry_after)
-        await answering.write_refusal(
-            self._client, refusal, self._owner.wire.id_header, self._call.id
+        id_header = self._owner.wire.id_header
+        await self._deliver(
+            answering.write_refusal(self._client, refusal, id_header, self._call.id)
         )
 
     def _may_send(self) -> bool:
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 import time
 from collections.abc import Callable, Sequence
 
@@ -41,8 +40,14 @@
 class HttpClient:
     """Implements `answering.Client` on a connection of tornado's server."""
 
-    def __init__(self, connection: tornado.http1connection.HTTP1Connection) -> None:
+    def __init__(
+        self,
+        connection: tornado.http1connection.HTTP1Connection,
+        is_last: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._connection = connection
+        self._is_last = is_last
+        self._last = False
         self.started = False
         self.status = 0
 
@@ -53,14 +58,7 @@
         A loop that is late reads requests of clients that have given up meanwhile.
         """
         stream = self._connection.stream
-        if stream is None or stream.closed():
-            return True
-        try:
-            return not stream.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return stream is None or clients.look(stream) is clients.Unread.END
 
     async def begin(
         self, status: int, reason: str, headers: Sequence[tuple[str, str]], length: int | None
@@ -72,6 +70,10 @@
             rendered.add(name, value)
         if length is not None:
             rendered['Content-Length'] = str(length)
+        self._last = self._is_last()
+        if self._last:
+            # The process stops. The server itself says so only for requests that it reads now.
+            rendered['Connection'] = 'close'
         self.started = True
         self.status = status
         start = tornado.httputil.ResponseStartLine(
@@ -95,6 +97,8 @@
         self._connection.finish()
         if not stream.closed() and stream.writing():
             await stream.write(b'')
+        if self._last:
+            stream.close()
 
     def abort(self) -> None:
         """End the connection, so that the answer cannot look complete."""
@@ -126,7 +130,12 @@
         self.takes: Callable[[], bool] = lambda: True
         """Whether new requests are taken: not late in a planned stop."""
 
-        self.last_request_at = time.monotonic()
+        self.stopping = False
+        """Whether each answer is the last one on its connection, so that clients go elsewhere."""
+
+        self.active_at = time.monotonic()
+        """When a request last came or ended."""
+
         self.clients = clients.Clients()
 
     @property
@@ -167,7 +176,7 @@
     def __init__(self, owner: Ingress, connection: tornado.http1connection.HTTP1Connection) -> None:
         self._owner = owner
         self._connection = connection
-        self._client = HttpClient(connection)
+        self._client = HttpClient(connection, lambda: owner.stopping)
         self._ask: dialect.Ask | None = None
         self._refusal: answering.Refusal | None = None
         self._body = bytearray()
@@ -221,7 +230,7 @@
             },
         )
         assert self._work is not None, 'what is under way has a task'
-        if run is not None:
+        if run is not None and not run.final:
             run.note_stop()
             self._work.cancel()
         return self._work
@@ -238,7 +247,7 @@
         owner = self._owner
         owner.running.add(self)
         owner.meter.note()
-        owner.last_request_at = time.monotonic()
+        owner.active_at = time.monotonic()
         id = self._ask.id if self._ask else ''
         try:
             await self._answer()
@@ -255,6 +264,7 @@
             self._client.abort()
         finally:
             owner.running.discard(self)
+            owner.active_at = time.monotonic()
             owner.counters.answer_seconds.observe(
                 {'status': str(self._client.status)}, time.monotonic() - self._arrived_at
             )
--- a/passpier/routing/reading.py
+++ b/passpier/routing/reading.py
@@ -13,6 +13,10 @@
 
 T = TypeVar('T')
 
+LAST_LOOK = 0.02
+"""Seconds for a last look at what has arrived, once the time is over: an event loop that was late
+sees the end of the time and the answer at once."""
+
 WHOLE_MAX = 1024 * 1024
 """Bytes of an answer that is read whole before any of it is passed on."""
 
@@ -59,20 +63,24 @@
 
     async def read_whole(self) -> exchanges.Answer:
         """Return the whole answer, before the client's time is over."""
+        whole = asyncio.ensure_future(self._exchange.read_all(WHOLE_MAX))
         try:
-            async with asyncio.timeout(max(0.0, self._ends_at - time.monotonic())):
-                return await self._exchange.read_all(WHOLE_MAX)
-        except TimeoutError as error:
-            raise AttemptError(attempts.Fault.NO_ANSWER, 'not whole in time') from error
+            for seconds in (max(0.0, self._ends_at - time.monotonic()), LAST_LOOK):
+                await asyncio.wait([whole], timeout=seconds)
+                if whole.done():
+                    return whole.result()
         except exchanges.ExchangeError as error:
             raise AttemptError(attempts.Fault.CUT, str(error)) from error
+        finally:
+            whole.cancel()
+        raise AttemptError(attempts.Fault.NO_ANSWER, 'not whole in time')
 
     async def _await_life(
         self, read: Callable[[], Awaitable[T]], wait: float, fault: attempts.Fault
     ) -> T:
         """Return what `read` gives within `wait` seconds, from a replica that shows life."""
         ends_at = time.monotonic() + max(0.0, wait)
-        noted = False
+        noted = looked = False
         while True:
             left = ends_at - time.monotonic()
             try:
@@ -80,7 +88,11 @@
                     got = await read()
             except TimeoutError as error:
                 if left <= probing.SUSPECT_AFTER:
-                    raise AttemptError(fault, 'no answer in time') from error
+                    if looked:
+                        raise AttemptError(fault, 'no answer in time') from error
+                    looked = True
+                    ends_at = time.monotonic() + LAST_LOOK
+                    continue
                 if self._prober.is_silent(self._name):
                     raise AttemptError(fault, 'the replica gives no sign of life') from error
                 if not self._exchange.is_silent:
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -48,6 +48,10 @@
 """Seconds in which a stopping process gives up its entry and rights in the registry. Both lapse by
 themselves; a registry that is slow must not keep the process until it is killed."""
 
+LAST_TURNS = 10
+"""Turns of the event loop in which requests that came at the last moment are refused; one takes a
+few."""
+
 QUIET_BEFORE_STOP = 0.3
 """Seconds without a request before a planned stop ends: one may be on its way just then."""
 
@@ -155,9 +159,7 @@
         self.ingress = ingress.Ingress(
             self.known, self.forwarder, adapter.wire, self.counters, self.meter
         )
-        self._drain = drain.Drain(
-            options.answer_ttl, options.stop_bound, options.answer_ttl * (KEPT_TIMES - 1)
-        )
+        self._drain = drain.Drain(*_read_stop_times(options))
         self.forwarder.daemons = DAEMONS_AT_START
         self._started_at = time.monotonic()
         self.turned_at = self._started_at
@@ -218,8 +220,12 @@
         await self._say_goodbye()
         # A request may have come on a kept connection since.
         await self._finish()
-        # Nothing may hold up the loop from here on: what comes now is answered by nobody.
-        self.ingress.clients.close_resting()
+        # What comes from here on is answered by nobody, so that nothing may hold up the loop.
+        for _ in range(LAST_TURNS):
+            if not self.ingress.clients.close_resting():
+                break
+            await asyncio.sleep(0)
+        await self.ingress.end_running(self._drain.began_at or self._started_at)
 
     async def _say_goodbye(self) -> None:
         self.roster.say_goodbye()
@@ -250,7 +256,7 @@
                 'noticed_after': round(now - began_at, 4),
             },
         )
-        # From here on each answer ends its connection, so that clients go elsewhere.
+        self.ingress.stopping = True
         self._client_server.conn_params.no_keep_alive = True
         self.roster.begin_leaving()
         self._stopping.set()
@@ -265,9 +271,10 @@
         """Take over changed bounds; addresses stay until the next start."""
         self.options = options
         self.known.freshness.bound = options.key_bound
-        self.forwarder.options = options
+        self.forwarder.reload(options)
         self.rollouts.holder.hold = options.order_hold
         self.pools.version_bound = options.version_bound
+        self._drain.configure(*_read_stop_times(options))
         log.info('settings reloaded', extra={'key_bound': options.key_bound})
 
     @property
@@ -290,7 +297,7 @@
     async def _finish(self) -> None:
         while True:
             now = time.monotonic()
-            recent = now - self.ingress.last_request_at < QUIET_BEFORE_STOP
+            recent = now - self.ingress.active_at < QUIET_BEFORE_STOP
             phase = self._drain.get_phase(self.ingress.in_flight + recent, now)
             if phase is drain.Phase.STOPPED:
                 break
@@ -369,6 +376,11 @@
         self.write(body)
 
 
+def _read_stop_times(options: dialect.Options) -> tuple[float, float, float]:
+    """Return how long answers of the directory live, a stop lasts, and old answers are kept."""
+    return options.answer_ttl, options.stop_bound, options.answer_ttl * (KEPT_TIMES - 1)
+
+
 def _listen_on(server: tornado.httpserver.HTTPServer, address: str) -> None:
     host, _, port = address.rpartition(':')
     sockets = tornado.netutil.bind_sockets(int(port), host, backlog=BACKLOG)
