Streams: a replica that pauses is left only if another one can go on

Change: attempts, budget and a place elsewhere are asked for before it is left; else it is waited for.

--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -80,13 +80,17 @@
 
     def spend(self, now: float, daemons: int) -> bool:
         """Take one retry, if `daemons` daemons share the slack; return false if none is left."""
-        self._forget(now)
-        allowed = self._ratio * len(self._requests) + self._slack / max(1, daemons)
-        if len(self._spent) + 1 > allowed * BUDGET_CAUTION:
+        if not self.has_any(now, daemons):
             return False
         self._spent.append(now)
         return True
 
+    def has_any(self, now: float, daemons: int) -> bool:
+        """Return whether a retry is left, if `daemons` daemons share the slack."""
+        self._forget(now)
+        allowed = self._ratio * len(self._requests) + self._slack / max(1, daemons)
+        return len(self._spent) + 1 <= allowed * BUDGET_CAUTION
+
     def _forget(self, now: float) -> None:
         for times in (self._requests, self._spent):
             while times and times[0] <= now - self._window:
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -118,6 +118,12 @@
             self._give_back(waiting)
             raise
 
+    def has_place(self, call: calls.Call, exclude: Collection[str]) -> bool:
+        """Return whether an attempt could be placed at once on a replica that is not excluded."""
+        now = time.monotonic()
+        serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
+        return any(r.name not in exclude and replicas.has_room(r, now) for r in serving)
+
     def end(self, placement: Placement) -> None:
         """Give a place back."""
         replicas.end_dispatch(placement.replica, placement.attempt, time.monotonic())
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -346,13 +346,32 @@
         self._outcome = 'answered'
 
     async def _read_part(self, reader: reading.Reader) -> bytes | None:
-        left = self._admitted.ends_at - time.monotonic()
+        """Return the next part of a stream; raises `AttemptError`.
+
+        A replica that pauses is left only if another one can go on: its next event may still come.
+        """
+        life = self._call.life
+        can_move = life.continuable and life.delivered > 0
         gap = max(EVENT_GAP_MIN, self._admitted.route.event_gap * EVENT_GAP_FACTOR)
+        while True:
+            left = self.ends_at - time.monotonic()
+            wait = min(left, gap) if can_move else left
+            try:
+                return await reader.read_part(wait)
+            except reading.PauseError:
+                if wait == left or self._can_go_on():
+                    raise
+                log.info('slow stream kept', extra={'request': self.id, 'upstream': self.upstream})
+
+    def _can_go_on(self) -> bool:
+        """Return whether another replica could take up the stream now."""
         life = self._call.life
-        # A replica that is slow is left only for another one: its next event may still come.
-        can_move = life.continuable and life.delivered > 0 and life.attempts < life.max_attempts
-        wait = min(left, gap) if can_move else left
-        return await reader.read_part(wait)
+        budget = self._owner.get_budget(self._service)
+        return (
+            life.attempts < life.max_attempts
+            and budget.has_any(time.monotonic(), self._owner.daemons)
+            and self._owner.dispatcher.has_place(self._call, {*self._excluded, self.upstream})
+        )
 
     async def _write_event(self, head: exchanges.Head, event: bytes) -> None:
         await self._begin_stream(head)
--- a/passpier/routing/reading.py
+++ b/passpier/routing/reading.py
@@ -32,6 +32,10 @@
         self.passed = passed
 
 
+class PauseError(AttemptError):
+    """Nothing came for as long as was waited, from a replica that may still go on."""
+
+
 class Reader:
     """Reads one exchange with the replica `name`; `ends_at` is when the client's time is over.
 
@@ -89,7 +93,7 @@
             except TimeoutError as error:
                 if left <= probing.SUSPECT_AFTER:
                     if looked:
-                        raise AttemptError(fault, 'no answer in time') from error
+                        raise PauseError(fault, 'no answer in time') from error
                     looked = True
                     ends_at = time.monotonic() + LAST_LOOK
                     continue
--- a/passpier/tests/platform/deadlines_tests.py
+++ b/passpier/tests/platform/deadlines_tests.py
@@ -10,6 +10,8 @@
 import pathlib
 import signal
 
+import pytest
+
 from passpier.standins.platform import deployment, routers
 from passpier.tests.platform import scenes
 
@@ -51,3 +53,30 @@
         assert (await asked).status in (200, 504)
 
     scenes.play_process(tmp_path, check)
+
+
+@pytest.mark.parametrize('others', ['draining', 'recorded'])
+def test_a_slow_stream_is_left_only_if_another_replica_can_go_on(others: str) -> None:
+    """A replica under pressure pauses for longer than a healthy one ever does, and goes on."""
+
+    async def check(running: deployment.Deployment) -> None:
+        running.configure(
+            routes=[{**r, 'timeout_ms': 9000} for r in running.configuration['routes']]
+        )
+        await running.wait_settled()
+        models = [known for known in running.replicas.values() if known.model]
+        for known in models:
+            known.event_pause = 1.3
+            known.events = 3
+        asked = asyncio.ensure_future(
+            running.ask('/resume/x', id='one', patience_ms=9000, headers=scenes.PROMPT)
+        )
+        await scenes.wait_for(lambda: bool(running.list_runs('one')))
+        if others == 'draining':
+            for known in models:
+                if not known.runs:
+                    running.remove_replica(known.id)
+        assert (await asked).status == 200
+        assert len(running.list_runs('one')) == (1 if others == 'draining' else 2)
+
+    scenes.play(check)
