Replicas that start again, entries of other writers: tests that fail

Cause: the books go by the id alone, and an entry that cannot be read leaves the one before it in use.

--- /dev/null
+++ b/passpier/tests/platform/lives_tests.py
@@ -0,0 +1,147 @@
+"""What a process believes of replicas that start again under their id, from the entries it reads.
+
+A replica that has started again holds nothing of before: neither newer weights nor a cache, and it
+has said nothing of leaving.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+import pytest
+
+from passpier.clients import registry
+from passpier.core import choice, pauses, prompts
+from passpier.platform import dialect, names
+from passpier.routing import knowledge, pools
+
+ID = 'i-1'
+MODEL = 'm1'
+SERVICES = [
+    {'name': 'llm', 'engine': {'slots': 16, 'kv_capacity': 9000, 'models': [{'name': MODEL}]}},
+    {'name': 'app'},
+]
+
+
+class Registry:
+    """Writes entries, each at the next revision, into what a process knows."""
+
+    def __init__(self) -> None:
+        self.known = knowledge.Knowledge(dialect.Records(), pools.Pools(10.0), 5.0)
+        self.revision = 0
+        self.put(names.CONFIGURATION_KEY, {'version': 1, 'services': SERVICES})
+
+    def put(self, key: str, value: Any) -> None:
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = registry.Item(key, data, self.revision)
+        now = time.monotonic()
+        self.known.take_changes(registry.Changes((item,), self.revision, now, now), 0.0, now)
+
+    def record(self, id: str = ID, **fields: Any) -> None:
+        self.put(names.REPLICA_PREFIX + id, make_entry(**fields))
+
+    def list_used(self, service: str = 'llm') -> set[str]:
+        return {r.name for r in self.known.pools.list_serving(service)}
+
+
+def make_entry(version: int = 1, **fields: Any) -> dict[str, Any]:
+    entry = {
+        'service': 'llm',
+        'address': '10.0.0.1:8080',
+        'zone': 'd0',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'models': [{'name': MODEL, 'version': version, 'adapters': []}],
+        'sequence': 1,
+        'born': 1000,
+    }
+    return {k: v for k, v in (entry | fields).items() if v is not None}
+
+
+def make_job() -> choice.Job:
+    parts = (prompts.Part('aa', 800), prompts.Part('own', 50))
+    return prompts.build_job(prompts.Prompt(MODEL, parts), None, 1)
+
+
+@pytest.fixture(name='store')
+def make_registry() -> Registry:
+    store = Registry()
+    store.record(version=3)
+    return store
+
+
+def test_a_replica_that_starts_again_with_older_weights_has_these(store: Registry) -> None:
+    """The higher version of the process before stayed in the books.
+
+    Requests went there with the wrong precondition and the wrong salt, and no order ever brought
+    the replica up, since it seemed to have the newest weights.
+    """
+    store.record(version=2, born=2000)
+    assert store.known.pools.get(ID).weight_version == '2'
+
+
+def test_a_replica_that_starts_again_has_an_empty_cache(store: Registry) -> None:
+    job = make_job()
+    known = store.known.pools
+    incarnation = known.cache.get_incarnation(ID)
+    known.cache.correct(ID, incarnation, job.chain, 0, len(job.chain), time.monotonic())
+    assert known.cache.match(ID, job.chain, time.monotonic()).blocks
+    store.record(version=3, born=2000)
+    assert not known.cache.match(ID, job.chain, time.monotonic()).blocks
+
+
+def test_what_a_replica_did_before_it_started_again_is_forgotten(store: Registry) -> None:
+    """Pauses, strikes, learnt rates and open requests were those of the process before."""
+    known = store.known.pools
+    before = known.get(ID)
+    before.seconds_per_token = 1.0
+    known.silent.add(ID)
+    for _ in range(3):
+        known.ejector.note_failure(ID, time.monotonic())
+    before.paused_until = time.monotonic() + 100.0
+    store.record(version=3, born=2000)
+    now = time.monotonic()
+    after = known.get(ID)
+    assert after.seconds_per_token < 1.0
+    assert after.paused_until < now
+    assert not known.silent
+    assert not known.ejector.is_ejected(ID, now)
+
+
+def test_leaving_that_the_process_before_announced_does_not_bind(store: Registry) -> None:
+    """What was said to leave has left: the process that stands there now has said nothing."""
+    store.record(version=3, state='draining')
+    assert not store.list_used()
+    store.record(version=3, born=2000)
+    assert store.list_used() == {ID}
+
+
+def test_leaving_binds_the_process_that_announced_it(store: Registry) -> None:
+    store.record(version=3, state='draining')
+    store.record(version=3)
+    assert not store.list_used()
+
+
+def test_a_replica_that_starts_again_elsewhere_is_sought_there(store: Registry) -> None:
+    store.record(version=3, born=2000, address='10.0.0.2:8080')
+    assert store.known.pools.get(ID).address == '10.0.0.2:8080'
+
+
+def test_after_a_jump_of_its_clock_a_replica_may_be_born_earlier(store: Registry) -> None:
+    store.record(version=2, born=500)
+    assert store.known.pools.get(ID).weight_version == '2'
+
+
+def test_the_same_process_keeps_what_was_learnt(store: Registry) -> None:
+    known = store.known.pools
+    known.get(ID).seconds_per_token = 1.0
+    known.pause(ID, pauses.Pause.FULL, 10.0, 'full')
+    store.record(version=4)
+    assert known.get(ID).seconds_per_token == 1.0
+    assert known.get(ID).paused_until > time.monotonic()
+    assert known.get(ID).weight_version == '4'
--- /dev/null
+++ b/passpier/tests/platform/records_tests.py
@@ -0,0 +1,180 @@
+"""Entries that other writers left among those of the replicas: they name no replica to use."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from passpier.platform import names
+from passpier.routing import knowledge
+from passpier.tests.platform import lives_tests
+
+ID = lives_tests.ID
+OTHER = 'i-2'
+
+BROKEN: dict[str, bytes | dict[str, Any]] = {
+    'no bytes': b'',
+    'not JSON': b'\xff\xfe{',
+    'not UTF-8': json.dumps(lives_tests.make_entry(zone='#')).encode().replace(b'#', b'\xff'),
+    'nested too deeply': b'[' * 5000,
+    'another shape': b'[1,2]',
+    'nothing': b'{}',
+    'half': json.dumps(lives_tests.make_entry()).encode()[:60],
+    **{
+        f'no {field}': lives_tests.make_entry(**{field: None})
+        for field in ('service', 'address', 'zone', 'version', 'slots', 'state', 'sequence')
+    },
+    'service of another type': lives_tests.make_entry(service=7),
+    'no service': lives_tests.make_entry(service=''),
+    'address of another type': lives_tests.make_entry(address=['10.0.0.1', 8080]),
+    'empty address': lives_tests.make_entry(address=''),
+    'address without a port': lives_tests.make_entry(address='10.0.0.1'),
+    'port 0': lives_tests.make_entry(address='10.0.0.1:0'),
+    'port too high': lives_tests.make_entry(address='10.0.0.1:70000'),
+    'signed port': lives_tests.make_entry(address='10.0.0.1:+80'),
+    'address that is no number': lives_tests.make_entry(address='replica:80'),
+    'address of everybody': lives_tests.make_entry(address='0.0.0.0:80'),
+    'unknown state': lives_tests.make_entry(state='sleepy'),
+    'state of another type': lives_tests.make_entry(state=1),
+    'no slots': lives_tests.make_entry(slots=0),
+    'negative slots': lives_tests.make_entry(slots=-4),
+    'huge slots': lives_tests.make_entry(slots=10**12),
+    'slots as a fraction': lives_tests.make_entry(slots=8.0),
+    'slots as text': lives_tests.make_entry(slots='8'),
+    'slots as a truth value': lives_tests.make_entry(slots=True),
+    'models of another type': lives_tests.make_entry(models='m1'),
+    'models as a table': lives_tests.make_entry(models={'m1': 3}),
+    'version of weights as text': lives_tests.make_entry(models=[{'name': 'm1', 'version': '3'}]),
+    'negative version of weights': lives_tests.make_entry(models=[{'name': 'm1', 'version': -1}]),
+    'start as a fraction': lives_tests.make_entry(born=1000.5),
+    'start as text': lives_tests.make_entry(born='1000'),
+    'negative start': lives_tests.make_entry(born=-5),
+    'start beyond all time': lives_tests.make_entry(born=10**30),
+}
+
+
+def build_store() -> lives_tests.Registry:
+    store = lives_tests.Registry()
+    store.record(ID, version=3)
+    store.record(OTHER, version=3, address='10.0.0.2:8080')
+    return store
+
+
+@pytest.fixture(name='store')
+def make_store() -> lives_tests.Registry:
+    return build_store()
+
+
+@pytest.mark.parametrize('name', BROKEN)
+def test_a_broken_entry_names_no_replica(store: lives_tests.Registry, name: str) -> None:
+    """The entry that stood under the key before stayed in use, or what was broken was guessed."""
+    store.put(names.REPLICA_PREFIX + ID, BROKEN[name])
+    assert store.list_used() == {OTHER}
+    assert set(store.known.pools.replicas) == {OTHER}
+
+
+@pytest.mark.parametrize('name', BROKEN)
+def test_a_broken_entry_is_no_reason_to_wait_for_its_return(
+    store: lives_tests.Registry, name: str
+) -> None:
+    """Entries that vanish while the registry is disturbed may return; this one was written."""
+    store.known.catalogue.note_disturbance(1e12)
+    store.put(names.REPLICA_PREFIX + ID, BROKEN[name])
+    assert store.list_used() == {OTHER}
+
+
+def test_a_replica_that_records_itself_again_is_used_again(store: lives_tests.Registry) -> None:
+    store.put(names.REPLICA_PREFIX + ID, b'\xff')
+    store.record(ID, version=3)
+    assert store.list_used() == {ID, OTHER}
+
+
+def test_what_is_not_read_may_be_missing(store: lives_tests.Registry) -> None:
+    """Replicas of plain services have no models; older ones do not tell when they started."""
+    store.record(ID, service='app', models=None, born=None, version=0)
+    assert store.list_used('app') == {ID}
+
+
+def test_a_replica_of_an_unknown_service_waits_for_its_configuration(
+    store: lives_tests.Registry,
+) -> None:
+    store.record('i-3', service='soon', address='10.0.0.3:8080')
+    assert not store.list_used('soon')
+    assert 'i-3' not in {s.id for s in store.known.pools.list_states()}
+    services = [*lives_tests.SERVICES, {**lives_tests.SERVICES[0], 'name': 'soon'}]
+    store.put(names.CONFIGURATION_KEY, {'version': 2, 'services': services})
+    assert store.list_used('soon') == {'i-3'}
+    assert 'i-3' in {s.id for s in store.known.pools.list_states()}
+
+
+def test_a_replica_whose_service_is_dropped_is_not_used(store: lives_tests.Registry) -> None:
+    store.put(names.CONFIGURATION_KEY, {'version': 2, 'services': lives_tests.SERVICES[1:]})
+    assert not store.list_used()
+    assert not store.known.pools.list_states()
+
+
+def test_two_entries_with_one_address_both_stand(store: lives_tests.Registry) -> None:
+    """Which of them lives there, the process at the address tells each that asks it."""
+    store.record('i-3', version=3)
+    assert store.list_used() == {ID, OTHER, 'i-3'}
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=5,
+)
+
+
+@hypothesis.given(data=st.binary(max_size=60) | _JSON.map(lambda v: json.dumps(v).encode()))
+def test_whatever_bytes_there_are_the_others_hold(data: bytes) -> None:
+    store = build_store()
+    store.put(names.REPLICA_PREFIX + ID, data)
+    store.put(names.VERSION_PREFIX + lives_tests.MODEL, data)
+    assert store.list_used() == {OTHER}
+
+
+@hypothesis.given(
+    field=st.sampled_from(sorted(lives_tests.make_entry())), value=_JSON, cut=st.integers(0, 200)
+)
+def test_whatever_a_field_holds_the_others_hold(field: str, value: Any, cut: int) -> None:
+    store = build_store()
+    data = json.dumps(lives_tests.make_entry() | {field: value}).encode()
+    store.put(names.REPLICA_PREFIX + ID, data)
+    store.put(names.REPLICA_PREFIX + 'i-3', data[:cut])
+    assert OTHER in store.list_used()
+    assert all(r.slots > 0 and r.address for r in store.known.pools.replicas.values())
+
+
+def test_broken_namings_leave_the_known_one(store: lives_tests.Registry) -> None:
+    key = names.VERSION_PREFIX + lives_tests.MODEL
+    store.put(key, {'model': lives_tests.MODEL, 'version': 4})
+    for broken in (
+        b'\xff',
+        {'model': lives_tests.MODEL},
+        {'model': lives_tests.MODEL, 'version': 5.0},
+        {'model': lives_tests.MODEL, 'version': '5'},
+        {'model': lives_tests.MODEL, 'version': -1},
+        {'model': lives_tests.MODEL, 'version': 10**30},
+        {'model': 'another', 'version': 5},
+    ):
+        store.put(key, broken)
+    newest = {m: n.newest for m, n in store.known.pools.namings.items()}
+    assert newest == {lives_tests.MODEL: 4}
+
+
+def test_a_record_that_stays_broken_is_logged_once(
+    store: lives_tests.Registry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[str] = []
+    monkeypatch.setattr(knowledge.log, 'warning', lambda text, **_: lines.append(text))
+    for _ in range(5):
+        store.put(names.REPLICA_PREFIX + ID, b'\xff')
+    assert len(lines) == 1
+    store.record(ID, version=3)
+    store.put(names.REPLICA_PREFIX + ID, b'\xff')
+    assert len(lines) == 2
