--- a/passpier/core/catalogue.py
+++ b/passpier/core/catalogue.py
@@ -1,17 +1,28 @@
 """The replicas that exist, by their entries in the registry.
 
 Entries that vanish while the registry is disturbed are kept for a while after its return, since
-their leases may have lapsed while their replicas live. A replica that was seen leaving stays so.
+their leases may have lapsed while their replicas live. A replica that was seen leaving stays so for
+as long as its process lives.
+
+A replica may start again under its id. Its newest entry tells which process there is now, also if
+the replica's clock has jumped back; the replica itself may tell earlier, of a later start than is
+known. A process that is known to have ended never counts again, however late word of it comes.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from collections.abc import Mapping
 
+from passpier.core import lives
+
 RETURN_GRACE = 2.0
 """Seconds after the registry's return in which a lapsed entry comes back if its replica lives."""
 
+ENDED_KEPT = 8
+"""Ended processes that are remembered of each replica; late word comes from the last one or two."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
@@ -26,6 +37,14 @@
     versions: Mapping[str, int]
     """Weight version of each model."""
 
+    born: int = 0
+    """When its process started, in Unix milliseconds; 0 if it does not tell."""
+
+    @property
+    def life(self) -> lives.Life:
+        """The process that the entry is of."""
+        return lives.Life(self.id, self.born)
+
 
 @dataclasses.dataclass(slots=True)
 class _Known:
@@ -36,6 +55,11 @@
     watched: bool = False
     """Whether this process saw it vanish itself; then further disturbance prolongs the wait."""
 
+    ended: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=ENDED_KEPT)
+    )
+    """When the processes started that have ended since."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
@@ -74,16 +98,50 @@
         return awaited
 
     def put(self, entry: Entry) -> Change | None:
-        """Take over an entry; return the change, if it is one."""
+        """Take over an entry that is newer than the known one; return the change, if it is one.
+
+        An entry that does not tell its process's start is one of the process that is known.
+        """
         known = self._known.get(entry.id)
-        if known is not None:
-            known.missing_until = None
-            if known.entry.draining and not entry.draining:
-                entry = dataclasses.replace(entry, draining=True)
-            if known.entry == entry:
-                return None
-        self._known[entry.id] = _Known(entry)
-        return Change(entry.id, entry, 'draining' if entry.draining else 'recorded')
+        if known is None:
+            self._known[entry.id] = _Known(entry)
+            return _describe(entry)
+        if not entry.born:
+            entry = dataclasses.replace(entry, born=known.entry.born)
+        if entry.born in known.ended:
+            return None
+        known.missing_until = None
+        if entry.born != known.entry.born:
+            return self._begin_life(known, entry)
+        if known.entry.draining and not entry.draining:
+            entry = dataclasses.replace(entry, draining=True)
+        if known.entry == entry:
+            return None
+        known.entry = entry
+        return _describe(entry)
+
+    def note_born(self, life: lives.Life, versions: Mapping[str, int]) -> Change | None:
+        """Take over that a replica says to have started later than is known.
+
+        What the process before said of leaving does not bind the one that has started since.
+        """
+        known = self._known.get(life.id)
+        if known is None or life.born <= known.entry.born or life.born in known.ended:
+            return None
+        entry = dataclasses.replace(
+            known.entry, born=life.born, draining=False, versions=dict(versions)
+        )
+        return self._begin_life(known, entry)
+
+    def refuse(self, id: str) -> Change | None:
+        """Note that a replica's entry was written over with one that names no replica.
+
+        Nothing is awaited as when an entry has vanished: somebody wrote this, and a replica that
+        lives records itself again.
+        """
+        if self._known.pop(id, None) is None:
+            return None
+        return Change(id, None, 'entry unusable')
 
     def remove(self, id: str, now: float, awaited: float | None = None) -> Change | None:
         """Note that an entry vanished; the replica is gone unless the entry may come back.
@@ -110,3 +168,12 @@
         for id in late:
             del self._known[id]
         return [Change(i, None, 'entry did not come back') for i in late]
+
+    def _begin_life(self, known: _Known, entry: Entry) -> Change:
+        known.ended.append(known.entry.born)
+        known.entry = entry
+        return Change(entry.id, entry, 'started again')
+
+
+def _describe(entry: Entry) -> Change:
+    return Change(entry.id, entry, 'draining' if entry.draining else 'recorded')
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from passpier.core import lives
+
 DEFAULT_SECONDS_PER_TOKEN = 1 / 20_000
 """Assumed prefill time before anything was learnt."""
 
@@ -96,6 +98,14 @@
     room_seconds: float = ROOM_SECONDS
     """Seconds of prefill that may wait at this replica."""
 
+    born: int = 0
+    """When its process started, in Unix milliseconds; 0 if it does not tell."""
+
+    @property
+    def life(self) -> lives.Life:
+        """The process that all this is known of."""
+        return lives.Life(self.name, self.born)
+
     @property
     def leaving(self) -> bool:
         """Whether any signal says that this upstream leaves."""
--- a/passpier/daemon/loads.py
+++ b/passpier/daemon/loads.py
@@ -8,9 +8,10 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 from typing import Protocol
 
-from passpier.core import members, replicas
+from passpier.core import lives, members, replicas
 from passpier.daemon import messages, peers
 
 INTERVAL = 0.05
@@ -64,7 +65,7 @@
         self._membership = membership
         self._upstreams = known
         self._peers = link
-        self._sent: dict[str, Load] = {}
+        self._sent: dict[lives.Life, Load] = {}
         self._whole_at = float('-inf')
         link.handle(messages.Loads, self._take)
 
@@ -87,22 +88,22 @@
         if now - self._whole_at >= WHOLE_INTERVAL and (loads or self._sent):
             self._whole_at = now
             self._sent = loads
-            return messages.Loads([(name, *load) for name, load in loads.items()], True)
-        ended = {name: NO_LOAD for name, load in self._sent.items() if name not in loads}
-        changed = {n: load for n, load in loads.items() if self._is_changed(n, load)} | ended
+            return _build_message(loads, True)
+        ended = {life: NO_LOAD for life in self._sent if life not in loads}
+        changed = {x: load for x, load in loads.items() if self._is_changed(x, load)} | ended
         if not changed:
             return None
         self._sent.update(changed)
-        for name in ended:
-            del self._sent[name]
-        return messages.Loads([(name, *load) for name, load in changed.items()], False)
+        for life in ended:
+            del self._sent[life]
+        return _build_message(changed, False)
 
-    def _is_changed(self, name: str, load: Load) -> bool:
+    def _is_changed(self, life: lives.Life, load: Load) -> bool:
         tokens, running = load
-        told_tokens, told_running = self._sent.get(name, NO_LOAD)
-        if name not in self._sent or abs(sum(tokens) - sum(told_tokens)) >= CHANGED_TOKENS:
+        told_tokens, told_running = self._sent.get(life, NO_LOAD)
+        if life not in self._sent or abs(sum(tokens) - sum(told_tokens)) >= CHANGED_TOKENS:
             return True
-        slots = self._upstreams.replicas[name].slots
+        slots = self._upstreams.replicas[life.id].slots
         return abs(running - told_running) >= max(1, slots * CHANGED_SLOTS)
 
     def _choose_pause(self, peers: int) -> float:
@@ -110,19 +111,26 @@
             return max(self._interval, STANDBY_INTERVAL)
         return self._interval * max(1.0, peers / USUAL_PEERS)
 
-    def _collect(self, now: float) -> dict[str, Load]:
+    def _collect(self, now: float) -> dict[lives.Life, Load]:
         return {
-            r.name: (replicas.count_pending(r, now), len(r.dispatches))
+            r.life: (replicas.count_pending(r, now), len(r.dispatches))
             for r in self._upstreams.replicas.values()
             if r.dispatches
         }
 
     def _take(self, sender: str, address: str, message: messages.Loads) -> None:
         now = time.monotonic()
-        told = {name: (tokens, running) for name, tokens, running in message.loads}
+        told = {(name, mark): (tokens, n) for name, mark, tokens, n in message.loads}
         for name, replica in self._upstreams.replicas.items():
-            tokens, running = told.get(name, NO_LOAD)
+            # What was sent to the process before has ended with it.
+            row = (name, replica.life.mark)
+            tokens, running = told.get(row, NO_LOAD)
             if running:
                 replica.peers[sender] = replicas.PeerLoad(tokens, running, now)
-            elif message.whole or name in told:
+            elif message.whole or row in told:
                 replica.peers.pop(sender, None)
+
+
+def _build_message(loads: Mapping[lives.Life, Load], whole: bool) -> messages.Loads:
+    rows = [(life.id, life.mark, *load) for life, load in loads.items()]
+    return messages.Loads(rows, whole)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from passpier.core import members, revisions
+from passpier.core import lives, members, revisions
 
 
 class Message(msgspec.Struct, array_like=True, tag=True):
@@ -77,13 +77,14 @@
 
 
 class Loads(Message, tag='ld'):
-    """The sender's own load at replicas: name, tokens to compute by priority, requests running.
+    """The sender's own load at replicas: name, mark of the life, tokens by priority, requests.
 
+    The tokens are those left to compute, the requests those that run or wait.
     Of replicas that are not named nothing has changed, or, if it is `whole`, the sender has nothing
     there.
     """
 
-    loads: list[tuple[str, tuple[int, ...], int]]
+    loads: list[tuple[str, int, tuple[int, ...], int]]
     whole: bool = True
 
 
@@ -202,9 +203,9 @@
 
 
 class Placed(Message, tag='pl'):
-    """Prompts that were sent to replicas: name, weight version, blocks, tokens up to their ends."""
+    """Prompts that were sent to replicas: name, start, weight version, blocks, ends in tokens."""
 
-    prompts: list[tuple[str, str, list[int], list[int]]]
+    prompts: list[tuple[str, int, str, list[int], list[int]]]
 
 
 class Kept(Message, tag='ke'):
@@ -224,6 +225,12 @@
     """A replica gives the sender no sign of life; the receiver should see for itself."""
 
     replica: str
+    born: int = 0
+
+    @property
+    def life(self) -> lives.Life:
+        """The process that is silent."""
+        return lives.Life(self.replica, self.born)
 
 
 class Loading(Message, tag='lg'):
@@ -232,6 +239,12 @@
     replica: str
     seconds: float
     ordered: int
+    born: int = 0
+
+    @property
+    def life(self) -> lives.Life:
+        """The process that is to load."""
+        return lives.Life(self.replica, self.born)
 
 
 class Loaded(Message, tag='ly'):
@@ -243,6 +256,12 @@
     replica: str
     ordered: int
     weight_version: int
+    born: int = 0
+
+    @property
+    def life(self) -> lives.Life:
+        """The process that was to load."""
+        return lives.Life(self.replica, self.born)
 
 
 AnyMessage = (
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -48,6 +48,9 @@
         self.retries = _build_counter(
             registry, 'passpier_retries_total', 'Further attempts, by step.'
         )
+        self.refused_records = _build_counter(
+            registry, 'passpier_refused_records_total', 'Records that say nothing, by kind.'
+        )
         self.control_bytes = _build_counter(
             registry, 'passpier_control_bytes_total', 'Bytes of control traffic, by channel.'
         )
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -160,7 +160,9 @@
             raise exchanges.ExchangeError(exchanges.Fault.REPLACED, text, True)
         raw = _decode_answer(answer, records.decode_report)
         versions = {m.name: m.version for m in raw.models}
-        return dialect.Report(versions, raw.utilization, raw.sequence, raw.active, raw.queued)
+        return dialect.Report(
+            versions, raw.utilization, raw.sequence, raw.active, raw.queued, raw.born
+        )
 
     async def read_cache_changes(
         self, address: str, since: int, wait: float
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -2,13 +2,28 @@
 
 from __future__ import annotations
 
-from typing import Any
+import ipaddress
+from typing import Annotated, Any, Literal
 
 import msgspec
 
 from passpier import exceptions
 from passpier.core import catalogue, routes
 
+MOST_SLOTS = 10_000
+"""Requests at once beyond which an entry is wrong: replicas have tens to hundreds, and one that
+seemed to have room without end would draw every request."""
+
+ADDRESS_SHOWN = 40
+"""Characters of a wrong address that an error shows."""
+
+MOST_COUNTED = 2**63 - 1
+"""Largest whole number that is taken for a version, a count or a time."""
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MOST_COUNTED)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+
 _KINDS = {
     ('idempotent', False): routes.Kind.REPEATABLE,
     ('non_idempotent', False): routes.Kind.ONCE,
@@ -80,35 +95,47 @@
 
 class _WeightVersion(msgspec.Struct):
     name: str
-    version: int = 0
+    """Empty in the report of a replica that has no model."""
+
+    version: _Count
 
 
 class _Server(msgspec.Struct):
-    service: str
+    """An entry; who leaves out what each replica tells is no replica."""
+
+    service: _Name
     address: str
-    zone: str = ''
-    slots: int = 1
-    state: str = 'ready'
+    zone: str
+    version: str
+    """Of the replica's software."""
+
+    slots: _Slots
+    state: Literal['ready', 'draining']
+    sequence: _Count
+    cold_remaining_ms: float = 0
     models: list[_WeightVersion] = []
+    born: _Count = 0
+    """Unix milliseconds of the start; replicas of older software do not tell it."""
 
 
 class _Named(msgspec.Struct):
-    model: str
-    version: int
+    model: _Name
+    version: Annotated[int, msgspec.Meta(ge=1, le=MOST_COUNTED)]
 
 
 class _Report(msgspec.Struct):
     """A replica's own state, some hundred milliseconds old."""
 
     models: list[_WeightVersion] = []
+    born: _Count | None = None
     utilization: bool = False
     """Whether an order is being carried out; the name on the wire says otherwise."""
 
-    sequence: int = 0
+    sequence: _Count = 0
     """Orders taken so far."""
 
-    queued: int = 0
-    active: int = 0
+    queued: _Count = 0
+    active: _Count = 0
 
 
 class _CacheEvents(msgspec.Struct):
@@ -146,9 +173,17 @@
 def decode_replica(id: str, data: bytes) -> catalogue.Entry:
     """Return a replica's entry; raises `StoreError` if it is not understood."""
     raw = decode(data, _Server)
-    versions = {m.name: m.version for m in raw.models}
-    draining = raw.state != 'ready'
-    return catalogue.Entry(id, raw.service, raw.address, raw.zone, raw.slots, draining, versions)
+    _check_address(raw.address)
+    return catalogue.Entry(
+        id,
+        raw.service,
+        raw.address,
+        raw.zone,
+        raw.slots,
+        raw.state == 'draining',
+        {m.name: m.version for m in raw.models},
+        raw.born,
+    )
 
 
 def decode_named_version(data: bytes) -> tuple[str, int]:
@@ -167,6 +202,18 @@
     return decode(data, _CacheEvents)
 
 
+def _check_address(address: str) -> None:
+    """Raise `StoreError` if nobody can be reached at an address: IPv4, a colon, a port."""
+    host, _, port = address.rpartition(':')
+    try:
+        ip = ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise exceptions.StoreError(f'no address: {address[:ADDRESS_SHOWN]!r}') from error
+    is_port = port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536
+    if not is_port or ip.is_unspecified or ip.is_multicast:
+        raise exceptions.StoreError(f'no address: {address[:ADDRESS_SHOWN]!r}')
+
+
 def _convert_route(raw: _Route) -> routes.Route:
     kind = _KINDS.get((raw.type, raw.resumable and raw.type == 'streaming'), routes.Kind.ONCE)
     shares = tuple(routes.Share(s.service, s.weight) for s in raw.split)
@@ -199,5 +246,5 @@
     """Return JSON of the platform as `kind`; raises `StoreError` if it is not understood."""
     try:
         return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise exceptions.StoreError(f'not understood: {error}') from error
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -96,13 +96,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """A replica's own account of itself; `orders` counts those it has taken."""
+    """A replica's own account of itself; `orders` counts those its process has taken."""
 
     versions: Mapping[str, int]
     ordered: bool
     orders: int
     running: int
     waiting: int
+    born: int | None = None
+    """When its process started, in Unix milliseconds; none if it does not tell."""
 
 
 class OrderResult(enum.Enum):
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -9,7 +9,7 @@
 
 from passpier import exceptions
 from passpier.clients import connections, exchanges
-from passpier.core import attempts, events, pauses, replicas, retries, routes
+from passpier.core import attempts, events, lives, pauses, replicas, retries, routes
 from passpier.daemon import dispatcher, metrics
 from passpier.routing import (
     answering,
@@ -114,7 +114,8 @@
         """Whether the current attempt has reached an upstream."""
 
         self._outcome = 'client_gone'
-        self._last: str = ''
+        self._last = lives.Life('')
+        """The process of the replica that the current or last attempt went to."""
 
     @property
     def id(self) -> str:
@@ -167,7 +168,8 @@
                 'outcome': self._outcome,
                 'ran': self._call.life.outcome.value,
                 'attempts': self._call.life.attempts,
-                'upstream': self._last,
+                'upstream': self._last.id,
+                'born': self._last.born,
                 'seconds': round(seconds, 4),
                 'configuration_age': round(
                     self._owner.known.freshness.compute_age(time.monotonic()), 3
@@ -206,7 +208,7 @@
         if time_left <= 0:
             await self._end(503, 'no_time', 'no time was left for an attempt', RETRY_AFTER)
             return
-        self._last = placement.replica.name
+        self._last = placement.replica.life
         exchange = await self._open(placement.replica, time_left)
         self._sent = True
         reader = reading.Reader(
@@ -239,7 +241,7 @@
                 if self._client.gone:
                     raise answering.ClientGoneError from error
                 raise _WithheldError from error
-            self._owner.prober.suspect(replica.name, 0.0)
+            self._owner.prober.suspect(replica.life, 0.0)
             raise reading.AttemptError(attempts.Fault.NOT_CONNECTED, str(error)) from error
         except TimeoutError as error:
             self._call.life.attempts -= 1
@@ -261,7 +263,7 @@
         else:
             await self._pass(await reader.read_whole())
             self._outcome = 'answered'
-        self._owner.pools.ejector.note_success(placement.replica.name)
+        self._owner.pools.note_success(placement.replica.life)
 
     async def _read_head(self, reader: reading.Reader) -> exchanges.Head:
         left = self._admitted.ends_at - time.monotonic()
@@ -274,19 +276,20 @@
         """Return what a head says; raise if it brings no answer; learn from all of them."""
         verdict = self._owner.wire.judge(head)
         known = self._owner.pools
-        name = placement.replica.name
+        life = placement.replica.life
         version = self._owner.wire.read_version(head)
         if version.isdigit():
-            known.learn_version(name, int(version), 'answer')
+            known.learn_version(life, int(version), 'answer')
         if verdict is dialect.Verdict.NOT_RUN:
-            known.pause(name, pauses.Pause.FULL, pools.PAUSE_FULL, f'status {head.status}')
+            known.pause(life, pauses.Pause.FULL, pools.PAUSE_FULL, f'status {head.status}')
             raise reading.AttemptError(attempts.Fault.REFUSED, f'refused with status {head.status}')
         if verdict is dialect.Verdict.WRONG_UPSTREAM:
             told = self._owner.wire.read_incarnation(head)
             if told and told != placement.replica.incarnation:
-                known.note_replaced(name)
+                known.note_replaced(life)
                 raise reading.AttemptError(attempts.Fault.REFUSED, f'{told} has the address now')
-            known.pause(name, pauses.Pause.FULL, pools.PAUSE_FULL, 'other weights')
+            known.pause(life, pauses.Pause.FULL, pools.PAUSE_FULL, 'other weights')
+            self._owner.prober.ask_weights(life)
             raise reading.AttemptError(attempts.Fault.REFUSED, 'other weights than asked for')
         if verdict is dialect.Verdict.INVALID:
             raise reading.AttemptError(
@@ -352,7 +355,8 @@
             'attempt failed',
             extra={
                 'request': self._call.id,
-                'upstream': self._last,
+                'upstream': self._last.id,
+                'born': self._last.born,
                 'fault': error.fault.value,
                 'detail': str(error),
                 'step': step.value,
@@ -364,7 +368,7 @@
         if step is attempts.Step.FAIL:
             await self._fail(error)
             return False
-        self._excluded.add(self._last)
+        self._excluded.add(self._last.id)
         return True
 
     def _spend(self, now: float) -> bool:
--- a/passpier/routing/knowledge.py
+++ b/passpier/routing/knowledge.py
@@ -6,11 +6,11 @@
 import logging
 import math
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from passpier import exceptions
 from passpier.clients import registry
-from passpier.core import catalogue, freshness, routes
+from passpier.core import catalogue, freshness, lives, routes
 from passpier.routing import dialect, history, pools
 
 log = logging.getLogger(__name__)
@@ -42,6 +42,12 @@
         self.changed_at = 0
         """The revision of the newest known change that routers did not write themselves."""
 
+        self.on_refused: Callable[[str], None] = lambda kind: None
+        """Called with the kind of each record that cannot be used."""
+
+        self._refused: dict[str, str] = {}
+        """By key, why the record that lies there now cannot be used."""
+
         self._revisions: dict[str, int] = {}
         self._history = history.History()
         self._members: dict[str, registry.Item] = {}
@@ -68,6 +74,21 @@
         self.freshness.prove(proved_at)
         return True
 
+    def take_report(self, life: lives.Life, report: dialect.Report) -> bool:
+        """Take over what a replica says; return whether the process that is meant said it.
+
+        A later start than is known is news before its entry is. An earlier one is late word, or the
+        replica's clock has jumped back, which its entry will tell.
+        """
+        if report.born is None or report.born == life.born:
+            self.pools.learn_versions(life, report.versions, 'report')
+            return True
+        other = lives.Life(life.id, report.born)
+        change = self.catalogue.note_born(other, report.versions)
+        if change is not None:
+            self.pools.apply_change(change)
+        return False
+
     def export_since(self, revision: int) -> history.News:
         """Return what a peer lacks that knows all up to a revision."""
         return self._history.list_since(revision)
@@ -139,7 +160,25 @@
         try:
             self._apply(item, now)
         except exceptions.StoreError as error:
-            log.error('record skipped', extra={'key': item.key, 'error': str(error)})
+            self._refuse(item, str(error))
+        else:
+            self._refused.pop(item.key, None)
+
+    def _refuse(self, item: registry.Item, error: str) -> None:
+        """Take over a record that says nothing: an entry then names no replica any more."""
+        records = self.records
+        is_replica = item.key.startswith(records.replica_prefix)
+        self.on_refused('replica' if is_replica else 'operator')
+        if self._refused.get(item.key) != error:
+            self._refused[item.key] = error
+            log.warning(
+                'record refused',
+                extra={'key': item.key, 'revision': item.revision, 'error': error},
+            )
+        if is_replica:
+            change = self.catalogue.refuse(item.key.removeprefix(records.replica_prefix))
+            if change is not None:
+                self.pools.apply_change(change)
 
     def _apply(self, item: registry.Item, now: float) -> None:
         records = self.records
@@ -173,6 +212,8 @@
 
     def _take_naming(self, item: registry.Item, now: float) -> None:
         model, version = self.records.decode_named_version(item.data)
+        if item.key != self.records.version_prefix + model:
+            raise exceptions.StoreError(f'names weights of {model}')
         # What was proved last did not have it yet; at a start that is nothing.
         if not self.pools.note_naming(model, version, self.freshness.proved_at, now):
             return
@@ -195,6 +236,7 @@
         self, key: str, revision: int, now: float, awaited: Mapping[str, float] | None
     ) -> None:
         self._revisions.pop(key, None)
+        self._refused.pop(key, None)
         self._history.note(registry.Item(key, b'', revision, removed=True))
         self._note_change(key, revision)
         self._members.pop(key, None)
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -11,6 +11,7 @@
     catalogue,
     ejection,
     kept,
+    lives,
     namings,
     pauses,
     replicas,
@@ -59,38 +60,44 @@
         """Seconds after newer weights were named within which a request may begin on older ones."""
 
         self._pools: dict[str, list[str]] = {}
+        self._entries: dict[str, catalogue.Entry] = {}
         self._models: dict[str, str] = {}
         self._services: Mapping[str, routes.Service] = {}
+        """Services of the configuration; a replica of any other one is not used."""
 
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Take over services and cache stores."""
         self._services = configuration.services
         self.stores.set_domains({s.address: s.failure_domain for s in configuration.cache_stores})
-        for replica in self.replicas.values():
-            model = self._find_model(self._service_of(replica.name))
-            self._models[replica.name] = model or self._models[replica.name]
+        for entry in self._entries.values():
+            self._apply_service(entry)
 
     def apply_change(self, change: catalogue.Change) -> None:
-        """Take over a replica that came, changed or went."""
-        fields = {'upstream': change.id, 'reason': change.reason}
+        """Take over a replica that came, changed, started again or went."""
         if change.entry is None:
-            self._drop(change.id)
-            log.info('upstream gone', extra=fields)
+            self._end_life(change.id)
+            log.info('upstream gone', extra={'upstream': change.id, 'reason': change.reason})
             return
         entry = change.entry
-        replica = self.replicas.get(entry.id)
-        if replica is None:
-            replica = self._add(entry)
+        before = self._entries.get(entry.id)
+        if before is not None and not _is_same_process(before, entry):
+            self._end_life(entry.id)
+        if entry.id not in self.replicas:
+            self._begin_life(entry)
+        self._entries[entry.id] = entry
+        replica = self.replicas[entry.id]
         replica.slots = entry.slots
         replicas.set_leaving(replica, 'registry', entry.draining)
-        version = entry.versions.get(self._models[entry.id], 0)
-        if version:
-            self.learn_version(entry.id, version, 'registry')
+        self._apply_service(entry)
         log.info(
             'upstream changed',
             extra={
-                **fields,
+                'upstream': entry.id,
+                'reason': change.reason,
+                'born': entry.born,
+                'born_before': before.born if before else None,
                 'service': entry.service,
+                'configured': entry.service in self._services,
                 'address': entry.address,
                 'weight_version': replica.weight_version,
                 'leaving': replica.leaving,
@@ -119,39 +126,62 @@
         """Return the newest weights of each model."""
         return [rollout.Wanted(model, n.newest) for model, n in self.namings.items()]
 
-    def learn_version(self, name: str, version: int, source: str) -> None:
-        """Note a replica's weight version; it only rises within an incarnation."""
-        replica = self.replicas.get(name)
+    def find(self, life: lives.Life) -> replicas.Replica | None:
+        """Return a replica if its process is still the one that is meant."""
+        replica = self.replicas.get(life.id)
+        return replica if replica is not None and replica.born == life.born else None
+
+    def has_started_again(self, life: lives.Life) -> bool:
+        """Return whether another process of a replica is known to have followed one."""
+        replica = self.replicas.get(life.id)
+        return replica is not None and replica.born != life.born
+
+    def learn_version(self, life: lives.Life, version: int, source: str) -> None:
+        """Note a replica's weight version; it only rises while its process lives."""
+        replica = self.find(life)
         if replica is None or int(replica.weight_version or 0) >= version:
             return
         replica.weight_version = str(version)
-        self.resume(name, pauses.Pause.LOADING, version)
-        self.cache.set_incarnation(name, f'{name}/{version}', self.cache.get_capacity(name))
+        self.resume(life, pauses.Pause.LOADING, version)
+        capacity = self.cache.get_capacity(life.id)
+        self.cache.set_incarnation(life.id, identify_cache(life, str(version)), capacity)
         log.info(
             'upstream weights',
-            extra={'upstream': name, 'weight_version': version, 'source': source},
+            extra={
+                'upstream': life.id,
+                'born': life.born,
+                'weight_version': version,
+                'source': source,
+            },
         )
 
-    def note_replaced(self, name: str) -> None:
+    def learn_versions(self, life: lives.Life, versions: Mapping[str, int], source: str) -> None:
+        """Note the weight versions of a replica's models."""
+        version = versions.get(self._models.get(life.id, ''), 0)
+        if version:
+            self.learn_version(life, version, source)
+
+    def note_replaced(self, life: lives.Life) -> None:
         """Note that a replica's process is gone, though its entry may still be there."""
-        replica = self.replicas.get(name)
+        replica = self.find(life)
         if replica is not None and replicas.set_leaving(replica, 'replaced', True):
-            log.info('upstream replaced', extra={'upstream': name, 'address': replica.address})
+            fields = {'upstream': life.id, 'born': life.born, 'address': replica.address}
+            log.info('upstream replaced', extra=fields)
 
     def pause(
-        self, name: str, why: pauses.Pause, seconds: float, detail: str, version: int = 0
+        self, life: lives.Life, why: pauses.Pause, seconds: float, detail: str, version: int = 0
     ) -> None:
         """Give a replica no new requests for a while; a load's `version` is what it is to load."""
-        replica = self.replicas.get(name)
+        replica = self.find(life)
         if replica is None:
             return
-        known = self._pauses[name]
+        known = self._pauses[life.id]
         known.begin(why, time.monotonic() + seconds, version)
         replica.paused_until = known.until
         log.info(
             'upstream paused',
             extra={
-                'upstream': name,
+                'upstream': life.id,
                 'why': why.value,
                 'seconds': seconds,
                 'reason': detail,
@@ -159,11 +189,11 @@
             },
         )
 
-    def resume(self, name: str, why: pauses.Pause, version: int = 0) -> None:
+    def resume(self, life: lives.Life, why: pauses.Pause, version: int = 0) -> None:
         """End a pause, but not that of a load of newer weights than `version`."""
-        replica = self.replicas.get(name)
+        replica = self.find(life)
         if replica is not None:
-            known = self._pauses[name]
+            known = self._pauses[life.id]
             known.end(why, version)
             replica.paused_until = known.until
 
@@ -173,6 +203,8 @@
 
     def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
         """Return the upstreams of a pool that may begin a request now or shortly."""
+        if pool not in self._services:
+            return []
         now = time.monotonic()
         usable = {}
         for name in self._pools.get(pool, ()):
@@ -183,25 +215,32 @@
         return [usable[name] for name in self.ejector.select(list(usable), now)]
 
     def describe_weights(self, name: str) -> Mapping[str, object]:
-        """Return what the line of a decision tells of a replica's weights.
+        """Return what the line of a decision tells of a replica's process and its weights.
 
         `outdated_for` are the seconds for which they may have been outdated; it is left out if they
         are not, and null if nobody knows.
         """
+        replica = self.replicas[name]
+        fields: dict[str, object] = {'born': replica.born}
         known = self.namings.get(self._models.get(name, ''))
         if known is None:
-            return {}
-        version = int(self.replicas[name].weight_version or 0)
-        fields: dict[str, object] = {'weight_version': version, 'named_version': known.newest}
+            return fields
+        version = int(replica.weight_version or 0)
+        fields |= {'weight_version': version, 'named_version': known.newest}
         naming = known.get_outdated(version)
         if naming is not None:
             fields['outdated_for'] = _compute_age(naming, time.monotonic())
         return fields
 
-    def note_failure(self, name: str) -> None:
+    def note_failure(self, life: lives.Life) -> None:
         """Count a failed attempt against a replica."""
-        if self.ejector.note_failure(name, time.monotonic()):
-            log.warning('upstream ejected', extra={'upstream': name})
+        if self.find(life) and self.ejector.note_failure(life.id, time.monotonic()):
+            log.warning('upstream ejected', extra={'upstream': life.id, 'born': life.born})
+
+    def note_success(self, life: lives.Life) -> None:
+        """Clear the failed attempts of a replica."""
+        if self.find(life):
+            self.ejector.note_success(life.id)
 
     def find_engine(self, service: str) -> routes.Engine | None:
         """Return what the replicas of a model service can do."""
@@ -209,21 +248,25 @@
         return found.engine if found else None
 
     def list_states(self) -> list[rollout.State]:
-        """Return the weights of all engines."""
+        """Return the weights of all engines whose services are configured."""
         return [
             rollout.State(
                 r.name,
                 {self._models[r.name]: int(r.weight_version)},
                 r.leaving or r.name in self.silent,
+                r.born,
             )
             for r in self.replicas.values()
-            if r.weight_version
+            if r.weight_version and self._entries[r.name].service in self._services
         ]
 
     def _may_serve(self, replica: replicas.Replica, now: float) -> bool:
-        known = self.namings.get(self._models.get(replica.name, ''))
         version = int(replica.weight_version or 0)
-        if not version or known is None or version >= known.newest:
+        if not version:
+            # An engine that does not tell its weights could be sent requests for any.
+            return self.find_engine(self._entries[replica.name].service) is None
+        known = self.namings.get(self._models.get(replica.name, ''))
+        if known is None or version >= known.newest:
             return True
         # A request begins when those before it have been read.
         wait = replicas.estimate_backlog(replica, now) * replica.seconds_per_token
@@ -244,42 +287,65 @@
             return False
         return known.is_outdated(version, now, OLD_WEIGHTS_GRACE)
 
-    def _add(self, entry: catalogue.Entry) -> replicas.Replica:
+    def _begin_life(self, entry: catalogue.Entry) -> None:
+        """Begin to know a replica's process, of which nothing has been learnt yet."""
         replica = replicas.Replica(
             entry.id, entry.address, entry.id, entry.failure_domain, entry.id, slots=entry.slots
         )
-        self._models[entry.id] = self._find_model(entry.service) or next(iter(entry.versions), '')
-        if self._models[entry.id]:
-            replica.room_seconds = ROOM_SECONDS
-        engine = self.find_engine(entry.service)
-        capacity = engine.cache_tokens if engine else 0
-        self.cache.set_incarnation(entry.id, f'{entry.id}/0', capacity)
+        replica.born = entry.born
         self.replicas[entry.id] = replica
         self._pauses[entry.id] = pauses.Pauses()
         self._pools.setdefault(entry.service, []).append(entry.id)
-        return replica
 
-    def _drop(self, name: str) -> None:
-        self.replicas.pop(name, None)
-        self.silent.discard(name)
-        self._pauses.pop(name, None)
+    def _end_life(self, name: str) -> None:
+        """Forget all that was learnt about a replica's process: the only place that does.
+
+        What is kept elsewhere names the process that it is about, and counts for no other.
+        """
+        entry = self._entries.pop(name, None)
+        if entry is None:
+            return
+        self._pools[entry.service].remove(name)
+        del self.replicas[name]
+        del self._pauses[name]
         self._models.pop(name, None)
+        self.silent.discard(name)
         self.cache.forget(name)
         self.ejector.note_success(name)
-        for names in self._pools.values():
-            if name in names:
-                names.remove(name)
 
-    def _find_model(self, service: str) -> str:
-        engine = self.find_engine(service)
-        return engine.models[0] if engine and engine.models else ''
+    def _apply_service(self, entry: catalogue.Entry) -> None:
+        """Take over what a replica's service says of its engine; it may be configured later."""
+        replica = self.replicas[entry.id]
+        engine = self.find_engine(entry.service)
+        model = engine.models[0] if engine and engine.models else next(iter(entry.versions), '')
+        if model != self._models.get(entry.id):
+            self._models[entry.id] = model
+            replica.weight_version = ''
+        if model:
+            replica.room_seconds = ROOM_SECONDS
+        capacity = engine.cache_tokens if engine else 0
+        key = identify_cache(replica.life, replica.weight_version)
+        self.cache.set_incarnation(entry.id, key, capacity)
+        self.learn_versions(replica.life, entry.versions, 'registry')
 
     def list_siblings(self, name: str) -> list[str]:
         """Return all replicas of a replica's service; itself alone if it has just gone."""
-        return self._pools.get(self._service_of(name)) or [name]
+        entry = self._entries.get(name)
+        return self._pools[entry.service] if entry else [name]
+
+
+def identify_cache(life: lives.Life, version: str) -> str:
+    """Return the identity of what a replica has cached: its process made it, on these weights."""
+    return f'{life}/{version or 0}'
+
 
-    def _service_of(self, name: str) -> str:
-        return next((s for s, names in self._pools.items() if name in names), '')
+def _is_same_process(before: catalogue.Entry, entry: catalogue.Entry) -> bool:
+    """Return whether two entries are of one process, which never moves."""
+    return (
+        before.born == entry.born
+        and before.address == entry.address
+        and before.service == entry.service
+    )
 
 
 def _compute_age(naming: namings.Naming, now: float) -> float | None:
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -4,19 +4,22 @@
 this process answers nothing: it gets no more requests, those that may go elsewhere do so, and it is
 asked again until it answers. Other processes are told, and ask for themselves, since a replica may
 be silent towards some callers only.
+
+Silence is that of one process: if another one answers, the replica has started again.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable
 
 from passpier.clients import exchanges
-from passpier.core import pauses
+from passpier.core import lives, pauses
 from passpier.daemon import messages
-from passpier.routing import dialect, pools
+from passpier.routing import dialect, knowledge
 
 log = logging.getLogger(__name__)
 
@@ -26,6 +29,9 @@
 ASK_INTERVAL = 0.5
 """Seconds between questions to a silent replica."""
 
+WEIGHTS_INTERVAL = 1.0
+"""Seconds between questions to a replica about its weights; each is priced."""
+
 QUESTIONS = 2
 """Unanswered questions after which a replica counts as silent: a packet may be lost."""
 
@@ -35,72 +41,105 @@
 
     def __init__(
         self,
-        known: pools.Pools,
+        known: knowledge.Knowledge,
         engines: dialect.Engines,
         tell: Callable[[messages.Silent], None],
     ) -> None:
-        self._pools = known
+        self._known = known
+        self._pools = known.pools
         self._engines = engines
         self._tell = tell
-        self._heard_at: dict[str, float] = {}
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._heard: dict[str, tuple[lives.Life, float]] = {}
+        """By name, the process that was heard last, and when."""
+
+        self._asked_at: dict[str, float] = {}
+        """By name, when a replica was last asked about its weights."""
+
+        self._tasks: dict[lives.Life, asyncio.Task[None]] = {}
 
-    def note_heard(self, name: str) -> None:
+    def note_heard(self, life: lives.Life) -> None:
         """Note a sign of life."""
-        self._heard_at[name] = time.monotonic()
+        if self._pools.find(life) is not None:
+            self._heard[life.id] = (life, time.monotonic())
 
     def is_silent(self, name: str) -> bool:
         """Return whether a replica gives no sign of life."""
         return name in self._pools.silent
 
-    def suspect(self, name: str, patience: float = SUSPECT_AFTER) -> None:
+    def has_started_again(self, life: lives.Life) -> bool:
+        """Return whether a replica's process has ended and another one stands in its place."""
+        return self._pools.has_started_again(life)
+
+    def suspect(self, life: lives.Life, patience: float = SUSPECT_AFTER) -> None:
         """Ask a replica, unless it was heard from within `patience` seconds or is being asked."""
-        if name in self._tasks or name not in self._pools.replicas:
+        if life in self._tasks or self._pools.find(life) is None:
             return
-        if time.monotonic() - self._heard_at.get(name, float('-inf')) < patience:
+        if time.monotonic() - self._get_heard_at(life) < patience:
             return
-        task = asyncio.ensure_future(self._ask(name))
-        self._tasks[name] = task
-        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+        task = asyncio.ensure_future(self._ask(life))
+        self._tasks[life] = task
+        task.add_done_callback(lambda _: self._tasks.pop(life, None))
+
+    def ask_weights(self, life: lives.Life) -> None:
+        """Ask a replica that has other weights than are known: it may have started again."""
+        now = time.monotonic()
+        if now - self._asked_at.get(life.id, float('-inf')) >= WEIGHTS_INTERVAL:
+            self._asked_at[life.id] = now
+            self.suspect(life, 0.0)
 
     def stop(self) -> None:
         """Ask nobody any more."""
         for task in self._tasks.values():
             task.cancel()
 
-    async def _ask(self, name: str) -> None:
+    async def _ask(self, life: lives.Life) -> None:
         unanswered = 0
-        while (replica := self._pools.replicas.get(name)) is not None:
+        while (replica := self._pools.find(life)) is not None:
             try:
-                await self._engines.report(replica.address, replica.incarnation)
+                report = await self._engines.report(replica.address, replica.incarnation)
             except exchanges.ExchangeError as error:
                 if error.fault is exchanges.Fault.REPLACED:
-                    self._pools.note_replaced(name)
-                    break
-                unanswered += 1
-                if unanswered == QUESTIONS:
-                    self._begin_silence(name, str(error))
+                    self._pools.note_replaced(life)
+                    self._pools.silent.discard(life.id)
+                    return
+                detail = str(error)
             else:
-                self._end_silence(name)
-                return
+                if self._known.take_report(life, report):
+                    self._end_silence(life)
+                    return
+                detail = f'answered by the process born at {report.born}'
+            unanswered += 1
+            if unanswered == QUESTIONS:
+                self._begin_silence(life, detail)
             if unanswered >= QUESTIONS:
                 seconds = 2 * ASK_INTERVAL + dialect.ASK_TIMEOUT
-                self._pools.pause(name, pauses.Pause.SILENT, seconds, 'gives no answer')
+                self._pools.pause(life, pauses.Pause.SILENT, seconds, 'gives no answer')
                 await asyncio.sleep(ASK_INTERVAL)
-        self._pools.silent.discard(name)
 
-    def _begin_silence(self, name: str, error: str) -> None:
-        self._pools.silent.add(name)
-        self._tell(messages.Silent(name))
-        heard = self._heard_at.get(name)
-        age = round(time.monotonic() - heard, 3) if heard else None
+    def _begin_silence(self, life: lives.Life, error: str) -> None:
+        if self._pools.find(life) is None:
+            return
+        self._pools.silent.add(life.id)
+        self._tell(messages.Silent(life.id, life.born))
+        heard_at = self._get_heard_at(life)
+        age = round(time.monotonic() - heard_at, 3) if math.isfinite(heard_at) else None
         log.warning(
-            'upstream silent', extra={'upstream': name, 'error': error, 'last_heard_age': age}
+            'upstream silent',
+            extra={
+                'upstream': life.id,
+                'born': life.born,
+                'error': error,
+                'last_heard_age': age,
+            },
         )
 
-    def _end_silence(self, name: str) -> None:
-        self._heard_at[name] = time.monotonic()
-        if name in self._pools.silent:
-            self._pools.silent.discard(name)
-            self._pools.resume(name, pauses.Pause.SILENT)
-            log.info('upstream answers again', extra={'upstream': name})
+    def _end_silence(self, life: lives.Life) -> None:
+        self.note_heard(life)
+        if life.id in self._pools.silent:
+            self._pools.silent.discard(life.id)
+            self._pools.resume(life, pauses.Pause.SILENT)
+            log.info('upstream answers again', extra={'upstream': life.id, 'born': life.born})
+
+    def _get_heard_at(self, life: lives.Life) -> float:
+        heard, heard_at = self._heard.get(life.id, (life, float('-inf')))
+        return heard_at if heard == life else float('-inf')
--- a/passpier/routing/reading.py
+++ b/passpier/routing/reading.py
@@ -8,7 +8,7 @@
 from typing import TypeVar
 
 from passpier.clients import exchanges
-from passpier.core import attempts
+from passpier.core import attempts, lives
 from passpier.routing import probing
 
 T = TypeVar('T')
@@ -29,7 +29,7 @@
 
 
 class Reader:
-    """Reads one exchange with the replica `name`; `ends_at` is when the client's time is over.
+    """Reads one exchange with a replica's process; `ends_at` is when the client's time is over.
 
     A repeatable request does not wait for a connection that shows no sign of life; any other one
     does, as long as the kernel does: its answer may still come.
@@ -39,13 +39,13 @@
         self,
         exchange: exchanges.Exchange,
         prober: probing.Prober,
-        name: str,
+        life: lives.Life,
         ends_at: float,
         repeatable: bool,
     ) -> None:
         self._exchange = exchange
         self._prober = prober
-        self._name = name
+        self._life = life
         self._ends_at = ends_at
         self._repeatable = repeatable
 
@@ -81,19 +81,21 @@
             except TimeoutError as error:
                 if left <= probing.SUSPECT_AFTER:
                     raise AttemptError(fault, 'no answer in time') from error
-                if self._prober.is_silent(self._name):
+                if self._prober.has_started_again(self._life):
+                    raise AttemptError(fault, 'the replica has started again') from error
+                if self._prober.is_silent(self._life.id):
                     raise AttemptError(fault, 'the replica gives no sign of life') from error
                 if not self._exchange.is_silent:
-                    self._prober.suspect(self._name)
+                    self._prober.suspect(self._life)
                     continue
                 if noted and self._repeatable:
                     raise AttemptError(fault, 'the connection has fallen silent') from error
                 noted = True
                 self._exchange.note_silent()
                 # Asked on a new connection, and also if the replica was heard on another one.
-                self._prober.suspect(self._name, 0.0)
+                self._prober.suspect(self._life, 0.0)
             except exchanges.ExchangeError as error:
                 raise AttemptError(fault, str(error)) from error
             else:
-                self._prober.note_heard(self._name)
+                self._prober.note_heard(self._life)
                 return got
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -12,7 +12,7 @@
 
 from passpier import exceptions
 from passpier.clients import exchanges, registry
-from passpier.core import holders, pauses, rollout
+from passpier.core import holders, pauses, replicas, rollout
 from passpier.daemon import messages, peers
 from passpier.routing import dialect, following, knowledge, pools, roster
 
@@ -212,28 +212,31 @@
             fields = {'upstream': order.replica, 'error': str(error)}
             log.warning('replica not reached for an order', extra=fields)
             if error.fault is exchanges.Fault.REPLACED:
-                self._pools.note_replaced(order.replica)
+                self._pools.note_replaced(order.life)
         finally:
             if version >= order.version:
                 self._rollout.end(order)
             else:
                 self._rollout.fail(order, time.monotonic())
-            self._roster.tell_interested(messages.Loaded(order.replica, order.version, version))
+            loaded = messages.Loaded(order.replica, order.version, version, order.born)
+            self._roster.tell_interested(loaded)
             if version:
-                self._pools.learn_version(order.replica, version, 'report')
-            self._pools.resume(order.replica, pauses.Pause.LOADING, order.version)
+                self._pools.learn_version(order.life, version, 'report')
+            self._pools.resume(order.life, pauses.Pause.LOADING, order.version)
             self._due.set()
 
     async def _load(self, order: rollout.Order) -> int:
         """Have a replica load weights; return the version that it has, or 0 if that is unknown."""
-        replica = self._pools.replicas.get(order.replica)
+        replica = self._pools.find(order.life)
         if replica is None:
             return 0
-        loading = messages.Loading(order.replica, pools.PAUSE_LOADING, order.version)
+        loading = messages.Loading(order.replica, pools.PAUSE_LOADING, order.version, order.born)
         self._pause(loading, 'is to load weights')
         self._roster.tell_interested(loading)
         await asyncio.sleep(QUIET_TIME)
         report = await self._engines.report(replica.address, replica.incarnation)
+        if not self._known.take_report(order.life, report):
+            return 0
         if report.versions.get(order.model, 0) >= order.version:
             return report.versions[order.model]
         wire = dialect.WeightOrder(
@@ -244,11 +247,12 @@
             self.holder.token,
             report.orders,
         )
-        result = await self._order(replica.address, wire)
+        result = await self._order(replica, wire)
         log.info(
             'order given',
             extra={
                 'upstream': order.replica,
+                'born': order.born,
                 'model': order.model,
                 'weight_version': order.version,
                 'token': wire.token,
@@ -258,13 +262,15 @@
             },
         )
         if result is dialect.OrderResult.REPLACED:
-            self._pools.note_replaced(order.replica)
+            self._pools.note_replaced(order.life)
         if result not in (dialect.OrderResult.TAKEN, dialect.OrderResult.HOLDS):
             # Without an answer it may yet be taken; then the next one names too few orders.
             return 0
         return await self._wait_loaded(order, replica.address)
 
-    async def _order(self, address: str, order: dialect.WeightOrder) -> dialect.OrderResult:
+    async def _order(
+        self, replica: replicas.Replica, order: dialect.WeightOrder
+    ) -> dialect.OrderResult:
         """Give an order, again if there is no answer: only one of them can take effect."""
         result = dialect.OrderResult.UNKNOWN
         for _ in range(ORDER_TRIES):
@@ -272,7 +278,10 @@
             # elected anew, and a token must not follow a higher one.
             if order.token != self.holder.token or not self.holder.may_order(time.monotonic()):
                 break
-            result = await self._engines.order(address, order)
+            # A process that has started since counts orders anew, and might take this one.
+            if self._pools.find(replica.life) is None:
+                break
+            result = await self._engines.order(replica.address, order)
             if result is not dialect.OrderResult.UNKNOWN:
                 break
         return result
@@ -282,11 +291,13 @@
         await asyncio.sleep(LOAD_FIRST_LOOK)
         while time.monotonic() < deadline:
             report = await self._engines.report(address, order.replica)
+            if not self._known.take_report(order.life, report):
+                return 0
             version = report.versions.get(order.model, 0)
             if version >= order.version and not report.ordered:
                 return version
             await asyncio.sleep(LOAD_POLL)
-        log.warning('load not seen', extra={'upstream': order.replica})
+        log.warning('load not seen', extra={'upstream': order.replica, 'born': order.born})
         return 0
 
     def _take_loading(self, sender: str, address: str, message: messages.Loading) -> None:
@@ -294,9 +305,9 @@
 
     def _pause(self, message: messages.Loading, detail: str) -> None:
         why = pauses.Pause.LOADING
-        self._pools.pause(message.replica, why, message.seconds, detail, message.ordered)
+        self._pools.pause(message.life, why, message.seconds, detail, message.ordered)
 
     def _take_loaded(self, sender: str, address: str, message: messages.Loaded) -> None:
         if message.weight_version:
-            self._pools.learn_version(message.replica, message.weight_version, 'peer')
-        self._pools.resume(message.replica, pauses.Pause.LOADING, message.ordered)
+            self._pools.learn_version(message.life, message.weight_version, 'peer')
+        self._pools.resume(message.life, pauses.Pause.LOADING, message.ordered)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -94,6 +94,7 @@
         self.counters = metrics.Metrics()
         self.pools = pools.Pools(options.version_bound)
         self.known = knowledge.Knowledge(adapter.records, self.pools, options.key_bound)
+        self.known.on_refused = lambda kind: self.counters.refused_records.inc({'kind': kind})
         incarnation = uuid_utils.uuid7().hex
         self.peers = peers.Peers(incarnation, options.ip, options.peer_port, self.counters)
         own = members.Member(
@@ -130,7 +131,7 @@
         self.sharing = sharing.Sharing(
             sources.Sources(self.pools), self.roster.membership, self.peers
         )
-        self.prober = probing.Prober(self.pools, adapter.engines, self.roster.tell_interested)
+        self.prober = probing.Prober(self.known, adapter.engines, self.roster.tell_interested)
         self.peers.handle(messages.Silent, self._take_silent)
         places = dispatcher.Dispatcher(self.pools, self.counters, rng)
         self.forwarder = forwarding.Forwarder(
@@ -233,7 +234,7 @@
         return self.known.is_ready() and fresh and not self.roster.leaving
 
     def _take_silent(self, sender: str, address: str, message: messages.Silent) -> None:
-        self.prober.suspect(message.replica)
+        self.prober.suspect(message.life)
 
     def _is_closing(self) -> bool:
         phase = self._drain.get_phase(self.ingress.in_flight, time.monotonic())
--- a/passpier/routing/sharing.py
+++ b/passpier/routing/sharing.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 
-from passpier.core import choice, members, replicas
+from passpier.core import choice, lives, members, replicas
 from passpier.daemon import messages, peers
 from passpier.routing import sources
 
@@ -33,17 +33,17 @@
         self.sources = known
         self._membership = membership
         self._peers = link
-        self._unsent: list[tuple[str, str, list[int], list[int]]] = []
+        self._unsent: list[tuple[str, int, str, list[int], list[int]]] = []
         self._due = asyncio.Event()
         link.handle(messages.Placed, self._take)
 
     def note_placed(self, replica: replicas.Replica, job: choice.Job) -> None:
         """Note that a replica has begun to answer a prompt."""
         version = replica.weight_version
-        self.sources.note_read(replica.name, version, job.chain, job.ends, len(job.chain) - 1)
+        self.sources.note_read(replica.life, version, job.chain, job.ends, len(job.chain) - 1)
         # The last part is the prompt's own: nobody else can use it.
-        shared = (replica.name, version, job.chain[:-1], list(job.ends[:-1]))
-        if shared[2]:
+        shared = (replica.name, replica.born, version, job.chain[:-1], list(job.ends[:-1]))
+        if job.chain[:-1]:
             self._unsent.append(shared)
             self._due.set()
 
@@ -60,5 +60,6 @@
                 self._peers.send_all([m.peer for m in others], messages.Placed(prompts))
 
     def _take(self, sender: str, address: str, message: messages.Placed) -> None:
-        for name, version, chain, ends in message.prompts:
-            self.sources.note_read(name, version, chain, ends, len(chain))
+        for name, born, version, chain, ends in message.prompts:
+            life = lives.Life(name, born)
+            self.sources.note_read(life, version, chain, ends, len(chain))
--- a/passpier/routing/sources.py
+++ b/passpier/routing/sources.py
@@ -7,13 +7,16 @@
 import time
 from collections.abc import Sequence
 
-from passpier.core import choice, kept, prompts, rendezvous, replicas, view
+from passpier.core import choice, kept, lives, prompts, rendezvous, replicas, view
 from passpier.routing import pools
 
 READ_FRESH = 3.0
 """Seconds for which parts that a replica has read are sure to be in its memory: it takes in a fifth
 to a tenth of its memory each second under full load."""
 
+NOBODY = (lives.Life(''), float('-inf'))
+"""The reader of a part that nobody has read, and when."""
+
 READERS_KEPT = 20_000
 """Parts for which the last reader is remembered."""
 
@@ -31,7 +34,9 @@
 
     def __init__(self, known: pools.Pools) -> None:
         self.pools = known
-        self._readers: collections.OrderedDict[int, tuple[str, float]] = collections.OrderedDict()
+        self._readers: collections.OrderedDict[int, tuple[lives.Life, float]] = (
+            collections.OrderedDict()
+        )
         """By the last shared part of prompts: who read it last, and when."""
 
     def choose(
@@ -51,17 +56,22 @@
         return Source(recent or self._find_holder(replica, job) or store, store)
 
     def note_read(
-        self, name: str, version: str, chain: list[int], ends: Sequence[int], shared: int
+        self,
+        life: lives.Life,
+        version: str,
+        chain: list[int],
+        ends: Sequence[int],
+        shared: int,
     ) -> None:
         """Note that a replica has read a prompt, of which others share the first `shared` parts."""
         sizes = [end - start for start, end in zip((0, *ends), ends, strict=False)]
         now = time.monotonic()
-        incarnation = f'{name}/{version}'
-        self.pools.cache.add(name, incarnation, chain, view.Evidence.EVENT, now, sizes)
+        incarnation = pools.identify_cache(life, version)
+        self.pools.cache.add(life.id, incarnation, chain, view.Evidence.EVENT, now, sizes)
         if not shared:
             return
         last = chain[shared - 1]
-        self._readers[last] = (name, now)
+        self._readers[last] = (life, now)
         self._readers.move_to_end(last)
         while len(self._readers) > READERS_KEPT:
             self._readers.popitem(last=False)
@@ -73,11 +83,12 @@
         still there.
         """
         shared = job.chain[:-1]
-        name, read_at = self._readers.get(shared[-1], ('', 0.0)) if shared else ('', 0.0)
-        other = self.pools.replicas.get(name)
+        life, read_at = self._readers.get(shared[-1], NOBODY) if shared else NOBODY
+        other = self.pools.find(life)
         if other is None or other is replica or now - read_at > READ_FRESH:
             return ''
-        usable = not other.leaving and now >= other.paused_until and name not in self.pools.silent
+        is_silent = other.name in self.pools.silent
+        usable = not other.leaving and now >= other.paused_until and not is_silent
         same = other.weight_version == replica.weight_version
         return other.address if usable and same else ''
 
--- a/passpier/standins/fleet/model.py
+++ b/passpier/standins/fleet/model.py
@@ -17,7 +17,7 @@
 import fire
 
 from passpier.config import declarations
-from passpier.core import attempts, members, pauses, prompts, replicas
+from passpier.core import attempts, lives, members, pauses, prompts, replicas
 from passpier.daemon import calls, dispatcher
 from passpier.routing import pools, requests
 from passpier.standins import network, virtual
@@ -135,7 +135,7 @@
             except engines.FullError:
                 excluded.add(placement.replica.name)
                 chosen.pools.pause(
-                    placement.replica.name, pauses.Pause.FULL, pools.PAUSE_FULL, 'full'
+                    placement.replica.life, pauses.Pause.FULL, pools.PAUSE_FULL, 'full'
                 )
         return None
 
@@ -182,11 +182,11 @@
     async def _load(self, engine: engines.Engine, version: int) -> None:
         for one in self.routers:
             one.pools.pause(
-                engine.name, pauses.Pause.LOADING, pools.PAUSE_LOADING, 'loads', version
+                lives.Life(engine.name), pauses.Pause.LOADING, pools.PAUSE_LOADING, 'loads', version
             )
         await engine.load()
         for one in self.routers:
-            one.pools.learn_version(engine.name, version, 'model')
+            one.pools.learn_version(lives.Life(engine.name), version, 'model')
 
     def _sum_up(self) -> None:
         report = self.report
--- a/passpier/tests/platform/lives_tests.py
+++ b/passpier/tests/platform/lives_tests.py
@@ -19,7 +19,7 @@
 
 ID = 'i-1'
 MODEL = 'm1'
-SERVICES = [
+SERVICES: list[dict[str, Any]] = [
     {'name': 'llm', 'engine': {'slots': 16, 'kv_capacity': 9000, 'models': [{'name': MODEL}]}},
     {'name': 'app'},
 ]
@@ -47,7 +47,7 @@
         return {r.name for r in self.known.pools.list_serving(service)}
 
 
-def make_entry(version: int = 1, **fields: Any) -> dict[str, Any]:
+def make_entry(weights: int = 1, **fields: Any) -> dict[str, Any]:
     entry = {
         'service': 'llm',
         'address': '10.0.0.1:8080',
@@ -56,7 +56,7 @@
         'slots': 8,
         'state': 'ready',
         'cold_remaining_ms': 0,
-        'models': [{'name': MODEL, 'version': version, 'adapters': []}],
+        'models': [{'name': MODEL, 'version': weights, 'adapters': []}],
         'sequence': 1,
         'born': 1000,
     }
@@ -71,7 +71,7 @@
 @pytest.fixture(name='store')
 def make_registry() -> Registry:
     store = Registry()
-    store.record(version=3)
+    store.record(weights=3)
     return store
 
 
@@ -81,7 +81,7 @@
     Requests went there with the wrong precondition and the wrong salt, and no order ever brought
     the replica up, since it seemed to have the newest weights.
     """
-    store.record(version=2, born=2000)
+    store.record(weights=2, born=2000)
     assert store.known.pools.get(ID).weight_version == '2'
 
 
@@ -91,7 +91,7 @@
     incarnation = known.cache.get_incarnation(ID)
     known.cache.correct(ID, incarnation, job.chain, 0, len(job.chain), time.monotonic())
     assert known.cache.match(ID, job.chain, time.monotonic()).blocks
-    store.record(version=3, born=2000)
+    store.record(weights=3, born=2000)
     assert not known.cache.match(ID, job.chain, time.monotonic()).blocks
 
 
@@ -104,7 +104,7 @@
     for _ in range(3):
         known.ejector.note_failure(ID, time.monotonic())
     before.paused_until = time.monotonic() + 100.0
-    store.record(version=3, born=2000)
+    store.record(weights=3, born=2000)
     now = time.monotonic()
     after = known.get(ID)
     assert after.seconds_per_token < 1.0
@@ -115,33 +115,33 @@
 
 def test_leaving_that_the_process_before_announced_does_not_bind(store: Registry) -> None:
     """What was said to leave has left: the process that stands there now has said nothing."""
-    store.record(version=3, state='draining')
+    store.record(weights=3, state='draining')
     assert not store.list_used()
-    store.record(version=3, born=2000)
+    store.record(weights=3, born=2000)
     assert store.list_used() == {ID}
 
 
 def test_leaving_binds_the_process_that_announced_it(store: Registry) -> None:
-    store.record(version=3, state='draining')
-    store.record(version=3)
+    store.record(weights=3, state='draining')
+    store.record(weights=3)
     assert not store.list_used()
 
 
 def test_a_replica_that_starts_again_elsewhere_is_sought_there(store: Registry) -> None:
-    store.record(version=3, born=2000, address='10.0.0.2:8080')
+    store.record(weights=3, born=2000, address='10.0.0.2:8080')
     assert store.known.pools.get(ID).address == '10.0.0.2:8080'
 
 
 def test_after_a_jump_of_its_clock_a_replica_may_be_born_earlier(store: Registry) -> None:
-    store.record(version=2, born=500)
+    store.record(weights=2, born=500)
     assert store.known.pools.get(ID).weight_version == '2'
 
 
 def test_the_same_process_keeps_what_was_learnt(store: Registry) -> None:
     known = store.known.pools
     known.get(ID).seconds_per_token = 1.0
-    known.pause(ID, pauses.Pause.FULL, 10.0, 'full')
-    store.record(version=4)
+    known.pause(known.get(ID).life, pauses.Pause.FULL, 10.0, 'full')
+    store.record(weights=4)
     assert known.get(ID).seconds_per_token == 1.0
     assert known.get(ID).paused_until > time.monotonic()
     assert known.get(ID).weight_version == '4'
--- a/passpier/tests/platform/records_tests.py
+++ b/passpier/tests/platform/records_tests.py
@@ -25,7 +25,7 @@
     'nothing': b'{}',
     'half': json.dumps(lives_tests.make_entry()).encode()[:60],
     **{
-        f'no {field}': lives_tests.make_entry(**{field: None})
+        f'no {field}': lives_tests.make_entry(1, **{field: None})
         for field in ('service', 'address', 'zone', 'version', 'slots', 'state', 'sequence')
     },
     'service of another type': lives_tests.make_entry(service=7),
@@ -59,8 +59,8 @@
 
 def build_store() -> lives_tests.Registry:
     store = lives_tests.Registry()
-    store.record(ID, version=3)
-    store.record(OTHER, version=3, address='10.0.0.2:8080')
+    store.record(ID, weights=3)
+    store.record(OTHER, weights=3, address='10.0.0.2:8080')
     return store
 
 
@@ -89,13 +89,13 @@
 
 def test_a_replica_that_records_itself_again_is_used_again(store: lives_tests.Registry) -> None:
     store.put(names.REPLICA_PREFIX + ID, b'\xff')
-    store.record(ID, version=3)
+    store.record(ID, weights=3)
     assert store.list_used() == {ID, OTHER}
 
 
 def test_what_is_not_read_may_be_missing(store: lives_tests.Registry) -> None:
     """Replicas of plain services have no models; older ones do not tell when they started."""
-    store.record(ID, service='app', models=None, born=None, version=0)
+    store.record(ID, service='app', models=None, born=None, weights=0)
     assert store.list_used('app') == {ID}
 
 
@@ -105,7 +105,7 @@
     store.record('i-3', service='soon', address='10.0.0.3:8080')
     assert not store.list_used('soon')
     assert 'i-3' not in {s.id for s in store.known.pools.list_states()}
-    services = [*lives_tests.SERVICES, {**lives_tests.SERVICES[0], 'name': 'soon'}]
+    services = [*lives_tests.SERVICES, lives_tests.SERVICES[0] | {'name': 'soon'}]
     store.put(names.CONFIGURATION_KEY, {'version': 2, 'services': services})
     assert store.list_used('soon') == {'i-3'}
     assert 'i-3' in {s.id for s in store.known.pools.list_states()}
@@ -119,7 +119,7 @@
 
 def test_two_entries_with_one_address_both_stand(store: lives_tests.Registry) -> None:
     """Which of them lives there, the process at the address tells each that asks it."""
-    store.record('i-3', version=3)
+    store.record('i-3', weights=3)
     assert store.list_used() == {ID, OTHER, 'i-3'}
 
 
@@ -175,6 +175,6 @@
     for _ in range(5):
         store.put(names.REPLICA_PREFIX + ID, b'\xff')
     assert len(lines) == 1
-    store.record(ID, version=3)
+    store.record(ID, weights=3)
     store.put(names.REPLICA_PREFIX + ID, b'\xff')
     assert len(lines) == 2
--- a/passpier/tests/routing/fleets.py
+++ b/passpier/tests/routing/fleets.py
@@ -29,7 +29,8 @@
     own_prefix = 'own/'
 
     def decode_configuration(self, data: bytes) -> routes.Configuration:
-        return routes.Configuration(int(data))
+        services = {'service': routes.Service('service', 100)}
+        return routes.Configuration(int(data), services=services)
 
     def decode_replica(self, id: str, data: bytes) -> catalogue.Entry:
         versions = {'model': int(data)} if data.isdigit() else {}
--- a/passpier/tests/routing/pools_tests.py
+++ b/passpier/tests/routing/pools_tests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from passpier.core import catalogue, pauses, replicas
+from passpier.core import catalogue, lives, pauses, replicas, routes
 from passpier.routing import pools
 
 
@@ -14,6 +14,8 @@
 def make_known(monkeypatch: pytest.MonkeyPatch) -> pools.Pools:
     monkeypatch.setattr(time, 'monotonic', lambda: 100.0)
     known = pools.Pools(10.0)
+    services = {'s': routes.Service('s', 100)}
+    known.apply_configuration(routes.Configuration(1, services=services))
     for number in range(4):
         entry = catalogue.Entry(f'r{number}', 's', f'a{number}:1', 'd0', 8, False, {'m': 1})
         known.apply_change(catalogue.Change(entry.id, entry, 'recorded'))
@@ -32,9 +34,9 @@
     """
     known.note_naming('m', 8, 100.0, 100.0)
     known.note_naming('m', 9, 105.5, 105.5)
-    known.learn_version('r0', 7, 'registry')
-    known.learn_version('r1', 8, 'registry')
-    known.learn_version('r2', 9, 'registry')
+    known.learn_version(lives.Life('r0'), 7, 'registry')
+    known.learn_version(lives.Life('r1'), 8, 'registry')
+    known.learn_version(lives.Life('r2'), 9, 'registry')
     monkeypatch.setattr(time, 'monotonic', lambda: 109.0)
     serving = {r.name for r in known.list_serving('s')}
     assert serving & {'r0', 'r1', 'r2'} == {'r1', 'r2'}
@@ -44,28 +46,28 @@
     known: pools.Pools, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Late word of version 8 came while the replica loaded 9: it got requests and refused them."""
-    known.pause('r0', pauses.Pause.LOADING, pools.PAUSE_LOADING, 'is to load', 9)
-    known.learn_version('r0', 8, 'registry')
-    known.resume('r0', pauses.Pause.LOADING, 8)
+    known.pause(lives.Life('r0'), pauses.Pause.LOADING, pools.PAUSE_LOADING, 'is to load', 9)
+    known.learn_version(lives.Life('r0'), 8, 'registry')
+    known.resume(lives.Life('r0'), pauses.Pause.LOADING, 8)
     assert not replicas.is_open(known.get('r0'), 100.0)
     monkeypatch.setattr(time, 'monotonic', lambda: 100.5)
-    known.learn_version('r0', 9, 'registry')
+    known.learn_version(lives.Life('r0'), 9, 'registry')
     assert replicas.is_open(known.get('r0'), 100.5)
 
 
 def test_the_end_of_one_pause_ends_no_other(known: pools.Pools) -> None:
     """A silent replica got requests when another process, which it answers, had it load."""
-    known.pause('r0', pauses.Pause.SILENT, 1.4, 'gives no answer')
-    known.pause('r0', pauses.Pause.LOADING, pools.PAUSE_LOADING, 'is to load', 2)
-    known.learn_version('r0', 2, 'peer')
+    known.pause(lives.Life('r0'), pauses.Pause.SILENT, 1.4, 'gives no answer')
+    known.pause(lives.Life('r0'), pauses.Pause.LOADING, pools.PAUSE_LOADING, 'is to load', 2)
+    known.learn_version(lives.Life('r0'), 2, 'peer')
     assert not replicas.is_open(known.get('r0'), 100.0)
-    known.resume('r0', pauses.Pause.SILENT)
+    known.resume(lives.Life('r0'), pauses.Pause.SILENT)
     assert replicas.is_open(known.get('r0'), 100.0)
 
 
 def test_an_order_that_failed_ends_its_pause(known: pools.Pools) -> None:
-    known.pause('r0', pauses.Pause.LOADING, pools.PAUSE_LOADING, 'is to load', 2)
-    known.resume('r0', pauses.Pause.LOADING, 2)
+    known.pause(lives.Life('r0'), pauses.Pause.LOADING, pools.PAUSE_LOADING, 'is to load', 2)
+    known.resume(lives.Life('r0'), pauses.Pause.LOADING, 2)
     assert replicas.is_open(known.get('r0'), 100.0)
 
 
--- a/passpier/tests/routing/rollouts_tests.py
+++ b/passpier/tests/routing/rollouts_tests.py
@@ -10,7 +10,7 @@
 import pytest
 
 from passpier.clients import registry
-from passpier.core import catalogue, members
+from passpier.core import catalogue, members, routes
 from passpier.daemon import messages, peers
 from passpier.routing import dialect, following, knowledge, pools, rollouts, roster
 from passpier.standins import network, virtual
@@ -79,6 +79,8 @@
             options,
             random.Random(1),
         )
+        services = {'s': routes.Service('s', 100)}
+        self.pools.apply_configuration(routes.Configuration(1, services=services))
         for name in names:
             self.engines.versions[name] = 1
             entry = catalogue.Entry(name, 's', f'{name}:1', 'd0', 8, False, {MODEL: 1})
--- a/passpier/tests/routing/sources_tests.py
+++ b/passpier/tests/routing/sources_tests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from passpier.core import catalogue, choice, kept, prompts, rendezvous, routes
+from passpier.core import catalogue, choice, kept, lives, prompts, rendezvous, routes
 from passpier.routing import pools, sources
 
 STORES = {f'10.0.{n}.1:80': f'd{n}' for n in range(3)}
@@ -38,7 +38,7 @@
 
 
 def note_read(known: sources.Sources, name: str, job: choice.Job) -> None:
-    known.note_read(name, '1', job.chain, job.ends, len(job.chain) - 1)
+    known.note_read(lives.Life(name), '1', job.chain, job.ends, len(job.chain) - 1)
 
 
 def hold(known: sources.Sources, address: str, family: str) -> None:
@@ -90,7 +90,7 @@
     hold(known, store, 'f')
     job = prompts.build_job(make_prompt('f'), None, 1)
     note_read(known, 'r5', job)
-    known.pools.learn_version('r5', 2, 'report')
+    known.pools.learn_version(lives.Life('r5'), 2, 'report')
     assert choose(known, 'r0', 'f').fetch == store
     note_read(known, 'r6', job)
     known.pools.silent.add('r6')
