Two processes of one replica: tests over orders of arrival, orders, silence, sources

Pattern: word of both processes arrives in any order (hypothesis over entries, reports, answers, peers' loads, placements, loads of weights), a restart within an order, a dead connection beside a living successor, a clock that jumped back.

--- a/passpier/tests/core/rollout_tests.py
+++ b/passpier/tests/core/rollout_tests.py
@@ -151,3 +151,17 @@
             late = rng.uniform(2, 12) if fate < 0.4 else 0.8
             loading[order.replica] = (now + late, order)
     assert set(versions.values()) == {target}
+
+
+def test_an_order_to_a_process_that_has_ended_keeps_no_other_waiting() -> None:
+    """It counted as under way for six seconds, and as one of the few that may load at once."""
+    orders = rollout.Rollout()
+    wanted = [rollout.Wanted('m', 2)]
+    first = orders.choose(wanted, [rollout.State('a', {'m': 1}, born=1000)], 10.0)
+    assert [o.born for o in first] == [1000]
+    again = orders.choose(wanted, [rollout.State('a', {'m': 1}, born=2000)], 10.1)
+    assert [o.born for o in again] == [2000]
+    orders.fail(first[0], 10.2)
+    assert not orders.choose(wanted, [rollout.State('a', {'m': 1}, born=2000)], 10.3)
+    orders.end(again[0])
+    assert orders.choose(wanted, [rollout.State('a', {'m': 1}, born=2000)], 10.4)
--- /dev/null
+++ b/passpier/tests/routing/lives_tests.py
@@ -0,0 +1,410 @@
+"""Two processes of one replica: word of the one that has ended never counts for the other.
+
+A replica has started again under its id, with older weights, an empty cache and orders counted
+anew. Entries, reports, answers and peers' messages about both processes arrive in any order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import Any, cast
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from passpier.clients import exchanges, registry
+from passpier.core import attempts, catalogue, choice, lives, members, pauses, prompts, routes
+from passpier.daemon import loads, messages, peers
+from passpier.routing import (
+    dialect,
+    following,
+    knowledge,
+    pools,
+    probing,
+    reading,
+    rollouts,
+    roster,
+    sharing,
+    sources,
+)
+from passpier.standins import network, virtual
+from passpier.tests.routing import rollouts_tests
+
+in_virtual_time = pytest.mark.usefixtures('virtual_clock')
+
+ID = 'r1'
+MODEL = 'model'
+OLD = lives.Life(ID, 1000)
+NEW = lives.Life(ID, 2000)
+OLD_VERSIONS = (7, 8, 9)
+NEW_VERSIONS = (1, 2, 3)
+PEER = 'i-peer'
+
+
+def make_entry(life: lives.Life, version: int, draining: bool = False) -> catalogue.Entry:
+    return catalogue.Entry(
+        life.id, 's', f'{life.id}:1', 'd0', 8, draining, {MODEL: version}, life.born
+    )
+
+
+def make_job() -> choice.Job:
+    parts = (prompts.Part('aa', 800), prompts.Part('own', 50))
+    return prompts.build_job(prompts.Prompt(MODEL, parts), None, 1)
+
+
+class Records:
+    """Entries as `LIFE VERSION STATE`."""
+
+    configuration_key = 'configuration'
+    version_prefix = 'weights/'
+    replica_prefix = 'replicas/'
+    own_prefix = 'own/'
+
+    def decode_configuration(self, data: bytes) -> routes.Configuration:
+        engine = routes.Engine((MODEL,), 8, 10_000)
+        return routes.Configuration(1, services={'s': routes.Service('s', 100, engine)})
+
+    def decode_replica(self, id: str, data: bytes) -> catalogue.Entry:
+        born, version, state = data.decode().split()
+        return make_entry(lives.Life(id, int(born)), int(version), state == 'draining')
+
+    def decode_named_version(self, data: bytes) -> tuple[str, int]:
+        return MODEL, int(data)
+
+
+class Process:
+    """All parts of a router that learn of replicas, with one peer."""
+
+    def __init__(self) -> None:
+        self.known = knowledge.Knowledge(Records(), pools.Pools(10.0), 5.0)
+        self.pools = self.known.pools
+        net = network.Network(random.Random(1))
+        own = members.Member('vm-0', 'i0', '10.0.0.1', 1, 2, 'd0')
+        link = cast(peers.Peers, net.connect(own))
+        membership = members.Membership(own, 1e6, time.monotonic())
+        self.sources = sources.Sources(self.pools)
+        self.sharing = sharing.Sharing(self.sources, membership, link)
+        self.loads = loads.Loads(membership, self.pools, link)
+        self.rollouts = rollouts.Rollouts(
+            cast(registry.Registry, None),
+            self.known,
+            cast(following.Follower, None),
+            cast(roster.Roster, rollouts_tests.Roster()),
+            cast(dialect.Engines, None),
+            link,
+            cast(dialect.Options, rollouts_tests.Options()),
+            random.Random(1),
+        )
+        self.put(1, 'configuration', b'-')
+
+    def put(self, revision: int, key: str, data: bytes) -> None:
+        items = (registry.Item(key, data, revision),)
+        now = time.monotonic()
+        self.known.take_changes(registry.Changes(items, revision, now, now), 0.0, now)
+
+    def record(self, revision: int, life: lives.Life, version: int, state: str = 'ready') -> None:
+        self.put(revision, f'replicas/{ID}', f'{life.born} {version} {state}'.encode())
+
+
+Event = Callable[[Process], Any]
+
+
+def report(life: lives.Life, version: int) -> Event:
+    """An answer of one process to a question that was asked of whichever is known."""
+
+    def happen(process: Process) -> None:
+        told = dialect.Report({MODEL: version}, False, 1, 0, 0, life.born)
+        process.known.take_report(process.pools.get(ID).life, told)
+
+    return happen
+
+
+def answer(life: lives.Life, version: int) -> Event:
+    return lambda process: process.pools.learn_version(life, version, 'answer')
+
+
+def loaded(life: lives.Life, version: int) -> Event:
+    message = messages.Loaded(ID, version, version, life.born)
+    return lambda process: process.rollouts._take_loaded(PEER, 'p:1', message)
+
+
+def loading(life: lives.Life, version: int) -> Event:
+    message = messages.Loading(ID, 100.0, version, life.born)
+    return lambda process: process.rollouts._take_loading(PEER, 'p:1', message)
+
+
+def placed(life: lives.Life, version: int) -> Event:
+    job = make_job()
+    rows = [(ID, life.born, str(version), job.chain, list(job.ends))]
+    return lambda process: process.sharing._take(PEER, 'p:1', messages.Placed(rows))
+
+
+def load(life: lives.Life, _: int) -> Event:
+    message = messages.Loads([(ID, life.mark, (900, 0, 0, 0), 5)], True)
+    return lambda process: process.loads._take(PEER, 'p:1', message)
+
+
+def fail(life: lives.Life, _: int) -> Event:
+    def happen(process: Process) -> None:
+        for _ in range(5):
+            process.pools.note_failure(life)
+
+    return happen
+
+
+def replaced(life: lives.Life, _: int) -> Event:
+    return lambda process: process.pools.note_replaced(life)
+
+
+def leave(life: lives.Life, version: int) -> Event:
+    """The last entry of the process that ended, told late by a slow reading."""
+    return lambda process: process.record(3, life, version, 'draining')
+
+
+_WORDS = st.sampled_from([report, answer, loaded, loading, placed, load, fail, replaced, leave])
+_OLD_EVENTS = st.lists(st.tuples(_WORDS, st.sampled_from(OLD_VERSIONS)), max_size=12)
+_NEW_EVENTS = st.lists(
+    st.tuples(st.sampled_from([report, answer, loaded]), st.sampled_from(NEW_VERSIONS)), max_size=6
+)
+
+
+@hypothesis.given(
+    before=_OLD_EVENTS,
+    after=_OLD_EVENTS,
+    new=_NEW_EVENTS,
+    first=st.sampled_from(['entry', 'report']),
+    order=st.randoms(use_true_random=False),
+)
+def test_a_process_that_has_ended_leaves_nothing_behind(
+    before: Sequence[Any],
+    after: Sequence[Any],
+    new: Sequence[Any],
+    first: str,
+    order: random.Random,
+) -> None:
+    """Weights, cache, loads, pauses, strikes and leaving of the old process stayed with the id."""
+    process = Process()
+    process.record(2, OLD, 7)
+    for word, version in before:
+        word(OLD, version)(process)
+    if first == 'entry':
+        process.record(4, NEW, 1)
+    else:
+        report(NEW, 1)(process)
+    later = [w(OLD, v) for w, v in after] + [w(NEW, v) for w, v in new]
+    order.shuffle(later)
+    for event in later:
+        event(process)
+    replica = process.pools.get(ID)
+    now = time.monotonic()
+    assert replica.life == NEW
+    assert int(replica.weight_version) == max([1, *(v for _, v in new)])
+    assert not process.pools.cache.match(ID, make_job().chain, now).blocks
+    assert not replica.peers
+    assert replica.paused_until < now
+    assert not process.pools.ejector.is_ejected(ID, now)
+    assert [r.life for r in process.pools.list_serving('s')] == [NEW]
+
+
+@hypothesis.given(
+    events=st.lists(
+        st.tuples(st.sampled_from([report, answer, loaded, placed]), st.sampled_from([OLD, NEW])),
+        max_size=12,
+    )
+)
+def test_after_a_jump_of_the_clock_the_entry_decides(events: Sequence[Any]) -> None:
+    """The process that started last was born earlier: only its entry can tell that.
+
+    Late word of the one before, born later, would bring it back.
+    """
+    process = Process()
+    process.record(2, NEW, 7)
+    process.record(4, OLD, 1)
+    for word, life in events:
+        word(life, 7 if life == NEW else 2)(process)
+    replica = process.pools.get(ID)
+    assert replica.life == OLD
+    assert int(replica.weight_version) in (1, 2)
+
+
+def test_a_reading_of_before_brings_no_ended_process_back() -> None:
+    """The replica itself told of its start before the registry did; then came its older entry."""
+    process = Process()
+    process.record(2, OLD, 7)
+    report(NEW, 1)(process)
+    process.record(3, OLD, 9, 'draining')
+    assert process.pools.get(ID).life == NEW
+    assert process.pools.list_serving('s')
+    process.record(4, NEW, 2)
+    assert process.pools.get(ID).weight_version == '2'
+
+
+def test_nobody_is_sent_to_an_ended_process_for_parts() -> None:
+    """The reborn replica was named as the source of what the process before had read."""
+    process = Process()
+    process.record(2, OLD, 7)
+    process.put(5, 'replicas/r2', b'1000 7 ready')
+    job = make_job()
+    process.sources.note_read(OLD, '7', job.chain, job.ends, 1)
+    prompt = prompts.Prompt(MODEL, (prompts.Part('aa', 800), prompts.Part('own', 50)))
+    asking = process.pools.get('r2')
+    assert process.sources.choose(asking, job, prompt, 'salt').fetch == f'{ID}:1'
+    process.record(6, NEW, 7)
+    assert process.sources.choose(asking, job, prompt, 'salt').fetch == ''
+
+
+class Engines(rollouts_tests.Engines):
+    """Replicas that can start again: with version 1, and with orders counted anew."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.born: dict[str, int] = {}
+        self.counted: dict[str, int] = {}
+        self.expected: list[tuple[int, int]] = []
+        """Of each order: the process that it came to, and the count that it named."""
+
+    async def report(self, address: str, incarnation: str) -> dialect.Report:
+        await asyncio.sleep(0.005)
+        versions = {MODEL: self.versions[incarnation]}
+        orders = self.counted.get(incarnation, 0)
+        return dialect.Report(versions, False, orders, 0, 0, self.born[incarnation])
+
+    async def order(self, address: str, order: dialect.WeightOrder) -> dialect.OrderResult:
+        id = order.incarnation
+        self.expected.append((self.born[id], order.expected_orders))
+        if order.expected_orders != self.counted.get(id, 0):
+            return dialect.OrderResult.BUSY
+        born = self.born[id]
+        result = await super().order(address, order)
+        if result is dialect.OrderResult.TAKEN and self.born[id] == born:
+            self.counted[id] = self.counted.get(id, 0) + 1
+        return result
+
+    def restart(self, id: str) -> None:
+        self.born[id] += 1000
+        self.versions[id] = 1
+        self.counted[id] = 0
+
+
+def build_fleet() -> tuple[rollouts_tests.Fleet, Engines]:
+    fleet = rollouts_tests.Fleet()
+    engines = Engines()
+    fleet.engines = engines
+    fleet.rollouts._engines = cast(dialect.Engines, engines)
+    engines.versions[ID] = 1
+    engines.born[ID] = OLD.born
+    engines.counted[ID] = 4
+    known = fleet.rollouts._known
+    known.catalogue.put(make_entry(OLD, 1))
+    fleet.pools.apply_change(catalogue.Change(ID, make_entry(OLD, 1), 'recorded'))
+    return fleet, engines
+
+
+@in_virtual_time
+@pytest.mark.parametrize(
+    ('delay', 'recorded'),
+    [
+        (0.02, True),
+        (0.3, True),
+        (0.75, True),
+        (2.0, True),
+        (0.02, False),
+        (0.3, False),
+        (0.75, False),
+    ],
+)
+def test_a_replica_that_starts_again_within_an_order_is_ordered_anew(
+    delay: float, recorded: bool
+) -> None:
+    """Its order counted as under way, and the next one named the orders of the process before."""
+
+    async def check() -> None:
+        fleet, engines = build_fleet()
+        fleet.elect(5)
+        fleet.name(2)
+        asyncio.get_running_loop().call_later(delay, engines.restart, ID)
+        task = asyncio.ensure_future(fleet.rollouts.run_orders())
+        await asyncio.sleep(delay + 0.05)
+        change = fleet.rollouts._known.catalogue.put(make_entry(NEW, 1)) if recorded else None
+        if change is not None:
+            fleet.pools.apply_change(change)
+        await asyncio.sleep(3.0)
+        task.cancel()
+        assert engines.versions == {ID: 2}
+        assert fleet.pools.get(ID).life == NEW
+        assert fleet.pools.get(ID).weight_version == '2'
+        assert (NEW.born, 0) in engines.expected
+
+    virtual.run(check())
+
+
+@in_virtual_time
+def test_a_load_that_the_process_before_took_does_not_count() -> None:
+    """The late word of a peer made a replica with older weights look up to date."""
+    fleet, _ = build_fleet()
+    known = fleet.rollouts._known
+    change = known.catalogue.put(make_entry(NEW, 1))
+    assert change is not None
+    fleet.pools.apply_change(change)
+    loaded_before = messages.Loaded(ID, 9, 9, OLD.born)
+    fleet.rollouts._take_loaded(PEER, 'p:1', loaded_before)
+    assert fleet.pools.get(ID).weight_version == '1'
+    state = fleet.pools.list_states()[0]
+    assert state.versions == {MODEL: 1}
+
+
+@in_virtual_time
+def test_a_silent_replica_that_answers_as_another_process_has_started_again() -> None:
+    """Its silence and its pause were kept, and its books were those of the process before."""
+
+    async def check() -> None:
+        fleet, engines = build_fleet()
+        told: list[messages.Silent] = []
+        prober = probing.Prober(fleet.rollouts._known, cast(dialect.Engines, engines), told.append)
+        fleet.pools.silent.add(ID)
+        fleet.pools.pause(OLD, pauses.Pause.SILENT, 100.0, 'gives no answer')
+        engines.restart(ID)
+        prober.suspect(OLD, 0.0)
+        await asyncio.sleep(0.1)
+        assert fleet.pools.get(ID).life == NEW
+        assert not prober.is_silent(ID)
+        assert fleet.pools.get(ID).paused_until < time.monotonic()
+        assert not told
+
+    virtual.run(check())
+
+
+class SilentExchange:
+    """A connection to a process that is gone, on which nothing comes any more."""
+
+    is_silent = False
+
+    async def read_head(self) -> exchanges.Head:
+        await asyncio.sleep(1e6)
+        raise AssertionError
+
+
+@in_virtual_time
+def test_a_request_does_not_wait_for_a_process_that_has_ended() -> None:
+    """The next process answered that it lives, so the request waited until its deadline."""
+
+    async def check() -> None:
+        fleet, engines = build_fleet()
+        prober = probing.Prober(
+            fleet.rollouts._known, cast(dialect.Engines, engines), lambda _: None
+        )
+        exchange = cast(exchanges.Exchange, SilentExchange())
+        started = time.monotonic()
+        reader = reading.Reader(exchange, prober, OLD, started + 60.0, False)
+        engines.restart(ID)
+        with pytest.raises(reading.AttemptError) as raised:
+            await reader.read_head(60.0)
+        # What was sent may have run, and no later process tells.
+        assert raised.value.fault is attempts.Fault.NO_ANSWER
+        assert time.monotonic() - started < 2.0
+
+    virtual.run(check())
