Weights taken back by a late order, broken cache events: tests that fail

Cause: a version that fell while the process lives was never believed; one event that cannot be read made a whole answer unreadable.

--- a/passpier/tests/platform/lives_tests.py
+++ b/passpier/tests/platform/lives_tests.py
@@ -13,9 +13,11 @@
 import pytest
 
 from passpier.clients import registry
-from passpier.core import choice, pauses, prompts
+from passpier.core import choice, lives, pauses, prompts
 from passpier.platform import dialect, names
 from passpier.routing import knowledge, pools
+from passpier.standins.platform import deployment
+from passpier.tests.platform import scenes
 
 ID = 'i-1'
 MODEL = 'm1'
@@ -145,3 +147,27 @@
     assert known.get(ID).seconds_per_token == 1.0
     assert known.get(ID).paused_until > time.monotonic()
     assert known.get(ID).weight_version == '4'
+
+
+def test_a_replica_that_starts_again_in_a_release_comes_to_the_newest_weights() -> None:
+    """Routers took it for up to date, sent it what it refused, and never ordered it."""
+
+    async def check(running: deployment.Deployment) -> None:
+        reborn = running.replicas['llm-0']
+        running.name_version(2)
+        await scenes.wait_for(lambda: reborn.version == 2)
+        reborn.version, reborn.orders, reborn.loading = 1, 0, False
+        entry = reborn.render_entry() | {'born': 2000}
+        running.meta.put(names.REPLICA_PREFIX + reborn.id, entry)
+        known = [router.pools for router in running.routers]
+        await scenes.wait_for(
+            lambda: (
+                reborn.version == 2
+                and all(k.get(reborn.id).life == lives.Life(reborn.id, 2000) for k in known)
+                and all(k.get(reborn.id).weight_version == '2' for k in known)
+            )
+        )
+        replies = [await running.ask('/resume/x', headers=scenes.PROMPT) for _ in range(6)]
+        assert [r.status for r in replies] == [200] * 6
+
+    scenes.play(check, 2)
--- a/passpier/tests/platform/records_tests.py
+++ b/passpier/tests/platform/records_tests.py
@@ -9,7 +9,7 @@
 import hypothesis.strategies as st
 import pytest
 
-from passpier.platform import names
+from passpier.platform import names, records
 from passpier.routing import knowledge
 from passpier.tests.platform import lives_tests
 
@@ -178,3 +178,20 @@
     store.record(ID, weights=3)
     store.put(names.REPLICA_PREFIX + ID, b'\xff')
     assert len(lines) == 2
+
+
+def test_broken_cache_events_are_left_out() -> None:
+    """One of them made the whole answer unreadable, again and again: the cache counted as down."""
+    events = [
+        [7, '+', 's', 'aa', 800, 'm1'],
+        [8, '*', 's', 'bb', 800, 'm1'],
+        [9.5, '+', 's', 'cc', 800, 'm1'],
+        [10, '+', 's', 'dd'],
+        'no event',
+        [11, '-', 's', 'ee', 0, 'm1'],
+    ]
+    told = {'boot_epoch': 5, 'next_token': 12, 'lost': False, 'events': events}
+    read = records.decode_cache_events(json.dumps(told).encode())
+    assert [e.part for e in read.events] == ['aa', 'ee']
+    assert read.next_token == 12
+    assert read.lost
--- a/passpier/tests/routing/lives_tests.py
+++ b/passpier/tests/routing/lives_tests.py
@@ -408,3 +408,44 @@
         assert time.monotonic() - started < 2.0
 
     virtual.run(check())
+
+
+def test_weights_that_a_late_order_took_back_are_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An order to the process before was carried out late by the next one, as its first.
+
+    The replica then had older weights than were believed: it refused every request, and got no
+    order. Reports are some hundred milliseconds old, so that one told soon after says nothing.
+    """
+    process = Process()
+    process.record(2, NEW, 3)
+    learnt_at = time.monotonic()
+    monkeypatch.setattr(time, 'monotonic', lambda: learnt_at + 0.5)
+    report(NEW, 2)(process)
+    assert process.pools.get(ID).weight_version == '3'
+    monkeypatch.setattr(time, 'monotonic', lambda: learnt_at + 5.0)
+    report(NEW, 2)(process)
+    assert process.pools.get(ID).weight_version == '2'
+    assert process.pools.list_states()[0].versions == {MODEL: 2}
+
+
+@in_virtual_time
+def test_a_replica_that_goes_on_refusing_for_its_weights_is_asked() -> None:
+    """Right after a load all refuse once; whoever goes on has other weights than are believed."""
+
+    async def check() -> None:
+        fleet, engines = build_fleet()
+        prober = probing.Prober(
+            fleet.rollouts._known, cast(dialect.Engines, engines), lambda _: None
+        )
+        engines.restart(ID)
+        prober.note_other_weights(OLD, '1')
+        await asyncio.sleep(0.3)
+        prober.note_other_weights(OLD, '1')
+        await asyncio.sleep(0.2)
+        assert fleet.pools.get(ID).life == OLD
+        await asyncio.sleep(1.0)
+        prober.note_other_weights(OLD, '1')
+        await asyncio.sleep(0.2)
+        assert fleet.pools.get(ID).life == NEW
+
+    virtual.run(check())
