Older weights that a replica goes on reporting are believed; broken cache events are left out

A replica that goes on refusing for its weights for a second is asked; a report that is more than 1.5 s younger than what is known, and tells older weights, is believed, so that the replica is sent what it can run and ordered to load. A cache event that cannot be read counts as lost, the others hold.

--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -98,6 +98,9 @@
     room_seconds: float = ROOM_SECONDS
     """Seconds of prefill that may wait at this replica."""
 
+    weights_learnt_at: float = float('-inf')
+    """When its weight version was learnt, in seconds of the monotonic clock."""
+
     born: int = 0
     """When its process started, in Unix milliseconds; 0 if it does not tell."""
 
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -175,8 +175,8 @@
         raw = _decode_answer(answer, records.decode_cache_events)
         changes = tuple(
             # What is left of a part that was dropped in part is of no use without the rest.
-            dialect.CacheChange(sign == '+', salt, part)
-            for _, sign, salt, part, _, _ in raw.events
+            dialect.CacheChange(event.sign == '+', event.salt, event.part)
+            for event in raw.events
         )
         return dialect.CacheChanges(raw.boot_epoch, raw.next_token, raw.lost, changes)
 
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import ipaddress
+import logging
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -10,6 +12,8 @@
 from passpier import exceptions
 from passpier.core import catalogue, routes
 
+log = logging.getLogger(__name__)
+
 MOST_SLOTS = 10_000
 """Requests at once beyond which an entry is wrong: replicas have tens to hundreds, and one that
 seemed to have room without end would draw every request."""
@@ -138,15 +142,37 @@
     active: _Count = 0
 
 
-class _CacheEvents(msgspec.Struct):
-    boot_epoch: int
-    next_token: int
-    events: list[tuple[int, str, str, str, int, str]] = []
-    """Number, `+` or `-`, salt, part, tokens of it now kept, model."""
+class _CacheEvent(msgspec.Struct, array_like=True):
+    number: _Count
+    sign: Literal['+', '-']
+    """`-` if the part, or some of it, was dropped."""
+
+    salt: str
+    part: str
+    kept: _Count
+    """Tokens of the part that are kept now."""
+
+    model: str
+
 
+class _CacheAnswer(msgspec.Struct):
+    boot_epoch: _Count
+    next_token: _Count
+    events: list[msgspec.Raw] = []
     lost: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """Events of a cache in one life of it, up to that before `next_token`."""
+
+    boot_epoch: int
+    next_token: int
+    events: tuple[_CacheEvent, ...]
+    lost: bool
+    """Whether events are missing: the cache did not keep them, or they could not be read."""
+
+
 def decode_configuration(data: bytes) -> routes.Configuration:
     """Return an operator's configuration; raises `StoreError` if it is not understood."""
     raw = decode(data, _Configuration)
@@ -197,9 +223,20 @@
     return decode(data, _Report)
 
 
-def decode_cache_events(data: bytes) -> _CacheEvents:
-    """Return the events of a replica's or store's cache."""
-    return decode(data, _CacheEvents)
+def decode_cache_events(data: bytes) -> CacheEvents:
+    """Return the events of a replica's or store's cache, without those that cannot be read.
+
+    Asking again would bring the same ones again.
+    """
+    raw = decode(data, _CacheAnswer)
+    events = []
+    for item in raw.events:
+        try:
+            events.append(decode(bytes(item), _CacheEvent))
+        except exceptions.StoreError as error:
+            log.info('cache event refused', extra={'error': str(error), 'next': raw.next_token})
+    lost = raw.lost or len(events) < len(raw.events)
+    return CacheEvents(raw.boot_epoch, raw.next_token, tuple(events), lost)
 
 
 def _check_address(address: str) -> None:
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -289,7 +289,7 @@
                 known.note_replaced(life)
                 raise reading.AttemptError(attempts.Fault.REFUSED, f'{told} has the address now')
             known.pause(life, pauses.Pause.FULL, pools.PAUSE_FULL, 'other weights')
-            self._owner.prober.ask_weights(life)
+            self._owner.prober.note_other_weights(life, placement.replica.weight_version)
             raise reading.AttemptError(attempts.Fault.REFUSED, 'other weights than asked for')
         if verdict is dialect.Verdict.INVALID:
             raise reading.AttemptError(
--- a/passpier/routing/knowledge.py
+++ b/passpier/routing/knowledge.py
@@ -81,7 +81,7 @@
         replica's clock has jumped back, which its entry will tell.
         """
         if report.born is None or report.born == life.born:
-            self.pools.learn_versions(life, report.versions, 'report')
+            self.pools.learn_report(life, report.versions)
             return True
         other = lives.Life(life.id, report.born)
         change = self.catalogue.note_born(other, report.versions)
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -31,6 +31,10 @@
 PAUSE_LOADING = 1.2
 """Seconds for which a replica that was told to load weights gets nothing, unless it ends sooner."""
 
+REPORT_LAG = 1.5
+"""Seconds within which a replica's report may still show it as it was: some tenths by its account,
+and up to 0.4 on its way. Older weights in a later one are those that it has."""
+
 OLD_WEIGHTS_GRACE = 1.5
 """Seconds after new weights are named from which answers of old ones are worth less."""
 
@@ -137,11 +141,31 @@
         return replica is not None and replica.born != life.born
 
     def learn_version(self, life: lives.Life, version: int, source: str) -> None:
-        """Note a replica's weight version; it only rises while its process lives."""
+        """Note a replica's weight version; late word of older ones does not count."""
+        replica = self.find(life)
+        if replica is not None and int(replica.weight_version or 0) < version:
+            self._set_version(replica, version, source)
+
+    def learn_report(self, life: lives.Life, versions: Mapping[str, int]) -> None:
+        """Note the weight versions that a replica reports.
+
+        They are older than is known if an order to the process before was carried out late by this
+        one, as its first.
+        """
         replica = self.find(life)
-        if replica is None or int(replica.weight_version or 0) >= version:
+        version = versions.get(self._models.get(life.id, ''), 0)
+        if replica is None or not version:
             return
+        age = time.monotonic() - replica.weights_learnt_at
+        if age > REPORT_LAG and version < int(replica.weight_version or 0):
+            self._set_version(replica, version, 'report of older weights')
+        else:
+            self.learn_version(life, version, 'report')
+
+    def _set_version(self, replica: replicas.Replica, version: int, source: str) -> None:
+        life = replica.life
         replica.weight_version = str(version)
+        replica.weights_learnt_at = time.monotonic()
         self.resume(life, pauses.Pause.LOADING, version)
         capacity = self.cache.get_capacity(life.id)
         self.cache.set_incarnation(life.id, identify_cache(life, str(version)), capacity)
@@ -155,12 +179,6 @@
             },
         )
 
-    def learn_versions(self, life: lives.Life, versions: Mapping[str, int], source: str) -> None:
-        """Note the weight versions of a replica's models."""
-        version = versions.get(self._models.get(life.id, ''), 0)
-        if version:
-            self.learn_version(life, version, source)
-
     def note_replaced(self, life: lives.Life) -> None:
         """Note that a replica's process is gone, though its entry may still be there."""
         replica = self.find(life)
@@ -326,7 +344,7 @@
         capacity = engine.cache_tokens if engine else 0
         key = identify_cache(replica.life, replica.weight_version)
         self.cache.set_incarnation(entry.id, key, capacity)
-        self.learn_versions(replica.life, entry.versions, 'registry')
+        self.learn_version(replica.life, entry.versions.get(model, 0), 'registry')
 
     def list_siblings(self, name: str) -> list[str]:
         """Return all replicas of a replica's service; itself alone if it has just gone."""
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -29,8 +29,9 @@
 ASK_INTERVAL = 0.5
 """Seconds between questions to a silent replica."""
 
-WEIGHTS_INTERVAL = 1.0
-"""Seconds between questions to a replica about its weights; each is priced."""
+WEIGHTS_PATIENCE = 1.0
+"""Seconds after which a replica that goes on refusing for its weights is asked about them. Right
+after each load some requests are refused once; a question is priced."""
 
 QUESTIONS = 2
 """Unanswered questions after which a replica counts as silent: a packet may be lost."""
@@ -52,8 +53,8 @@
         self._heard: dict[str, tuple[lives.Life, float]] = {}
         """By name, the process that was heard last, and when."""
 
-        self._asked_at: dict[str, float] = {}
-        """By name, when a replica was last asked about its weights."""
+        self._refused: dict[str, tuple[lives.Life, str, float]] = {}
+        """By name, the process and the version that it first refused, and when."""
 
         self._tasks: dict[lives.Life, asyncio.Task[None]] = {}
 
@@ -80,11 +81,17 @@
         self._tasks[life] = task
         task.add_done_callback(lambda _: self._tasks.pop(life, None))
 
-    def ask_weights(self, life: lives.Life) -> None:
-        """Ask a replica that has other weights than are known: it may have started again."""
+    def note_other_weights(self, life: lives.Life, version: str) -> None:
+        """Note that a replica has other weights than `version`; ask it if that lasts.
+
+        It may have started again, or loaded others by an order that came late.
+        """
         now = time.monotonic()
-        if now - self._asked_at.get(life.id, float('-inf')) >= WEIGHTS_INTERVAL:
-            self._asked_at[life.id] = now
+        first = self._refused.get(life.id)
+        if first is None or first[:2] != (life, version):
+            self._refused[life.id] = (life, version, now)
+        elif now - first[2] >= WEIGHTS_PATIENCE:
+            del self._refused[life.id]
             self.suspect(life, 0.0)
 
     def stop(self) -> None:
