--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -160,7 +160,9 @@
             raise exchanges.ExchangeError(exchanges.Fault.REPLACED, text, True)
         raw = _decode_answer(answer, records.decode_report)
         versions = {m.name: m.version for m in raw.models}
-        return dialect.Report(versions, raw.utilization, raw.sequence, raw.active, raw.queued)
+        return dialect.Report(
+            versions, raw.utilization, raw.sequence, raw.active, raw.queued, raw.born
+        )
 
     async def read_cache_changes(
         self, address: str, since: int, wait: float
@@ -173,8 +175,8 @@
         raw = _decode_answer(answer, records.decode_cache_events)
         changes = tuple(
             # What is left of a part that was dropped in part is of no use without the rest.
-            dialect.CacheChange(sign == '+', salt, part)
-            for _, sign, salt, part, _, _ in raw.events
+            dialect.CacheChange(event.sign == '+', event.salt, event.part)
+            for event in raw.events
         )
         return dialect.CacheChanges(raw.boot_epoch, raw.next_token, raw.lost, changes)
 
