--- a/passpier/core/shares.py
+++ b/passpier/core/shares.py
@@ -194,7 +194,7 @@
         """
         account = self._get(name)
         self._refill(name, account, now)
-        if account.in_flight >= account.held or account.tokens < 0 or self._is_cut_off(now):
+        if account.in_flight >= account.held or account.tokens < 0 or self.is_cut_off(now):
             return False
         account.in_flight += 1
         return True
@@ -257,7 +257,8 @@
             account = self._accounts[name] = _Account(min(units))
         return account
 
-    def _is_cut_off(self, now: float) -> bool:
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether others may have settled a generation without this daemon."""
         alone = all(set(grant.holders) <= {self.holder} for grant in self._grants)
         return not alone and now - self._heard_at > FENCE_SECONDS
 
