Planned stops of passpierd: Drain.takes asks for no end any more

Cause: the core's question has changed under this daemon's own estimate. Change: the estimate alone says whether a request outlasts the stop.

--- a/passpier/daemon/service.py
+++ b/passpier/daemon/service.py
@@ -94,7 +94,7 @@
         now = time.monotonic()
         seconds = self._estimate_seconds(call)
         left = stop.began_at + stop.bound - now
-        if seconds <= left and stop.takes(call.deadline + seconds, now):
+        if seconds <= left and stop.takes(now):
             return True
         log.info(
             'request outlasts the stop',
