Planned stops of passpierd: a failing test for a request that is still coming

Cause: the cause found in the router acts here, too: a request whose body has not come whole does not count as under way.

--- a/passpier/tests/daemon/main_tests.py
+++ b/passpier/tests/daemon/main_tests.py
@@ -10,6 +10,7 @@
 import http.client
 import signal
 import threading
+import time
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -152,6 +153,34 @@
     assert daemon.popen.wait(30) == 0
 
 
+def test_a_request_that_is_still_coming_is_waited_for(fleet: fleets.Fleet) -> None:
+    """Its head had come, and it did not count as under way: the daemon ended before its body."""
+    daemon = fleet.daemons[0]
+    body = b'{"model": "flag", "prompt": "late", "max_tokens": 5}'
+    connection = http.client.HTTPConnection(daemon.entry, timeout=30)
+    connection.putrequest('POST', '/v1/completions')
+    for name, value in {**fleets.make_headers(), 'Content-Length': str(len(body))}.items():
+        connection.putheader(name, value)
+    connection.endheaders(body[:10])
+    begin_stop(fleet)
+    processes.wait_until(lambda: not accepts(daemon), 'closing', 10)
+    # A daemon that takes itself for done ends within this time.
+    time.sleep(1.0)
+    connection.send(body[10:])
+    response = connection.getresponse()
+    answer = fleets.Answer(response.status, dict(response.headers), response.read())
+    check_cut(answer, 'not_run')
+    assert daemon.popen.wait(30) == 0
+
+
+def accepts(daemon: processes.DaemonProcess) -> bool:
+    """Return whether a daemon takes requests; one that refuses or is gone does not."""
+    try:
+        return fleets.complete(daemon.entry, 'closing?', 1).status == 200
+    except OSError:
+        return False
+
+
 def test_what_is_under_way_at_the_bound_gets_a_true_answer(fleet: fleets.Fleet) -> None:
     """A begun stream, a prompt being computed, one that waits for it, calls of a service."""
     fleet.services[0].set_faults(work=9.0)
