Planned stops of passpierd: a request that is still coming counts, resting connections end last

Change: requests count from their head on; after the goodbye the daemon looks once more for what came on kept connections, then closes these.

--- a/passpier/daemon/callers.py
+++ b/passpier/daemon/callers.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable
 
 import msgspec
+import tornado.httputil
 import tornado.iostream
 import tornado.web
 
@@ -316,6 +317,47 @@
         await self.finish()
 
 
+class Arrivals(tornado.httputil.HTTPServerConnectionDelegate):
+    """Counts requests from their head on, before the handlers know of them."""
+
+    def __init__(self, app: service.Service) -> None:
+        self._app = app
+        self._application = build_application(app)
+
+    def start_request(
+        self, server_conn: object, request_conn: tornado.httputil.HTTPConnection
+    ) -> tornado.httputil.HTTPMessageDelegate:
+        """Return what takes the request's parts."""
+        inner = self._application.start_request(server_conn, request_conn)
+        return _Arrival(self._app, inner)
+
+
+class _Arrival(tornado.httputil.HTTPMessageDelegate):
+    def __init__(self, app: service.Service, inner: tornado.httputil.HTTPMessageDelegate) -> None:
+        self._app = app
+        self._inner = inner
+
+    def headers_received(
+        self,
+        start_line: tornado.httputil.RequestStartLine | tornado.httputil.ResponseStartLine,
+        headers: tornado.httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        self._app.coming.add(self)
+        return self._inner.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        return self._inner.data_received(chunk)
+
+    def finish(self) -> None:
+        self._inner.finish()
+        # The handler counts the request from its first step on, which comes before this.
+        asyncio.get_running_loop().call_soon(self._app.coming.discard, self)
+
+    def on_connection_close(self) -> None:
+        self._app.coming.discard(self)
+        self._inner.on_connection_close()
+
+
 def build_application(app: service.Service) -> tornado.web.Application:
     """Return the application of the callers' port."""
     state = {'app': app}
--- a/passpier/daemon/main.py
+++ b/passpier/daemon/main.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import time
+from collections.abc import Sequence
 
 import tornado.httpserver
 import tornado.netutil
@@ -136,7 +137,10 @@
             server.stop()
         for task in running:
             task.cancel()
-        await self._close()
+        await self._leave()
+        # A request may have come on a kept connection since.
+        await self._finish()
+        await self._close(servers)
 
     async def _finish(self) -> None:
         while self.service.get_phase() is not drain.Phase.STOPPED:
@@ -157,13 +161,19 @@
         if self.service.in_flight:
             log.warning('answers not taken', extra={'left': self.service.in_flight})
 
-    async def _close(self) -> None:
+    async def _leave(self) -> None:
         self.fleet.say_goodbye()
         with contextlib.suppress(exceptions.StoreError):
             await self.fleet.storage.unregister()
         if self.events is not None:
             self.events.close()
         await self.peers.say_last_words()
+
+    async def _close(self, servers: Sequence[tornado.httpserver.HTTPServer]) -> None:
+        # Callers that rest on a connection see its end at once, and send nothing that is lost.
+        for server in servers:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(server.close_all_connections(), LAST_ANSWERS)
         self.peers.close()
         self.client.close()
         log.info('stopped')
@@ -171,7 +181,7 @@
     def _listen(self) -> list[tornado.httpserver.HTTPServer]:
         bound = self.options.max_body + BODY_SLACK
         caller_server = tornado.httpserver.HTTPServer(
-            callers.build_application(self.service), max_buffer_size=bound, max_body_size=bound
+            callers.Arrivals(self.service), max_buffer_size=bound, max_body_size=bound
         )
         caller_server.add_sockets(self._caller_sockets)
         secret = self.options.operator_secret.get_secret_value()
--- a/passpier/daemon/service.py
+++ b/passpier/daemon/service.py
@@ -60,6 +60,9 @@
         self.dispatcher = places
         self.counters = counters
         self.requests: set[Cuttable] = set()
+        self.coming: set[object] = set()
+        """Requests of which the head is there, and not yet the whole body."""
+
         self._forwarded = 0
         self._generator = generator
         self._plain = plain_caller
@@ -77,8 +80,8 @@
 
     @property
     def in_flight(self) -> int:
-        """Requests under way, those of other daemons' callers included."""
-        return len(self.requests) + self._forwarded
+        """Requests under way, those included that are coming, or of other daemons' callers."""
+        return len(self.requests) + len(self.coming) + self._forwarded
 
     def check_time(self, call: calls.Call) -> None:
         """Refuse a call that a planned stop would cut; raises `RequestFailedError`."""
