Limits: a holder is taken over only when nobody it may have met counts for it any more

When all met again 13 of 12 ran for a moment. Change: beats name the newest epoch that their sender knows; the sign of life of one who knows a later epoch does not count; an epoch that leaves out a vanished holder is confirmed after 40 s. One-way cuts are covered by the same. Three of five daemons are leaving two out when one of the three dies, and a second before the two are back: the rule sees two of the three missing and gives their units to nobody. Left so, as who would take over cannot tell it from a cut.

--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -83,6 +83,9 @@
     rate: float = 0.0
     """Requests of callers that it took in a second, lately."""
 
+    known: int = 0
+    """The newest epoch that it has heard of, confirmed or not."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Record:
@@ -112,12 +115,13 @@
         confirmed: int,
         leaving: bool,
         rate: float = 0.0,
+        known: int = 0,
     ) -> None:
         """Count this daemon's own heartbeat."""
         record = self._records[self.own.incarnation]
         counter = record.beat.counter + 1
         own = self.own.incarnation
-        record.beat = Beat(own, counter, revision, epoch, confirmed, leaving, rate)
+        record.beat = Beat(own, counter, revision, epoch, confirmed, leaving, rate, known)
         record.advanced_at = now
 
     def add(self, member: Member, now: float) -> bool:
--- a/passpier/core/shares.py
+++ b/passpier/core/shares.py
@@ -27,6 +27,10 @@
 GONE_SECONDS = 60.0
 """Seconds of silence after which a holder whose lease has lapsed is certainly fenced."""
 
+CONFIRM_SECONDS = 40.0
+"""Seconds for which an epoch that leaves out a vanished holder is not confirmed: that long it may
+still go by a sign of life from before this daemon knew of the epoch, relayed for some seconds."""
+
 LOAN_GRACE = 5.0
 """Seconds for which a loan may be missing from its borrower's list."""
 
@@ -222,8 +226,11 @@
             account.held = newest.compute_units(name, self.holder)
         return True
 
-    def get_confirmable(self) -> Generation:
-        """Return the newest generation that the requests in flight already fit."""
+    def get_confirmable(self, below: float = float('inf')) -> Generation:
+        """Return the newest generation that the requests in flight already fit.
+
+        Those from epoch `below` on are not looked at.
+        """
         confirmable = NO_GRANT.generation
         for grant in self._grants:
             fits = all(
@@ -231,7 +238,7 @@
                 for name, a in self._accounts.items()
                 if a.in_flight
             )
-            if not fits:
+            if not fits or grant.generation.epoch >= below:
                 break
             confirmable = grant.generation
         return confirmable
--- a/passpier/daemon/fleet.py
+++ b/passpier/daemon/fleet.py
@@ -159,7 +159,8 @@
             self._peers.send(address, messages.ViewWanted(SNAPSHOT_BLOCKS))
 
     def _beat(self) -> None:
-        confirmed = self.limits.book.get_confirmable()
+        confirmed = self.limits.get_confirmable()
+        known = self.limits.epoch.number if self.limits.epoch else 0
         leaving = self.drain.began_at is not None
         self.membership.advance(
             time.monotonic(),
@@ -167,6 +168,7 @@
             confirmed.epoch,
             confirmed.revision,
             leaving,
+            known=known,
         )
 
     def _make_heartbeat(self) -> messages.Heartbeat:
--- a/passpier/daemon/limits.py
+++ b/passpier/daemon/limits.py
@@ -47,6 +47,7 @@
         self.book = shares.ShareBook(membership.own.incarnation)
         self._settled = asyncio.Event()
         self._cut_off = False
+        self._confirm_from: dict[int, float] = {}
         self.epoch: storage.EpochRecord | None = None
         self._config: directory.Directory | None = None
         link.handle(messages.Borrow, self._lend)
@@ -78,6 +79,8 @@
         """Take up an epoch if it is newer; return whether it was."""
         if self.epoch is not None and epoch.number <= self.epoch.number:
             return False
+        if self.epoch is not None and self._list_vanished(self.epoch, epoch):
+            self._confirm_from[epoch.number] = time.monotonic() + shares.CONFIRM_SECONDS
         self.epoch = epoch
         own = self._membership.own
         for incarnation, seat in epoch.holders.items():
@@ -87,6 +90,18 @@
         self._install_grant()
         return True
 
+    def get_confirmable(self) -> shares.Generation:
+        """Return the newest generation that this daemon may confirm."""
+        now = time.monotonic()
+        self._confirm_from = {n: at for n, at in self._confirm_from.items() if at > now}
+        return self.book.get_confirmable(min(self._confirm_from, default=float('inf')))
+
+    def _list_vanished(self, old: storage.EpochRecord, new: storage.EpochRecord) -> set[str]:
+        """Return the holders that are left out though nobody is known to have seen them end."""
+        addresses = {seat[2] for seat in new.holders.values()}
+        left_out = set(old.holders) - set(new.holders) - self.book.departed
+        return {i for i in left_out if old.holders[i][2] not in addresses}
+
     def install(self, config: directory.Directory) -> None:
         """Take up a newer configuration."""
         self._config = config
@@ -133,7 +148,7 @@
             # One that follows an epoch unknown here says nothing of this daemon's units.
             if beat is None or at is None or self.epoch is None:
                 continue
-            if beat.counter and beat.epoch <= self.epoch.number:
+            if beat.counter and max(beat.epoch, beat.known) <= self.epoch.number:
                 self.book.meet(incarnation, at)
         self.book.note_contact(now)
         cut_off = self.book.is_cut_off(now)
@@ -213,7 +228,7 @@
 
     def _get_confirmed(self, incarnation: str) -> shares.Generation | None:
         if incarnation == self._membership.own.incarnation:
-            return self.book.get_confirmable()
+            return self.get_confirmable()
         if incarnation in self.book.departed or incarnation not in self.book.holders:
             # Whoever wrote the epoch left a holder out only when it had certainly stopped.
             return None
--- a/passpier/tests/core/shares_tests.py
+++ b/passpier/tests/core/shares_tests.py
@@ -32,7 +32,7 @@
 class TrustingBook(shares.ShareBook):
     """Broken variant: confirms a generation though its requests in flight do not fit."""
 
-    def get_confirmable(self) -> shares.Generation:
+    def get_confirmable(self, below: float = 0.0) -> shares.Generation:
         return self.generation
 
 
