--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -414,7 +414,7 @@
         life = self._call.life
         now = time.monotonic()
         if error.fault is not attempts.Fault.REFUSED:
-            self._owner.pools.note_failure(self.upstream)
+            self._owner.pools.note_failure(self._last)
         has_time = now < self._admitted.ends_at
         step = attempts.Step.FAIL
         if error.fault is attempts.Fault.NOT_CONNECTED:
