--- a/passpier/config/schema.py
+++ b/passpier/config/schema.py
@@ -2,28 +2,17 @@
 
 from __future__ import annotations
 
-import ipaddress
 from typing import Annotated, Literal
 
 import pydantic
 
+from passpier.config import addresses
+
 Name = Annotated[str, pydantic.StringConstraints(pattern=r'^[a-z0-9][a-z0-9._-]{0,62}$')]
 Digest = Annotated[str, pydantic.StringConstraints(pattern=r'^[0-9a-f]{64}$')]
 PolicyName = Literal['cost', 'round_robin', 'least_load', 'prefix_hash']
 
 
-def check_address(value: str) -> str:
-    """Return an `IP:port` address, or raise a `ValueError` that says what is wrong."""
-    host, separator, port = value.rpartition(':')
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError('must be IP:port')
-    ipaddress.ip_address(host.strip('[]'))
-    return value
-
-
-Address = Annotated[str, pydantic.AfterValidator(check_address)]
-
-
 class Section(pydantic.BaseModel):
     """Base of all sections: unknown keys are refused."""
 
@@ -77,9 +66,9 @@
     """An engine replica or a plain service's process."""
 
     name: Name
-    address: Address
-    events: Address | None = None
-    replay: Address | None = None
+    address: addresses.Address
+    events: addresses.Address | None = None
+    replay: addresses.Address | None = None
     vm: Name
     failure_domain: Name
     checks_fencing: bool = False
--- a/passpier/config/settings.py
+++ b/passpier/config/settings.py
@@ -9,7 +9,7 @@
 import pydantic_settings
 
 from passpier import exceptions
-from passpier.config import schema
+from passpier.config import addresses, schema
 
 ENV_PREFIX = 'PASSPIER_'
 
@@ -21,7 +21,7 @@
 
 
 Addresses = Annotated[
-    tuple[schema.Address, ...], pydantic_settings.NoDecode, pydantic.BeforeValidator(_split)
+    tuple[addresses.Address, ...], pydantic_settings.NoDecode, pydantic.BeforeValidator(_split)
 ]
 
 
@@ -41,7 +41,7 @@
     store: str = pydantic.Field(
         default='memory', description='store endpoints, IP:port[,IP:port], or "memory"'
     )
-    vm_list: schema.Address | None = pydantic.Field(default=None, description='VM list, IP:port')
+    vm_list: addresses.Address | None = pydantic.Field(default=None, description='VM list, IP:port')
     seeds: Addresses = pydantic.Field(default=(), description='peer addresses to ask at start')
     operator_secret: pydantic.SecretStr = pydantic.Field(
         min_length=8, description='shared secret of the operators port'
@@ -72,13 +72,13 @@
     def _check_store(cls, value: str) -> str:
         if value != 'memory':
             for endpoint in value.split(','):
-                schema.check_address(endpoint.strip())
+                addresses.check_address(endpoint.strip())
         return value
 
     @pydantic.field_validator('ip')
     @classmethod
     def _check_ip(cls, value: str) -> str:
-        schema.check_address(f'{value}:1')
+        addresses.check_address(f'{value}:1')
         return value
 
     @property
--- a/passpier/platform/settings.py
+++ b/passpier/platform/settings.py
@@ -9,7 +9,7 @@
 import pydantic
 
 from passpier import exceptions
-from passpier.config import schema
+from passpier.config import addresses
 
 
 class _Section(pydantic.BaseModel):
@@ -19,9 +19,9 @@
 class Listen(_Section):
     """Addresses of this process."""
 
-    frontend: schema.Address
-    ready: schema.Address
-    directory: schema.Address
+    frontend: addresses.Address
+    ready: addresses.Address
+    directory: addresses.Address
 
 
 class Bounds(_Section):
@@ -41,7 +41,7 @@
 class Platform(_Section):
     """The store."""
 
-    address: schema.Address
+    address: addresses.Address
     ttl_min_ms: float = 1000
 
 
@@ -68,7 +68,7 @@
     @pydantic.field_validator('ip')
     @classmethod
     def _check_ip(cls, value: str) -> str:
-        schema.check_address(f'{value}:1')
+        addresses.check_address(f'{value}:1')
         return value
 
 
