Limits: who was left out itself does not look after the epoch in others' stead

The daemon beside the oldest that looks after the epoch was the oldest holder of the last settled generation; that one had been left out and was back, and knew no settled generation any more. Change: it is the oldest of those that are holders of all generations since the last settled one.

--- a/passpier/core/shares.py
+++ b/passpier/core/shares.py
@@ -152,9 +152,9 @@
         return self._grants[-1].holders
 
     @property
-    def base_holders(self) -> Mapping[str, Holder]:
-        """The holders of the last settled generation."""
-        return self._grants[0].holders
+    def lasting_holders(self) -> set[str]:
+        """The holders of all generations since the last settled one: they know it, too."""
+        return set.intersection(*(set(grant.holders) for grant in self._grants))
 
     def rank_lenders(self, account: str) -> list[str]:
         """Return the other incarnations that may have units of `account` to lend."""
--- a/passpier/daemon/epochs.py
+++ b/passpier/daemon/epochs.py
@@ -128,7 +128,7 @@
         """
         own = self._membership.own.incarnation
         serving = {m.incarnation for m in self._membership.list_serving(time.monotonic())}
-        knowing = serving & set(self._limits.book.base_holders)
+        knowing = serving & self._limits.book.lasting_holders
         return self._is_newcomer() or own in (min(serving, default=own), min(knowing, default=''))
 
     def _choose_holders(
--- a/passpier/tests/daemon/cuts_tests.py
+++ b/passpier/tests/daemon/cuts_tests.py
@@ -337,6 +337,11 @@
     assert virtual.run(play(324)) == (LIMIT, LIMIT)
 
 
+def test_one_daemon_that_died_is_missed_by_nobody_for_long() -> None:
+    """The one that should have left it out had itself been left out, and knew too little."""
+    assert virtual.run(play(257)) == (LIMIT, LIMIT)
+
+
 def test_a_long_outage_of_the_store_stops_nobody_while_most_daemons_live() -> None:
     async def run() -> int:
         scene = Scene(1)
