Connections to a process that has ended: a test that fails

Cause: connections that rest at the address outlive the process in our books; the next request on one is reset, and one that may run only once is lost. Measured: fails, the connection is still open.

--- a/passpier/tests/platform/lives_tests.py
+++ b/passpier/tests/platform/lives_tests.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import time
 from typing import Any
@@ -171,3 +172,22 @@
         assert [r.status for r in replies] == [200] * 6
 
     scenes.play(check, 2)
+
+
+def test_connections_to_a_process_that_has_ended_are_not_used_again() -> None:
+    """A request that may run only once was lost on one of them, though nothing had run."""
+
+    async def check(running: deployment.Deployment) -> None:
+        known = running.routers[0]
+        reborn = running.replicas['app-0']
+        resting = known.adapter.pool._resting
+        while not resting.get(reborn.address):
+            assert (await running.ask('/once/x')).status == 200
+            await asyncio.sleep(0.01)
+        before = list(resting[reborn.address])
+        entry = reborn.render_entry() | {'born': 2000}
+        running.meta.put(names.REPLICA_PREFIX + reborn.id, entry)
+        await scenes.wait_for(lambda: known.pools.get(reborn.id).born == 2000)
+        assert all(c.closed for c in before)
+
+    scenes.play(check)
