Connections to a process that has ended are closed; a hundred other writers; engines without weights

What rests at the address of a process that has ended is closed with it. An engine whose weights are not known could answer with any: not used until it tells them.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -215,6 +215,11 @@
                 connection.close()
         self._resting.clear()
 
+    def close_resting(self, address: str) -> None:
+        """Close what rests at an address whose process has ended: the next one knows none of it."""
+        for connection in self._resting.pop(address, []):
+            connection.close()
+
     def close_expired(self) -> None:
         """Close connections that have rested for as long as the upstream allows.
 
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from passpier.core import (
     catalogue,
@@ -63,6 +63,9 @@
         self.version_bound = version_bound
         """Seconds after newer weights were named within which a request may begin on older ones."""
 
+        self.on_ended: Callable[[replicas.Replica], None] = lambda replica: None
+        """Called with what was known of a process that has ended."""
+
         self._pools: dict[str, list[str]] = {}
         self._entries: dict[str, catalogue.Entry] = {}
         self._models: dict[str, str] = {}
@@ -281,8 +284,8 @@
     def _may_serve(self, replica: replicas.Replica, now: float) -> bool:
         version = int(replica.weight_version or 0)
         if not version:
-            # An engine that does not tell its weights could be sent requests for any.
-            return self.find_engine(self._entries[replica.name].service) is None
+            # Without its weights nobody knows what an engine would answer with.
+            return not self._models.get(replica.name)
         known = self.namings.get(self._models.get(replica.name, ''))
         if known is None or version >= known.newest:
             return True
@@ -323,8 +326,8 @@
         entry = self._entries.pop(name, None)
         if entry is None:
             return
+        self.on_ended(self.replicas.pop(name))
         self._pools[entry.service].remove(name)
-        del self.replicas[name]
         del self._pauses[name]
         self._models.pop(name, None)
         self.silent.discard(name)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -94,6 +94,7 @@
         self.counters = metrics.Metrics()
         self.pools = pools.Pools(options.version_bound)
         self.known = knowledge.Knowledge(adapter.records, self.pools, options.key_bound)
+        self.pools.on_ended = lambda replica: adapter.pool.close_resting(replica.address)
         self.known.on_refused = lambda kind: self.counters.refused_records.inc({'kind': kind})
         incarnation = uuid_utils.uuid7().hex
         self.peers = peers.Peers(incarnation, options.ip, options.peer_port, self.counters)
--- a/passpier/tests/platform/records_tests.py
+++ b/passpier/tests/platform/records_tests.py
@@ -195,3 +195,29 @@
     assert [e.part for e in read.events] == ['aa', 'ee']
     assert read.next_token == 12
     assert read.lost
+
+
+def test_a_hundred_other_writers_take_nothing_from_the_replicas(
+    store: lives_tests.Registry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[str] = []
+    counted: list[str] = []
+    monkeypatch.setattr(knowledge.log, 'warning', lambda text, **_: lines.append(text))
+    store.known.on_refused = counted.append
+    for _ in range(2):
+        for number, broken in enumerate([*BROKEN.values()] * 3):
+            store.put(f'{names.REPLICA_PREFIX}foreign-{number}', broken)
+    assert store.list_used() == {ID, OTHER}
+    assert set(store.known.pools.replicas) == {ID, OTHER}
+    assert len(lines) == len(BROKEN) * 3
+    assert counted == ['replica'] * len(BROKEN) * 6
+
+
+def test_an_engine_that_does_not_tell_its_weights_is_not_used(
+    store: lives_tests.Registry,
+) -> None:
+    """It was sent requests without a precondition, under a salt of no weights."""
+    store.record('i-3', models=[], address='10.0.0.3:8080')
+    assert store.list_used() == {ID, OTHER}
+    store.record('i-3', weights=3, address='10.0.0.3:8080')
+    assert store.list_used() == {ID, OTHER, 'i-3'}
