--- a/passpier/tests/platform/records_tests.py
+++ b/passpier/tests/platform/records_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 from typing import Any
 
@@ -9,6 +10,7 @@
 import hypothesis.strategies as st
 import pytest
 
+from passpier import exceptions
 from passpier.platform import names, records
 from passpier.routing import knowledge
 from passpier.tests.platform import lives_tests
@@ -221,3 +223,36 @@
     assert store.list_used() == {ID, OTHER}
     store.record('i-3', weights=3, address='10.0.0.3:8080')
     assert store.list_used() == {ID, OTHER, 'i-3'}
+
+
+_FIELDS = st.sampled_from(
+    ['models', 'name', 'version', 'sequence', 'born', 'active', 'events', 'boot_epoch', 'routes']
+    + ['next_token', 'services', 'tenants', 'limits', 'model', 'utilization', 'lost', 'kv_capacity']
+)
+
+
+@pytest.mark.parametrize(
+    'decode',
+    [
+        records.decode_report,
+        records.decode_cache_events,
+        records.decode_configuration,
+        records.decode_named_version,
+        lambda data: records.decode_replica(ID, data),
+    ],
+)
+@hypothesis.given(data=st.data())
+def test_whatever_comes_over_the_wire_is_read_or_refused(decode: Any, data: st.DataObject) -> None:
+    table = st.dictionaries(_FIELDS, _JSON, max_size=5)
+    table |= st.dictionaries(_FIELDS, st.lists(table, max_size=2), max_size=5)
+    text = data.draw(st.binary(max_size=40) | table.map(lambda v: json.dumps(v).encode()))
+    with contextlib.suppress(exceptions.StoreError):
+        decode(text)
+
+
+@pytest.mark.parametrize(
+    'field', [{'sequence': 1.0}, {'sequence': -1}, {'born': 'x'}, {'models': {}}, {'active': True}]
+)
+def test_a_broken_report_says_nothing(field: dict[str, Any]) -> None:
+    with pytest.raises(exceptions.StoreError):
+        records.decode_report(json.dumps({'sequence': 2, 'models': []} | field).encode())
