--- a/passpier/tests/platform/records_tests.py
+++ b/passpier/tests/platform/records_tests.py
@@ -28,7 +28,16 @@
     'half': json.dumps(lives_tests.make_entry()).encode()[:60],
     **{
         f'no {field}': lives_tests.make_entry(1, **{field: None})
-        for field in ('service', 'address', 'zone', 'version', 'slots', 'state', 'sequence')
+        for field in (
+            'service',
+            'address',
+            'zone',
+            'version',
+            'slots',
+            'state',
+            'sequence',
+            'cold_remaining_ms',
+        )
     },
     'service of another type': lives_tests.make_entry(service=7),
     'no service': lives_tests.make_entry(service=''),
@@ -52,6 +61,7 @@
     'models as a table': lives_tests.make_entry(models={'m1': 3}),
     'version of weights as text': lives_tests.make_entry(models=[{'name': 'm1', 'version': '3'}]),
     'negative version of weights': lives_tests.make_entry(models=[{'name': 'm1', 'version': -1}]),
+    'slow start as text': lives_tests.make_entry(cold_remaining_ms='0'),
     'start as a fraction': lives_tests.make_entry(born=1000.5),
     'start as text': lives_tests.make_entry(born='1000'),
     'negative start': lives_tests.make_entry(born=-5),
