--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -116,7 +116,9 @@
     slots: _Slots
     state: Literal['ready', 'draining']
     sequence: _Count
-    cold_remaining_ms: float = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    """How much longer it is slow from its start."""
+
     models: list[_WeightVersion] = []
     born: _Count = 0
     """Unix milliseconds of the start; replicas of older software do not tell it."""
