--- a/passpier/tests/routing/lives_tests.py
+++ b/passpier/tests/routing/lives_tests.py
@@ -448,3 +448,28 @@
         assert fleet.pools.get(ID).life == NEW
 
     virtual.run(check())
+
+
+@in_virtual_time
+def test_a_late_answer_does_not_end_the_silence_of_the_next_process() -> None:
+    """An answer that tells no start came when another process had been found silent."""
+
+    class LateEngines:
+        async def report(self, address: str, incarnation: str) -> dialect.Report:
+            await asyncio.sleep(0.3)
+            return dialect.Report({}, False, 0, 0, 0)
+
+    async def check() -> None:
+        fleet, _ = build_fleet()
+        engines = cast(dialect.Engines, LateEngines())
+        prober = probing.Prober(fleet.rollouts._known, engines, lambda _: None)
+        prober.suspect(OLD, 0.0)
+        await asyncio.sleep(0.1)
+        change = fleet.rollouts._known.catalogue.put(make_entry(NEW, 1))
+        assert change is not None
+        fleet.pools.apply_change(change)
+        fleet.pools.silent.add(ID)
+        await asyncio.sleep(1.0)
+        assert prober.is_silent(ID)
+
+    virtual.run(check())
