--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -141,6 +141,8 @@
         )
 
     def _end_silence(self, life: lives.Life) -> None:
+        if self._pools.find(life) is None:
+            return
         self.note_heard(life)
         if life.id in self._pools.silent:
             self._pools.silent.discard(life.id)
