--- a/passpier/tests/platform/lives_tests.py
+++ b/passpier/tests/platform/lives_tests.py
@@ -191,3 +191,53 @@
         assert all(c.closed for c in before)
 
     scenes.play(check)
+
+
+def start_again(running: deployment.Deployment, id: str) -> None:
+    """Let a replica record that its process has started again."""
+    entry = running.replicas[id].render_entry() | {'born': 2000}
+    running.meta.put(names.REPLICA_PREFIX + id, entry)
+
+
+async def wait_for_run(running: deployment.Deployment, request: str) -> str:
+    """Return the replica that has begun to work on a request."""
+
+    def find() -> list[str]:
+        known = running.replicas.values()
+        return [r.id for r in known if any(run.id == request for run in r.runs)]
+
+    await scenes.wait_for(lambda: bool(find()))
+    return find()[0]
+
+
+def test_what_may_run_once_ends_as_unknown_when_its_process_has_ended() -> None:
+    """It waited for the next process until its time was over, and nobody could tell it more."""
+
+    async def check(running: deployment.Deployment) -> None:
+        for replica in running.replicas.values():
+            replica.faults.silent = True
+        asked = asyncio.ensure_future(running.ask('/slow/x', id='q', patience_ms=8000))
+        start_again(running, await wait_for_run(running, 'q'))
+        reply = await asked
+        assert reply.status == 502
+        assert len(running.list_runs('q')) == 1
+
+    scenes.play(check)
+
+
+def test_a_stream_whose_process_has_ended_goes_on_elsewhere() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for replica in running.replicas.values():
+            replica.faults.silent = True
+        asked = asyncio.ensure_future(
+            running.ask('/resume/x', id='q', patience_ms=8000, headers=scenes.PROMPT)
+        )
+        first = await wait_for_run(running, 'q')
+        for replica in running.replicas.values():
+            replica.faults.silent = replica.id == first
+        start_again(running, first)
+        assert (await asked).status == 200
+        runs = [r.id for r in running.replicas.values() if r.model and r.runs]
+        assert len(runs) == 2
+
+    scenes.play(check)
