--- a/passpier/tests/platform/records_tests.py
+++ b/passpier/tests/platform/records_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 from typing import Any
 
@@ -9,6 +10,7 @@
 import hypothesis.strategies as st
 import pytest
 
+from passpier import exceptions
 from passpier.platform import names, records
 from passpier.routing import knowledge
 from passpier.tests.platform import lives_tests
@@ -26,7 +28,16 @@
     'half': json.dumps(lives_tests.make_entry()).encode()[:60],
     **{
         f'no {field}': lives_tests.make_entry(1, **{field: None})
-        for field in ('service', 'address', 'zone', 'version', 'slots', 'state', 'sequence')
+        for field in (
+            'service',
+            'address',
+            'zone',
+            'version',
+            'slots',
+            'state',
+            'sequence',
+            'cold_remaining_ms',
+        )
     },
     'service of another type': lives_tests.make_entry(service=7),
     'no service': lives_tests.make_entry(service=''),
@@ -50,6 +61,7 @@
     'models as a table': lives_tests.make_entry(models={'m1': 3}),
     'version of weights as text': lives_tests.make_entry(models=[{'name': 'm1', 'version': '3'}]),
     'negative version of weights': lives_tests.make_entry(models=[{'name': 'm1', 'version': -1}]),
+    'slow start as text': lives_tests.make_entry(cold_remaining_ms='0'),
     'start as a fraction': lives_tests.make_entry(born=1000.5),
     'start as text': lives_tests.make_entry(born='1000'),
     'negative start': lives_tests.make_entry(born=-5),
@@ -195,3 +207,62 @@
     assert [e.part for e in read.events] == ['aa', 'ee']
     assert read.next_token == 12
     assert read.lost
+
+
+def test_a_hundred_other_writers_take_nothing_from_the_replicas(
+    store: lives_tests.Registry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[str] = []
+    counted: list[str] = []
+    monkeypatch.setattr(knowledge.log, 'warning', lambda text, **_: lines.append(text))
+    store.known.on_refused = counted.append
+    for _ in range(2):
+        for number, broken in enumerate([*BROKEN.values()] * 3):
+            store.put(f'{names.REPLICA_PREFIX}foreign-{number}', broken)
+    assert store.list_used() == {ID, OTHER}
+    assert set(store.known.pools.replicas) == {ID, OTHER}
+    assert len(lines) == len(BROKEN) * 3
+    assert counted == ['replica'] * len(BROKEN) * 6
+
+
+def test_an_engine_that_does_not_tell_its_weights_is_not_used(
+    store: lives_tests.Registry,
+) -> None:
+    """It was sent requests without a precondition, under a salt of no weights."""
+    store.record('i-3', models=[], address='10.0.0.3:8080')
+    assert store.list_used() == {ID, OTHER}
+    store.record('i-3', weights=3, address='10.0.0.3:8080')
+    assert store.list_used() == {ID, OTHER, 'i-3'}
+
+
+_FIELDS = st.sampled_from(
+    ['models', 'name', 'version', 'sequence', 'born', 'active', 'events', 'boot_epoch', 'routes']
+    + ['next_token', 'services', 'tenants', 'limits', 'model', 'utilization', 'lost', 'kv_capacity']
+)
+
+
+@pytest.mark.parametrize(
+    'decode',
+    [
+        records.decode_report,
+        records.decode_cache_events,
+        records.decode_configuration,
+        records.decode_named_version,
+        lambda data: records.decode_replica(ID, data),
+    ],
+)
+@hypothesis.given(data=st.data())
+def test_whatever_comes_over_the_wire_is_read_or_refused(decode: Any, data: st.DataObject) -> None:
+    table = st.dictionaries(_FIELDS, _JSON, max_size=5)
+    table |= st.dictionaries(_FIELDS, st.lists(table, max_size=2), max_size=5)
+    text = data.draw(st.binary(max_size=40) | table.map(lambda v: json.dumps(v).encode()))
+    with contextlib.suppress(exceptions.StoreError):
+        decode(text)
+
+
+@pytest.mark.parametrize(
+    'field', [{'sequence': 1.0}, {'sequence': -1}, {'born': 'x'}, {'models': {}}, {'active': True}]
+)
+def test_a_broken_report_says_nothing(field: dict[str, Any]) -> None:
+    with pytest.raises(exceptions.StoreError):
+        records.decode_report(json.dumps({'sequence': 2, 'models': []} | field).encode())
