Stand-ins: replicas that start again under their id, entries of other writers

Cause: the platform's replicas may start again under the id that they had, and entries may come from other writers; the stand-ins could do neither. Change: `born` in a replica's entry, report and cache events; `Deployment.crash_replica` and `restart_replica(id, version=None, born=None)` (connections reset, cache and count of orders empty, a load under way without effect, the same port); `write_foreign(count, rng)` beside real entries, `overwrite(id, kind)` over a real one's; the kinds are `foreign.build_values`; `Deployment.trap` stands at the address of foreign entries and counts what is sent there.

--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -19,7 +19,7 @@
 from passpier.routing import dialect as routing
 from passpier.routing import router
 from passpier.standins import processes
-from passpier.standins.platform import metastore, replica
+from passpier.standins.platform import foreign, metastore, replica
 
 HOST = 'desk.example'
 MODEL = 'm1'
@@ -45,12 +45,16 @@
         self.faults = metastore.Faults()
         self.store_address = ''
         self.replicas: dict[str, replica.Replica] = {}
+        self.trap = replica.Replica('trap', 'llm', 'zone-0', MODEL)
+        """Stands at the address of foreign entries, where no request may come."""
+
         self.routers: list[router.Router] = []
         self.version = 0
         self.configuration: dict[str, Any] = build_configuration()
         self.pool = connections.Pool()
         self._servers: list[tornado.httpserver.HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._started: list[replica.Replica] = []
         self._ids = 0
 
     async def start(self, routers: int = 1) -> None:
@@ -58,6 +62,7 @@
         application = metastore.build_application(self.meta, self.faults)
         self.store_address = self._listen(application)
         self.configure()
+        self._start_replica(self.trap)
         for number in range(2):
             self.add_replica(replica.Replica(f'llm-{number}', 'llm', f'zone-{number}', MODEL))
             self.add_replica(replica.Replica(f'app-{number}', 'app', f'zone-{number}'))
@@ -77,10 +82,35 @@
 
     def add_replica(self, added: replica.Replica) -> None:
         """Start a replica and record it."""
-        added.address = self._listen(replica.build_application(added))
+        self._start_replica(added)
         self.replicas[added.id] = added
         self.record(added.id)
 
+    def crash_replica(self, id: str) -> None:
+        """End a replica's process at once; its entry stays."""
+        self.replicas[id].crash()
+
+    def restart_replica(self, id: str, version: int | None = None, born: int | None = None) -> None:
+        """Start a replica again under its id, at its address; see `Replica.restart`."""
+        self.replicas[id].restart(version, born)
+        self.record(id)
+
+    def write_foreign(self, count: int, rng: random.Random) -> list[str]:
+        """Write entries of other writers under ids of no replica, and return the ids."""
+        values = list(foreign.build_values(self.trap.render_entry()).values())
+        ids = [f'foreign-{rng.getrandbits(32):x}' for _ in range(count)]
+        for id in ids:
+            self.meta.put_bytes(names.REPLICA_PREFIX + id, rng.choice(values))
+        return ids
+
+    def overwrite(self, id: str, kind: str) -> None:
+        """Have another writer replace a replica's entry; `kind` is one of `foreign.build_values`.
+
+        `record` brings the replica's own one back.
+        """
+        values = foreign.build_values(self.replicas[id].render_entry())
+        self.meta.put_bytes(names.REPLICA_PREFIX + id, values[kind])
+
     def record(self, id: str) -> None:
         """Write a replica's entry."""
         self.meta.put(names.REPLICA_PREFIX + id, self.replicas[id].render_entry())
@@ -137,6 +167,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in self._servers:
             server.stop()
+        for known in self._started:
+            if known.server is not None:
+                known.server.stop()
         self.pool.close()
 
     async def ask(self, path: str, entry: int = 0, **given: Any) -> Reply:
@@ -172,6 +205,12 @@
         enough = len(seen) >= len(self.routers)
         return enough and len(process.pools.replicas) >= len(self.replicas)
 
+    def _start_replica(self, started: replica.Replica) -> None:
+        started.port = processes.pick_port()
+        started.listen()
+        started.address = f'127.0.0.1:{started.port}'
+        self._started.append(started)
+
     def _listen(self, application: tornado.web.Application) -> str:
         sockets = tornado.netutil.bind_sockets(0, '127.0.0.1')
         server = tornado.httpserver.HTTPServer(application)
--- a/passpier/standins/platform/metastore.py
+++ b/passpier/standins/platform/metastore.py
@@ -61,8 +61,12 @@
 
     def put(self, key: str, value: Any, lease: int = 0) -> int:
         """Write one item as the platform's own parts do."""
+        return self.put_bytes(key, json.dumps(value).encode(), lease)
+
+    def put_bytes(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write one item of any bytes."""
         self.revision += 1
-        self._write(key, base64.b64encode(json.dumps(value).encode()).decode(), lease)
+        self._write(key, base64.b64encode(value).decode(), lease)
         return self.revision
 
     def remove(self, key: str) -> None:
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -8,7 +8,12 @@
 import socket
 import struct
 import time
+import weakref
+from typing import Any
 
+import tornado.httpserver
+import tornado.iostream
+import tornado.netutil
 import tornado.web
 
 from passpier.platform import names
@@ -17,6 +22,11 @@
 """Seconds between two events of a stream."""
 
 
+def read_clock() -> int:
+    """Return the Unix time in milliseconds, as replicas tell when they started."""
+    return time.time_ns() // 1_000_000
+
+
 @dataclasses.dataclass(slots=True)
 class Faults:
     """What is wrong with a replica; counts are of requests yet to be hit."""
@@ -83,10 +93,26 @@
     load: float = 0.2
     """Seconds that new weights take."""
 
+    event_pause: float = EVENT_PAUSE
+    """Seconds between two events of a stream."""
+
     address: str = ''
+    """Where others reach it."""
+
+    port: int = 0
+    """Where it listens; kept over its lives."""
+
     state: str = 'ready'
+    born: int = dataclasses.field(default_factory=read_clock)
+    """Unix milliseconds of the present life's start."""
+
+    life: int = 1
+    """Number of the present life."""
+
     active: int = 0
     orders: int = 0
+    """Orders taken in the present life."""
+
     asked: int = 0
     """Requests that came, run or not."""
 
@@ -103,7 +129,51 @@
     taken: list[tuple[float, dict[str, object]]] = dataclasses.field(default_factory=list)
     """Orders with the times at which they came."""
 
+    cache_events: list[list[object]] = dataclasses.field(default_factory=list)
+    """What the present life has cached: number, sign, salt, part, tokens and model of each part."""
+
     faults: Faults = dataclasses.field(default_factory=Faults)
+    server: Server | None = dataclasses.field(default=None, repr=False)
+
+    def listen(self) -> None:
+        """Take connections, at the same port in each life."""
+        sockets = tornado.netutil.bind_sockets(self.port, '127.0.0.1')
+        self.server = Server(build_application(self))
+        self.server.add_sockets(sockets)
+
+    def crash(self) -> None:
+        """End the present life: connections are reset, and whatever it knew is gone."""
+        self.life += 1
+        self.active = 0
+        self.orders = 0
+        self.loading = False
+        self.cache_events.clear()
+        if self.server is not None:
+            self.server.stop()
+            self.server.reset_all()
+            self.server = None
+
+    def restart(self, version: int | None = None, born: int | None = None) -> None:
+        """Begin a new life under the same id; a `born` below the last is that of a clock set back.
+
+        The new life has the weights `version`, else those that the last one had.
+        """
+        if self.server is not None:
+            self.crash()
+        self.born = max(read_clock(), self.born + 1) if born is None else born
+        self.state = 'ready'
+        if version is not None:
+            self.version = version
+        self.listen()
+
+    def cache_prompt(self, salt: str, parts: str) -> None:
+        """Keep the parts of a prompt that are not kept yet."""
+        kept = {(event[2], event[3]) for event in self.cache_events}
+        for item in filter(None, parts.split(',')):
+            part, _, tokens = item.partition(':')
+            if (salt, part) not in kept:
+                number = len(self.cache_events) + 1
+                self.cache_events.append([number, '+', salt, part, int(tokens), self.model])
 
     def render_entry(self) -> dict[str, object]:
         """Return what the replica records of itself."""
@@ -117,16 +187,56 @@
             'cold_remaining_ms': 0,
             'models': [{'name': self.model, 'version': self.version}] if self.model else [],
             'sequence': 1,
+            'born': self.born,
         }
 
 
+class Server(tornado.httpserver.HTTPServer):
+    """A server that can end all its connections at once, as the end of its process does."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Set up; tornado calls this in place of a constructor."""
+        super().initialize(*args, **kwargs)
+        self._streams: weakref.WeakSet[tornado.iostream.IOStream] = weakref.WeakSet()
+
+    def handle_stream(self, stream: tornado.iostream.IOStream, address: Any) -> None:
+        """Serve a new connection."""
+        self._streams.add(stream)
+        super().handle_stream(stream, address)
+
+    def reset_all(self) -> None:
+        """Reset all open connections."""
+        for stream in list(self._streams):
+            if not stream.closed():
+                _reset(stream)
+
+
+def _reset(stream: tornado.iostream.IOStream) -> None:
+    """Close a connection so that the kernel resets it."""
+    linger = struct.pack('ii', 1, 0)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    stream.close()
+
+
 class _Handler(tornado.web.RequestHandler):
     def initialize(self, replica: Replica) -> None:
         self.replica = replica
+        self._life = replica.life
 
     async def prepare(self) -> None:
         while self.replica.faults.dark:
-            await asyncio.sleep(0.01)
+            await self.pause(0.01)
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the life that took the request goes on."""
+        return self._life == self.replica.life
+
+    async def pause(self, seconds: float) -> None:
+        """Wait; what a life had begun ends with it."""
+        await asyncio.sleep(seconds)
+        if not self.is_alive:
+            raise tornado.web.Finish
 
     def is_foreign(self) -> bool:
         expected = self.request.headers.get(names.EXPECT_INCARNATION, self.replica.id)
@@ -139,10 +249,7 @@
         return bool(left)
 
     def reset(self) -> None:
-        stream = self.request.connection.stream  # type: ignore[union-attr]
-        linger = struct.pack('ii', 1, 0)
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        stream.close()
+        _reset(self.request.connection.stream)  # type: ignore[union-attr]
         raise tornado.web.Finish
 
 
@@ -158,6 +265,22 @@
                 'sequence': replica.orders,
                 'queued': 0,
                 'active': replica.active,
+                'born': replica.born,
+            }
+        )
+
+
+class _CacheEvents(_Handler):
+    def get(self) -> None:
+        replica = self.replica
+        since = int(self.get_argument('since', '0'))
+        self.write(
+            {
+                'boot_epoch': replica.born,
+                'next_token': len(replica.cache_events) + 1,
+                'lost': False,
+                'events': replica.cache_events[max(0, since - 1) :],
+                'born': replica.born,
             }
         )
 
@@ -182,6 +305,8 @@
                 loop.call_later(replica.load, self._finish_load, body['version'])
 
     def _finish_load(self, version: int) -> None:
+        if not self.is_alive:
+            return
         self.replica.version = version
         self.replica.loading = False
 
@@ -201,7 +326,7 @@
             self.set_status(421)
             return
         if replica.faults.late_refusal:
-            await asyncio.sleep(replica.faults.late_refusal)
+            await self.pause(replica.faults.late_refusal)
             self.set_header(names.NOT_RUN, '1')
             self.set_status(503)
             return
@@ -230,18 +355,19 @@
             )
         )
         replica.active += 1
-        self._ended = False
         try:
             while replica.faults.silent:
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(replica.work)
+                await self.pause(0.01)
+            await self.pause(replica.work)
             await self._answer(id)
         finally:
-            replica.active -= 1
-            self._ended = True
+            if self.is_alive:
+                replica.active -= 1
 
     def on_connection_close(self) -> None:
         """Note a request whose caller has left."""
+        if not self.is_alive:
+            return
         id = self.request.headers.get(names.REQUEST_ID, '')
         self.replica.dropped.append(id)
         self.replica.dropped_at.setdefault(id, time.monotonic())
@@ -268,18 +394,20 @@
     async def _stream(self, id: str) -> None:
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header(names.WEIGHT_VERSION, str(self.replica.version))
+        salt = self.request.headers.get(names.SALT, '')
+        self.replica.cache_prompt(salt, self.request.headers.get(names.PARTS, ''))
         first = int(self.request.headers.get(names.LAST_EVENT) or -1) + 1
         cut = self.hits('cut')
         for number in range(first, self.replica.events):
             if cut and number == first + 1:
                 self.write(f'id: {number}\nda')
                 await self.flush()
-                await asyncio.sleep(EVENT_PAUSE)
+                await self.pause(self.replica.event_pause)
                 self.reset()
             padding = ' ' * self.replica.event_bytes
             self.write(f'id: {number}\ndata: piece {number}{padding}\n\n')
             await self.flush()
-            await asyncio.sleep(EVENT_PAUSE)
+            await self.pause(self.replica.event_pause)
         self.replica.finished.append(id)
 
 
@@ -290,6 +418,7 @@
         [
             (names.REPORT_PATH, _Report, state),
             (names.ORDER_PATH, _Order, state),
+            (names.CACHE_EVENTS_PATH, _CacheEvents, state),
             ('/.*', _Work, state),
         ]
     )
