--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -116,13 +116,22 @@
             self.meta.put_bytes(names.REPLICA_PREFIX + id, rng.choice(values))
         return ids
 
-    def overwrite(self, id: str, kind: str) -> None:
+    def overwrite(self, id: str, kind: str) -> int:
         """Have another writer replace a replica's entry; `kind` is one of `foreign.build_values`.
 
-        `record` brings the replica's own one back.
+        `record` brings the replica's own one back. Returns the store's revision.
         """
         values = foreign.build_values(self.replicas[id].render_entry())
-        self.meta.put_bytes(names.REPLICA_PREFIX + id, values[kind])
+        return self.meta.put_bytes(names.REPLICA_PREFIX + id, values[kind])
+
+    def get_revision(self, id: str) -> int:
+        """Return the revision at which a replica's entry was last written; 0 if there is none."""
+        item = self.meta.items.get(names.REPLICA_PREFIX + id)
+        return item.revision if item else 0
+
+    def is_recorded(self, id: str) -> bool:
+        """Return whether there is an entry under a replica's id."""
+        return self.get_revision(id) > 0
 
     def record(self, id: str) -> None:
         """Write a replica's entry."""
--- a/passpier/standins/platform/routers.py
+++ b/passpier/standins/platform/routers.py
@@ -90,7 +90,7 @@
         return answer.head.status == 200
 
     def write_settings(self) -> None:
-        """Write the settings file."""
+        """Write the settings file; a process that starts just then reads the old or the new one."""
         text = SETTINGS.format(
             name=self.name,
             zone=self._zone,
@@ -105,7 +105,9 @@
             slack=self.slack,
             store=self.store_link.address,
         )
-        self._settings.write_text(text)
+        draft = self._settings.with_suffix('.new')
+        draft.write_text(text)
+        draft.replace(self._settings)
 
     @property
     def runs(self) -> bool:
