Soak: a stop may count from the begin of a standstill

Trace: the process stood still for 0.87 s, the signal came 0.76 s into that; it logged the stop as begun 0.96 s earlier and ended 0.33 s before the last sixth of the grace period. Change: the last sixth counts from the begin of the standstill, if there was one.

--- a/passpier/standins/platform/stops.py
+++ b/passpier/standins/platform/stops.py
@@ -64,16 +64,16 @@
             f'{router.name} is stopped as planned; stands still for {still:.2f} s, {before:.2f} s '
             f'of it before; told again after {second:.2f} s, to reload after {reload:.2f} s'
         )
-        began = time.monotonic()
+        still_since = time.monotonic()
         if still:
             router.send(signal.SIGSTOP)
             await asyncio.sleep(before)
-        stop = promises.Stop(router.name, time.monotonic())
+        stop = promises.Stop(router.name, time.monotonic(), still_since)
         router.send(signal.SIGTERM)
         if still:
             await asyncio.sleep(still - before)
             router.send(signal.SIGCONT)
-            self._troubles.note_thaw(router.name, began)
+            self._troubles.note_thaw(router.name, still_since)
         between = [
             asyncio.ensure_future(self._signal_again(router, second)),
             asyncio.ensure_future(self._reload(router, reload)),
