Soak: its own stalls are written down, logs are kept when a start fails

Change: a standstill of the soak's loop of over 0.5 s is unplanned trouble with a line; logs are kept in any failure.

--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -37,6 +37,12 @@
 START_SECONDS = 20.0
 """Seconds in which all routers have to be ready at first; starting many loads the machine."""
 
+STALL_LOOK = 0.05
+"""Seconds between looks at whether the soak's own event loop turns."""
+
+STALL_NOTED = 0.5
+"""Seconds without a turn that count as trouble: clients, replicas and links stand still with it."""
+
 RECOVERY = 12.0
 """Seconds after the last trouble in which all has to be well again."""
 
@@ -186,9 +192,23 @@
             series = [self._troubles.run(ends_at), self._silences.run(ends_at)]
         if self._plan.lives:
             series += [self._lives.run(ends_at), self._foreign.run(ends_at)]
+        stalls = asyncio.ensure_future(self._note_stalls())
         trouble = asyncio.gather(self._weights.run(ends_at), *series)
         await self._clients.run(ends_at, self._plan.rate)
         await trouble
+        stalls.cancel()
+
+    async def _note_stalls(self) -> None:
+        """Write down when the soak got no time itself: its replicas were silent meanwhile."""
+        turned_at = time.monotonic()
+        while True:
+            await asyncio.sleep(STALL_LOOK)
+            now = time.monotonic()
+            if now - turned_at > STALL_NOTED:
+                self._troubles.note_past(
+                    f'the soak itself stood for {now - turned_at:.2f} s', turned_at
+                )
+            turned_at = now
 
     async def _check_recovery(self) -> None:
         """Note what is not well again some time after the last trouble."""
@@ -224,12 +244,17 @@
 
 
 async def soak(plan: Plan, logs: str = '') -> Report:
-    """Play one seed; the routers' logs go to `logs` if a promise is broken."""
+    """Play one seed; the routers' logs go to `logs` if a promise is broken or it fails."""
     with tempfile.TemporaryDirectory(prefix='passpier-soak-') as name:
         folder = pathlib.Path(name)
-        report = await Soak(plan, folder).run()
-        if report.broken and logs:
-            shutil.copytree(folder, pathlib.Path(logs) / f'seed-{plan.seed}', dirs_exist_ok=True)
+        broken = True
+        try:
+            report = await Soak(plan, folder).run()
+            broken = bool(report.broken)
+        finally:
+            if broken and logs:
+                kept = pathlib.Path(logs) / f'seed-{plan.seed}'
+                shutil.copytree(folder, kept, dirs_exist_ok=True)
         return report
 
 
--- a/passpier/standins/platform/troubles.py
+++ b/passpier/standins/platform/troubles.py
@@ -130,6 +130,11 @@
         if seconds is not None:
             self.unplanned.append((now, now + seconds))
 
+    def note_past(self, what: str, began: float) -> None:
+        """Write down unplanned trouble that began some time ago and is over."""
+        self.note(what)
+        self.unplanned.append((began, time.monotonic()))
+
     def note_thaw(self, name: str, began: float) -> None:
         """Note that a router which stood still goes on."""
         now = time.monotonic()
