--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -207,7 +207,10 @@
         """Answer: the request is whole."""
         self._owner.coming.discard(self)
         self._connection.set_close_callback(self._note_gone)
+        running = self._owner.running
+        running.add(self)
         self._work = asyncio.ensure_future(self._serve())
+        self._work.add_done_callback(lambda _: running.discard(self))
 
     def on_connection_close(self) -> None:
         """Note that the client left before its request was whole."""
@@ -245,7 +248,6 @@
 
     async def _serve(self) -> None:
         owner = self._owner
-        owner.running.add(self)
         owner.meter.note()
         owner.active_at = time.monotonic()
         id = self._ask.id if self._ask else ''
@@ -263,7 +265,6 @@
             log.exception('request failed inside', extra={'request': id})
             self._client.abort()
         finally:
-            owner.running.discard(self)
             owner.active_at = time.monotonic()
             owner.counters.answer_seconds.observe(
                 {'status': str(self._client.status)}, time.monotonic() - self._arrived_at
