Limits: only the epoch's writer says who had vanished

Cause: the whole suite showed it (test_a_herd_of_restarts_spares_the_store, 429 after all six daemons were restarted at once): each reader guessed from addresses who had been left out as vanished, took restarted daemons for such, and waited 40 s to confirm. Change: an epoch carries the number of the last one that took over from a vanished holder; whoever knew only earlier ones waits.

--- a/passpier/daemon/epochs.py
+++ b/passpier/daemon/epochs.py
@@ -74,15 +74,15 @@
             return
         self._announce()
         for member in self._membership.list_known()[:SMALL_FLEET]:
-            self._peers.send(member.peer, messages.Epoch(epoch.number, epoch.holders))
+            self._peers.send(member.peer, make_message(epoch))
 
     def _send(self, sender: str, address: str, message: messages.EpochWanted) -> None:
         epoch = self._limits.epoch
         if epoch is not None:
-            self._peers.send(address, messages.Epoch(epoch.number, epoch.holders))
+            self._peers.send(address, make_message(epoch))
 
     def _take(self, sender: str, address: str, message: messages.Epoch) -> None:
-        self.install(storage.EpochRecord(message.number, message.holders))
+        self.install(storage.EpochRecord(message.number, message.holders, message.took_over))
 
     async def _propose(self) -> None:
         if self._limits.epoch is None:
@@ -105,7 +105,11 @@
         self, epoch: storage.EpochRecord | None, at: int, wanted: dict[str, storage.Seat]
     ) -> None:
         if epoch is None or wanted != epoch.holders:
-            record = storage.EpochRecord(epoch.number + 1 if epoch else 1, wanted)
+            number = epoch.number + 1 if epoch else 1
+            left_out = set(epoch.holders) - set(wanted) if epoch else set()
+            vanished = {i for i in left_out if not self._limits.has_departed(i)}
+            before = epoch.took_over if epoch else 0
+            record = storage.EpochRecord(number, wanted, number if vanished else before)
             if await self._storage.write_epoch(record, at):
                 log.info('epoch proposed', extra={'epoch': record.number, 'holders': len(wanted)})
                 self.install(record)
@@ -194,3 +198,8 @@
             # Heard again: were it unknown once more, its silence would count from then.
             self._missing_since.pop(incarnation, None)
         return now - max(silent_since, unlisted_since) > shares.GONE_SECONDS
+
+
+def make_message(epoch: storage.EpochRecord) -> messages.Epoch:
+    """Return the message that tells peers of an epoch."""
+    return messages.Epoch(epoch.number, epoch.holders, epoch.took_over)
--- a/passpier/daemon/limits.py
+++ b/passpier/daemon/limits.py
@@ -79,7 +79,7 @@
         """Take up an epoch if it is newer; return whether it was."""
         if self.epoch is not None and epoch.number <= self.epoch.number:
             return False
-        if self.epoch is not None and self._list_vanished(self.epoch, epoch):
+        if self.epoch is not None and epoch.took_over > self.epoch.number:
             self._confirm_from[epoch.number] = time.monotonic() + shares.CONFIRM_SECONDS
         self.epoch = epoch
         own = self._membership.own
@@ -96,12 +96,6 @@
         self._confirm_from = {n: at for n, at in self._confirm_from.items() if at > now}
         return self.book.get_confirmable(min(self._confirm_from, default=float('inf')))
 
-    def _list_vanished(self, old: storage.EpochRecord, new: storage.EpochRecord) -> set[str]:
-        """Return the holders that are left out though nobody is known to have seen them end."""
-        addresses = {seat[2] for seat in new.holders.values()}
-        left_out = set(old.holders) - set(new.holders) - self.book.departed
-        return {i for i in left_out if old.holders[i][2] not in addresses}
-
     def install(self, config: directory.Directory) -> None:
         """Take up a newer configuration."""
         self._config = config
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -70,6 +70,7 @@
 
     number: int
     holders: dict[str, tuple[str, str, str]]
+    took_over: int = 0
 
 
 class EpochWanted(Message, tag='ew'):
--- a/passpier/daemon/storage.py
+++ b/passpier/daemon/storage.py
@@ -48,6 +48,8 @@
 
     number: int
     holders: dict[str, Seat]
+    took_over: int = 0
+    """The last epoch up to this one that left out a holder nobody knew to have ended."""
 
 
 class Storage:
