--- a/passpier/standins/processes.py
+++ b/passpier/standins/processes.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -27,11 +28,29 @@
 START_SECONDS = 30.0
 
 
-PORT_STEP = 2503
-"""Ports between the first ones of two processes that start after each other: both take hundreds."""
+PORT_BLOCK = 100
+"""Ports that one process takes from at a time; test runs beside each other take hundreds each."""
 
-_first = os.getpid() * PORT_STEP % (LAST_PORT - FIRST_PORT)
-_ports = itertools.islice(itertools.cycle(range(FIRST_PORT, LAST_PORT)), _first, None)
+_claims: list[socket.socket] = []
+"""Sockets at the first ports of the blocks that this process takes from, bound until it ends."""
+
+
+def _claim_ports() -> Iterator[int]:
+    """Yield the ports of one block after the other that no other process takes from."""
+    starts = list(range(FIRST_PORT, LAST_PORT, PORT_BLOCK))
+    random.Random(os.getpid()).shuffle(starts)
+    for start in starts:
+        claim = socket.socket()
+        try:
+            claim.bind(('127.0.0.1', start))
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        yield from range(start + 1, start + PORT_BLOCK)
+
+
+_ports = itertools.cycle(_claim_ports())
 
 
 def pick_port() -> int:
--- a/passpier/tests/platform/lives_tests.py
+++ b/passpier/tests/platform/lives_tests.py
@@ -157,14 +157,12 @@
         reborn = running.replicas['llm-0']
         running.name_version(2)
         await scenes.wait_for(lambda: reborn.version == 2)
-        reborn.version, reborn.orders, reborn.loading = 1, 0, False
-        entry = reborn.render_entry() | {'born': 2000}
-        running.meta.put(names.REPLICA_PREFIX + reborn.id, entry)
+        running.restart_replica(reborn.id, version=1)
         known = [router.pools for router in running.routers]
         await scenes.wait_for(
             lambda: (
                 reborn.version == 2
-                and all(k.get(reborn.id).life == lives.Life(reborn.id, 2000) for k in known)
+                and all(k.get(reborn.id).life == lives.Life(reborn.id, reborn.born) for k in known)
                 and all(k.get(reborn.id).weight_version == '2' for k in known)
             )
         )
