--- a/passpier/tests/platform/accepting_tests.py
+++ b/passpier/tests/platform/accepting_tests.py
@@ -35,7 +35,7 @@
     async def check(running: deployment.Deployment) -> None:
         clients = running.routers[0].ingress.clients
         clients.most = RESTING
-        leaving_tests.set_work(running, 1.0)
+        scenes.set_work(running, 1.0)
         at_work = leaving_tests.connect(running)
         at_work.setblocking(False)
         at_work.sendall(leaving_tests.render('/safe/x', 'one'))
--- a/passpier/tests/platform/leaving_tests.py
+++ b/passpier/tests/platform/leaving_tests.py
@@ -55,11 +55,6 @@
     return [id for known in running.replicas.values() for id in known.finished]
 
 
-def set_work(running: deployment.Deployment, seconds: float) -> None:
-    for known in running.replicas.values():
-        known.work = seconds
-
-
 def is_idle(running: deployment.Deployment) -> bool:
     return running.routers[0].ingress.in_flight == 0
 
@@ -179,7 +174,7 @@
 @pytest.mark.parametrize('path', ['/safe/x', '/stream/x', '/resume/x'])
 def test_an_upstream_at_work_is_told(path: str) -> None:
     async def check(running: deployment.Deployment) -> None:
-        set_work(running, 5.0)
+        scenes.set_work(running, 5.0)
         client = connect(running)
         client.sendall(render(path, 'one', prompt=path != '/safe/x'))
         await scenes.wait_for(lambda: bool(running.list_runs('one')))
@@ -192,7 +187,7 @@
 
 def test_what_runs_only_once_is_not_broken_off() -> None:
     async def check(running: deployment.Deployment) -> None:
-        set_work(running, 0.2)
+        scenes.set_work(running, 0.2)
         client = connect(running)
         client.sendall(render('/once/x', 'one'))
         await scenes.wait_for(lambda: bool(running.list_runs('one')))
@@ -223,7 +218,7 @@
 
 def test_a_planned_stop_waits_for_what_runs_only_once() -> None:
     async def check(running: deployment.Deployment) -> None:
-        set_work(running, 0.6)
+        scenes.set_work(running, 0.6)
         client = connect(running)
         client.sendall(render('/once/x', 'one'))
         await scenes.wait_for(lambda: bool(running.list_runs('one')))
@@ -292,7 +287,7 @@
 
 def test_hundreds_may_leave_at_once() -> None:
     async def check(running: deployment.Deployment) -> None:
-        set_work(running, 10.0)
+        scenes.set_work(running, 10.0)
         for known in running.replicas.values():
             known.slots = CROWD
             running.record(known.id)
--- a/passpier/tests/platform/scenes.py
+++ b/passpier/tests/platform/scenes.py
@@ -65,3 +65,9 @@
             await check(running, process)
 
     asyncio.run(asyncio.wait_for(run(), BOUND))
+
+
+def set_work(running: deployment.Deployment, seconds: float) -> None:
+    """Have each request keep its replica at work for so long."""
+    for known in running.replicas.values():
+        known.work = seconds
--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -35,11 +35,6 @@
 """Seconds that a stop may take in tests in which it is too short for what runs."""
 
 
-def set_work(running: deployment.Deployment, seconds: float) -> None:
-    for known in running.replicas.values():
-        known.work = seconds
-
-
 async def connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     host, _, port = address.rpartition(':')
     return await asyncio.open_connection(host, int(port))
@@ -50,7 +45,7 @@
     tmp_path: pathlib.Path, late: float
 ) -> None:
     async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
-        set_work(running, 7.0)
+        scenes.set_work(running, 7.0)
         # While this one is under way the process goes on.
         early = asyncio.ensure_future(
             running.ask_at(process.caller, '/slow/x', 'early', patience_ms=9000)
@@ -84,7 +79,7 @@
 @pytest.mark.parametrize('pause', [0.0, 0.3])
 def test_a_second_signal_cuts_nothing(tmp_path: pathlib.Path, pause: float) -> None:
     async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
-        set_work(running, 0.9)
+        scenes.set_work(running, 0.9)
         asked = [
             asyncio.ensure_future(
                 running.ask_at(process.caller, f'/{kind}/x', kind, patience_ms=3000)
@@ -102,7 +97,7 @@
 
 def test_at_the_end_of_a_stop_what_runs_is_answered_as_unknown(tmp_path: pathlib.Path) -> None:
     async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
-        set_work(running, 20.0)
+        scenes.set_work(running, 20.0)
         asked = asyncio.ensure_future(
             running.ask_at(process.caller, '/slow/x', 'one', patience_ms=9000)
         )
@@ -115,7 +110,7 @@
 
 def test_at_the_end_of_a_stop_what_waits_is_refused_as_not_run() -> None:
     async def check(running: deployment.Deployment) -> None:
-        set_work(running, 20.0)
+        scenes.set_work(running, 20.0)
         running.configure(
             routes=[{**r, 'target_latency_ms': 8000} for r in running.configuration['routes']]
         )
@@ -160,7 +155,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
-        set_work(running, 20.0)
+        scenes.set_work(running, 20.0)
         other = routers.RouterProcess(1, tmp_path, running.store_address)
         await other.open()
         while not await other.is_ready(running.pool):
@@ -203,7 +198,7 @@
     """Else its client sends the next request on a connection that ends with the process."""
 
     async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
-        set_work(running, 0.5)
+        scenes.set_work(running, 0.5)
         reader, writer = await connect(process.caller)
         writer.write(deployment.render_request('/once/x', 'one', 3000, body=b'question'))
         await scenes.wait_for(lambda: bool(running.list_runs('one')))
@@ -241,7 +236,7 @@
 
 def test_a_changed_bound_holds_for_the_next_stop() -> None:
     async def check(running: deployment.Deployment) -> None:
-        set_work(running, 20.0)
+        scenes.set_work(running, 20.0)
         process = running.add_router('vm-0', 'zone-0', stop_bound=60.0)
         await running.wait_ready()
         process.reload(dataclasses.replace(process.options, stop_bound=SHORT_STOP))
