Sight: lines of a request name its fingerprint

Ids are new with each arrival, so no line joined a request that came again with its earlier ones; the timeline had to guess from account and length of the prompt. No change of logic.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -10,7 +10,16 @@
 
 from passpier import exceptions
 from passpier.clients import connections, exchanges
-from passpier.core import attempts, events, lives, pauses, replicas, retries, routes
+from passpier.core import (
+    attempts,
+    events,
+    fingerprints,
+    lives,
+    pauses,
+    replicas,
+    retries,
+    routes,
+)
 from passpier.daemon import dispatcher, metrics
 from passpier.routing import (
     answering,
@@ -197,6 +206,7 @@
             'request ended',
             extra={
                 'request': self._admitted.ask.id,
+                'fingerprint': fingerprints.render_fingerprint(self._admitted.fingerprint),
                 'route': self._admitted.route.name,
                 'kind': self._admitted.route.kind.value,
                 'outcome': self._outcome,
@@ -430,6 +440,7 @@
             'attempt failed',
             extra={
                 'request': self._call.id,
+                'fingerprint': fingerprints.render_fingerprint(self._admitted.fingerprint),
                 'upstream': self._last.id,
                 'born': self._last.born,
                 'fault': error.fault.value,
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from collections.abc import Callable
 
 from passpier.clients import exchanges
 from passpier.config import declarations
-from passpier.core import attempts, choice, prompts, replicas, routes
+from passpier.core import attempts, choice, fingerprints, prompts, replicas, routes
 from passpier.daemon import calls
 from passpier.routing import dialect, sources
 
@@ -15,7 +16,7 @@
 """Part of a request's objective for which it may wait here for a replica."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Admitted:
     """A request with the rules that it falls under."""
 
@@ -32,6 +33,15 @@
             return self.account.priority
         return self.route.priority
 
+    @functools.cached_property
+    def fingerprint(self) -> int:
+        """What names the request when it comes again, under whatever id."""
+        ask = self.ask
+        account = self.account.name if self.account is not None else ask.key or ''
+        return fingerprints.compute_fingerprint(
+            account, ask.method, ask.host, ask.target, self.body
+        )
+
     @property
     def ends_at(self) -> float:
         """When the client, or the operator, no longer wants an answer."""
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -156,7 +156,7 @@
     deadly: bytes = b''
     """The body of a request that ends each process which begins to run it; empty: there is none."""
 
-    on_crash: Callable[[], None] = lambda: None
+    on_crash: Callable[[], object] = lambda: None
     """Called when such a request has ended the replica's process."""
 
     ended_by: list[tuple[str, float]] = dataclasses.field(default_factory=list)
--- a/passpier/tests/platform/crashes_tests.py
+++ b/passpier/tests/platform/crashes_tests.py
@@ -14,9 +14,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import time
 
+import pytest
+
 from passpier.standins.platform import deployment, replica
 from passpier.tests.platform import scenes
 
@@ -75,3 +78,17 @@
         assert len(late) <= SENDS_AFTER
 
     scenes.play(check, routers=3)
+
+
+def test_the_log_joins_a_request_that_comes_again(caplog: pytest.LogCaptureFixture) -> None:
+    """Lines had the id only, which is a new one each time."""
+    caplog.set_level(logging.INFO)
+
+    async def check(running: deployment.Deployment) -> None:
+        for id, body in (('one', b'same'), ('two', b'same'), ('three', b'other')):
+            await running.ask('/safe/x', id=id, body=body)
+
+    scenes.play(check)
+    ended = [r.__dict__ for r in caplog.records if r.message == 'request ended']
+    one, two, three = (r['fingerprint'] for r in ended)
+    assert one == two != three
