Requests that end the replicas which run them are held back, fleet-wide

Cause: what a replica's end says of the requests that ran there was kept nowhere beyond one request and one router; each arrival was new to everybody, each retry ended the next replica.

A run that breaks off has the replica asked; if its process has ended, all live peers are told at once which requests ran there, heartbeats' targets are reminded, and one record a replica goes into the registry under a lease, for processes behind a cut or newly started. Distinct processes are counted by request: from one end on it runs apart from other suspects and once at a time on a router, from two on once in the fleet, from three on it is refused 503 before any replica. A run that ends well clears it; after 30 s one process may claim one trial in the registry. A connection that is lost on the way counts for nobody, nor does the end of a replica that was leaving.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -195,7 +195,7 @@
             if exchange is not None and not exchange.heard:
                 exchange.note_silent()
             raise exchanges.ExchangeError(
-                exchanges.Fault.CLOSED, 'timed out', exchange is not None
+                exchanges.Fault.LOST, 'timed out', exchange is not None
             ) from error
         finally:
             if exchange is not None:
--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -32,7 +32,10 @@
     """No connection came about; nothing was sent."""
 
     CLOSED = 'closed'
-    """The connection ended before the answer was whole."""
+    """The other side ended the connection before the answer was whole."""
+
+    LOST = 'lost'
+    """The connection was given up before the answer was whole, as nothing came back on it."""
 
     REPLACED = 'replaced'
     """Another process answers at the address."""
@@ -220,7 +223,9 @@
             except h11.RemoteProtocolError:
                 self._fail(Fault.CLOSED, 'the connection ended before the answer was whole')
         if not self._ended:
-            self._fail(Fault.CLOSED, str(error or 'the connection ended'))
+            told = error is None or isinstance(error, ConnectionError)
+            fault = Fault.CLOSED if told else Fault.LOST
+            self._fail(fault, str(error or 'the connection ended'))
 
     def _parse(self) -> None:
         while True:
--- a/passpier/core/choice.py
+++ b/passpier/core/choice.py
@@ -46,6 +46,9 @@
     ends: tuple[int, ...] = ()
     """Tokens up to the end of each block, where blocks differ in size."""
 
+    apart: str = ''
+    """What names a request that is to run apart from others that are as suspect."""
+
     family: str = ''
     """What prompts that share a prefix have in common, if the request says so itself."""
 
@@ -144,6 +147,15 @@
         return winner, 'family'
 
 
+class ApartPolicy:
+    """The request's own rendezvous winner, so that suspects of one crash spread over the pool."""
+
+    def pick(self, job: Job, candidates: Sequence[Candidate]) -> tuple[Candidate, str]:
+        """Return the request's candidate."""
+        winner = max(candidates, key=lambda c: rendezvous.compute_weight(job.apart, c.name))
+        return winner, 'apart'
+
+
 def build_policies(rng: random.Random) -> dict[str, Policy]:
     """Return the policies by the names that routing rules use."""
     return {
@@ -151,6 +163,7 @@
         'round_robin': RoundRobinPolicy(),
         'least_load': LeastLoadPolicy(rng),
         'prefix_hash': PrefixHashPolicy(),
+        'apart': ApartPolicy(),
     }
 
 
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from passpier.core import lives, members, revisions
+from passpier.core import crashes, lives, members, revisions
 
 
 class Message(msgspec.Struct, array_like=True, tag=True):
@@ -234,6 +234,23 @@
         return lives.Life(self.replica, self.born)
 
 
+class Ended(Message, tag='en'):
+    """Replicas' processes have ended, and which requests were running there.
+
+    The runs in `cleared` are known not to have caused that.
+    """
+
+    ends: list[crashes.End]
+    cleared: list[crashes.Clearing]
+
+
+class Trying(Message, tag='ty'):
+    """The sender runs a request that replicas have ended under, for so many seconds at the most."""
+
+    fingerprint: int
+    seconds: float
+
+
 class Loading(Message, tag='lg'):
     """A replica is about to load `ordered` weights and should get nothing for so many seconds."""
 
@@ -293,6 +310,8 @@
     | Placed
     | Kept
     | Silent
+    | Ended
+    | Trying
     | Loading
     | Loaded
 )
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import logging
 import time
 from collections.abc import Awaitable
@@ -12,6 +13,7 @@
 from passpier.clients import connections, exchanges
 from passpier.core import (
     attempts,
+    crashes,
     events,
     fingerprints,
     lives,
@@ -30,6 +32,7 @@
     reading,
     requests,
     sharing,
+    suspects,
 )
 
 log = logging.getLogger(__name__)
@@ -55,6 +58,10 @@
 RETRY_AFTER_STOPPING = 0.02
 """The same, where this process stops: the client goes to another one."""
 
+RETRY_AFTER_SUSPECT_MAX = 60.0
+"""Seconds after which, at the latest, a client may ask again for what ends replicas: it may have
+changed, or have been under suspicion by mistake."""
+
 UNREAD_GRACE = 0.25
 """Seconds after a request's time is over, or after its answer is there if that is later, in which
 the answer may still go out. A client that has stopped reading keeps a replica at work until then,
@@ -82,8 +89,10 @@
         options: dialect.Options,
         prober: probing.Prober,
         shared: sharing.Sharing,
+        under_suspicion: suspects.Suspects,
     ) -> None:
         self.prober = prober
+        self.suspects = under_suspicion
         self.sharing = shared
         self.known = known
         self.pools = known.pools
@@ -150,6 +159,11 @@
         """The request's id."""
         return self._admitted.ask.id
 
+    @property
+    def _fingerprint(self) -> str:
+        """The request's fingerprint as log lines show it."""
+        return fingerprints.render_fingerprint(self._admitted.fingerprint)
+
     @property
     def upstream(self) -> str:
         """The id of the replica of the current attempt, or of the last one."""
@@ -206,7 +220,7 @@
             'request ended',
             extra={
                 'request': self._admitted.ask.id,
-                'fingerprint': fingerprints.render_fingerprint(self._admitted.fingerprint),
+                'fingerprint': self._fingerprint,
                 'route': self._admitted.route.name,
                 'kind': self._admitted.route.kind.value,
                 'outcome': self._outcome,
@@ -227,6 +241,13 @@
         self.sent = False
         if self._client.gone:
             raise answering.ClientGoneError
+        judgement = self._owner.suspects.judge(self._admitted.fingerprint)
+        if judgement.refused_for is not None:
+            await self._hold_back(judgement)
+            return True
+        if judgement.is_suspect:
+            call.policy = 'apart'
+            call.job = dataclasses.replace(call.job, apart=self._fingerprint)
         attempt = f'{call.id}-{call.life.attempts}.{self._connects}'
         placed = await self._owner.dispatcher.place(call, attempt, self._excluded)
         if placed.is_error():
@@ -254,7 +275,21 @@
         if time_left <= 0:
             await self._end(503, 'no_time', 'no time was left for an attempt', RETRY_AFTER)
             return
+        known = self._owner.suspects
+        # Others may have told more of the request while it waited for its place.
+        judgement = await known.judge_finally(admitted.fingerprint)
+        if judgement.refused_for is not None:
+            await self._hold_back(judgement)
+            return
         self._last = placement.replica.life
+        known.begin(admitted.fingerprint, judgement, time_left)
+        try:
+            await self._exchange(placement, time_left)
+        finally:
+            known.end(admitted.fingerprint)
+
+    async def _exchange(self, placement: dispatcher.Placement, time_left: float) -> None:
+        admitted = self._admitted
         exchange = await self._open(placement.replica, time_left)
         self.sent = True
         reader = reading.Reader(
@@ -314,6 +349,7 @@
             await self._pass(await reader.read_whole())
             self._outcome = 'answered'
         self._owner.pools.note_success(placement.replica.life)
+        self._owner.suspects.note_well(self._admitted.fingerprint)
 
     async def _read_head(self, reader: reading.Reader) -> exchanges.Head:
         left = self._admitted.ends_at - time.monotonic()
@@ -425,6 +461,8 @@
         now = time.monotonic()
         if error.fault is not attempts.Fault.REFUSED:
             self._owner.pools.note_failure(self._last)
+        if error.broken_off and not self._owner.pools.has_left(self._last):
+            self._owner.suspects.note_broken(self._admitted.fingerprint, self._last)
         has_time = now < self._admitted.ends_at
         step = attempts.Step.FAIL
         if error.fault is attempts.Fault.NOT_CONNECTED:
@@ -440,7 +478,7 @@
             'attempt failed',
             extra={
                 'request': self._call.id,
-                'fingerprint': fingerprints.render_fingerprint(self._admitted.fingerprint),
+                'fingerprint': self._fingerprint,
                 'upstream': self._last.id,
                 'born': self._last.born,
                 'fault': error.fault.value,
@@ -457,6 +495,22 @@
         self._excluded.add(self._last.id)
         return True
 
+    async def _hold_back(self, judgement: crashes.Judgement) -> None:
+        """Refuse a request that has ended replicas, before it reaches another one."""
+        assert judgement.refused_for is not None
+        log.info(
+            'request held back',
+            extra={
+                'request': self._call.id,
+                'fingerprint': self._fingerprint,
+                'ends': judgement.ends,
+                'reason': judgement.reason,
+                'refused_for': round(judgement.refused_for, 3),
+            },
+        )
+        retry_after = min(judgement.refused_for, RETRY_AFTER_SUSPECT_MAX)
+        await self._end(503, 'suspected', judgement.reason, retry_after)
+
     def _spend(self, now: float) -> bool:
         budget = self._owner.get_budget(self._service)
         return budget.spend(now, self._owner.daemons)
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -143,6 +143,13 @@
         replica = self.replicas.get(life.id)
         return replica is not None and replica.born != life.born
 
+    def has_left(self, life: lives.Life) -> bool:
+        """Return whether a replica's process was to end, so that its end says nothing more."""
+        replica = self.find(life)
+        if replica is None:
+            return not self.has_started_again(life)
+        return replica.leaving
+
     def learn_version(self, life: lives.Life, version: int, source: str) -> None:
         """Note a replica's weight version; late word of older ones does not count."""
         replica = self.find(life)
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -57,6 +57,8 @@
         """By name, the process and the version that it first refused, and when."""
 
         self._tasks: dict[lives.Life, asyncio.Task[None]] = {}
+        self._ended: dict[lives.Life, asyncio.Future[bool]] = {}
+        """Whether processes that are being asked have ended, as far as that is known."""
 
     def note_heard(self, life: lives.Life) -> None:
         """Note a sign of life."""
@@ -77,9 +79,17 @@
             return
         if time.monotonic() - self._get_heard_at(life) < patience:
             return
+        self._ended[life] = asyncio.get_running_loop().create_future()
         task = asyncio.ensure_future(self._ask(life))
         self._tasks[life] = task
-        task.add_done_callback(lambda _: self._tasks.pop(life, None))
+        task.add_done_callback(lambda _: self._forget(life))
+
+    async def has_ended(self, life: lives.Life) -> bool:
+        """Return whether a process whose connection broke has ended, after asking it."""
+        if self._pools.find(life) is None:
+            return True
+        self.suspect(life, 0.0)
+        return await asyncio.shield(self._ended[life])
 
     def note_other_weights(self, life: lives.Life, version: str) -> None:
         """Note that a replica has other weights than `version`; ask it if that lasts.
@@ -99,6 +109,16 @@
         for task in self._tasks.values():
             task.cancel()
 
+    def _forget(self, life: lives.Life) -> None:
+        self._tasks.pop(life, None)
+        # Who is still not certain has its entry gone, or another process in its place.
+        self._decide(life, True)
+        del self._ended[life]
+
+    def _decide(self, life: lives.Life, ended: bool) -> None:
+        if not self._ended[life].done():
+            self._ended[life].set_result(ended)
+
     async def _ask(self, life: lives.Life) -> None:
         unanswered = 0
         while (replica := self._pools.find(life)) is not None:
@@ -112,11 +132,13 @@
                 detail = str(error)
             else:
                 if self._known.take_report(life, report):
+                    self._decide(life, False)
                     self._end_silence(life)
                     return
                 detail = f'answered by the process born at {report.born}'
             unanswered += 1
             if unanswered == QUESTIONS:
+                self._decide(life, True)
                 self._begin_silence(life, detail)
             if unanswered >= QUESTIONS:
                 seconds = 2 * ASK_INTERVAL + dialect.ASK_TIMEOUT
--- a/passpier/routing/reading.py
+++ b/passpier/routing/reading.py
@@ -22,14 +22,22 @@
 
 
 class AttemptError(Exception):
-    """An attempt brought no answer; `passed` is the upstream's own failure, if there is one."""
+    """An attempt brought no answer; `passed` is the upstream's own failure, if there is one.
+
+    `broken_off` says that it ended as if the replica's process had ended.
+    """
 
     def __init__(
-        self, fault: attempts.Fault, message: str, passed: exchanges.Answer | None = None
+        self,
+        fault: attempts.Fault,
+        message: str,
+        passed: exchanges.Answer | None = None,
+        broken_off: bool = False,
     ) -> None:
         super().__init__(message)
         self.fault = fault
         self.passed = passed
+        self.broken_off = broken_off
 
 
 class PauseError(AttemptError):
@@ -74,7 +82,7 @@
                 if whole.done():
                     return whole.result()
         except exchanges.ExchangeError as error:
-            raise AttemptError(attempts.Fault.CUT, str(error)) from error
+            raise _convert(error, attempts.Fault.CUT) from error
         finally:
             whole.cancel()
         raise AttemptError(attempts.Fault.NO_ANSWER, 'not whole in time')
@@ -98,7 +106,8 @@
                     ends_at = time.monotonic() + LAST_LOOK
                     continue
                 if self._prober.has_started_again(self._life):
-                    raise AttemptError(fault, 'the replica has started again') from error
+                    text = 'the replica has started again'
+                    raise AttemptError(fault, text, broken_off=True) from error
                 if self._prober.is_silent(self._life.id):
                     raise AttemptError(fault, 'the replica gives no sign of life') from error
                 if not self._exchange.is_silent:
@@ -111,7 +120,12 @@
                 # Asked on a new connection, and also if the replica was heard on another one.
                 self._prober.suspect(self._life, 0.0)
             except exchanges.ExchangeError as error:
-                raise AttemptError(fault, str(error)) from error
+                raise _convert(error, fault) from error
             else:
                 self._prober.note_heard(self._life)
                 return got
+
+
+def _convert(error: exchanges.ExchangeError, fault: attempts.Fault) -> AttemptError:
+    closed = error.fault is exchanges.Fault.CLOSED
+    return AttemptError(fault, str(error), broken_off=closed)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -23,6 +23,7 @@
     ingress,
     keeping,
     knowledge,
+    marks,
     pools,
     probing,
     relaying,
@@ -30,6 +31,7 @@
     roster,
     sharing,
     sources,
+    suspects,
 )
 
 log = logging.getLogger(__name__)
@@ -146,6 +148,11 @@
         )
         self.prober = probing.Prober(self.known, adapter.engines, self.roster.tell_interested)
         self.peers.handle(messages.Silent, self._take_silent)
+        membership = self.roster.membership
+        self.suspects = suspects.Suspects(
+            membership, self.peers, self.prober.has_ended, lambda: membership.choose_targets(rng)
+        )
+        self.marks = marks.Marks(adapter.source, self.known, self.suspects, incarnation)
         # Nobody asks this process for decisions: they are in its log.
         places = dispatcher.Dispatcher(self.pools, self.counters, rng, decisions_kept=0)
         self.forwarder = forwarding.Forwarder(
@@ -157,6 +164,7 @@
             options,
             self.prober,
             self.sharing,
+            self.suspects,
         )
         self.ingress = ingress.Ingress(
             self.known, self.forwarder, adapter.wire, self.counters, self.meter
@@ -193,6 +201,8 @@
             tasks.start(self.keeper.run()),
             tasks.start(self.sharing.run()),
             tasks.start(self.loads.run()),
+            tasks.start(self.suspects.run()),
+            tasks.start(self.marks.run()),
         ]
         try:
             await self._serve(servers)
--- a/passpier/tests/platform/crashes_tests.py
+++ b/passpier/tests/platform/crashes_tests.py
@@ -92,3 +92,56 @@
     ended = [r.__dict__ for r in caplog.records if r.message == 'request ended']
     one, two, three = (r['fingerprint'] for r in ended)
     assert one == two != three
+
+
+def test_others_are_served_beside_a_request_that_ends_its_replicas() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.make_deadly(DEADLY, AWAY)
+        rng = random.Random(31)
+        await send_again_and_again(running, '/stream/x', 2.0, rng)
+        await asyncio.sleep(AWAY)
+        entries = range(len(running.routers))
+        held = [await running.ask('/stream/x', e, body=DEADLY) for e in entries]
+        assert {r.status for r in held} == {503}
+        assert all(float(r.headers.get('Retry-After') or 0) > 1 for r in held)
+        good = [await running.ask('/stream/x', e, headers=scenes.PROMPT) for e in entries]
+        assert {r.status for r in good} == {200}
+
+    scenes.play(check, routers=3)
+
+
+def test_a_router_that_starts_knows_which_requests_are_held_back() -> None:
+    """All others have ended, so that nobody but the registry can tell it."""
+
+    async def check(running: deployment.Deployment) -> None:
+        running.make_deadly(DEADLY, AWAY)
+        await send_again_and_again(running, '/stream/x', 3.0, random.Random(32))
+        (first,) = running.routers
+        first.hurry_stop()
+        await running.wait_ended(first)
+        running.routers.clear()
+        running.add_router('vm-new', 'zone-1')
+        await running.wait_ready()
+        await asyncio.sleep(AWAY)
+        reply = await running.ask('/stream/x', id='deadly-again', body=DEADLY)
+        assert reply.status == 503
+        assert not running.list_runs('deadly-again')
+
+    scenes.play(check, routers=1)
+
+
+def test_connections_that_are_reset_bring_no_request_under_suspicion() -> None:
+    """The replica lives: something on the way, or the replica itself, has ended the connection."""
+
+    async def check(running: deployment.Deployment) -> None:
+        for known in running.replicas.values():
+            known.faults.lose = 20
+        for number in range(6):
+            await running.ask('/safe/x', id=f'reset-{number}', body=b'same')
+        await asyncio.sleep(0.1)
+        for known in running.replicas.values():
+            known.faults.lose = 0
+        reply = await running.ask('/safe/x', id='last', body=b'same')
+        assert reply.status == 200
+
+    scenes.play(check)
