--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -23,6 +23,7 @@
 import signal
 import socket
 import subprocess
+import time
 
 import pytest
 
@@ -31,6 +32,12 @@
 from passpier.standins.platform import deployment, routers
 from passpier.tests.platform import leaving_tests, scenes
 
+CLINGING = 12
+"""Clients that keep coming to a process that stops."""
+
+LOSS_SLACK = 0.2
+"""Seconds between a request's last byte and the end of its connection from which on it is lost."""
+
 SHORT_STOP = 1.0
 """Seconds that a stop may take in tests in which it is too short for what runs."""
 
@@ -247,3 +254,66 @@
         assert (await asked).status == 502
 
     scenes.play(check, routers=0)
+
+
+class Clinging:
+    """A client that goes on using one process, on new and on kept connections, until it is gone."""
+
+    def __init__(self, address: str, name: str, keeps: bool) -> None:
+        self.address = address
+        self.name = name
+        self.keeps = keeps
+        self.statuses: list[int] = []
+        self.lost: list[str] = []
+
+    async def run(self) -> None:
+        number = 0
+        while True:
+            try:
+                reader, writer = await connect(self.address)
+            except ConnectionError:
+                return
+            with contextlib.closing(writer):
+                while await self._ask(reader, writer, f'{self.name}-{number}') and self.keeps:
+                    number += 1
+                number += 1
+
+    async def _ask(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, id: str
+    ) -> bool:
+        """Send a request; return whether the connection may be used again."""
+        writer.write(deployment.render_request('/safe/x', id, 2000, body=b'question'))
+        sent_at = time.monotonic()
+        try:
+            head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+            length = int(head.partition('content-length: ')[2].partition('\r\n')[0])
+            await reader.readexactly(length)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            if time.monotonic() - sent_at > LOSS_SLACK:
+                self.lost.append(id)
+            return False
+        self.statuses.append(int(head.split()[1]))
+        return 'connection: close' not in head
+
+
+def test_clients_that_cling_to_a_stopping_process_are_answered_to_the_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A process ended by its own count of what was under way, with requests on their way to it.
+
+    Clients that hold on to an address keep a stopping process busy until it is gone, so that
+    whatever it does last, it does with requests of theirs open.
+    """
+
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        scenes.set_work(running, 0.1)
+        clients = [Clinging(process.caller, f'c{n}', keeps=bool(n % 2)) for n in range(CLINGING)]
+        clinging = [asyncio.ensure_future(c.run()) for c in clients]
+        await asyncio.sleep(0.5)
+        process.send(signal.SIGTERM)
+        await asyncio.gather(*clinging)
+        assert not [id for c in clients for id in c.lost]
+        assert {s for c in clients for s in c.statuses} <= {200, 503}
+        assert all(200 in c.statuses for c in clients)
+
+    scenes.play_process(tmp_path, check)
