Entries that lack what others of their service tell are not used

Cause: an entry without `born`, or without `models` where there is no engine, looked like that of a replica of older software, and such replicas exist. Change: what the entries of one service tell is compared; where one tells its start or its models, those that leave it out are another writer's and get no requests, orders or loads; where none does, all are used as before.

--- a/passpier/core/catalogue.py
+++ b/passpier/core/catalogue.py
@@ -13,7 +13,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from passpier.core import lives
 
@@ -40,6 +40,12 @@
     born: int = 0
     """When its process started, in Unix milliseconds; 0 if it does not tell."""
 
+    tells_weights: bool = False
+    """Whether it says which models there are, be it none."""
+
+    tells_born: bool = False
+    """Whether it says when its process started."""
+
     @property
     def life(self) -> lives.Life:
         """The process that the entry is of."""
@@ -175,5 +181,19 @@
         return Change(entry.id, entry, 'started again')
 
 
+def find_incomplete(entries: Sequence[Entry]) -> set[str]:
+    """Return the ids whose entries lack what others of their service tell.
+
+    Replicas of one service run the same software: where one tells when it started, or which models
+    it has, all do, and who leaves it out has not written the entry of a replica. Where none tells,
+    as with older software, nothing can be said.
+    """
+    weights = any(e.tells_weights for e in entries)
+    born = any(e.tells_born for e in entries)
+    return {
+        e.id for e in entries if (weights and not e.tells_weights) or (born and not e.tells_born)
+    }
+
+
 def _describe(entry: Entry) -> Change:
     return Change(entry.id, entry, 'draining' if entry.draining else 'recorded')
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -119,8 +119,8 @@
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
     """How much longer it is slow from its start."""
 
-    models: list[_WeightVersion] = []
-    born: _Count = 0
+    models: list[_WeightVersion] | msgspec.UnsetType = msgspec.UNSET
+    born: _Count | msgspec.UnsetType = msgspec.UNSET
     """Unix milliseconds of the start; replicas of older software do not tell it."""
 
 
@@ -209,8 +209,10 @@
         raw.zone,
         raw.slots,
         raw.state == 'draining',
-        {m.name: m.version for m in raw.models},
-        raw.born,
+        {m.name: m.version for m in raw.models or ()},
+        raw.born or 0,
+        tells_weights=raw.models is not msgspec.UNSET,
+        tells_born=raw.born is not msgspec.UNSET,
     )
 
 
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -41,6 +41,9 @@
 GAIN_LOGGED = 0.5
 """Seconds by which a peer knows better when weights were named for a line in the log."""
 
+INCOMPLETE_LOGGED = 5
+"""Ids that a line on entries which are not used names; it tells how many there are."""
+
 ENOUGH_NEW = 0.75
 """Part of a pool that must have new weights before all requests go there."""
 
@@ -72,6 +75,9 @@
         self._services: Mapping[str, routes.Service] = {}
         """Services of the configuration; a replica of any other one is not used."""
 
+        self._incomplete: dict[str, set[str]] = {}
+        """By service, the ids whose entries are no replicas' own."""
+
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Take over services and cache stores."""
         self._services = configuration.services
@@ -82,13 +88,17 @@
     def apply_change(self, change: catalogue.Change) -> None:
         """Take over a replica that came, changed, started again or went."""
         if change.entry is None:
+            gone = self._entries.get(change.id)
             self._end_life(change.id)
+            if gone is not None:
+                self._compare_entries(gone.service)
             log.info('upstream gone', extra={'upstream': change.id, 'reason': change.reason})
             return
         entry = change.entry
         before = self._entries.get(entry.id)
         if before is not None and not _is_same_process(before, entry):
             self._end_life(entry.id)
+            self._compare_entries(before.service)
         if entry.id not in self.replicas:
             self._begin_life(entry)
         self._entries[entry.id] = entry
@@ -96,6 +106,7 @@
         replica.slots = entry.slots
         replicas.set_leaving(replica, 'registry', entry.draining)
         self._apply_service(entry)
+        self._compare_entries(entry.service)
         log.info(
             'upstream changed',
             extra={
@@ -235,8 +246,11 @@
             return []
         now = time.monotonic()
         usable = {}
+        incomplete = self._incomplete.get(pool, ())
         for name in self._pools.get(pool, ()):
             replica = self.replicas[name]
+            if name in incomplete:
+                continue
             if not replica.leaving and self._may_serve(replica, now):
                 usable[name] = replica
         usable = self._prefer_new(usable, now)
@@ -285,9 +299,23 @@
                 r.born,
             )
             for r in self.replicas.values()
-            if r.weight_version and self._entries[r.name].service in self._services
+            if r.weight_version and self._is_used(r.name)
         ]
 
+    def _is_used(self, name: str) -> bool:
+        service = self._entries[name].service
+        return service in self._services and name not in self._incomplete.get(service, ())
+
+    def _compare_entries(self, service: str) -> None:
+        """Find out again which of a service's entries are no replicas' own."""
+        names = self._pools.get(service, ())
+        incomplete = catalogue.find_incomplete([self._entries[n] for n in names])
+        before = self._incomplete.get(service, set())
+        if incomplete != before:
+            self._incomplete[service] = incomplete
+            fields = {'service': service, 'upstreams': sorted(incomplete)[:INCOMPLETE_LOGGED]}
+            log.warning('entries not used', extra=fields | {'count': len(incomplete)})
+
     def _may_serve(self, replica: replicas.Replica, now: float) -> bool:
         version = int(replica.weight_version or 0)
         if not version:
--- a/passpier/tests/platform/lives_tests.py
+++ b/passpier/tests/platform/lives_tests.py
@@ -239,3 +239,35 @@
         assert len(runs) == 2
 
     scenes.play(check)
+
+
+@pytest.mark.parametrize('field', ['born', 'models'])
+def test_an_entry_that_lacks_what_others_tell_is_not_used(store: Registry, field: str) -> None:
+    """Another writer's differed in that alone, and requests went to the address in it."""
+    store.record('i-other', **{field: None})
+    assert store.list_used() == {ID}
+    store.record('i-other')
+    assert store.list_used() == {ID, 'i-other'}
+
+
+@pytest.mark.parametrize('field', ['born', 'models'])
+def test_a_replica_whose_entry_is_written_over_is_used_again_with_its_own(
+    store: Registry, field: str
+) -> None:
+    store.record('i-2')
+    store.record(ID, **{field: None})
+    assert store.list_used() == {'i-2'}
+    store.record()
+    assert store.list_used() == {ID, 'i-2'}
+
+
+def test_where_no_entry_tells_its_start_all_are_used() -> None:
+    store = Registry()
+    store.record('i-1', born=None)
+    store.record('i-2', born=None)
+    assert store.list_used() == {'i-1', 'i-2'}
+
+
+def test_what_another_services_replicas_tell_says_nothing(store: Registry) -> None:
+    store.record('i-app', service='app', born=None, models=None)
+    assert store.list_used('app') == {'i-app'}
