--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -6,11 +6,11 @@
 import logging
 import socket
 import struct
-import time
 
 import h11
 import tornado.iostream
 
+from passpier import clocks
 from passpier.clients import exchanges
 
 log = logging.getLogger(__name__)
@@ -77,7 +77,7 @@
         self.exchange: exchanges.Exchange | None = None
         self.idle_since = 0.0
         self.idle_limit = IDLE_DEFAULT
-        self.opened_at = time.monotonic()
+        self.opened_at = clocks.now()
         self.used_at = self.opened_at
         """When the present exchange began."""
 
@@ -132,7 +132,7 @@
         if self.exchange is None:
             return
         reset = isinstance(self.stream.error, ConnectionResetError)
-        quick = time.monotonic() - self.used_at < FORGOTTEN_WITHIN
+        quick = clocks.now() - self.used_at < FORGOTTEN_WITHIN
         if self.idle_since and reset and quick and not self.exchange.heard:
             self._pool.note_forgotten(self.address, self.used_at - self.idle_since)
         if isinstance(self.stream.error, TimeoutError):
@@ -205,7 +205,7 @@
         """Let a connection rest for the next exchange."""
         limit = _parse_idle_limit(head.get('keep-alive'))
         connection.idle_limit = IDLE_DEFAULT if limit is None else limit
-        connection.idle_since = time.monotonic()
+        connection.idle_since = clocks.now()
         self._resting.setdefault(connection.address, []).append(connection)
 
     def close(self) -> None:
@@ -225,7 +225,7 @@
 
         Forgets silences that are long over.
         """
-        now = time.monotonic()
+        now = clocks.now()
         for address, since in list(self._silent_since.items()):
             if now - since > SILENCE_MEMORY:
                 del self._silent_since[address]
@@ -241,7 +241,7 @@
 
     def _take_resting(self, address: str, once: bool) -> Connection | None:
         resting = self._resting.get(address, [])
-        now = time.monotonic()
+        now = clocks.now()
         while resting:
             connection = resting.pop()
             if connection.closed:
@@ -259,7 +259,7 @@
 
     def note_forgotten(self, address: str, rested: float) -> None:
         """Note that an upstream had forgotten a connection that had rested for some seconds."""
-        now = time.monotonic()
+        now = clocks.now()
         self._once_idle = min(self._get_once_idle(now), rested * FORGOTTEN_CAUTION)
         self._cautious_until = now + FORGOTTEN_MEMORY
         log.info(
@@ -287,7 +287,7 @@
         if since is None or connection.opened_at < since:
             return
         del self._silent_since[connection.address]
-        if time.monotonic() - since > SILENCE_MEMORY:
+        if clocks.now() - since > SILENCE_MEMORY:
             return
         closed = 0
         for resting in self._resting.values():
--- a/passpier/daemon/answers.py
+++ b/passpier/daemon/answers.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 from typing import Any
 
 import msgspec
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import engines
 from passpier.daemon import calls
 
@@ -88,7 +87,7 @@
     return {
         'id': call.id,
         'object': kind,
-        'created': int(time.time()),
+        'created': int(clocks.read_time_of_day()),
         'model': call.service.name,
         'choices': [choice],
     }
--- a/passpier/daemon/configuration.py
+++ b/passpier/daemon/configuration.py
@@ -5,10 +5,10 @@
 import asyncio
 import contextlib
 import logging
-import time
 import zlib
 from collections.abc import Callable
 
+from passpier import clocks
 from passpier.config import declarations, directory
 from passpier.core import members, revisions
 from passpier.daemon import messages, peers, storage
@@ -76,16 +76,16 @@
 
     async def wait_for(self, number: int, timeout: float) -> list[str]:
         """Return the live daemons that have not reported a revision within `timeout` seconds."""
-        end = time.monotonic() + timeout
+        end = clocks.now() + timeout
         while True:
             behind = self.list_behind(number)
-            if not behind or time.monotonic() >= end:
+            if not behind or clocks.now() >= end:
                 return behind
             await asyncio.sleep(BEHIND_CHECK)
 
     def list_behind(self, number: int) -> list[str]:
         """Return the names of the live daemons whose revision is older than `number`."""
-        alive = self._membership.list_alive(time.monotonic())
+        alive = self._membership.list_alive(clocks.now())
         return [m.name for m in alive if self.get_revision(m) < number]
 
     def get_revision(self, member: members.Member) -> int:
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -8,14 +8,13 @@
 import heapq
 import logging
 import random
-import time
 from collections.abc import Collection, Mapping
 from typing import Protocol
 
 import expression
 import msgspec
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.core import admission, choice, replicas, view
 from passpier.daemon import calls, metrics
 
@@ -120,13 +119,13 @@
 
     def has_place(self, call: calls.Call, exclude: Collection[str]) -> bool:
         """Return whether an attempt could be placed at once on a replica that is not excluded."""
-        now = time.monotonic()
+        now = clocks.now()
         serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
         return any(r.name not in exclude and replicas.has_room(r, now) for r in serving)
 
     def end(self, placement: Placement) -> None:
         """Give a place back."""
-        replicas.end_dispatch(placement.replica, placement.attempt, time.monotonic())
+        replicas.end_dispatch(placement.replica, placement.attempt, clocks.now())
         pool = self._pools[placement.call.service.pool]
         if len(pool.queue):
             self._pump(placement.call.service.pool, pool)
@@ -160,7 +159,7 @@
         self, waiting: _Waiting
     ) -> expression.Result[Placement, exceptions.Failure] | None:
         call = waiting.call
-        now = time.monotonic()
+        now = clocks.now()
         serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
         usable = [r for r in serving if r.name not in waiting.exclude] or serving
         if not usable:
@@ -192,7 +191,7 @@
             call.account.name, call.account.weight, call.service.priority, tokens
         )
         wait = admission.predict_wait(ahead, self._get_rate(pool, call)) if ahead else 0.0
-        late = time.monotonic() + wait - call.deadline
+        late = clocks.now() + wait - call.deadline
         if late > 0:
             message = f'the first token would come {late:.2f} s after its deadline'
             code = exceptions.Code.DEADLINE
@@ -221,7 +220,7 @@
 
     def _start_pump(self, name: str, pool: _Pool) -> None:
         if pool.pump is None or pool.pump.done():
-            pool.taken_at = time.monotonic()
+            pool.taken_at = clocks.now()
             pool.pump = asyncio.ensure_future(self._run_pump(name, pool))
 
     async def _run_pump(self, name: str, pool: _Pool) -> None:
@@ -234,7 +233,7 @@
 
     def _pump(self, name: str, pool: _Pool) -> None:
         while len(pool.queue):
-            now = time.monotonic()
+            now = clocks.now()
             serving = self._upstreams.list_serving(name)
             if serving and not any(replicas.has_room(r, now) for r in serving):
                 return
@@ -250,7 +249,7 @@
             ticket.item.result.set_result(placed)
 
     def _measure(self, pool: _Pool, tokens: int) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         sample = tokens / max(now - pool.taken_at, 1e-3)
         pool.taken_at = now
         if pool.rate:
@@ -261,7 +260,7 @@
             pool.rate = sample
 
     def _drop_late(self, pool: _Pool) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         for ticket in pool.queue.remove(lambda t: t.deadline <= now):
             message = 'the first token can no longer come before its deadline'
             self._refuse(ticket.item, exceptions.Code.DEADLINE, message, 0.5)
--- a/passpier/daemon/epochs.py
+++ b/passpier/daemon/epochs.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
+from passpier import clocks
 from passpier.core import members, shares
 from passpier.daemon import limits, messages, peers, storage
 
@@ -89,7 +89,7 @@
             await self.catch_up()
         if not self._is_proposer():
             return
-        asked_at = time.monotonic()
+        asked_at = clocks.now()
         listed = await self._storage.read_members()
         self._note_listed(listed, asked_at)
         self._add_members(listed)
@@ -131,7 +131,7 @@
         that was cut off for long does not, and may leave nobody out.
         """
         own = self._membership.own.incarnation
-        serving = {m.incarnation for m in self._membership.list_serving(time.monotonic())}
+        serving = {m.incarnation for m in self._membership.list_serving(clocks.now())}
         knowing = serving & self._limits.book.lasting_holders
         return self._is_newcomer() or own in (min(serving, default=own), min(knowing, default=''))
 
@@ -157,7 +157,7 @@
 
     def _find_vanished(self, unlisted: set[str]) -> set[str]:
         """Return the holders whose units may be given out again without word that they stopped."""
-        now = time.monotonic()
+        now = clocks.now()
         known = {i for i in unlisted if not self._limits.has_departed(i)}
         gone = {i for i in known if self._is_certainly_gone(i, now)}
         self._limits.note_peers()
@@ -169,7 +169,7 @@
         return gone - kept
 
     def _note_listed(self, listed: list[members.Member], asked_at: float) -> None:
-        if time.monotonic() - self._looked_at > LONGEST_GAP:
+        if clocks.now() - self._looked_at > LONGEST_GAP:
             self._unlisted_since.clear()
         self._looked_at = asked_at
         for member in listed:
--- a/passpier/daemon/events.py
+++ b/passpier/daemon/events.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import logging
-import time
 
 import msgspec
 import zmq
 import zmq.asyncio
 
+from passpier import clocks
 from passpier.clients import kvevents
 from passpier.config import declarations, directory
 from passpier.core import evictions, view
@@ -128,12 +128,12 @@
             log.warning('cache events not understood', extra={'upstream': self.name})
             return
         # Events come late; what they say is true of the time at which they were made.
-        age = max(0.0, time.time() - batch.ts)
+        age = max(0.0, clocks.read_time_of_day() - batch.ts)
         for event in batch.events:
             self._apply_event(key, event, age)
 
     def _apply_event(self, key: str, event: kvevents.Event, age: float) -> None:
-        made_at = time.monotonic() - age
+        made_at = clocks.now() - age
         cache = self._upstreams.cache
         if isinstance(event, kvevents.BlockStored):
             chain = self._translator.store(_read_stored(event))
--- a/passpier/daemon/fleet.py
+++ b/passpier/daemon/fleet.py
@@ -5,9 +5,9 @@
 import asyncio
 import logging
 import random
-import time
 from collections.abc import Callable
 
+from passpier import clocks
 from passpier.config import directory, settings
 from passpier.core import drain, members, rendezvous, shares
 from passpier.daemon import (
@@ -70,7 +70,7 @@
         self._caught_up = False
         self.configuration = configuration.Configuration(membership, link, shared, self._apply)
         self.epochs = epochs.Epochs(
-            membership, link, shared, account_limits, self._add_members, self._announce
+            membership, link, shared, account_limits, self._add_members, self.announce
         )
         self._handle_messages()
 
@@ -79,7 +79,7 @@
 
         `asked_at` is when a signal came, if the event loop has only got round to it now.
         """
-        now = time.monotonic()
+        now = clocks.now()
         if self.drain.began_at is not None:
             log.info('drain goes on', extra={'elapsed': round(now - self.drain.began_at, 3)})
             return
@@ -116,8 +116,8 @@
             for member in self.membership.choose_targets(self._rng):
                 self._peers.send(member.peer, beat)
             self.limits.tick()
-            self.membership.forget_gone(time.monotonic())
-            self._counters.members.set({}, len(self.membership.list_alive(time.monotonic())))
+            self.membership.forget_gone(clocks.now())
+            self._counters.members.set({}, len(self.membership.list_alive(clocks.now())))
             await asyncio.sleep(self.options.heartbeat * self._rng.uniform(0.9, 1.1))
 
     async def run_bootstrap(self) -> None:
@@ -163,7 +163,7 @@
         known = self.limits.epoch.number if self.limits.epoch else 0
         leaving = self.drain.began_at is not None
         self.membership.advance(
-            time.monotonic(),
+            clocks.now(),
             self.configuration.holder.number,
             confirmed.epoch,
             confirmed.revision,
@@ -173,7 +173,7 @@
 
     def _make_heartbeat(self) -> messages.Heartbeat:
         epoch = self.limits.epoch.number if self.limits.epoch else 0
-        digest = self.membership.make_digest(self._rng, time.monotonic())
+        digest = self.membership.make_digest(self._rng, clocks.now())
         return messages.Heartbeat(digest, self.configuration.holder.number, epoch)
 
     def _push(self, message: messages.AnyMessage) -> None:
@@ -181,7 +181,7 @@
             self._peers.send(member.peer, message)
 
     def _take_heartbeat(self, sender: str, address: str, message: messages.Heartbeat) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         unknown = self.membership.merge(message.beats, now)
         self.limits.settle()
         unknown = [i for i in unknown if not self.limits.has_departed(i)]
@@ -204,7 +204,7 @@
         self._add_members(message.members)
 
     def _add_members(self, found: list[members.Member]) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         for member in found:
             if self.limits.has_departed(member.incarnation):
                 continue
@@ -242,14 +242,14 @@
         for name, incarnation, version, blocks in message.holdings:
             if name in self.upstreams.replicas:
                 snapshot.append((name, f'{incarnation}/{version}', blocks))
-        self.upstreams.cache.absorb(snapshot, time.monotonic())
+        self.upstreams.cache.absorb(snapshot, clocks.now())
 
     def _get_register_interval(self) -> float:
         # Each answer is also the store's word that this daemon may spend its units.
         return min(self.options.lease_ttl, shares.FENCE_SECONDS) / 3
 
     async def _register(self) -> None:
-        asked_at = time.monotonic()
+        asked_at = clocks.now()
         renewed = await self.storage.register(self.membership.own)
         self._caught_up = self._caught_up and renewed
         if not self._caught_up:
@@ -266,10 +266,10 @@
             self._events.apply(config)
         self.limits.install(config)
         self._counters.revision.set({}, config.revision)
-        self._announce()
+        self.announce()
 
-    def _announce(self) -> None:
-        """Beat at once: this daemon has confirmed something new."""
+    def announce(self) -> None:
+        """Beat at once: this daemon has confirmed something new, or goes on after a suspension."""
         self._beat()
         self._push(self._make_heartbeat())
 
@@ -285,6 +285,6 @@
 
     def _is_watcher(self) -> bool:
         own = self.membership.own
-        alive = self.membership.list_alive(time.monotonic())
+        alive = self.membership.list_alive(clocks.now())
         names = [m.name for m in alive if m.failure_domain == own.failure_domain]
         return own.name in rendezvous.rank_names('watch', names)[:WATCHERS_PER_DOMAIN]
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -6,13 +6,12 @@
 import dataclasses
 import logging
 import random
-import time
 from collections.abc import AsyncGenerator
 from typing import Any
 
 import msgspec
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import engines, web
 from passpier.core import attempts, pace, replicas, retries, streams, view
 from passpier.daemon import calls, dispatcher, metrics, upstreams
@@ -191,7 +190,9 @@
         It ages: a less urgent request is overtaken only by what is sent shortly after it, or one
         service's flood would keep it waiting at the engine for good.
         """
-        number = int(time.time() * 1000) + self._call.service.priority * PRIORITY_STEP_MS
+        number = (
+            int(clocks.read_time_of_day() * 1000) + self._call.service.priority * PRIORITY_STEP_MS
+        )
         if self._owner.dispatcher.has_waiting(self._call):
             number += QUEUED_STEP_MS
         return number
@@ -225,7 +226,7 @@
     def _note_dispatched(self, replica: replicas.Replica, identity: engines.Identity) -> None:
         # From the first byte on the prompt is being computed there, whatever is cached now.
         key = f'{identity.incarnation}/{identity.weight_version}'
-        now = time.monotonic()
+        now = clocks.now()
         chain = self._call.job.chain
         self._owner.upstreams.cache.add(replica.name, key, chain, view.Evidence.DISPATCH, now)
 
@@ -263,7 +264,7 @@
 
     def _accept(self, chunk: engines.Chunk) -> Piece:
         assert self._placement is not None
-        now = time.monotonic()
+        now = clocks.now()
         call = self._call
         labels = {'service': call.service.name}
         if not self._last_at:
@@ -326,7 +327,7 @@
             job.chain,
             matched // job.block_tokens,
             cached_tokens // job.block_tokens,
-            time.monotonic(),
+            clocks.now(),
         )
 
     def _judge(self, error: web.ExchangeError) -> attempts.Fault:
@@ -348,7 +349,7 @@
             # The stream cannot be taken up; what is known of the attempt before still holds.
             fault = attempts.Fault.NO_ANSWER
             call.life.resumes = attempts.MAX_RESUMES
-        now = time.monotonic()
+        now = clocks.now()
         step = call.life.decide(fault, True)
         # A stream that has begun is finished whatever the budget: its caller has half an answer.
         if step is attempts.Step.RETRY and not self._owner.budget.spend(now):
--- a/passpier/daemon/intake.py
+++ b/passpier/daemon/intake.py
@@ -4,14 +4,13 @@
 
 import dataclasses
 import json
-import time
 import urllib.parse
 from typing import Annotated, Any, Literal
 
 import expression
 import pydantic
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.config import declarations, directory
 from passpier.core import attempts, blocks
 from passpier.daemon import calls
@@ -119,7 +118,7 @@
         service,
         request.path,
         config.find_policy(service.name, account.name),
-        time.monotonic(),
+        clocks.now(),
         attempts.Life(repeatable),
     )
     call.raw = request.body
--- a/passpier/daemon/limits.py
+++ b/passpier/daemon/limits.py
@@ -6,12 +6,11 @@
 import contextlib
 import dataclasses
 import logging
-import time
 import uuid
 
 import expression
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.config import directory
 from passpier.core import members, shares
 from passpier.daemon import messages, peers, storage
@@ -72,7 +71,7 @@
             self._borrowed.pop(unit.loan, None)
             self._peers.send(unit.lender, messages.Repay(unit.loan, tokens))
             return
-        self.book.charge(unit.account, tokens, time.monotonic())
+        self.book.charge(unit.account, tokens, clocks.now())
         self.book.release(unit.account)
 
     def install_epoch(self, epoch: storage.EpochRecord) -> bool:
@@ -80,7 +79,7 @@
         if self.epoch is not None and epoch.number <= self.epoch.number:
             return False
         if self.epoch is not None and epoch.took_over > self.epoch.number:
-            self._confirm_from[epoch.number] = time.monotonic() + shares.CONFIRM_SECONDS
+            self._confirm_from[epoch.number] = clocks.now() + shares.CONFIRM_SECONDS
         self.epoch = epoch
         own = self._membership.own
         for incarnation, seat in epoch.holders.items():
@@ -92,7 +91,7 @@
 
     def get_confirmable(self) -> shares.Generation:
         """Return the newest generation that this daemon may confirm."""
-        now = time.monotonic()
+        now = clocks.now()
         self._confirm_from = {n: at for n, at in self._confirm_from.items() if at > now}
         return self.book.get_confirmable(min(self._confirm_from, default=float('inf')))
 
@@ -104,7 +103,7 @@
     def _install_grant(self) -> None:
         if self.epoch is None or self._config is None:
             return
-        self.book.note_contact(time.monotonic())
+        self.book.note_contact(clocks.now())
         holders = {i: shares.Holder(seat[0], seat[1]) for i, seat in self.epoch.holders.items()}
         generation = shares.Generation(self.epoch.number, self._config.revision)
         self.book.install(
@@ -134,7 +133,7 @@
 
     def note_peers(self) -> None:
         """Take over when the holders were last heard; log when this daemon's contact is lost."""
-        now = time.monotonic()
+        now = clocks.now()
         self.book.note_contact(now)
         for incarnation in self.book.list_involved():
             beat = self._membership.get_beat(incarnation)
@@ -157,24 +156,24 @@
         confirmed = shares.NO_GRANT.generation
         if beat is not None:
             confirmed = shares.Generation(beat.epoch, beat.confirmed)
-        return self.book.may_drop(confirmed, time.monotonic())
+        return self.book.may_drop(confirmed, clocks.now())
 
     def note_departed(self, incarnation: str) -> None:
         """Note that a daemon has certainly stopped."""
         self.book.departed.add(incarnation)
-        self.book.drop_borrower(incarnation, time.monotonic())
+        self.book.drop_borrower(incarnation, clocks.now())
 
     def has_departed(self, incarnation: str) -> bool:
         """Return whether a daemon has certainly stopped."""
         return incarnation in self.book.departed
 
     async def _try_acquire(self, account: str) -> expression.Result[Unit, exceptions.Failure]:
-        if self.book.acquire(account, time.monotonic()):
+        if self.book.acquire(account, clocks.now()):
             return expression.Ok(Unit(account))
         retry_after = self.book.compute_retry_after(account)
         for incarnation in self.book.rank_lenders(account):
             member = self._membership.get(incarnation)
-            if member is None or member not in self._membership.list_alive(time.monotonic()):
+            if member is None or member not in self._membership.list_alive(clocks.now()):
                 continue
             unit, after = await self._borrow(account, member.peer)
             if unit is not None:
@@ -206,7 +205,7 @@
         return None, answer.retry_after if isinstance(answer, messages.Lent) else 0.0
 
     def _lend(self, sender: str, address: str, message: messages.Borrow) -> None:
-        granted = self.book.lend(message.loan, message.account, sender, time.monotonic())
+        granted = self.book.lend(message.loan, message.account, sender, clocks.now())
         retry_after = self.book.compute_retry_after(message.account)
         self._peers.send(address, messages.Lent(message.loan, granted, retry_after))
 
@@ -215,10 +214,10 @@
             self._peers.send(address, messages.Repay(message.loan, 0))
 
     def _take_back(self, sender: str, address: str, message: messages.Repay) -> None:
-        self.book.repay(message.loan, message.tokens, time.monotonic())
+        self.book.repay(message.loan, message.tokens, clocks.now())
 
     def _reconcile(self, sender: str, address: str, message: messages.Loans) -> None:
-        self.book.reconcile(sender, set(message.loans), time.monotonic())
+        self.book.reconcile(sender, set(message.loans), clocks.now())
 
     def _get_confirmed(self, incarnation: str) -> shares.Generation | None:
         if incarnation == self._membership.own.incarnation:
--- a/passpier/daemon/loads.py
+++ b/passpier/daemon/loads.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Mapping
 from typing import Protocol
 
+from passpier import clocks
 from passpier.core import lives, members, replicas
 from passpier.daemon import messages, peers
 
@@ -74,11 +74,11 @@
         others: list[members.Member] = []
         while True:
             await asyncio.sleep(self._choose_pause(len(others)))
-            others = self._membership.list_interested(time.monotonic())
+            others = self._membership.list_interested(clocks.now())
             complete = len(others) < MAX_PEERS
             for replica in self._upstreams.replicas.values():
                 replica.peers_complete = complete
-            message = self._choose_message(time.monotonic())
+            message = self._choose_message(clocks.now())
             if complete and message is not None:
                 self._peers.send_all([m.peer for m in others], message)
 
@@ -107,7 +107,7 @@
         return abs(running - told_running) >= max(1, slots * CHANGED_SLOTS)
 
     def _choose_pause(self, peers: int) -> float:
-        if not self._sent and self._membership.is_standing_by(time.monotonic()):
+        if not self._sent and self._membership.is_standing_by(clocks.now()):
             return max(self._interval, STANDBY_INTERVAL)
         return self._interval * max(1.0, peers / USUAL_PEERS)
 
@@ -119,7 +119,7 @@
         }
 
     def _take(self, sender: str, address: str, message: messages.Loads) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         known = self._upstreams.replicas
         named = set()
         for name, mark, tokens, running in message.loads:
--- a/passpier/daemon/logs.py
+++ b/passpier/daemon/logs.py
@@ -5,11 +5,12 @@
 import logging
 import os
 import sys
-import time
 from typing import Any, TextIO
 
 import pythonjsonlogger.json
 
+from passpier import clocks
+
 LINES_PER_SECOND = 400.0
 """Lines written in the long run; a daemon under full load makes about five a request."""
 
@@ -27,14 +28,14 @@
         super().__init__()
         self._descriptor = descriptor
         self._allowance = LINES_AT_ONCE
-        self._updated_at = time.monotonic()
+        self._updated_at = clocks.now()
         self._rest = b''
         self.left_out = 0
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a line, if the bounds allow it."""
-        now = time.monotonic()
+        now = clocks.now()
         earned = (now - self._updated_at) * LINES_PER_SECOND
         self._allowance = min(LINES_AT_ONCE, self._allowance + earned)
         self._updated_at = now
--- a/passpier/daemon/main.py
+++ b/passpier/daemon/main.py
@@ -9,14 +9,13 @@
 import random
 import signal
 import sys
-import time
 from collections.abc import Sequence
 
 import tornado.httpserver
 import tornado.netutil
 import uuid_utils
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import engines, store, web
 from passpier.config import settings
 from passpier.core import drain, members
@@ -34,6 +33,7 @@
     peers,
     placement,
     plain,
+    resuming,
     service,
     storage,
     tasks,
@@ -60,7 +60,7 @@
         self.options = options
         self._interrupted = False
         rng = random.Random(options.seed or None)
-        counters = metrics.Metrics()
+        counters = self.counters = metrics.Metrics()
         self._caller_sockets = tornado.netutil.bind_sockets(options.caller_port, options.ip)
         self._operator_sockets = tornado.netutil.bind_sockets(options.operator_port, options.ip)
         incarnation = uuid_utils.uuid7().hex
@@ -73,7 +73,7 @@
             self.peers.port,
             options.failure_domain,
         )
-        membership = members.Membership(own, options.heartbeat, time.monotonic())
+        membership = members.Membership(own, options.heartbeat, clocks.now())
         self.client = web.Client()
         engine_client = engines.HttpEngines(self.client)
         self.upstreams = upstreams.Upstreams(
@@ -118,6 +118,7 @@
             self.upstreams.run_vm_list(),
             self.placement.run(),
             self.loads.run(),
+            resuming.watch(self.counters, self.fleet.announce),
         ]
         running = [tasks.start(job) for job in jobs]
         servers = self._listen()
@@ -154,9 +155,9 @@
             'stopped with requests running',
             extra={'cut': self.service.in_flight, 'hurried': self.fleet.drain.hurried},
         )
-        end = time.monotonic() + LAST_ANSWERS
+        end = clocks.now() + LAST_ANSWERS
         await self.service.cut(LAST_ANSWERS / 2)
-        while self.service.in_flight and time.monotonic() < end:
+        while self.service.in_flight and clocks.now() < end:
             await asyncio.sleep(STOP_CHECK)
         if self.service.in_flight:
             log.warning('answers not taken', extra={'left': self.service.in_flight})
@@ -198,7 +199,7 @@
 
     def _note_stop(self, loop: asyncio.AbstractEventLoop, number: int, frame: object) -> None:
         """Have the stop begin; called by the interpreter itself, also while the loop is late."""
-        loop.call_soon_threadsafe(self.fleet.begin_drain, time.monotonic())
+        loop.call_soon_threadsafe(self.fleet.begin_drain, clocks.now())
 
     def _interrupt(self) -> None:
         """Stop for a person at a terminal, who may ask a second time not to wait."""
@@ -221,7 +222,7 @@
             print(f'passpierd: {finding}', file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     logs.configure_logging(options.log_level, options.log_format, options.name)
-    asyncio.run(_run(options))
+    clocks.run(_run(options))
 
 
 async def _run(options: settings.Settings) -> None:
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -68,6 +68,9 @@
         self.wasted_tokens = _build_counter(
             registry, 'passpier_wasted_tokens_total', 'Tokens computed though held elsewhere.'
         )
+        self.suspended_seconds = _build_counter(
+            registry, 'passpier_suspended_seconds_total', 'Seconds for which the VM was suspended.'
+        )
         self.retries = _build_counter(
             registry, 'passpier_retries_total', 'Further attempts, by step.'
         )
--- a/passpier/daemon/once.py
+++ b/passpier/daemon/once.py
@@ -5,13 +5,12 @@
 import asyncio
 import hashlib
 import logging
-import time
 import uuid
 from collections.abc import Awaitable, Callable
 
 import msgspec
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import store as store_clients
 from passpier.core import claims, members
 from passpier.daemon import answers, calls, messages, peers
@@ -74,7 +73,7 @@
         """Return the answer of a call with a key; raises `RequestFailedError`."""
         key = claims.parse_key(call.key)
         if isinstance(key, claims.Opaque):
-            return await self._run_here(call, time.time(), True)
+            return await self._run_here(call, clocks.read_time_of_day(), True)
         if key.incarnation == self._membership.own.incarnation:
             return await self._run_here(call, key.made_at, False)
         return await self._forward(call, key.incarnation)
@@ -90,7 +89,7 @@
 
     async def _run_here(self, call: calls.Call, made_at: float, opaque: bool) -> answers.Answer:
         name = f'{call.account.name}/{call.key}'
-        verdict = self._table.begin(name, made_at, time.time())
+        verdict = self._table.begin(name, made_at, clocks.read_time_of_day())
         if verdict is claims.Verdict.RUN and (self._stopped or not self._admit(call)):
             self._table.fail(name, False)
             # Of an opaque key others may know more.
@@ -217,7 +216,7 @@
         An empty string stands for this incarnation's own claim from before what its table
         remembers. Raises `StoreError` if the store does not settle it.
         """
-        record = ClaimRecord(self._incarnation, uuid.uuid4().hex, time.time())
+        record = ClaimRecord(self._incarnation, uuid.uuid4().hex, clocks.read_time_of_day())
         for attempt in range(CLAIM_TRIES):
             try:
                 await self._write(name, record)
@@ -297,7 +296,7 @@
                 await self._write_group([item])
 
     async def _get_lease(self) -> int:
-        now = time.monotonic()
+        now = clocks.now()
         if now - self._leased_at > CLAIM_LEASE_SECONDS:
             self._lease = await self._store.grant(CLAIM_TTL)
             self._leased_at = now
--- a/passpier/daemon/operators.py
+++ b/passpier/daemon/operators.py
@@ -4,7 +4,6 @@
 
 import hmac
 import logging
-import time
 import uuid
 from typing import Any
 
@@ -13,7 +12,7 @@
 import pydantic
 import tornado.web
 
-from passpier import __version__, exceptions
+from passpier import __version__, clocks, exceptions
 from passpier.config import loader, schema
 from passpier.core import revisions
 from passpier.daemon import messages, peers, service
@@ -80,7 +79,7 @@
     async def status(self) -> jsonrpcserver.Result:
         """Return daemons and upstreams as this daemon sees them."""
         fleet = self._app.fleet
-        now = time.monotonic()
+        now = clocks.now()
         alive = set(fleet.membership.list_alive(now))
         daemons = []
         for member in sorted(fleet.membership.list_known(), key=lambda m: m.name):
--- a/passpier/daemon/placement.py
+++ b/passpier/daemon/placement.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import logging
-import time
 
+from passpier import clocks
 from passpier.clients import engines, web
 from passpier.config import directory
 from passpier.core import orders
@@ -43,7 +43,7 @@
         if not fence:
             self._book = None
             return
-        now = time.monotonic()
+        now = clocks.now()
         if self._book is None or self._book.fence != fence:
             self._book = orders.OrderBook(fence, now)
         self._book.expire(now)
--- a/passpier/daemon/plain.py
+++ b/passpier/daemon/plain.py
@@ -5,9 +5,8 @@
 import asyncio
 import logging
 import random
-import time
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import web
 from passpier.core import attempts, replicas, retries
 from passpier.daemon import answers, calls, dispatcher, metrics, upstreams
@@ -81,7 +80,7 @@
             raise
         except web.ExchangeError as error:
             return attempts.Fault.NO_ANSWER if error.sent else attempts.Fault.NOT_CONNECTED
-        replicas.note_first_token(placement.replica, placement.attempt, time.monotonic())
+        replicas.note_first_token(placement.replica, placement.attempt, clocks.now())
         if answer.status == 503 and answer.headers.get('X-Outcome') == 'not_run':
             return attempts.Fault.REFUSED
         if answer.status >= 500:
@@ -95,7 +94,7 @@
     ) -> None:
         self._upstreams.note_failure(placement.replica)
         step = call.life.decide(fault, True)
-        if step is not attempts.Step.FAIL and not self._budget.spend(time.monotonic()):
+        if step is not attempts.Step.FAIL and not self._budget.spend(clocks.now()):
             step = attempts.Step.FAIL
         self._counters.retries.inc({'step': step.value})
         log.warning(
--- a/passpier/daemon/service.py
+++ b/passpier/daemon/service.py
@@ -6,13 +6,12 @@
 import contextlib
 import dataclasses
 import logging
-import time
 from collections.abc import AsyncGenerator
 from typing import Protocol
 
 import msgspec
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import engines
 from passpier.core import blocks, drain, entries
 from passpier.daemon import (
@@ -67,7 +66,7 @@
         self._generator = generator
         self._plain = plain_caller
         self._peers = link
-        self._started_at = time.monotonic()
+        self._started_at = clocks.now()
         self._once = once.Once(
             own.membership,
             link,
@@ -94,7 +93,7 @@
         stop = self.fleet.drain
         if stop.began_at is None:
             return True
-        now = time.monotonic()
+        now = clocks.now()
         seconds = self._estimate_seconds(call)
         left = stop.began_at + stop.bound - now
         if seconds <= left and stop.takes(now):
@@ -145,15 +144,15 @@
         """Return how far a planned stop has come."""
         # A unit that is still lent must outlast its loan, or others would get it twice.
         busy = self.in_flight + self.fleet.limits.book.count_loans()
-        return self.fleet.drain.get_phase(busy, time.monotonic())
+        return self.fleet.drain.get_phase(busy, clocks.now())
 
     def get_uptime(self) -> float:
         """Return the seconds since the start."""
-        return time.monotonic() - self._started_at
+        return clocks.now() - self._started_at
 
     def rank_entries(self, account: str) -> list[entries.Entry]:
         """Return the entries of an account."""
-        serving = self.fleet.membership.list_serving(time.monotonic())
+        serving = self.fleet.membership.list_serving(clocks.now())
         return entries.rank_entries(account, serving, self.fleet.options.entry_count)
 
     def complete_failure(self, failure: exceptions.Failure, id: str) -> exceptions.Failure:
--- a/passpier/daemon/storage.py
+++ b/passpier/daemon/storage.py
@@ -7,14 +7,13 @@
 import functools
 import logging
 import random
-import time
 import zlib
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import msgspec
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import store as store_clients
 from passpier.core import members, revisions
 
@@ -202,7 +201,7 @@
             await asyncio.sleep(bound * self._rng.uniform(0.5, 1.0))
 
     def _note_answer(self) -> None:
-        self.renewed_at = time.monotonic()
+        self.renewed_at = clocks.now()
         self.available = True
 
     async def _retry(self, call: Callable[[], Awaitable[T]]) -> T:
--- a/passpier/daemon/upstreams.py
+++ b/passpier/daemon/upstreams.py
@@ -5,11 +5,11 @@
 import asyncio
 import collections
 import logging
-import time
 from collections.abc import Mapping
 
 import msgspec
 
+from passpier import clocks
 from passpier.clients import engines, web
 from passpier.config import directory
 from passpier.core import ejection, replicas, view
@@ -88,7 +88,7 @@
 
     def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
         """Return the upstreams of a pool that take new work and serve the wanted weights."""
-        now = time.monotonic()
+        now = clocks.now()
         members = [self.replicas[n] for n in self.pools.get(pool, ()) if n in self.replicas]
         usable = {
             r.name: r
@@ -121,17 +121,17 @@
         self._note_incarnation(replica, identity.incarnation, identity.weight_version, 0)
         if identity.load is not None:
             running, waiting, backlog = identity.load
-            replica.report = replicas.Report(running, waiting, backlog, time.monotonic())
+            replica.report = replicas.Report(running, waiting, backlog, clocks.now())
 
     def note_failure(self, replica: replicas.Replica) -> None:
         """Count a failed attempt against a replica."""
-        if self.ejector.note_failure(replica.name, time.monotonic()):
+        if self.ejector.note_failure(replica.name, clocks.now()):
             log.warning('upstream ejected', extra={'upstream': replica.name})
 
     async def run_polls(self) -> None:
         """Ask for load reports, oldest first, a bounded number a round."""
         while True:
-            now = time.monotonic()
+            now = clocks.now()
             due = [
                 name
                 for name, replica in self.replicas.items()
@@ -162,7 +162,7 @@
 
     async def _poll(self, name: str) -> None:
         replica = self.replicas[name]
-        self._polled_at[name] = time.monotonic()
+        self._polled_at[name] = clocks.now()
         try:
             report = await self._engines.report(replica.address)
         except web.ExchangeError:
@@ -171,7 +171,7 @@
         self._note_incarnation(replica, report.incarnation, report.weight_version, report.capacity)
         replica.slots = report.slots
         replica.report = replicas.Report(
-            report.running, report.waiting, report.backlog, time.monotonic()
+            report.running, report.waiting, report.backlog, clocks.now()
         )
         self._set_leaving(replica, 'report', report.leaving)
 
@@ -205,7 +205,7 @@
             )
 
     def _count_states(self) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         states = {'serving': 0, 'leaving': 0, 'ejected': 0}
         for replica in self.replicas.values():
             if replica.leaving:
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -12,7 +12,7 @@
 import sys
 from collections.abc import Mapping
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import connections
 from passpier.daemon import logs
 from passpier.platform import dialect as wire
@@ -163,4 +163,4 @@
             print(f'passpier: {finding}', file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     logs.configure_logging(level, 'json', read.node_name, sys.stdout)
-    asyncio.run(run(path, stamp, read, metrics_port))
+    clocks.run(run(path, stamp, read, metrics_port))
--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -5,14 +5,13 @@
 import base64
 import binascii
 import logging
-import time
 import urllib.parse
 from collections.abc import Sequence
 from typing import Any
 
 import msgspec
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import connections, exchanges, registry
 from passpier.platform import records
 
@@ -58,7 +57,7 @@
 
     async def read(self, prefix: str) -> registry.Reading:
         """Return all items under a prefix, page by page."""
-        sent_at = time.monotonic()
+        sent_at = clocks.now()
         items: dict[str, registry.Item] = {}
         revision: int | None = None
         after = ''
@@ -77,12 +76,12 @@
 
     async def watch(self, prefix: str, after: int, wait: float) -> registry.Changes:
         """Return the changes behind a revision, at the latest after `wait` seconds."""
-        sent_at = time.monotonic()
+        sent_at = clocks.now()
         query = {'path_prefix': prefix, 'after': str(after), 'wait_ms': str(int(wait * 1000))}
         answer = await self._call('GET', '/kv-watch', query, timeout=wait + CALL_TIMEOUT)
         told = records.decode(answer, _Watch)
         items = tuple(_convert(i) for i in told.events)
-        return registry.Changes(items, told.store_revision, sent_at, time.monotonic())
+        return registry.Changes(items, told.store_revision, sent_at, clocks.now())
 
     async def write(
         self, puts: Sequence[registry.Put], conditions: Sequence[registry.IsAt] = ()
--- a/passpier/routing/following.py
+++ b/passpier/routing/following.py
@@ -5,9 +5,8 @@
 import asyncio
 import logging
 import random
-import time
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import registry
 from passpier.core import retries
 from passpier.routing import knowledge, relaying
@@ -56,7 +55,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            now = time.monotonic()
+            now = clocks.now()
             if not self._relay.should_read(now):
                 self.reachable = False
                 self._failures = 0
@@ -75,13 +74,13 @@
         """Read everything, or watch once."""
         if self._whole:
             reading = await self._source.read(EVERYTHING)
-            self._known.take_reading(reading, time.monotonic())
+            self._known.take_reading(reading, clocks.now())
             self._whole = False
             self._note_answer()
             return
-        wait = self._known.freshness.choose_wait(time.monotonic(), self._rng.random())
+        wait = self._known.freshness.choose_wait(clocks.now(), self._rng.random())
         changes = await self._source.watch(EVERYTHING, self._known.revision, wait)
-        now = time.monotonic()
+        now = clocks.now()
         self._known.take_changes(changes, wait, now)
         self._known.expire(now)
         self._note_answer()
@@ -96,11 +95,11 @@
                 extra={'revision': self._known.revision, 'failures': self._failures},
             )
             if self._failures:
-                self._known.catalogue.note_disturbance(time.monotonic())
+                self._known.catalogue.note_disturbance(clocks.now())
         self._failures = 0
 
     async def _note_failure(self, error: exceptions.StoreError) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         self._known.catalogue.note_disturbance(now)
         self._failures += 1
         if self.reachable or self._failures == 1:
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -6,10 +6,9 @@
 import collections
 import dataclasses
 import logging
-import time
 from collections.abc import Awaitable
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import connections, exchanges
 from passpier.core import (
     attempts,
@@ -185,7 +184,7 @@
 
     async def run(self) -> None:
         """Answer the request, one way or the other; raises `ClientGoneError`."""
-        started = time.monotonic()
+        started = clocks.now()
         try:
             await self._answer()
         except _NotReadError:
@@ -196,7 +195,7 @@
                 raise
             await self._end(503, 'stopping', 'this process stops', RETRY_AFTER_STOPPING)
         finally:
-            self._log_end(time.monotonic() - started)
+            self._log_end(clocks.now() - started)
 
     async def _answer(self) -> None:
         """Try until there is an answer or a reason why there is none."""
@@ -230,7 +229,7 @@
                 'born': self._last.born,
                 'seconds': round(seconds, 4),
                 'configuration_age': round(
-                    self._owner.known.freshness.compute_age(time.monotonic()), 3
+                    self._owner.known.freshness.compute_age(clocks.now()), 3
                 ),
             },
         )
@@ -271,7 +270,7 @@
         admitted = self._admitted
         if not self._may_use_key():
             raise _WithheldError
-        time_left = admitted.ends_at - time.monotonic()
+        time_left = admitted.ends_at - clocks.now()
         if time_left <= 0:
             await self._end(503, 'no_time', 'no time was left for an attempt', RETRY_AFTER)
             return
@@ -335,7 +334,7 @@
 
     async def _relay(self, reader: reading.Reader, placement: dispatcher.Placement) -> None:
         head = await self._read_head(reader)
-        now = time.monotonic()
+        now = clocks.now()
         verdict = self._judge(head, placement)
         if verdict is dialect.Verdict.FAILURE:
             answer = await reader.read_whole()
@@ -352,7 +351,7 @@
         self._owner.suspects.note_well(self._admitted.fingerprint)
 
     async def _read_head(self, reader: reading.Reader) -> exchanges.Head:
-        left = self._admitted.ends_at - time.monotonic()
+        left = self._admitted.ends_at - clocks.now()
         life = self._call.life
         may_follow = life.repeatable and life.attempts < life.max_attempts
         wait = left * ATTEMPT_SHARE if may_follow else left
@@ -407,7 +406,7 @@
         can_move = life.continuable and life.delivered > 0
         gap = max(EVENT_GAP_MIN, self._admitted.route.event_gap * EVENT_GAP_FACTOR)
         while True:
-            left = self.ends_at - time.monotonic()
+            left = self.ends_at - clocks.now()
             wait = min(left, gap) if can_move else left
             try:
                 return await reader.read_part(wait)
@@ -422,7 +421,7 @@
         budget = self._owner.get_budget(self._service)
         return (
             life.attempts < life.max_attempts
-            and budget.has_any(time.monotonic(), self._owner.daemons)
+            and budget.has_any(clocks.now(), self._owner.daemons)
             and self._owner.dispatcher.has_place(self._call, {*self._excluded, self.upstream})
         )
 
@@ -450,7 +449,7 @@
     async def _deliver(self, sending: Awaitable[None]) -> None:
         """Wait until a part of the answer is out; raises `_NotReadError`."""
         try:
-            async with asyncio.timeout(max(0.0, self.ends_at - time.monotonic()) + UNREAD_GRACE):
+            async with asyncio.timeout(max(0.0, self.ends_at - clocks.now()) + UNREAD_GRACE):
                 await sending
         except TimeoutError as error:
             raise _NotReadError from error
@@ -458,7 +457,7 @@
     async def _go_on(self, error: reading.AttemptError) -> bool:
         """Decide what follows a failed attempt; return whether there is another one."""
         life = self._call.life
-        now = time.monotonic()
+        now = clocks.now()
         if error.fault is not attempts.Fault.REFUSED:
             self._owner.pools.note_failure(self._last)
         if error.broken_off and not self._owner.pools.has_left(self._last):
@@ -523,7 +522,7 @@
             return
         status = 503
         if self._call.life.outcome is not exceptions.Outcome.NOT_RUN:
-            status = 504 if time.monotonic() >= self._admitted.ends_at else 502
+            status = 504 if clocks.now() >= self._admitted.ends_at else 502
         retry_after = RETRY_AFTER_FAILURE if status == 503 else None
         await self._end(status, error.fault.value, str(error), retry_after)
 
@@ -552,4 +551,4 @@
         """Return whether the client's key is certainly still good."""
         if self._admitted.account is None or not self._owner.options.keys_expire:
             return True
-        return self._owner.known.freshness.is_fresh(time.monotonic())
+        return self._owner.known.freshness.is_fresh(clocks.now())
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable, Sequence
 
 import tornado.http1connection
@@ -12,6 +11,7 @@
 import tornado.httputil
 import tornado.iostream
 
+from passpier import clocks
 from passpier.core import rates
 from passpier.daemon import metrics
 from passpier.routing import answering, clients, dialect, forwarding, knowledge, requests
@@ -133,7 +133,7 @@
         self.stopping = False
         """Whether each answer is the last one on its connection, so that clients go elsewhere."""
 
-        self.active_at = time.monotonic()
+        self.active_at = clocks.now()
         """When a request last came or ended."""
 
         self.clients = clients.Clients()
@@ -190,7 +190,7 @@
         headers: tornado.httputil.HTTPHeaders,
     ) -> None:
         """Take the head."""
-        self._arrived_at = time.monotonic()
+        self._arrived_at = clocks.now()
         self._owner.clients.note_request(self._connection.stream)
         self._owner.coming.add(self)
         assert isinstance(start_line, tornado.httputil.RequestStartLine)
@@ -229,7 +229,7 @@
                 'answer_begun': self._client.started,
                 'upstream': run.upstream if run else '',
                 'sent': bool(run and run.sent),
-                'time_left': round(run.ends_at - time.monotonic(), 3) if run else 0.0,
+                'time_left': round(run.ends_at - clocks.now(), 3) if run else 0.0,
             },
         )
         assert self._work is not None, 'what is under way has a task'
@@ -249,7 +249,7 @@
     async def _serve(self) -> None:
         owner = self._owner
         owner.meter.note()
-        owner.active_at = time.monotonic()
+        owner.active_at = clocks.now()
         id = self._ask.id if self._ask else ''
         try:
             await self._answer()
@@ -265,9 +265,9 @@
             log.exception('request failed inside', extra={'request': id})
             self._client.abort()
         finally:
-            owner.active_at = time.monotonic()
+            owner.active_at = clocks.now()
             owner.counters.answer_seconds.observe(
-                {'status': str(self._client.status)}, time.monotonic() - self._arrived_at
+                {'status': str(self._client.status)}, clocks.now() - self._arrived_at
             )
 
     async def _answer(self) -> None:
@@ -306,7 +306,7 @@
 
     def _refuse_unknown(self, status: int, reason: str, message: str) -> answering.Refusal:
         """Refuse for good only if a newer configuration cannot say otherwise."""
-        age = self._owner.known.freshness.compute_age(time.monotonic())
+        age = self._owner.known.freshness.compute_age(clocks.now())
         if age > SURE_AGE:
             return _refuse_for_now(f'{message}, by a configuration proved {age:.1f} s ago')
         return answering.Refusal(status, reason, message)
--- a/passpier/routing/knowledge.py
+++ b/passpier/routing/knowledge.py
@@ -5,10 +5,9 @@
 import dataclasses
 import logging
 import math
-import time
 from collections.abc import Callable, Mapping, Sequence
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import registry
 from passpier.core import catalogue, freshness, lives, routes
 from passpier.routing import dialect, history, pools
@@ -206,7 +205,7 @@
                 'revision': revision,
                 'routes': len(configuration.routes),
                 'accounts': len(configuration.accounts),
-                'age': round(self.freshness.compute_age(time.monotonic()), 3),
+                'age': round(self.freshness.compute_age(clocks.now()), 3),
             },
         )
 
--- a/passpier/routing/marks.py
+++ b/passpier/routing/marks.py
@@ -9,11 +9,10 @@
 
 import asyncio
 import logging
-import time
 
 import msgspec
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import registry
 from passpier.core import crashes, fingerprints, lives
 from passpier.routing import knowledge, suspects
@@ -111,7 +110,7 @@
         """Write what was seen here since the last time; raises `StoreError`."""
         if not self._waiting:
             return
-        now = time.monotonic()
+        now = clocks.now()
         if now - self._granted_at > LEASE_USED:
             self._lease = await self._source.grant(LEASE)
             self._granted_at = now
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -4,9 +4,9 @@
 
 import logging
 import math
-import time
 from collections.abc import Callable, Mapping, Sequence
 
+from passpier import clocks
 from passpier.core import (
     catalogue,
     ejection,
@@ -136,7 +136,7 @@
         known = self.namings.get(model)
         if known is None or known.merge(told) < GAIN_LOGGED:
             return
-        now = time.monotonic()
+        now = clocks.now()
         ages = {n.version: _compute_age(n, now) for n in known.known}
         log.info('weights named later', extra={'model': model, 'ages': ages})
 
@@ -177,7 +177,7 @@
         version = versions.get(self._models.get(life.id, ''), 0)
         if replica is None or not version:
             return
-        age = time.monotonic() - replica.weights_learnt_at
+        age = clocks.now() - replica.weights_learnt_at
         if age > REPORT_LAG and version < int(replica.weight_version or 0):
             self._set_version(replica, version, 'report of older weights')
         else:
@@ -186,7 +186,7 @@
     def _set_version(self, replica: replicas.Replica, version: int, source: str) -> None:
         life = replica.life
         replica.weight_version = str(version)
-        replica.weights_learnt_at = time.monotonic()
+        replica.weights_learnt_at = clocks.now()
         self.resume(life, pauses.Pause.LOADING, version)
         capacity = self.cache.get_capacity(life.id)
         self.cache.set_incarnation(life.id, identify_cache(life, str(version)), capacity)
@@ -215,7 +215,7 @@
         if replica is None:
             return
         known = self._pauses[life.id]
-        known.begin(why, time.monotonic() + seconds, version)
+        known.begin(why, clocks.now() + seconds, version)
         replica.paused_until = known.until
         log.info(
             'upstream paused',
@@ -244,7 +244,7 @@
         """Return the upstreams of a pool that may begin a request now or shortly."""
         if pool not in self._services:
             return []
-        now = time.monotonic()
+        now = clocks.now()
         usable = {}
         incomplete = self._incomplete.get(pool, ())
         for name in self._pools.get(pool, ()):
@@ -271,12 +271,12 @@
         fields |= {'weight_version': version, 'named_version': known.newest}
         naming = known.get_outdated(version)
         if naming is not None:
-            fields['outdated_for'] = _compute_age(naming, time.monotonic())
+            fields['outdated_for'] = _compute_age(naming, clocks.now())
         return fields
 
     def note_failure(self, life: lives.Life) -> None:
         """Count a failed attempt against a replica."""
-        if self.find(life) and self.ejector.note_failure(life.id, time.monotonic()):
+        if self.find(life) and self.ejector.note_failure(life.id, clocks.now()):
             log.warning('upstream ejected', extra={'upstream': life.id, 'born': life.born})
 
     def note_success(self, life: lives.Life) -> None:
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -13,9 +13,9 @@
 import asyncio
 import logging
 import math
-import time
 from collections.abc import Callable
 
+from passpier import clocks
 from passpier.clients import exchanges
 from passpier.core import lives, pauses
 from passpier.daemon import messages
@@ -63,7 +63,7 @@
     def note_heard(self, life: lives.Life) -> None:
         """Note a sign of life."""
         if self._pools.find(life) is not None:
-            self._heard[life.id] = (life, time.monotonic())
+            self._heard[life.id] = (life, clocks.now())
 
     def is_silent(self, name: str) -> bool:
         """Return whether a replica gives no sign of life."""
@@ -77,7 +77,7 @@
         """Ask a replica, unless it was heard from within `patience` seconds or is being asked."""
         if life in self._tasks or self._pools.find(life) is None:
             return
-        if time.monotonic() - self._get_heard_at(life) < patience:
+        if clocks.now() - self._get_heard_at(life) < patience:
             return
         self._ended[life] = asyncio.get_running_loop().create_future()
         task = asyncio.ensure_future(self._ask(life))
@@ -96,7 +96,7 @@
 
         It may have started again, or loaded others by an order that came late.
         """
-        now = time.monotonic()
+        now = clocks.now()
         first = self._refused.get(life.id)
         if first is None or first[:2] != (life, version):
             self._refused[life.id] = (life, version, now)
@@ -151,7 +151,7 @@
         self._pools.silent.add(life.id)
         self._tell(messages.Silent(life.id, life.born))
         heard_at = self._get_heard_at(life)
-        age = round(time.monotonic() - heard_at, 3) if math.isfinite(heard_at) else None
+        age = round(clocks.now() - heard_at, 3) if math.isfinite(heard_at) else None
         log.warning(
             'upstream silent',
             extra={
--- a/passpier/routing/reading.py
+++ b/passpier/routing/reading.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+from passpier import clocks
 from passpier.clients import exchanges
 from passpier.core import attempts, lives
 from passpier.routing import probing
@@ -77,7 +77,7 @@
         """Return the whole answer, before the client's time is over."""
         whole = asyncio.ensure_future(self._exchange.read_all(WHOLE_MAX))
         try:
-            for seconds in (max(0.0, self._ends_at - time.monotonic()), LAST_LOOK):
+            for seconds in (max(0.0, self._ends_at - clocks.now()), LAST_LOOK):
                 await asyncio.wait([whole], timeout=seconds)
                 if whole.done():
                     return whole.result()
@@ -91,10 +91,10 @@
         self, read: Callable[[], Awaitable[T]], wait: float, fault: attempts.Fault
     ) -> T:
         """Return what `read` gives within `wait` seconds, from a replica that shows life."""
-        ends_at = time.monotonic() + max(0.0, wait)
+        ends_at = clocks.now() + max(0.0, wait)
         noted = looked = False
         while True:
-            left = ends_at - time.monotonic()
+            left = ends_at - clocks.now()
             try:
                 async with asyncio.timeout(max(0.0, min(left, probing.SUSPECT_AFTER))):
                     got = await read()
@@ -103,7 +103,7 @@
                     if looked:
                         raise PauseError(fault, 'no answer in time') from error
                     looked = True
-                    ends_at = time.monotonic() + LAST_LOOK
+                    ends_at = clocks.now() + LAST_LOOK
                     continue
                 if self._prober.has_started_again(self._life):
                     text = 'the replica has started again'
--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -11,11 +11,11 @@
 import asyncio
 import logging
 import random
-import time
 import zlib
 
 import msgspec
 
+from passpier import clocks
 from passpier.clients import registry
 from passpier.core import members, namings, readers
 from passpier.daemon import messages, peers
@@ -91,7 +91,7 @@
         """Ask until cancelled."""
         while True:
             await asyncio.sleep(ASK_INTERVAL * self._rng.uniform(0.9, 1.1))
-            now = time.monotonic()
+            now = clocks.now()
             self._known.expire(now)
             self.ask(now)
 
@@ -113,7 +113,7 @@
         self._peers.send_all(addresses, question)
 
     def _answer(self, sender: str, address: str, message: messages.ProofWanted) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         known = self._known
         weights = [export_namings(m, n, now) for m, n in known.pools.namings.items()]
         news = history.News((), False)
@@ -134,7 +134,7 @@
         self._peers.send(address, answer)
 
     def _take(self, sender: str, address: str, message: messages.Proof) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         known = self._known
         if message.items or message.whole:
             news = history.News(decode_items(message.items), message.whole)
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -6,11 +6,10 @@
 import contextlib
 import logging
 import random
-import time
 from collections.abc import Coroutine
 from typing import Any
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import exchanges, registry
 from passpier.core import holders, pauses, replicas, rollout
 from passpier.daemon import messages, peers
@@ -100,7 +99,7 @@
     async def run_orders(self) -> None:
         """Give orders while this process may, until cancelled."""
         while not self._stopped:
-            now = time.monotonic()
+            now = clocks.now()
             if self.holder.may_order(now):
                 wanted = self._pools.list_wanted()
                 for order in self._rollout.choose(wanted, self._pools.list_states(), now):
@@ -132,7 +131,7 @@
         await asyncio.sleep(self._choose_delay())
         if self._key in self._known.members:
             return
-        sent_at = time.monotonic()
+        sent_at = clocks.now()
         lease = await self._source.grant(self.holder.lease_ttl)
         last = self._known.members.get(self._last_key)
         name = self._name.encode()
@@ -148,9 +147,9 @@
             return
         # The condition held, so that the election before is the one that the item tells of.
         self._lease = lease
-        self.holder.elect(token, sent_at, time.monotonic(), last.revision if last else 0)
+        self.holder.elect(token, sent_at, clocks.now(), last.revision if last else 0)
         self._due.set()
-        wait = round(max(0.0, self.holder.may_order_from - time.monotonic()), 3)
+        wait = round(max(0.0, self.holder.may_order_from - clocks.now()), 3)
         log.info('elected to give orders', extra={'token': token, 'lease': lease, 'wait': wait})
 
     def _is_pending(self) -> bool:
@@ -170,11 +169,11 @@
         """Renew the lease at short intervals, whatever became of the renewals before."""
         self._start(self._renew(self._lease))
         await asyncio.sleep(self.holder.lease_ttl / holders.RENEWALS_PER_LEASE)
-        if self.holder.token and not self.holder.is_held(time.monotonic()):
+        if self.holder.token and not self.holder.is_held(clocks.now()):
             self._lose('the lease could not be renewed')
 
     async def _renew(self, lease: int) -> None:
-        sent_at = time.monotonic()
+        sent_at = clocks.now()
         try:
             await self._source.renew(lease)
         except registry.LeaseGoneError:
@@ -217,7 +216,7 @@
             if version >= order.version:
                 self._rollout.end(order)
             else:
-                self._rollout.fail(order, time.monotonic())
+                self._rollout.fail(order, clocks.now())
             loaded = messages.Loaded(order.replica, order.version, version, order.born)
             self._roster.tell_interested(loaded)
             if version:
@@ -276,7 +275,7 @@
         for _ in range(ORDER_TRIES):
             # Checked right before each send: this process may have been stopped for a while, or
             # elected anew, and a token must not follow a higher one.
-            if order.token != self.holder.token or not self.holder.may_order(time.monotonic()):
+            if order.token != self.holder.token or not self.holder.may_order(clocks.now()):
                 break
             # A process that has started since counts orders anew, and might take this one.
             if self._pools.find(replica.life) is None:
@@ -287,9 +286,9 @@
         return result
 
     async def _wait_loaded(self, order: rollout.Order, address: str) -> int:
-        deadline = time.monotonic() + LOAD_PATIENCE
+        deadline = clocks.now() + LOAD_PATIENCE
         await asyncio.sleep(LOAD_FIRST_LOOK)
-        while time.monotonic() < deadline:
+        while clocks.now() < deadline:
             report = await self._engines.report(address, order.replica)
             if not self._known.take_report(order.life, report):
                 return 0
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -8,11 +8,10 @@
 import asyncio
 import logging
 import random
-import time
 
 import msgspec
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import registry
 from passpier.core import entries, members, rates
 from passpier.daemon import messages, peers
@@ -47,7 +46,7 @@
         meter: rates.Meter,
         rng: random.Random,
     ) -> None:
-        self.membership = members.Membership(own, HEARTBEAT, time.monotonic())
+        self.membership = members.Membership(own, HEARTBEAT, clocks.now())
         self.leaving = False
         self.most = 1
         """The most processes that were alive at once in this life."""
@@ -85,7 +84,7 @@
         """Beat until cancelled."""
         while True:
             self.beat(self.membership.choose_targets(self._rng))
-            now = time.monotonic()
+            now = clocks.now()
             self.sync_registry(now)
             self.membership.forget_gone(now)
             self.most = max(self.most, len(self.membership.list_alive(now)))
@@ -93,7 +92,7 @@
 
     def tell_interested(self, message: messages.AnyMessage) -> None:
         """Send a message about replicas or caches, unless too many would have to know."""
-        interested = self.membership.list_interested(time.monotonic())
+        interested = self.membership.list_interested(clocks.now())
         if len(interested) <= MAX_TOLD:
             self._peers.send_all([m.peer for m in interested], message)
 
@@ -146,7 +145,7 @@
 
     def beat(self, targets: list[members.Member]) -> None:
         """Send a heartbeat to some peers."""
-        now = time.monotonic()
+        now = clocks.now()
         refuses = self.leaving or not self._known.freshness.is_fresh(now)
         if refuses != self._refused:
             self._refused = refuses
@@ -178,7 +177,7 @@
         log.info('member gone', extra={'member': member.name})
 
     def _take_heartbeat(self, sender: str, address: str, message: messages.Heartbeat) -> None:
-        unknown = self.membership.merge(message.beats, time.monotonic())
+        unknown = self.membership.merge(message.beats, clocks.now())
         if unknown:
             self._peers.send(address, messages.MembersWanted(unknown))
 
@@ -189,7 +188,7 @@
 
     def _take_members(self, sender: str, address: str, message: messages.Members) -> None:
         for member in message.members:
-            if self.membership.add(member, time.monotonic()):
+            if self.membership.add(member, clocks.now()):
                 log.info('member met', extra={'member': member.name, 'address': member.entry})
 
     def _take_goodbye(self, sender: str, address: str, message: messages.Goodbye) -> None:
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -6,16 +6,16 @@
 import logging
 import random
 import resource
-import time
 
 import tornado.httpserver
 import tornado.netutil
 import tornado.web
 import uuid_utils
 
+from passpier import clocks
 from passpier.clients import connections, registry
 from passpier.core import drain, members, rates
-from passpier.daemon import dispatcher, loads, messages, metrics, peers, tasks
+from passpier.daemon import dispatcher, loads, messages, metrics, peers, resuming, tasks
 from passpier.routing import (
     dialect,
     following,
@@ -121,7 +121,7 @@
             options.failure_domain,
             options.capacity,
         )
-        self.meter = rates.Meter(time.monotonic())
+        self.meter = rates.Meter(clocks.now())
         self.roster = roster.Roster(own, self.known, self.peers, self.meter, rng)
         self.relay = relaying.Relay(self.known, self.roster.membership, self.peers, rng)
         self.follower = following.Follower(adapter.source, self.known, self.relay, rng)
@@ -171,7 +171,7 @@
         )
         self._drain = drain.Drain(*_read_stop_times(options))
         self.forwarder.daemons = DAEMONS_AT_START
-        self._started_at = time.monotonic()
+        self._started_at = clocks.now()
         self.turned_at = self._started_at
         """When the event loop last turned, as far as it is looked at. A signal that is handled now
         came later than that; how much later nobody can tell, for the VM may have given the process
@@ -197,6 +197,7 @@
             tasks.start(self.rollouts.run_election()),
             tasks.start(self.rollouts.run_orders()),
             tasks.start(self._note_turns()),
+            tasks.start(resuming.watch(self.counters, self._resume)),
             tasks.start(self._run_upkeep()),
             tasks.start(self.keeper.run()),
             tasks.start(self.sharing.run()),
@@ -254,7 +255,7 @@
 
         Its times count from `not_later`, or from now: see `turned_at`.
         """
-        now = time.monotonic()
+        now = clocks.now()
         began_at = now if not_later is None else not_later
         if self._drain.began_at is not None:
             since = round(now - self._drain.began_at, 3)
@@ -296,7 +297,7 @@
 
     def is_ready(self) -> bool:
         """Return whether clients should be sent here."""
-        now = time.monotonic()
+        now = clocks.now()
         fresh = self.known.freshness.is_fresh(now)
         return self.known.is_ready() and fresh and not self.roster.leaving
 
@@ -304,11 +305,11 @@
         self.prober.suspect(message.life)
 
     def _takes(self) -> bool:
-        return self._drain.takes(time.monotonic())
+        return self._drain.takes(clocks.now())
 
     async def _finish(self) -> None:
         while True:
-            now = time.monotonic()
+            now = clocks.now()
             recent = now - self.ingress.active_at < QUIET_BEFORE_STOP
             phase = self._drain.get_phase(self.ingress.in_flight + recent, now)
             if phase is drain.Phase.STOPPED:
@@ -318,14 +319,20 @@
 
     async def _note_turns(self) -> None:
         while True:
-            self.turned_at = time.monotonic()
+            self.turned_at = clocks.now()
             await asyncio.sleep(TURN_INTERVAL)
 
+    def _resume(self) -> None:
+        """Take up work after the VM was suspended."""
+        # The other sides may have closed these meanwhile.
+        self.adapter.pool.close()
+        self.roster.beat(self.roster.membership.list_known())
+
     async def _run_upkeep(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_INTERVAL)
             self.adapter.pool.close_expired()
-            young = time.monotonic() - self._started_at < YOUNG_SECONDS
+            young = clocks.now() - self._started_at < YOUNG_SECONDS
             self.forwarder.daemons = max(self.roster.most, DAEMONS_AT_START if young else 1)
 
     def _listen(self) -> list[tornado.httpserver.HTTPServer]:
@@ -367,7 +374,7 @@
         """Answer with the addresses that a client should use."""
         query = self.directory.read_query(self.request)
         app = self.app
-        addresses = app.roster.choose_entries(query, time.monotonic(), app.is_ready())
+        addresses = app.roster.choose_entries(query, clocks.now(), app.is_ready())
         self.write(self.directory.render_entries(addresses, app.options.answer_ttl))
 
 
--- a/passpier/routing/sharing.py
+++ b/passpier/routing/sharing.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+from passpier import clocks
 from passpier.core import choice, lives, members, replicas
 from passpier.daemon import messages, peers
 from passpier.routing import sources
@@ -55,7 +55,7 @@
             await asyncio.sleep(INTERVAL * max(1.0, len(others) / USUAL_PEERS))
             self._due.clear()
             prompts, self._unsent = self._unsent, []
-            others = self._membership.list_interested(time.monotonic())
+            others = self._membership.list_interested(clocks.now())
             if len(others) <= MAX_PEERS:
                 self._peers.send_all([m.peer for m in others], messages.Placed(prompts))
 
--- a/passpier/routing/sources.py
+++ b/passpier/routing/sources.py
@@ -4,9 +4,9 @@
 
 import collections
 import dataclasses
-import time
 from collections.abc import Sequence
 
+from passpier import clocks
 from passpier.core import choice, kept, lives, prompts, rendezvous, replicas, view
 from passpier.routing import pools
 
@@ -43,7 +43,7 @@
         self, replica: replicas.Replica, job: choice.Job, prompt: prompts.Prompt, salt: str
     ) -> Source:
         """Return where a replica finds parts that it lacks, and where it should leave its own."""
-        now = time.monotonic()
+        now = clocks.now()
         recent = self._find_recent_reader(replica, job, now)
         store = self._choose_store(replica, choice.get_family(job))
         held = self.pools.stores.get(store)
@@ -65,7 +65,7 @@
     ) -> None:
         """Note that a replica has read a prompt, of which others share the first `shared` parts."""
         sizes = [end - start for start, end in zip((0, *ends), ends, strict=False)]
-        now = time.monotonic()
+        now = clocks.now()
         incarnation = pools.identify_cache(life, version)
         self.pools.cache.add(life.id, incarnation, chain, view.Evidence.EVENT, now, sizes)
         if not shared:
@@ -101,7 +101,7 @@
 
     def _find_holder(self, replica: replicas.Replica, job: choice.Job) -> str:
         """Return the address of the replica that holds most of a prompt, if it is another one."""
-        now = time.monotonic()
+        now = clocks.now()
         cache = self.pools.cache
         own = cache.match(replica.name, job.chain, now).blocks
         best = ''
--- a/passpier/routing/suspects.py
+++ b/passpier/routing/suspects.py
@@ -9,9 +9,9 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Awaitable, Callable, Sequence
 
+from passpier import clocks
 from passpier.core import crashes, fingerprints, lives, members
 from passpier.daemon import messages, peers
 
@@ -52,7 +52,7 @@
 
     def judge(self, fingerprint: int) -> crashes.Judgement:
         """Return whether a request may be sent now, and how."""
-        return self.crashes.judge(fingerprint, time.monotonic())
+        return self.crashes.judge(fingerprint, clocks.now())
 
     async def judge_finally(self, fingerprint: int) -> crashes.Judgement:
         """Return the same right before a request is sent, when a trial must be claimed."""
@@ -73,7 +73,7 @@
 
     def note_broken(self, fingerprint: int, life: lives.Life) -> None:
         """Note that a run broke off as if the replica's process had ended."""
-        if self.crashes.suspect(fingerprint, life, time.monotonic()):
+        if self.crashes.suspect(fingerprint, life, clocks.now()):
             task = asyncio.ensure_future(self._look(life))
             self._looking.add(task)
             task.add_done_callback(self._looking.discard)
@@ -82,7 +82,7 @@
         """Note that a run ended well: the request caused none of the ends it was under."""
         if not self.crashes.count_ends(fingerprint):
             return
-        now = time.monotonic()
+        now = clocks.now()
         ends = self.crashes.clear(fingerprint, now)
         fields = {'fingerprint': fingerprints.render_fingerprint(fingerprint), 'ends': ends}
         log.info('request cleared', extra=fields)
@@ -97,14 +97,14 @@
         cleared: Sequence[crashes.Clearing] = (),
     ) -> None:
         """Take over what others know."""
-        news = self.crashes.merge(ends, cleared, time.monotonic())
+        news = self.crashes.merge(ends, cleared, clocks.now())
         self._log_suspects(news, source)
 
     async def run(self) -> None:
         """Remind others until cancelled."""
         while True:
             await asyncio.sleep(REMIND_INTERVAL)
-            now = time.monotonic()
+            now = clocks.now()
             self.crashes.expire(now)
             ends, cleared = self.crashes.export(now)
             if ends or cleared:
@@ -119,7 +119,7 @@
         under = self.crashes.confirm(life)
         log.warning('upstream ended', extra=_describe(life) | {'requests': len(under)})
         self._log_suspects(under, 'seen here')
-        now = time.monotonic()
+        now = clocks.now()
         self.on_end(life, under)
         ends = [e for e in self.crashes.export_ends(under, now) if e.life == life]
         self._tell(messages.Ended(ends, []))
@@ -128,10 +128,10 @@
         self.take_ends(message.ends, sender, message.cleared)
 
     def _take_trying(self, sender: str, address: str, message: messages.Trying) -> None:
-        self.crashes.note_elsewhere(message.fingerprint, time.monotonic() + message.seconds)
+        self.crashes.note_elsewhere(message.fingerprint, clocks.now() + message.seconds)
 
     def _tell(self, message: messages.AnyMessage) -> None:
-        alive = self._membership.list_alive(time.monotonic())
+        alive = self._membership.list_alive(clocks.now())
         own = self._membership.own
         self._peers.send_all([m.peer for m in alive if m is not own], message)
 
--- a/passpier/standins/bench.py
+++ b/passpier/standins/bench.py
@@ -17,12 +17,12 @@
 import subprocess
 import sys
 import threading
-import time
 from collections.abc import Callable
 from typing import Any
 
 import hdrh.histogram
 
+from passpier import clocks
 from passpier.clients import engines, web
 from passpier.standins import fleets, processes, workloads
 
@@ -148,17 +148,17 @@
 
     async def run(self, requests: list[workloads.Request]) -> None:
         """Send all requests, open loop."""
-        self._began = time.monotonic()
+        self._began = clocks.now()
         tasks = []
         for number, request in enumerate(requests):
-            await asyncio.sleep(max(0.0, self._began + request.at - time.monotonic()))
+            await asyncio.sleep(max(0.0, self._began + request.at - clocks.now()))
             tasks.append(asyncio.ensure_future(self._send(number, request)))
         await asyncio.gather(*tasks)
 
     async def _send(self, number: int, request: workloads.Request) -> None:
         due = self._began + request.at
         attempt = number
-        while time.monotonic() - due < CALLER_PATIENCE:
+        while clocks.now() - due < CALLER_PATIENCE:
             try:
                 await self._ask(self._entries[attempt % len(self._entries)], request, due)
                 return
@@ -187,7 +187,7 @@
         first = 0.0
         last = b''
         async for event in engines.read_events(exchange):
-            first = first or time.monotonic()
+            first = first or clocks.now()
             last = event
         if last != engines.END_MARK:
             self._tally.lost += 1
--- a/passpier/standins/fleet/model.py
+++ b/passpier/standins/fleet/model.py
@@ -16,6 +16,7 @@
 
 import fire
 
+from passpier import clocks
 from passpier.config import declarations
 from passpier.core import attempts, lives, members, pauses, prompts, replicas
 from passpier.daemon import calls, dispatcher
@@ -219,14 +220,14 @@
 def play(**changes: int | float) -> reports.Report:
     """Play a scenario in virtual time; `changes` are fields of `Scenario`."""
     scenario = Scenario(**changes)  # type: ignore[arg-type]
-    steady = time.monotonic
+    steady = clocks.now
 
     async def run() -> reports.Report:
-        time.monotonic = asyncio.get_running_loop().time
+        clocks.now = asyncio.get_running_loop().time
         try:
             return await Fleet(scenario).play()
         finally:
-            time.monotonic = steady
+            clocks.now = steady
 
     return virtual.run(run())
 
@@ -235,9 +236,9 @@
     """Play `count` seeds from `seed` on; other flags are the fields of `Scenario`."""
     logging.disable(logging.CRITICAL)
     for number in range(seed, seed + count):
-        began = time.monotonic()
+        began = clocks.now()
         report = play(seed=number, **changes)
-        print(f'seed {number}, {time.monotonic() - began:.0f} s to play')
+        print(f'seed {number}, {clocks.now() - began:.0f} s to play')
         print(report.render(), flush=True)
 
 
--- a/passpier/standins/fleet/routers.py
+++ b/passpier/standins/fleet/routers.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import random
-import time
 
+from passpier import clocks
 from passpier.core import catalogue, members, routes
 from passpier.daemon import dispatcher, loads, metrics, peers
 from passpier.routing import pools, router, sharing, sources
@@ -27,7 +27,7 @@
         pool: list[engines.Engine],
         rng: random.Random,
     ) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         self.pools = pools.Pools(10.0)
         self.pools.apply_configuration(_build_configuration(pool))
         for engine in pool:
--- a/passpier/standins/platform/asking.py
+++ b/passpier/standins/platform/asking.py
@@ -5,10 +5,10 @@
 import asyncio
 import json
 import random
-import time
 from collections.abc import Coroutine
 from typing import Any
 
+from passpier import clocks
 from passpier.clients import exchanges
 from passpier.platform import names
 from passpier.standins.platform import deployment, promises, replica, routers
@@ -62,14 +62,14 @@
 
     async def _send_short(self, ends_at: float, rate: float) -> None:
         number = 0
-        while time.monotonic() < ends_at:
+        while clocks.now() < ends_at:
             self._begin(self._ask_short(f'n{number}'))
             number += 1
             await asyncio.sleep(self._rng.expovariate(rate))
 
     async def _send_long(self, ends_at: float, rate: float) -> None:
         number = 0
-        while time.monotonic() < ends_at:
+        while clocks.now() < ends_at:
             self._begin(self._ask_long(f'long{number}'))
             number += 1
             await asyncio.sleep(self._long_rng.expovariate(rate))
@@ -108,9 +108,9 @@
     ) -> None:
         given = deployment.build_headers(id, int(patience * 1000), key)
         request = exchanges.Request('POST', f'/{kind}/x', [*given, *headers], b'question')
-        began = time.monotonic()
+        began = clocks.now()
         seen = await self._running.watch_at(router.client_link.address, request, patience)
-        seconds = time.monotonic() - began
+        seconds = clocks.now() - began
         echoed = ''
         if seen.status:
             assert seen.head is not None
@@ -136,9 +136,9 @@
     ) -> routers.RouterProcess:
         """Return where a client goes that keeps answers of the directory for a while."""
         kept_until, addresses = self._named.get(client, (0.0, []))
-        if time.monotonic() >= kept_until:
+        if clocks.now() >= kept_until:
             addresses = await self._resolve(rng) or addresses
-            self._named[client] = (time.monotonic() + kept, addresses)
+            self._named[client] = (clocks.now() + kept, addresses)
         named = [r for r in self._routers if r.caller in addresses]
         return rng.choice(named or self._routers)
 
--- a/passpier/standins/platform/costs.py
+++ b/passpier/standins/platform/costs.py
@@ -12,11 +12,11 @@
 import pathlib
 import random
 import tempfile
-import time
 from collections.abc import Awaitable, Callable
 
 import fire
 
+from passpier import clocks
 from passpier.standins.platform import deployment, replica, routers
 
 TICKS = os.sysconf('SC_CLK_TCK')
@@ -105,9 +105,9 @@
         self._report.rows.append(Row('start of a process', self._count, spent, 0.0))
 
     async def _measure(self, seconds: float) -> None:
-        before, began = self._read_spent(), time.monotonic()
+        before, began = self._read_spent(), clocks.now()
         await asyncio.sleep(seconds)
-        elapsed = time.monotonic() - began
+        elapsed = clocks.now() - began
         self._report.idle = (self._read_spent() - before) / elapsed / self._count
         for path in ('/safe/x', '/once/x'):
             await self._load(f'request {path}', seconds, self._ask(path))
@@ -126,13 +126,13 @@
         return ask
 
     async def _load(self, work: str, seconds: float, ask: Callable[[], Awaitable[object]]) -> None:
-        before, began = self._read_spent(), time.monotonic()
+        before, began = self._read_spent(), clocks.now()
         asking = []
-        while time.monotonic() < began + seconds:
+        while clocks.now() < began + seconds:
             asking.append(asyncio.ensure_future(ask()))
             await asyncio.sleep(self._rng.expovariate(self._rate))
         await asyncio.gather(*asking)
-        elapsed = time.monotonic() - began
+        elapsed = clocks.now() - began
         spent = (self._read_spent() - before) * 1000 / len(asking)
         at_rest = self._report.idle * self._count * elapsed * 1000 / len(asking)
         self._report.rows.append(Row(work, len(asking), spent, at_rest))
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -6,7 +6,6 @@
 import dataclasses
 import functools
 import random
-import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from typing import Any
@@ -15,6 +14,7 @@
 import tornado.netutil
 import tornado.web
 
+from passpier import clocks
 from passpier.clients import connections, exchanges
 from passpier.platform import dialect, names, store
 from passpier.routing import dialect as routing
@@ -55,7 +55,7 @@
     """The parts of a deployment, each reachable by tests."""
 
     def __init__(self) -> None:
-        self.meta = metastore.MetaStore(time.monotonic)
+        self.meta = metastore.MetaStore(clocks.now)
         self.faults = metastore.Faults()
         self.store_address = ''
         self.replicas: dict[str, replica.Replica] = {}
@@ -254,7 +254,7 @@
         return [r for known in self.replicas.values() for r in known.runs if r.id == id]
 
     def _sees_all(self, process: router.Router) -> bool:
-        now = time.monotonic()
+        now = clocks.now()
         seen = process.roster.membership.list_serving(now)
         enough = len(seen) >= len(self.routers)
         return enough and len(process.pools.replicas) >= len(self.replicas)
--- a/passpier/standins/platform/leaving.py
+++ b/passpier/standins/platform/leaving.py
@@ -13,10 +13,10 @@
 import pathlib
 import random
 import tempfile
-import time
 
 import fire
 
+from passpier import clocks
 from passpier.standins.platform import deployment, replica, routers
 
 WORK = 1.5
@@ -109,7 +109,7 @@
                 await asyncio.sleep(0.1)
 
     async def _play_wave(self, wave: int) -> None:
-        leaves_at = time.monotonic() + self._rng.uniform(0.3, WORK / 2)
+        leaves_at = clocks.now() + self._rng.uniform(0.3, WORK / 2)
         tasks = [
             self._come_and_leave(f'w{wave}-{n}', leaves_at + self._rng.uniform(0.0, WAVE))
             for n in range(self._clients)
@@ -122,8 +122,8 @@
         _, writer = await asyncio.open_connection(host, int(port))
         writer.write(self._render(kind, id))
         await writer.drain()
-        await asyncio.sleep(max(0.0, leaves_at - time.monotonic()))
-        self._left_at[f'{kind} {id}'] = time.monotonic()
+        await asyncio.sleep(max(0.0, leaves_at - clocks.now()))
+        self._left_at[f'{kind} {id}'] = clocks.now()
         writer.close()
 
     def _render(self, kind: str, id: str) -> bytes:
--- a/passpier/standins/platform/lives.py
+++ b/passpier/standins/platform/lives.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import random
-import time
 
+from passpier import clocks
 from passpier.standins.platform import foreign, promises, replica, troubles
 
 AWAY_SECONDS = (0.3, 2.0, 10.0)
@@ -40,7 +40,7 @@
     async def run(self, ends_at: float) -> None:
         """Go on until `ends_at`; return when all replicas are back."""
         begun: list[asyncio.Task[None]] = []
-        while time.monotonic() < ends_at:
+        while clocks.now() < ends_at:
             await asyncio.sleep(self._rng.uniform(*PAUSES))
             begun.append(asyncio.ensure_future(self._begin_again(ends_at)))
         await asyncio.gather(*begun)
@@ -54,7 +54,7 @@
             await self._wait_for_order(known)
         elif moment == 'within its replacement':
             await self._troubles.begin_replacement(known)
-        left = ends_at + AWAY_SECONDS[1] - time.monotonic()
+        left = ends_at + AWAY_SECONDS[1] - clocks.now()
         away = self._rng.choice([s for s in AWAY_SECONDS if s <= left] or AWAY_SECONDS[:1])
         version = self._rng.choice([None, 1, max(1, known.version - 1)])
         self._troubles.note(
@@ -83,8 +83,8 @@
         if not known.model:
             return
         self._stage.name_version()
-        ends_at = time.monotonic() + ORDER_WAIT
-        while not known.loading and time.monotonic() < ends_at:
+        ends_at = clocks.now() + ORDER_WAIT
+        while not known.loading and clocks.now() < ends_at:
             await asyncio.sleep(0.01)
 
 
@@ -102,7 +102,7 @@
     async def run(self, ends_at: float) -> None:
         """Go on until `ends_at`; return when all replicas have their own entries again."""
         begun: list[asyncio.Task[None]] = []
-        while time.monotonic() < ends_at:
+        while clocks.now() < ends_at:
             await asyncio.sleep(self._rng.uniform(*PAUSES))
             if self._rng.random() < 0.5:
                 self._write_many()
@@ -123,9 +123,9 @@
         seconds = self._rng.uniform(*OVERWRITTEN_SECONDS)
         self._troubles.note(f'the entry of {known.id} is overwritten ({kind}) for {seconds:.2f} s')
         revision = running.overwrite(known.id, kind)
-        began = time.monotonic()
-        while time.monotonic() < began + seconds and running.get_revision(known.id) == revision:
+        began = clocks.now()
+        while clocks.now() < began + seconds and running.get_revision(known.id) == revision:
             await asyncio.sleep(0.01)
-        self.unnamed.append(promises.Unnamed(known.id, began, time.monotonic()))
+        self.unnamed.append(promises.Unnamed(known.id, began, clocks.now()))
         if running.get_revision(known.id) == revision:
             running.record(known.id)
--- a/passpier/standins/platform/play.py
+++ b/passpier/standins/platform/play.py
@@ -12,11 +12,11 @@
 import dataclasses
 import random
 import sys
-import time
 from collections.abc import Awaitable, Callable
 
 import fire
 
+from passpier import clocks
 from passpier.clients import exchanges
 from passpier.platform import names
 from passpier.standins.platform import deployment, promises, replica
@@ -92,7 +92,7 @@
         key = self._rng.choice(['secret-1', 'secret-2'])
         entry = self._rng.randrange(len(self._running.routers))
         headers = deployment.make_prompt(self._rng) if kind in ('stream', 'resume') else []
-        began = time.monotonic()
+        began = clocks.now()
         status, body, echoed = 0, b'', ''
         id = f'n{number}'
         try:
@@ -104,7 +104,7 @@
         except exchanges.ExchangeError:
             # A closed connection promises nothing; what ran is judged at the replicas.
             status = 0
-        seconds = time.monotonic() - began
+        seconds = clocks.now() - began
         self.report.asked.append(
             promises.Asked(id, kind, key, began, status, body, seconds, echoed)
         )
@@ -187,7 +187,7 @@
         if len(self.report.troubles) > REVOKE_AFTER and 'secret-2' not in self._revoked_at:
             accounts = self._running.configuration['tenants']
             self._running.configure(tenants=accounts[:1])
-            self._revoked_at['secret-2'] = time.monotonic()
+            self._revoked_at['secret-2'] = clocks.now()
 
     async def _stop_router(self) -> None:
         if len(self._running.routers) < 4:
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -17,6 +17,7 @@
 import tornado.netutil
 import tornado.web
 
+from passpier import clocks
 from passpier.platform import names
 
 EVENT_PAUSE = 0.005
@@ -338,7 +339,7 @@
         elif replica.version == body['version']:
             self.set_status(200)
         else:
-            replica.taken.append((time.monotonic(), body))
+            replica.taken.append((clocks.now(), body))
             replica.orders += 1
             self.set_status(202)
             if not self.hits('stick'):
@@ -393,7 +394,7 @@
                 replica.version,
                 headers.get(names.LAST_EVENT, ''),
                 int(headers[names.DEADLINE]),
-                time.monotonic(),
+                clocks.now(),
             )
         )
         if replica.deadly and self.request.body == replica.deadly:
@@ -406,13 +407,13 @@
             await self.work_for(replica.work + (0.0 if replica.model else self._wanted))
             await self._answer(id)
         finally:
-            replica.worked_until.setdefault(id, time.monotonic())
+            replica.worked_until.setdefault(id, clocks.now())
             if self.is_alive:
                 replica.active -= 1
 
     async def _end_replica(self, id: str) -> None:
         await self.pause(CRASH_AFTER)
-        self.replica.ended_by.append((id, time.monotonic()))
+        self.replica.ended_by.append((id, clocks.now()))
         self.replica.crash()
         self.replica.on_crash()
         raise tornado.web.Finish
@@ -422,7 +423,7 @@
         if not self.is_alive:
             return
         id = self.id
-        now = time.monotonic()
+        now = clocks.now()
         self.replica.dropped.append(id)
         self.replica.dropped_at.setdefault(id, now)
         self.replica.worked_until.setdefault(id, now)
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -18,10 +18,10 @@
 import shutil
 import sys
 import tempfile
-import time
 
 import fire
 
+from passpier import clocks
 from passpier.clients import connections, exchanges
 from passpier.standins.platform import (
     asking,
@@ -176,8 +176,8 @@
             raise TimeoutError('the routers did not become ready')
 
     async def _wait_ready(self, bound: float) -> bool:
-        ends_at = time.monotonic() + bound
-        while time.monotonic() < ends_at:
+        ends_at = clocks.now() + bound
+        while clocks.now() < ends_at:
             answers = [await r.is_ready(self._pool) for r in self._routers]
             if all(answers):
                 return True
@@ -185,7 +185,7 @@
         return False
 
     async def _play(self, seconds: float) -> None:
-        ends_at = time.monotonic() + seconds
+        ends_at = clocks.now() + seconds
         if self._plan.planned:
             series = [self._troubles.run_planned(ends_at), self._stops.run(ends_at)]
         else:
@@ -200,10 +200,10 @@
 
     async def _note_stalls(self) -> None:
         """Write down when the soak got no time itself: its replicas were silent meanwhile."""
-        turned_at = time.monotonic()
+        turned_at = clocks.now()
         while True:
             await asyncio.sleep(STALL_LOOK)
-            now = time.monotonic()
+            now = clocks.now()
             if now - turned_at > STALL_NOTED:
                 self._troubles.note_past(
                     f'the soak itself stood for {now - turned_at:.2f} s', turned_at
@@ -219,8 +219,8 @@
                 self.report.broken.append(f'{router.name} ended by itself')
         if not await self._wait_ready(RECOVERY):
             self.report.broken.append(f'not all routers are ready {RECOVERY} s after all trouble')
-        ends_at = time.monotonic() + RECOVERY
-        while time.monotonic() < ends_at and self._list_outdated():
+        ends_at = clocks.now() + RECOVERY
+        while clocks.now() < ends_at and self._list_outdated():
             await asyncio.sleep(0.1)
         self.report.broken += [f'{id} has old weights' for id in self._list_outdated()]
         for number, router in enumerate(self._routers):
--- a/passpier/standins/platform/stops.py
+++ b/passpier/standins/platform/stops.py
@@ -5,8 +5,8 @@
 import asyncio
 import random
 import signal
-import time
 
+from passpier import clocks
 from passpier.standins.platform import promises, routers, troubles
 
 ROUND_PAUSES = (0.5, 4.0)
@@ -45,7 +45,7 @@
 
     async def _run_rounds(self, ends_at: float) -> None:
         begun: list[asyncio.Task[None]] = []
-        while time.monotonic() < ends_at:
+        while clocks.now() < ends_at:
             free = [r for r in self._stage.routers if not r.busy]
             count = min(len(free) - 1, self._rng.randint(1, max(1, len(free) // 2)))
             for router in self._rng.sample(free, max(0, count)):
@@ -64,11 +64,11 @@
             f'{router.name} is stopped as planned; stands still for {still:.2f} s, {before:.2f} s '
             f'of it before; told again after {second:.2f} s, to reload after {reload:.2f} s'
         )
-        still_since = time.monotonic()
+        still_since = clocks.now()
         if still:
             router.send(signal.SIGSTOP)
             await asyncio.sleep(before)
-        stop = promises.Stop(router.name, time.monotonic(), still_since)
+        stop = promises.Stop(router.name, clocks.now(), still_since)
         router.send(signal.SIGTERM)
         if still:
             await asyncio.sleep(still - before)
@@ -99,7 +99,7 @@
 
     async def _slow_replicas(self, ends_at: float) -> None:
         begun: list[asyncio.Task[None]] = []
-        while time.monotonic() < ends_at:
+        while clocks.now() < ends_at:
             begun.append(asyncio.ensure_future(self._slow_replica()))
             await asyncio.sleep(self._rng.uniform(*SLOW_PAUSES))
         await asyncio.gather(*begun)
--- a/passpier/standins/platform/troubles.py
+++ b/passpier/standins/platform/troubles.py
@@ -6,9 +6,9 @@
 import dataclasses
 import random
 import signal
-import time
 from collections.abc import Awaitable, Callable, Sequence
 
+from passpier import clocks
 from passpier.standins.platform import deployment, promises, proxy, replica, routers
 
 TROUBLE_PAUSE = 0.4
@@ -56,7 +56,7 @@
     def name_version(self) -> None:
         """Name the next weights."""
         version = self.version + 1
-        self.named[version] = time.monotonic()
+        self.named[version] = clocks.now()
         self.deployment.name_version(version)
 
     async def put_behind_proxy(self, known: replica.Replica) -> None:
@@ -85,7 +85,7 @@
         self._stage = stage
         self._rng = rng
         self._spare = 0
-        self._began = time.monotonic()
+        self._began = clocks.now()
 
     async def run(self, ends_at: float) -> None:
         """Begin one trouble after the other until `ends_at`; return when all are over."""
@@ -117,7 +117,7 @@
 
     async def _run_kinds(self, kinds: Sequence[Kind], ends_at: float) -> None:
         begun: list[asyncio.Task[None]] = []
-        while time.monotonic() < ends_at:
+        while clocks.now() < ends_at:
             chosen = self._rng.choice(kinds)
             begun.append(asyncio.ensure_future(_run(chosen)))
             await asyncio.sleep(self._rng.expovariate(1 / TROUBLE_PAUSE))
@@ -125,7 +125,7 @@
 
     def note(self, what: str, seconds: float | None = None) -> None:
         """Write down a trouble; `seconds` is how long unplanned trouble lasts."""
-        now = time.monotonic()
+        now = clocks.now()
         self.done.append((round(now - self._began, 2), what))
         if seconds is not None:
             self.unplanned.append((now, now + seconds))
@@ -133,11 +133,11 @@
     def note_past(self, what: str, began: float) -> None:
         """Write down unplanned trouble that began some time ago and is over."""
         self.note(what)
-        self.unplanned.append((began, time.monotonic()))
+        self.unplanned.append((began, clocks.now()))
 
     def note_thaw(self, name: str, began: float) -> None:
         """Note that a router which stood still goes on."""
-        now = time.monotonic()
+        now = clocks.now()
         self.thaws.append(promises.Thaw(name, now))
         self.disturbances.append(promises.Disturbance(name, began, now))
 
@@ -152,7 +152,7 @@
         router.busy = True
         seconds = self._rng.uniform(0.2, 4.5)
         self.note(f'{router.name} stands still for {seconds:.2f} s', seconds)
-        began = time.monotonic()
+        began = clocks.now()
         router.send(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         router.send(signal.SIGCONT)
@@ -177,26 +177,26 @@
             return
         router.busy = True
         self.note(f'{router.name} is stopped as planned')
-        stop = promises.Stop(router.name, time.monotonic())
+        stop = promises.Stop(router.name, clocks.now())
         router.send(signal.SIGTERM)
         await self.end_stop(router, stop)
 
     async def end_stop(self, router: routers.RouterProcess, stop: promises.Stop) -> None:
         """Wait for the end of a stop, as the platform does, and start the router again."""
         self.stops.append(stop)
-        while router.runs and time.monotonic() < stop.at + routers.STOP_BOUND:
+        while router.runs and clocks.now() < stop.at + routers.STOP_BOUND:
             await asyncio.sleep(0.02)
         if router.runs:
             self.broken.append(f'{router.name} did not end within {routers.STOP_BOUND} s')
             router.kill()
-        stop.ended = time.monotonic()
+        stop.ended = clocks.now()
         self.start(router)
         router.busy = False
 
     def start(self, router: routers.RouterProcess) -> None:
         """Start a router again."""
         router.start()
-        now = time.monotonic()
+        now = clocks.now()
         self.disturbances.append(promises.Disturbance(router.name, now, now + START_SECONDS))
 
     async def _reload_router(self) -> None:
@@ -230,11 +230,11 @@
             'cut back': {proxy.Way.BACK},
             'silent': set(proxy.Way),
         }.get(how, set())
-        began = time.monotonic()
+        began = clocks.now()
         await asyncio.sleep(seconds)
         link.heal()
         held = [id for id, other in self._stage.links.items() if other is link]
-        now = time.monotonic()
+        now = clocks.now()
         self.disturbances += [promises.Disturbance(id, began, now) for id in held]
 
     async def _spoil_answers(self) -> None:
@@ -290,7 +290,7 @@
         if late and len(accounts) > 1:
             self.note('a key is taken away')
             self._stage.deployment.configure(tenants=accounts[:1])
-            self.revoked['secret-2'] = time.monotonic()
+            self.revoked['secret-2'] = clocks.now()
             return
         self.note('the configuration changes')
         self._stage.deployment.configure()
@@ -308,7 +308,7 @@
         engines = [r for r in self._stage.deployment.replicas.values() if r.model]
         stuck = self._rng.choice(engines)
         stuck.faults.stick = STUCK_ORDERS
-        while time.monotonic() < ends_at:
+        while clocks.now() < ends_at:
             self._stage.name_version()
             await asyncio.sleep(self._rng.uniform(*NAMING_PAUSES))
         stuck.faults.stick = 0
@@ -326,7 +326,7 @@
         """Go on until `ends_at`; return when the last silence has had time to be noticed."""
         while True:
             pause = self._rng.uniform(*SILENCE_PAUSES)
-            if time.monotonic() + pause >= ends_at:
+            if clocks.now() + pause >= ends_at:
                 break
             await asyncio.sleep(pause)
             self._strike()
@@ -336,7 +336,7 @@
         links = self._list_links()
         count = self._rng.choice([1, len(links) // 2, len(links)])
         self._troubles.note(f'{count} of {len(links)} links fall silent', SILENCE_NOTICED)
-        now = time.monotonic()
+        now = clocks.now()
         for name in self._rng.sample(list(links), count):
             links[name].silence()
             self._troubles.disturbances.append(
--- a/passpier/standins/processes.py
+++ b/passpier/standins/processes.py
@@ -21,6 +21,8 @@
 
 import yaml
 
+from passpier import clocks
+
 SECRET = 'trial-secret'
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
@@ -247,8 +249,8 @@
 
 def wait_until(condition: Any, what: str, timeout: float = START_SECONDS) -> None:
     """Return once `condition()` is true; raises `TimeoutError`."""
-    end = time.monotonic() + timeout
-    while time.monotonic() < end:
+    end = clocks.now() + timeout
+    while clocks.now() < end:
         with contextlib.suppress(OSError):
             if condition():
                 return
--- a/passpier/standins/scheduler.py
+++ b/passpier/standins/scheduler.py
@@ -15,6 +15,7 @@
 import zmq
 import zmq.asyncio
 
+from passpier import clocks
 from passpier.clients import kvevents
 from passpier.core import blocks
 from passpier.standins import cache as block_cache
@@ -86,7 +87,7 @@
         self.streams[stream.id] = stream
         self.runs[stream.id] += 1
         self.backlog += blocks.count_tokens(stream.prompt)
-        heapq.heappush(self.waiting, (stream.priority, time.monotonic(), stream))
+        heapq.heappush(self.waiting, (stream.priority, clocks.now(), stream))
         self.arrived.set()
 
     async def schedule(self) -> None:
@@ -162,14 +163,14 @@
     async def sample(self) -> None:
         """Keep load reports, so that they can be given late."""
         while True:
-            self.reports.append((time.monotonic(), self.describe()))
+            self.reports.append((clocks.now(), self.describe()))
             while len(self.reports) > 2 and self.reports[1][0] <= self.get_horizon():
                 self.reports.popleft()
             await asyncio.sleep(0.02)
 
     def get_horizon(self) -> float:
         """Return the time that reports speak of."""
-        return time.monotonic() - self.arguments.load_lag
+        return clocks.now() - self.arguments.load_lag
 
     def report(self) -> dict[str, Any]:
         """Return the load as it was a lag ago; identity is always current."""
--- a/passpier/standins/slopes.py
+++ b/passpier/standins/slopes.py
@@ -8,6 +8,7 @@
 import statistics
 import time
 
+from passpier import clocks
 from passpier.clients import store, web
 from passpier.core import blocks
 from passpier.daemon import answers, once
@@ -130,7 +131,7 @@
             daemons=count, engines=5, services=0, daemon_flags=['--heartbeat', '1']
         ) as fleet:
             first = read_process(fleet.daemons[0])
-            began = time.monotonic()
+            began = clocks.now()
             processes.wait_until(functools.partial(is_past, began + 10), 'idle', 15)
             second = read_process(fleet.daemons[0])
         microbenchmarks.show(
@@ -144,7 +145,7 @@
 
 def is_past(moment: float) -> bool:
     """Return whether a moment of the monotonic clock is past."""
-    return time.monotonic() > moment
+    return clocks.now() > moment
 
 
 def read_process(daemon: processes.DaemonProcess) -> tuple[float, float, float]:
--- a/passpier/standins/store.py
+++ b/passpier/standins/store.py
@@ -6,11 +6,11 @@
 import base64
 import dataclasses
 import json
-import time
 from typing import Any
 
 import tornado.iostream
 
+from passpier import clocks
 from passpier.standins import common
 
 
@@ -42,7 +42,7 @@
 
     def expire(self) -> None:
         """Remove what belongs to lapsed leases."""
-        now = time.monotonic()
+        now = clocks.now()
         for lease in [n for n, (end, _) in self.leases.items() if end < now]:
             self.revoke(lease)
 
@@ -172,7 +172,7 @@
         ttl = float(self.get_body()['TTL'])
         self.state.next_lease += 1
         lease = str(self.state.next_lease)
-        self.state.leases[lease] = (time.monotonic() + ttl, ttl)
+        self.state.leases[lease] = (clocks.now() + ttl, ttl)
         self.reply({'ID': lease, 'TTL': str(int(ttl))})
 
 
@@ -186,7 +186,7 @@
         if known is None:
             self.reply({'result': {'ID': lease}})
             return
-        self.state.leases[lease] = (time.monotonic() + known[1], known[1])
+        self.state.leases[lease] = (clocks.now() + known[1], known[1])
         self.reply({'result': {'ID': lease, 'TTL': str(int(known[1]))}})
 
 
--- /dev/null
+++ b/passpier/tests/clocks_tests.py
@@ -0,0 +1,66 @@
+"""The clock counts the seconds in which the VM is suspended; what is bounded in time goes by it."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import re
+import time
+
+import pytest
+
+import passpier
+from passpier import clocks
+from passpier.standins import suspension
+
+ROOT = pathlib.Path(passpier.__file__).parent
+READS = re.compile(
+    r'\btime\.(monotonic|time|time_ns|monotonic_ns|perf_counter|clock_gettime)\b'
+    r'|datetime\.(now|utcnow)\(|^from time import',
+    re.MULTILINE,
+)
+
+
+def test_no_other_module_reads_the_clocks_of_the_system() -> None:
+    for path in sorted(ROOT.rglob('*.py')):
+        relative = path.relative_to(ROOT).as_posix()
+        if relative.startswith(('tests/', 'standins/')) or relative == 'clocks.py':
+            continue
+        assert not READS.search(path.read_text()), relative
+
+
+def test_a_suspension_counts(monkeypatch: pytest.MonkeyPatch) -> None:
+    suspended = suspension.Suspension(monkeypatch.setattr)
+    before, running = clocks.now(), time.monotonic()
+    suspended.happen(5.0)
+    assert 5.0 <= clocks.now() - before < 6.0
+    assert time.monotonic() - running < 1.0
+
+
+def test_each_suspension_is_found_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    suspended = suspension.Suspension(monkeypatch.setattr)
+    found = clocks.Suspensions()
+    assert not found.find()
+    suspended.happen(0.3)
+    assert found.find() == pytest.approx(0.3, abs=0.05)
+    assert not found.find()
+    suspended.happen(20.0)
+    assert found.find() == pytest.approx(20.0, abs=0.05)
+
+
+def test_timers_that_fell_due_meanwhile_run_at_the_next_turn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    suspended = suspension.Suspension(monkeypatch.setattr)
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        began = time.monotonic()
+        loop.call_later(0.05, suspended.happen, 10.0)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(9.0):
+                while True:
+                    await asyncio.sleep(0.02)
+        assert time.monotonic() - began < 2.0
+
+    clocks.run(run())
--- a/passpier/tests/conftest.py
+++ b/passpier/tests/conftest.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import pathlib
-import time
 
 import hypothesis
 import pytest
 
 import passpier
+from passpier import clocks
 
 KNOWN_RED = pathlib.Path(passpier.__file__).parent.parent / 'KNOWN-RED.txt'
 
@@ -31,7 +31,7 @@
 @pytest.fixture
 def virtual_clock(monkeypatch: pytest.MonkeyPatch) -> None:
     """Have the steady clock follow the event loop's, in tests in virtual time."""
-    monkeypatch.setattr(time, 'monotonic', lambda: asyncio.get_running_loop().time())
+    monkeypatch.setattr(clocks, 'now', lambda: asyncio.get_running_loop().time())
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
--- a/passpier/tests/daemon/cuts_tests.py
+++ b/passpier/tests/daemon/cuts_tests.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import AsyncIterator, Sequence
 from typing import Any, cast
 
@@ -17,7 +16,7 @@
 import pytest
 import uuid_utils
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import store
 from passpier.config import schema, settings
 from passpier.core import members, shares
@@ -63,7 +62,7 @@
 
     async def expire(self) -> None:
         """Delete what belongs to leases that have lapsed."""
-        now = time.monotonic()
+        now = clocks.now()
         lapsed = {key for key, lease in self.owners.items() if self.leases.get(lease, 0.0) < now}
         for key in lapsed:
             del self.owners[key]
@@ -100,14 +99,14 @@
     async def grant(self, ttl: int) -> int:
         await self._pass()
         lease = len(self._platform.leases) + 1
-        self._platform.leases[lease] = time.monotonic() + ttl
+        self._platform.leases[lease] = clocks.now() + ttl
         return lease
 
     async def keep_alive(self, lease: int) -> bool:
         await self._pass()
-        if self._platform.leases[lease] < time.monotonic():
+        if self._platform.leases[lease] < clocks.now():
             return False
-        self._platform.leases[lease] = time.monotonic() + LEASE
+        self._platform.leases[lease] = clocks.now() + LEASE
         self._lose()
         return True
 
@@ -155,7 +154,7 @@
         )
         incarnation = uuid_utils.uuid7().hex
         own = members.Member(f'vm-{number}', incarnation, '127.0.0.1', 1, 1000 + number, 'd')
-        membership = members.Membership(own, options.heartbeat, time.monotonic())
+        membership = members.Membership(own, options.heartbeat, clocks.now())
         link = cast(Any, platform.connect(own))
         shared = storage.Storage(StoreView(platform, own.peer), LEASE, platform.rng)
         self.limits = limits.Limits(membership, link, DAEMONS)
@@ -178,12 +177,12 @@
     @property
     def usable(self) -> int:
         """The units that this daemon may use now."""
-        cut_off = self.limits.book.is_cut_off(time.monotonic())
+        cut_off = self.limits.book.is_cut_off(clocks.now())
         return 0 if cut_off else self.limits.book.get_held('acme')
 
     async def _take_units(self) -> None:
         while True:
-            while self.limits.book.acquire('acme', time.monotonic()):
+            while self.limits.book.acquire('acme', clocks.now()):
                 self.running += 1
                 seconds = self.platform.rng.uniform(0.5, LONGEST)
                 asyncio.get_running_loop().call_later(seconds, self._end)
@@ -234,12 +233,12 @@
 
     async def run(self, seconds: float) -> None:
         """Let time pass; check the limit all the while."""
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
+        end = clocks.now() + seconds
+        while clocks.now() < end:
             await asyncio.sleep(0.25)
             running = sum(d.running for d in self.daemons)
             self.most = max(self.most, running)
-            assert running <= LIMIT, f'{running} of {LIMIT} at {time.monotonic():.1f} s'
+            assert running <= LIMIT, f'{running} of {LIMIT} at {clocks.now():.1f} s'
 
     def cut(self, groups: Sequence[int], reaching: set[int]) -> None:
         """Put each daemon into a group, of which some reach the store."""
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import random
-import time
 from typing import cast
 
 import msgspec
 import pytest
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import engines, web
 from passpier.config import declarations
 from passpier.core import attempts, choice, replicas
@@ -35,7 +34,7 @@
 def make_call(id: str, deadline_ms: int = 20_000) -> calls.Call:
     account = declarations.Account(name='a', key_digests=())
     service = declarations.Service(name='s', model='m', pool='p', deadline_ms=deadline_ms)
-    call = calls.Call(id, account, service, '', 'cost', time.monotonic(), attempts.Life(True))
+    call = calls.Call(id, account, service, '', 'cost', clocks.now(), attempts.Life(True))
     call.job = choice.Job([], 64, 1000)
     return call
 
--- a/passpier/tests/daemon/fleet_tests.py
+++ b/passpier/tests/daemon/fleet_tests.py
@@ -8,13 +8,13 @@
 import signal
 import socket
 import threading
-import time
 from collections.abc import Iterator
 from typing import Any
 
 import pytest
 import uuid_utils
 
+from passpier import clocks
 from passpier.standins import fleets, processes
 from passpier.tests.daemon import path_tests
 
@@ -41,8 +41,8 @@
         turn = 0
         while not self.ended.is_set():
             entry = self.fetch_entry(number)
-            until = time.monotonic() + 1.0
-            while time.monotonic() < until and not self.ended.is_set():
+            until = clocks.now() + 1.0
+            while clocks.now() < until and not self.ended.is_set():
                 turn += 1
                 self.ask(entry, f'caller {number} turn {turn}')
 
@@ -77,11 +77,11 @@
 
 def restart(fleet: fleets.Fleet, number: int) -> float:
     """Start a daemon again; return the seconds until it is ready."""
-    began = time.monotonic()
+    began = clocks.now()
     daemon = fleet.daemons[number]
     daemon.start()
     processes.wait_until(daemon.is_ready, f'{daemon.name} ready')
-    return time.monotonic() - began
+    return clocks.now() - began
 
 
 def get_revision(fleet: fleets.Fleet, number: int = 0) -> int:
@@ -153,10 +153,10 @@
 
 
 def wait_for_everyone(fleet: fleets.Fleet, revision: int) -> float:
-    began = time.monotonic()
+    began = clocks.now()
     answer = fleet.daemons[0].rpc('wait', revision=revision, timeout=10)['result']
     assert answer['behind'] == []
-    return time.monotonic() - began
+    return clocks.now() - began
 
 
 def names_alive(fleet: fleets.Fleet, name: str) -> bool:
@@ -209,9 +209,9 @@
     else:
         schema['pools'][0]['upstreams'][0]['leaving'] = True
         fleet.apply(schema, get_revision(fleet))
-    began = time.monotonic()
+    began = clocks.now()
     processes.wait_until(lambda: all_know(fleet, signal_name), 'all know', 10)
-    seconds = time.monotonic() - began
+    seconds = clocks.now() - began
     before = sum(leaving.get_counters()['runs'].values())
     for number in range(12):
         assert fleet.complete(number % 3, f'leaving {signal_name} {number}').whole
@@ -293,12 +293,12 @@
         for daemon in fleet.daemons:
             daemon.kill()
         before = sum(fleet.store.get('/stats').values())
-        began = time.monotonic()
+        began = clocks.now()
         for daemon in fleet.daemons:
             daemon.start()
         for daemon in fleet.daemons:
             processes.wait_until(daemon.is_ready, f'{daemon.name} ready')
-        seconds = time.monotonic() - began
+        seconds = clocks.now() - began
         calls = sum(fleet.store.get('/stats').values()) - before
         assert all(fleet.complete(n, 'herd').whole for n in range(6))
         print(f'herd of 6: all ready in {seconds:.2f} s, {calls / 6:.1f} store calls each')
--- a/passpier/tests/daemon/limits_tests.py
+++ b/passpier/tests/daemon/limits_tests.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-import time
 from typing import cast
 
+from passpier import clocks
 from passpier.config import declarations, directory
 from passpier.core import members
 from passpier.daemon import limits, peers, storage
@@ -22,8 +22,8 @@
 
     async def run() -> bool:
         own, silent = make_member(0), make_member(1)
-        membership = members.Membership(own, 1.0, time.monotonic())
-        membership.add(silent, time.monotonic())
+        membership = members.Membership(own, 1.0, clocks.now())
+        membership.add(silent, clocks.now())
         link = network.Network(random.Random(1)).connect(own)
         account_limits = limits.Limits(membership, cast(peers.Peers, link), 3)
         fleet = declarations.Fleet('f', accounts=(declarations.Account('a', concurrency=8),))
@@ -34,7 +34,7 @@
         await asyncio.sleep(limits.BORROW_TIMEOUT / 2)
         account_limits.note_departed(silent.incarnation)
         account_limits.settle()
-        account_limits.book.hear(time.monotonic())
+        account_limits.book.hear(clocks.now())
         return (await acquired).is_ok()
 
     assert virtual.run(run())
--- a/passpier/tests/platform/crashes_tests.py
+++ b/passpier/tests/platform/crashes_tests.py
@@ -16,10 +16,10 @@
 import asyncio
 import logging
 import random
-import time
 
 import pytest
 
+from passpier import clocks
 from passpier.standins.platform import deployment, replica
 from passpier.tests.platform import scenes
 
@@ -52,9 +52,9 @@
 ) -> list[deployment.Reply]:
     """Send the deadly request to any router until the time is over."""
     replies = []
-    ends_at = time.monotonic() + seconds
+    ends_at = clocks.now() + seconds
     number = 0
-    while time.monotonic() < ends_at:
+    while clocks.now() < ends_at:
         number += 1
         entry = rng.randrange(len(running.routers))
         reply = await running.ask(
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import json
-import time
 from collections.abc import Awaitable, Callable
 
 import pytest
 
+from passpier import clocks
 from passpier.clients import exchanges
 from passpier.platform import names
 from passpier.routing import router
@@ -137,7 +137,7 @@
         running.faults.down = True
         bound = running.routers[0].options.key_bound
         while (await running.ask('/safe/x', id='x')).status == 200:
-            assert running.routers[0].known.freshness.compute_age(time.monotonic()) < bound
+            assert running.routers[0].known.freshness.compute_age(clocks.now()) < bound
             await asyncio.sleep(0.02)
         reply = await running.ask('/safe/x', id='late')
         assert reply.status == 503
@@ -316,7 +316,7 @@
         process = running.routers[0]
         assert process.forwarder.daemons >= router.DAEMONS_AT_START
         budget = process.forwarder.get_budget('app')
-        granted = sum(budget.spend(time.monotonic(), process.forwarder.daemons) for _ in range(100))
+        granted = sum(budget.spend(clocks.now(), process.forwarder.daemons) for _ in range(100))
         assert granted <= process.options.retry_slack / router.DAEMONS_AT_START
 
     play(check)
--- a/passpier/tests/platform/leaving_tests.py
+++ b/passpier/tests/platform/leaving_tests.py
@@ -11,11 +11,11 @@
 import contextlib
 import socket
 import struct
-import time
 from collections.abc import Callable, Iterator
 
 import pytest
 
+from passpier import clocks
 from passpier.standins.platform import deployment, leaving
 from passpier.tests.platform import scenes
 
@@ -85,7 +85,7 @@
     async def check(running: deployment.Deployment) -> None:
         known = running.routers[0].pools
         for replica in known.replicas.values():
-            replica.paused_until = time.monotonic() + 30.0
+            replica.paused_until = clocks.now() + 30.0
         client = connect(running)
         client.sendall(render('/safe/x', 'one'))
         await scenes.wait_for(lambda: running.routers[0].forwarder.dispatcher.count_queued() == 1)
--- a/passpier/tests/platform/lives_tests.py
+++ b/passpier/tests/platform/lives_tests.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import json
-import time
 from typing import Any
 
 import pytest
 
+from passpier import clocks
 from passpier.clients import registry
 from passpier.core import choice, lives, pauses, prompts
 from passpier.platform import dialect, names
@@ -40,7 +40,7 @@
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
         item = registry.Item(key, data, self.revision)
-        now = time.monotonic()
+        now = clocks.now()
         self.known.take_changes(registry.Changes((item,), self.revision, now, now), 0.0, now)
 
     def record(self, id: str = ID, **fields: Any) -> None:
@@ -92,10 +92,10 @@
     job = make_job()
     known = store.known.pools
     incarnation = known.cache.get_incarnation(ID)
-    known.cache.correct(ID, incarnation, job.chain, 0, len(job.chain), time.monotonic())
-    assert known.cache.match(ID, job.chain, time.monotonic()).blocks
+    known.cache.correct(ID, incarnation, job.chain, 0, len(job.chain), clocks.now())
+    assert known.cache.match(ID, job.chain, clocks.now()).blocks
     store.record(weights=3, born=2000)
-    assert not known.cache.match(ID, job.chain, time.monotonic()).blocks
+    assert not known.cache.match(ID, job.chain, clocks.now()).blocks
 
 
 def test_what_a_replica_did_before_it_started_again_is_forgotten(store: Registry) -> None:
@@ -105,10 +105,10 @@
     before.seconds_per_token = 1.0
     known.silent.add(ID)
     for _ in range(3):
-        known.ejector.note_failure(ID, time.monotonic())
-    before.paused_until = time.monotonic() + 100.0
+        known.ejector.note_failure(ID, clocks.now())
+    before.paused_until = clocks.now() + 100.0
     store.record(weights=3, born=2000)
-    now = time.monotonic()
+    now = clocks.now()
     after = known.get(ID)
     assert after.seconds_per_token < 1.0
     assert after.paused_until < now
@@ -146,7 +146,7 @@
     known.pause(known.get(ID).life, pauses.Pause.FULL, 10.0, 'full')
     store.record(weights=4)
     assert known.get(ID).seconds_per_token == 1.0
-    assert known.get(ID).paused_until > time.monotonic()
+    assert known.get(ID).paused_until > clocks.now()
     assert known.get(ID).weight_version == '4'
 
 
--- a/passpier/tests/platform/silence_tests.py
+++ b/passpier/tests/platform/silence_tests.py
@@ -11,11 +11,11 @@
 import contextlib
 import dataclasses
 import logging
-import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
 
+from passpier import clocks
 from passpier.clients import connections
 from passpier.daemon import messages, metrics, peers
 from passpier.standins.platform import deployment, proxy
@@ -26,10 +26,10 @@
 
 async def wait_for(condition: scenes.Condition, what: str) -> float:
     """Return after how many seconds a condition holds; the time is told, not judged."""
-    began = time.monotonic()
+    began = clocks.now()
     while not condition():
         await asyncio.sleep(0.01)
-    seconds = time.monotonic() - began
+    seconds = clocks.now() - began
     log.info('%s: after %.2f s', what, seconds)
     return seconds
 
@@ -122,7 +122,7 @@
         await asyncio.sleep(0.3)
         before = known.freshness.proved_at
         scene.store.silence()
-        silenced_at = time.monotonic()
+        silenced_at = clocks.now()
         scene.running.configure()
         await wait_for(
             lambda: known.table is not None and known.table.configuration.version == 2,
@@ -162,10 +162,10 @@
         others = [c for c in list_resting(pool) if c.address != address]
         assert others
         # Silent since long before: what answers there now was started again.
-        pool.note_silent(address, time.monotonic() - 2 * connections.SILENCE_MEMORY)
+        pool.note_silent(address, clocks.now() - 2 * connections.SILENCE_MEMORY)
         await running.routers[0].adapter.engines.report(address, 'app-0')
         assert not [c for c in others if c.closed]
-        pool.note_silent(address, time.monotonic())
+        pool.note_silent(address, clocks.now())
         await running.routers[0].adapter.engines.report(address, 'app-0')
         assert [c for c in others if c.closed]
 
--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -23,10 +23,10 @@
 import signal
 import socket
 import subprocess
-import time
 
 import pytest
 
+from passpier import clocks
 from passpier.clients import exchanges
 from passpier.routing import router
 from passpier.standins.platform import deployment, routers
@@ -288,13 +288,13 @@
         # The last byte comes later, so that some request is always on its way.
         await asyncio.sleep(self.pause)
         writer.write(request[-1:])
-        sent_at = time.monotonic()
+        sent_at = clocks.now()
         try:
             head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
             length = int(head.partition('content-length: ')[2].partition('\r\n')[0])
             await reader.readexactly(length)
         except (asyncio.IncompleteReadError, ConnectionError):
-            if time.monotonic() - sent_at > LOSS_SLACK:
+            if clocks.now() - sent_at > LOSS_SLACK:
                 self.lost.append(id)
             return False
         self.statuses.append(int(head.split()[1]))
--- a/passpier/tests/routing/fleets.py
+++ b/passpier/tests/routing/fleets.py
@@ -5,10 +5,9 @@
 import asyncio
 import dataclasses
 import random
-import time
 from collections.abc import Awaitable, Callable
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import registry
 from passpier.core import catalogue, members, routes
 from passpier.routing import following, knowledge, pools, relaying
@@ -70,7 +69,7 @@
         self.cut = False
 
     async def read(self, prefix: str) -> registry.Reading:
-        sent_at = time.monotonic()
+        sent_at = clocks.now()
         await self._pass()
         items = tuple(self.source.items.values())
         revision = self.source.revision
@@ -78,17 +77,17 @@
         return registry.Reading(items, revision, sent_at)
 
     async def watch(self, prefix: str, after: int, wait: float) -> registry.Changes:
-        sent_at = time.monotonic()
+        sent_at = clocks.now()
         await self._pass()
-        ends_at = time.monotonic() + wait
-        while time.monotonic() < ends_at and self.source.revision <= after:
+        ends_at = clocks.now() + wait
+        while clocks.now() < ends_at and self.source.revision <= after:
             await asyncio.sleep(0.01)
         if after < self.source.forgotten:
             raise registry.HistoryGoneError('forgotten')
         items = tuple(c for c in self.source.changes if c.revision > after)
         revision = self.source.revision
         await self._pass()
-        return registry.Changes(items, revision, sent_at, time.monotonic())
+        return registry.Changes(items, revision, sent_at, clocks.now())
 
     async def _pass(self) -> None:
         self.source.calls += 1
@@ -130,13 +129,13 @@
 
     def make(self, own: members.Member, fleet: list[members.Member]) -> Process:
         known = knowledge.Knowledge(Records(), pools.Pools(VERSION_BOUND), KEY_BOUND)
-        membership = members.Membership(own, 1e6, time.monotonic())
+        membership = members.Membership(own, 1e6, clocks.now())
         for member in fleet:
-            membership.add(member, time.monotonic())
+            membership.add(member, clocks.now())
         link = self.network.connect(own)
         relay = relaying.Relay(known, membership, link, self.rng)  # type: ignore[arg-type]
         view = View(self.registry, self.rng)
-        return Process(known, membership, relay, view, time.monotonic())
+        return Process(known, membership, relay, view, clocks.now())
 
     def start(self) -> None:
         for process in self.processes:
@@ -160,7 +159,7 @@
         """Let a process go on with what it knew."""
         process = self.processes[number]
         self.network.cut.discard(process.membership.own.peer)
-        process.disturbed_at = time.monotonic()
+        process.disturbed_at = clocks.now()
         self.run(process)
 
     def restart(self, number: int) -> None:
--- a/passpier/tests/routing/lives_tests.py
+++ b/passpier/tests/routing/lives_tests.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Sequence
 from typing import Any, cast
 
@@ -16,6 +15,7 @@
 import hypothesis.strategies as st
 import pytest
 
+from passpier import clocks
 from passpier.clients import exchanges, registry
 from passpier.core import attempts, catalogue, choice, lives, members, pauses, prompts, routes
 from passpier.daemon import loads, messages, peers
@@ -85,7 +85,7 @@
         net = network.Network(random.Random(1))
         own = members.Member('vm-0', 'i0', '10.0.0.1', 1, 2, 'd0')
         link = cast(peers.Peers, net.connect(own))
-        membership = members.Membership(own, 1e6, time.monotonic())
+        membership = members.Membership(own, 1e6, clocks.now())
         self.sources = sources.Sources(self.pools)
         self.sharing = sharing.Sharing(self.sources, membership, link)
         self.loads = loads.Loads(membership, self.pools, link)
@@ -103,7 +103,7 @@
 
     def put(self, revision: int, key: str, data: bytes) -> None:
         items = (registry.Item(key, data, revision),)
-        now = time.monotonic()
+        now = clocks.now()
         self.known.take_changes(registry.Changes(items, revision, now, now), 0.0, now)
 
     def record(self, revision: int, life: lives.Life, version: int, state: str = 'ready') -> None:
@@ -200,7 +200,7 @@
     for event in later:
         event(process)
     replica = process.pools.get(ID)
-    now = time.monotonic()
+    now = clocks.now()
     assert replica.life == NEW
     assert int(replica.weight_version) == max([1, *(v for _, v in new)])
     assert not process.pools.cache.match(ID, make_job().chain, now).blocks
@@ -371,7 +371,7 @@
         await asyncio.sleep(0.1)
         assert fleet.pools.get(ID).life == NEW
         assert not prober.is_silent(ID)
-        assert fleet.pools.get(ID).paused_until < time.monotonic()
+        assert fleet.pools.get(ID).paused_until < clocks.now()
         assert not told
 
     virtual.run(check())
@@ -397,14 +397,14 @@
             fleet.rollouts._known, cast(dialect.Engines, engines), lambda _: None
         )
         exchange = cast(exchanges.Exchange, SilentExchange())
-        started = time.monotonic()
+        started = clocks.now()
         reader = reading.Reader(exchange, prober, OLD, started + 60.0, False)
         engines.restart(ID)
         with pytest.raises(reading.AttemptError) as raised:
             await reader.read_head(60.0)
         # What was sent may have run, and no later process tells.
         assert raised.value.fault is attempts.Fault.NO_ANSWER
-        assert time.monotonic() - started < 2.0
+        assert clocks.now() - started < 2.0
 
     virtual.run(check())
 
@@ -417,11 +417,11 @@
     """
     process = Process()
     process.record(2, NEW, 3)
-    learnt_at = time.monotonic()
-    monkeypatch.setattr(time, 'monotonic', lambda: learnt_at + 0.5)
+    learnt_at = clocks.now()
+    monkeypatch.setattr(clocks, 'now', lambda: learnt_at + 0.5)
     report(NEW, 2)(process)
     assert process.pools.get(ID).weight_version == '3'
-    monkeypatch.setattr(time, 'monotonic', lambda: learnt_at + 5.0)
+    monkeypatch.setattr(clocks, 'now', lambda: learnt_at + 5.0)
     report(NEW, 2)(process)
     assert process.pools.get(ID).weight_version == '2'
     assert process.pools.list_states()[0].versions == {MODEL: 2}
--- a/passpier/tests/routing/namings_tests.py
+++ b/passpier/tests/routing/namings_tests.py
@@ -5,10 +5,10 @@
 import asyncio
 import functools
 import random
-import time
 
 import pytest
 
+from passpier import clocks
 from passpier.core import namings
 from passpier.tests.routing import fleets
 
@@ -30,20 +30,20 @@
 
     def name(self, version: int) -> None:
         self.fleet.registry.put('weights/model', str(version).encode())
-        self.named_at[version] = time.monotonic()
+        self.named_at[version] = clocks.now()
 
     def put(self, version: int) -> None:
         self.fleet.registry.put(f'replicas/r{version}', str(version).encode())
 
     async def watch(self, seconds: float) -> None:
         """Check for so long that no process uses a replica whose weights are outdated."""
-        ends_at = time.monotonic() + seconds
-        while time.monotonic() < ends_at:
+        ends_at = clocks.now() + seconds
+        while clocks.now() < ends_at:
             await asyncio.sleep(0.2)
             self.check()
 
     def check(self) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         outdated = {f'r{v}' for v in range(1, max(self.named_at)) if self.is_outdated(v, now)}
         for process in self.fleet.processes:
             frozen = process.membership.own.peer in self.fleet.network.cut
--- a/passpier/tests/routing/pools_tests.py
+++ b/passpier/tests/routing/pools_tests.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import time
-
 import pytest
 
+from passpier import clocks
 from passpier.core import catalogue, lives, pauses, replicas, routes
 from passpier.routing import pools
 
 
 @pytest.fixture(name='known')
 def make_known(monkeypatch: pytest.MonkeyPatch) -> pools.Pools:
-    monkeypatch.setattr(time, 'monotonic', lambda: 100.0)
+    monkeypatch.setattr(clocks, 'now', lambda: 100.0)
     known = pools.Pools(10.0)
     services = {'s': routes.Service('s', 100)}
     known.apply_configuration(routes.Configuration(1, services=services))
@@ -37,7 +36,7 @@
     known.learn_version(lives.Life('r0'), 7, 'registry')
     known.learn_version(lives.Life('r1'), 8, 'registry')
     known.learn_version(lives.Life('r2'), 9, 'registry')
-    monkeypatch.setattr(time, 'monotonic', lambda: 109.0)
+    monkeypatch.setattr(clocks, 'now', lambda: 109.0)
     serving = {r.name for r in known.list_serving('s')}
     assert serving & {'r0', 'r1', 'r2'} == {'r1', 'r2'}
 
@@ -50,7 +49,7 @@
     known.learn_version(lives.Life('r0'), 8, 'registry')
     known.resume(lives.Life('r0'), pauses.Pause.LOADING, 8)
     assert not replicas.is_open(known.get('r0'), 100.0)
-    monkeypatch.setattr(time, 'monotonic', lambda: 100.5)
+    monkeypatch.setattr(clocks, 'now', lambda: 100.5)
     known.learn_version(lives.Life('r0'), 9, 'registry')
     assert replicas.is_open(known.get('r0'), 100.5)
 
@@ -77,7 +76,7 @@
     """A request waits at its replica; the bound is on when it begins, not on when it is sent."""
     known.note_naming('m', 2, 100.0, 100.0)
     busy = known.get('r0')
-    monkeypatch.setattr(time, 'monotonic', lambda: 108.0)
+    monkeypatch.setattr(clocks, 'now', lambda: 108.0)
     for number in range(4):
         replicas.begin_dispatch(busy, str(number), int(0.2 / busy.seconds_per_token), 108.0)
     serving = {r.name for r in known.list_serving('s')}
--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -8,10 +8,10 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 
+from passpier import clocks
 from passpier.clients import registry
 from passpier.core import catalogue
 from passpier.routing import history, knowledge, relaying
@@ -30,7 +30,7 @@
             assert all(p.known.table.configuration.version == number for p in fleet.processes)  # type: ignore[union-attr]
         # Three readers, each woken once by a change, and one or two empty watches of each.
         assert (fleet.registry.calls - calls) / 2 <= 10 * 3 * 4
-        assert all(p.known.freshness.is_fresh(time.monotonic()) for p in fleet.processes)
+        assert all(p.known.freshness.is_fresh(clocks.now()) for p in fleet.processes)
 
     fleets.play(69, 1, check)
 
@@ -39,12 +39,12 @@
     async def check(fleet: fleets.Fleet) -> None:
         await asyncio.sleep(5.0)
         for process in fleet.processes:
-            process.view.cut = process.relay.is_reader(time.monotonic())
+            process.view.cut = process.relay.is_reader(clocks.now())
         await asyncio.sleep(1.0)
         fleet.registry.put('configuration', b'2')
         for _ in range(40):
             await asyncio.sleep(0.2)
-            assert all(p.known.freshness.is_fresh(time.monotonic()) for p in fleet.processes)
+            assert all(p.known.freshness.is_fresh(clocks.now()) for p in fleet.processes)
         assert all(p.known.table.configuration.version == 2 for p in fleet.processes)  # type: ignore[union-attr]
 
     fleets.play(40, 2, check)
@@ -55,7 +55,7 @@
     async def check(fleet: fleets.Fleet) -> None:
         fleet.registry.put('replicas/r1', b'ready')
         await asyncio.sleep(5.0)
-        found = [p for p in fleet.processes if p.relay.is_reader(time.monotonic())]
+        found = [p for p in fleet.processes if p.relay.is_reader(clocks.now())]
         for process in found[:cut]:
             process.view.cut = True
         fleet.registry.put('replicas/r1', b'draining')
@@ -75,7 +75,7 @@
         await asyncio.sleep(3.0)
         late = fleet.processes[0].known
         assert late.is_ready()
-        assert late.freshness.is_fresh(time.monotonic())
+        assert late.freshness.is_fresh(clocks.now())
         assert 'r1' in late.pools.replicas
 
     fleets.play(8, 3, check)
@@ -87,7 +87,7 @@
         for process in fleet.processes:
             process.view.cut = True
         await asyncio.sleep(fleets.KEY_BOUND)
-        assert not any(p.known.freshness.is_fresh(time.monotonic()) for p in fleet.processes)
+        assert not any(p.known.freshness.is_fresh(clocks.now()) for p in fleet.processes)
         calls = fleet.registry.calls
         await asyncio.sleep(10.0)
         # Each try costs: together they try about as often as the readers of a small fleet.
@@ -95,7 +95,7 @@
         for process in fleet.processes:
             process.view.cut = False
         await asyncio.sleep(2.0)
-        assert all(p.known.freshness.is_fresh(time.monotonic()) for p in fleet.processes)
+        assert all(p.known.freshness.is_fresh(clocks.now()) for p in fleet.processes)
 
     fleets.play(69, 4, check)
 
@@ -104,7 +104,7 @@
     async def check(fleet: fleets.Fleet) -> None:
         fleet.registry.put('replicas/r1', b'ready')
         await asyncio.sleep(5.0)
-        cut = next(p for p in fleet.processes if p.relay.is_reader(time.monotonic()))
+        cut = next(p for p in fleet.processes if p.relay.is_reader(clocks.now()))
         cut.view.cut = True
         await asyncio.sleep(3.0)
         fleet.registry.remove('replicas/r1')
@@ -141,13 +141,13 @@
     async def check(fleet: fleets.Fleet) -> None:
         rng = random.Random(seed)
         fleet.network.loss = 0.1
-        made_at = {1: time.monotonic()}
+        made_at = {1: clocks.now()}
         versions = [0] * len(fleet.processes)
         for step in range(400):
             await asyncio.sleep(0.05)
             trouble(fleet, rng, step)
             version = int(fleet.registry.items['configuration'].data)
-            made_at.setdefault(version, time.monotonic())
+            made_at.setdefault(version, clocks.now())
             for number, process in enumerate(fleet.processes):
                 if process.known.table is None:
                     continue
@@ -219,7 +219,7 @@
         await asyncio.sleep(3.0)
         known = fleet.processes[0].known
         proved_at = known.freshness.proved_at
-        assert not known.take_proof(known.revision + 1, time.monotonic())
+        assert not known.take_proof(known.revision + 1, clocks.now())
         told = knowledge.Told(history.News((), False), known.revision + 1, 99, {})
         assert not known.take_news(told, 0.0)
         assert known.freshness.proved_at == proved_at
--- a/passpier/tests/routing/rollouts_tests.py
+++ b/passpier/tests/routing/rollouts_tests.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import random
-import time
 from typing import Any, cast
 
 import pytest
 
+from passpier import clocks
 from passpier.clients import registry
 from passpier.core import catalogue, members, routes
 from passpier.daemon import messages, peers
@@ -87,7 +87,7 @@
             self.pools.apply_change(catalogue.Change(name, entry, 'recorded'))
 
     def elect(self, token: int, succeeds: int = 0) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         self.rollouts.holder.elect(token, now, now - 10.0, succeeds)
 
     def lose_and_win(self, token: int) -> None:
@@ -97,7 +97,7 @@
         self.elect(token, before)
 
     def name(self, version: int) -> None:
-        now = time.monotonic()
+        now = clocks.now()
         self.pools.note_naming(MODEL, version, now, now)
 
 
--- a/passpier/tests/routing/sources_tests.py
+++ b/passpier/tests/routing/sources_tests.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
-
 import pytest
 
+from passpier import clocks
 from passpier.core import catalogue, choice, kept, lives, prompts, rendezvous, routes
 from passpier.routing import pools, sources
 
@@ -15,7 +14,7 @@
 
 @pytest.fixture(name='known')
 def make_sources(monkeypatch: pytest.MonkeyPatch) -> sources.Sources:
-    monkeypatch.setattr(time, 'monotonic', lambda: 100.0)
+    monkeypatch.setattr(clocks, 'now', lambda: 100.0)
     known = pools.Pools(10.0)
     stores = tuple(routes.CacheStore(a, d, 1000) for a, d in STORES.items())
     known.apply_configuration(routes.Configuration(1, cache_stores=stores))
@@ -96,5 +95,5 @@
     known.pools.silent.add('r6')
     assert choose(known, 'r0', 'f').fetch == store
     note_read(known, 'r7', job)
-    monkeypatch.setattr(time, 'monotonic', lambda: 100.0 + sources.READ_FRESH + 0.1)
+    monkeypatch.setattr(clocks, 'now', lambda: 100.0 + sources.READ_FRESH + 0.1)
     assert choose(known, 'r0', 'f').fetch == store
--- a/passpier/tests/routing/suspects_tests.py
+++ b/passpier/tests/routing/suspects_tests.py
@@ -12,13 +12,12 @@
 import collections
 import dataclasses
 import random
-import time
 from collections.abc import Sequence
 from typing import cast
 
 import pytest
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import registry
 from passpier.core import lives, members, rendezvous
 from passpier.daemon import peers
@@ -88,11 +87,11 @@
 
     def __init__(self, fleet: Fleet, own: members.Member) -> None:
         self.own = own
-        self.disturbed_at = time.monotonic()
+        self.disturbed_at = clocks.now()
         self.known = knowledge.Knowledge(fleets.Records(), pools.Pools(10.0), 5.0)
-        membership = members.Membership(own, 1e6, time.monotonic())
+        membership = members.Membership(own, 1e6, clocks.now())
         for other in fleet.members:
-            membership.add(other, time.monotonic())
+            membership.add(other, clocks.now())
         link = cast(peers.Peers, fleet.network.connect(own))
         self.suspects = suspects.Suspects(
             membership, link, fleet.has_ended, lambda: membership.choose_targets(fleet.rng)
@@ -183,8 +182,8 @@
                 chosen = max(up, key=lambda r: rendezvous.compute_weight(str(fingerprint), r.id))
             tried.add(chosen.id)
             life = chosen.life
-            in_touch = time.monotonic() - router.disturbed_at > CONTACT
-            self.sends[fingerprint].append(Send(time.monotonic(), in_touch, life))
+            in_touch = clocks.now() - router.disturbed_at > CONTACT
+            self.sends[fingerprint].append(Send(clocks.now(), in_touch, life))
             router.suspects.begin(fingerprint, judgement, 1.0)
             well = await self._run(fingerprint, chosen)
             router.suspects.end(fingerprint)
@@ -221,14 +220,14 @@
     """Send requests of their own each, and one deadly request every `deadly` seconds or so."""
 
     async def send_deadly() -> None:
-        while time.monotonic() < ends_at:
+        while clocks.now() < ends_at:
             fleet.ask(DEADLY)
             await asyncio.sleep(fleet.rng.uniform(0, 2 * deadly))
 
-    ends_at = time.monotonic() + seconds
+    ends_at = clocks.now() + seconds
     coming = asyncio.ensure_future(send_deadly())
     number = 0
-    while time.monotonic() < ends_at:
+    while clocks.now() < ends_at:
         number += 1
         fleet.ask(number)
         await asyncio.sleep(fleet.rng.expovariate(rate))
@@ -324,7 +323,7 @@
         fleet = Fleet(seed)
         storm = asyncio.ensure_future(crash_replicas(fleet))
         number = 0
-        while time.monotonic() < 60.0:
+        while clocks.now() < 60.0:
             number += 1
             fleet.ask(number)
             await asyncio.sleep(fleet.rng.expovariate(40.0))
@@ -343,8 +342,8 @@
 def test_two_deadly_requests_are_both_held_back() -> None:
     async def run() -> None:
         fleet = Fleet(1)
-        ends_at = time.monotonic() + 40.0
-        while time.monotonic() < ends_at:
+        ends_at = clocks.now() + 40.0
+        while clocks.now() < ends_at:
             fleet.ask(fleet.rng.choice([DEADLY, DEADLY + 1, fleet.rng.randrange(DEADLY)]))
             await asyncio.sleep(fleet.rng.uniform(0.0, 0.1))
         await asyncio.gather(*fleet.asking)
