--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -6,7 +6,6 @@
 import collections
 import dataclasses
 import logging
-from collections.abc import Awaitable
 
 from passpier import clocks, exceptions
 from passpier.clients import connections, exchanges
@@ -24,6 +23,7 @@
 from passpier.daemon import dispatcher, metrics, suspects
 from passpier.routing import (
     answering,
+    delivering,
     dialect,
     knowledge,
     pools,
@@ -60,20 +60,11 @@
 """Seconds after which, at the latest, a client may ask again for what ends replicas: it may have
 changed, or have been under suspicion by mistake."""
 
-UNREAD_GRACE = 0.25
-"""Seconds after a request's time is over, or after its answer is there if that is later, in which
-the answer may still go out. A client that has stopped reading keeps a replica at work until then,
-and no longer."""
-
 
 class _WithheldError(Exception):
     """Nothing was sent, since the client's key may have been taken away unseen."""
 
 
-class _NotReadError(Exception):
-    """The client has not read its answer in time."""
-
-
 class Forwarder:
     """Runs admitted requests."""
 
@@ -146,9 +137,7 @@
 
         self._outcome = 'client_gone'
         self._stopping = False
-        self.final = False
-        """Whether the end of the answer is on its way to the client."""
-
+        self._delivery = delivering.Delivery(client, owner.wire, admitted.ends_at)
         self._last = lives.Life('')
         """The process of the replica that the current or last attempt went to."""
 
@@ -172,6 +161,11 @@
         """When the request's time is over."""
         return self._admitted.ends_at
 
+    @property
+    def final(self) -> bool:
+        """Whether the end of the answer is on its way to the client."""
+        return self._delivery.final
+
     @property
     def must_end(self) -> bool:
         """Whether an upstream is at work on what must neither be repeated nor broken off."""
@@ -186,7 +180,7 @@
         started = clocks.now()
         try:
             await self._answer()
-        except _NotReadError:
+        except delivering.NotReadError:
             self._outcome = 'not_read'
             self._client.abort()
         except asyncio.CancelledError:
@@ -387,13 +381,12 @@
         self._splitter = splitter
         while (part := await self._read_part(reader)) is not None:
             for event in splitter.feed(part):
-                await self._deliver(self._write_event(head, event))
+                await self._delivery.send_event(head, event)
                 self._call.life.delivered += 1
         if splitter.has_rest:
             raise reading.AttemptError(attempts.Fault.CUT, 'ended within an event')
         self._call.life.completed = True
-        self.final = True
-        await self._deliver(self._finish_stream(head))
+        await self._delivery.finish_stream(head)
         self._outcome = 'answered'
 
     async def _read_part(self, reader: reading.Reader) -> bytes | None:
@@ -424,34 +417,10 @@
             and self._owner.dispatcher.has_place(self._call, {*self._excluded, self.upstream})
         )
 
-    async def _write_event(self, head: exchanges.Head, event: bytes) -> None:
-        await self._begin_stream(head)
-        await self._client.write(event)
-
-    async def _finish_stream(self, head: exchanges.Head) -> None:
-        await self._begin_stream(head)
-        await self._client.finish()
-
-    async def _begin_stream(self, head: exchanges.Head) -> None:
-        if not self._client.started:
-            headers = self._owner.wire.clean_answer(head.headers)
-            await self._client.begin(head.status, head.reason, headers, None)
-
     async def _pass(self, answer: exchanges.Answer) -> None:
         """Hand an upstream's whole answer on."""
         self._call.life.completed = True
-        self.final = True
-        head = answer.head
-        headers = self._owner.wire.clean_answer(head.headers)
-        await self._deliver(answering.write_whole(self._client, head, headers, answer.body))
-
-    async def _deliver(self, sending: Awaitable[None]) -> None:
-        """Wait until a part of the answer is out; raises `_NotReadError`."""
-        try:
-            async with asyncio.timeout(max(0.0, self.ends_at - clocks.now()) + UNREAD_GRACE):
-                await sending
-        except TimeoutError as error:
-            raise _NotReadError from error
+        await self._delivery.send_whole(answer)
 
     async def _go_on(self, error: reading.AttemptError) -> bool:
         """Decide what follows a failed attempt; return whether there is another one."""
@@ -535,12 +504,8 @@
             # A 503 would promise that the request has not run.
             status, retry_after = 502, None
         self._outcome = reason
-        self.final = True
         refusal = answering.Refusal(status, reason, message, retry_after)
-        id_header = self._owner.wire.id_header
-        await self._deliver(
-            answering.write_refusal(self._client, refusal, id_header, self._call.id)
-        )
+        await self._delivery.send_refusal(refusal, self._call.id)
 
     def _may_send(self) -> bool:
         """Return whether the request may go out, asked right before its first byte does."""
