Records of an end keep all requests that ran there

A request that sees a replica's end later than another of the same router had its record replace the first; a process that starts knew of the later one only.

--- a/passpier/routing/marks.py
+++ b/passpier/routing/marks.py
@@ -30,8 +30,9 @@
 LEASE_USED = 300.0
 """Seconds for which new records go under the same lease."""
 
-MOST_WAITING = 256
-"""Ends that wait to be written while the registry is away; the oldest go first."""
+MOST_KEPT = 256
+"""Ends seen here of which the requests are kept, to be written or written again; the oldest go
+first."""
 
 _KEY = 'suspects/'
 _TRIAL_KEY = 'trials/'
@@ -64,7 +65,10 @@
         self._read: dict[str, int] = {}
         """By key, the revision that was taken over."""
 
-        self._waiting: dict[lives.Life, list[int]] = {}
+        self._seen: dict[lives.Life, list[int]] = {}
+        """The requests under each end that was seen here; some see it later than others."""
+
+        self._unwritten: set[lives.Life] = set()
         self._lease = 0
         self._granted_at = float('-inf')
         shared.on_end = self._note_end
@@ -109,23 +113,25 @@
 
     async def write_records(self) -> None:
         """Write what was seen here since the last time; raises `StoreError`."""
-        if not self._waiting:
+        if not self._unwritten:
             return
         now = clocks.now()
         if now - self._granted_at > LEASE_USED:
             self._lease = await self._source.grant(LEASE)
             self._granted_at = now
-        writing = dict(self._waiting)
+        writing = {life: list(self._seen[life]) for life in self._unwritten}
         puts = [self._build_put(life, under) for life, under in writing.items()]
         await self._source.write(puts)
-        for life in writing:
-            self._waiting.pop(life, None)
+        self._unwritten -= {life for life, under in writing.items() if self._seen[life] == under}
         log.info('ends recorded', extra={'upstreams': [str(life) for life in writing]})
 
     def _note_end(self, life: lives.Life, under: list[int]) -> None:
-        self._waiting[life] = under
-        while len(self._waiting) > MOST_WAITING:
-            del self._waiting[next(iter(self._waiting))]
+        self._seen.setdefault(life, []).extend(under)
+        self._unwritten.add(life)
+        while len(self._seen) > MOST_KEPT:
+            oldest = next(iter(self._seen))
+            del self._seen[oldest]
+            self._unwritten.discard(oldest)
 
     def _build_put(self, life: lives.Life, under: list[int]) -> registry.Put:
         data = msgspec.json.encode(Record(life.id, life.born, under))
--- /dev/null
+++ b/passpier/tests/routing/marks_tests.py
@@ -0,0 +1,140 @@
+"""Records of ends in the registry, for processes that no peer can tell."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import cast
+
+import pytest
+
+from passpier import exceptions
+from passpier.clients import registry
+from passpier.core import crashes, lives, members
+from passpier.daemon import peers, suspects
+from passpier.routing import knowledge, marks, pools
+from passpier.standins import virtual
+from passpier.tests.routing import fleets
+
+DEADLY = 7
+OTHER = 8
+LIFE = lives.Life('r1', 1000)
+
+pytestmark = pytest.mark.usefixtures('virtual_clock')
+
+
+class Registry:
+    """Keeps what is written; each process sees it by `show`."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, registry.Item] = {}
+        self.away = False
+
+    async def grant(self, ttl: float) -> int:
+        if self.away:
+            raise exceptions.StoreError('no answer')
+        return 1
+
+    async def write(
+        self, puts: Sequence[registry.Put], conditions: Sequence[registry.IsAt] = ()
+    ) -> int:
+        if self.away:
+            raise exceptions.StoreError('no answer')
+        if any(c.key in self.items for c in conditions):
+            raise exceptions.ConflictError('exists')
+        revision = len(self.items) + 1
+        for put in puts:
+            self.items[put.key] = registry.Item(put.key, put.data, revision)
+        return revision
+
+
+class Nobody:
+    """A process's links when it can reach no other."""
+
+    def handle(self, kind: object, handler: object) -> None:
+        """Hear nothing."""
+
+    def send_all(self, addresses: object, message: object) -> None:
+        """Reach nobody."""
+
+
+class Process:
+    """What one process knows of ends."""
+
+    def __init__(self, source: Registry, name: str) -> None:
+        own = members.Member(name, name, '10.0.0.1', 1, 2, 'd0')
+        self.source = source
+        self.known = knowledge.Knowledge(fleets.Records(), pools.Pools(10.0), 5.0)
+        self.suspects = suspects.Suspects(
+            members.Membership(own, 1.0, 0.0), cast(peers.Peers, Nobody()), ended, list
+        )
+        self.marks = marks.Marks(cast(registry.Registry, source), self.known, self.suspects, name)
+
+    async def see_end(self, fingerprint: int, life: lives.Life = LIFE) -> None:
+        self.suspects.note_broken(fingerprint, life)
+        await asyncio.sleep(0.01)
+
+    def read(self) -> crashes.Crashes:
+        self.known.members.update(self.source.items)
+        self.marks.take_records()
+        return self.suspects.crashes
+
+
+async def ended(life: lives.Life) -> bool:
+    return True
+
+
+def test_a_process_that_starts_knows_all_that_were_running_at_an_end() -> None:
+    """One request saw the end later than another, and its record replaced the first."""
+
+    async def run() -> None:
+        source = Registry()
+        first = Process(source, 'i1')
+        await first.see_end(DEADLY)
+        await first.marks.write_records()
+        await first.see_end(OTHER)
+        await first.marks.write_records()
+        known = Process(source, 'i2').read()
+        assert known.count_ends(DEADLY) == known.count_ends(OTHER) == 1
+
+    virtual.run(run())
+
+
+def test_what_can_not_be_written_is_written_later() -> None:
+    async def run() -> None:
+        source = Registry()
+        first = Process(source, 'i1')
+        source.away = True
+        await first.see_end(DEADLY)
+        with pytest.raises(exceptions.StoreError):
+            await first.marks.write_records()
+        source.away = False
+        await first.marks.write_records()
+        assert Process(source, 'i2').read().count_ends(DEADLY) == 1
+        written = len(source.items)
+        await first.marks.write_records()
+        assert len(source.items) == written
+
+    virtual.run(run())
+
+
+def test_one_trial_is_given_to_all_processes_together() -> None:
+    async def run() -> None:
+        source = Registry()
+        processes = [Process(source, f'i{n}') for n in range(4)]
+        claims = [await p.marks.claim_trial(DEADLY) for p in processes]
+        assert claims == [True, False, False, False]
+        source.away = True
+        assert not await processes[0].marks.claim_trial(OTHER)
+
+    virtual.run(run())
+
+
+def test_a_record_that_says_nothing_is_skipped() -> None:
+    async def run() -> None:
+        source = Registry()
+        source.items['own/suspects/i9/x'] = registry.Item('own/suspects/i9/x', b'{}', 1)
+        await Process(source, 'i1').see_end(DEADLY)
+        assert not Process(source, 'i2').read().count_ends(DEADLY)
+
+    virtual.run(run())
