--- a/passpier/clocks.py
+++ b/passpier/clocks.py
@@ -16,8 +16,11 @@
 T = TypeVar('T')
 
 SUSPENDED_FROM = 0.1
-"""Seconds by which the clock must run ahead of the monotonic one for a suspension; both are read
-within microseconds of each other."""
+"""Seconds by which the clock must run ahead of the monotonic one for a suspension."""
+
+READ_WITHIN = 0.01
+"""Seconds within which both clocks have to be read, or the reading counts for nothing: a process
+may get no time between."""
 
 _COUNTING = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 """Counts suspensions where the system has such a clock, as Linux does. A reading takes 0.20
@@ -62,13 +65,21 @@
     """Notices that the VM has been suspended."""
 
     def __init__(self) -> None:
-        self._ahead = now() - read_running()
+        self._ahead = _measure_ahead()
 
     def find(self) -> float:
         """Return the seconds for which the VM was suspended since the last call, or 0."""
-        ahead = now() - read_running()
+        ahead = _measure_ahead()
         seconds = ahead - self._ahead
         if seconds < SUSPENDED_FROM:
             return 0.0
         self._ahead = ahead
         return seconds
+
+
+def _measure_ahead() -> float:
+    while True:
+        running = read_running()
+        counting = now()
+        if read_running() - running < READ_WITHIN:
+            return counting - running
