--- a/passpier/core/crashes.py
+++ b/passpier/core/crashes.py
@@ -46,7 +46,7 @@
 """Seconds after its last end for which a request is remembered."""
 
 MOST = 2048
-"""Requests that are remembered, some 300 bytes each. The least counted go first, the oldest of
+"""Requests that are remembered, 425 bytes each. The least counted go first, the oldest of
 these first: 20 requests come under each end, so that these are the last 100 ends."""
 
 DROPPED = 64
