Client accounts are kept within their rates over all processes

Change: core/buckets, a token bucket for each account that all processes share: each charges a request when it arrives, by the tokens that it states, and tells the others ten times a second what it has spent in all; what belongs to processes out of touch is set aside. routing/limiting charges requests, gives back what reached no upstream, asks the others when it was out of touch. 429 with the time until there is room, spread.

--- a/passpier/core/attempts.py
+++ b/passpier/core/attempts.py
@@ -48,7 +48,9 @@
     FAIL = 'fail'
 
 
-_NOT_RUN_FAULTS = frozenset({Fault.NOT_CONNECTED, Fault.REFUSED})
+NOT_RUN_FAULTS = frozenset({Fault.NOT_CONNECTED, Fault.REFUSED})
+"""Faults after which a request has certainly not run."""
+
 _RESUMABLE_FAULTS = frozenset({Fault.CUT, Fault.NO_ANSWER})
 
 
@@ -82,7 +84,7 @@
     def decide(self, fault: Fault, has_budget: bool) -> Step:
         """Return the next step after a fault of the current attempt."""
         ran_before = self.may_have_run
-        if fault not in _NOT_RUN_FAULTS:
+        if fault not in NOT_RUN_FAULTS:
             self.may_have_run = True
         if fault in _RESUMABLE_FAULTS and self.resumable and self.resumes < MAX_RESUMES:
             # The same stream at the same engine is no second run, even of an unrepeatable request.
--- /dev/null
+++ b/passpier/core/buckets.py
@@ -0,0 +1,305 @@
+"""Rates of client accounts, kept over all daemons by telling each other what each has spent.
+
+An account may spend `rate` units a second, and `burst` saved up: a token bucket that all daemons
+share. Each daemon keeps its own copy of that bucket. It subtracts what it spends at once and what
+the others spend when they tell, some tenths of a second later; a copy may go below zero and fills
+up again before more is spent, so that the delay costs once and does not add up.
+
+What the delay may cost is bounded by who is in touch. A daemon is in touch with another while that
+one has lately confirmed what this one told. It uses of each bucket the part that belongs to those
+in touch, itself included, and sets the rest aside for the others: whatever the cut, the parts in
+use on all sides make up one bucket. A daemon that starts begins with empty buckets.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+TOUCH_ROUNDS = 4.0
+"""Intervals of telling after which an unconfirmed daemon is out of touch.
+
+With intervals of 0.1 s two halves of a fleet that is cut in two spend as one for 0.4 s. In the
+model of cuts, kills and starts in series (`standins/fleet/limits.py`, 4.4 times the rate, 48 seeds)
+5 let one seed pass what is tolerated, 4 and 3 none; below the limit each refuses 3 in 1,000.
+"""
+
+GRACE_SHARE = 0.2
+"""Part of the tolerated excess that is spent on purpose, so that nothing below a limit is refused
+for rounding or order; the rest is for delays, cuts and starts."""
+
+LARGEST_SHARE = 0.5
+"""Part of the tolerated excess that a single request may use up, if it is larger than a burst."""
+
+YOUNG_SECONDS = 5.0
+"""Seconds after a start in which the other daemons may not be known yet."""
+
+YOUNG_DAEMONS = 32
+"""Daemons assumed while none of them is known or in touch so early."""
+
+KNOWING_SHARE = 0.5
+"""Part of all daemons that one has to have been in touch with, itself included, before others go by
+what it takes to be left: those who start begin with nothing."""
+
+UNCONFIRMED_KEPT = 64
+"""Messages to one daemon whose confirmation is waited for; older ones count as lost."""
+
+RETRY_MAX = 30.0
+"""Seconds after which a refused caller may ask again at the latest."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rate:
+    """What an account may spend: units a second, and units saved up."""
+
+    per_second: float
+    burst: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tolerance:
+    """What may be spent beyond a rate in each window of so many seconds."""
+
+    window: float
+    share: float
+    """Part of what the rate gives in a window."""
+
+    slack: float
+    """Units beside that."""
+
+    def compute_excess(self, rate: Rate) -> float:
+        """Return the units that an account may spend beyond its rate in one window."""
+        return (rate.per_second * self.window + rate.burst) * self.share + self.slack
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """What one daemon tells of an account: all that it has spent, and what it takes to be left."""
+
+    account: str
+    spent: int
+    level: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    level: float
+    filled_at: float
+    spent: int = 0
+    """Units that this daemon has spent in its life."""
+
+    reserved: float = 0.0
+    """Units that belong to daemons out of touch."""
+
+    share: float = 1.0
+    """Part of the bucket in use."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    confirmed_at: float = float('-inf')
+    """When the last message was sent of which the peer has confirmed that it came."""
+
+    heard: int = 0
+    """The number of its last message."""
+
+    number: int = 0
+    spent: dict[str, int] = dataclasses.field(default_factory=dict)
+    """What it told, by account."""
+
+    confirmed: dict[str, int] = dataclasses.field(default_factory=dict)
+    """What it knows of this daemon, by account."""
+
+    unconfirmed: dict[int, tuple[float, list[Row]]] = dataclasses.field(default_factory=dict)
+
+
+class SharedBuckets:
+    """One daemon's copies of all accounts' buckets."""
+
+    def __init__(self, tolerance: Tolerance, interval: float, now: float) -> None:
+        self.tolerance = tolerance
+        self.interval = interval
+        """Seconds between two messages to a peer."""
+
+        self._started_at = now
+        self._rates: dict[str, Rate] = {}
+        self._buckets: dict[str, _Bucket] = {}
+        self._sharers: set[str] = set()
+        self._peers: dict[str, _Peer] = {}
+        self._knows = False
+        self.changed_at = float('-inf')
+        """When this daemon last spent something, or heard that another had."""
+
+    def configure(self, rates: Mapping[str, Rate], now: float) -> None:
+        """Set the accounts' rates; accounts that are not named are not limited."""
+        for account, rate in rates.items():
+            if account in self._buckets and rate != self._rates.get(account):
+                bucket = self._fill(account, now)
+                grace = self.tolerance.compute_excess(rate) * GRACE_SHARE
+                bucket.level = min(max(bucket.level, -grace), rate.burst * bucket.share)
+        self._rates = dict(rates)
+        self._buckets = {a: b for a, b in self._buckets.items() if a in rates}
+
+    def set_sharers(self, names: Iterable[str], now: float) -> None:
+        """Set the other daemons that may spend, whether in touch or not.
+
+        What was set aside for those that are no longer among them may have been spent, untold.
+        """
+        sharers = set(names)
+        away = {name for name in self._sharers if not self.is_in_touch(name, now)}
+        ended = away - sharers
+        for account in self._buckets:
+            self._fill(account, now)
+        self._sharers = sharers
+        if not ended:
+            return
+        share = self.compute_share(now)
+        for bucket in self._buckets.values():
+            bucket.reserved *= 1 - len(ended) / len(away)
+            bucket.share = max(bucket.share, share)
+
+    def forget(self, alive: Iterable[str]) -> None:
+        """Drop what is known of daemons that no longer exist."""
+        kept = set(alive)
+        self._peers = {name: peer for name, peer in self._peers.items() if name in kept}
+
+    @property
+    def has_rates(self) -> bool:
+        """Whether any account is limited."""
+        return bool(self._rates)
+
+    def is_limited(self, account: str) -> bool:
+        """Return whether an account has a rate."""
+        return account in self._rates
+
+    def take(self, account: str, cost: int, now: float) -> float:
+        """Spend `cost` units, or return the seconds after which they may be there.
+
+        Returns 0 if they were spent. A full bucket lets any request through, as long as that alone
+        stays within what is tolerated.
+        """
+        rate = self._rates.get(account)
+        if rate is None:
+            return 0.0
+        bucket = self._fill(account, now)
+        excess = self.tolerance.compute_excess(rate)
+        if cost > rate.burst + excess * LARGEST_SHARE:
+            return RETRY_MAX
+        grace = excess * GRACE_SHARE * bucket.share
+        lacking = min(cost, rate.burst + grace) - bucket.level - grace
+        if lacking > 0:
+            per_second = rate.per_second * bucket.share
+            return min(RETRY_MAX, lacking / per_second) if per_second else RETRY_MAX
+        self._spend(bucket, cost, now)
+        return 0.0
+
+    def give_back(self, account: str, cost: int, now: float) -> None:
+        """Return what was taken for a request that reached no upstream."""
+        if account in self._rates:
+            self._spend(self._fill(account, now), -cost, now)
+
+    def get_level(self, account: str, now: float) -> float:
+        """Return the units left for this daemon and those in touch."""
+        return self._fill(account, now).level
+
+    def get_spent(self, account: str) -> int:
+        """Return the units that this daemon has spent in its life."""
+        bucket = self._buckets.get(account)
+        return bucket.spent if bucket else 0
+
+    def compute_share(self, now: float) -> float:
+        """Return the part of each bucket that belongs to this daemon and those in touch."""
+        touched = sum(self.is_in_touch(name, now) for name in self._sharers)
+        daemons = len(self._sharers) + 1
+        if not touched and now - self._started_at < YOUNG_SECONDS:
+            daemons = max(daemons, YOUNG_DAEMONS)
+        return (1 + touched) / daemons
+
+    def is_in_touch(self, name: str, now: float) -> bool:
+        """Return whether a daemon has lately confirmed what it was told."""
+        peer = self._peers.get(name)
+        return peer is not None and now - peer.confirmed_at <= self.interval * TOUCH_ROUNDS
+
+    def tell(self, name: str, now: float) -> tuple[int, int, bool, list[Row]]:
+        """Return a message to a daemon: its number, that of the last one heard, and what changed.
+
+        The third says whether this daemon knows the levels: it has been in touch with most others.
+        """
+        peer = self._peers.setdefault(name, _Peer())
+        peer.number += 1
+        rows = [
+            Row(account, bucket.spent, int(self._fill(account, now).level))
+            for account, bucket in self._buckets.items()
+            if bucket.spent != peer.confirmed.get(account, 0)
+        ]
+        if not self.is_in_touch(name, now):
+            rows = [
+                Row(account, bucket.spent, int(self._fill(account, now).level))
+                for account, bucket in self._buckets.items()
+            ]
+        peer.unconfirmed[peer.number] = (now, rows)
+        if len(peer.unconfirmed) > UNCONFIRMED_KEPT:
+            del peer.unconfirmed[next(iter(peer.unconfirmed))]
+        return peer.number, peer.heard, self._knows, rows
+
+    def hear(
+        self, name: str, number: int, confirmed: int, knows: bool, rows: Iterable[Row], now: float
+    ) -> None:
+        """Take over what a daemon tells."""
+        peer = self._peers.setdefault(name, _Peer())
+        in_touch = self.is_in_touch(name, now)
+        if number <= peer.heard:
+            return
+        peer.heard = number
+        for row in rows:
+            if row.account in self._rates:
+                self._take_row(peer, row, in_touch, knows, now)
+        found = peer.unconfirmed.get(confirmed)
+        if found is not None:
+            sent_at, told = found
+            peer.confirmed_at = max(peer.confirmed_at, sent_at)
+            peer.confirmed.update({row.account: row.spent for row in told})
+            for older in [n for n in peer.unconfirmed if n <= confirmed]:
+                del peer.unconfirmed[older]
+
+    def _take_row(self, peer: _Peer, row: Row, in_touch: bool, knows: bool, now: float) -> None:
+        bucket = self._fill(row.account, now)
+        spent = row.spent - peer.spent.get(row.account, 0 if in_touch else row.spent)
+        peer.spent[row.account] = row.spent
+        if spent:
+            self.changed_at = now
+        if in_touch:
+            bucket.level -= spent
+            return
+        # What it spent out of touch was set aside here; what else it knew stands in its level.
+        bucket.reserved = max(0.0, bucket.reserved - max(0, spent))
+        if knows:
+            bucket.level = min(bucket.level, row.level)
+
+    def _spend(self, bucket: _Bucket, cost: int, now: float) -> None:
+        bucket.level -= cost
+        bucket.spent += cost
+        self.changed_at = now
+
+    def _fill(self, account: str, now: float) -> _Bucket:
+        rate = self._rates[account]
+        share = self.compute_share(now)
+        self._knows |= share > KNOWING_SHARE
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            # It has filled since the start of this daemon, as far as that belonged to it.
+            bucket = self._buckets[account] = _Bucket(0.0, self._started_at, share=share)
+        if share < bucket.share and bucket.level > 0:
+            moved = bucket.level * (1 - share / bucket.share)
+            bucket.level -= moved
+            bucket.reserved += moved
+        elif share > bucket.share:
+            released = bucket.reserved * (share - bucket.share) / (1 - bucket.share)
+            bucket.level += released
+            bucket.reserved -= released
+        bucket.share = share
+        gained = max(0.0, now - bucket.filled_at) * rate.per_second
+        bucket.filled_at = max(now, bucket.filled_at)
+        bucket.level = min(bucket.level + gained * share, rate.burst * share)
+        bucket.reserved = min(bucket.reserved + gained * (1 - share), rate.burst * (1 - share))
+        return bucket
--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -203,6 +203,18 @@
         least = self._compute_least_rate(alive)
         return [m for m in others if self.get_rate(m.incarnation) >= least]
 
+    def list_carrying(self) -> list[Member]:
+        """Return the other members that took requests by the last that was heard, alive or not.
+
+        In a small fleet these are all that are known.
+        """
+        known = self.list_known()
+        others = [m for m in known if m is not self.own]
+        if len(known) <= SMALL_FLEET:
+            return others
+        least = self._compute_least_rate(known)
+        return [m for m in others if self.get_rate(m.incarnation) >= least]
+
     def is_standing_by(self, now: float) -> bool:
         """Return whether this daemon took no requests lately, in a fleet where others do."""
         alive = self.list_alive(now)
--- a/passpier/core/routes.py
+++ b/passpier/core/routes.py
@@ -6,7 +6,7 @@
 import enum
 from collections.abc import Iterable, Mapping
 
-from passpier.core import rendezvous
+from passpier.core import buckets, rendezvous
 
 
 class Kind(enum.Enum):
@@ -71,6 +71,21 @@
     isolated: bool = False
     """Whether nothing that this account's prompts left in a cache may serve another account."""
 
+    rate: buckets.Rate | None = None
+    """What it may spend, over all daemons; none if it is not limited."""
+
+    counts_tokens: bool = False
+    """Whether the rate is in tokens; it is in requests otherwise."""
+
+    plain_cost: int = 1
+    """Units that a request counts whose tokens are not known."""
+
+    def compute_cost(self, tokens: int | None) -> int:
+        """Return the units that one run of a request counts against the rate."""
+        if not self.counts_tokens:
+            return 1
+        return self.plain_cost if tokens is None else tokens
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheStore:
@@ -126,6 +141,7 @@
         for routes in self._hosts.values():
             routes.sort(key=lambda r: -len(r.prefix))
         self._accounts = {k: a for a in configuration.accounts for k in a.keys}
+        self.rates = {a.name: a.rate for a in configuration.accounts if a.rate is not None}
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`, if any."""
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -89,6 +89,20 @@
     whole: bool = True
 
 
+class Spent(Message, tag='sp'):
+    """What the sender has spent of accounts' rates in its life: account, units, units left.
+
+    `number` counts the sender's messages to the receiver, `confirmed` is that of the last one the
+    other way that came. `knows` says that the sender's units left can be relied on. Of accounts
+    that are not named nothing has changed since the last message that the receiver confirmed.
+    """
+
+    number: int
+    confirmed: int
+    knows: bool
+    rows: list[tuple[str, int, int]]
+
+
 class Borrow(Message, tag='bo'):
     """Asks for one unit of an account's limit for the length of a request."""
 
@@ -295,6 +309,7 @@
     | Epoch
     | EpochWanted
     | Loads
+    | Spent
     | Borrow
     | Lent
     | Repay
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -60,6 +60,7 @@
             _read_prompt(headers),
             headers.get(names.LAST_EVENT, ''),
             passed,
+            _read_tokens(headers),
         )
 
     def write_request(self, ask: dialect.Ask, sending: dialect.Sending) -> exchanges.Headers:
@@ -242,6 +243,17 @@
     return seconds
 
 
+def _read_tokens(headers: tornado.httputil.HTTPHeaders) -> int | None:
+    value = headers.get(names.TOKENS)
+    if value is None:
+        return None
+    read, _, made = value.partition(',')
+    tokens = int(read) + int(made or 0)
+    if tokens < 0:
+        raise ValueError('the tokens are no count')
+    return tokens
+
+
 def _read_prompt(headers: tornado.httputil.HTTPHeaders) -> prompts.Prompt | None:
     model = headers.get(names.MODEL)
     if model is None:
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -14,6 +14,7 @@
 
 from passpier import clocks, exceptions
 from passpier.clients import connections
+from passpier.core import buckets
 from passpier.daemon import logs
 from passpier.platform import dialect as wire
 from passpier.platform import names, settings, store
@@ -82,6 +83,9 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_budget_slack,
         retry_window=bounds.budget_window_s,
+        rate_tolerance=buckets.Tolerance(
+            bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack
+        ),
         metrics_port=metrics_port,
     )
 
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from passpier import exceptions
-from passpier.core import catalogue, routes
+from passpier.core import buckets, catalogue, routes
 
 log = logging.getLogger(__name__)
 
@@ -83,6 +83,15 @@
     api_keys: list[str] = []
     priority: int | None = None
     isolated: bool = False
+    rate_per_s: float = 0
+    """Units a second; 0: no limit."""
+
+    burst: float = 0
+    """Units beside that."""
+
+    unit: str = 'requests'
+    uncached_tokens: int = 1
+    """What a request counts that does not tell its tokens, where `unit` is `tokens`."""
 
 
 class _Limits(msgspec.Struct):
@@ -184,9 +193,7 @@
         for s in raw.services
         if s.kv_store_address
     )
-    accounts = tuple(
-        routes.Account(t.name, tuple(t.api_keys), t.priority, t.isolated) for t in raw.tenants or ()
-    )
+    accounts = tuple(_convert_account(t) for t in raw.tenants or ())
     return routes.Configuration(
         raw.version,
         tuple(_convert_route(r) for r in raw.routes),
@@ -273,6 +280,19 @@
     )
 
 
+def _convert_account(raw: _Tenant) -> routes.Account:
+    rate = buckets.Rate(raw.rate_per_s, max(0.0, raw.burst)) if raw.rate_per_s > 0 else None
+    return routes.Account(
+        raw.name,
+        tuple(raw.api_keys),
+        raw.priority,
+        raw.isolated,
+        rate,
+        raw.unit == 'tokens',
+        raw.uncached_tokens,
+    )
+
+
 def _convert_service(raw: _Service) -> routes.Service:
     engine = raw.engine
     if engine is None:
--- a/passpier/platform/settings.py
+++ b/passpier/platform/settings.py
@@ -33,6 +33,9 @@
     retry_budget_ratio: float = 0.2
     retry_budget_slack: float = 20
     budget_window_s: float = 10
+    quota_window_s: float = pydantic.Field(default=8, gt=0)
+    quota_overshoot: float = pydantic.Field(default=0.1, ge=0)
+    quota_slack: float = pydantic.Field(default=0, ge=0)
     lease_ms: float = 3000
     version_ms: float = 10_000
     ttl_max_s: float = 5
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -10,7 +10,7 @@
 import tornado.httputil
 
 from passpier.clients import exchanges
-from passpier.core import catalogue, prompts, routes
+from passpier.core import buckets, catalogue, prompts, routes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +30,9 @@
     headers: exchanges.Headers
     """What travels on to the upstream unchanged."""
 
+    tokens: int | None = None
+    """Tokens of the prompt and the most of the answer, as the client states them, if it does."""
+
     @property
     def path(self) -> str:
         """The target without its query."""
@@ -221,6 +224,9 @@
     retry_ratio: float
     retry_slack: float
     retry_window: float
+    rate_tolerance: buckets.Tolerance
+    """What accounts may spend beyond their rates."""
+
     metrics_port: int
 
 
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -26,6 +26,7 @@
     delivering,
     dialect,
     knowledge,
+    limiting,
     pools,
     probing,
     reading,
@@ -79,7 +80,9 @@
         prober: probing.Prober,
         shared: sharing.Sharing,
         under_suspicion: suspects.Suspects,
+        limiter: limiting.Limiter,
     ) -> None:
+        self.limiter = limiter
         self.prober = prober
         self.suspects = under_suspicion
         self.sharing = shared
@@ -135,6 +138,8 @@
         self.sent = False
         """Whether the current attempt has reached an upstream."""
 
+        self._charge = limiting.Charge(owner.limiter, admitted.ask.id, admitted.account)
+        self._cost = admitted.compute_cost()
         self._outcome = 'client_gone'
         self._stopping = False
         self._delivery = delivering.Delivery(client, owner.wire, admitted.ends_at)
@@ -188,6 +193,8 @@
                 raise
             await self._end(503, 'stopping', 'this process stops', RETRY_AFTER_STOPPING)
         finally:
+            if not self.sent:
+                self._charge.give_back()
             self._log_end(clocks.now() - started)
 
     async def _answer(self) -> None:
@@ -237,6 +244,10 @@
         if judgement.refused_for is not None:
             await self._hold_back(judgement)
             return True
+        over_for = await self._charge.take(self._cost)
+        if over_for:
+            await self._end(429, 'over_limit', 'the account is at its limit', over_for)
+            return True
         if judgement.is_suspect:
             call.policy = 'apart'
             call.job = dataclasses.replace(call.job, apart=self._fingerprint)
@@ -428,6 +439,10 @@
         now = clocks.now()
         if error.fault is not attempts.Fault.REFUSED:
             self._owner.pools.note_failure(self._last)
+        if error.fault in attempts.NOT_RUN_FAULTS:
+            self.sent = False
+        else:
+            self._charge.note_spent()
         if error.broken_off and not self._owner.pools.has_left(self._last):
             self._owner.suspects.note_broken(self._admitted.fingerprint, self._last)
         has_time = now < self._admitted.ends_at
@@ -500,8 +515,8 @@
             self._outcome = 'stream_cut'
             self._client.abort()
             return
-        if self._call.life.outcome is not exceptions.Outcome.NOT_RUN and status == 503:
-            # A 503 would promise that the request has not run.
+        if self._call.life.outcome is not exceptions.Outcome.NOT_RUN and status in (429, 503):
+            # These would promise that the request has not run.
             status, retry_after = 502, None
         self._outcome = reason
         refusal = answering.Refusal(status, reason, message, retry_after)
--- /dev/null
+++ b/passpier/routing/limiting.py
@@ -0,0 +1,201 @@
+"""Keeps client accounts within their rates: charges requests, tells the other processes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from passpier import clocks
+from passpier.core import buckets, entries, members, routes
+from passpier.daemon import messages, peers
+from passpier.routing import knowledge
+
+log = logging.getLogger(__name__)
+
+INTERVAL = 0.1
+"""Seconds between two messages to a peer while requests of limited accounts come."""
+
+USUAL_PEERS = 24
+"""Processes that share the rates up to which that holds; it grows with more, so that one process
+does not send more messages."""
+
+SHARERS_INTERVAL = 0.5
+"""Seconds between looks at who shares the rates, as often as heartbeats bring news."""
+
+QUIET_SECONDS = 2.0
+"""Seconds without any charge after which nobody is told anything until the next one."""
+
+ASK_SECONDS = 0.15
+"""Seconds for which a request waits at the most for word from processes that are out of touch. It
+takes some milliseconds; a process that has stood by is in touch with nobody."""
+
+ASK_AGAIN_SECONDS = 1.0
+"""Seconds after which they are asked again; until then whoever is out of touch counts as away."""
+
+RETRY_MIN = 0.05
+"""Seconds after which a refused client should come back at the earliest."""
+
+RETRY_SPREAD = 0.5
+"""Part of the wait by which clients that are refused together come back apart."""
+
+
+class Limiter:
+    """One process's part in keeping the rates."""
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        membership: members.Membership,
+        link: peers.Peers,
+        tolerance: buckets.Tolerance,
+        rng: random.Random,
+    ) -> None:
+        self.book = buckets.SharedBuckets(tolerance, INTERVAL, clocks.now())
+        self._known = known
+        self._membership = membership
+        self._peers = link
+        self._rng = rng
+        self._table: routes.Table | None = None
+        self._sharers_at = float('-inf')
+        self._addresses: dict[str, str] = {}
+        """Peers that share the rates, and others that have told something lately."""
+
+        self._guests: dict[str, float] = {}
+        """When those others last told something."""
+
+        self._heard = asyncio.Event()
+        self._asked_at = float('-inf')
+        link.handle(messages.Spent, self._take_spent)
+
+    async def run(self) -> None:
+        """Tell the others until cancelled."""
+        while True:
+            await asyncio.sleep(self.book.interval)
+            now = clocks.now()
+            self.sync(now)
+            if self.book.has_rates and now - self.book.changed_at < QUIET_SECONDS:
+                self._tell_all(now)
+
+    def sync(self, now: float) -> None:
+        """Take over the configuration and who shares the rates."""
+        table = self._known.table
+        if table is not None and table is not self._table:
+            self._table = table
+            self.book.configure(table.rates, now)
+        # After a start the others are met one by one.
+        if now - self._sharers_at >= SHARERS_INTERVAL or not self._addresses:
+            self._sharers_at = now
+            self._set_sharers(now)
+
+    async def charge(self, request: str, account: str, cost: int) -> float:
+        """Spend `cost` units, or return the seconds after which the client should come back."""
+        now = clocks.now()
+        self.sync(now)
+        wait = self.book.take(account, cost, now)
+        if wait and self.book.compute_share(now) < 1.0:
+            wait = await self._ask(account, cost)
+            now = clocks.now()
+        if not wait:
+            return 0.0
+        retry_after = max(RETRY_MIN, wait) * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
+        log.info(
+            'over limit',
+            extra={
+                'request': request,
+                'account': account,
+                'cost': cost,
+                'left': round(self.book.get_level(account, now)),
+                'share': round(self.book.compute_share(now), 3),
+                'sharers': len(self._addresses),
+                'retry_after': round(retry_after, 3),
+            },
+        )
+        return retry_after
+
+    async def _ask(self, account: str, cost: int) -> float:
+        """Spend `cost` units as soon as enough processes are in touch, if they are shortly."""
+        now = clocks.now()
+        if now - self._asked_at > ASK_AGAIN_SECONDS:
+            self._asked_at = now
+            self._tell_all(now)
+        while now < self._asked_at + ASK_SECONDS:
+            self._heard.clear()
+            try:
+                await asyncio.wait_for(self._heard.wait(), self._asked_at + ASK_SECONDS - now)
+            except TimeoutError:
+                break
+            now = clocks.now()
+            if not self.book.take(account, cost, now):
+                return 0.0
+        return self.book.take(account, cost, clocks.now())
+
+    def _set_sharers(self, now: float) -> None:
+        """Find out who may spend: who took requests lately, and whom clients are sent to."""
+        membership = self._membership
+        known = membership.list_known()
+        rates = {m.incarnation: membership.get_rate(m.incarnation) for m in known}
+        sharers = {m.incarnation: m.peer for m in entries.choose_active(known, rates)}
+        sharers |= {m.incarnation: m.peer for m in membership.list_carrying()}
+        sharers.pop(membership.own.incarnation, None)
+        self.book.set_sharers(sharers, now)
+        self.book.interval = INTERVAL * max(1.0, len(sharers) / USUAL_PEERS)
+        self._guests = {n: at for n, at in self._guests.items() if now - at < QUIET_SECONDS}
+        guests = {n: self._addresses[n] for n in self._guests if n in self._addresses}
+        self._addresses = guests | sharers
+        self.book.forget({m.incarnation for m in known} | set(guests))
+
+    def _tell_all(self, now: float) -> None:
+        for name in self._addresses:
+            self._tell(name, now)
+
+    def _tell(self, name: str, now: float) -> None:
+        number, heard, knows, rows = self.book.tell(name, now)
+        told = [(row.account, row.spent, row.level) for row in rows]
+        self._peers.send(self._addresses[name], messages.Spent(number, heard, knows, told))
+
+    def _take_spent(self, sender: str, address: str, message: messages.Spent) -> None:
+        now = clocks.now()
+        self.sync(now)
+        was_in_touch = self.book.is_in_touch(sender, now)
+        rows = [buckets.Row(*row) for row in message.rows]
+        number, heard = message.number, message.confirmed
+        self.book.hear(sender, number, heard, message.knows, rows, now)
+        self._guests[sender] = now
+        self._addresses[sender] = address
+        if not was_in_touch:
+            # It waits for word from here, perhaps with a request.
+            self._tell(sender, now)
+            self._heard.set()
+
+
+class Charge:
+    """What one request has been charged and has not spent yet."""
+
+    def __init__(self, limiter: Limiter, request: str, account: routes.Account | None) -> None:
+        self._limiter = limiter
+        self._request = request
+        self._account = account.name if account is not None and account.rate is not None else ''
+        self._charged = 0
+
+    async def take(self, cost: int) -> float:
+        """Charge one attempt, unless the charge of the last one was not spent.
+
+        Returns 0, or the seconds after which the client should come back.
+        """
+        if self._charged or not self._account:
+            return 0.0
+        retry_after = await self._limiter.charge(self._request, self._account, cost)
+        if not retry_after:
+            self._charged = cost
+        return retry_after
+
+    def note_spent(self) -> None:
+        """Note that an attempt may have run: the next one is charged anew."""
+        self._charged = 0
+
+    def give_back(self) -> None:
+        """Give back what was charged for an attempt that did not run."""
+        if self._charged:
+            self._limiter.book.give_back(self._account, self._charged, clocks.now())
+            self._charged = 0
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -32,6 +32,7 @@
     ingress,
     keeping,
     knowledge,
+    limiting,
     marks,
     pools,
     probing,
@@ -161,6 +162,9 @@
             membership, self.peers, self.prober.has_ended, lambda: membership.choose_targets(rng)
         )
         self.marks = marks.Marks(adapter.source, self.known, self.suspects, incarnation)
+        self.limiter = limiting.Limiter(
+            self.known, membership, self.peers, options.rate_tolerance, rng
+        )
         # Nobody asks this process for decisions: they are in its log.
         places = dispatcher.Dispatcher(self.pools, self.counters, rng, decisions_kept=0)
         self.forwarder = forwarding.Forwarder(
@@ -173,6 +177,7 @@
             self.prober,
             self.sharing,
             self.suspects,
+            self.limiter,
         )
         self.ingress = ingress.Ingress(
             self.known, self.forwarder, adapter.wire, self.counters, self.meter
@@ -212,6 +217,7 @@
             tasks.start(self.loads.run()),
             tasks.start(self.suspects.run()),
             tasks.start(self.marks.run()),
+            tasks.start(self.limiter.run()),
         ]
         try:
             await self._serve(servers)
@@ -295,6 +301,7 @@
         self.forwarder.reload(options)
         self.rollouts.holder.hold = options.order_hold
         self.pools.version_bound = options.version_bound
+        self.limiter.book.tolerance = options.rate_tolerance
         self._drain.configure(*_read_stop_times(options))
         log.info('settings reloaded', extra={'key_bound': options.key_bound})
 
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -16,6 +16,7 @@
 
 from passpier import clocks
 from passpier.clients import connections, exchanges
+from passpier.core import buckets
 from passpier.platform import dialect, names, store
 from passpier.routing import dialect as routing
 from passpier.routing import router
@@ -373,6 +374,7 @@
         retry_ratio=0.2,
         retry_slack=40,
         retry_window=10.0,
+        rate_tolerance=buckets.Tolerance(8.0, 0.1, 1_000),
         metrics_port=ports[3],
     )
 
--- /dev/null
+++ b/passpier/tests/core/buckets_tests.py
@@ -0,0 +1,197 @@
+"""What one daemon lets through of accounts with rates, and what it learns from others."""
+
+from __future__ import annotations
+
+import pytest
+
+from passpier.core import buckets
+
+TOLERANCE = buckets.Tolerance(8.0, 0.1, 1_000)
+RATE = buckets.Rate(1_000, 1_000)
+EXCESS = TOLERANCE.compute_excess(RATE)
+GRACE = EXCESS * buckets.GRACE_SHARE
+
+
+def make_book(*sharers: str, now: float = 0.0) -> buckets.SharedBuckets:
+    book = buckets.SharedBuckets(TOLERANCE, 0.1, now)
+    book.configure({'a': RATE}, now)
+    book.set_sharers(sharers, now)
+    return book
+
+
+def talk(one: buckets.SharedBuckets, other: buckets.SharedBuckets, now: float) -> None:
+    """Have two that are called `one` and `other` tell each other until both are in touch."""
+    for _ in range(2):
+        other.hear('one', *one.tell('other', now), now)
+        one.hear('other', *other.tell('one', now), now)
+
+
+def spend_all(book: buckets.SharedBuckets, now: float, cost: int = 10) -> int:
+    spent = 0
+    while not book.take('a', cost, now):
+        spent += cost
+    return spent
+
+
+def test_excess_is_a_share_of_what_a_window_gives_and_the_slack() -> None:
+    assert pytest.approx(0.1 * (8 * 1_000 + 1_000) + 1_000) == EXCESS
+
+
+def test_a_bucket_is_empty_at_the_start_and_fills_up_to_the_burst() -> None:
+    book = make_book()
+    assert book.get_level('a', 6.0) == RATE.burst
+    young = make_book(now=5.0)
+    assert young.get_level('a', 5.0) == 0.0
+
+
+def test_account_without_rate_is_not_limited() -> None:
+    book = make_book()
+    assert book.take('b', 10**9, 0.0) == 0.0
+    book.give_back('b', 10**9, 0.0)
+
+
+def test_what_is_below_the_rate_is_never_refused() -> None:
+    book = make_book()
+    for n in range(1_000):
+        assert book.take('a', 100, 10.0 + n * 0.1) == 0.0
+
+
+def test_refusal_tells_when_there_will_be_room() -> None:
+    book = make_book()
+    spend_all(book, 10.0)
+    wait = book.take('a', 500, 10.0)
+    assert wait > 0.0
+    assert book.take('a', 500, 10.0 + wait * 0.9) > 0.0
+    assert book.take('a', 500, 10.0 + wait * 1.1) == 0.0
+
+
+def test_a_full_bucket_lets_a_request_through_that_is_larger_than_it() -> None:
+    cost = int(RATE.burst + EXCESS / 2)
+    book = make_book()
+    assert book.take('a', cost, 10.0) == 0.0
+    # It is paid for before anything else runs.
+    assert book.take('a', 10, 10.1) > 0.0
+    assert book.take('a', int(RATE.burst + 2 * EXCESS), 30.0) == buckets.RETRY_MAX
+
+
+def test_what_reached_no_upstream_is_given_back() -> None:
+    book = make_book()
+    book.take('a', 600, 10.0)
+    book.give_back('a', 600, 10.0)
+    assert book.get_level('a', 10.0) == RATE.burst
+
+
+def test_what_others_spent_is_subtracted() -> None:
+    one, other = make_book('other'), make_book('one')
+    talk(one, other, 10.0)
+    spent = spend_all(one, 10.0)
+    assert spent == pytest.approx(RATE.burst + GRACE, abs=10)
+    talk(one, other, 10.1)
+    # Its copy was full until it was told, so that it lost what came in since.
+    late = RATE.per_second * 0.1
+    assert other.get_level('a', 10.1) == pytest.approx(one.get_level('a', 10.1) - late, abs=1)
+
+
+def test_a_lost_message_is_made_good_by_the_next() -> None:
+    one, other = make_book('other'), make_book('one')
+    talk(one, other, 10.0)
+    one.take('a', 300, 10.0)
+    one.tell('other', 10.1)
+    one.take('a', 200, 10.1)
+    talk(one, other, 10.1)
+    assert other.get_level('a', 10.1) == pytest.approx(500, abs=101)
+
+
+def test_repeated_and_late_messages_do_no_harm() -> None:
+    one, other = make_book('other'), make_book('one')
+    talk(one, other, 10.0)
+    one.take('a', 300, 10.0)
+    message = one.tell('other', 10.0)
+    for _ in range(3):
+        other.hear('one', *message, 10.0)
+    assert other.get_level('a', 10.0) == pytest.approx(RATE.burst - 300)
+
+
+def test_one_that_nobody_confirms_has_its_even_part() -> None:
+    names = ('b', 'c', 'd')
+    book = make_book(*names)
+    assert spend_all(book, 10.0, cost=1) == pytest.approx((RATE.burst + GRACE) / 4, abs=2)
+    assert book.compute_share(10.0) == 1 / 4
+
+
+def test_two_sides_of_a_cut_spend_no_more_than_one_bucket() -> None:
+    one, other = make_book('other'), make_book('one')
+    talk(one, other, 10.0)
+    # Both notice before either spends.
+    spent = spend_all(one, 11.0) + spend_all(other, 11.0)
+    assert spent <= RATE.burst + GRACE + 10
+    for n in range(80):
+        spent += spend_all(one, 11.0 + n * 0.1) + spend_all(other, 11.0 + n * 0.1)
+    assert spent <= RATE.burst + GRACE + RATE.per_second * 8 + 20
+
+
+def test_what_was_set_aside_comes_back_after_a_cut_unless_it_was_spent() -> None:
+    idle, other = make_book('other'), make_book('one')
+    talk(idle, other, 10.0)
+    assert idle.get_level('a', 12.0) == RATE.burst / 2
+    talk(idle, other, 12.0)
+    assert idle.get_level('a', 12.0) == RATE.burst
+    idle.get_level('a', 14.0)
+    spend_all(other, 14.0)
+    talk(idle, other, 14.0)
+    assert idle.get_level('a', 14.0) <= RATE.burst / 2 + GRACE
+
+
+def test_one_that_only_hears_is_not_in_touch() -> None:
+    one, other = make_book('other'), make_book('one')
+    talk(one, other, 10.0)
+    for n in range(20):
+        now = 10.0 + n * 0.1
+        one.tell('other', now)
+        one.hear('other', *other.tell('one', now), now)
+    assert not one.is_in_touch('other', now)
+
+
+def test_one_that_starts_does_not_take_a_long_history_for_spending() -> None:
+    old = make_book('one')
+    for n in range(100):
+        old.take('a', 100, 10.0 + n * 0.1)
+    new = make_book('other', now=20.0)
+    talk(new, old, 20.5)
+    assert new.get_level('a', 20.5) >= 0.0
+
+
+def test_one_that_stood_by_takes_over_what_is_left() -> None:
+    busy, idle = make_book('one'), make_book('other')
+    assert idle.get_level('a', 10.0) == RATE.burst / 2
+    busy.set_sharers([], 10.0)
+    spend_all(busy, 10.0)
+    busy.set_sharers(['one'], 10.0)
+    talk(idle, busy, 10.0)
+    assert idle.get_level('a', 10.0) <= busy.get_level('a', 10.0) + RATE.burst / 2
+
+
+def test_lower_rate_holds_at_once_and_old_debts_are_forgotten() -> None:
+    book = make_book()
+    spend_all(book, 10.0)
+    lower = buckets.Rate(100, 100)
+    book.configure({'a': lower}, 10.0)
+    assert book.get_level('a', 12.0) == pytest.approx(
+        100 * 2.0 - TOLERANCE.compute_excess(lower) * buckets.GRACE_SHARE, abs=1
+    )
+    assert book.get_level('a', 30.0) == lower.burst
+    book.configure({'a': RATE}, 30.0)
+    assert book.get_level('a', 32.0) == RATE.burst
+
+
+def test_after_a_suspension_nobody_counts_as_in_touch() -> None:
+    one, other = make_book('other'), make_book('one')
+    talk(one, other, 10.0)
+    assert one.compute_share(10.1) == 1.0
+    assert one.compute_share(15.0) == 0.5
+
+
+def test_a_young_one_that_knows_nobody_takes_next_to_nothing() -> None:
+    book = make_book(now=10.0)
+    assert book.compute_share(11.0) == 1 / buckets.YOUNG_DAEMONS
+    assert book.compute_share(10.0 + buckets.YOUNG_SECONDS) == 1.0
