A router that ends in native code writes what ran then to standard error

Cause: three routers ended by themselves with code 132, an invalid instruction, one of them before its first line; nothing told what ran. Measured: a process that gets SIGILL, SIGSEGV or SIGABRT while it loads writes its stack.

--- a/passpier/tests/platform/settings_tests.py
+++ b/passpier/tests/platform/settings_tests.py
@@ -7,6 +7,8 @@
 import pathlib
 import runpy
 import signal
+import subprocess
+import sys
 from unittest import mock
 
 import pytest
@@ -100,3 +102,16 @@
     loop.close()
     process = mock.create_autospec(router.Router, instance=True)
     main._note_stop(loop, process, signal.SIGTERM, None)
+
+
+@pytest.mark.parametrize('number', [signal.SIGILL, signal.SIGSEGV, signal.SIGABRT])
+def test_a_process_that_ends_in_native_code_says_where(number: signal.Signals) -> None:
+    program = (
+        'import os, runpy\n'
+        "runpy.run_module('passpier.platform.__main__', run_name='loading')\n"
+        f'os.kill(os.getpid(), {int(number)})\n'
+    )
+    ended = subprocess.run([sys.executable, '-c', program], capture_output=True, check=False)
+    assert ended.returncode == -number
+    assert b'Fatal Python error' in ended.stderr
+    assert b'line 3' in ended.stderr
