Buckets begin with a part of the tolerated excess; a start meets the others sooner

Change: a quarter of the tolerated excess to begin with; heartbeats ten times a second until somebody is known.

--- a/passpier/core/buckets.py
+++ b/passpier/core/buckets.py
@@ -8,7 +8,7 @@
 What the delay may cost is bounded by who is in touch. A daemon is in touch with another while that
 one has lately confirmed what this one told. It uses of each bucket the part that belongs to those
 in touch, itself included, and sets the rest aside for the others: whatever the cut, the parts in
-use on all sides make up one bucket. A daemon that starts begins with empty buckets.
+use on all sides make up one bucket. A daemon that starts begins with nearly empty buckets.
 """
 
 from __future__ import annotations
@@ -28,6 +28,11 @@
 """Part of the tolerated excess that is spent on purpose, so that nothing below a limit is refused
 for rounding or order; the rest is for delays, cuts and starts."""
 
+START_SHARE = 0.25
+"""Part of the tolerated excess with which buckets begin, so that not all are refused in the second
+after a loss of power. Whoever starts knows nothing of what was spent before: all of them may lose
+power twice in a window."""
+
 LARGEST_SHARE = 0.5
 """Part of the tolerated excess that a single request may use up, if it is larger than a burst."""
 
@@ -288,7 +293,9 @@
         bucket = self._buckets.get(account)
         if bucket is None:
             # It has filled since the start of this daemon, as far as that belonged to it.
-            bucket = self._buckets[account] = _Bucket(0.0, self._started_at, share=share)
+            begun = min(rate.burst, self.tolerance.compute_excess(rate) * START_SHARE)
+            bucket = _Bucket(begun * share, self._started_at, 0, begun * (1 - share), share)
+            self._buckets[account] = bucket
         if share < bucket.share and bucket.level > 0:
             moved = bucket.level * (1 - share / bucket.share)
             bucket.level -= moved
--- a/passpier/routing/limiting.py
+++ b/passpier/routing/limiting.py
@@ -84,7 +84,8 @@
             self._table = table
             self.book.configure(table.rates, now)
         # After a start the others are met one by one.
-        if now - self._sharers_at >= SHARERS_INTERVAL or not self._addresses:
+        interval = SHARERS_INTERVAL if self._addresses else INTERVAL
+        if now - self._sharers_at >= interval:
             self._sharers_at = now
             self._set_sharers(now)
 
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -22,6 +22,9 @@
 HEARTBEAT = 0.5
 """Seconds between heartbeats."""
 
+FIRST_HEARTBEAT = 0.1
+"""The same, while no other process is known: until it is, little of a limited account is served."""
+
 MEMBER_LEASE = 10.0
 """Seconds after which the entry of a process that is gone vanishes; heartbeats notice much sooner,
 and each renewal is a priced call."""
@@ -88,7 +91,8 @@
             self.sync_registry(now)
             self.membership.forget_gone(now)
             self.most = max(self.most, len(self.membership.list_alive(now)))
-            await asyncio.sleep(HEARTBEAT * self._rng.uniform(0.9, 1.1))
+            pause = HEARTBEAT if len(self.membership) > 1 else FIRST_HEARTBEAT
+            await asyncio.sleep(pause * self._rng.uniform(0.9, 1.1))
 
     def tell_interested(self, message: messages.AnyMessage) -> None:
         """Send a message about replicas or caches, unless too many would have to know."""
