Limits: history of before the configuration is no spending; who stands by is silent; parts are told whole

Ruled out: too large a set of sharers (12 were).

Change: what was told is remembered whatever is configured; what is left is told with what is set aside; only who carries requests, or has charged one lately, tells and answers. What was spent out of touch beyond its own part is subtracted.

--- a/passpier/core/buckets.py
+++ b/passpier/core/buckets.py
@@ -79,11 +79,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
-    """What one daemon tells of an account: all that it has spent, and what it takes to be left."""
+    """What one daemon tells of an account: all that it has spent, and what it takes to be left.
+
+    That includes what it has set aside for others.
+    """
 
     account: str
     spent: int
-    level: int
+    left: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +99,9 @@
     reserved: float = 0.0
     """Units that belong to daemons out of touch."""
 
+    forgone: float = 0.0
+    """Units that they may have spent since they were last in touch."""
+
     share: float = 1.0
     """Part of the bucket in use."""
 
@@ -232,16 +238,12 @@
         """
         peer = self._peers.setdefault(name, _Peer())
         peer.number += 1
+        whole = not self.is_in_touch(name, now)
         rows = [
-            Row(account, bucket.spent, int(self._fill(account, now).level))
+            self._make_row(account, now)
             for account, bucket in self._buckets.items()
-            if bucket.spent != peer.confirmed.get(account, 0)
+            if whole or bucket.spent != peer.confirmed.get(account, 0)
         ]
-        if not self.is_in_touch(name, now):
-            rows = [
-                Row(account, bucket.spent, int(self._fill(account, now).level))
-                for account, bucket in self._buckets.items()
-            ]
         peer.unconfirmed[peer.number] = (now, rows)
         if len(peer.unconfirmed) > UNCONFIRMED_KEPT:
             del peer.unconfirmed[next(iter(peer.unconfirmed))]
@@ -257,8 +259,10 @@
             return
         peer.heard = number
         for row in rows:
+            before = peer.spent.get(row.account, 0 if in_touch else row.spent)
+            peer.spent[row.account] = row.spent
             if row.account in self._rates:
-                self._take_row(peer, row, in_touch, knows, now)
+                self._take_row(row, row.spent - before, in_touch, knows, now)
         found = peer.unconfirmed.get(confirmed)
         if found is not None:
             sent_at, told = found
@@ -267,19 +271,24 @@
             for older in [n for n in peer.unconfirmed if n <= confirmed]:
                 del peer.unconfirmed[older]
 
-    def _take_row(self, peer: _Peer, row: Row, in_touch: bool, knows: bool, now: float) -> None:
+    def _make_row(self, account: str, now: float) -> Row:
+        bucket = self._fill(account, now)
+        return Row(account, bucket.spent, int(bucket.level + bucket.reserved))
+
+    def _take_row(self, row: Row, spent: int, in_touch: bool, knows: bool, now: float) -> None:
         bucket = self._fill(row.account, now)
-        spent = row.spent - peer.spent.get(row.account, 0 if in_touch else row.spent)
-        peer.spent[row.account] = row.spent
         if spent:
             self.changed_at = now
         if in_touch:
             bucket.level -= spent
             return
-        # What it spent out of touch was set aside here; what else it knew stands in its level.
-        bucket.reserved = max(0.0, bucket.reserved - max(0, spent))
+        # Of what it spent out of touch its own part was set aside here.
+        own_part = min(max(0, spent), bucket.forgone)
+        bucket.forgone -= own_part
+        bucket.reserved = max(0.0, bucket.reserved - own_part)
+        bucket.level -= spent - own_part
         if knows:
-            bucket.level = min(bucket.level, row.level)
+            bucket.level -= max(0.0, bucket.level + bucket.reserved - row.left)
 
     def _spend(self, bucket: _Bucket, cost: int, now: float) -> None:
         bucket.level -= cost
@@ -294,12 +303,14 @@
         if bucket is None:
             # It has filled since the start of this daemon, as far as that belonged to it.
             begun = min(rate.burst, self.tolerance.compute_excess(rate) * START_SHARE)
-            bucket = _Bucket(begun * share, self._started_at, 0, begun * (1 - share), share)
+            bucket = _Bucket(begun * share, self._started_at, reserved=begun * (1 - share))
+            bucket.share = share
             self._buckets[account] = bucket
         if share < bucket.share and bucket.level > 0:
             moved = bucket.level * (1 - share / bucket.share)
             bucket.level -= moved
             bucket.reserved += moved
+            bucket.forgone += moved
         elif share > bucket.share:
             released = bucket.reserved * (share - bucket.share) / (1 - bucket.share)
             bucket.level += released
@@ -309,4 +320,5 @@
         bucket.filled_at = max(now, bucket.filled_at)
         bucket.level = min(bucket.level + gained * share, rate.burst * share)
         bucket.reserved = min(bucket.reserved + gained * (1 - share), rate.burst * (1 - share))
+        bucket.forgone = bucket.forgone + gained * (1 - share) if share < 1 else 0.0
         return bucket
--- a/passpier/routing/limiting.py
+++ b/passpier/routing/limiting.py
@@ -59,11 +59,13 @@
         self._table: routes.Table | None = None
         self._sharers_at = float('-inf')
         self._addresses: dict[str, str] = {}
-        """Peers that share the rates, and others that have told something lately."""
+        """Of the other processes that share the rates."""
 
-        self._guests: dict[str, float] = {}
-        """When those others last told something."""
+        self._carries = False
+        """Whether this process is one of those that share the rates."""
 
+        self._spent_at = float('-inf')
+        self._told_at: dict[str, float] = {}
         self._heard = asyncio.Event()
         self._asked_at = float('-inf')
         link.handle(messages.Spent, self._take_spent)
@@ -74,7 +76,7 @@
             await asyncio.sleep(self.book.interval)
             now = clocks.now()
             self.sync(now)
-            if self.book.has_rates and now - self.book.changed_at < QUIET_SECONDS:
+            if self._may_tell(now) and now - self.book.changed_at < QUIET_SECONDS:
                 self._tell_all(now)
 
     def sync(self, now: float) -> None:
@@ -93,6 +95,7 @@
         """Spend `cost` units, or return the seconds after which the client should come back."""
         now = clocks.now()
         self.sync(now)
+        self._spent_at = now
         wait = self.book.take(account, cost, now)
         if wait and self.book.compute_share(now) < 1.0:
             wait = await self._ask(account, cost)
@@ -138,22 +141,29 @@
         rates = {m.incarnation: membership.get_rate(m.incarnation) for m in known}
         sharers = {m.incarnation: m.peer for m in entries.choose_active(known, rates)}
         sharers |= {m.incarnation: m.peer for m in membership.list_carrying()}
-        sharers.pop(membership.own.incarnation, None)
+        own = membership.own.incarnation
+        took = membership.get_rate(own) > 0 and not membership.is_standing_by(now)
+        self._carries = took or own in sharers
+        sharers.pop(own, None)
         self.book.set_sharers(sharers, now)
         self.book.interval = INTERVAL * max(1.0, len(sharers) / USUAL_PEERS)
-        self._guests = {n: at for n, at in self._guests.items() if now - at < QUIET_SECONDS}
-        guests = {n: self._addresses[n] for n in self._guests if n in self._addresses}
-        self._addresses = guests | sharers
-        self.book.forget({m.incarnation for m in known} | set(guests))
+        self._addresses = sharers
+        self.book.forget(m.incarnation for m in known)
+
+    def _may_tell(self, now: float) -> bool:
+        """Return whether others have to know of this process: it may spend, or has lately."""
+        spent = now - self._spent_at < QUIET_SECONDS
+        return self.book.has_rates and (self._carries or spent)
 
     def _tell_all(self, now: float) -> None:
-        for name in self._addresses:
-            self._tell(name, now)
+        for name, address in self._addresses.items():
+            self._tell(name, address, now)
 
-    def _tell(self, name: str, now: float) -> None:
+    def _tell(self, name: str, address: str, now: float) -> None:
+        self._told_at[name] = now
         number, heard, knows, rows = self.book.tell(name, now)
-        told = [(row.account, row.spent, row.level) for row in rows]
-        self._peers.send(self._addresses[name], messages.Spent(number, heard, knows, told))
+        told = [(row.account, row.spent, row.left) for row in rows]
+        self._peers.send(address, messages.Spent(number, heard, knows, told))
 
     def _take_spent(self, sender: str, address: str, message: messages.Spent) -> None:
         now = clocks.now()
@@ -162,12 +172,13 @@
         rows = [buckets.Row(*row) for row in message.rows]
         number, heard = message.number, message.confirmed
         self.book.hear(sender, number, heard, message.knows, rows, now)
-        self._guests[sender] = now
-        self._addresses[sender] = address
         if not was_in_touch:
-            # It waits for word from here, perhaps with a request.
-            self._tell(sender, now)
             self._heard.set()
+        # Whoever is not told anyway waits for word from here, perhaps with a request.
+        late = now - self._told_at.get(sender, float('-inf')) >= self.book.interval
+        is_told = sender in self._addresses and was_in_touch
+        if late and not is_told and self._may_tell(now):
+            self._tell(sender, address, now)
 
 
 class Charge:
--- a/passpier/tests/core/buckets_tests.py
+++ b/passpier/tests/core/buckets_tests.py
@@ -196,3 +196,37 @@
     book = make_book(now=10.0)
     assert book.compute_share(11.0) == 1 / buckets.YOUNG_DAEMONS
     assert book.compute_share(10.0 + buckets.YOUNG_SECONDS) == 1.0
+
+
+def test_what_was_told_before_the_rates_were_known_is_no_new_spending() -> None:
+    """A process that had just started took another's whole history for spent at once."""
+    old = make_book('one')
+    for n in range(100):
+        old.take('a', 100, 10.0 + n * 0.1)
+    new = buckets.SharedBuckets(TOLERANCE, 0.1, 20.0)
+    new.set_sharers(['other'], 20.0)
+    talk(new, old, 20.1)
+    new.configure({'a': RATE}, 20.2)
+    old.take('a', 100, 20.2)
+    talk(new, old, 20.3)
+    assert new.get_level('a', 20.3) >= 0.0
+
+
+def test_one_that_was_away_does_not_spread_its_small_part() -> None:
+    """What it had left of its part was taken for what was left of all."""
+    names = [f'd{n}' for n in range(8)]
+    books = {n: make_book(*(x for x in names if x != n)) for n in names}
+
+    def talk_all(reached: list[str], now: float) -> None:
+        for _ in range(3):
+            for one in reached:
+                for other in reached:
+                    if one != other:
+                        books[other].hear(one, *books[one].tell(other, now), now)
+
+    talk_all(names, 10.0)
+    talk_all(names[1:], 12.0)
+    spend_all(books['d0'], 12.0)
+    talk_all(names, 12.1)
+    spent_away = (RATE.burst + GRACE) / 8
+    assert books['d1'].get_level('a', 12.1) >= RATE.burst - spent_away - 10
--- /dev/null
+++ b/passpier/tests/routing/limiting_tests.py
@@ -0,0 +1,126 @@
+"""Who tells whom what accounts have spent: many processes, of which few carry requests."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import types
+from typing import Any, cast
+
+import pytest
+
+from passpier import clocks
+from passpier.core import buckets, entries, members
+from passpier.daemon import messages
+from passpier.routing import knowledge, limiting
+from passpier.standins import network, virtual
+
+RATE = buckets.Rate(100_000, 100_000)
+CARRYING = 6
+STANDING_BY = 18
+
+pytestmark = pytest.mark.usefixtures('virtual_clock')
+
+
+class Process:
+    """A process's part in the limits; heartbeats reach it at once."""
+
+    def __init__(self, net: network.Network, number: int) -> None:
+        own = members.Member(f'vm-{number}', f'i{number}', f'10.0.0.{number}', 1, 2, 'd0')
+        self.membership = members.Membership(own, 0.5, clocks.now())
+        link = cast(Any, net.connect(own))
+        table = types.SimpleNamespace(rates={'acme': RATE})
+        known = cast(knowledge.Knowledge, types.SimpleNamespace(table=table))
+        tolerance = buckets.Tolerance(8.0, 0.1, 110_000)
+        self.limiter = limiting.Limiter(
+            known, self.membership, link, tolerance, random.Random(number)
+        )
+
+
+class Fleet:
+    def __init__(self) -> None:
+        self.net = network.Network(random.Random(1))
+        self.processes = [Process(self.net, n) for n in range(CARRYING + STANDING_BY)]
+        self.told = 0
+        self.counters = 0
+        self.tasks = [asyncio.ensure_future(p.limiter.run()) for p in self.processes]
+
+    def beat(self, carrying: int) -> None:
+        """Have everybody know everybody's rate of requests."""
+        self.counters += 1
+        now = clocks.now()
+        beats = [
+            members.Beat(f'i{n}', self.counters + 1, rate=10.0 if n < carrying else 0.0)
+            for n in range(len(self.processes))
+        ]
+        for process in self.processes:
+            own = process.membership.own
+            process.membership.advance(
+                now, 0, 0, 0, False, beats[self.processes.index(process)].rate
+            )
+            for other in self.processes:
+                if other is not process:
+                    process.membership.add(other.membership.own, now)
+            process.membership.merge([b for b in beats if b.incarnation != own.incarnation], now)
+
+    async def run(self, seconds: float, carrying: int) -> int:
+        """Let those that carry spend; return the messages sent."""
+        before = self.net.carried
+        ends = clocks.now() + seconds
+        while clocks.now() < ends:
+            self.beat(carrying)
+            for process in self.processes[:carrying]:
+                await process.limiter.charge('r', 'acme', 500)
+            await asyncio.sleep(0.25)
+        return self.net.carried - before
+
+    def end(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+
+def test_who_stands_by_again_falls_silent() -> None:
+    """After a start all carried requests; later each still told each, ten times a second."""
+
+    async def play() -> None:
+        fleet = Fleet()
+        await fleet.run(5.0, len(fleet.processes))
+        await fleet.run(5.0, CARRYING)
+        sent = await fleet.run(5.0, CARRYING)
+        fleet.end()
+        rounds = 5.0 / limiting.INTERVAL
+        # Some are named to clients without being used yet.
+        sharing = CARRYING + entries.LEAST_ACTIVE
+        assert sent <= 1.2 * rounds * sharing * (sharing - 1)
+        assert fleet.processes[0].limiter.book.compute_share(clocks.now()) == 1.0
+
+    virtual.run(play())
+
+
+def test_one_that_stood_by_serves_its_first_request_at_once() -> None:
+    async def play() -> None:
+        fleet = Fleet()
+        await fleet.run(10.0, CARRYING)
+        newcomer = fleet.processes[-1]
+        began = clocks.now()
+        assert await newcomer.limiter.charge('r', 'acme', 60_000) == 0.0
+        assert clocks.now() - began < limiting.ASK_SECONDS
+        fleet.end()
+
+    virtual.run(play())
+
+
+def test_a_reply_brings_no_reply_of_those_that_spend_nothing() -> None:
+    async def play() -> None:
+        fleet = Fleet()
+        await fleet.run(10.0, CARRYING)
+        await asyncio.sleep(5.0)
+        before = fleet.net.carried
+        one, other = fleet.processes[-2:]
+        link = fleet.net.links[one.membership.own.peer]
+        link.send(other.membership.own.peer, messages.Spent(1, 0, False, []))
+        await asyncio.sleep(5.0)
+        fleet.end()
+        assert fleet.net.carried - before <= 3
+
+    virtual.run(play())
