--- a/passpier/core/buckets.py
+++ b/passpier/core/buckets.py
@@ -105,6 +105,40 @@
     share: float = 1.0
     """Part of the bucket in use."""
 
+    def split(self, share: float) -> None:
+        """Set which part is in use."""
+        if share < self.share and self.level > 0:
+            moved = self.level * (1 - share / self.share)
+            self.level -= moved
+            self.reserved += moved
+            self.forgone += moved
+        elif share > self.share:
+            released = self.reserved * (share - self.share) / (1 - self.share)
+            self.level += released
+            self.reserved -= released
+        self.share = share
+
+    def fill(self, rate: Rate, now: float) -> None:
+        """Add what has come in since the last time."""
+        gained = max(0.0, now - self.filled_at) * rate.per_second
+        self.filled_at = max(now, self.filled_at)
+        away = 1 - self.share
+        self.level = min(self.level + gained * self.share, rate.burst * self.share)
+        self.reserved = min(self.reserved + gained * away, rate.burst * away)
+        self.forgone = self.forgone + gained * away if away else 0.0
+
+    def subtract_away(self, spent: int) -> None:
+        """Subtract what a daemon out of touch has spent: its own part was set aside."""
+        own_part = min(max(0, spent), self.forgone)
+        self.forgone -= own_part
+        self.reserved = max(0.0, self.reserved - own_part)
+        self.level -= spent - own_part
+
+    def drop_reserved(self, part: float) -> None:
+        """Give up a part of what was set aside: it may have been spent, untold."""
+        self.reserved *= 1 - part
+        self.forgone *= 1 - part
+
 
 @dataclasses.dataclass(slots=True)
 class _Peer:
@@ -138,6 +172,10 @@
         self._sharers: set[str] = set()
         self._peers: dict[str, _Peer] = {}
         self._knows = False
+        self._share = 1.0
+        self._shared_at = float('nan')
+        """When that was worked out; it is looked up for each account of each message."""
+
         self.changed_at = float('-inf')
         """When this daemon last spent something, or heard that another had."""
 
@@ -162,11 +200,12 @@
         for account in self._buckets:
             self._fill(account, now)
         self._sharers = sharers
+        self._shared_at = float('nan')
         if not ended:
             return
         share = self.compute_share(now)
         for bucket in self._buckets.values():
-            bucket.reserved *= 1 - len(ended) / len(away)
+            bucket.drop_reserved(len(ended) / len(away))
             bucket.share = max(bucket.share, share)
 
     def forget(self, alive: Iterable[str]) -> None:
@@ -220,6 +259,12 @@
 
     def compute_share(self, now: float) -> float:
         """Return the part of each bucket that belongs to this daemon and those in touch."""
+        if now != self._shared_at:
+            self._shared_at = now
+            self._share = self._count_share(now)
+        return self._share
+
+    def _count_share(self, now: float) -> float:
         touched = sum(self.is_in_touch(name, now) for name in self._sharers)
         daemons = len(self._sharers) + 1
         if not touched and now - self._started_at < YOUNG_SECONDS:
@@ -267,6 +312,7 @@
         if found is not None:
             sent_at, told = found
             peer.confirmed_at = max(peer.confirmed_at, sent_at)
+            self._shared_at = float('nan')
             peer.confirmed.update({row.account: row.spent for row in told})
             for older in [n for n in peer.unconfirmed if n <= confirmed]:
                 del peer.unconfirmed[older]
@@ -282,11 +328,7 @@
         if in_touch:
             bucket.level -= spent
             return
-        # Of what it spent out of touch its own part was set aside here.
-        own_part = min(max(0, spent), bucket.forgone)
-        bucket.forgone -= own_part
-        bucket.reserved = max(0.0, bucket.reserved - own_part)
-        bucket.level -= spent - own_part
+        bucket.subtract_away(spent)
         if knows:
             bucket.level -= max(0.0, bucket.level + bucket.reserved - row.left)
 
@@ -306,19 +348,6 @@
             bucket = _Bucket(begun * share, self._started_at, reserved=begun * (1 - share))
             bucket.share = share
             self._buckets[account] = bucket
-        if share < bucket.share and bucket.level > 0:
-            moved = bucket.level * (1 - share / bucket.share)
-            bucket.level -= moved
-            bucket.reserved += moved
-            bucket.forgone += moved
-        elif share > bucket.share:
-            released = bucket.reserved * (share - bucket.share) / (1 - bucket.share)
-            bucket.level += released
-            bucket.reserved -= released
-        bucket.share = share
-        gained = max(0.0, now - bucket.filled_at) * rate.per_second
-        bucket.filled_at = max(now, bucket.filled_at)
-        bucket.level = min(bucket.level + gained * share, rate.burst * share)
-        bucket.reserved = min(bucket.reserved + gained * (1 - share), rate.burst * (1 - share))
-        bucket.forgone = bucket.forgone + gained * (1 - share) if share < 1 else 0.0
+        bucket.split(share)
+        bucket.fill(rate, now)
         return bucket
