--- a/passpier/routing/limiting.py
+++ b/passpier/routing/limiting.py
@@ -65,7 +65,11 @@
         """Whether this process is one of those that share the rates."""
 
         self._spent_at = float('-inf')
+        """When a limited account last asked for something here."""
+
         self._told_at: dict[str, float] = {}
+        """When others were last told, those included that do not share the rates."""
+
         self._heard = asyncio.Event()
         self._asked_at = float('-inf')
         link.handle(messages.Spent, self._take_spent)
@@ -149,6 +153,7 @@
         self.book.interval = INTERVAL * max(1.0, len(sharers) / USUAL_PEERS)
         self._addresses = sharers
         self.book.forget(m.incarnation for m in known)
+        self._told_at = {n: at for n, at in self._told_at.items() if now - at < QUIET_SECONDS}
 
     def _may_tell(self, now: float) -> bool:
         """Return whether others have to know of this process: it may spend, or has lately."""
