The test of what waits at the end of a stop has something wait, and no longer races

Cause, traced: the stand-in has no queue. Two of the four requests were refused by the replica after some 6 ms, so that all four were under way for about 5 ms, which were looked for every 5 ms; and nothing waited in the router, which the test is about.

Change: the replicas take more than the router knows of, and six are asked: four reach replicas, two wait in the router. All assertions stay, and one is added (four reach replicas).

--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -125,14 +125,18 @@
         )
         plain = [r for r in running.replicas.values() if not r.model]
         for known in plain:
-            known.slots = 1
+            # As the router knows them; they take more, and refuse nothing.
+            room, known.slots = known.slots, 1
             running.record(known.id)
+            known.slots = room
         process = running.add_router('vm-0', 'zone-0', stop_bound=SHORT_STOP)
         await running.wait_ready()
         asked = []
-        for number in range(4):
+        for number in range(6):
             id = f'n{number}'
             asked.append(asyncio.ensure_future(running.ask('/slow/x', id=id, patience_ms=9000)))
+        # Each replica has one request in its slot and one behind it; two wait in the router.
+        await scenes.wait_for(lambda: sum(known.active for known in plain) == 4)
         await scenes.wait_for(lambda: process.ingress.in_flight == len(asked))
         process.begin_stop()
         replies = await asyncio.gather(*asked)
