The model of limits has one way of keeping them: daemons that tell nothing have their even part

EvenShares wrote the token bucket again beside core/buckets; a daemon that tells nobody keeps to its even part by itself. The grace of a rate is worked out in one place. Tests and their bounds as before.

--- a/passpier/core/buckets.py
+++ b/passpier/core/buckets.py
@@ -76,6 +76,10 @@
         """Return the units that an account may spend beyond its rate in one window."""
         return (rate.per_second * self.window + rate.burst) * self.share + self.slack
 
+    def compute_grace(self, rate: Rate) -> float:
+        """Return the part of these that is spent on purpose."""
+        return self.compute_excess(rate) * GRACE_SHARE
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
@@ -184,7 +188,7 @@
         for account, rate in rates.items():
             if account in self._buckets and rate != self._rates.get(account):
                 bucket = self._fill(account, now)
-                grace = self.tolerance.compute_excess(rate) * GRACE_SHARE
+                grace = self.tolerance.compute_grace(rate)
                 bucket.level = min(max(bucket.level, -grace), rate.burst * bucket.share)
         self._rates = dict(rates)
         self._buckets = {a: b for a, b in self._buckets.items() if a in rates}
@@ -232,10 +236,9 @@
         if rate is None:
             return 0.0
         bucket = self._fill(account, now)
-        excess = self.tolerance.compute_excess(rate)
-        if cost > rate.burst + excess * LARGEST_SHARE:
+        if cost > rate.burst + self.tolerance.compute_excess(rate) * LARGEST_SHARE:
             return RETRY_MAX
-        grace = excess * GRACE_SHARE * bucket.share
+        grace = self.tolerance.compute_grace(rate) * bucket.share
         lacking = min(cost, rate.burst + grace) - bucket.level - grace
         if lacking > 0:
             per_second = rate.per_second * bucket.share
@@ -332,8 +335,7 @@
         if in_touch:
             bucket.level -= spent
             return
-        excess = self.tolerance.compute_excess(self._rates[row.account])
-        bucket.subtract_away(spent, -excess * GRACE_SHARE)
+        bucket.subtract_away(spent, -self.tolerance.compute_grace(self._rates[row.account]))
         if adopts:
             bucket.level -= max(0.0, bucket.level + bucket.reserved - row.left)
 
@@ -350,8 +352,7 @@
         if bucket is None:
             # It has filled since the start of this daemon, as far as that belonged to it.
             begun = min(rate.burst, self.tolerance.compute_excess(rate) * START_SHARE)
-            bucket = _Bucket(begun * share, self._started_at, reserved=begun * (1 - share))
-            bucket.share = share
+            bucket = _Bucket(begun * share, self._started_at, 0, begun * (1 - share), share)
             self._buckets[account] = bucket
         bucket.split(share)
         bucket.fill(rate, now)
--- a/passpier/standins/fleet/limits.py
+++ b/passpier/standins/fleet/limits.py
@@ -11,8 +11,7 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable, Iterator, Mapping
-from typing import Protocol
+from collections.abc import Callable, Iterator
 
 from passpier.core import buckets
 
@@ -29,56 +28,12 @@
 INTERVAL = 0.1
 
 
-class Book(Protocol):
-    """One daemon's way of keeping limits."""
-
-    def take(self, account: str, cost: int, now: float) -> float:
-        """Spend `cost` units, or return the seconds after which they may be there."""
-
-
-class EvenShares:
-    """The way that was not chosen: each daemon spends its even part, and tells nobody."""
-
-    def __init__(self, tolerance: buckets.Tolerance, now: float) -> None:
-        self.tolerance = tolerance
-        self.daemons = 1
-        self._rates: dict[str, buckets.Rate] = {}
-        self._levels: dict[str, tuple[float, float]] = {}
-        self._started_at = now
-
-    def configure(self, rates: Mapping[str, buckets.Rate], now: float) -> None:
-        """Set the accounts' rates."""
-        self._rates = dict(rates)
-
-    def take(self, account: str, cost: int, now: float) -> float:
-        """Spend `cost` units, or return the seconds after which they may be there."""
-        rate = self._rates.get(account)
-        if rate is None:
-            return 0.0
-        level, filled_at = self._levels.get(account, (0.0, self._started_at))
-        per_second = rate.per_second / self.daemons
-        level = min(level + (now - filled_at) * per_second, rate.burst / self.daemons)
-        grace = self.tolerance.compute_excess(rate) * buckets.GRACE_SHARE / self.daemons
-        lacking = min(cost, rate.burst / self.daemons + grace) - level - grace
-        if lacking > 0:
-            self._levels[account] = (level, now)
-            return lacking / per_second
-        self._levels[account] = (level - cost, now)
-        return 0.0
-
-    def give_back(self, account: str, cost: int, now: float) -> None:
-        """Return what was taken for a request that reached no upstream."""
-        level, filled_at = self._levels.get(account, (0.0, now))
-        self._levels[account] = (level + cost, filled_at)
-
-
 @dataclasses.dataclass
 class Daemon:
     """A daemon; those with different groups do not reach each other."""
 
     name: str
-    started_at: float
-    book: Book
+    book: buckets.SharedBuckets
     group: int = 0
     alive: bool = True
     told_at: float = 0.0
@@ -101,15 +56,15 @@
 
 
 class Fleet:
-    """Daemons and the messages between them."""
+    """Daemons and the messages between them; if they tell nothing, each has its even part."""
 
-    def __init__(self, count: int, rate: buckets.Rate, shared: bool, seed: int) -> None:
+    def __init__(self, count: int, rate: buckets.Rate, tells: bool, seed: int) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.rate = rate
         self.result = Result()
         self.daemons: list[Daemon] = []
-        self._shared = shared
+        self._tells = tells
         self._started = 0
         self._ran: collections.deque[tuple[float, int]] = collections.deque()
         self._in_window = 0
@@ -123,13 +78,9 @@
         """Start a daemon that knows nothing yet."""
         self._started += 1
         name = f'd{self._started}'
-        book: buckets.SharedBuckets | EvenShares
-        if self._shared:
-            book = buckets.SharedBuckets(TOLERANCE, INTERVAL, self.now)
-        else:
-            book = EvenShares(TOLERANCE, self.now)
+        book = buckets.SharedBuckets(TOLERANCE, INTERVAL, self.now)
         book.configure({'a': self.rate}, self.now)
-        daemon = Daemon(name, self.now, book, told_at=self.now)
+        daemon = Daemon(name, book, told_at=self.now)
         self.daemons.append(daemon)
         self._introduce()
         return daemon
@@ -145,7 +96,6 @@
         self.rate = rate
         for daemon in self.daemons:
             if reached(daemon):
-                assert isinstance(daemon.book, (buckets.SharedBuckets, EvenShares))
                 daemon.book.configure({'a': rate}, self.now)
 
     def ask(self, daemon: Daemon, cost: int) -> None:
@@ -178,15 +128,12 @@
     def _introduce(self) -> None:
         names = {d.name for d in self.daemons}
         for daemon in self.daemons:
-            if isinstance(daemon.book, buckets.SharedBuckets):
-                daemon.book.set_sharers(names - {daemon.name}, self.now)
-            elif isinstance(daemon.book, EvenShares):
-                daemon.book.daemons = len(names)
+            daemon.book.set_sharers(names - {daemon.name}, self.now)
 
     def _tell(self, daemon: Daemon) -> None:
         book = daemon.book
         late = daemon.suspended_until > self.now or self.now < daemon.told_at + INTERVAL
-        if late or not isinstance(book, buckets.SharedBuckets):
+        if late or not self._tells:
             return
         daemon.told_at = self.now
         for other in self.daemons:
@@ -200,14 +147,12 @@
         self, sender: Daemon, to: Daemon, message: tuple[int, int, bool, list[buckets.Row]]
     ) -> Callable[[], None]:
         def deliver() -> None:
-            book = to.book
-            reached = sender.group == to.group and to.alive
-            if reached and isinstance(book, buckets.SharedBuckets):
-                if to.suspended_until > self.now:
-                    self._queue.append((to.suspended_until + STEP, deliver))
-                    return
-                number, heard, knows, rows = message
-                book.hear(sender.name, number, heard, knows, rows, self.now)
+            if sender.group != to.group or not to.alive:
+                return
+            if to.suspended_until > self.now:
+                self._queue.append((to.suspended_until + STEP, deliver))
+                return
+            to.book.hear(sender.name, *message, self.now)
 
         return deliver
 
@@ -377,10 +322,10 @@
 
 
 def play(
-    name: str, shared: bool, daemons: int, per_second: float, times: float, seed: int
+    name: str, tells: bool, daemons: int, per_second: float, times: float, seed: int
 ) -> Result:
     """Return what comes of one play; `times` is what is sent, in multiples of the rate."""
-    fleet = Fleet(daemons, buckets.Rate(per_second, per_second), shared, seed)
+    fleet = Fleet(daemons, buckets.Rate(per_second, per_second), tells, seed)
     PLAYS[name](fleet, times)
     return fleet.result
 
@@ -388,14 +333,14 @@
 def render_table(daemons: int = 12, seeds: int = 2) -> Iterator[str]:
     """Yield the lines of a table of all plays."""
     yield 'play         way    rate/s  sent   excess  refused below  messages'
-    for name, per_second, times, shared in itertools.product(
+    for name, per_second, times, tells in itertools.product(
         PLAYS, (29_000, 160_000, 614_000), (0.55, 4.4), (False, True)
     ):
-        found = [play(name, shared, daemons, per_second, times, seed) for seed in range(seeds)]
+        found = [play(name, tells, daemons, per_second, times, seed) for seed in range(seeds)]
         excess = max(r.excess for r in found)
         below = sum(r.refused_below for r in found) / max(1, sum(r.asked for r in found))
         messages = sum(r.messages for r in found)
-        way = 'told' if shared else 'even'
+        way = 'told' if tells else 'even'
         yield (
             f'{name:12} {way:5} {per_second:7} {times:5} {excess:8.0f} {below:14.3f} {messages:9}'
         )
