Carrying members are listed, rates mapped and the stated tokens read in one place each

list_carrying wrote list_interested again over other members; two callers built the same map of rates; the token header was parsed twice for each request; a charge was handed at each attempt what it can work out from its account. No change of behaviour; tests as they were.

--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -196,24 +196,14 @@
         In a small fleet these are all that are alive, in a larger one those that took requests
         lately.
         """
-        alive = self.list_alive(now)
-        others = [m for m in alive if m is not self.own]
-        if len(alive) <= SMALL_FLEET:
-            return others
-        least = self._compute_least_rate(alive)
-        return [m for m in others if self.get_rate(m.incarnation) >= least]
+        return self._list_taking(self.list_alive(now))
 
     def list_carrying(self) -> list[Member]:
         """Return the other members that took requests by the last that was heard, alive or not.
 
         In a small fleet these are all that are known.
         """
-        known = self.list_known()
-        others = [m for m in known if m is not self.own]
-        if len(known) <= SMALL_FLEET:
-            return others
-        least = self._compute_least_rate(known)
-        return [m for m in others if self.get_rate(m.incarnation) >= least]
+        return self._list_taking(self.list_known())
 
     def is_standing_by(self, now: float) -> bool:
         """Return whether this daemon took no requests lately, in a fleet where others do."""
@@ -222,6 +212,13 @@
             return False
         return self.get_rate(self.own.incarnation) < self._compute_least_rate(alive)
 
+    def _list_taking(self, members: Sequence[Member]) -> list[Member]:
+        others = [m for m in members if m is not self.own]
+        if len(members) <= SMALL_FLEET:
+            return others
+        least = self._compute_least_rate(members)
+        return [m for m in others if self.get_rate(m.incarnation) >= least]
+
     def _compute_least_rate(self, alive: Sequence[Member]) -> float:
         """Return the requests a second from which on a daemon counts as taking requests.
 
@@ -236,6 +233,10 @@
         record = self._records.get(incarnation)
         return record.beat.rate if record else 0.0
 
+    def map_rates(self, members: Sequence[Member]) -> dict[str, float]:
+        """Return the requests a second that members took lately, by incarnation."""
+        return {m.incarnation: self.get_rate(m.incarnation) for m in members}
+
     def compute_timeout(self) -> float:
         """Return the seconds of silence after which a member counts as gone."""
         rounds = len(self._records) / (FANOUT * DIGEST_LIMIT)
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -50,6 +50,7 @@
             and name.lower() not in names.OURS_TO_SET
             and name.lower() != names.LAST_EVENT.lower()
         ]
+        usage = _read_usage(headers)
         return dialect.Ask(
             id,
             start.method,
@@ -57,10 +58,10 @@
             start.path,
             _read_key(headers),
             _read_patience(headers),
-            _read_prompt(headers),
+            _read_prompt(headers, usage),
             headers.get(names.LAST_EVENT, ''),
             passed,
-            _read_tokens(headers),
+            sum(usage) if usage is not None else None,
         )
 
     def write_request(self, ask: dialect.Ask, sending: dialect.Sending) -> exchanges.Headers:
@@ -243,18 +244,21 @@
     return seconds
 
 
-def _read_tokens(headers: tornado.httputil.HTTPHeaders) -> int | None:
+def _read_usage(headers: tornado.httputil.HTTPHeaders) -> tuple[int, int] | None:
+    """Return the tokens of the prompt and the most of the answer, if the client states them."""
     value = headers.get(names.TOKENS)
     if value is None:
         return None
     read, _, made = value.partition(',')
-    tokens = int(read) + int(made or 0)
-    if tokens < 0:
+    usage = int(read), int(made or 0)
+    if sum(usage) < 0:
         raise ValueError('the tokens are no count')
-    return tokens
+    return usage
 
 
-def _read_prompt(headers: tornado.httputil.HTTPHeaders) -> prompts.Prompt | None:
+def _read_prompt(
+    headers: tornado.httputil.HTTPHeaders, usage: tuple[int, int] | None
+) -> prompts.Prompt | None:
     model = headers.get(names.MODEL)
     if model is None:
         return None
@@ -262,5 +266,4 @@
     for item in filter(None, headers.get(names.PARTS, '').split(',')):
         name, _, tokens = item.strip().partition(':')
         parts.append(prompts.Part(name, int(tokens)))
-    _, _, most = headers.get(names.TOKENS, '').partition(',')
-    return prompts.Prompt(model, tuple(parts), int(most or 0))
+    return prompts.Prompt(model, tuple(parts), usage[1] if usage is not None else 0)
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -138,8 +138,8 @@
         self.sent = False
         """Whether the current attempt has reached an upstream."""
 
-        self._charge = limiting.Charge(owner.limiter, admitted.ask.id, admitted.account)
-        self._cost = admitted.compute_cost()
+        ask = admitted.ask
+        self._charge = limiting.Charge(owner.limiter, ask.id, admitted.account, ask.tokens)
         self._outcome = 'client_gone'
         self._stopping = False
         self._delivery = delivering.Delivery(client, owner.wire, admitted.ends_at)
@@ -244,7 +244,7 @@
         if judgement.refused_for is not None:
             await self._hold_back(judgement)
             return True
-        over_for = await self._charge.take(self._cost)
+        over_for = await self._charge.take()
         if over_for:
             await self._end(429, 'over_limit', 'the account is at its limit', over_for)
             return True
--- a/passpier/routing/limiting.py
+++ b/passpier/routing/limiting.py
@@ -142,9 +142,8 @@
         """Find out who may spend: who took requests lately, and whom clients are sent to."""
         membership = self._membership
         known = membership.list_known()
-        rates = {m.incarnation: membership.get_rate(m.incarnation) for m in known}
-        sharers = {m.incarnation: m.peer for m in entries.choose_active(known, rates)}
-        sharers |= {m.incarnation: m.peer for m in membership.list_carrying()}
+        named = entries.choose_active(known, membership.map_rates(known))
+        sharers = {m.incarnation: m.peer for m in [*named, *membership.list_carrying()]}
         own = membership.own.incarnation
         took = membership.get_rate(own) > 0 and not membership.is_standing_by(now)
         self._carries = took or own in sharers
@@ -189,20 +188,24 @@
 class Charge:
     """What one request has been charged and has not spent yet."""
 
-    def __init__(self, limiter: Limiter, request: str, account: routes.Account | None) -> None:
+    def __init__(
+        self, limiter: Limiter, request: str, account: routes.Account | None, tokens: int | None
+    ) -> None:
         self._limiter = limiter
         self._request = request
-        self._account = account.name if account is not None and account.rate is not None else ''
+        self._account = account if account is not None and account.rate is not None else None
+        self._tokens = tokens
         self._charged = 0
 
-    async def take(self, cost: int) -> float:
+    async def take(self) -> float:
         """Charge one attempt, unless the charge of the last one was not spent.
 
         Returns 0, or the seconds after which the client should come back.
         """
-        if self._charged or not self._account:
+        if self._charged or self._account is None:
             return 0.0
-        retry_after = await self._limiter.charge(self._request, self._account, cost)
+        cost = self._account.compute_cost(self._tokens)
+        retry_after = await self._limiter.charge(self._request, self._account.name, cost)
         if not retry_after:
             self._charged = cost
         return retry_after
@@ -213,6 +216,6 @@
 
     def give_back(self) -> None:
         """Give back what was charged for an attempt that did not run."""
-        if self._charged:
-            self._limiter.book.give_back(self._account, self._charged, clocks.now())
+        if self._charged and self._account is not None:
+            self._limiter.book.give_back(self._account.name, self._charged, clocks.now())
             self._charged = 0
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -42,10 +42,6 @@
             account, ask.method, ask.host, ask.target, self.body
         )
 
-    def compute_cost(self) -> int:
-        """Return the units that one run counts against the account's rate."""
-        return self.account.compute_cost(self.ask.tokens) if self.account is not None else 0
-
     @property
     def ends_at(self) -> float:
         """When the client, or the operator, no longer wants an answer."""
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -126,7 +126,7 @@
         serving = [m for m in serving if m != own or (own_ready and not self.leaving)]
         # While nobody is ready, as in a long outage of the registry, any live process will do.
         serving = serving or self.membership.list_alive(now)
-        taken = {m.incarnation: self.membership.get_rate(m.incarnation) for m in serving}
+        taken = self.membership.map_rates(serving)
         return entries.choose_near(entries.choose_active(serving, taken), query.failure_domain)
 
     def sync_registry(self, now: float) -> None:
