--- a/passpier/core/crashes.py
+++ b/passpier/core/crashes.py
@@ -63,13 +63,9 @@
 """Requests by their fingerprints."""
 
 
-class End(msgspec.Struct, frozen=True, array_like=True):
-    """Word that a process ended `age` seconds ago while some requests were running there."""
-
+class _Word(msgspec.Struct, frozen=True, array_like=True):
     replica: str
     born: int
-    age: float
-    suspects: list[int]
 
     @property
     def life(self) -> lives.Life:
@@ -77,17 +73,17 @@
         return lives.Life(self.replica, self.born)
 
 
-class Clearing(msgspec.Struct, frozen=True, array_like=True):
-    """Word that some requests that were running when a process ended did not cause that."""
+class End(_Word, frozen=True, array_like=True):
+    """Word that a process ended `age` seconds ago while some requests were running there."""
 
-    replica: str
-    born: int
+    age: float
     suspects: list[int]
 
-    @property
-    def life(self) -> lives.Life:
-        """The process that ended."""
-        return lives.Life(self.replica, self.born)
+
+class Clearing(_Word, frozen=True, array_like=True):
+    """Word that some requests that were running when a process ended did not cause that."""
+
+    suspects: list[int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/passpier/tests/platform/suspended_tests.py
+++ b/passpier/tests/platform/suspended_tests.py
@@ -36,6 +36,16 @@
     clocks.run(asyncio.wait_for(run(), 60))
 
 
+async def ask_slowly(
+    running: deployment.Deployment, patience_ms: int
+) -> asyncio.Task[deployment.Reply]:
+    """Return what waits for an answer that takes 4 seconds, once a replica is at work on it."""
+    scenes.set_work(running, 4.0)
+    asking = asyncio.ensure_future(running.ask('/slow/x', id='slow', patience_ms=patience_ms))
+    await scenes.wait_for(lambda: bool(running.list_runs('slow')))
+    return asking
+
+
 @pytest.mark.parametrize('seconds', SUSPENDED)
 def test_keys_are_not_trusted_before_they_are_read_again(
     vm: suspension.Suspension, seconds: float
@@ -92,9 +102,7 @@
     """It was worked on for as long again as it had left before."""
 
     async def check(running: deployment.Deployment) -> None:
-        scenes.set_work(running, 4.0)
-        asking = asyncio.ensure_future(running.ask('/slow/x', id='slow', patience_ms=8000))
-        await scenes.wait_for(lambda: bool(running.list_runs('slow')))
+        asking = await ask_slowly(running, patience_ms=8000)
         vm.happen(9.0)
         # Else it has its answer after the 4 seconds.
         assert (await asking).status == 504
@@ -104,9 +112,7 @@
 
 def test_a_stop_ends_when_its_time_is_over(vm: suspension.Suspension) -> None:
     async def check(running: deployment.Deployment) -> None:
-        scenes.set_work(running, 4.0)
-        asking = asyncio.ensure_future(running.ask('/slow/x', id='slow', patience_ms=9000))
-        await scenes.wait_for(lambda: bool(running.list_runs('slow')))
+        asking = await ask_slowly(running, patience_ms=9000)
         (process,) = running.routers
         process.begin_stop()
         vm.happen(process.options.stop_bound)
