Where no account is limited, no process looks for who shares the limits

Cause: each process worked out twice a second whom clients are sent to, over all members, and woke ten times a second, though no account had a rate. Change: neither is done without rates; with the first one the sharers are looked for at once, as before.

--- a/passpier/routing/limiting.py
+++ b/passpier/routing/limiting.py
@@ -77,7 +77,7 @@
     async def run(self) -> None:
         """Tell the others until cancelled."""
         while True:
-            await asyncio.sleep(self.book.interval)
+            await asyncio.sleep(self.book.interval if self.book.has_rates else SHARERS_INTERVAL)
             now = clocks.now()
             self.sync(now)
             if self._may_tell(now) and now - self.book.changed_at < QUIET_SECONDS:
@@ -89,6 +89,8 @@
         if table is not None and table is not self._table:
             self._table = table
             self.book.configure(table.rates, now)
+        if not self.book.has_rates:
+            return
         # After a start the others are met one by one.
         interval = SHARERS_INTERVAL if self._addresses else INTERVAL
         if now - self._sharers_at >= interval:
--- a/passpier/tests/routing/limiting_tests.py
+++ b/passpier/tests/routing/limiting_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import types
+from collections.abc import Mapping
 from typing import Any, cast
 
 import pytest
@@ -16,6 +17,7 @@
 from passpier.standins import network, virtual
 
 RATE = buckets.Rate(100_000, 100_000)
+RATES = {'acme': RATE}
 CARRYING = 6
 STANDING_BY = 18
 
@@ -25,11 +27,13 @@
 class Process:
     """A process's part in the limits; heartbeats reach it at once."""
 
-    def __init__(self, net: network.Network, number: int) -> None:
+    def __init__(
+        self, net: network.Network, number: int, rates: Mapping[str, buckets.Rate] = RATES
+    ) -> None:
         own = members.Member(f'vm-{number}', f'i{number}', f'10.0.0.{number}', 1, 2, 'd0')
         self.membership = members.Membership(own, 0.5, clocks.now())
         link = cast(Any, net.connect(own))
-        table = types.SimpleNamespace(rates={'acme': RATE})
+        table = types.SimpleNamespace(rates=rates)
         known = cast(knowledge.Knowledge, types.SimpleNamespace(table=table))
         tolerance = buckets.Tolerance(8.0, 0.1, 110_000)
         self.limiter = limiting.Limiter(
@@ -124,3 +128,19 @@
         assert fleet.net.carried - before <= 3
 
     virtual.run(play())
+
+
+def test_where_no_account_is_limited_nobody_is_looked_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    looked: list[object] = []
+    monkeypatch.setattr(entries, 'choose_active', lambda *given: looked.append(given))
+
+    async def play() -> None:
+        net = network.Network(random.Random(1))
+        process = Process(net, 0, rates={})
+        task = asyncio.ensure_future(process.limiter.run())
+        await asyncio.sleep(5.0)
+        task.cancel()
+        assert net.carried == 0
+        assert not looked
+
+    virtual.run(play())
