A trial that is known to be given costs no store call; one cap on Retry-After of suspects

Cause: from 30 s after its last end on, each arrival of a request that is held back asked for a lease and wrote under a condition, also while another process was known to have its trial. Change: the records that are followed anyway are looked at first. The cap of Retry-After, which stood in both programs, is the judgement's. A docstring said heartbeats where it is reminders.

--- a/passpier/core/crashes.py
+++ b/passpier/core/crashes.py
@@ -86,6 +86,11 @@
     suspects: list[int]
 
 
+RETRY_AFTER_MAX = 60.0
+"""Seconds after which, at the latest, a caller may ask again for what ends replicas: it may have
+changed, or have been under suspicion by mistake."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Judgement:
     """What may be done with a request now."""
@@ -98,6 +103,11 @@
 
     reason: str = ''
 
+    @property
+    def retry_after(self) -> float | None:
+        """The seconds after which a refused caller is told to ask again."""
+        return None if self.refused_for is None else min(self.refused_for, RETRY_AFTER_MAX)
+
     @property
     def is_suspect(self) -> bool:
         """Whether it is to be kept apart from the other suspects."""
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -44,9 +44,6 @@
 TOKEN_TIMEOUT = 2.0
 """Seconds between two tokens after which a stream counts as cut."""
 
-RETRY_AFTER_SUSPECT_MAX = 60.0
-"""Seconds after which, at the latest, a caller may ask again for what ends engines."""
-
 _NOT_RUN_STATUSES = frozenset({412, 429, 503})
 
 
@@ -208,8 +205,9 @@
     def _check_suspicion(self, judgement: crashes.Judgement) -> None:
         """Refuse a request that has ended engines; raises `RequestFailedError`."""
         if judgement.refused_for is not None:
-            retry_after = min(judgement.refused_for, RETRY_AFTER_SUSPECT_MAX)
-            raise self._call.fail(exceptions.Code.SUSPECTED, judgement.reason, retry_after)
+            raise self._call.fail(
+                exceptions.Code.SUSPECTED, judgement.reason, judgement.retry_after
+            )
 
     def _choose_version(self) -> None:
         """Ask for the weights that are wanted, or still served; a begun answer keeps its own."""
--- a/passpier/daemon/suspects.py
+++ b/passpier/daemon/suspects.py
@@ -1,8 +1,8 @@
 """Keeps requests that end the replicas which run them from ending more: see `core.crashes`.
 
 A run that breaks off is noted, and the replica asked whether it still lives. If it does not, all
-live peers are told at once which requests were running there; heartbeats repeat what matters, for
-those that could not be reached or have started since.
+live peers are told at once which requests were running there; reminders to a few peers at a time
+repeat what matters, for those that could not be reached or have started since.
 """
 
 from __future__ import annotations
--- a/passpier/routing/marks.py
+++ b/passpier/routing/marks.py
@@ -92,6 +92,9 @@
         """
         name = fingerprints.render_fingerprint(fingerprint)
         key = self._trial_prefix + name
+        if key in self._known.members:
+            # Another process has it; to ask for a lease would cost a call for each arrival.
+            return False
         try:
             lease = await self._source.grant(LEASE)
             await self._source.write([registry.Put(key, b'', lease)], [registry.IsAt(key, 0)])
--- a/passpier/tests/core/buckets_tests.py
+++ b/passpier/tests/core/buckets_tests.py
@@ -95,7 +95,7 @@
 def test_no_window_gets_more_whatever_the_pattern() -> None:
     rng = random.Random(5)
     book = make_book()
-    spent = []
+    spent: list[int] = []
     for _ in range(40):
         seconds = rng.choice([0.2, 1.0, 3.0, 7.9, 9.0])
         asked = rng.choice([0, 500, 1_000, 1_400, 12_000])
--- a/passpier/tests/routing/marks_tests.py
+++ b/passpier/tests/routing/marks_tests.py
@@ -29,10 +29,12 @@
     def __init__(self) -> None:
         self.items: dict[str, registry.Item] = {}
         self.away = False
+        self.granted = 0
 
     async def grant(self, ttl: float) -> int:
         if self.away:
             raise exceptions.StoreError('no answer')
+        self.granted += 1
         return 1
 
     async def write(
@@ -130,6 +132,20 @@
     virtual.run(run())
 
 
+def test_a_trial_that_is_known_to_be_given_costs_no_call() -> None:
+    async def run() -> None:
+        source = Registry()
+        first, other = Process(source, 'i1'), Process(source, 'i2')
+        assert await first.marks.claim_trial(DEADLY)
+        other.read()
+        granted = source.granted
+        for _ in range(20):
+            assert not await other.marks.claim_trial(DEADLY)
+        assert source.granted == granted
+
+    virtual.run(run())
+
+
 def test_a_record_that_says_nothing_is_skipped() -> None:
     async def run() -> None:
         source = Registry()
