Clients that an account's limit refuses come back one after the other

Cause: each was told when there would be room for its request alone, some hundredths to tenths of a second; all of them came back to the same room, and most were refused again, which was their last try. Change: core/turns. Each is told the time at which there will be room behind those that were told before it here, but not beyond three quarters of the time for which it still waits. Each process counts on its even part of what comes in. The cap on suspects' Retry-After is read from the judgement here, too. Weighed: the way that stood (room for the request alone).

--- a/passpier/core/buckets.py
+++ b/passpier/core/buckets.py
@@ -300,6 +300,10 @@
         """Whether any account is limited."""
         return bool(self._rates)
 
+    def get_rate(self, account: str) -> Rate:
+        """Return the rate of a limited account."""
+        return self._rates[account]
+
     def is_limited(self, account: str) -> bool:
         """Return whether an account has a rate."""
         return account in self._rates
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -57,10 +57,6 @@
 RETRY_AFTER_STOPPING = 0.02
 """The same, where this process stops: the client goes to another one."""
 
-RETRY_AFTER_SUSPECT_MAX = 60.0
-"""Seconds after which, at the latest, a client may ask again for what ends replicas: it may have
-changed, or have been under suspicion by mistake."""
-
 
 class _WithheldError(Exception):
     """Nothing was sent, since the client's key may have been taken away unseen."""
@@ -244,7 +240,7 @@
         if judgement.refused_for is not None:
             await self._hold_back(judgement)
             return True
-        over_for = await self._charge.take()
+        over_for = await self._charge.take(self.ends_at - clocks.now())
         if over_for:
             await self._end(429, 'over_limit', 'the account is at its limit', over_for)
             return True
@@ -490,8 +486,7 @@
                 'refused_for': round(judgement.refused_for, 3),
             },
         )
-        retry_after = min(judgement.refused_for, RETRY_AFTER_SUSPECT_MAX)
-        await self._end(503, 'suspected', judgement.reason, retry_after)
+        await self._end(503, 'suspected', judgement.reason, judgement.retry_after)
 
     def _spend(self, now: float) -> bool:
         budget = self._owner.get_budget(self._service)
--- a/passpier/routing/limiting.py
+++ b/passpier/routing/limiting.py
@@ -7,7 +7,7 @@
 import random
 
 from passpier import clocks
-from passpier.core import buckets, entries, members, routes
+from passpier.core import buckets, entries, members, routes, turns
 from passpier.daemon import messages, peers
 from passpier.routing import knowledge
 
@@ -70,6 +70,7 @@
         self._told_at: dict[str, float] = {}
         """When others were last told, those included that do not share the rates."""
 
+        self._turns = turns.Turns()
         self._heard = asyncio.Event()
         self._asked_at = float('-inf')
         link.handle(messages.Spent, self._take_spent)
@@ -96,9 +97,13 @@
         if now - self._sharers_at >= interval:
             self._sharers_at = now
             self._set_sharers(now)
+            self._turns.forget(now)
 
-    async def charge(self, request: str, account: str, cost: int) -> float:
-        """Spend `cost` units, or return the seconds after which the client should come back."""
+    async def charge(self, request: str, account: str, cost: int, patience: float) -> float:
+        """Spend `cost` units, or return the seconds after which the client should come back.
+
+        It still waits for `patience` seconds.
+        """
         now = clocks.now()
         self.sync(now)
         self._spent_at = now
@@ -108,7 +113,8 @@
             now = clocks.now()
         if not wait:
             return 0.0
-        retry_after = max(RETRY_MIN, wait) * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
+        turn = self._take_turn(account, cost, wait, patience, now)
+        retry_after = max(RETRY_MIN, turn) * self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
         log.info(
             'over limit',
             extra={
@@ -123,6 +129,14 @@
         )
         return retry_after
 
+    def _take_turn(
+        self, account: str, cost: int, wait: float, patience: float, now: float
+    ) -> float:
+        """Return when a refused client should come back, behind those that were told before it."""
+        # Each process has clients of its own that come back.
+        pace = self.book.get_rate(account).per_second / (len(self._addresses) + 1)
+        return self._turns.take(account, cost, pace, wait, patience / (1.0 + RETRY_SPREAD), now)
+
     async def _ask(self, account: str, cost: int) -> float:
         """Spend `cost` units as soon as enough processes are in touch, if they are shortly."""
         now = clocks.now()
@@ -199,15 +213,16 @@
         self._tokens = tokens
         self._charged = 0
 
-    async def take(self) -> float:
+    async def take(self, patience: float) -> float:
         """Charge one attempt, unless the charge of the last one was not spent.
 
-        Returns 0, or the seconds after which the client should come back.
+        Returns 0, or the seconds after which the client should come back, which still waits for
+        `patience` seconds.
         """
         if self._charged or self._account is None:
             return 0.0
         cost = self._account.compute_cost(self._tokens)
-        retry_after = await self._limiter.charge(self._request, self._account.name, cost)
+        retry_after = await self._limiter.charge(self._request, self._account.name, cost, patience)
         if not retry_after:
             self._charged = cost
         return retry_after
--- a/passpier/tests/routing/limiting_tests.py
+++ b/passpier/tests/routing/limiting_tests.py
@@ -74,7 +74,7 @@
         while clocks.now() < ends:
             self.beat(carrying)
             for process in self.processes[:carrying]:
-                await process.limiter.charge('r', 'acme', 500)
+                await process.limiter.charge('r', 'acme', 500, 10.0)
             await asyncio.sleep(0.25)
         return self.net.carried - before
 
@@ -107,7 +107,7 @@
         await fleet.run(10.0, CARRYING)
         newcomer = fleet.processes[-1]
         began = clocks.now()
-        assert await newcomer.limiter.charge('r', 'acme', 60_000) == 0.0
+        assert await newcomer.limiter.charge('r', 'acme', 60_000, 10.0) == 0.0
         assert clocks.now() - began < limiting.ASK_SECONDS
         fleet.end()
 
