--- a/passpier/core/buckets.py
+++ b/passpier/core/buckets.py
@@ -59,7 +59,8 @@
 
 UNSENT_SECONDS = 1.0
 """Seconds between a charge and its send at the most: a request that waits for a replica, and for a
-connection there. What is forgotten is older than a window by so much."""
+connection there: half of its objective, of which the longest in use is 1 s, and some tenths. What
+is forgotten is older than a window by so much."""
 
 CALM_SHARE = 1.0
 """Part of each bucket that has to be in use for anything to be forgotten: all of it, for a window.
@@ -125,9 +126,10 @@
 class _Drawn:
     """How far a bucket is below full, and how much of that only what is long past accounts for.
 
-    A bucket lacks, at any time, the most by which spending exceeded filling since any earlier
-    moment. Kept are the moments since which it exceeded it most: once the earliest is as old as
-    `seconds`, what it lacks by the next one is less, and the difference is forgotten.
+    At any time a bucket lacks the most by which spending exceeded filling since any earlier moment:
+    since the one at which their balance was lowest. Kept are that moment, the lowest one after it,
+    and so on. Once the first is older than `seconds`, the bucket lacks only what was drawn since
+    the next one; the difference is forgotten.
     """
 
     def __init__(self, seconds: float, lacking: float, now: float) -> None:
--- a/passpier/core/choice.py
+++ b/passpier/core/choice.py
@@ -32,7 +32,6 @@
 prompts are late with 8 places and 35.3 in 100 tokens found cached, with 4 places 1.0 and 35.2, with
 all 1.1 and 34.5."""
 
-
 CROWDING_WEIGHT = {'first_token': 0.2, 'reuse': 0.0}
 """What a second for which one running stream pauses costs against a second of waiting.
 
@@ -47,7 +46,6 @@
 """Requests running at a replica up to which that cost is none: so few are there where streams are
 short, and prompts would leave their homes for nothing."""
 
-
 MANY_STREAMS = 20
 """Requests running there from which on it rises no more. Where all replicas are crowded, it has
 prompts go where least is to be read of them, and waits must still count: in the same model, six
@@ -92,6 +90,7 @@
     prefill: float
     recompute: float
     crowding: float = 0.0
+    """What the prompt's reading costs the streams that run there."""
 
     @property
     def total(self) -> float:
--- a/passpier/core/crashes.py
+++ b/passpier/core/crashes.py
@@ -42,6 +42,10 @@
 COPY_WAIT = 0.5
 """Seconds after which a copy of a suspect that is being run may come back; a run takes 0.1 to 1."""
 
+RETRY_AFTER_MAX = 60.0
+"""Seconds after which, at the latest, a caller may ask again for what ends replicas: it may have
+changed, or have been under suspicion by mistake."""
+
 KEPT_SECONDS = 3600.0
 """Seconds after its last end for which a request is remembered."""
 
@@ -86,11 +90,6 @@
     suspects: list[int]
 
 
-RETRY_AFTER_MAX = 60.0
-"""Seconds after which, at the latest, a caller may ask again for what ends replicas: it may have
-changed, or have been under suspicion by mistake."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Judgement:
     """What may be done with a request now."""
--- a/passpier/core/turns.py
+++ b/passpier/core/turns.py
@@ -26,11 +26,15 @@
         `room` is after how many seconds there is room for its `cost` units alone, `per_second` what
         comes in for clients refused here, `patience` the seconds that the client still waits.
         """
+        if room >= patience:
+            return room
         begins = max(now, self._taken_until.get(account, now))
-        wait = max(room, begins - now + cost / per_second) if per_second else patience
+        turn = begins - now + cost / per_second if per_second else patience
         latest = patience * SHARE_OF_PATIENCE
-        if wait > latest:
-            return max(room, latest) if room < patience else room
+        if turn > latest:
+            # It comes when it can and takes nobody's turn.
+            return max(room, latest)
+        wait = max(room, turn)
         self._taken_until[account] = now + wait
         return wait
 
