Queue: retries that wait for their replica hold up no other call

What callers saw: each retry in a pool's queue that could not use the replicas with room (they had just failed it) delayed all calls behind it by one turn of 20 ms, and its account was charged for every turn. Cause: _place_queued ended its turn at the first call that it could not place, and put() doesn't return what take() charges. Evidence: the new test, three such retries and one call; it failed before (no placement within a turn and a half) and passes now. Why this works: a turn goes on while any replica has room, so only calls that no replica with room may serve stay; put_back() refunds the account.

--- a/passpier/core/admission.py
+++ b/passpier/core/admission.py
@@ -98,6 +98,13 @@
         self._queues[ticket.account].put(ticket)
         self._size += 1
 
+    def put_back(self, ticket: Ticket[T]) -> None:
+        """Return a ticket that was taken but could not be served; its account is not charged."""
+        self.put(ticket)
+        queue = self._queues[ticket.account]
+        queue.deficit += ticket.tokens
+        queue.taken -= 1
+
     def take(self) -> Ticket[T] | None:
         """Remove and return the next ticket, or `None` if the queue is empty."""
         if not self._size:
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -262,6 +262,7 @@
         self._counters.queued.set({'pool': name}, 0)
 
     def _place_queued(self, name: str, pool: _Pool) -> None:
+        blocked = []
         while len(pool.queue):
             now = clocks.now()
             serving = self._upstreams.list_serving(name)
@@ -273,10 +274,13 @@
                 continue
             placed = self._try_place(ticket.item)
             if placed is None:
-                pool.queue.put(ticket)
-                return
+                # A retry may not be able to use the replicas that have room.
+                blocked.append(ticket)
+                continue
             self._update_rate(pool, ticket.tokens)
             ticket.item.result.set_result(placed)
+        for ticket in blocked:
+            pool.queue.put_back(ticket)
 
     def _update_rate(self, pool: _Pool, tokens: int) -> None:
         now = clocks.now()
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -21,13 +21,15 @@
 """Requests that a replica with two slots accepts: one per slot, and one that waits."""
 
 
-def make_dispatcher() -> tuple[dispatcher.Dispatcher, replicas.Replica]:
+def make_dispatcher(*others: str) -> tuple[dispatcher.Dispatcher, replicas.Replica]:
     pools = upstreams.Upstreams(
         cast(web.Client, None), cast(engines.Engines, None), None, 1000, metrics.Metrics()
     )
     replica = replicas.Replica('e', '', 'vm', 'd', slots=SLOTS)
     pools.replicas['e'] = replica
-    pools.pools['p'] = ['e']
+    for name in others:
+        pools.replicas[name] = replicas.Replica(name, '', 'vm', 'd', slots=SLOTS)
+    pools.pools['p'] = ['e', *others]
     return dispatcher.Dispatcher(pools, metrics.Metrics(), random.Random(1)), replica
 
 
@@ -165,6 +167,28 @@
     virtual_time.run(run())
 
 
+def test_calls_that_wait_for_their_replica_hold_up_no_other() -> None:
+    """Guards against leaving replicas idle while retries can't use any of them."""
+
+    async def run() -> None:
+        call_dispatcher, replica = make_dispatcher('f')
+        replica.paused_until = clocks.now() + 5.0
+        retries = [
+            asyncio.ensure_future(call_dispatcher.place(make_call(f'r{n}'), f'r{n}', ['f']))
+            for n in range(CAPACITY)
+        ]
+        await asyncio.sleep(0)
+        bound = 1.5 * dispatcher.QUEUE_CHECK_INTERVAL
+        placed = await asyncio.wait_for(place(call_dispatcher, 'other'), bound)
+        assert placed.replica.name == 'f'
+        assert not any(retry.done() for retry in retries)
+        for retried in await asyncio.gather(*retries):
+            assert isinstance(retried, dispatcher.Placement)
+            assert retried.replica.name == 'e'
+
+    virtual_time.run(run())
+
+
 def test_a_call_without_upstreams_is_refused_at_once() -> None:
     async def run() -> None:
         call_dispatcher, replica = make_dispatcher()
