Streams: a slow replica keeps its stream until another one has taken it

What callers saw: a resumable stream cut with 0.8 to 1.9 s left, although the replica that ran it lived and was only slow. Cause: the router closed the stream's attempt before it asked the other replica. That one refused (full, other weights), which counted as the last attempt that the route allows. New in the log: weights_age, reached, has_budget. Why it works: a run that goes on needs no placement, no attempt and no retry, so a refusal costs the stream nothing. Two replicas work on it for 0.1 s at most. Where the refusal comes later, or the stream broke off, it may return to a replica that it has reached: max_attempts limits the replicas a request reaches. Elsewhere: the same for repeated requests that are refused after an attempt was ended early.

--- a/passpier/core/attempts.py
+++ b/passpier/core/attempts.py
@@ -11,6 +11,9 @@
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 2
 
+MAX_RETURNS = 3
+"""Maximum number of further attempts at replicas that the request has already been sent to."""
+
 
 class Fault(enum.Enum):
     """How an attempt can fail, by what that implies for a run at the upstream."""
@@ -67,6 +70,12 @@
     may_have_run: bool = False
     completed: bool = False
     max_attempts: int = MAX_ATTEMPTS
+    """Maximum number of attempts at replicas that the request was not sent to before."""
+
+    @property
+    def may_reach_others(self) -> bool:
+        """Whether the next attempt may be at a replica that the request was not sent to before."""
+        return self.attempts < self.max_attempts
 
     @property
     def outcome(self) -> exceptions.Outcome:
@@ -90,10 +99,20 @@
             # Resuming a stream at its engine is not a second run, so any request may do it.
             self.resumes += 1
             return Step.RESUME
-        if self.attempts >= self.max_attempts or not has_budget:
+        returns = MAX_RETURNS if self._may_return(fault) else 0
+        if self.attempts >= self.max_attempts + returns or not has_budget:
             return Step.FAIL
         if not self.repeatable and (ran_before or self.may_have_run):
             return Step.FAIL
         if not self.delivered:
             return Step.RETRY
         return Step.CONTINUE if self.continuable else Step.FAIL
+
+    def _may_return(self, fault: Fault) -> bool:
+        """Return whether a replica may get the request again after it has tried all it may reach.
+
+        The replica that ran it may well be alive, and the client, who can't be told that the
+        request has not run, would lose what it already has. After a failure without anything
+        delivered, the client gets that failure instead.
+        """
+        return self.delivered > 0 or (self.may_have_run and fault in NOT_RUN_FAULTS)
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -102,6 +102,9 @@
     weights_learnt_at: float = float('-inf')
     """Monotonic time at which its weight version was last reported."""
 
+    weights_confirmed_at: float = float('-inf')
+    """The same for the last time that a source named the known version."""
+
     signal: backpressure.Signal = backpressure.NO_SIGNAL
     """The backpressure signal of its last response."""
 
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -8,7 +8,7 @@
 import logging
 import math
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 from typing import Protocol
 
 import msgspec
@@ -69,7 +69,8 @@
     """An attempt that waits for its placement."""
 
     call: calls.Call
-    exclude: frozenset[str]
+    exclude: Sequence[str]
+    allowed: Collection[str] | None
     attempt: str
     result: asyncio.Future[Placement | exceptions.Failure]
 
@@ -103,12 +104,20 @@
         self._decisions: collections.OrderedDict[str, list[bytes]] = collections.OrderedDict()
 
     async def place(
-        self, call: calls.Call, attempt: str, exclude: Collection[str] = ()
+        self,
+        call: calls.Call,
+        attempt: str,
+        exclude: Sequence[str] = (),
+        allowed: Collection[str] | None = None,
     ) -> Placement | exceptions.Failure:
-        """Return the placement of an attempt, or the failure; waits while all replicas are full."""
+        """Return the placement of an attempt, or the failure; waits while all replicas are full.
+
+        `exclude` names the replicas that have failed the call, the last one at the end. They are
+        used only if there are no others. `allowed` names the only replicas that may be used.
+        """
         pool = self._pools[call.service.pool]
         waiting = _QueuedAttempt(
-            call, frozenset(exclude), attempt, asyncio.get_running_loop().create_future()
+            call, tuple(exclude), allowed, attempt, asyncio.get_running_loop().create_future()
         )
         if not len(pool.queue):
             placed = self._try_place(waiting)
@@ -126,11 +135,13 @@
             self._end_unclaimed(waiting)
             raise
 
-    def can_place_now(self, call: calls.Call, exclude: Collection[str]) -> bool:
-        """Return whether an attempt could be placed now on a replica that is not excluded."""
-        now = clocks.now()
+    def place_now(
+        self, call: calls.Call, attempt: str, exclude: Collection[str]
+    ) -> Placement | None:
+        """Place an attempt at once on a replica with room that is not excluded, if there is one."""
         serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
-        return any(r.name not in exclude and replicas.has_room(r, now) for r in serving)
+        usable = [r for r in serving if r.name not in exclude]
+        return self._place_on(call, attempt, usable, clocks.now())
 
     def end(self, placement: Placement) -> None:
         """End a placement and free its capacity."""
@@ -168,7 +179,6 @@
 
     def _try_place(self, waiting: _QueuedAttempt) -> Placement | exceptions.Failure | None:
         call = waiting.call
-        now = clocks.now()
         usable = self._list_usable(waiting)
         if not usable:
             message = f'no upstream of pool {call.service.pool!r} takes work'
@@ -177,6 +187,12 @@
             )
             self._log_refusal(call, refusal)
             return refusal
+        return self._place_on(call, waiting.attempt, usable, clocks.now())
+
+    def _place_on(
+        self, call: calls.Call, attempt: str, usable: Sequence[replicas.Replica], now: float
+    ) -> Placement | None:
+        """Place an attempt on one of the usable replicas, unless none has room."""
         if not any(replicas.has_room(r, now) for r in usable):
             return None
         # While the pool has capacity, a busy replica that has the prefix cached may be the best.
@@ -188,10 +204,10 @@
             return None
         replica = self._upstreams.get(chosen.name)
         priority = call.service.priority
-        replicas.begin_dispatch(replica, waiting.attempt, chosen.miss_tokens, now, priority)
-        self._log_choice(call, waiting.attempt, chosen, now)
+        replicas.begin_dispatch(replica, attempt, chosen.miss_tokens, now, priority)
+        self._log_choice(call, attempt, chosen, now)
         self._count_waste(call, chosen)
-        return Placement(call, replica, waiting.attempt, chosen)
+        return Placement(call, replica, attempt, chosen)
 
     def _check_ready(self, waiting: _QueuedAttempt) -> exceptions.Failure | None:
         """Refuse a call whose deadline passes before any upstream accepts another request."""
@@ -209,10 +225,19 @@
         )
 
     def _list_usable(self, waiting: _QueuedAttempt) -> list[replicas.Replica]:
-        """Return the upstreams for a call, including excluded ones only if there are no others."""
+        """Return the upstreams for a call, including excluded ones only if there are no others.
+
+        The last one that was excluded is the least likely to succeed.
+        """
         call = waiting.call
         serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
-        return [r for r in serving if r.name not in waiting.exclude] or serving
+        if waiting.allowed is not None:
+            serving = [r for r in serving if r.name in waiting.allowed]
+        for exclude in (waiting.exclude, waiting.exclude[-1:]):
+            usable = [r for r in serving if r.name not in exclude]
+            if usable:
+                return usable
+        return serving
 
     def _check_queue(self, pool: _Pool, call: calls.Call) -> exceptions.Failure | None:
         """Refuse a call if its predicted wait exceeds its deadline or the queue is full."""
@@ -267,7 +292,7 @@
             now = clocks.now()
             serving = self._upstreams.list_serving(name)
             if serving and not any(replicas.has_room(r, now) for r in serving):
-                return
+                break
             ticket = pool.queue.take()
             assert ticket is not None
             if ticket.item.result.done():
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -110,7 +110,7 @@
         self._owner = owner
         self._call = call
         self._text: list[str] = []
-        self._excluded: set[str] = set()
+        self._excluded: list[str] = []
         self._placement: dispatcher.Placement | None = None
         self._tracker = streams.Tracker('')
         self._resuming = False
@@ -426,7 +426,7 @@
             return
         if self._placement is not None:
             self._owner.upstreams.note_failure(self._placement.replica)
-            self._excluded.add(self._placement.replica.name)
+            self._excluded.append(self._placement.replica.name)
         await self._end_placement()
         if step is attempts.Step.CONTINUE:
             call.placement_deadline = max(call.deadline, now + MIN_CONTINUE_WAIT)
--- a/passpier/daemon/plain.py
+++ b/passpier/daemon/plain.py
@@ -44,7 +44,7 @@
 
     async def run(self, call: calls.Call) -> responses.Response:
         """Return the service's response; raises `RequestFailedError`."""
-        excluded: set[str] = set()
+        excluded: list[str] = []
         while True:
             attempt = f'{call.id}-{call.progress.attempts}'
             placement = await self._dispatcher.place(call, attempt, excluded)
@@ -58,7 +58,7 @@
                 self._budget.note_success()
                 self._upstreams.ejector.note_success(placement.replica.name)
                 return response
-            excluded.add(placement.replica.name)
+            excluded.append(placement.replica.name)
             await self._recover(call, placement, response)
 
     async def _try(
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import collections
+import contextlib
 import logging
+import math
 
 import msgspec
 
@@ -14,7 +16,6 @@
     attempts,
     crashes,
     fingerprints,
-    pauses,
     replica_processes,
     replicas,
     retries,
@@ -26,13 +27,13 @@
     delivering,
     dialect,
     placement_sharing,
-    pools,
     probing,
     rate_limiting,
     registry_mirror,
     requests,
     response_reader,
     responses,
+    sent_attempts,
 )
 
 log = logging.getLogger(__name__)
@@ -49,6 +50,10 @@
 EVENT_GAP_FACTOR = 2.0
 """The same, as a multiple of the longest gap that the route allows."""
 
+REFUSAL_SECONDS = 0.1
+"""Seconds in which a replica is connected to, and in which it refuses a stream that it won't
+continue. The replica that runs the stream keeps it until then; two must not run it for long."""
+
 RETRY_AFTER = 0.25
 """Seconds after which a refused client should retry, where nothing better is known."""
 
@@ -83,6 +88,7 @@
         self.prober = prober
         self.suspects = suspect_tracker
         self.sharing = shared
+        self.heads = sent_attempts.HeadReader(wire, registry_state.pools, prober)
         self.registry_state = registry_state
         self.pools = registry_state.pools
         self.dispatcher = request_dispatcher
@@ -130,13 +136,16 @@
         self._splitter = sse.EventSplitter()
         self._splitter.last_id = admitted.client_request.last_event
         self._call = requests.build_call(admitted, self._service)
-        self._excluded: set[str] = set()
+        self._excluded: list[str] = []
+        self._reached: set[str] = set()
+        """The replicas that the request has been sent to."""
+
         self._failed_connects = 0
         self.sent = False
         """Whether the current attempt has reached an upstream."""
 
-        self._sent_at = 0.0
-        """When the current attempt was sent, if it was."""
+        self._moved: sent_attempts.Attempt | None = None
+        """The next attempt, if another replica has taken the stream from the current one."""
 
         client_request = admitted.client_request
         self._charge = rate_limiting.Charge(
@@ -197,6 +206,8 @@
                 503, 'stopping', 'this process stops', RETRY_AFTER_STOPPING
             )
         finally:
+            if self._moved is not None:
+                self._moved.cleanup.close()
             if not self.sent:
                 self._charge.refund()
             self._log_end(clocks.now() - started)
@@ -242,84 +253,105 @@
 
     async def _attempt(self) -> bool:
         """Make one attempt; return whether the request has its final response."""
-        call = self._call
         self.sent = False
         if self._client.gone:
             raise responses.ClientGoneError
+        attempt, self._moved = self._moved, None
+        try:
+            if attempt is None:
+                attempt = await self._send()
+            if attempt is not None:
+                await self._relay_attempt(attempt)
+            return True
+        except response_reader.AttemptError:
+            raise
+        except BaseException:
+            # The client has disconnected or this process stops; a request that was sent may have
+            # run.
+            self._call.progress.may_have_run |= self.sent
+            raise
+
+    async def _send(self) -> sent_attempts.Attempt | None:
+        """Place and send an attempt, or answer the request without one."""
+        call = self._call
         judgement = self._owner.suspects.assess(self._admitted.fingerprint)
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
-            return True
+            return None
         retry_after = await self._charge.acquire(self.ends_at - clocks.now())
         if retry_after:
             await self._respond_directly(
                 429, 'over_limit', 'the account is at its limit', retry_after
             )
-            return True
+            return None
         if judgement.is_suspect:
             call.policy = 'apart'
             call.job = msgspec.structs.replace(call.job, spread_key=self._fingerprint)
-        attempt = f'{call.id}-{call.progress.attempts}.{self._failed_connects}'
-        placement = await self._owner.dispatcher.place(call, attempt, self._excluded)
+        allowed = None if call.progress.may_reach_others else self._reached
+        placement = await self._owner.dispatcher.place(
+            call, self._name_attempt(), self._excluded, allowed
+        )
         if isinstance(placement, exceptions.Failure):
             await self._respond_directly(
                 503, placement.code.value, placement.message, placement.retry_after
             )
-            return True
-        try:
-            await self._send(placement)
-            return True
-        except response_reader.AttemptError:
-            raise
-        except BaseException:
-            # The client has disconnected or this process stops; a request that was sent may have
-            # run.
-            self._call.progress.may_have_run |= self.sent
-            raise
-        finally:
-            self._owner.dispatcher.end(placement)
+            return None
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._owner.dispatcher.end, placement)
+            return await self._send_placed(placement, cleanup)
+
+    def _name_attempt(self) -> str:
+        return f'{self.id}-{self._call.progress.attempts}.{self._failed_connects}'
 
-    async def _send(self, placement: dispatcher.Placement) -> None:
+    async def _send_placed(
+        self, placement: dispatcher.Placement, cleanup: contextlib.ExitStack
+    ) -> sent_attempts.Attempt | None:
         admitted = self._admitted
         if not self._is_key_valid():
             raise _UnverifiedKeyError
-        time_left = admitted.ends_at - clocks.now()
-        if time_left <= 0:
+        if clocks.now() >= admitted.ends_at:
             await self._respond_directly(
                 503, 'no_time', 'no time was left for an attempt', RETRY_AFTER
             )
-            return
-        suspects_seen = self._owner.suspects
+            return None
         # Peers may have reported the request as a suspect while it was queued.
-        judgement = await suspects_seen.assess_before_send(admitted.fingerprint)
+        judgement = await self._owner.suspects.assess_before_send(admitted.fingerprint)
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
-            return
+            return None
         self._last_process = placement.replica.process
-        suspects_seen.begin(admitted.fingerprint, judgement, time_left)
-        try:
-            await self._exchange(placement, time_left)
-        finally:
-            suspects_seen.end(admitted.fingerprint)
+        return await self._open(placement, judgement, cleanup)
 
-    async def _exchange(self, placement: dispatcher.Placement, time_left: float) -> None:
-        admitted = self._admitted
-        exchange = await self._open(placement, time_left)
-        self.sent = True
-        self._sent_at = clocks.now()
+    async def _open(
+        self,
+        placement: dispatcher.Placement,
+        judgement: crashes.Assessment,
+        cleanup: contextlib.ExitStack,
+        connect_seconds: float = math.inf,
+    ) -> sent_attempts.Attempt:
+        """Send the request to a replica; raises `AttemptError`.
+
+        The attempt takes over `cleanup`.
+        """
+        fingerprint = self._admitted.fingerprint
+        time_left = self.ends_at - clocks.now()
+        self._owner.suspects.begin(fingerprint, judgement, time_left)
+        cleanup.callback(self._owner.suspects.end, fingerprint)
+        exchange = await self._connect(placement, time_left, connect_seconds)
+        cleanup.callback(exchange.close)
+        self._reached.add(placement.replica.name)
         reader = response_reader.ResponseReader(
             exchange,
             self._owner.prober,
-            self._last_process,
-            admitted.ends_at,
+            placement.replica.process,
+            self.ends_at,
             self._call.progress.repeatable,
         )
-        try:
-            await self._relay_response(reader, placement)
-        finally:
-            exchange.close()
+        return sent_attempts.Attempt(placement, exchange, reader, clocks.now(), cleanup.pop_all())
 
-    async def _open(self, placement: dispatcher.Placement, time_left: float) -> exchanges.Exchange:
+    async def _connect(
+        self, placement: dispatcher.Placement, time_left: float, connect_seconds: float
+    ) -> exchanges.Exchange:
         admitted = self._admitted
         replica = placement.replica
         request = requests.build_request(
@@ -334,7 +366,7 @@
         )
         self._call.progress.begin()
         try:
-            async with asyncio.timeout(time_left):
+            async with asyncio.timeout(min(time_left, connect_seconds)):
                 return await self._owner.pool.open(replica.address, request)
         except exchanges.ExchangeError as error:
             self._call.progress.attempts -= 1
@@ -347,18 +379,16 @@
             text = f'no connection for {admitted.client_request.id} in time'
             raise response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, text) from error
 
-    async def _relay_response(
-        self, reader: response_reader.ResponseReader, placement: dispatcher.Placement
-    ) -> None:
-        head = await self._read_head(reader)
-        now = clocks.now()
-        verdict = self._process_head(head, placement)
-        if verdict is dialect.Verdict.FAILURE:
-            response = await reader.read_whole()
-            raise response_reader.AttemptError(
-                attempts.Fault.FAILED, f'status {head.status}', response
-            )
-        replicas.note_first_token(placement.replica, placement.attempt, now)
+    async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
+        self._last_process = attempt.process
+        self.sent = True
+        with attempt.cleanup:
+            await self._relay_response(attempt)
+
+    async def _relay_response(self, attempt: sent_attempts.Attempt) -> None:
+        placement = attempt.placement
+        reader = attempt.reader
+        head = attempt.head or await self._owner.heads.read(attempt, self._choose_head_wait())
         if self._call.job.chain:
             self._owner.sharing.record_placement(placement.replica, self._call.job)
         if self._admitted.route.kind.is_stream:
@@ -369,59 +399,11 @@
         self._owner.pools.note_success(placement.replica.process)
         self._owner.suspects.note_success(self._admitted.fingerprint)
 
-    async def _read_head(self, reader: response_reader.ResponseReader) -> exchanges.Head:
+    def _choose_head_wait(self) -> float:
         left = self._admitted.ends_at - clocks.now()
         progress = self._call.progress
-        may_follow = progress.repeatable and progress.attempts < progress.max_attempts
-        wait = left * ATTEMPT_SHARE if may_follow else left
-        return await reader.read_head(wait)
-
-    def _process_head(
-        self, head: exchanges.Head, placement: dispatcher.Placement
-    ) -> dialect.Verdict:
-        """Classify the head of a response and apply what it reports; raise if it is no result."""
-        verdict = self._owner.wire.classify_response(head)
-        upstreams = self._owner.pools
-        process = placement.replica.process
-        self._learn_signal(head, placement, verdict)
-        version = self._owner.wire.read_version(head)
-        if version.isdigit():
-            upstreams.update_version(process, int(version), 'answer')
-        if verdict is dialect.Verdict.NOT_RUN:
-            upstreams.pause(process, pauses.Pause.FULL, pools.PAUSE_FULL, f'status {head.status}')
-            raise response_reader.AttemptError(
-                attempts.Fault.REFUSED, f'refused with status {head.status}'
-            )
-        if verdict is dialect.Verdict.WRONG_UPSTREAM:
-            reported = self._owner.wire.read_incarnation(head)
-            if reported and reported != placement.replica.incarnation:
-                upstreams.mark_replaced(process)
-                raise response_reader.AttemptError(
-                    attempts.Fault.REFUSED, f'{reported} has the address now'
-                )
-            upstreams.pause(process, pauses.Pause.FULL, pools.PAUSE_FULL, 'other weights')
-            self._owner.prober.note_version_mismatch(process, placement.replica.weight_version)
-            raise response_reader.AttemptError(
-                attempts.Fault.REFUSED, 'other weights than asked for'
-            )
-        if verdict is dialect.Verdict.INVALID:
-            raise response_reader.AttemptError(
-                attempts.Fault.FAILED, f'no sound answer, status {head.status}'
-            )
-        return verdict
-
-    def _learn_signal(
-        self, head: exchanges.Head, placement: dispatcher.Placement, verdict: dialect.Verdict
-    ) -> None:
-        """Apply the backpressure signal of a response, unless another process gave it."""
-        process = placement.replica.process
-        if verdict is dialect.Verdict.WRONG_UPSTREAM:
-            reported = self._owner.wire.read_incarnation(head)
-            if reported and reported != placement.replica.incarnation:
-                return
-        signal = self._owner.wire.read_signal(head)
-        ran_since = self._sent_at if verdict is dialect.Verdict.SUCCESS else None
-        self._owner.pools.apply_signal(process, signal, ran_since)
+        may_follow = progress.repeatable and progress.may_reach_others
+        return left * ATTEMPT_SHARE if may_follow else left
 
     async def _relay_events(
         self, reader: response_reader.ResponseReader, head: exchanges.Head
@@ -454,22 +436,82 @@
             try:
                 return await reader.read_part(wait)
             except response_reader.StalledError:
-                if wait == left or self._can_move_stream():
+                if wait == left:
+                    raise
+                self._moved = await self._move_stream()
+                if self._moved is not None:
                     raise
-                log.info(
-                    'slow stream not moved, no other replica available',
-                    extra={'request': self.id, 'upstream': self.upstream},
-                )
 
-    def _can_move_stream(self) -> bool:
-        """Return whether another replica could resume the stream now."""
-        progress = self._call.progress
-        budget = self._owner.get_budget(self._service)
-        return (
-            progress.attempts < progress.max_attempts
-            and budget.has_any(clocks.now(), self._owner.budget_sharers)
-            and self._owner.dispatcher.can_place_now(self._call, {*self._excluded, self.upstream})
+    async def _move_stream(self) -> sent_attempts.Attempt | None:
+        """Have another replica continue a slow stream; return the attempt, unless none can.
+
+        The current replica runs the stream until the other one has had time to refuse it, so that a
+        stream that is refused goes on where it is.
+        """
+        detail = 'no other replica available'
+        placement = await self._place_move()
+        if placement is not None:
+            try:
+                return await self._try_replica(placement)
+            except response_reader.AttemptError as error:
+                detail = str(error)
+                if error.fault is not attempts.Fault.REFUSED:
+                    self._owner.pools.note_failure(placement.replica.process)
+            except _UnverifiedKeyError:
+                detail = 'keys may have changed'
+        log.info(
+            'slow stream not moved',
+            extra={
+                'request': self.id,
+                'upstream': self.upstream,
+                'other': placement.replica.name if placement else '',
+                'detail': detail,
+            },
         )
+        return None
+
+    async def _place_move(self) -> dispatcher.Placement | None:
+        """Place the next attempt of a slow stream and pay for it, if that is possible at once."""
+        call = self._call
+        if not call.progress.may_reach_others or not self._is_key_valid():
+            return None
+        if self._owner.suspects.assess(self._admitted.fingerprint).is_suspect:
+            return None
+        exclude = {*self._excluded, self.upstream}
+        placement = self._owner.dispatcher.place_now(call, self._name_attempt(), exclude)
+        if placement is None:
+            return None
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._owner.dispatcher.end, placement)
+            # The current attempt runs, so its charge is spent.
+            self._charge.mark_spent()
+            if await self._charge.acquire(self.ends_at - clocks.now()):
+                return None
+            if not self._spend_retry(clocks.now()):
+                self._charge.refund()
+                return None
+            cleanup.pop_all()
+        return placement
+
+    async def _try_replica(self, placement: dispatcher.Placement) -> sent_attempts.Attempt:
+        """Send a slow stream to another replica; raises `AttemptError` unless that one takes it."""
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._owner.dispatcher.end, placement)
+            judgement = self._owner.suspects.assess(self._admitted.fingerprint)
+            try:
+                attempt = await self._open(placement, judgement, cleanup, REFUSAL_SECONDS)
+                cleanup.push(attempt.cleanup)
+                with contextlib.suppress(response_reader.StalledError):
+                    wait = min(REFUSAL_SECONDS, self.ends_at - clocks.now())
+                    await self._owner.heads.read(attempt, wait)
+            except response_reader.AttemptError as error:
+                if error.fault in attempts.NOT_RUN_FAULTS:
+                    self._charge.refund()
+                else:
+                    self._charge.mark_spent()
+                raise
+            cleanup.pop_all()
+        return attempt
 
     async def _send_response(self, response: exchanges.Response) -> None:
         """Send an upstream's complete response to the client."""
@@ -484,19 +526,24 @@
             self._owner.pools.note_failure(self._last_process)
         if error.fault in attempts.NOT_RUN_FAULTS:
             self.sent = False
-        else:
+        elif self._moved is None:
             self._charge.mark_spent()
         if error.broken_off and not self._owner.pools.is_exit_expected(self._last_process):
             self._owner.suspects.note_disconnect(self._admitted.fingerprint, self._last_process)
         has_time = now < self._admitted.ends_at
         step = attempts.Step.FAIL
-        if error.fault is attempts.Fault.NOT_CONNECTED:
+        has_budget = True
+        if self._moved is not None:
+            progress.may_have_run = True
+            step = attempts.Step.CONTINUE
+        elif error.fault is attempts.Fault.NOT_CONNECTED:
             self._failed_connects += 1
             if has_time and self._failed_connects < CONNECT_TRIES:
                 step = attempts.Step.RETRY
         else:
             step = progress.decide(error.fault, has_time)
-            if step is not attempts.Step.FAIL and not self._spend_retry(now):
+            has_budget = step is attempts.Step.FAIL or self._spend_retry(now)
+            if not has_budget:
                 step = attempts.Step.FAIL
         self._owner.counters.retries.inc({'step': step.value})
         log.info(
@@ -510,6 +557,8 @@
                 'detail': str(error),
                 'step': step.value,
                 'attempts': progress.attempts,
+                'reached': len(self._reached),
+                'has_budget': has_budget,
                 'ran': progress.outcome.value,
                 'time_left': round(self._admitted.ends_at - now, 3),
             },
@@ -517,7 +566,7 @@
         if step is attempts.Step.FAIL:
             await self._respond_failure(error)
             return False
-        self._excluded.add(self._last_process.id)
+        self._excluded.append(self._last_process.id)
         self._call.placement_deadline = self._choose_hold_deadline(now)
         return True
 
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -188,7 +188,10 @@
     ) -> None:
         """Update a replica's weight version; older versions are ignored as outdated news."""
         replica = self.find(process)
-        if replica is not None and int(replica.weight_version or 0) < version:
+        if replica is None or not version or version < int(replica.weight_version or 0):
+            return
+        replica.weights_confirmed_at = clocks.now()
+        if version > int(replica.weight_version or 0):
             self._set_version(replica, version, source)
 
     def apply_report(
@@ -205,6 +208,7 @@
             return
         age = clocks.now() - replica.weights_learnt_at
         if age > REPORT_LAG and version < int(replica.weight_version or 0):
+            replica.weights_confirmed_at = clocks.now()
             self._set_version(replica, version, 'report of older weights')
         else:
             self.update_version(process, version, 'report')
@@ -344,8 +348,9 @@
     def describe_weights(self, name: str) -> Mapping[str, object]:
         """Return the fields of a routing decision on a replica's process and weights.
 
-        `limit` is there if the replica's last response had one. `outdated_for` is the maximum
-        number of seconds for which the weights may have been outdated: left out if they are
+        `limit` is there if the replica's last response had one. `weights_age` is the number of
+        seconds since the weights were last confirmed, null if they never were. `outdated_for` is
+        the maximum number of seconds for which they may have been outdated: left out if they are
         current, null if unknown.
         """
         replica = self.replicas[name]
@@ -356,10 +361,16 @@
         if release_history is None:
             return fields
         version = int(replica.weight_version or 0)
-        fields |= {'weight_version': version, 'named_version': release_history.newest}
+        now = clocks.now()
+        age = now - replica.weights_confirmed_at
+        fields |= {
+            'weight_version': version,
+            'weights_age': round(age, 3) if math.isfinite(age) else None,
+            'named_version': release_history.newest,
+        }
         naming = release_history.get_outdated(version)
         if naming is not None:
-            fields['outdated_for'] = _compute_age(naming, clocks.now())
+            fields['outdated_for'] = _compute_age(naming, now)
         return fields
 
     def note_failure(self, process: replica_processes.ReplicaProcess) -> None:
--- a/passpier/standins/fleet/model.py
+++ b/passpier/standins/fleet/model.py
@@ -142,7 +142,7 @@
         call = _build_call(f'q{self._number}', arrival, began)
         self._number += 1
         await asyncio.sleep(NETWORK_DELAY)
-        excluded: set[str] = set()
+        excluded: list[str] = []
         for number in range(MAX_ATTEMPTS):
             attempt = f'{call.id}-{number}'
             clock = time.process_time()
@@ -154,7 +154,7 @@
             try:
                 return await self._run(chosen, placement, arrival)
             except engines.FullError:
-                excluded.add(placement.replica.name)
+                excluded.append(placement.replica.name)
                 chosen.pools.pause(
                     placement.replica.process, pauses.Pause.FULL, pools.PAUSE_FULL, 'full'
                 )
--- a/passpier/tests/core/attempts_tests.py
+++ b/passpier/tests/core/attempts_tests.py
@@ -77,6 +77,40 @@
     assert progress.decide(attempts.Fault.INTERRUPTED, True) is attempts.Step.CONTINUE
 
 
+def count_steps(progress: attempts.RequestProgress, fault: attempts.Fault) -> int:
+    """Return the number of attempts after the first one if all fail with the same fault."""
+    progress.begin()
+    count = 0
+    while progress.decide(fault, True) is not attempts.Step.FAIL:
+        progress.begin()
+        count += 1
+    return count
+
+
+@pytest.mark.parametrize('fault', [attempts.Fault.REFUSED, attempts.Fault.INTERRUPTED])
+def test_begun_stream_may_return_to_the_replicas_that_it_reached(fault: attempts.Fault) -> None:
+    """Guards against cutting a stream that one of these replicas could finish."""
+    progress = attempts.RequestProgress(repeatable=True, resumable=False, max_attempts=2)
+    progress.delivered = 3
+    assert count_steps(progress, fault) == 1 + attempts.MAX_RETURNS
+    assert not progress.may_reach_others
+
+
+@pytest.mark.parametrize('fault', [f for f in attempts.Fault if f is not attempts.Fault.REFUSED])
+def test_failed_request_without_a_response_is_not_sent_to_the_same_replicas_again(
+    fault: attempts.Fault,
+) -> None:
+    progress = attempts.RequestProgress(repeatable=True, resumable=False, max_attempts=2)
+    assert count_steps(progress, fault) == 1
+
+
+def test_request_that_has_not_run_is_refused_after_its_attempts() -> None:
+    """The client may send it again itself."""
+    progress = attempts.RequestProgress(repeatable=True, resumable=False, max_attempts=2)
+    assert count_steps(progress, attempts.Fault.REFUSED) == 1
+    assert progress.outcome is exceptions.Outcome.NOT_RUN
+
+
 def test_retries_are_limited_in_a_full_outage() -> None:
     """Without successes, only the budget's constant rate per second is earned."""
     budget = retries.RetryBudget()
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -167,6 +167,30 @@
     virtual_time.run(run())
 
 
+@pytest.mark.parametrize(
+    ('exclude', 'allowed', 'names'),
+    [
+        ((), None, {'e', 'f', 'g'}),
+        (('e',), None, {'f', 'g'}),
+        (('e', 'f', 'g'), None, {'e', 'f'}),
+        (('e', 'f'), ('e', 'f'), {'e'}),
+        (('e',), ('e',), {'e'}),
+    ],
+)
+def test_a_call_avoids_the_replicas_that_failed_it(
+    exclude: tuple[str, ...], allowed: tuple[str, ...] | None, names: set[str]
+) -> None:
+    """All have failed it: guards against choosing the last of them again."""
+
+    async def run() -> None:
+        call_dispatcher, _ = make_dispatcher('f', 'g')
+        placed = await call_dispatcher.place(make_call('x'), 'x', exclude, allowed)
+        assert isinstance(placed, dispatcher.Placement)
+        assert {c.name for c in placed.choice.candidates} == names
+
+    virtual_time.run(run())
+
+
 def test_calls_that_wait_for_their_replica_hold_up_no_other() -> None:
     """Guards against leaving replicas idle while retries can't use any of them."""
 
--- /dev/null
+++ b/passpier/tests/platform/moved_streams_tests.py
@@ -0,0 +1,150 @@
+"""Streams that are to be continued by another replica, which refuses them.
+
+Guards against cutting a stream that could still be answered: the replica that began it is alive,
+but the route's attempts are used up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from passpier.standins.platform import deployment, replica
+from passpier.tests.platform import harness
+
+PATIENCE_MS = 9000
+
+
+def get_models(running: deployment.Deployment) -> list[replica.Replica]:
+    """Return the model replicas, which serve streams; the one that has run a request first."""
+    models = [replica for replica in running.replicas.values() if replica.model]
+    return sorted(models, key=lambda r: not r.runs)
+
+
+async def ask_stream(running: deployment.Deployment) -> asyncio.Future[deployment.Response]:
+    """Send a resumable stream; return its pending response once a replica runs it."""
+    pending = asyncio.ensure_future(
+        running.ask('/resume/x', id='one', patience_ms=PATIENCE_MS, headers=harness.PROMPT_HEADERS)
+    )
+    await harness.wait_for(lambda: bool(running.list_runs('one')))
+    return pending
+
+
+async def prepare(running: deployment.Deployment, event_pause: float) -> None:
+    """Give streams three events with `event_pause` seconds between them, and enough time."""
+    running.configure(
+        routes=[{**r, 'timeout_ms': PATIENCE_MS} for r in running.configuration['routes']]
+    )
+    await running.wait_settled()
+    for model in get_models(running):
+        model.event_pause = event_pause
+        model.event_count = 3
+
+
+def check_events(response: deployment.Response) -> None:
+    """Check that a stream is complete, with each event once and in order."""
+    assert response.status == 200
+    ids = [line for line in response.body.splitlines() if line.startswith(b'id:')]
+    assert ids == [b'id: 0', b'id: 1', b'id: 2']
+
+
+def count_arrivals(models: list[replica.Replica]) -> list[int]:
+    """Return for each replica how many times it was sent the stream."""
+    return [sum(a.id == 'one' for a in r.arrivals) for r in models]
+
+
+@pytest.mark.parametrize('refusal', ['full', 'other weights', 'down'])
+def test_slow_stream_that_no_other_replica_takes_goes_on_where_it_is(refusal: str) -> None:
+    """The other replica is full, has loaded other weights, or is down."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=1.3)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        if refusal == 'full':
+            other.faults.refuse = 1
+        elif refusal == 'other weights':
+            other.version += 1
+        else:
+            running.crash_replica(other.id)
+        check_events(await pending)
+        assert count_arrivals([first, other]) == [1, int(refusal != 'down')]
+
+    harness.run_check(check)
+
+
+def test_slow_stream_that_is_refused_goes_on_at_a_replica_that_drains() -> None:
+    """Its own replica takes no new request, so that the stream could not return there."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=1.3)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.faults.refuse = 1
+        first.state = 'draining'
+        running.write_entry(first.id)
+        check_events(await pending)
+        assert count_arrivals([first, other]) == [1, 1]
+
+    harness.run_check(check)
+
+
+def test_slow_stream_continues_at_a_replica_that_takes_it() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=1.3)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.event_pause = 0.01
+        check_events(await pending)
+        assert first.abandoned == ['one']
+        assert other.finished == ['one']
+
+    harness.run_check(check)
+
+
+def test_moved_stream_that_is_refused_late_returns_to_its_first_replica() -> None:
+    """The other replica queues the stream and then refuses it."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=1.3)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.faults.late_refusal = 0.4
+        check_events(await pending)
+        assert count_arrivals([first, other]) == [2, 1]
+
+    harness.run_check(check)
+
+
+def test_interrupted_stream_that_is_refused_returns_to_its_first_replica() -> None:
+    """The first replica resets the connection within an event; the other one is full."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=0.1)
+        for model in get_models(running):
+            model.faults.cut = 1
+            model.work_seconds = 0.2
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.faults.refuse = 1
+        check_events(await pending)
+        assert count_arrivals([first, other]) == [2, 1]
+
+    harness.run_check(check)
+
+
+def test_repeated_request_that_is_refused_returns_to_its_first_replica() -> None:
+    """The first replica takes longer than an attempt may take if another one can follow."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=0.1)
+        harness.set_processing_time(running, 1.2)
+        pending = asyncio.ensure_future(running.ask('/safe/x', id='one', patience_ms=2600))
+        await harness.wait_for(lambda: bool(running.list_runs('one')))
+        for app in running.replicas.values():
+            app.faults.refuse = 0 if app.runs else 1
+        assert (await pending).status == 200
+        assert len(running.list_runs('one')) == 2
+
+    harness.run_check(check)
