Members: those that have forgotten each other find each other through the store

What callers saw: after a cut of more than ten minutes 3 of 12 units of an account stayed unusable for ever, and the daemon that had been cut off got no loads, configuration or cache view from the others. Cause: both sides remove each other after 600 s of silence, a removed member is added only after a newer heartbeat, and heartbeats go to known members only; the listing in the store, with valid leases, was ignored. Why it works: silence is no proof of an end, so a listing with a valid lease adds such a member again, alive only once it is heard; one that has stopped stays removed. The same in the registry routers.

--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -101,6 +101,9 @@
         self._removed: dict[str, int] = {}
         """The last counters of removed members, to ignore their beats that still circulate."""
 
+        self._silent: set[str] = set()
+        """The removed members that were only silent, and may still be running."""
+
     def __len__(self) -> int:
         return len(self._records)
 
@@ -121,9 +124,18 @@
         record.beat = Beat(own, counter, revision, epoch, confirmed, leaving, rate, known)
         record.advanced_at = now
 
-    def add(self, member: Member, now: float) -> bool:
-        """Add a member, replacing an older incarnation of its name; return whether it was added."""
-        if member.incarnation in self._records or member.incarnation in self._removed:
+    def add(self, member: Member, now: float, listed: bool = False) -> bool:
+        """Add a member, replacing an older incarnation of its name; return whether it was added.
+
+        A member that was removed is not added before a newer beat of it arrives, unless it was
+        silent and the store still lists it: two members that have forgotten each other send each
+        other no beats.
+        """
+        if member.incarnation in self._records:
+            return False
+        if member.incarnation in self._removed and not (
+            listed and member.incarnation in self._silent
+        ):
             return False
         for known in list(self._records.values()):
             if known.member.name != member.name or known.member is self.own:
@@ -143,21 +155,33 @@
             record = self._records.get(beat.incarnation)
             if record is None:
                 if beat.counter > self._removed.get(beat.incarnation, -1):
-                    self._removed.pop(beat.incarnation, None)
+                    self._forget_removal(beat.incarnation)
                     unknown.append(beat.incarnation)
-            elif beat.counter > record.beat.counter and record.member is not self.own:
+            elif record.member is not self.own and beat.counter > max(
+                record.beat.counter, self._removed.get(beat.incarnation, 0)
+            ):
+                self._forget_removal(beat.incarnation)
                 record.beat = beat
                 record.advanced_at = now
         return unknown
 
-    def remove(self, incarnation: str) -> None:
-        """Remove a member that announced its stop or is no longer listed in the store."""
-        if incarnation != self.own.incarnation:
-            record = self._records.pop(incarnation, None)
-            if record is not None:
-                self._removed[incarnation] = record.beat.counter
-                while len(self._removed) > MAX_REMOVED:
-                    self._removed.pop(next(iter(self._removed)))
+    def remove(self, incarnation: str, silent: bool = False) -> None:
+        """Remove a member that has stopped, or was silent for long and may still be running."""
+        record = self._records.get(incarnation)
+        if record is None or record.member is self.own:
+            return
+        del self._records[incarnation]
+        self._removed[incarnation] = max(record.beat.counter, self._removed.pop(incarnation, 0))
+        if silent:
+            self._silent.add(incarnation)
+        else:
+            self._silent.discard(incarnation)
+        while len(self._removed) > MAX_REMOVED:
+            self._forget_removal(next(iter(self._removed)))
+
+    def _forget_removal(self, incarnation: str) -> None:
+        self._removed.pop(incarnation, None)
+        self._silent.discard(incarnation)
 
     def get(self, incarnation: str) -> Member | None:
         """Return a known member."""
@@ -279,4 +303,4 @@
         """Remove members that have been gone for long."""
         for record in list(self._records.values()):
             if record.advanced_at < now - FORGET_SECONDS:
-                self.remove(record.member.incarnation)
+                self.remove(record.member.incarnation, silent=True)
--- a/passpier/daemon/fleet.py
+++ b/passpier/daemon/fleet.py
@@ -72,7 +72,7 @@
             membership, link, shared_storage, self._apply
         )
         self.epochs = epochs.Epochs(
-            membership, link, shared_storage, account_limits, self._add_members, self.announce
+            membership, link, shared_storage, account_limits, self._add_listed, self.announce
         )
         self._handle_messages()
 
@@ -205,13 +205,17 @@
     def _handle_members(self, sender: str, address: str, message: messages.Members) -> None:
         self._add_members(message.members)
 
-    def _add_members(self, found: list[members.Member]) -> None:
+    def _add_listed(self, listed: list[members.Member]) -> None:
+        self._add_members(listed, listed=True)
+
+    def _add_members(self, found: list[members.Member], listed: bool = False) -> None:
+        """Add members that a peer knows, or that are listed in the store."""
         now = clocks.now()
         for member in found:
             if self.limits.has_departed(member.incarnation):
                 continue
             self._note_replaced(member)
-            if self.membership.add(member, now):
+            if self.membership.add(member, now, listed):
                 log.info('member found', extra={'member': member.name})
 
     def _note_replaced(self, member: members.Member) -> None:
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -146,7 +146,7 @@
                 log.error('invalid member entry ignored', extra={'key': key, 'error': str(error)})
                 continue
             listed.add(member.incarnation)
-            if self.membership.add(member, now):
+            if self.membership.add(member, now, listed=True):
                 log.info(
                     'member found in the registry',
                     extra={'member': member.name, 'address': member.entry},
@@ -187,7 +187,7 @@
         member = self.membership.get(incarnation)
         if member is None or member in self.membership.list_alive(now):
             return
-        self.membership.remove(incarnation)
+        self.membership.remove(incarnation, silent=True)
         log.info('member removed', extra={'member': member.name})
 
     def _handle_heartbeat(self, sender: str, address: str, message: messages.Heartbeat) -> None:
--- a/passpier/tests/core/members_tests.py
+++ b/passpier/tests/core/members_tests.py
@@ -236,6 +236,30 @@
     assert own.add(make_member(1), 21.0)
 
 
+def test_members_that_have_forgotten_each_other_find_each_other_in_the_store() -> None:
+    """Guards against a daemon that was isolated for long and then remained a stranger for ever."""
+    own = members.Membership(make_member(0), 1.0, 0.0)
+    own.add(make_member(1), 0.0)
+    own.merge([members.Beat('i0001', 7)], 1.0)
+    own.forget_gone(2.0 + members.FORGET_SECONDS)
+    late = 3.0 + members.FORGET_SECONDS
+    assert not own.add(make_member(1), late)
+    assert own.add(make_member(1), late, listed=True)
+    own.merge([members.Beat('i0001', 7)], late)
+    assert [m.name for m in own.list_alive(late + 0.1 + members.FIRST_CONTACT_BEATS)] == ['vm-0']
+    own.merge([members.Beat('i0001', 8)], late + 5.0)
+    assert len(own.list_alive(late + 5.0)) == 2
+
+
+def test_stopped_members_are_not_restored_by_the_store() -> None:
+    """Its lease may still be valid."""
+    own = members.Membership(make_member(0), 1.0, 0.0)
+    own.add(make_member(1), 0.0)
+    own.merge([members.Beat('i0001', 7)], 1.0)
+    own.remove('i0001')
+    assert not own.add(make_member(1), 2.0, listed=True)
+
+
 def test_silent_members_are_left_out_of_digests() -> None:
     own = members.Membership(make_member(0), 1.0, 0.0)
     own.add(make_member(1), 0.0)
