Freshness: a proof is renewed before it is refused, for every bound

What callers saw: one answer of 320 was 503 stale_configuration from a router in touch with a registry that answered in milliseconds, at a bound of 2 s. Cause: keys are refused 0.5 s before the bound, and a watch ended at 0.75 of it: both at 1.5 s. After a watch that brought a change the next answer came just after the refusal had begun. Processes that rely on others fell back to reading at 1.5 s as well. Why it works: the renewal's time is derived from the refusal's, less the time to relay the proof and the latency of the last calls, and a watch leaves time for another one if it brings a change at its end. Bounds that can't be kept are an error of the settings.

--- a/passpier/core/freshness.py
+++ b/passpier/core/freshness.py
@@ -16,6 +16,13 @@
 WAIT_MIN = 0.1
 """Minimum wait of a watch in seconds, to avoid a tight loop."""
 
+URGENT_WAIT_MIN = 0.02
+"""The same, where a longer wait would make the knowledge stale."""
+
+BATCH_DELAY = 0.1
+"""Maximum seconds between a change and the next watch, so that further changes come in one
+response."""
+
 BOUND_MARGIN = 0.5
 """Safety margin before the bound in seconds, for latency to the upstream and late timers."""
 
@@ -24,7 +31,26 @@
 their proofs would stay the same age, instead of one of them always having a recent one."""
 
 RENEWAL_SHARE = 0.75
-"""Share of the bound at which a new proof should be available."""
+"""Maximum age of the last proof when the next one is available, as a share of the bound."""
+
+RELAY_SECONDS = 0.65
+"""Seconds that a proof may take from a process that watches to all others: they ask several times a
+second, and watch themselves if that is not enough."""
+
+TIMER_MARGIN = 0.1
+"""Seconds by which a new proof has to precede the refusal, for late timers."""
+
+LATENCY_ASSUMED = 0.05
+"""Latency of a call in seconds before any was measured."""
+
+LATENCY_SHARE_MAX = 0.25
+"""Maximum share of the refusal age that counts as latency, as after a suspension of the VM."""
+
+LATENCY_DECAY = 0.9
+"""Factor by which the measured latency decreases with each faster call."""
+
+BOUND_MIN = 0.8
+"""Shortest bound that can be kept, in seconds, at a latency of `LATENCY_ASSUMED`."""
 
 
 class Freshness(msgspec.Struct):
@@ -32,6 +58,8 @@
 
     bound: float
     proved_at: float = float('-inf')
+    latency: float = LATENCY_ASSUMED
+    """Latency of recent calls in seconds."""
 
     def prove(self, at: float) -> None:
         """Record that the state at `at` is known completely."""
@@ -41,6 +69,9 @@
         """Record a finished watch."""
         completed = empty and answered_at - sent_at >= wait
         self.prove(sent_at + wait if completed else sent_at)
+        if completed:
+            latency = max(answered_at - sent_at - wait, self.latency * LATENCY_DECAY)
+            self.latency = min(latency, self.refusal_age * LATENCY_SHARE_MAX)
 
     def compute_age(self, now: float) -> float:
         """Return the seconds since the newest proof."""
@@ -48,10 +79,44 @@
 
     def is_fresh(self, now: float) -> bool:
         """Return whether any revocation older than the bound would be known."""
-        return self.compute_age(now) <= self.bound - BOUND_MARGIN
+        return self.compute_age(now) <= self.refusal_age
+
+    @property
+    def refusal_age(self) -> float:
+        """The age from which keys are refused."""
+        return self.bound - BOUND_MARGIN
+
+    @property
+    def renewal_age(self) -> float:
+        """The age of a proof at which the next one is due at all processes."""
+        relayed = max(self.refusal_age - RELAY_SECONDS, self.refusal_age / 2)
+        return min(self.bound * RENEWAL_SHARE, relayed - self.latency)
+
+    @property
+    def fallback_age(self) -> float:
+        """The age of relayed proofs from which a process has to watch itself."""
+        return self.refusal_age - TIMER_MARGIN - WAIT_MIN - 2 * self.latency
 
     def choose_wait(self, now: float, jitter: float) -> float:
-        """Return the seconds for which the next watch may wait; `jitter` is from 0 to 1."""
-        remaining = self.proved_at + self.bound * RENEWAL_SHARE - now
-        longest = WAIT_MAX * (1 - WAIT_SPREAD * jitter)
-        return min(longest, max(WAIT_MIN, remaining))
+        """Return the seconds for which the next watch may wait; `jitter` is from 0 to 1.
+
+        If it brings a change at its end, there is still time for another one.
+        """
+        age = self.compute_age(now)
+        longest = min(WAIT_MAX * (1 - WAIT_SPREAD * jitter), max(0.0, self.renewal_age))
+        return max(self._choose_shortest_wait(age), min(longest, self.renewal_age - age))
+
+    def choose_pause(self, now: float) -> float:
+        """Return the seconds to wait before the next watch after one that brought a change."""
+        left = self._compute_time_left(self.compute_age(now)) - URGENT_WAIT_MIN
+        return min(BATCH_DELAY, max(0.0, left))
+
+    def _choose_shortest_wait(self, age: float) -> float:
+        if age > self.refusal_age:
+            # Too late already: the registry is slow or away, and must not be flooded.
+            return WAIT_MIN
+        return min(WAIT_MIN, max(URGENT_WAIT_MIN, self._compute_time_left(age)))
+
+    def _compute_time_left(self, age: float) -> float:
+        """Return how long a watch may still wait for its response to be in time."""
+        return self.refusal_age - TIMER_MARGIN - self.latency - age
--- a/passpier/platform/settings.py
+++ b/passpier/platform/settings.py
@@ -10,6 +10,7 @@
 
 from passpier import exceptions
 from passpier.config import addresses
+from passpier.core import freshness
 
 _Section = TypeVar('_Section', bound=msgspec.Struct)
 
@@ -82,11 +83,22 @@
         raise exceptions.FindingsError([exceptions.Finding(path, str(error))]) from error
     findings: list[exceptions.Finding] = []
     loaded = _read_section(Settings, raw, f'{path}: ', findings)
-    if loaded is None:
+    if loaded is not None:
+        findings += _check_bounds(loaded.bounds, f'{path}: bounds.')
+    if loaded is None or findings:
         raise exceptions.FindingsError(findings)
     return loaded
 
 
+def _check_bounds(bounds: Bounds, location: str) -> list[exceptions.Finding]:
+    """Return the findings on bounds that depend on each other."""
+    shortest = freshness.BOUND_MIN * 1000
+    if bounds.revoke_fail_closed and bounds.revoke_ms < shortest:
+        text = f'is too short to be kept, must be at least {shortest:.0f}'
+        return [exceptions.Finding(f'{location}revoke_ms', text)]
+    return []
+
+
 def _read_section(
     section: type[_Section], raw: dict[str, Any], location: str, findings: list[exceptions.Finding]
 ) -> _Section | None:
--- a/passpier/routing/registry_follower.py
+++ b/passpier/routing/registry_follower.py
@@ -26,9 +26,6 @@
 ROLE_CHECK_MIN = 0.02
 """Minimum number of seconds between these checks, when the fallback is near."""
 
-BATCH_DELAY = 0.1
-"""Seconds between a change and the next watch, so that further changes come in one response."""
-
 ALL_KEYS = ''
 """Prefix of all keys."""
 
@@ -88,7 +85,7 @@
         self._registry_state.expire(now)
         self._note_answer()
         if changes.items:
-            await asyncio.sleep(BATCH_DELAY)
+            await asyncio.sleep(self._registry_state.freshness.choose_pause(now))
 
     def _note_answer(self) -> None:
         if not self.reachable:
--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -30,8 +30,8 @@
 """Number of rounds after which a random process is queried as well."""
 
 FALLBACK_AGE = 1.5
-"""Age in seconds from which a process reads the registry itself: working readers keep it lower, and
-a leaving replica must be known as such within two seconds."""
+"""Maximum age in seconds from which a process reads the registry itself: working readers keep it
+lower, and a leaving replica must be known as such within two seconds."""
 
 FALLBACK_SPREAD = 0.25
 """Seconds over which the processes spread that fallback: the first to succeed informs the
@@ -85,7 +85,9 @@
 
     def compute_fallback_delay(self, now: float) -> float:
         """Return the seconds until this process reads the registry if it gets no response."""
-        return FALLBACK_AGE + self._spread - self._registry_state.freshness.compute_age(now)
+        known = self._registry_state.freshness
+        earliest = min(FALLBACK_AGE, known.fallback_age - FALLBACK_SPREAD)
+        return earliest + self._spread - known.compute_age(now)
 
     def count_sharers(self, now: float) -> float:
         """Return how many processes share the call rate of one reader when all have to read."""
--- a/passpier/tests/core/freshness_tests.py
+++ b/passpier/tests/core/freshness_tests.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 
 from passpier.core import freshness
 
@@ -90,3 +91,49 @@
         first = min(known.choose_wait(0.7, rng.random()) for known in fleet)
         worst = max(worst, 0.7 + first)
     assert worst < 3.0
+
+
+class SlowRenewal(freshness.Freshness):
+    """Broken variant: the next proof comes when the last one is refused already."""
+
+    def choose_wait(self, now: float, jitter: float) -> float:
+        longest = freshness.WAIT_MAX * (1 - freshness.WAIT_SPREAD * jitter)
+        remaining = self.proved_at + self.bound * freshness.RENEWAL_SHARE - now
+        return min(longest, max(freshness.WAIT_MIN, remaining))
+
+
+def find_worst_room(known: freshness.Freshness, seed: int, change_share: float) -> float:
+    """Follow a registry that answers every watch; return the least room before a refusal.
+
+    A watch brings a change with probability `change_share`, at any time up to the end of its wait.
+    """
+    rng = random.Random(seed)
+    now = 0.0
+    known.prove(now)
+    worst = float('inf')
+    for _ in range(400):
+        sent_at = now
+        wait = known.choose_wait(now, rng.random())
+        changed = rng.random() < change_share
+        ended_after = wait * rng.choice([1.0, rng.random()]) if changed else wait
+        now = sent_at + ended_after + rng.uniform(0.004, 0.05)
+        worst = min(worst, known.bound - freshness.BOUND_MARGIN - known.compute_age(now))
+        known.prove_by_watch(sent_at, wait, now, not changed)
+        if changed:
+            now += known.choose_pause(now)
+    return worst
+
+
+BOUNDS = [0.8, 1.0, 1.5, 2.0, 2.5, 3.0, 5.0, 10.0]
+
+
+@pytest.mark.parametrize('bound', BOUNDS)
+@pytest.mark.parametrize('change_share', [0.0, 0.3, 0.9])
+def test_answered_watches_keep_the_knowledge_fresh(bound: float, change_share: float) -> None:
+    """Guards against a renewal that comes as late as the refusal, after a watch with a change."""
+    for seed in range(20):
+        assert find_worst_room(freshness.Freshness(bound), seed, change_share) > 0.0
+
+
+def test_broken_variant_refuses_between_answered_watches() -> None:
+    assert any(find_worst_room(SlowRenewal(2.0), seed, 0.3) <= 0.0 for seed in range(20))
--- a/passpier/tests/platform/settings_tests.py
+++ b/passpier/tests/platform/settings_tests.py
@@ -67,6 +67,7 @@
         ('"10.1.0.30:8789"', '"10.1.0.30:0"', 'listen.ready'),
         ('"10.200.1.7:8784"', '8784', 'platform.address'),
         ('revoke_ms = 4000', 'quota_window_s = 0', 'bounds.quota_window_s'),
+        ('revoke_ms = 4000', 'revoke_ms = 700', 'bounds.revoke_ms'),
         ('[7340, 7355]', '[7340]', 'internal_ports'),
         ('node_name = "edge-1"', 'node_name = ""', 'node_name'),
     ],
--- a/passpier/tests/routing/fleets.py
+++ b/passpier/tests/routing/fleets.py
@@ -114,8 +114,9 @@
 class Fleet:
     """Processes in virtual time with fixed membership, which start without registry state."""
 
-    def __init__(self, size: int, seed: int) -> None:
+    def __init__(self, size: int, seed: int, key_bound: float = KEY_BOUND) -> None:
         self.rng = random.Random(seed)
+        self.key_bound = key_bound
         self.registry = Registry()
         self.registry.put('configuration', b'1')
         self.network = network.Network(self.rng)
@@ -128,7 +129,7 @@
         self.tasks: dict[str, list[asyncio.Task[None]]] = {}
 
     def make(self, own: members.Member, fleet: list[members.Member]) -> Process:
-        known = registry_mirror.RegistryState(Records(), pools.Pools(VERSION_BOUND), KEY_BOUND)
+        known = registry_mirror.RegistryState(Records(), pools.Pools(VERSION_BOUND), self.key_bound)
         membership = members.Membership(own, 1e6, clocks.now())
         for member in fleet:
             membership.add(member, clocks.now())
@@ -182,9 +183,14 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def run_fleet(size: int, seed: int, check: Callable[[Fleet], Awaitable[None]]) -> None:
+def run_fleet(
+    size: int,
+    seed: int,
+    check: Callable[[Fleet], Awaitable[None]],
+    key_bound: float = KEY_BOUND,
+) -> None:
     async def run() -> None:
-        fleet = Fleet(size, seed)
+        fleet = Fleet(size, seed, key_bound)
         fleet.start()
         try:
             await check(fleet)
--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -50,6 +50,26 @@
     fleets.run_fleet(40, 2, check)
 
 
+@pytest.mark.parametrize('key_bound', [0.8, 1.2, 2.0, 3.0, fleets.KEY_BOUND])
+def test_no_process_refuses_keys_while_the_registry_answers(key_bound: float) -> None:
+    """Guards against proofs that are renewed, or relayed, as late as they are refused."""
+
+    async def check(fleet: fleets.Fleet) -> None:
+        await asyncio.sleep(5.0)
+        changed_at = clocks.now()
+        while clocks.now() < 60.0:
+            await asyncio.sleep(0.005)
+            now = clocks.now()
+            if now > changed_at:
+                fleet.registry.put('own/x', b'')
+                changed_at = now + fleet.rng.expovariate(1.0)
+            stale = [p for p in fleet.processes if not p.known.freshness.is_fresh(now)]
+            ages = [(p.membership.own.name, p.known.freshness.compute_age(now)) for p in stale]
+            assert not stale, f'{now:.3f} s: {ages}'
+
+    fleets.run_fleet(8, 5, check, key_bound)
+
+
 @pytest.mark.parametrize('cut', [1, 2, 3])
 def test_a_leaving_replica_is_known_in_time_whichever_readers_are_isolated(cut: int) -> None:
     async def check(fleet: fleets.Fleet) -> None:
