Settings: heartbeat and lease_ttl can't let contacts or leases expire between renewals

What callers saw (by reading, not seen): with a heartbeat of 30 s or more no daemon hears another within the 30 s that let it go on without the store, so that a store outage stops the fleet; with a lease_ttl of 2 s one call without an answer (2 s) costs the lease. Cause: the allowed ranges were set independently of these times. Why it works: two heartbeats or one call may be lost at the limits.

--- a/passpier/config/settings.py
+++ b/passpier/config/settings.py
@@ -55,8 +55,8 @@
     drain_bound: float = pydantic.Field(
         default=120.0, gt=0, description='seconds after which a planned stop cuts what is left'
     )
-    lease_ttl: int = pydantic.Field(default=10, ge=2, le=300, description='seconds')
-    heartbeat: float = pydantic.Field(default=1.0, gt=0.01, le=60, description='seconds')
+    lease_ttl: int = pydantic.Field(default=10, ge=3, le=300, description='seconds')
+    heartbeat: float = pydantic.Field(default=1.0, gt=0.01, le=10, description='seconds')
     max_body: int = pydantic.Field(default=4 * 1024 * 1024, ge=1024, description='bytes')
     key_retention: float = pydantic.Field(
         default=900.0, gt=0, description='seconds for which an idempotency key stays valid'
