Tests: senders that load can't slow down, limits that only the limit may reach

What was seen: throttling_tests, test_limit_ends...: 19 requests where more than 20 are needed; limits_tests, ..._held_to_it[2]: 503 beside 200 and 429. Cause: the tests, on a busy machine. The sender waited from one request to the next and so sent fewer: 67 quiet, 45 at load 16, of which 20 came to the replica whose limit had ended, 44 in 100 (more than 20 are asked for). The 503 is deadline_unreachable, in 6 of 18 runs beside 16 busy processes: 120 requests at once are not placed within half of the route's 0.4 s. It is not stale_configuration, as had been suspected. All checks and bounds are as they were; what else was answered is now part of the assertion's message.

--- a/passpier/tests/platform/limits_tests.py
+++ b/passpier/tests/platform/limits_tests.py
@@ -19,6 +19,9 @@
 COST = 1_420
 """Tokens of one prompt and its completion, as declared in the header."""
 
+SLOW_MS = 6_000
+SLOW_ROUTE = {'target_latency_ms': SLOW_MS, 'timeout_ms': SLOW_MS}
+
 PROMPT = [
     (names.MODEL, deployment.MODEL),
     (names.TOKEN_USAGE, '1400,20'),
@@ -62,14 +65,19 @@
 @pytest.mark.parametrize('routers', [1, 2])
 def test_account_far_above_its_limit_is_held_to_it(routers: int) -> None:
     async def check(running: deployment.Deployment) -> None:
+        # Only the limit may refuse requests, also where the machine is slow.
+        routes = running.configuration['routes']
+        running.configure(routes=[{**r, **SLOW_ROUTE} for r in routes])
         set_rate(running)
         await wait_full(running)
         requests = [
-            running.ask('/stream/x', n % routers, id=f'n{n}', headers=PROMPT) for n in range(120)
+            running.ask('/stream/x', n % routers, id=f'n{n}', patience_ms=SLOW_MS, headers=PROMPT)
+            for n in range(120)
         ]
         replies = await asyncio.gather(*requests)
         statuses = [r.status for r in replies]
-        assert set(statuses) == {200, 429}
+        others = {(r.status, r.body) for r in replies if r.status not in (200, 429)}
+        assert set(statuses) == {200, 429}, others
         rate = buckets.Rate(RATE, RATE)
         tolerance = running.routers[0].options.rate_tolerance
         allowance = RATE * tolerance.window + RATE
--- a/passpier/tests/platform/throttling_tests.py
+++ b/passpier/tests/platform/throttling_tests.py
@@ -22,13 +22,18 @@
 async def send_steadily(
     running: deployment.Deployment, path: str, seconds: float, rate: float, rng: random.Random
 ) -> list[deployment.Response]:
-    """Send requests to random routers, at an average `rate` per second."""
+    """Send requests to random routers, at an average `rate` per second.
+
+    Their times are planned, so that a late event loop sends no fewer of them.
+    """
     requests = []
-    deadline = clocks.now() + seconds
-    while clocks.now() < deadline:
+    due_at = clocks.now()
+    deadline = due_at + seconds
+    while due_at < deadline:
+        await asyncio.sleep(max(0.0, due_at - clocks.now()))
         entry = rng.randrange(len(running.routers))
         requests.append(asyncio.ensure_future(running.ask(path, entry)))
-        await asyncio.sleep(rng.expovariate(rate))
+        due_at += rng.expovariate(rate)
     return await asyncio.gather(*requests)
 
 
