Keys: a caller that disconnects during a write leaves the others their claims

What callers saw: requests with idempotency keys that hung until their callers gave up, when another caller of the same write had disconnected. Cause: the writer set the result of a cancelled future; InvalidStateError ended it before the futures behind that one had theirs. Evidence: the new test, three cases, each ended with InvalidStateError in the writer and unanswered claims before. Why it works: a future that is done is skipped. All other places that set results were read: they check done() already.

--- a/passpier/daemon/idempotency.py
+++ b/passpier/daemon/idempotency.py
@@ -280,8 +280,7 @@
                 # The lease may have expired in the store.
                 self._leased_at = float('-inf')
                 for _, _, future in batch:
-                    if not future.done():
-                        future.set_exception(exceptions.StoreError(str(error)))
+                    _set_result(future, exceptions.StoreError(str(error)))
 
     async def _write_batch(
         self, batch: list[tuple[str, ClaimRecord, asyncio.Future[None]]]
@@ -294,9 +293,9 @@
         ]
         if await self._store.write(puts, [store_clients.ExpectedRevision(key, 0) for key in keys]):
             for _, _, future in batch:
-                future.set_result(None)
+                _set_result(future, None)
         elif len(batch) == 1:
-            batch[0][2].set_exception(exceptions.ConflictError(batch[0][0]))
+            _set_result(batch[0][2], exceptions.ConflictError(batch[0][0]))
         else:
             for item in batch:
                 await self._write_batch([item])
@@ -344,6 +343,16 @@
     return calls.RequestFailedError(exceptions.Failure(code, exceptions.Outcome.UNKNOWN, message))
 
 
+def _set_result(future: asyncio.Future[None], error: Exception | None) -> None:
+    """End a write, unless its caller has disconnected or it has ended before."""
+    if future.done():
+        return
+    if error is None:
+        future.set_result(None)
+    else:
+        future.set_exception(error)
+
+
 def _get_claim_key(name: str) -> str:
     account, _, key = name.partition('/')
     return f'{CLAIM_PREFIX}{account}/{hashlib.sha256(key.encode()).hexdigest()[:40]}'
--- a/passpier/tests/daemon/once_tests.py
+++ b/passpier/tests/daemon/once_tests.py
@@ -327,6 +327,45 @@
     assert set(reported) == set(exceptions.Outcome)
 
 
+class SlowStore(store.MemoryStore):
+    """Answers each write after half a second."""
+
+    async def write(
+        self,
+        operations: Sequence[store.Put | store.Delete],
+        conditions: Sequence[store.ExpectedRevision] = (),
+    ) -> bool:
+        await asyncio.sleep(0.5)
+        return await super().write(operations, conditions)
+
+
+@pytest.mark.parametrize('claimed', [[], ['cancelled'], ['other']])
+def test_a_cancelled_claim_leaves_the_others_of_its_write_their_results(
+    claimed: list[str],
+) -> None:
+    """Guards against a writer that ends when a caller disconnects while its claim is written."""
+
+    async def run() -> None:
+        slow = SlowStore()
+        for name in claimed:
+            elsewhere = idempotency.Claimer(slow, 'other-incarnation', claims.KeyTable(900.0))
+            await elsewhere.claim(name)
+        claimer = idempotency.Claimer(slow, 'incarnation', claims.KeyTable(900.0))
+        names = ['first', 'cancelled', 'other', 'last']
+        tasks = [asyncio.ensure_future(claimer.claim(name)) for name in names]
+        await asyncio.sleep(0.3)
+        tasks[1].cancel()
+        results = await asyncio.wait_for(asyncio.gather(*tasks, return_exceptions=True), 10.0)
+        assert isinstance(results[1], asyncio.CancelledError)
+        assert [r for n, r in enumerate(results) if n != 1] == [
+            'incarnation',
+            'other-incarnation' if 'other' in claimed else 'incarnation',
+            'incarnation',
+        ]
+
+    virtual_time.run(run())
+
+
 class LateDeleteStore(fakes.FaultyStore):
     """Does not answer deletions, and applies them later."""
 
