Streams: a short time to connect does not count against a replica

A slow stream is offered to another replica with 0.1 s to connect. A process that is late, or a busy replica, may take longer; that counted as a failed attempt, of which a few eject a replica for a second.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -455,7 +455,8 @@
                 return await self._try_replica(placement)
             except response_reader.AttemptError as error:
                 detail = str(error)
-                if error.fault is not attempts.Fault.REFUSED:
+                # The time to connect is too short here to count against the replica.
+                if error.fault not in attempts.NOT_RUN_FAULTS:
                     self._owner.pools.note_failure(placement.replica.process)
             except _UnverifiedKeyError:
                 detail = 'keys may have changed'
