Releases: a router that starts asks all it knows for release times

What was seen: a run on weights outdated for 9.01 s of 8, in the soak at load 14 (soak_tests, restarts [5], once of 14 plays). Cause: a starting process asks the readers, chosen among serving ones, and one random process every half second. The only one that knew the time was leaving; the random one had ended. The answer took 2.5 s, the grace for weights of unknown age counts on half a second. Why it works: up to eight processes are asked in each round of 0.25 s while a time is unknown, leaving or not.

--- a/passpier/core/weight_releases.py
+++ b/passpier/core/weight_releases.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 import msgspec
@@ -96,6 +97,11 @@
         grace = LATE_DISCOVERY_GRACE if release.not_before == discovery.not_before else 0.0
         return now < max(release.not_before + bound - OLD_WEIGHTS_MARGIN, discovery.at + grace)
 
+    def is_awaiting_time(self, now: float) -> bool:
+        """Return whether outdated weights may be used, since the time of a release is unknown."""
+        recent = {x.version for x in self._discoveries if now < x.at + LATE_DISCOVERY_GRACE}
+        return any(n.version in recent and math.isinf(n.not_before) for n in self._known)
+
     def forget(self, before: float) -> None:
         """Drop each release whose successor is from before that time, as it isn't needed then."""
         while len(self._known) > 1 and self._known[1].not_before < before:
--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -29,6 +29,9 @@
 RANDOM_QUERY_ROUNDS = 2
 """Number of rounds after which a random process is queried as well."""
 
+PEERS_ASKED_FOR_TIMES = 8
+"""Processes queried in each round while the time of a release is unknown."""
+
 FALLBACK_AGE = 1.5
 """Maximum age in seconds from which a process reads the registry itself: working readers keep it
 lower, and a leaving replica must be known as such within two seconds."""
@@ -117,6 +120,10 @@
         if self._rounds % RANDOM_QUERY_ROUNDS == 0:
             addresses |= {m.peer for m in self._membership.choose_targets(self._rng, 1)}
         state = self._registry_state
+        if any(known.is_awaiting_time(now) for known in state.pools.releases.values()):
+            # Those that know the time may be leaving, and others may have ended unnoticed.
+            asked = self._membership.choose_targets(self._rng, PEERS_ASKED_FOR_TIMES)
+            addresses |= {m.peer for m in asked}
         query = messages.FreshnessRequest(now, state.revision, not state.is_ready())
         self._peers.send_all(addresses, query)
 
--- a/passpier/tests/routing/releases_tests.py
+++ b/passpier/tests/routing/releases_tests.py
@@ -9,7 +9,7 @@
 import pytest
 
 from passpier import clocks
-from passpier.core import weight_releases
+from passpier.core import members, weight_releases
 from passpier.tests.routing import fleets
 
 pytestmark = pytest.mark.usefixtures('virtual_clock')
@@ -66,6 +66,33 @@
     return weights
 
 
+@pytest.mark.parametrize('seed', range(10))
+def test_a_process_that_starts_soon_learns_release_times_from_the_few_that_know_them(
+    seed: int,
+) -> None:
+    """Guards against asking one process at a time while most have just ended.
+
+    One other process still runs, and is leaving. Until it is asked, outdated weights are used.
+    """
+
+    async def check(fleet: fleets.Fleet) -> None:
+        weights = await begin(fleet)
+        weights.release(2)
+        await asyncio.sleep(3.0)
+        for number in range(2, 8):
+            fleet.freeze(number)
+        fleet.restart(0)
+        started = fleet.processes[0]
+        beats = [
+            members.Beat(p.membership.own.incarnation, 9, leaving=True) for p in fleet.processes
+        ]
+        started.membership.merge(beats, clocks.now())
+        await asyncio.sleep(0.6)
+        assert started.known.pools.releases['model'].known[-1].not_before > 0.0
+
+    fleets.run_fleet(8, seed, check)
+
+
 def test_processes_that_start_use_no_outdated_weights() -> None:
     """A starting process reads only the newest release, without the time of any.
 
