--- a/passpier/platform/names.py
+++ b/passpier/platform/names.py
@@ -8,6 +8,9 @@
 DEADLINE = 'X-Passpier-Deadline-Ms'
 """Milliseconds for which the client still waits for the response."""
 
+STORE_ERA = 'Store-Era'
+"""In all answers of the store; rises by one each time it returns from an older copy."""
+
 MODEL = 'X-Passpier-Model'
 TOKEN_USAGE = 'X-Passpier-Token-Usage'
 """Prompt tokens and maximum completion tokens, separated by a comma."""
--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -13,7 +13,7 @@
 
 from passpier import clocks, exceptions
 from passpier.clients import connections, exchanges, registry
-from passpier.platform import records
+from passpier.platform import names, records
 
 log = logging.getLogger(__name__)
 
@@ -55,6 +55,7 @@
     def __init__(self, address: str, pool: connections.Pool) -> None:
         self.address = address
         self._pool = pool
+        self._timeline = 0
 
     async def read(self, prefix: str) -> registry.Listing:
         """Return all items under a prefix, page by page."""
@@ -123,6 +124,7 @@
             response = await self._pool.fetch(self.address, request, timeout)
         except exchanges.ExchangeError as error:
             raise exceptions.StoreError(f'{method} {path}: {error}') from error
+        self._note_timeline(response.head)
         status = response.head.status
         if status == 200:
             return response.body
@@ -135,6 +137,15 @@
             raise registry.LeaseExpiredError(text)
         raise exceptions.StoreError(text)
 
+    def _note_timeline(self, head: exchanges.Head) -> None:
+        timeline = int(head.get(names.STORE_ERA) or 0)
+        if timeline != self._timeline:
+            log.warning(
+                'registry timeline changed',
+                extra={'timeline': timeline, 'timeline_before': self._timeline},
+            )
+            self._timeline = timeline
+
 
 def _render_transaction(
     puts: Sequence[registry.Put], conditions: Sequence[registry.ExpectedRevision]
--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -148,16 +148,29 @@
         awaited: Mapping[str, float] | None = None,
     ) -> None:
         known_revision = self.revision
+        outdated = []
         for item in items:
             # Watches, listings and peers deliver the same changes in any order. An old one would
             # restore a removed item, and its removal would not be delivered again.
             if item.revision <= known_revision:
+                if item.revision != self._revisions.get(item.key):
+                    outdated.append(item)
                 continue
             if not item.removed:
                 self._apply_item(item, now)
             elif self._revisions.get(item.key, 0) <= item.revision:
                 self._remove(item.key, item.revision, now, awaited)
         self.revision = max(self.revision, revision)
+        if outdated:
+            log.info(
+                'outdated registry changes ignored',
+                extra={
+                    'count': len(outdated),
+                    'key': outdated[0].key,
+                    'revision': outdated[0].revision,
+                    'known_revision': known_revision,
+                },
+            )
 
     def _apply_item(self, item: registry.Item, now: float) -> None:
         if self._revisions.get(item.key, 0) >= item.revision:
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -146,6 +146,8 @@
         try:
             token = await self._source.write(puts, conditions)
         except exceptions.ConflictError:
+            expected = {c.key: c.revision for c in conditions}
+            log.info('election lost', extra={'expected_revisions': expected})
             await self._source.end(lease)
             return
         # The conditions held, so the item names the election just before this one.
