--- a/passpier/standins/platform/metastore.py
+++ b/passpier/standins/platform/metastore.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import copy
 import dataclasses
 import json
 from collections.abc import Callable
@@ -11,6 +12,8 @@
 
 import tornado.web
 
+from passpier.platform import names
+
 PAGE_SIZE = 500
 """Maximum number of items in one page of a range."""
 
@@ -42,11 +45,24 @@
     """Calls that are answered with 429."""
 
 
+@dataclasses.dataclass(slots=True)
+class Copy:
+    """A copy of the store's state, from which it may return."""
+
+    items: dict[str, Item]
+    revision: int
+    oldest: int
+    history: list[dict[str, Any]]
+    leases: dict[int, tuple[float, float]]
+    next_lease: int
+
+
 class MetaStore:
     """The state of the store; `clock` returns seconds."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
+        self.era = 1
         self.items: dict[str, Item] = {}
         self.revision = 0
         self.oldest = 0
@@ -80,6 +96,29 @@
         self.history.clear()
         self._notify()
 
+    def copy(self) -> Copy:
+        """Return a copy of the current state."""
+        self.expire()
+        return Copy(
+            copy.deepcopy(self.items),
+            self.revision,
+            self.oldest,
+            list(self.history),
+            dict(self.leases),
+            self._next_lease,
+        )
+
+    def restore(self, saved: Copy) -> None:
+        """Return to an older state: revisions and lease ids since then are given out again."""
+        self.era += 1
+        self.items = copy.deepcopy(saved.items)
+        self.revision = saved.revision
+        self.oldest = saved.oldest
+        self.history = list(saved.history)
+        self.leases = dict(saved.leases)
+        self._next_lease = saved.next_lease
+        self._notify()
+
     def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Execute a transaction; return the HTTP status and the response body."""
         self.expire()
@@ -127,9 +166,12 @@
             self.revoke(lease)
 
     def list_changes(self, prefix: str, after: int) -> list[dict[str, Any]] | None:
-        """Return the changes after a revision; None if the history before it was compacted."""
+        """Return the changes after a revision.
+
+        Returns None if the history before it was compacted, or has no such revision.
+        """
         self.expire()
-        if after < self.oldest:
+        if not self.oldest <= after <= self.revision:
             return None
         return [
             e for e in self.history if e['revision'] > after and e['private_key'].startswith(prefix)
@@ -187,6 +229,11 @@
             self.set_status(429)
             raise tornado.web.Finish
 
+    def finish(self, chunk: Any = None) -> asyncio.Future[None]:
+        """End the answer with the era in which it was made."""
+        self.set_header(names.STORE_ERA, str(self.store.era))
+        return super().finish(chunk)
+
     def drop_connection(self) -> None:
         self.request.connection.stream.close()  # type: ignore[union-attr]
         raise tornado.web.Finish
--- a/passpier/tests/routing/fleets.py
+++ b/passpier/tests/routing/fleets.py
@@ -39,6 +39,16 @@
         return 'model', int(data)
 
 
+@dataclasses.dataclass
+class Copy:
+    """A copy of the registry's state, from which it may return."""
+
+    items: dict[str, registry.Item]
+    changes: list[registry.Item]
+    revision: int
+    compacted_at: int
+
+
 class Registry:
     """Keeps all changes; each process has its own connection, which can be interrupted."""
 
@@ -59,6 +69,16 @@
         del self.items[key]
         self.changes.append(registry.Item(key, b'', self.revision, removed=True))
 
+    def copy(self) -> Copy:
+        return Copy(dict(self.items), list(self.changes), self.revision, self.compacted_at)
+
+    def restore(self, saved: Copy) -> None:
+        """Return to an older state; revisions since then are given out again."""
+        self.items = dict(saved.items)
+        self.changes = list(saved.changes)
+        self.revision = saved.revision
+        self.compacted_at = saved.compacted_at
+
 
 class Connection:
     """The registry calls of one process."""
@@ -82,7 +102,7 @@
         ends_at = clocks.now() + wait
         while clocks.now() < ends_at and self.source.revision <= after:
             await asyncio.sleep(0.01)
-        if after < self.source.compacted_at:
+        if not self.source.compacted_at <= after <= self.source.revision:
             raise registry.CompactedError('forgotten')
         items = tuple(c for c in self.source.changes if c.revision > after)
         revision = self.source.revision
--- /dev/null
+++ b/passpier/tests/routing/registry_returns_tests.py
@@ -0,0 +1,129 @@
+"""Processes in virtual time over a registry that returns from an older copy of itself."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from passpier import clocks
+from passpier.core import catalogue
+from passpier.tests.routing import fleets, relaying_tests
+
+COPIES_KEPT = 20
+RETURN_PROBABILITY = 0.03
+STEPS = 400
+STEP_SECONDS = 0.05
+CATCH_UP_SECONDS = 6.0
+
+pytestmark = pytest.mark.usefixtures('virtual_clock')
+
+
+def test_all_processes_follow_a_registry_that_returns_from_copies() -> None:
+    """Guards against changes that are dropped because their revision was given out before.
+
+    Processes are cut off from the registry and from each other around each return, so that some
+    learn of it late, or only from peers, and two returns may come in a row.
+    """
+
+    async def check(fleet: fleets.Fleet) -> None:
+        rng = fleet.rng
+        fleet.network.loss = 0.1
+        copies = [fleet.registry.copy()]
+        versions = [0] * len(fleet.processes)
+        for step in range(STEPS):
+            await asyncio.sleep(STEP_SECONDS)
+            relaying_tests.inject_faults(fleet, rng, step)
+            if rng.random() < RETURN_PROBABILITY:
+                fleet.registry.restore(rng.choice(copies))
+            copies = [*copies[1 - COPIES_KEPT :], fleet.registry.copy()]
+            for number, process in enumerate(fleet.processes):
+                if process.known.table is not None:
+                    known = process.known.table.configuration.version
+                    assert known >= versions[number]
+                    versions[number] = known
+        fleet.registry.put('configuration', str(STEPS + 2).encode())
+        for process in fleet.processes:
+            process.connection.cut = False
+        fleet.network.cut.clear()
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        wanted = {(i.key, i.data) for i in fleet.registry.items.values()}
+        for process in fleet.processes:
+            assert {(i.key, i.data) for i in process.known.export_since(-1).items} == wanted
+            assert process.known.table is not None
+            assert process.known.table.configuration.version == STEPS + 2
+            assert process.known.freshness.is_fresh(clocks.now())
+
+    for seed in range(12):
+        fleets.run_fleet(10, seed, check)
+
+
+def test_no_process_takes_an_earlier_history_for_the_newest_state() -> None:
+    """Guards against a proof of freshness for changes that a process dropped or never saw.
+
+    The counter passes its former value within a moment, so that no watch fails.
+    """
+
+    async def check(fleet: fleets.Fleet) -> None:
+        await asyncio.sleep(3.0)
+        saved = fleet.registry.copy()
+        for number in range(2, 12):
+            fleet.registry.put('configuration', str(number).encode())
+        await asyncio.sleep(1.0)
+        fleet.registry.restore(saved)
+        fleet.registry.put('weights/model', b'2')
+        for number in range(12, 30):
+            fleet.registry.put('own/x', str(number).encode())
+        changed_at = clocks.now()
+        for _ in range(60):
+            await asyncio.sleep(STEP_SECONDS)
+            for process in fleet.processes:
+                released = process.known.pools.list_released_versions()
+                if process.known.freshness.proved_at > changed_at:
+                    assert [r.version for r in released] == [2]
+        assert all(p.known.freshness.proved_at > changed_at for p in fleet.processes)
+
+    for seed in range(6):
+        fleets.run_fleet(8, seed, check)
+
+
+def test_replicas_that_the_copy_lacks_have_time_to_return() -> None:
+    """Guards against a pool that empties at once because its entries are younger than the copy."""
+
+    async def check(fleet: fleets.Fleet) -> None:
+        saved = fleet.registry.copy()
+        fleet.registry.put('replicas/r1', b'ready')
+        fleet.registry.put('replicas/r2', b'ready')
+        await asyncio.sleep(3.0)
+        fleet.registry.restore(saved)
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            assert all(p.list_used() == {'r1', 'r2'} for p in fleet.processes)
+        fleet.registry.put('replicas/r1', b'ready')
+        await asyncio.sleep(catalogue.RETURN_GRACE + 1.0)
+        assert all(p.list_used() == {'r1'} for p in fleet.processes)
+
+    for seed in range(6):
+        fleets.run_fleet(8, seed, check)
+
+
+def test_a_replica_that_left_stays_left_although_the_copy_has_its_earlier_entry() -> None:
+    """Guards against requests to a replica that has said that it leaves."""
+
+    async def check(fleet: fleets.Fleet) -> None:
+        fleet.registry.put('replicas/r1', b'ready')
+        fleet.registry.put('replicas/r2', b'ready')
+        saved = fleet.registry.copy()
+        await asyncio.sleep(3.0)
+        fleet.registry.put('replicas/r1', b'draining')
+        fleet.registry.put('replicas/r2', b'draining')
+        await asyncio.sleep(1.0)
+        fleet.registry.remove('replicas/r2')
+        await asyncio.sleep(1.0)
+        fleet.registry.restore(saved)
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            assert not any(p.list_used() for p in fleet.processes)
+
+    for seed in range(6):
+        fleets.run_fleet(8, seed, check)
