Catalogue: replicas that drained and left stay draining when an older copy has their entry

What callers could see: after a return of the registry from an older copy, requests to a replica that has said that it leaves, and has left. Its removed entry was forgotten, and the copy has it from before it drained. For the 1,000 last ones the start time of the process is kept; their first entry after a return counts as draining.

--- a/passpier/core/catalogue.py
+++ b/passpier/core/catalogue.py
@@ -25,6 +25,9 @@
 ENDED_KEPT = 8
 """Ended processes that are remembered per replica; late messages concern the last one or two."""
 
+DRAINED_KEPT = 1000
+"""Removed replicas that are remembered as draining, for a return of the registry."""
+
 
 class Entry(msgspec.Struct, frozen=True):
     """A replica's registry entry."""
@@ -80,6 +83,12 @@
 
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
+        self._drained: collections.OrderedDict[str, int] = collections.OrderedDict()
+        """Start times of the last processes of removed replicas that were draining."""
+
+        self._restorable: dict[str, int] = {}
+        """Those whose next entry may be an older one, from before they drained."""
+
         self._outage_until = float('-inf')
 
     def list_entries(self) -> list[Entry]:
@@ -90,6 +99,15 @@
         """Record that the registry isn't available or has only just become available again."""
         self._outage_until = max(self._outage_until, now + RETURN_GRACE)
 
+    def note_return(self, now: float) -> None:
+        """Record that the registry has returned from an older copy.
+
+        Entries that the copy lacks may be written again, as after an outage. It may have entries of
+        replicas that have drained and left since.
+        """
+        self.note_outage(now)
+        self._restorable = dict(self._drained)
+
     def list_awaited(self, now: float) -> dict[str, float]:
         """Return the replicas in their grace period and the seconds that are left of it."""
         awaited = {}
@@ -109,6 +127,8 @@
         """
         known = self._known.get(entry.id)
         if known is None:
+            if self._restorable.pop(entry.id, None) == entry.started_ms:
+                entry = msgspec.structs.replace(entry, draining=True)
             self._known[entry.id] = _Known(entry)
             return _describe(entry)
         if not entry.started_ms:
@@ -171,6 +191,7 @@
                 known.seen_here = awaited is None
             return None
         del self._known[id]
+        self._note_drained(known.entry)
         return Change(id, None, 'entry removed')
 
     def expire(self, now: float) -> list[Change]:
@@ -181,6 +202,13 @@
             del self._known[id]
         return [Change(i, None, 'entry did not come back') for i in expired]
 
+    def _note_drained(self, entry: Entry) -> None:
+        if not entry.draining:
+            return
+        self._drained[entry.id] = entry.started_ms
+        if len(self._drained) > DRAINED_KEPT:
+            self._drained.popitem(last=False)
+
     def _replace_process(self, known: _Known, entry: Entry) -> Change:
         known.ended_processes.append(known.entry.started_ms)
         known.entry = entry
--- a/passpier/tests/core/catalogue_tests.py
+++ b/passpier/tests/core/catalogue_tests.py
@@ -48,6 +48,18 @@
     assert change is not None and change.entry is None
 
 
+def test_a_return_from_a_copy_does_not_undo_draining_of_replicas_that_left() -> None:
+    known = catalogue.Catalogue()
+    known.put(make_entry('a', draining=True))
+    known.put(make_entry('b'))
+    known.remove('a', 1.0)
+    known.remove('b', 1.0)
+    known.note_return(10.0)
+    known.put(make_entry('a'))
+    known.put(make_entry('b'))
+    assert {e.id: e.draining for e in known.list_entries()} == {'a': True, 'b': False}
+
+
 def test_a_reused_address_belongs_to_another_replica() -> None:
     known = catalogue.Catalogue()
     known.put(make_entry('a', address='x:1'))
