Registry: a revision names the timeline in which its number counts

What callers saw, from 58 to 92 s of the incident: every request to the language model refused, after weights 3 had been released and no router could be elected to have them loaded (VERSION); requests to replicas that had said that they leave (DRAIN). Besides, in tests: a revoked key answered with 200.

Cause: the store may return from an older copy, with a lower counter, and gives revisions and lease ids out again. Routers took the number for a place in one history: everything written again under a known number was dropped for good, a key that was gone stayed, conditions named revisions of before, and the view counted as fresh. Ruled out: late news (in force after 0.1 to 1 s in the same seconds), orders refused or a holder that gives none (no order, no holder in any log).

Now a revision is the timeline, told by the store in every answer, and the number within it; later timelines are greater, so that whatever a new one says is newer, and what it lacks is gone. That holds for listings, watches, removals, peers' messages, proofs, conditions. A watch that is answered in another timeline is a lost history; answers of an earlier one change and prove nothing. Leases are valid in their timeline only, so that entries are written again, and fencing tokens rise over returns. Versions of configurations and weights, and what replicas announced, don't go back. passpierd's store has its own types.

Processes of this and of an earlier release don't understand each other's messages about the registry, and read it themselves.

--- a/passpier/clients/store.py
+++ b/passpier/clients/store.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from passpier import exceptions
-from passpier.clients import registry, web
+from passpier.clients import web
 
 CALL_TIMEOUT = 2.0
 """Timeout of a call in seconds."""
@@ -32,8 +32,19 @@
     key: str
 
 
-Put = registry.Put
-ExpectedRevision = registry.ExpectedRevision
+class Put(msgspec.Struct, frozen=True):
+    """A write in a transaction; it is bound to `lease` unless that is 0."""
+
+    key: str
+    data: bytes
+    lease: int = 0
+
+
+class ExpectedRevision(msgspec.Struct, frozen=True):
+    """A precondition: the key was last written at `revision`; 0 means that it does not exist."""
+
+    key: str
+    revision: int
 
 
 class Store(Protocol):
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from passpier.clients import registry
 from passpier.core import crashes, members, replica_processes, revisions
 
 
@@ -187,7 +188,7 @@
     """
 
     sent_at: float
-    revision: int
+    revision: registry.Revision
     wants_all: bool
 
 
@@ -207,11 +208,11 @@
     """
 
     sent_at: float
-    revision: int
+    revision: registry.Revision
     age: float
     weights: list[ModelReleases]
-    since: int
-    known_revision: int
+    since: registry.Revision
+    known_revision: registry.Revision
     awaited: dict[str, float]
     is_full: bool
     items: bytes
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -77,6 +77,11 @@
         self.refused_records = _build_counter(
             registry, 'passpier_refused_records_total', 'Records that say nothing, by kind.'
         )
+        self.registry_returns = _build_counter(
+            registry,
+            'passpier_registry_returns_total',
+            'Times that the registry returned from an older copy.',
+        )
         self.control_bytes = _build_counter(
             registry, 'passpier_control_bytes_total', 'Bytes of control traffic, by channel.'
         )
--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -49,6 +49,11 @@
     lease: int
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    body: bytes
+    timeline: int
+
+
 class Store:
     """Calls the store over pooled connections."""
 
@@ -56,57 +61,85 @@
         self.address = address
         self._pool = pool
         self._timeline = 0
+        """The newest timeline that a response named."""
 
     async def read(self, prefix: str) -> registry.Listing:
         """Return all items under a prefix, page by page."""
         sent_at = clocks.now()
         items: dict[str, registry.Item] = {}
-        revision: int | None = None
+        revision: registry.Revision | None = None
         after = ''
         while True:
             query = {'path_prefix': prefix}
             if after:
                 query['after'] = after
-            page = records.decode(await self._call('GET', '/kv-range', query), _RangeResponse)
+            answer = await self._call('GET', '/kv-range', query)
+            page = records.decode(answer.body, _RangeResponse)
             # The pages are not a consistent snapshot. The revision is that of the first page, so
             # that a watch from there delivers whatever changed while the others were read.
-            revision = page.store_revision if revision is None else revision
+            if revision is None:
+                revision = registry.Revision(answer.timeline, page.store_revision)
+            if revision.timeline != answer.timeline:
+                raise exceptions.StoreError('GET /kv-range: timeline changed between two pages')
             for item in page.items:
-                items[item.private_key] = _convert(item)
+                items[item.private_key] = _convert(item, answer.timeline)
             if not page.truncated or not page.items:
                 return registry.Listing(tuple(items.values()), revision, sent_at)
             after = page.items[-1].private_key
 
-    async def watch(self, prefix: str, after: int, wait: float) -> registry.Changes:
+    async def watch(self, prefix: str, after: registry.Revision, wait: float) -> registry.Changes:
         """Return the changes after a revision, after at most `wait` seconds."""
         sent_at = clocks.now()
-        query = {'path_prefix': prefix, 'after': str(after), 'wait_ms': str(int(wait * 1000))}
-        response = await self._call('GET', '/kv-watch', query, timeout=wait + CALL_TIMEOUT)
-        watched = records.decode(response, _WatchResponse)
-        items = tuple(_convert(i) for i in watched.events)
-        return registry.Changes(items, watched.store_revision, sent_at, clocks.now())
+        query = {
+            'path_prefix': prefix,
+            'after': str(after.number),
+            'wait_ms': str(int(wait * 1000)),
+        }
+        answer = await self._call('GET', '/kv-watch', query, timeout=wait + CALL_TIMEOUT)
+        if answer.timeline != after.timeline:
+            # The counter has passed the number since, so that the store does not refuse it.
+            raise registry.CompactedError(f'GET /kv-watch: timeline {answer.timeline}')
+        watched = records.decode(answer.body, _WatchResponse)
+        items = tuple(_convert(i, answer.timeline) for i in watched.events)
+        revision = registry.Revision(answer.timeline, watched.store_revision)
+        return registry.Changes(items, revision, sent_at, clocks.now())
 
     async def write(
         self, puts: Sequence[registry.Put], conditions: Sequence[registry.ExpectedRevision] = ()
-    ) -> int:
+    ) -> registry.Revision:
         """Apply all writes in one transaction and return its revision."""
-        body = _render_transaction(puts, conditions)
-        return records.decode(
-            await self._call('POST', '/kv-txn', body=body), _TransactionResponse
-        ).revision
-
-    async def grant(self, ttl: float) -> int:
-        """Grant a lease of `ttl` seconds and return its id."""
-        response = await self._call('POST', '/kv-lease', body={'ttl_ms': int(ttl * 1000)})
-        return records.decode(response, _LeaseResponse).lease
-
-    async def renew(self, lease: int) -> None:
+        leases = {p.lease for p in puts if p.lease is not None}
+        for lease in leases:
+            self._check_lease(lease)
+        answer = await self._call('POST', '/kv-txn', body=_render_transaction(puts, conditions))
+        timelines = {lease.timeline for lease in leases}
+        timelines |= {c.revision.timeline for c in conditions if c.revision != registry.NO_REVISION}
+        if timelines - {answer.timeline}:
+            # Its lease ids and revisions may mean something else there.
+            raise exceptions.StoreError(f'POST /kv-txn: done in timeline {answer.timeline}')
+        number = records.decode(answer.body, _TransactionResponse).revision
+        return registry.Revision(answer.timeline, number)
+
+    async def grant(self, ttl: float) -> registry.Lease:
+        """Grant a lease of `ttl` seconds."""
+        answer = await self._call('POST', '/kv-lease', body={'ttl_ms': int(ttl * 1000)})
+        return registry.Lease(answer.timeline, records.decode(answer.body, _LeaseResponse).lease)
+
+    async def renew(self, lease: registry.Lease) -> None:
         """Renew a lease."""
-        await self._call('POST', f'/kv-keep/{lease}', body={})
+        self._check_lease(lease)
+        await self._call('POST', f'/kv-keep/{lease.id}', body={})
+        # The answer may be the first one of a new timeline.
+        self._check_lease(lease)
 
-    async def end(self, lease: int) -> None:
+    async def end(self, lease: registry.Lease) -> None:
         """Revoke a lease."""
-        await self._call('DELETE', f'/kv-lease-end/{lease}')
+        if lease.timeline == self._timeline:
+            await self._call('DELETE', f'/kv-lease-end/{lease.id}')
+
+    def _check_lease(self, lease: registry.Lease) -> None:
+        if lease.timeline != self._timeline:
+            raise registry.LeaseExpiredError(f'lease {lease.id} is of timeline {lease.timeline}')
 
     async def _call(
         self,
@@ -115,7 +148,7 @@
         query: dict[str, str] | None = None,
         body: dict[str, Any] | None = None,
         timeout: float = CALL_TIMEOUT,
-    ) -> bytes:
+    ) -> _Answer:
         target = f'{path}?{urllib.parse.urlencode(query)}' if query else path
         headers = [('Host', self.address), ('Content-Type', 'application/json')]
         data = msgspec.json.encode(body) if body is not None else b''
@@ -124,39 +157,52 @@
             response = await self._pool.fetch(self.address, request, timeout)
         except exchanges.ExchangeError as error:
             raise exceptions.StoreError(f'{method} {path}: {error}') from error
-        self._note_timeline(response.head)
-        status = response.head.status
-        if status == 200:
-            return response.body
-        text = f'{method} {path}: status {status}'
-        if status == 410:
-            raise registry.CompactedError(text)
-        if status == 412:
-            raise exceptions.ConflictError(text)
-        if status == 404:
-            raise registry.LeaseExpiredError(text)
-        raise exceptions.StoreError(text)
-
-    def _note_timeline(self, head: exchanges.Head) -> None:
-        timeline = int(head.get(names.STORE_ERA) or 0)
-        if timeline != self._timeline:
-            log.warning(
+        text = f'{method} {path}: status {response.head.status}'
+        timeline = self._note_timeline(response.head.get(names.STORE_ERA))
+        if timeline < self._timeline:
+            raise exceptions.StoreError(f'{text}, late, of timeline {timeline}')
+        _raise_for_status(response.head.status, text)
+        return _Answer(response.body, timeline)
+
+    def _note_timeline(self, value: str | None) -> int:
+        """Return the timeline that a response names; one that names none is of the newest."""
+        if value is None:
+            return self._timeline
+        if not value.isdecimal():
+            raise exceptions.StoreError(f'invalid {names.STORE_ERA}: {value!r}')
+        timeline = int(value)
+        if timeline > self._timeline:
+            log.info(
                 'registry timeline changed',
                 extra={'timeline': timeline, 'timeline_before': self._timeline},
             )
             self._timeline = timeline
+        return timeline
+
+
+def _raise_for_status(status: int, text: str) -> None:
+    if status == 410:
+        raise registry.CompactedError(text)
+    if status == 412:
+        raise exceptions.ConflictError(text)
+    if status == 404:
+        raise registry.LeaseExpiredError(text)
+    if status != 200:
+        raise exceptions.StoreError(text)
 
 
 def _render_transaction(
     puts: Sequence[registry.Put], conditions: Sequence[registry.ExpectedRevision]
 ) -> dict[str, Any]:
     return {
-        'expected_revision': [{'private_key': c.key, 'revision': c.revision} for c in conditions],
+        'expected_revision': [
+            {'private_key': c.key, 'revision': c.revision.number} for c in conditions
+        ],
         'puts': [
             {
                 'private_key': p.key,
                 'value': base64.b64encode(p.data).decode(),
-                'lease': p.lease,
+                'lease': p.lease.id if p.lease is not None else 0,
             }
             for p in puts
         ],
@@ -164,9 +210,10 @@
     }
 
 
-def _convert(item: _Item) -> registry.Item:
+def _convert(item: _Item, timeline: int) -> registry.Item:
     try:
         data = base64.b64decode(item.value)
     except binascii.Error as error:
         raise exceptions.StoreError(f'{item.private_key}: invalid base64: {error}') from error
-    return registry.Item(item.private_key, data, item.revision, item.lease, item.removed)
+    revision = registry.Revision(timeline, item.revision)
+    return registry.Item(item.private_key, data, revision, item.lease, item.removed)
--- a/passpier/routing/crash_records.py
+++ b/passpier/routing/crash_records.py
@@ -63,14 +63,14 @@
         self._prefix = registry_state.records.own_prefix + _KEY
         self._trial_prefix = registry_state.records.own_prefix + _TRIAL_KEY
         self._name = name
-        self._read: dict[str, int] = {}
+        self._read: dict[str, registry.Revision] = {}
         """By key, the revision of the last record applied."""
 
         self._seen: dict[replica_processes.ReplicaProcess, list[int]] = {}
         """The requests running at each crash that was seen here; more may be added later."""
 
         self._unwritten: set[replica_processes.ReplicaProcess] = set()
-        self._lease = 0
+        self._lease: registry.Lease | None = None
         self._granted_at = float('-inf')
         suspect_tracker.on_crash = self._note_crash
         suspect_tracker.claim_trial = self.claim_trial
@@ -100,7 +100,8 @@
         try:
             lease = await self._source.grant(LEASE)
             await self._source.write(
-                [registry.Put(key, b'', lease)], [registry.ExpectedRevision(key, 0)]
+                [registry.Put(key, b'', lease)],
+                [registry.ExpectedRevision(key, registry.NO_REVISION)],
             )
         except (exceptions.StoreError, exceptions.ConflictError) as error:
             fields = {'fingerprint': name, 'error': str(error)}
--- a/passpier/routing/history.py
+++ b/passpier/routing/history.py
@@ -27,8 +27,8 @@
 
     def __init__(self) -> None:
         self._items: dict[str, registry.Item] = {}
-        self._removals: collections.OrderedDict[str, int] = collections.OrderedDict()
-        self._complete_from = 0
+        self._removals: collections.OrderedDict[str, registry.Revision] = collections.OrderedDict()
+        self._complete_from = registry.NO_REVISION
         """The revision from which on all removals are remembered."""
 
     def note(self, item: registry.Item) -> None:
@@ -43,11 +43,11 @@
             _, revision = self._removals.popitem(last=False)
             self._complete_from = max(self._complete_from, revision)
 
-    def mark_incomplete_until(self, revision: int) -> None:
+    def mark_incomplete_until(self, revision: registry.Revision) -> None:
         """Note that removals up to a revision may be missing, as after a full listing."""
         self._complete_from = max(self._complete_from, revision)
 
-    def list_since(self, revision: int) -> ChangeSet:
+    def list_since(self, revision: registry.Revision) -> ChangeSet:
         """Return the changes that a peer lacks whose state is complete up to a revision."""
         if revision < self._complete_from:
             return ChangeSet(tuple(self._items.values()), True)
--- a/passpier/routing/registry_follower.py
+++ b/passpier/routing/registry_follower.py
@@ -92,7 +92,10 @@
             self.reachable = True
             log.info(
                 'registry reachable',
-                extra={'revision': self._registry_state.revision, 'failures': self._failures},
+                extra={
+                    'revision': str(self._registry_state.revision),
+                    'failures': self._failures,
+                },
             )
             if self._failures:
                 self._registry_state.catalogue.note_outage(clocks.now())
--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -20,14 +20,18 @@
     """A peer's changes after revision `since`, up to `revision`."""
 
     changes: history.ChangeSet
-    since: int
-    revision: int
+    since: registry.Revision
+    revision: registry.Revision
     awaited: Mapping[str, float]
     """Replicas whose vanished entries may come back, with the seconds left for that."""
 
 
 class RegistryState:
-    """Configuration, replicas and released weights; none of them ever reverts to an older state."""
+    """Configuration, replicas and released weights; none of them ever reverts to an older state.
+
+    When the registry returns from an older copy, which items exist follows its new timeline. The
+    versions of the configuration and of weights stay, and so does what replicas have announced.
+    """
 
     def __init__(
         self, records: dialect.Records, replica_pools: pools.Pools, key_bound: float
@@ -37,19 +41,22 @@
         self.freshness = freshness.Freshness(key_bound)
         self.table: routes.Table | None = None
         self.catalogue = catalogue.Catalogue()
-        self.revision = 0
+        self.revision = registry.NO_REVISION
         """The registry's revision up to which all changes are applied."""
 
-        self.changed_at = 0
+        self.changed_at = registry.NO_REVISION
         """The revision of the newest applied change that routers did not write themselves."""
 
         self.on_refused: Callable[[str], None] = lambda kind: None
         """Called with the kind of each record that is invalid."""
 
+        self.on_return: Callable[[], None] = lambda: None
+        """Called when the registry has returned from an older copy."""
+
         self._invalid: dict[str, str] = {}
         """By key, why its current record is invalid."""
 
-        self._revisions: dict[str, int] = {}
+        self._revisions: dict[str, registry.Revision] = {}
         self._history = history.History()
         self._members: dict[str, registry.Item] = {}
 
@@ -59,21 +66,25 @@
         return self._members
 
     def apply_listing(self, listing: registry.Listing, now: float) -> None:
-        """Apply a full listing of the registry."""
+        """Apply a full listing of the registry, unless it is of an earlier timeline."""
+        if listing.revision.timeline < self.revision.timeline:
+            return
         self._apply_all(listing.items, listing.revision, now)
         self.freshness.prove(listing.sent_at)
 
     def apply_watch(self, changes: registry.Changes, wait: float, now: float) -> None:
-        """Apply the result of a watch."""
+        """Apply the result of a watch, unless its timeline has ended meanwhile."""
+        if changes.revision.timeline != self.revision.timeline:
+            return
         self._apply_changed(changes.items, changes.revision, now)
         self.freshness.prove_by_watch(changes.sent_at, wait, changes.received_at, not changes.items)
 
-    def apply_freshness(self, revision: int, proved_at: float) -> bool:
+    def apply_freshness(self, revision: registry.Revision, proved_at: float) -> bool:
         """Apply a peer's time of freshness; return whether it is valid here.
 
         It is if all changes that the peer had applied are applied here as well.
         """
-        if self.table is None or self.revision < revision:
+        if self.table is None or not self._has_applied(revision):
             return False
         self.freshness.prove(proved_at)
         return True
@@ -97,7 +108,7 @@
             self.pools.apply_change(change)
         return False
 
-    def export_since(self, revision: int) -> history.ChangeSet:
+    def export_since(self, revision: registry.Revision) -> history.ChangeSet:
         """Return the changes that a peer lacks whose state is complete up to a revision."""
         return self._history.list_since(revision)
 
@@ -110,7 +121,7 @@
             if received.revision >= self.revision:
                 self._apply_all(received.changes.items, received.revision, now, received.awaited)
             return True
-        if received.since > self.revision:
+        if not self._has_applied(received.since):
             return False
         self._apply_changed(received.changes.items, received.revision, now, received.awaited)
         return True
@@ -124,13 +135,37 @@
         for change in self.catalogue.expire(now):
             self.pools.apply_change(change)
 
+    def _has_applied(self, revision: registry.Revision) -> bool:
+        """Return whether all changes up to a revision are applied, in its timeline."""
+        return revision.timeline == self.revision.timeline and revision <= self.revision
+
+    def _enter_timeline(self, revision: registry.Revision, now: float) -> None:
+        """Prepare for the first complete state of a timeline, which is that of a revision."""
+        self.changed_at = registry.Revision(revision.timeline, 0)
+        if self.revision == registry.NO_REVISION:
+            return
+        log.warning(
+            'registry returned from an older copy',
+            extra={
+                'revision': str(revision),
+                'known_revision': str(self.revision),
+                'age': round(self.freshness.compute_age(now), 3),
+            },
+        )
+        self.on_return()
+        self.catalogue.note_return(now)
+
     def _apply_all(
         self,
         items: Sequence[registry.Item],
-        revision: int,
+        revision: registry.Revision,
         now: float,
         awaited: Mapping[str, float] | None = None,
     ) -> None:
+        if revision.timeline > self.revision.timeline:
+            self._enter_timeline(revision, now)
+            # A peer awaits only replicas that it knew.
+            awaited = None
         self._apply_changed(items, revision, now, awaited)
         keys = {i.key for i in items}
         gone = [k for k in self._revisions if k not in keys]
@@ -143,7 +178,7 @@
     def _apply_changed(
         self,
         items: Sequence[registry.Item],
-        revision: int,
+        revision: registry.Revision,
         now: float,
         awaited: Mapping[str, float] | None = None,
     ) -> None:
@@ -158,7 +193,7 @@
                 continue
             if not item.removed:
                 self._apply_item(item, now)
-            elif self._revisions.get(item.key, 0) <= item.revision:
+            elif self._revisions.get(item.key, registry.NO_REVISION) <= item.revision:
                 self._remove(item.key, item.revision, now, awaited)
         self.revision = max(self.revision, revision)
         if outdated:
@@ -167,13 +202,13 @@
                 extra={
                     'count': len(outdated),
                     'key': outdated[0].key,
-                    'revision': outdated[0].revision,
-                    'known_revision': known_revision,
+                    'revision': str(outdated[0].revision),
+                    'known_revision': str(known_revision),
                 },
             )
 
     def _apply_item(self, item: registry.Item, now: float) -> None:
-        if self._revisions.get(item.key, 0) >= item.revision:
+        if self._revisions.get(item.key, registry.NO_REVISION) >= item.revision:
             return
         self._revisions[item.key] = item.revision
         self._history.note(item)
@@ -194,7 +229,7 @@
             self._invalid[item.key] = error
             log.warning(
                 'invalid registry record',
-                extra={'key': item.key, 'revision': item.revision, 'error': error},
+                extra={'key': item.key, 'revision': str(item.revision), 'error': error},
             )
         if is_replica:
             change = self.catalogue.invalidate(item.key.removeprefix(records.replica_prefix))
@@ -215,8 +250,20 @@
         elif item.key.startswith(records.own_prefix):
             self._members[item.key] = item
 
-    def _apply_configuration(self, configuration: routes.Configuration, revision: int) -> None:
-        if self.table is not None and self.table.configuration.version >= configuration.version:
+    def _apply_configuration(
+        self, configuration: routes.Configuration, revision: registry.Revision
+    ) -> None:
+        known = self.table.configuration.version if self.table is not None else None
+        if known is not None and known >= configuration.version:
+            if known > configuration.version:
+                log.warning(
+                    'older configuration ignored',
+                    extra={
+                        'version': configuration.version,
+                        'known_version': known,
+                        'revision': str(revision),
+                    },
+                )
             return
         self.table = routes.Table(configuration)
         self.pools.apply_configuration(configuration)
@@ -224,7 +271,7 @@
             'configuration in force',
             extra={
                 'version': configuration.version,
-                'revision': revision,
+                'revision': str(revision),
                 'routes': len(configuration.routes),
                 'accounts': len(configuration.accounts),
                 'age': round(self.freshness.compute_age(clocks.now()), 3),
@@ -244,17 +291,21 @@
             extra={
                 'model': model,
                 'weight_version': version,
-                'revision': item.revision,
+                'revision': str(item.revision),
                 'age': round(age, 3) if math.isfinite(age) else None,
             },
         )
 
-    def _note_change(self, key: str, revision: int) -> None:
+    def _note_change(self, key: str, revision: registry.Revision) -> None:
         if not key.startswith(self.records.own_prefix):
             self.changed_at = max(self.changed_at, revision)
 
     def _remove(
-        self, key: str, revision: int, now: float, awaited: Mapping[str, float] | None
+        self,
+        key: str,
+        revision: registry.Revision,
+        now: float,
+        awaited: Mapping[str, float] | None,
     ) -> None:
         self._revisions.pop(key, None)
         self._invalid.pop(key, None)
--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -81,7 +81,7 @@
                 extra={
                     'reader': reader,
                     'age': round(age, 3),
-                    'revision': self._registry_state.revision,
+                    'revision': str(self._registry_state.revision),
                 },
             )
         return self._reads
@@ -135,7 +135,8 @@
         weights = [export_releases(m, n, now) for m, n in state.pools.releases.items()]
         changes = history.ChangeSet((), False)
         # A process that knows nothing yet reads the registry itself, unless that has failed.
-        if state.revision > message.revision and (message.revision or message.wants_all):
+        is_empty = message.revision == registry.NO_REVISION
+        if state.revision > message.revision and (not is_empty or message.wants_all):
             changes = state.export_since(message.revision)
         proof = messages.FreshnessProof(
             message.sent_at,
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -75,7 +75,7 @@
         self._key = registry_state.records.own_prefix + _KEY
         self._last_key = registry_state.records.own_prefix + _LAST_KEY
         self._rollout = rollout.Rollout()
-        self._lease = 0
+        self._lease: registry.Lease | None = None
         self._stopped = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
@@ -136,26 +136,29 @@
             return
         sent_at = clocks.now()
         lease = await self._source.grant(self.holder.lease_ttl)
-        previous = self._registry_state.members.get(self._last_key)
+        last = self._registry_state.members.get(self._last_key)
+        previous = last.revision if last is not None else registry.NO_REVISION
         name = self._name.encode()
         puts = [registry.Put(self._key, name, lease), registry.Put(self._last_key, name)]
         conditions = [
-            registry.ExpectedRevision(self._key, 0),
-            registry.ExpectedRevision(self._last_key, previous.revision if previous else 0),
+            registry.ExpectedRevision(self._key, registry.NO_REVISION),
+            registry.ExpectedRevision(self._last_key, previous),
         ]
         try:
-            token = await self._source.write(puts, conditions)
+            revision = await self._source.write(puts, conditions)
         except exceptions.ConflictError:
-            expected = {c.key: c.revision for c in conditions}
+            expected = {c.key: str(c.revision) for c in conditions}
             log.info('election lost', extra={'expected_revisions': expected})
             await self._source.end(lease)
             return
         # The conditions held, so the item names the election just before this one.
         self._lease = lease
-        self.holder.elect(token, sent_at, clocks.now(), previous.revision if previous else 0)
+        token = revision.fencing_token
+        self.holder.elect(token, sent_at, clocks.now(), previous.fencing_token)
         self._wake.set()
         wait = round(max(0.0, self.holder.may_order_from - clocks.now()), 3)
-        log.info('order lease acquired', extra={'token': token, 'lease': lease, 'wait': wait})
+        fields = {'token': token, 'revision': str(revision), 'lease': lease.id, 'wait': wait}
+        log.info('order lease acquired', extra=fields)
 
     def _is_pending(self) -> bool:
         return self._rollout.is_pending(
@@ -174,12 +177,13 @@
 
     async def _hold_lease(self) -> None:
         """Renew the lease at short intervals, whether or not earlier renewals were answered."""
-        self._start(self._renew(self._lease))
+        if self._lease is not None:
+            self._start(self._renew(self._lease))
         await asyncio.sleep(self.holder.lease_ttl / order_lease.RENEWALS_PER_LEASE)
         if self.holder.token and not self.holder.is_held(clocks.now()):
             self._drop_lease('the lease could not be renewed')
 
-    async def _renew(self, lease: int) -> None:
+    async def _renew(self, lease: registry.Lease) -> None:
         sent_at = clocks.now()
         try:
             await self._source.renew(lease)
@@ -187,7 +191,7 @@
             if lease == self._lease:
                 self._drop_lease('the lease lapsed')
         except exceptions.StoreError as error:
-            log.info('order lease renewal failed', extra={'lease': lease, 'error': str(error)})
+            log.info('order lease renewal failed', extra={'lease': lease.id, 'error': str(error)})
         else:
             if lease == self._lease:
                 self.holder.renew(sent_at)
@@ -197,13 +201,14 @@
             return
         lease = self._lease
         self._drop_lease('this process stops')
-        await self._source.end(lease)
+        if lease is not None:
+            await self._source.end(lease)
 
     def _drop_lease(self, reason: str) -> None:
         log.info('order lease given up', extra={'token': self.holder.token, 'reason': reason})
         self.holder.resign()
         self._rollout.reset()
-        self._lease = 0
+        self._lease = None
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -64,7 +64,7 @@
         self._meter = meter
         self._listed: set[str] = set()
         self._refuses = False
-        self._lease = 0
+        self._lease: registry.Lease | None = None
         self._departed = False
         link.register_handler(messages.Heartbeat, self._handle_heartbeat)
         link.register_handler(messages.MembersRequest, self._handle_members_request)
@@ -78,7 +78,7 @@
                 await self._register(source)
             except registry.LeaseExpiredError:
                 log.warning('own entry expired')
-                self._lease = 0
+                self._lease = None
                 continue
             except exceptions.StoreError as error:
                 log.info('registration failed, will be retried', extra={'error': str(error)})
@@ -116,7 +116,7 @@
 
     async def end(self, source: registry.Registry) -> None:
         """Remove this process's entry from the registry."""
-        if self._lease:
+        if self._lease is not None:
             try:
                 await source.end(self._lease)
             except exceptions.StoreError as error:
@@ -164,23 +164,23 @@
             age = round(self._registry_state.freshness.compute_age(now), 3)
             log.info('ready' if not refuses else 'not ready', extra={'configuration_age': age})
         self.membership.advance(
-            now, self._registry_state.revision, 0, 0, refuses, self._meter.read(now)
+            now, self._registry_state.revision.number, 0, 0, refuses, self._meter.read(now)
         )
         heartbeat = messages.Heartbeat(
-            self.membership.make_digest(self._rng, now), self._registry_state.revision, 0
+            self.membership.make_digest(self._rng, now), self._registry_state.revision.number, 0
         )
         addresses = [m.peer for m in targets]
         self._peers.send_all(addresses, heartbeat)
 
     async def _register(self, source: registry.Registry) -> None:
-        if self._lease:
+        if self._lease is not None:
             await source.renew(self._lease)
             return
         own = self.membership.own
         lease = await source.grant(MEMBER_LEASE)
         await source.write([registry.Put(self._prefix + own.name, msgspec.json.encode(own), lease)])
         self._lease = lease
-        log.info('own entry written', extra={'lease': lease})
+        log.info('own entry written', extra={'lease': lease.id})
 
     def _remove_expired(self, incarnation: str, now: float) -> None:
         """Drop a process whose entry vanished, unless its heartbeats still arrive."""
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -124,6 +124,7 @@
         self.registry_state.on_refused = lambda kind: self.counters.refused_records.inc(
             {'kind': kind}
         )
+        self.registry_state.on_return = lambda: self.counters.registry_returns.inc({})
         incarnation = uuid_utils.uuid7().hex
         self.peers = peers.Peers(incarnation, options.ip, options.peer_port, self.counters)
         own = members.Member(
--- a/passpier/tests/daemon/suspects_tests.py
+++ b/passpier/tests/daemon/suspects_tests.py
@@ -120,22 +120,22 @@
         ]
         self.replicas = [Replica(f'r{n}') for n in range(replicas)]
         self.items: dict[str, registry.Item] = {}
-        self.revision = 0
+        self.revision = registry.NO_REVISION
         self.routers = [Router(self, m) for m in self.members]
         self.sends: dict[int, list[Send]] = collections.defaultdict(list)
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.requests: list[asyncio.Task[None]] = []
 
-    async def grant(self, ttl: float) -> int:
-        return 1
+    async def grant(self, ttl: float) -> registry.Lease:
+        return registry.Lease(1, 1)
 
     async def write(
         self, puts: Sequence[registry.Put], conditions: Sequence[registry.ExpectedRevision] = ()
-    ) -> int:
+    ) -> registry.Revision:
         await asyncio.sleep(0.01)
         if any(c.key in self.items for c in conditions):
             raise exceptions.ConflictError('exists')
-        self.revision += 1
+        self.revision = registry.Revision(1, self.revision.number + 1)
         for put in puts:
             self.items[put.key] = registry.Item(put.key, put.data, self.revision)
         for router in self.routers:
--- a/passpier/tests/platform/replica_restarts_tests.py
+++ b/passpier/tests/platform/replica_restarts_tests.py
@@ -33,15 +33,16 @@
 
     def __init__(self) -> None:
         self.state = registry_mirror.RegistryState(dialect.Records(), pools.Pools(10.0), 5.0)
-        self.revision = 0
+        self.number = 0
         self.put(names.CONFIGURATION_KEY, {'version': 1, 'services': SERVICES})
 
     def put(self, key: str, value: Any) -> None:
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        self.revision += 1
-        item = registry.Item(key, data, self.revision)
+        self.number += 1
+        revision = registry.Revision(0, self.number)
+        item = registry.Item(key, data, revision)
         now = clocks.now()
-        self.state.apply_watch(registry.Changes((item,), self.revision, now, now), 0.0, now)
+        self.state.apply_watch(registry.Changes((item,), revision, now, now), 0.0, now)
 
     def record(self, id: str = ID, **fields: Any) -> None:
         self.put(names.REPLICA_PREFIX + id, make_entry(**fields))
--- a/passpier/tests/routing/crash_records_tests.py
+++ b/passpier/tests/routing/crash_records_tests.py
@@ -31,20 +31,20 @@
         self.unavailable = False
         self.granted = 0
 
-    async def grant(self, ttl: float) -> int:
+    async def grant(self, ttl: float) -> registry.Lease:
         if self.unavailable:
             raise exceptions.StoreError('no answer')
         self.granted += 1
-        return 1
+        return registry.Lease(fleets.TIMELINE, 1)
 
     async def write(
         self, puts: Sequence[registry.Put], conditions: Sequence[registry.ExpectedRevision] = ()
-    ) -> int:
+    ) -> registry.Revision:
         if self.unavailable:
             raise exceptions.StoreError('no answer')
         if any(c.key in self.items for c in conditions):
             raise exceptions.ConflictError('exists')
-        revision = len(self.items) + 1
+        revision = fleets.at(len(self.items) + 1)
         for put in puts:
             self.items[put.key] = registry.Item(put.key, put.data, revision)
         return revision
@@ -153,7 +153,7 @@
 def test_an_invalid_record_is_ignored() -> None:
     async def run() -> None:
         source = Registry()
-        source.items['own/suspects/i9/x'] = registry.Item('own/suspects/i9/x', b'{}', 1)
+        source.items['own/suspects/i9/x'] = registry.Item('own/suspects/i9/x', b'{}', fleets.at(1))
         await Process(source, 'i1').observe_crash(CRASHING)
         assert not Process(source, 'i2').read().count_crashes(CRASHING)
 
--- a/passpier/tests/routing/fleets.py
+++ b/passpier/tests/routing/fleets.py
@@ -7,6 +7,8 @@
 import random
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from passpier import clocks, exceptions
 from passpier.clients import registry
 from passpier.core import catalogue, members, routes
@@ -15,10 +17,18 @@
 
 KEY_BOUND = 5.0
 
+TIMELINE = 1
+"""The timeline in which a registry begins."""
+
 VERSION_BOUND = 10.0
 """Seconds after the release of newer weights in which older ones may be used."""
 
 
+def at(number: int) -> registry.Revision:
+    """Return a revision of the first timeline."""
+    return registry.Revision(TIMELINE, number)
+
+
 class Records:
     """Registry records with simple keys and values."""
 
@@ -45,7 +55,7 @@
 
     items: dict[str, registry.Item]
     changes: list[registry.Item]
-    revision: int
+    number: int
     compacted_at: int
 
 
@@ -55,30 +65,41 @@
     def __init__(self) -> None:
         self.items: dict[str, registry.Item] = {}
         self.changes: list[registry.Item] = []
-        self.revision = 0
+        self.timeline = TIMELINE
+        self.number = 0
         self.compacted_at = 0
         self.calls = 0
 
+    @property
+    def revision(self) -> registry.Revision:
+        return registry.Revision(self.timeline, self.number)
+
     def put(self, key: str, data: bytes) -> None:
-        self.revision += 1
+        self.number += 1
         self.items[key] = registry.Item(key, data, self.revision)
         self.changes.append(self.items[key])
 
     def remove(self, key: str) -> None:
-        self.revision += 1
+        self.number += 1
         del self.items[key]
         self.changes.append(registry.Item(key, b'', self.revision, removed=True))
 
     def copy(self) -> Copy:
-        return Copy(dict(self.items), list(self.changes), self.revision, self.compacted_at)
+        return Copy(dict(self.items), list(self.changes), self.number, self.compacted_at)
 
     def restore(self, saved: Copy) -> None:
         """Return to an older state; revisions since then are given out again."""
-        self.items = dict(saved.items)
-        self.changes = list(saved.changes)
-        self.revision = saved.revision
+        self.timeline += 1
+        self.items = {key: self._move(item) for key, item in saved.items.items()}
+        self.changes = [self._move(item) for item in saved.changes]
+        self.number = saved.number
         self.compacted_at = saved.compacted_at
 
+    def _move(self, item: registry.Item) -> registry.Item:
+        """Return an item as the current timeline has it."""
+        revision = registry.Revision(self.timeline, item.revision.number)
+        return msgspec.structs.replace(item, revision=revision)
+
 
 class Connection:
     """The registry calls of one process."""
@@ -96,19 +117,25 @@
         await self._simulate_call()
         return registry.Listing(items, revision, sent_at)
 
-    async def watch(self, prefix: str, after: int, wait: float) -> registry.Changes:
+    async def watch(self, prefix: str, after: registry.Revision, wait: float) -> registry.Changes:
         sent_at = clocks.now()
         await self._simulate_call()
         ends_at = clocks.now() + wait
-        while clocks.now() < ends_at and self.source.revision <= after:
+        self._check_history(after)
+        while clocks.now() < ends_at and self.source.revision == after:
             await asyncio.sleep(0.01)
-        if not self.source.compacted_at <= after <= self.source.revision:
-            raise registry.CompactedError('forgotten')
+        self._check_history(after)
         items = tuple(c for c in self.source.changes if c.revision > after)
         revision = self.source.revision
         await self._simulate_call()
         return registry.Changes(items, revision, sent_at, clocks.now())
 
+    def _check_history(self, after: registry.Revision) -> None:
+        if after.timeline != self.source.timeline:
+            raise registry.CompactedError('returned from an older copy')
+        if not self.source.compacted_at <= after.number <= self.source.number:
+            raise registry.CompactedError('forgotten')
+
     async def _simulate_call(self) -> None:
         self.source.calls += 1
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
--- a/passpier/tests/routing/registry_mirror_tests.py
+++ b/passpier/tests/routing/registry_mirror_tests.py
@@ -9,11 +9,11 @@
 from passpier.tests.routing import fleets
 
 NOW = 100.0
-CONFIGURATION = registry.Item('configuration', b'1', 10)
-READY = registry.Item('replicas/r1', b'ready', 90)
-DRAINING = registry.Item('replicas/r1', b'draining', 103)
-GONE = registry.Item('replicas/r1', b'', 104, removed=True)
-HOLDER = registry.Item('own/order-holder', b'vm-1', 91)
+CONFIGURATION = registry.Item('configuration', b'1', fleets.at(10))
+READY = registry.Item('replicas/r1', b'ready', fleets.at(90))
+DRAINING = registry.Item('replicas/r1', b'draining', fleets.at(103))
+GONE = registry.Item('replicas/r1', b'', fleets.at(104), removed=True)
+HOLDER = registry.Item('own/order-holder', b'vm-1', fleets.at(91))
 
 
 def make_state() -> registry_mirror.RegistryState:
@@ -25,7 +25,7 @@
 ) -> None:
     changes = history.ChangeSet(items, False)
     assert state.apply_peer_changes(
-        registry_mirror.PeerChanges(changes, state.revision, revision, {}), NOW
+        registry_mirror.PeerChanges(changes, state.revision, fleets.at(revision), {}), NOW
     )
 
 
@@ -38,25 +38,27 @@
     """
     state = make_state()
     if state_before:
-        state.apply_listing(registry.Listing((CONFIGURATION, READY, HOLDER), 95, NOW), NOW)
+        state.apply_listing(
+            registry.Listing((CONFIGURATION, READY, HOLDER), fleets.at(95), NOW), NOW
+        )
         apply_from_peer(state, 103, DRAINING)
         apply_from_peer(state, 104, GONE)
-        apply_from_peer(state, 105, registry.Item(HOLDER.key, b'', 105, removed=True))
+        apply_from_peer(state, 105, registry.Item(HOLDER.key, b'', fleets.at(105), removed=True))
     else:
         peer_changes = registry_mirror.PeerChanges(
-            history.ChangeSet((CONFIGURATION,), True), 0, 105, {}
+            history.ChangeSet((CONFIGURATION,), True), registry.NO_REVISION, fleets.at(105), {}
         )
         assert state.apply_peer_changes(peer_changes, NOW)
-    late = registry.Listing((CONFIGURATION, READY, HOLDER), 100, NOW)
+    late = registry.Listing((CONFIGURATION, READY, HOLDER), fleets.at(100), NOW)
     state.apply_listing(late, NOW + 0.2)
     assert 'r1' not in state.pools.replicas
     assert not state.members
-    assert state.revision == 105
-    assert READY.key not in {i.key for i in state.export_since(-1).items}
+    assert state.revision == fleets.at(105)
+    assert READY.key not in {i.key for i in state.export_since(registry.NO_REVISION).items}
 
 
 def test_a_late_listing_adds_what_no_peer_has_sent() -> None:
     state = make_state()
-    state.apply_listing(registry.Listing((CONFIGURATION,), 80, NOW), NOW)
-    state.apply_listing(registry.Listing((CONFIGURATION, READY), 100, NOW), NOW)
+    state.apply_listing(registry.Listing((CONFIGURATION,), fleets.at(80), NOW), NOW)
+    state.apply_listing(registry.Listing((CONFIGURATION, READY), fleets.at(100), NOW), NOW)
     assert 'r1' in state.pools.replicas
--- a/passpier/tests/routing/registry_returns_tests.py
+++ b/passpier/tests/routing/registry_returns_tests.py
@@ -7,6 +7,7 @@
 import pytest
 
 from passpier import clocks
+from passpier.clients import registry
 from passpier.core import catalogue
 from passpier.tests.routing import fleets, relaying_tests
 
@@ -49,7 +50,9 @@
         await asyncio.sleep(CATCH_UP_SECONDS)
         wanted = {(i.key, i.data) for i in fleet.registry.items.values()}
         for process in fleet.processes:
-            assert {(i.key, i.data) for i in process.known.export_since(-1).items} == wanted
+            assert {
+                (i.key, i.data) for i in process.known.export_since(registry.NO_REVISION).items
+            } == wanted
             assert process.known.table is not None
             assert process.known.table.configuration.version == STEPS + 2
             assert process.known.freshness.is_fresh(clocks.now())
--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -183,7 +183,7 @@
         await asyncio.sleep(6.0)
         wanted = set(fleet.registry.items)
         for process in fleet.processes:
-            assert {i.key for i in process.known.export_since(-1).items} == wanted
+            assert {i.key for i in process.known.export_since(registry.NO_REVISION).items} == wanted
 
     fleets.run_fleet(10, seed, check)
 
@@ -204,18 +204,20 @@
     if rng.random() < 0.1:
         fleet.network.cut ^= {rng.choice(fleet.processes).membership.own.peer}
     if rng.random() < 0.02:
-        source.compacted_at = source.revision
+        source.compacted_at = source.number
 
 
 def test_change_sets_include_removals() -> None:
     change_history = history.History()
     for number in range(1, 10):
-        change_history.note(registry.Item(f'k{number}', b'x', number))
-    change_history.note(registry.Item('k3', b'', 10, removed=True))
-    changes = change_history.list_since(9)
-    assert changes == history.ChangeSet((registry.Item('k3', b'', 10, removed=True),), False)
-    change_history.mark_incomplete_until(10)
-    changes = change_history.list_since(9)
+        change_history.note(registry.Item(f'k{number}', b'x', fleets.at(number)))
+    change_history.note(registry.Item('k3', b'', fleets.at(10), removed=True))
+    changes = change_history.list_since(fleets.at(9))
+    assert changes == history.ChangeSet(
+        (registry.Item('k3', b'', fleets.at(10), removed=True),), False
+    )
+    change_history.mark_incomplete_until(fleets.at(10))
+    changes = change_history.list_since(fleets.at(9))
     assert changes.is_full
     assert {i.key for i in changes.items} == {f'k{n}' for n in range(1, 10)} - {'k3'}
 
@@ -223,14 +225,16 @@
 def test_after_too_many_removals_all_items_are_sent() -> None:
     change_history = history.History()
     for number in range(1, history.MAX_REMOVALS + 10):
-        change_history.note(registry.Item(f'k{number}', b'', number, removed=True))
-    assert change_history.list_since(5).is_full
-    assert not change_history.list_since(9).is_full
+        change_history.note(registry.Item(f'k{number}', b'', fleets.at(number), removed=True))
+    assert change_history.list_since(fleets.at(5)).is_full
+    assert not change_history.list_since(fleets.at(9)).is_full
 
 
 @pytest.mark.parametrize('size', [0, 1, 500])
 def test_encoded_items_decode_unchanged(size: int) -> None:
-    items = tuple(registry.Item(f'k{n}', b'value', n, 7, n % 2 == 0) for n in range(size))
+    items = tuple(
+        registry.Item(f'k{n}', b'value', fleets.at(n), 7, n % 2 == 0) for n in range(size)
+    )
     assert relaying.decode_items(relaying.encode_items(items)) == items
 
 
@@ -239,8 +243,9 @@
         await asyncio.sleep(3.0)
         known = fleet.processes[0].known
         proved_at = known.freshness.proved_at
-        assert not known.apply_freshness(known.revision + 1, clocks.now())
-        told = registry_mirror.PeerChanges(history.ChangeSet((), False), known.revision + 1, 99, {})
+        newer = fleets.at(known.revision.number + 1)
+        assert not known.apply_freshness(newer, clocks.now())
+        told = registry_mirror.PeerChanges(history.ChangeSet((), False), newer, fleets.at(99), {})
         assert not known.apply_peer_changes(told, 0.0)
         assert known.freshness.proved_at == proved_at
 
--- a/passpier/tests/routing/releases_tests.py
+++ b/passpier/tests/routing/releases_tests.py
@@ -206,6 +206,6 @@
             if fleet.processes[number].membership.own.peer not in fleet.network.cut:
                 fleet.restart(number)
     elif draw < 0.5:
-        fleet.registry.compacted_at = fleet.registry.revision
+        fleet.registry.compacted_at = fleet.registry.number
     elif draw < 0.8:
         rng.choice(fleet.processes).connection.cut = True
--- a/passpier/tests/routing/replica_restarts_tests.py
+++ b/passpier/tests/routing/replica_restarts_tests.py
@@ -122,9 +122,10 @@
         self.put(1, 'configuration', b'-')
 
     def put(self, revision: int, key: str, data: bytes) -> None:
-        items = (registry.Item(key, data, revision),)
+        at = registry.Revision(0, revision)
         now = clocks.now()
-        self.known.apply_watch(registry.Changes(items, revision, now, now), 0.0, now)
+        items = (registry.Item(key, data, at),)
+        self.known.apply_watch(registry.Changes(items, at, now, now), 0.0, now)
 
     def record(
         self,
