--- /dev/null
+++ b/passpier/tests/platform/store_tests.py
@@ -0,0 +1,141 @@
+"""The store's client while the store returns from an older copy, with answers that arrive late."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+import pytest
+
+from passpier import exceptions
+from passpier.clients import connections, exchanges, registry
+from passpier.platform import names, store
+
+
+class Pool:
+    """Answers calls with scripted responses, in order; `sent` are the calls."""
+
+    def __init__(self, *responses: tuple[int, int | None, dict[str, Any]]) -> None:
+        self.responses = list(responses)
+        self.sent: list[exchanges.Request] = []
+
+    async def fetch(
+        self, address: str, request: exchanges.Request, timeout: float
+    ) -> exchanges.Response:
+        self.sent.append(request)
+        status, era, body = self.responses.pop(0)
+        headers = [] if era is None else [(names.STORE_ERA.lower(), str(era))]
+        return exchanges.Response(exchanges.Head(status, '', headers), json.dumps(body).encode())
+
+
+def run(
+    pool: Pool, check: Callable[[store.Store], Coroutine[Any, Any, None]], known: int = 0
+) -> None:
+    """Run a check with a client that has had one answer of a timeline, if `known` is not 0."""
+
+    async def prepare_and_check() -> None:
+        client = store.Store('store:1', cast(connections.Pool, pool))
+        if known:
+            pool.responses.insert(0, (200, known, {'lease': 1}))
+            await client.grant(1.0)
+        await check(client)
+
+    asyncio.run(prepare_and_check())
+
+
+def make_page(key: str, revision: int, truncated: bool = False) -> dict[str, Any]:
+    items = [{'private_key': key, 'revision': revision, 'value': ''}]
+    return {'items': items, 'store_revision': revision, 'truncated': truncated}
+
+
+def test_a_listing_of_two_timelines_is_no_listing() -> None:
+    """Guards against a full read that began before a return of the store and ended after it."""
+
+    async def check(client: store.Store) -> None:
+        with pytest.raises(exceptions.StoreError, match='between two pages'):
+            await client.read('')
+        assert (await client.read('')).revision == registry.Revision(2, 7)
+
+    pages = [(1, make_page('a', 9, True)), (2, make_page('b', 7)), (2, make_page('a', 7))]
+    run(Pool(*((200, era, page) for era, page in pages)), check)
+
+
+def test_an_answer_of_an_earlier_timeline_is_an_error() -> None:
+    """Guards against a listing that was read before a return and arrives after it."""
+
+    async def check(client: store.Store) -> None:
+        with pytest.raises(exceptions.StoreError, match='late, of timeline 1'):
+            await client.read('')
+
+    run(Pool((200, 1, make_page('a', 9))), check, known=2)
+
+
+def test_a_watch_that_the_new_timeline_answers_has_lost_the_history() -> None:
+    """Guards against missed changes when the counter has passed the number that is watched from."""
+
+    async def check(client: store.Store) -> None:
+        with pytest.raises(registry.CompactedError):
+            await client.watch('', registry.Revision(1, 9), 0.1)
+
+    run(Pool((200, 2, {'events': [], 'store_revision': 12})), check, known=1)
+
+
+def test_leases_of_an_earlier_timeline_are_neither_renewed_nor_ended() -> None:
+    """Guards against calls for a lease id that was given out again."""
+
+    async def check(client: store.Store) -> None:
+        lease = registry.Lease(1, 5)
+        with pytest.raises(registry.LeaseExpiredError):
+            await client.renew(lease)
+        with pytest.raises(registry.LeaseExpiredError):
+            await client.write([registry.Put('k', b'', lease)])
+        await client.end(lease)
+        assert [r.target for r in pool.sent] == ['/kv-lease']
+
+    pool = Pool()
+    run(pool, check, known=2)
+
+
+def test_a_renewal_that_the_new_timeline_answers_renews_nothing() -> None:
+    """Guards against a lease that its holder believes in because somebody else has its id."""
+
+    async def check(client: store.Store) -> None:
+        with pytest.raises(registry.LeaseExpiredError):
+            await client.renew(registry.Lease(1, 5))
+
+    run(Pool((200, 2, {})), check, known=1)
+
+
+@pytest.mark.parametrize('revision', [registry.Revision(1, 9), registry.NO_REVISION])
+def test_a_write_counts_in_the_timeline_of_its_conditions_only(revision: registry.Revision) -> None:
+    """Guards against a condition that holds by chance, as its revision was given out again."""
+
+    async def check(client: store.Store) -> None:
+        condition = registry.ExpectedRevision('k', revision)
+        writing = client.write([registry.Put('k', b'')], [condition])
+        if revision == registry.NO_REVISION:
+            assert await writing == registry.Revision(2, 3)
+        else:
+            with pytest.raises(exceptions.StoreError, match='done in timeline 2'):
+                await writing
+
+    run(Pool((200, 2, {'revision': 3})), check, known=1)
+
+
+def test_a_store_that_names_no_timeline_has_one() -> None:
+    async def check(client: store.Store) -> None:
+        lease = await client.grant(1.0)
+        await client.renew(lease)
+        changes = await client.watch('', registry.Revision(0, 9), 0.1)
+        assert changes.revision == registry.Revision(0, 12)
+
+    watched = {'events': [], 'store_revision': 12}
+    run(Pool((200, None, {'lease': 5}), (200, None, {}), (200, None, watched)), check)
+
+
+def test_fencing_tokens_rise_with_the_timeline() -> None:
+    earlier = registry.Revision(1, 2**39)
+    assert earlier.fencing_token < registry.Revision(2, 1).fencing_token < 2**53
+    assert registry.Revision(0, 41).fencing_token == 41
--- a/passpier/tests/routing/crash_records_tests.py
+++ b/passpier/tests/routing/crash_records_tests.py
@@ -30,6 +30,7 @@
         self.items: dict[str, registry.Item] = {}
         self.unavailable = False
         self.granted = 0
+        self.largest_write = 0
 
     async def grant(self, ttl: float) -> registry.Lease:
         if self.unavailable:
@@ -42,6 +43,7 @@
     ) -> registry.Revision:
         if self.unavailable:
             raise exceptions.StoreError('no answer')
+        self.largest_write = max(self.largest_write, len(puts))
         if any(c.key in self.items for c in conditions):
             raise exceptions.ConflictError('exists')
         revision = fleets.at(len(self.items) + 1)
@@ -158,3 +160,48 @@
         assert not Process(source, 'i2').read().count_crashes(CRASHING)
 
     virtual_time.run(run())
+
+
+def test_records_and_trials_last_over_a_return_of_the_registry() -> None:
+    """Guards against crashes that nobody knows any more, and a second trial of the same request."""
+
+    async def run() -> None:
+        source = Registry()
+        processes = [Process(source, f'i{n}') for n in range(2)]
+        tasks = [asyncio.ensure_future(p.marks.run()) for p in processes]
+        for process in processes:
+            process.known.revision = fleets.at(1)
+        await processes[0].observe_crash(CRASHING)
+        assert await processes[0].marks.claim_trial(OTHER)
+        await asyncio.sleep(1.0)
+        processes[1].read()
+        await asyncio.sleep(1.0)
+        source.items.clear()
+        for process in processes:
+            process.known.members.clear()
+            process.known.revision = registry.Revision(fleets.TIMELINE + 1, 1)
+        assert [await p.marks.claim_trial(OTHER) for p in processes] == [False, False]
+        await asyncio.sleep(1.0)
+        started_since = Process(source, 'i9')
+        assert started_since.read().count_crashes(CRASHING) == 1
+        assert not await started_since.marks.claim_trial(OTHER)
+        for task in tasks:
+            task.cancel()
+
+    virtual_time.run(run())
+
+
+def test_many_crashes_are_written_in_several_transactions() -> None:
+    """Guards against a transaction that registries refuse for its size."""
+
+    async def run() -> None:
+        source = Registry()
+        first = Process(source, 'i1')
+        for number in range(3 * crash_records.BATCH_SIZE):
+            process = replica_processes.ReplicaProcess(f'r{number}', 1000)
+            await first.observe_crash(CRASHING, process)
+        await first.marks.write_records()
+        assert len(source.items) == 3 * crash_records.BATCH_SIZE
+        assert source.largest_write <= crash_records.BATCH_SIZE
+
+    virtual_time.run(run())
