Relay: some processes read the registry although none is ready

What callers saw, in a test with three routers: 503 stale_configuration for 0.8 s longer than needed, when all had refused keys at once. Readers were chosen among processes that serve; one that is not ready doesn't, so that all waited for a reader until the fallback (age 0.1 to 0.9 s without a read, in a trace). If none serves, readers are now chosen among those alive. The new test has no reader of eight before, three now.

--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -67,7 +67,7 @@
 
     def is_reader(self, now: float) -> bool:
         """Return whether this process is one of those that read the registry."""
-        return self._membership.own in readers.choose_readers(self._membership.list_serving(now))
+        return self._membership.own in self._choose_readers(now)
 
     def should_read(self, now: float) -> bool:
         """Return whether this process reads the registry: as a reader, or for lack of responses."""
@@ -110,8 +110,7 @@
         """Send the queries of one round."""
         self._rounds += 1
         addresses = set()
-        serving = self._membership.list_serving(now)
-        chosen = readers.choose_readers(serving)
+        chosen = self._choose_readers(now)
         if self._membership.own not in chosen:
             # A different reader each time: some may be isolated without having noticed yet.
             reader = readers.pick_reader(self._membership.own, chosen, self._rounds)
@@ -127,6 +126,11 @@
         query = messages.FreshnessRequest(now, state.revision, not state.is_ready())
         self._peers.send_all(addresses, query)
 
+    def _choose_readers(self, now: float) -> list[members.Member]:
+        # If no process serves, as after a return of the registry, some still have to read.
+        serving = self._membership.list_serving(now) or self._membership.list_alive(now)
+        return readers.choose_readers(serving)
+
     def _handle_freshness_request(
         self, sender: str, address: str, message: messages.FreshnessRequest
     ) -> None:
--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -13,7 +13,7 @@
 
 from passpier import clocks
 from passpier.clients import registry
-from passpier.core import catalogue
+from passpier.core import catalogue, members, readers
 from passpier.routing import history, registry_mirror, relaying
 from passpier.tests.routing import fleets
 
@@ -50,6 +50,20 @@
     fleets.run_fleet(40, 2, check)
 
 
+def test_some_processes_read_although_none_serves() -> None:
+    """Guards against a fleet in which all wait for a reader, since none of them is ready."""
+
+    async def check(fleet: fleets.Fleet) -> None:
+        await asyncio.sleep(3.0)
+        beats = [members.Beat(m.incarnation, 1000, leaving=True) for m in fleet.fleet]
+        for process in fleet.processes:
+            process.membership.merge(beats, clocks.now())
+            process.membership.advance(clocks.now(), 0, 0, 0, True, 0.0)
+        assert sum(p.relay.is_reader(clocks.now()) for p in fleet.processes) == readers.MIN_READERS
+
+    fleets.run_fleet(8, 1, check)
+
+
 @pytest.mark.parametrize('key_bound', [0.8, 1.2, 2.0, 3.0, fleets.KEY_BOUND])
 def test_no_process_refuses_keys_while_the_registry_answers(key_bound: float) -> None:
     """Guards against proofs that are renewed, or relayed, as late as they are refused."""
