Relay: peers pass on a configuration that the registry has lost

What callers could see: a key that had been revoked was accepted again by a router that started after a return of the registry, until the operator had written the configuration again. Routers keep the newest configuration that was acknowledged; now they also tell those that ask with an older one, if the registry's is older. The new test fails before: version 1 of 2 in force at the started process.

--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -185,11 +185,13 @@
     """Requests the registry changes after `revision` and a proof of their freshness.
 
     `sent_at` is echoed. `wants_all` is set if the sender has no state and could not read any.
+    `configuration_version` is that of the configuration in force there.
     """
 
     sent_at: float
     revision: registry.Revision
     wants_all: bool
+    configuration_version: int
 
 
 class ModelReleases(msgspec.Struct, array_like=True):
@@ -205,6 +207,7 @@
     `sent_at` and `since`, a revision, are those of the request. `items` are all changes after
     `since` up to `known_revision`, or all items if `is_full` is set. `awaited` lists the replicas
     whose entries have disappeared but may come back, with the seconds for which the sender waits.
+    `configuration` is a newer one than the receiver's that the registry has lost, if there is any.
     """
 
     sent_at: float
@@ -216,6 +219,7 @@
     awaited: dict[str, float]
     is_full: bool
     items: bytes
+    configuration: bytes
 
 
 class PlacedPrompts(Message, tag='pl'):
--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -53,6 +53,12 @@
         self.on_return: Callable[[], None] = lambda: None
         """Called when the registry has returned from an older copy."""
 
+        self._configuration: registry.Item | None = None
+        """The record of the configuration in force."""
+
+        self._is_configuration_lost = False
+        """Whether the registry returned from a copy that has an older configuration."""
+
         self._invalid: dict[str, str] = {}
         """By key, why its current record is invalid."""
 
@@ -65,6 +71,11 @@
         """Items written by router processes, by key."""
         return self._members
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force, or 0."""
+        return self.table.configuration.version if self.table is not None else 0
+
     def apply_listing(self, listing: registry.Listing, now: float) -> None:
         """Apply a full listing of the registry, unless it is of an earlier timeline."""
         if listing.revision.timeline < self.revision.timeline:
@@ -126,6 +137,22 @@
         self._apply_changed(received.changes.items, received.revision, now, received.awaited)
         return True
 
+    def export_lost_configuration(self, version: int) -> registry.Item | None:
+        """Return the configuration in force if the registry has lost it and it is newer."""
+        if self._is_configuration_lost and self.configuration_version > version:
+            return self._configuration
+        return None
+
+    def apply_lost_configuration(self, item: registry.Item) -> None:
+        """Apply a configuration that the registry has lost and a peer still knows."""
+        before = self.configuration_version
+        try:
+            self._apply_configuration(item)
+        except exceptions.StoreError as error:
+            log.error('invalid configuration of a peer ignored', extra={'error': str(error)})
+        if self.configuration_version > before:
+            self._is_configuration_lost = True
+
     def is_ready(self) -> bool:
         """Return whether a configuration is known, without which requests can't be routed."""
         return self.table is not None
@@ -239,7 +266,7 @@
     def _dispatch_item(self, item: registry.Item, now: float) -> None:
         records = self.records
         if item.key == records.configuration_key:
-            self._apply_configuration(records.decode_configuration(item.data), item.revision)
+            self._is_configuration_lost = not self._apply_configuration(item)
         elif item.key.startswith(records.version_prefix):
             self._apply_release(item, now)
         elif item.key.startswith(records.replica_prefix):
@@ -250,33 +277,36 @@
         elif item.key.startswith(records.own_prefix):
             self._members[item.key] = item
 
-    def _apply_configuration(
-        self, configuration: routes.Configuration, revision: registry.Revision
-    ) -> None:
-        known = self.table.configuration.version if self.table is not None else None
-        if known is not None and known >= configuration.version:
-            if known > configuration.version:
-                log.warning(
-                    'older configuration ignored',
-                    extra={
-                        'version': configuration.version,
-                        'known_version': known,
-                        'revision': str(revision),
-                    },
-                )
-            return
+    def _apply_configuration(self, item: registry.Item) -> bool:
+        """Apply a configuration; return false if a newer one is in force."""
+        configuration = self.records.decode_configuration(item.data)
+        known = self.configuration_version
+        if known > configuration.version:
+            log.warning(
+                'older configuration ignored',
+                extra={
+                    'version': configuration.version,
+                    'known_version': known,
+                    'revision': str(item.revision),
+                },
+            )
+            return False
+        self._configuration = item
+        if self.table is not None and known == configuration.version:
+            return True
         self.table = routes.Table(configuration)
         self.pools.apply_configuration(configuration)
         log.info(
             'configuration in force',
             extra={
                 'version': configuration.version,
-                'revision': str(revision),
+                'revision': str(item.revision),
                 'routes': len(configuration.routes),
                 'accounts': len(configuration.accounts),
                 'age': round(self.freshness.compute_age(clocks.now()), 3),
             },
         )
+        return True
 
     def _apply_release(self, item: registry.Item, now: float) -> None:
         model, version = self.records.decode_named_version(item.data)
--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -123,7 +123,9 @@
             # Those that know the time may be leaving, and others may have ended unnoticed.
             asked = self._membership.choose_targets(self._rng, PEERS_ASKED_FOR_TIMES)
             addresses |= {m.peer for m in asked}
-        query = messages.FreshnessRequest(now, state.revision, not state.is_ready())
+        query = messages.FreshnessRequest(
+            now, state.revision, not state.is_ready(), state.configuration_version
+        )
         self._peers.send_all(addresses, query)
 
     def _choose_readers(self, now: float) -> list[members.Member]:
@@ -142,6 +144,7 @@
         is_empty = message.revision == registry.NO_REVISION
         if state.revision > message.revision and (not is_empty or message.wants_all):
             changes = state.export_since(message.revision)
+        lost = state.export_lost_configuration(message.configuration_version)
         proof = messages.FreshnessProof(
             message.sent_at,
             state.changed_at,
@@ -152,6 +155,7 @@
             state.catalogue.list_awaited(now),
             changes.is_full,
             encode_items(changes.items),
+            encode_items((lost,) if lost is not None else ()),
         )
         self._peers.send(address, proof)
 
@@ -167,6 +171,8 @@
             )
             if not state.apply_peer_changes(peer_changes, now):
                 return
+        for item in decode_items(message.configuration):
+            state.apply_lost_configuration(item)
         # The peer replied after the query was sent, so its ages count from that time at the latest.
         state.apply_freshness(message.revision, message.sent_at - message.age)
         for named in message.weights:
--- a/passpier/tests/routing/registry_returns_tests.py
+++ b/passpier/tests/routing/registry_returns_tests.py
@@ -149,3 +149,27 @@
         )
 
     fleets.run_fleet(8, 1, check)
+
+
+def test_a_process_that_starts_after_a_return_learns_the_newest_configuration_from_peers() -> None:
+    """Guards against keys that are accepted again because the copy has an older configuration."""
+
+    async def check(fleet: fleets.Fleet) -> None:
+        await asyncio.sleep(3.0)
+        saved = fleet.registry.copy()
+        fleet.registry.put('configuration', b'2')
+        await asyncio.sleep(1.0)
+        fleet.registry.restore(saved)
+        await asyncio.sleep(1.0)
+        fleet.restart(0)
+        await asyncio.sleep(1.0)
+        started = fleet.processes[0].known
+        assert started.table is not None
+        assert started.configuration_version == 2
+        fleet.registry.put('configuration', b'3')
+        await asyncio.sleep(1.0)
+        assert all(p.known.configuration_version == 3 for p in fleet.processes)
+        assert not any(p.known.export_lost_configuration(0) for p in fleet.processes)
+
+    for seed in range(6):
+        fleets.run_fleet(8, seed, check)
