Freshness: a returned registry proves nothing until the operator had time to write again

What callers could see: a revoked key served for longer than its bound, when no router had seen the revocation, the registry came back without it, and went away once more before it was written again. For 1 s after a return, listings and watches are still relayed as proofs, but don't cover revocations; keys go on to be accepted by the proofs of before for as long as these hold. configuration_age in the log is now the age of the proof that covers revocations.

The new test of a fleet fails without the change.

--- a/passpier/core/freshness.py
+++ b/passpier/core/freshness.py
@@ -49,21 +49,41 @@
 LATENCY_DECAY = 0.9
 """Factor by which the measured latency decreases with each faster call."""
 
+REWRITE_SECONDS = 1.0
+"""Seconds after a return of the registry from an older copy within which the operator writes again
+what the copy lacks. Until then, its state does not prove that a revocation would be known."""
+
 BOUND_MIN = 0.8
 """Shortest bound that can be kept, in seconds, at a latency of `LATENCY_ASSUMED`."""
 
 
 class Freshness(msgspec.Struct):
-    """The age of the newest proof and the bound within which a key revocation must be known."""
+    """The age of the newest proof and the bound within which a key revocation must be known.
+
+    After a return of the registry from an older copy, proofs are relayed as before, but cover
+    revocations only once the operator has had the time to write them again.
+    """
 
     bound: float
     proved_at: float = float('-inf')
+    covered_at: float = float('-inf')
+    """The newest proof that covers revocations."""
+
+    covers_from: float = float('-inf')
+    """The time from which on proofs cover them."""
+
     latency: float = LATENCY_ASSUMED
     """Latency of recent calls in seconds."""
 
     def prove(self, at: float) -> None:
         """Record that the state at `at` is known completely."""
         self.proved_at = max(self.proved_at, at)
+        if at >= self.covers_from:
+            self.covered_at = max(self.covered_at, at)
+
+    def note_return(self, now: float) -> None:
+        """Record that the registry has returned from an older copy, which was learnt at `now`."""
+        self.covers_from = now + REWRITE_SECONDS
 
     def prove_by_watch(self, sent_at: float, wait: float, answered_at: float, empty: bool) -> None:
         """Record a finished watch."""
@@ -77,9 +97,13 @@
         """Return the seconds since the newest proof."""
         return now - self.proved_at
 
+    def compute_revocation_age(self, now: float) -> float:
+        """Return the seconds since the newest proof that covers revocations."""
+        return now - self.covered_at
+
     def is_fresh(self, now: float) -> bool:
         """Return whether any revocation older than the bound would be known."""
-        return self.compute_age(now) <= self.refusal_age
+        return self.compute_revocation_age(now) <= self.refusal_age
 
     @property
     def refusal_age(self) -> float:
@@ -102,13 +126,13 @@
 
         If it brings a change at its end, there is still time for another one.
         """
-        age = self.compute_age(now)
+        age = self.compute_revocation_age(now)
         longest = min(WAIT_MAX * (1 - WAIT_SPREAD * jitter), max(0.0, self.renewal_age))
         return max(self._choose_shortest_wait(age), min(longest, self.renewal_age - age))
 
     def choose_pause(self, now: float) -> float:
         """Return the seconds to wait before the next watch after one that brought a change."""
-        left = self._compute_time_left(self.compute_age(now)) - URGENT_WAIT_MIN
+        left = self._compute_time_left(self.compute_revocation_age(now)) - URGENT_WAIT_MIN
         return min(BATCH_DELAY, max(0.0, left))
 
     def _choose_shortest_wait(self, age: float) -> float:
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -246,7 +246,7 @@
                 'born': self._last_process.started_ms,
                 'seconds': round(seconds, 4),
                 'configuration_age': round(
-                    self._owner.registry_state.freshness.compute_age(clocks.now()), 3
+                    self._owner.registry_state.freshness.compute_revocation_age(clocks.now()), 3
                 ),
             },
         )
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -325,7 +325,7 @@
 
     def _refuse_unknown(self, status: int, reason: str, message: str) -> responses.Refusal:
         """Refuse for good only if no newer configuration can say otherwise."""
-        age = self._owner.registry_state.freshness.compute_age(clocks.now())
+        age = self._owner.registry_state.freshness.compute_revocation_age(clocks.now())
         if age > FINAL_REFUSAL_AGE_MAX:
             return _refuse_temporarily(f'{message}, by a configuration proved {age:.1f} s ago')
         return responses.Refusal(status, reason, message)
--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -181,6 +181,7 @@
         )
         self.on_return()
         self.catalogue.note_return(now)
+        self.freshness.note_return(now)
 
     def _apply_all(
         self,
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -161,7 +161,7 @@
         refuses = self.leaving or not self._registry_state.freshness.is_fresh(now)
         if refuses != self._refuses:
             self._refuses = refuses
-            age = round(self._registry_state.freshness.compute_age(now), 3)
+            age = round(self._registry_state.freshness.compute_revocation_age(now), 3)
             log.info('ready' if not refuses else 'not ready', extra={'configuration_age': age})
         self.membership.advance(
             now, self._registry_state.revision.number, 0, 0, refuses, self._meter.read(now)
--- a/passpier/tests/core/freshness_tests.py
+++ b/passpier/tests/core/freshness_tests.py
@@ -38,6 +38,18 @@
     assert not known.is_fresh(14.6)
 
 
+def test_proofs_cover_revocations_once_the_operator_has_written_them_again() -> None:
+    """Guards against keys that are accepted because the copy lacks their revocation."""
+    known = freshness.Freshness(5.0)
+    known.prove(10.0)
+    known.note_return(12.0)
+    known.prove(12.0 + freshness.REWRITE_SECONDS - 0.1)
+    assert known.compute_age(13.0) < 0.2
+    assert not known.is_fresh(14.6)
+    known.prove(12.0 + freshness.REWRITE_SECONDS)
+    assert known.is_fresh(14.6)
+
+
 @hypothesis.given(
     delays=st.lists(
         st.tuples(st.floats(0, 2), st.floats(0, 2), st.booleans()), min_size=1, max_size=12
--- a/passpier/tests/routing/registry_returns_tests.py
+++ b/passpier/tests/routing/registry_returns_tests.py
@@ -17,6 +17,10 @@
 STEPS = 400
 STEP_SECONDS = 0.05
 CATCH_UP_SECONDS = 6.0
+SHORT_KEY_BOUND = 2.0
+
+READS_PER_SECOND = 2000
+"""Reads a second that the platform grants all routers together."""
 
 pytestmark = pytest.mark.usefixtures('virtual_clock')
 
@@ -173,3 +177,66 @@
 
     for seed in range(6):
         fleets.run_fleet(8, seed, check)
+
+
+def test_a_revocation_that_the_registry_loses_is_known_or_keys_are_refused_in_time() -> None:
+    """Guards against a state that counts as fresh although the operator has yet to write again.
+
+    No process has seen the revocation; the registry is away again before it is written once more.
+    """
+
+    async def check(fleet: fleets.Fleet) -> None:
+        await asyncio.sleep(5.0)
+        for process in fleet.processes:
+            process.connection.cut = True
+        saved = fleet.registry.copy()
+        fleet.registry.put('configuration', b'2')
+        revoked_at = clocks.now()
+        await asyncio.sleep(0.3)
+        fleet.registry.restore(saved)
+        for process in fleet.processes:
+            process.connection.cut = False
+        await asyncio.sleep(0.7)
+        for process in fleet.processes:
+            process.connection.cut = True
+        fleet.registry.put('configuration', b'2')
+        while clocks.now() < revoked_at + 5.0:
+            await asyncio.sleep(STEP_SECONDS)
+            for process in fleet.processes:
+                late = clocks.now() > revoked_at + SHORT_KEY_BOUND
+                assert not (late and process.known.freshness.is_fresh(clocks.now()))
+        for process in fleet.processes:
+            process.connection.cut = False
+        await asyncio.sleep(3.0)
+        assert all(p.known.freshness.is_fresh(clocks.now()) for p in fleet.processes)
+
+    for seed in range(6):
+        fleets.run_fleet(8, seed, check, SHORT_KEY_BOUND)
+
+
+@pytest.mark.parametrize('size', [6, 100])
+def test_a_return_does_not_overload_the_registry(size: int) -> None:
+    """Guards against all processes reading at once what a few may read and pass on."""
+
+    async def check(fleet: fleets.Fleet) -> None:
+        await asyncio.sleep(5.0)
+        saved = fleet.registry.copy()
+        fleet.registry.put('configuration', b'2')
+        await asyncio.sleep(1.0)
+        for process in fleet.processes:
+            process.connection.cut = True
+        await asyncio.sleep(2.4)
+        fleet.registry.restore(saved)
+        for process in fleet.processes:
+            process.connection.cut = False
+        fleet.registry.put('configuration', b'2')
+        rates = []
+        for _ in range(10):
+            calls = fleet.registry.calls
+            await asyncio.sleep(1.0)
+            rates.append((fleet.registry.calls - calls) / 2)
+        assert max(rates) <= READS_PER_SECOND
+        assert rates[-1] <= 3 * 4
+        assert all(p.known.freshness.is_fresh(clocks.now()) for p in fleet.processes)
+
+    fleets.run_fleet(size, 1, check)
