--- a/passpier/standins/platform/metastore.py
+++ b/passpier/standins/platform/metastore.py
@@ -119,6 +119,23 @@
         self._next_lease = saved.next_lease
         self._notify()
 
+    def write_again(self, lost: Copy, returned: Copy, own_prefix: str) -> None:
+        """Write what a copy lacked, as its writers do after a return.
+
+        `lost` is the state before the return and `returned` that of the copy. Keys of the routers,
+        and those written since, stay as they are.
+        """
+        for key in sorted(lost.items.keys() | returned.items.keys()):
+            current, old, wanted = (i.get(key) for i in (self.items, returned.items, lost.items))
+            unchanged = _get_value(current) == _get_value(old)
+            if key.startswith(own_prefix) or not unchanged or _get_value(old) == _get_value(wanted):
+                continue
+            if wanted is None:
+                self.remove(key)
+            else:
+                self.revision += 1
+                self._write(key, wanted.value, wanted.lease)
+
     def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Execute a transaction; return the HTTP status and the response body."""
         self.expire()
@@ -215,6 +232,10 @@
         self._changed.clear()
 
 
+def _get_value(item: Item | None) -> str | None:
+    return item.value if item is not None else None
+
+
 class _Handler(tornado.web.RequestHandler):
     def initialize(self, store: MetaStore, faults: Faults) -> None:
         self.store = store
--- a/passpier/standins/platform/play.py
+++ b/passpier/standins/platform/play.py
@@ -19,7 +19,7 @@
 from passpier import clocks
 from passpier.clients import exchanges
 from passpier.platform import names
-from passpier.standins.platform import backpressure, deployment, invariants, replica
+from passpier.standins.platform import backpressure, deployment, invariants, replica, returns
 
 MEAN_FAULT_INTERVAL = 0.25
 """Mean seconds between the starts of two faults, which may overlap."""
@@ -65,7 +65,12 @@
     """One run with a seed."""
 
     def __init__(
-        self, running: deployment.Deployment, seed: int, rate: float, asks: bool = False
+        self,
+        running: deployment.Deployment,
+        seed: int,
+        rate: float,
+        asks: bool = False,
+        returns_from_copies: bool = False,
     ) -> None:
         self._running = running
         self._rng = random.Random(seed)
@@ -78,6 +83,8 @@
         self._backpressure = backpressure.BackpressureInjector(
             running, self, random.Random(f'signal {seed}')
         )
+        self._with_returns = returns_from_copies
+        self._returns = returns.ReturnInjector(running, self, random.Random(f'return {seed}'))
         self.report = Report(seed)
 
     def log_fault(self, what: str, seconds: float | None = None) -> None:
@@ -91,6 +98,8 @@
         series = [self._inject_faults(ends_at - SETTLE_SECONDS)]
         if self._with_signals:
             series.append(self._backpressure.run(ends_at))
+        if self._with_returns:
+            series.append(self._returns.run(ends_at - SETTLE_SECONDS))
         faults = asyncio.gather(*series)
         pending: set[asyncio.Task[None]] = set()
         number = 0
@@ -243,20 +252,34 @@
 
 
 async def play(
-    seed: int, seconds: float, rate: float, routers: int = 3, asks: bool = False
+    seed: int,
+    seconds: float,
+    rate: float,
+    routers: int = 3,
+    asks: bool = False,
+    returns_from_copies: bool = False,
 ) -> Report:
-    """Run one seed on a new deployment; with `asks` replicas send backpressure signals."""
+    """Run one seed on a new deployment.
+
+    With `asks` replicas send backpressure signals, with `returns_from_copies` the store returns
+    from older copies.
+    """
     async with deployment.running(routers) as running:
-        return await FaultRun(running, seed, rate, asks).run(seconds)
+        return await FaultRun(running, seed, rate, asks, returns_from_copies).run(seconds)
 
 
 def main(
-    seed: int = 1, count: int = 1, seconds: float = 8.0, rate: float = 60.0, asks: bool = False
+    seed: int = 1,
+    count: int = 1,
+    seconds: float = 8.0,
+    rate: float = 60.0,
+    asks: bool = False,
+    returns: bool = False,
 ) -> None:
     """Run `count` seeds from `seed` on, `rate` requests a second; exit with 1 on a violation."""
     broken = 0
     for number in range(seed, seed + count):
-        report = asyncio.run(play(number, seconds, rate, asks=asks))
+        report = asyncio.run(play(number, seconds, rate, 3, asks, returns))
         broken += bool(report.violations)
         print(report.render(), flush=True)
     sys.exit(1 if broken else 0)
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -31,6 +31,7 @@
     invariants,
     replica,
     restarts,
+    returns,
     routers,
     stops,
 )
@@ -67,6 +68,9 @@
     asks: bool = False
     """Whether replicas send backpressure signals in their responses."""
 
+    returns: bool = False
+    """Whether the store returns from older copies."""
+
 
 @dataclasses.dataclass(slots=True)
 class Report:
@@ -118,6 +122,9 @@
         self._backpressure = backpressure.BackpressureInjector(
             self._deployment, self._faults, random.Random(f'signal {seed}')
         )
+        self._returns = returns.ReturnInjector(
+            self._deployment, self._faults, random.Random(f'return {seed}')
+        )
         self.report = Report(seed)
 
     async def run(self) -> Report:
@@ -213,6 +220,8 @@
             series += [self._restarts.run(ends_at), self._foreign_entries.run(ends_at)]
         if self._plan.asks:
             series.append(self._backpressure.run(ends_at))
+        if self._plan.returns:
+            series.append(self._returns.run(ends_at))
         stalls = asyncio.ensure_future(self._log_stalls())
         faults = asyncio.gather(self._rollouts.run(ends_at), *series)
         await self._clients.run(ends_at, self._plan.rate)
@@ -291,13 +300,14 @@
     planned: bool = False,
     lives: bool = False,
     asks: bool = False,
+    returns: bool = False,
 ) -> None:
     """Run `count` seeds from `seed` on; exit with 1 after a violation."""
     # The injected faults break connections, and tornado would log each of them.
     logging.disable(logging.CRITICAL)
     broken = 0
     for number in range(seed, seed + count):
-        plan = Plan(number, seconds, routers, rate, planned, lives, asks)
+        plan = Plan(number, seconds, routers, rate, planned, lives, asks, returns)
         report = asyncio.run(soak(plan, logs))
         broken += bool(report.violations)
         print(report.render(), flush=True)
