--- a/passpier/tests/platform/play_tests.py
+++ b/passpier/tests/platform/play_tests.py
@@ -26,6 +26,13 @@
     assert report.violations == []
 
 
+@pytest.mark.parametrize('seed', [1, 2, 121])
+def test_returns_of_the_store_violate_no_guarantee(seed: int) -> None:
+    report = asyncio.run(play.play(seed, SIGNALS_SECONDS, 60.0, returns_from_copies=True))
+    assert report.violations == []
+    assert any('returns' in text for text in report.faults)
+
+
 def test_router_that_repeats_non_idempotent_requests_is_detected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -83,6 +83,11 @@
     assert report.backpressure_violations == [], report.render()
 
 
+def test_returns_of_the_store_violate_no_guarantee() -> None:
+    report = asyncio.run(soak.soak(soak.Plan(1, SECONDS, returns=True), f'{LOGS}/returns'))
+    assert report.violations == [], report.render()
+
+
 def make_request(id: str, kind: str, status: int, body: bytes = b'') -> invariants.RequestOutcome:
     return invariants.RequestOutcome(id, kind, 'k', 10.0, status, body, 0.1, id)
 
