Roster: processes whose leases expire together register again within the registry's rate

What operators would see: after a return of the registry from an older copy, or after an outage in which leases ran out, 420 routers write a lease and an entry each in the same second: 840 writes of 400 that are granted; refused ones are tried again and paid. Now each waits for a drawn time, 50 new entries a second over all. With six routers the wait is at most 0.12 s.

--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -38,6 +38,10 @@
 RETRY_DELAY = 0.5
 """Seconds before a failed call to the registry is retried."""
 
+REGISTRATIONS_PER_SECOND = 50
+"""New entries per second of all processes together after their leases have expired at once, as when
+the registry returns from an older copy; each is two of the writes per second that it grants."""
+
 _KEY = 'members/'
 
 
@@ -77,8 +81,10 @@
             try:
                 await self._register(source)
             except registry.LeaseExpiredError:
-                log.warning('own entry expired')
+                pause = self._choose_registration_pause()
+                log.warning('own entry expired', extra={'pause': round(pause, 3)})
                 self._lease = None
+                await asyncio.sleep(pause)
                 continue
             except exceptions.StoreError as error:
                 log.info('registration failed, will be retried', extra={'error': str(error)})
@@ -172,6 +178,11 @@
         addresses = [m.peer for m in targets]
         self._peers.send_all(addresses, heartbeat)
 
+    def _choose_registration_pause(self) -> float:
+        """Return the seconds to wait before the own entry is written again."""
+        alive = self.membership.list_alive(clocks.now())
+        return self._rng.uniform(0.0, len(alive) / REGISTRATIONS_PER_SECOND)
+
     async def _register(self, source: registry.Registry) -> None:
         if self._lease is not None:
             await source.renew(self._lease)
