--- a/passpier/standins/platform/returns.py
+++ b/passpier/standins/platform/returns.py
@@ -28,6 +28,14 @@
 routers allow a second for."""
 
 
+BURST_SIZE_MAX = 40
+"""Maximum number of configuration changes in quick succession that a return loses: until as many
+have followed, revisions are given out that the routers know."""
+
+SEEN_SECONDS = 0.3
+"""Seconds in which the routers see these changes."""
+
+
 class FaultLog(Protocol):
     """Records the faults of a run."""
 
@@ -62,8 +70,10 @@
             await asyncio.sleep(COPY_INTERVAL)
 
     async def _return(self) -> None:
-        number = self._rng.randrange(len(self._copies))
-        saved = self._copies[number]
+        saved = self._rng.choice(self._copies)
+        for _ in range(self._rng.randint(0, BURST_SIZE_MAX)):
+            self._running.configure()
+        await asyncio.sleep(SEEN_SECONDS)
         away = self._rng.uniform(*AWAY_SECONDS)
         pause = self._rng.uniform(*REWRITE_SECONDS)
         store = self._running.store
