Registry: a configuration that the copy lacks altogether is told to peers as well

Found by reading: a copy from before the first configuration removes its record, and routers that ask later weren't told the one in force.

--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -343,6 +343,8 @@
         self._history.note(registry.Item(key, b'', revision, removed=True))
         self._note_change(key, revision)
         self._members.pop(key, None)
+        if key == self.records.configuration_key:
+            self._is_configuration_lost = True
         if key.startswith(self.records.replica_prefix):
             id = key.removeprefix(self.records.replica_prefix)
             left = None if awaited is None else awaited.get(id, 0.0)
--- a/passpier/tests/routing/registry_mirror_tests.py
+++ b/passpier/tests/routing/registry_mirror_tests.py
@@ -62,3 +62,31 @@
     state.apply_listing(registry.Listing((CONFIGURATION,), fleets.at(80), NOW), NOW)
     state.apply_listing(registry.Listing((CONFIGURATION, READY), fleets.at(100), NOW), NOW)
     assert 'r1' in state.pools.replicas
+
+
+def test_a_configuration_that_the_copy_lacks_stays_in_force_and_is_told_to_peers() -> None:
+    """Guards against a return to a copy from before the first configuration."""
+    state = make_state()
+    state.apply_listing(registry.Listing((CONFIGURATION, READY), fleets.at(95), NOW), NOW)
+    assert state.export_lost_configuration(0) is None
+    returned = registry.Revision(fleets.TIMELINE + 1, 5)
+    state.apply_listing(registry.Listing((), returned, NOW + 1.0), NOW + 1.0)
+    assert state.is_ready()
+    assert state.export_lost_configuration(0) == CONFIGURATION
+
+
+def test_what_is_read_in_an_earlier_timeline_changes_and_proves_nothing() -> None:
+    """Guards against listings and watches answered before a return and arrive after it."""
+    state = make_state()
+    state.apply_listing(registry.Listing((CONFIGURATION, READY), fleets.at(95), NOW), NOW)
+    returned = registry.Revision(fleets.TIMELINE + 1, 90)
+    state.apply_listing(registry.Listing((CONFIGURATION,), returned, NOW + 1.0), NOW + 1.0)
+    state.expire(NOW + 10.0)
+    late = registry.Listing((CONFIGURATION, READY), fleets.at(99), NOW + 20.0)
+    state.apply_listing(late, NOW + 20.0)
+    watched = registry.Changes((DRAINING,), fleets.at(103), NOW + 20.0, NOW + 20.1)
+    state.apply_watch(watched, 0.1, NOW + 20.1)
+    assert not state.apply_freshness(fleets.at(95), NOW + 20.0)
+    assert state.revision == returned
+    assert 'r1' not in state.pools.replicas
+    assert state.freshness.proved_at == NOW + 1.0
