Platform names out of the core code; two tests age the proof that counts for keys

The layout test: fencing_token and expected_revision are names of the platform; the property is Revision.token, the log field conditions. single_requests_tests: two tests made keys stale by aging proved_at; since proofs may not cover revocations, keys go by covered_at, so that one failed and the other one no longer tested what it says. Both now age covered_at, with the same checks.

--- a/passpier/clients/registry.py
+++ b/passpier/clients/registry.py
@@ -30,8 +30,8 @@
     number: int
 
     @property
-    def fencing_token(self) -> int:
-        """A positive integer that increases with the revision."""
+    def token(self) -> int:
+        """A fencing token: a positive integer that increases with the revision."""
         return (self.timeline << FENCING_NUMBER_BITS) | self.number
 
     def __str__(self) -> str:
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -147,14 +147,14 @@
         try:
             revision = await self._source.write(puts, conditions)
         except exceptions.ConflictError:
-            expected = {c.key: str(c.revision) for c in conditions}
-            log.info('election lost', extra={'expected_revisions': expected})
+            revisions = {c.key: str(c.revision) for c in conditions}
+            log.info('election lost', extra={'conditions': revisions})
             await self._source.end(lease)
             return
         # The conditions held, so the item names the election just before this one.
         self._lease = lease
-        token = revision.fencing_token
-        self.holder.elect(token, sent_at, clocks.now(), previous.fencing_token)
+        token = revision.token
+        self.holder.elect(token, sent_at, clocks.now(), previous.token)
         self._wake.set()
         wait = round(max(0.0, self.holder.may_order_from - clocks.now()), 3)
         fields = {'token': token, 'revision': str(revision), 'lease': lease.id, 'wait': wait}
--- a/passpier/tests/platform/single_requests_tests.py
+++ b/passpier/tests/platform/single_requests_tests.py
@@ -265,7 +265,7 @@
         while not running.list_runs('one'):
             await asyncio.sleep(0.001)
         # From here on keys may have been revoked, so the stream must not be resumed elsewhere.
-        freshness.proved_at = float('-inf')
+        freshness.covered_at = float('-inf')
         with pytest.raises(Exception, match='ended|closed|peer'):
             await pending
         assert len(running.list_runs('one')) == 1
@@ -285,7 +285,7 @@
         running.faults.down = True
         while not running.list_runs('one'):
             await asyncio.sleep(0.001)
-        freshness.proved_at = float('-inf')
+        freshness.covered_at = float('-inf')
         assert (await pending).status == 502
 
     harness.run_check(check)
--- a/passpier/tests/platform/store_tests.py
+++ b/passpier/tests/platform/store_tests.py
@@ -137,5 +137,5 @@
 
 def test_fencing_tokens_rise_with_the_timeline() -> None:
     earlier = registry.Revision(1, 2**39)
-    assert earlier.fencing_token < registry.Revision(2, 1).fencing_token < 2**53
-    assert registry.Revision(0, 41).fencing_token == 41
+    assert earlier.token < registry.Revision(2, 1).token < 2**53
+    assert registry.Revision(0, 41).token == 41
