Soak: the final check of weights leaves out replicas that have said that they leave

The check goes by what the current process has sent, so that a replica that says nothing, or has started again since, counts as before.

--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -218,6 +218,11 @@
         self.server = Server(build_application(self))
         self.server.add_sockets(sockets)
 
+    @property
+    def has_announced_leaving(self) -> bool:
+        """Whether the current process has said in a response that it is leaving."""
+        return any(s.leaving and s.process_number == self.process_number for s in self.signals)
+
     def crash(self) -> None:
         """End the current process: reset its connections and discard its state."""
         self.process_number += 1
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -270,6 +270,7 @@
             for r in self._deployment.replicas.values()
             if r.model
             and r.state == 'ready'
+            and not r.has_announced_leaving
             and self._deployment.has_entry(r.id)
             and r.version < self._targets.version
         ]
--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -98,6 +98,20 @@
     return stand_in
 
 
+def test_a_replica_has_announced_leaving_until_its_process_ends() -> None:
+    """Guards against waiting for weights at a replica that no router may order any more."""
+    leaving = make_replica()
+    assert not leaving.has_announced_leaving
+    leaving.signals.append(replica.BackpressureSignal('a', 1.0, leaving.process_number, 2.0))
+    assert not leaving.has_announced_leaving
+    leaving.signals.append(
+        replica.BackpressureSignal('b', 2.0, leaving.process_number, leaving=True)
+    )
+    assert leaving.has_announced_leaving
+    leaving.process_number += 1
+    assert not leaving.has_announced_leaving
+
+
 @pytest.mark.parametrize(
     ('client_request', 'runs', 'found'),
     [
