Streams: a slow one stays with its replica until another one takes it

What callers saw: a resumable stream ended in the middle with 1.7 s left, although the replica that ran it was alive. Cause: it was taken from its replica when the other one had said nothing for 0.1 s. A refusal that came later found no retry left, since the move had spent the last one, and the stream was cut. Why it works: for 0.25 s both replicas may send the next event, and the one that does keeps the stream. A second retry is reserved for the return before anything is moved. If neither has sent anything, the stream is taken from its replica only if that one takes new requests, so that it can return there. Two replicas run it for 0.25 s at most, of 0.4 s that the platform tolerates.

--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -166,15 +166,19 @@
         """Wait for the response's status and headers."""
         return await asyncio.shield(self._head)
 
-    async def read(self) -> bytes | None:
-        """Return the next part of the body, or none at the end."""
-        while not self._parts:
+    async def wait_readable(self) -> None:
+        """Wait until `read` returns at once; raises `ExchangeError` if the response is cut off."""
+        while not self._parts and not self._ended:
             if self._error is not None:
                 raise self._error
-            if self._ended:
-                return None
             self._progress.clear()
             await self._progress.wait()
+
+    async def read(self) -> bytes | None:
+        """Return the next part of the body, or none at the end."""
+        await self.wait_readable()
+        if not self._parts:
+            return None
         part = self._parts.popleft()
         self._buffered -= len(part)
         self._drained.set()
--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import random
 
 import msgspec
@@ -85,6 +86,16 @@
         self._spent.append(now)
         return True
 
+    def refund(self, taken_at: float) -> None:
+        """Return a retry that was taken at that time and not used."""
+        with contextlib.suppress(ValueError):
+            self._spent.remove(taken_at)
+
+    def postpone(self, taken_at: float, now: float) -> None:
+        """Count a retry that was taken at one time as taken now, when it is used."""
+        self.refund(taken_at)
+        self._spent.append(now)
+
     def has_any(self, now: float, daemons: int) -> bool:
         """Return whether a retry is left; `daemons` is the number that share the slack."""
         self._forget(now)
@@ -95,3 +106,39 @@
         for times in (self._requests, self._spent):
             while times and times[0] <= now - self._window:
                 times.popleft()
+
+
+class RequestRetries:
+    """The retries of one request, of which one can be reserved for later."""
+
+    def __init__(self, budget: SharedBudget) -> None:
+        self._budget = budget
+        self._reserved_at: float | None = None
+
+    def spend(self, now: float, daemons: int) -> bool:
+        """Use the reserved retry, or else take one; return false if none is left."""
+        if self._reserved_at is None:
+            return self._budget.spend(now, daemons)
+        self._budget.postpone(self._reserved_at, now)
+        self._reserved_at = None
+        return True
+
+    def spend_and_reserve(self, now: float, daemons: int) -> bool:
+        """Take a retry, and another one for later; return false, with none taken, if one is left.
+
+        The other one counts as taken until `release` is called.
+        """
+        self.release()
+        if not self._budget.spend(now, daemons):
+            return False
+        if not self._budget.spend(now, daemons):
+            self._budget.refund(now)
+            return False
+        self._reserved_at = now
+        return True
+
+    def release(self) -> None:
+        """Return the reserved retry, if there is one."""
+        if self._reserved_at is not None:
+            self._budget.refund(self._reserved_at)
+            self._reserved_at = None
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -50,9 +50,12 @@
 EVENT_GAP_FACTOR = 2.0
 """The same, as a multiple of the longest gap that the route allows."""
 
-REFUSAL_SECONDS = 0.1
-"""Seconds in which a replica is connected to, and in which it refuses a stream that it won't
-continue. The replica that runs the stream keeps it until then; two must not run it for long."""
+MOVE_CONNECT_SECONDS = 0.1
+"""Seconds in which another replica has to be connected to if it is to continue a slow stream."""
+
+OVERLAP_SECONDS = 0.25
+"""Seconds for which the replica that runs a slow stream keeps it while another one may be running
+it already. The platform tolerates 0.4 s, of which the rest is for the way to the replicas."""
 
 RETRY_AFTER = 0.25
 """Seconds after which a refused client should retry, where nothing better is known."""
@@ -145,7 +148,9 @@
         """Whether the current attempt has reached an upstream."""
 
         self._moved: sent_attempts.Attempt | None = None
-        """The next attempt, if another replica has taken the stream from the current one."""
+        """The next attempt, if another replica is to continue the stream of the current one."""
+
+        self._retries = retries.RequestRetries(owner.get_budget(self._service))
 
         client_request = admitted.client_request
         self._charge = rate_limiting.Charge(
@@ -210,6 +215,7 @@
                 self._moved.cleanup.close()
             if not self.sent:
                 self._charge.refund()
+            self._retries.release()
             self._log_end(clocks.now() - started)
 
     async def _answer(self) -> None:
@@ -389,6 +395,7 @@
         placement = attempt.placement
         reader = attempt.reader
         head = attempt.head or await self._owner.heads.read(attempt, self._choose_head_wait())
+        self._retries.release()
         if self._call.job.chain:
             self._owner.sharing.record_placement(placement.replica, self._call.job)
         if self._admitted.route.kind.is_stream:
@@ -438,28 +445,32 @@
             except response_reader.StalledError:
                 if wait == left:
                     raise
-                self._moved = await self._move_stream()
+                self._moved = await self._move_stream(reader)
                 if self._moved is not None:
                     raise
 
-    async def _move_stream(self) -> sent_attempts.Attempt | None:
+    async def _move_stream(
+        self, current: response_reader.ResponseReader
+    ) -> sent_attempts.Attempt | None:
         """Have another replica continue a slow stream; return the attempt, unless none can.
 
-        The current replica runs the stream until the other one has had time to refuse it, so that a
-        stream that is refused goes on where it is.
+        The current replica runs the stream meanwhile, so that it goes on where it is if the other
+        one refuses it or is slower.
         """
         detail = 'no other replica available'
         placement = await self._place_move()
         if placement is not None:
             try:
-                return await self._try_replica(placement)
+                return await self._try_replica(placement, current)
             except response_reader.AttemptError as error:
                 detail = str(error)
-                # The time to connect is too short here to count against the replica.
-                if error.fault not in attempts.NOT_RUN_FAULTS:
+                # The times are too short here for a slow response to count against the replica.
+                stalled = isinstance(error, response_reader.StalledError)
+                if error.fault not in attempts.NOT_RUN_FAULTS and not stalled:
                     self._owner.pools.note_failure(placement.replica.process)
             except _UnverifiedKeyError:
                 detail = 'keys may have changed'
+            self._retries.release()
         log.info(
             'slow stream not moved',
             extra={
@@ -488,23 +499,24 @@
             self._charge.mark_spent()
             if await self._charge.acquire(self.ends_at - clocks.now()):
                 return None
-            if not self._spend_retry(clocks.now()):
+            # A replica may refuse the stream after it was taken from the current one.
+            if not self._retries.spend_and_reserve(clocks.now(), self._owner.budget_sharers):
                 self._charge.refund()
                 return None
             cleanup.pop_all()
         return placement
 
-    async def _try_replica(self, placement: dispatcher.Placement) -> sent_attempts.Attempt:
-        """Send a slow stream to another replica; raises `AttemptError` unless that one takes it."""
+    async def _try_replica(
+        self, placement: dispatcher.Placement, current: response_reader.ResponseReader
+    ) -> sent_attempts.Attempt:
+        """Send a slow stream to another replica; raises `AttemptError` if it stays where it is."""
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._owner.dispatcher.end, placement)
             judgement = self._owner.suspects.assess(self._admitted.fingerprint)
             try:
-                attempt = await self._open(placement, judgement, cleanup, REFUSAL_SECONDS)
+                attempt = await self._open(placement, judgement, cleanup, MOVE_CONNECT_SECONDS)
                 cleanup.push(attempt.cleanup)
-                with contextlib.suppress(response_reader.StalledError):
-                    wait = min(REFUSAL_SECONDS, self.ends_at - clocks.now())
-                    await self._owner.heads.read(attempt, wait)
+                await self._await_takeover(attempt, current)
             except response_reader.AttemptError as error:
                 if error.fault in attempts.NOT_RUN_FAULTS:
                     self._charge.refund()
@@ -514,6 +526,35 @@
             cleanup.pop_all()
         return attempt
 
+    async def _await_takeover(
+        self, attempt: sent_attempts.Attempt, current: response_reader.ResponseReader
+    ) -> None:
+        """Wait until a replica continues a slow stream; raises `StalledError` if it stays.
+
+        Without a sign of either replica, it is taken from the current one only if it could return
+        there.
+        """
+        wait = min(OVERLAP_SECONDS, self.ends_at - clocks.now())
+        takeover = await self._owner.heads.await_takeover(attempt, current, wait)
+        can_return = self._owner.dispatcher.accepts(self._call, self.upstream)
+        log.info(
+            'slow stream offered',
+            extra={
+                'request': self.id,
+                'upstream': self.upstream,
+                'other': attempt.process.id,
+                'result': takeover.value,
+                'can_return': can_return,
+                'seconds': round(clocks.now() - attempt.sent_at, 3),
+                'time_left': round(self.ends_at - clocks.now(), 3),
+            },
+        )
+        fault = attempts.Fault.NO_ANSWER
+        if takeover is sent_attempts.Takeover.OVERTAKEN:
+            raise response_reader.StalledError(fault, 'its replica was first to continue it')
+        if takeover is sent_attempts.Takeover.UNDECIDED and not can_return:
+            raise response_reader.StalledError(fault, 'not taken in time, and could not return')
+
     async def _send_response(self, response: exchanges.Response) -> None:
         """Send an upstream's complete response to the client."""
         self._call.progress.completed = True
@@ -598,8 +639,7 @@
         await self._respond_directly(503, 'suspected', judgement.reason, judgement.retry_after)
 
     def _spend_retry(self, now: float) -> bool:
-        budget = self._owner.get_budget(self._service)
-        return budget.spend(now, self._owner.budget_sharers)
+        return self._retries.spend(now, self._owner.budget_sharers)
 
     async def _respond_failure(self, error: response_reader.AttemptError) -> None:
         """Send the final response of a request whose attempts have all failed."""
--- a/passpier/routing/response_reader.py
+++ b/passpier/routing/response_reader.py
@@ -75,6 +75,14 @@
         """Return the next part of the body, or none at its end; raises `AttemptError`."""
         return await self._read_while_alive(self._exchange.read, wait, attempts.Fault.INTERRUPTED)
 
+    async def wait_for_more(self) -> bool:
+        """Wait until there is more of the body, or its end; return false if it is cut off."""
+        try:
+            await self._exchange.wait_readable()
+        except exchanges.ExchangeError:
+            return False
+        return True
+
     async def read_whole(self) -> exchanges.Response:
         """Return the complete response, before the client's deadline."""
         whole = asyncio.ensure_future(self._exchange.read_all(WHOLE_MAX))
--- a/passpier/routing/sent_attempts.py
+++ b/passpier/routing/sent_attempts.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import dataclasses
+import enum
 
 from passpier import clocks
 from passpier.clients import exchanges
@@ -12,6 +14,19 @@
 from passpier.routing import dialect, pools, probing, response_reader
 
 
+class Takeover(enum.Enum):
+    """What became of an attempt that is to continue the stream of another one."""
+
+    TAKEN = 'taken'
+    """Its replica runs it, or the other replica has broken off the stream."""
+
+    OVERTAKEN = 'overtaken'
+    """The other replica has continued the stream first."""
+
+    UNDECIDED = 'undecided'
+    """Neither replica has sent anything."""
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """An attempt and its response, as far as that has been read."""
@@ -54,6 +69,29 @@
         attempt.head = head
         return head
 
+    async def await_takeover(
+        self, attempt: Attempt, current: response_reader.ResponseReader, wait: float
+    ) -> Takeover:
+        """Return which of two replicas is first to continue a stream within `wait` seconds.
+
+        Raises `AttemptError` if the replica of `attempt` refuses the stream or fails.
+        """
+        head = asyncio.ensure_future(self.read(attempt, wait))
+        more = asyncio.ensure_future(current.wait_for_more())
+        try:
+            await asyncio.wait([head, more], return_when=asyncio.FIRST_COMPLETED)
+            if head.done():
+                await head
+            elif await more:
+                return Takeover.OVERTAKEN
+            return Takeover.TAKEN
+        except response_reader.StalledError:
+            return Takeover.UNDECIDED
+        finally:
+            head.cancel()
+            more.cancel()
+            await asyncio.gather(head, more, return_exceptions=True)
+
     def _apply(self, head: exchanges.Head, attempt: Attempt) -> dialect.Verdict:
         """Classify the head of a response and apply what it reports; raise if it is no result."""
         verdict = self._wire.classify_response(head)
--- a/passpier/tests/core/retries_tests.py
+++ b/passpier/tests/core/retries_tests.py
@@ -38,3 +38,27 @@
         budget.note_request(n / 100)
     granted = sum(budget.spend(1.0, 1) for _ in range(100))
     assert granted == int((RATIO * 100 + SLACK) * retries.BUDGET_SAFETY_FACTOR)
+
+
+def test_a_reserved_retry_is_taken_from_others_until_it_is_released() -> None:
+    budget = retries.SharedBudget(0.0, 3.0 / retries.BUDGET_SAFETY_FACTOR, WINDOW)
+    one = retries.RequestRetries(budget)
+    assert one.spend_and_reserve(1.0, 1)
+    other = retries.RequestRetries(budget)
+    assert not other.spend_and_reserve(1.0, 1)
+    one.release()
+    assert other.spend_and_reserve(1.0, 1)
+
+
+def test_a_reserved_retry_counts_in_the_window_in_which_it_is_used() -> None:
+    budget = retries.SharedBudget(0.0, 2.0 / retries.BUDGET_SAFETY_FACTOR, WINDOW)
+    one = retries.RequestRetries(budget)
+    assert one.spend_and_reserve(1.0, 1)
+    assert one.spend(9.0, 1)
+    assert [budget.spend(at, 1) for at in (10.0, 11.5, 12.0)] == [False, True, False]
+
+
+def test_reserving_takes_nothing_if_only_one_retry_is_left() -> None:
+    budget = retries.SharedBudget(0.0, 1.0 / retries.BUDGET_SAFETY_FACTOR, WINDOW)
+    assert not retries.RequestRetries(budget).spend_and_reserve(1.0, 1)
+    assert budget.spend(1.0, 1)
--- a/passpier/tests/platform/moved_streams_tests.py
+++ b/passpier/tests/platform/moved_streams_tests.py
@@ -15,6 +15,9 @@
 
 PATIENCE_MS = 9000
 
+ONE_RETRY_SLACK = 1.3
+"""Slack of a retry budget that covers one retry, of which a safety margin is taken off."""
+
 
 def get_models(running: deployment.Deployment) -> list[replica.Replica]:
     """Return the model replicas, which serve streams; the one that has run a request first."""
@@ -117,6 +120,104 @@
     harness.run_check(check)
 
 
+@pytest.mark.parametrize(
+    ('seconds', 'arrivals'), [(0.05, [1, 1]), (0.15, [1, 1]), (0.5, [2, 1]), (1.0, [2, 1])]
+)
+def test_slow_stream_is_whole_however_late_it_is_refused(
+    seconds: float, arrivals: list[int]
+) -> None:
+    """The other replica refuses after a delay, as over a long way or with a busy machine.
+
+    A stream is not taken from its replica before a refusal that is only a little late.
+    """
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=1.4)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.faults.late_refusal = seconds
+        check_events(await pending)
+        assert count_arrivals([first, other]) == arrivals
+
+    harness.run_check(check)
+
+
+def test_slow_stream_without_a_retry_for_its_return_goes_on_where_it_is() -> None:
+    """Guards against a move that spends the last retry, after which a late refusal cuts it."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=1.3)
+        running.routers[0].forwarder.get_budget('llm').configure(0.0, ONE_RETRY_SLACK, 10.0)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.faults.late_refusal = 0.5
+        check_events(await pending)
+        assert count_arrivals([first, other]) == [1, 0]
+
+    harness.run_check(check)
+
+
+def test_slow_stream_that_could_not_return_stays_until_it_is_taken() -> None:
+    """Its replica takes no new request, so that a late refusal elsewhere would cut the stream."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=1.4)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.faults.late_refusal = 0.6
+        first.state = 'draining'
+        running.write_entry(first.id)
+        check_events(await pending)
+        assert count_arrivals([first, other]) == [1, 1]
+
+    harness.run_check(check)
+
+
+@pytest.mark.parametrize('seconds', [0.05, 0.15, 0.5, 1.0])
+def test_slow_stream_is_whole_however_late_it_is_taken(seconds: float) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=2.5)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.work_seconds = seconds
+        other.event_pause = 0.01
+        check_events(await pending)
+        assert (first.abandoned, other.finished) == (['one'], ['one'])
+
+    harness.run_check(check)
+
+
+def test_slow_stream_stays_if_its_replica_goes_on_before_the_other_one_takes_it() -> None:
+    """Guards against closing an attempt that has just sent its next event."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=1.15)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.work_seconds = 0.5
+        check_events(await pending)
+        assert (first.finished, other.abandoned) == (['one'], ['one'])
+
+    harness.run_check(check)
+
+
+def test_slow_stream_whose_replica_crashes_while_it_is_moved_continues_at_the_other_one() -> None:
+    """The other replica has not answered yet when the first one breaks off."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=2.5)
+        pending = await ask_stream(running)
+        first, other = get_models(running)
+        other.work_seconds = 0.5
+        other.event_pause = 0.01
+        await harness.wait_for(lambda: len(running.list_runs('one')) == 2)
+        running.crash_replica(first.id)
+        check_events(await pending)
+        assert count_arrivals([first, other]) == [1, 1]
+
+    harness.run_check(check)
+
+
 def test_interrupted_stream_that_is_refused_returns_to_its_first_replica() -> None:
     """The first replica resets the connection within an event; the other one is full."""
 
