Requests that may be repeated: a slow attempt goes on until another one responds

What callers saw: 502 after 0.4 of the client's time, where the retry budget was used up or no other replica took the request, although its replica would have answered in time. With a retry left, the attempt's work was lost. Cause: the same as with streams: the attempt was closed before it was known whether another one could follow. Evidence: test_slow_request_without_a_retry_goes_on_where_it_is got 502, and test_slow_request_that_is_refused_elsewhere_goes_on_where_it_is two runs at the first replica, on the code before. Why it works: such requests move like streams, by _move. The retry for the return is taken only when neither replica has responded after 0.25 s, so that a move that is decided at once needs one retry, as before. A crash of the slow replica during the move is noted as one. Tests: the request that returned to its first replica after an immediate refusal now goes on there, with one run instead of two; the return is tested with a late refusal.

--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -162,12 +162,23 @@
         """Keep other requests off connections that may be as unresponsive as this one."""
         self._connection.note_unresponsive()
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the response has failed and all of it that arrived has been read."""
+        return self._error is not None and not self._parts
+
     async def read_head(self) -> Head:
         """Wait for the response's status and headers."""
         return await asyncio.shield(self._head)
 
-    async def wait_readable(self) -> None:
-        """Wait until `read` returns at once; raises `ExchangeError` if the response is cut off."""
+    async def wait_for_more(self) -> None:
+        """Wait until there is more to read, or nothing will follow; raises `ExchangeError`."""
+        if not self._head.done():
+            await self.read_head()
+        else:
+            await self._wait_readable()
+
+    async def _wait_readable(self) -> None:
         while not self._parts and not self._ended:
             if self._error is not None:
                 raise self._error
@@ -176,7 +187,7 @@
 
     async def read(self) -> bytes | None:
         """Return the next part of the body, or none at the end."""
-        await self.wait_readable()
+        await self._wait_readable()
         if not self._parts:
             return None
         part = self._parts.popleft()
--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -123,19 +123,14 @@
         self._reserved_at = None
         return True
 
-    def spend_and_reserve(self, now: float, daemons: int) -> bool:
-        """Take a retry, and another one for later; return false, with none taken, if one is left.
+    def reserve(self, now: float, daemons: int) -> bool:
+        """Take a retry for later; return false if none is left.
 
-        The other one counts as taken until `release` is called.
+        It counts as taken until `release` is called.
         """
-        self.release()
-        if not self._budget.spend(now, daemons):
-            return False
-        if not self._budget.spend(now, daemons):
-            self._budget.refund(now)
-            return False
-        self._reserved_at = now
-        return True
+        if self._reserved_at is None and self._budget.spend(now, daemons):
+            self._reserved_at = now
+        return self._reserved_at is not None
 
     def release(self) -> None:
         """Return the reserved retry, if there is one."""
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -1,4 +1,4 @@
-"""Forwards requests to upstreams and responses to clients, with retries and moves of streams."""
+"""Forwards requests to upstreams and responses to clients, with retries and moves."""
 
 from __future__ import annotations
 
@@ -42,7 +42,8 @@
 """Connections tried for one attempt; nothing reaches an upstream before one is established."""
 
 ATTEMPT_SHARE = 0.4
-"""Fraction of the time left that an attempt may take until its head, if another may follow."""
+"""Fraction of the time left after which a request without a response may be moved to another
+replica."""
 
 EVENT_GAP_MIN = 1.0
 """Minimum gap between events, in seconds, after which a stream may be moved to another replica."""
@@ -51,10 +52,10 @@
 """The same, as a multiple of the longest gap that the route allows."""
 
 MOVE_CONNECT_SECONDS = 0.1
-"""Seconds in which another replica has to be connected to if it is to continue a slow stream."""
+"""Seconds in which another replica has to be connected to if a slow request is moved to it."""
 
 OVERLAP_SECONDS = 0.25
-"""Seconds for which the replica that runs a slow stream keeps it while another one may be running
+"""Seconds for which the replica that runs a slow request keeps it while another one may be running
 it already. The platform tolerates 0.4 s, of which the rest is for the way to the replicas."""
 
 RETRY_AFTER = 0.25
@@ -148,7 +149,7 @@
         """Whether the current attempt has reached an upstream."""
 
         self._moved: sent_attempts.Attempt | None = None
-        """The next attempt, if another replica is to continue the stream of the current one."""
+        """The next attempt, if another replica is to take over from the current one."""
 
         self._retries = retries.RequestRetries(owner.get_budget(self._service))
 
@@ -394,7 +395,7 @@
     async def _relay_response(self, attempt: sent_attempts.Attempt) -> None:
         placement = attempt.placement
         reader = attempt.reader
-        head = attempt.head or await self._owner.heads.read(attempt, self._choose_head_wait())
+        head = attempt.head or await self._read_head(attempt)
         self._retries.release()
         if self._call.job.chain:
             self._owner.sharing.record_placement(placement.replica, self._call.job)
@@ -406,11 +407,23 @@
         self._owner.pools.note_success(placement.replica.process)
         self._owner.suspects.note_success(self._admitted.fingerprint)
 
-    def _choose_head_wait(self) -> float:
-        left = self._admitted.ends_at - clocks.now()
+    async def _read_head(self, attempt: sent_attempts.Attempt) -> exchanges.Head:
+        """Return the head of a result; raises `AttemptError`.
+
+        A request is taken from a slow replica only if another one can run it.
+        """
         progress = self._call.progress
-        may_follow = progress.repeatable and progress.may_reach_others
-        return left * ATTEMPT_SHARE if may_follow else left
+        while True:
+            left = self.ends_at - clocks.now()
+            may_move = progress.repeatable and progress.may_reach_others
+            can_move = may_move and left > OVERLAP_SECONDS
+            wait = left * ATTEMPT_SHARE if can_move else left
+            try:
+                return await self._owner.heads.read(attempt, wait)
+            except response_reader.StalledError as stall:
+                if not can_move:
+                    raise
+                await self._move(attempt.reader, stall)
 
     async def _relay_events(
         self, reader: response_reader.ResponseReader, head: exchanges.Head
@@ -442,26 +455,25 @@
             wait = min(left, gap) if can_move else left
             try:
                 return await reader.read_part(wait)
-            except response_reader.StalledError:
+            except response_reader.StalledError as stall:
                 if wait == left:
                     raise
-                self._moved = await self._move_stream(reader)
-                if self._moved is not None:
-                    raise
+                await self._move(reader, stall)
 
-    async def _move_stream(
-        self, current: response_reader.ResponseReader
-    ) -> sent_attempts.Attempt | None:
-        """Have another replica continue a slow stream; return the attempt, unless none can.
+    async def _move(
+        self, current: response_reader.ResponseReader, stall: response_reader.StalledError
+    ) -> None:
+        """Have another replica take over from a slow one, if one can.
 
-        The current replica runs the stream meanwhile, so that it goes on where it is if the other
-        one refuses it or is slower.
+        The slow one runs the request meanwhile, so that it goes on where it is if the other one
+        refuses it or is slower. Raises `stall` if the request has been moved, unless the slow one
+        has broken off: its next read tells how.
         """
         detail = 'no other replica available'
         placement = await self._place_move()
         if placement is not None:
             try:
-                return await self._try_replica(placement, current)
+                self._moved = await self._try_replica(placement, current)
             except response_reader.AttemptError as error:
                 detail = str(error)
                 # The times are too short here for a slow response to count against the replica.
@@ -470,9 +482,14 @@
                     self._owner.pools.note_failure(placement.replica.process)
             except _UnverifiedKeyError:
                 detail = 'keys may have changed'
-            self._retries.release()
+        if self._moved is None:
+            self._log_not_moved(placement, detail)
+        elif not current.is_cut_off:
+            raise stall
+
+    def _log_not_moved(self, placement: dispatcher.Placement | None, detail: str) -> None:
         log.info(
-            'slow stream not moved',
+            'slow request not moved',
             extra={
                 'request': self.id,
                 'upstream': self.upstream,
@@ -480,10 +497,9 @@
                 'detail': detail,
             },
         )
-        return None
 
     async def _place_move(self) -> dispatcher.Placement | None:
-        """Place the next attempt of a slow stream and pay for it, if that is possible at once."""
+        """Place the next attempt of a slow request and pay for it, if that is possible at once."""
         call = self._call
         if not call.progress.may_reach_others or not self._is_key_valid():
             return None
@@ -499,8 +515,7 @@
             self._charge.mark_spent()
             if await self._charge.acquire(self.ends_at - clocks.now()):
                 return None
-            # A replica may refuse the stream after it was taken from the current one.
-            if not self._retries.spend_and_reserve(clocks.now(), self._owner.budget_sharers):
+            if not self._spend_retry(clocks.now()):
                 self._charge.refund()
                 return None
             cleanup.pop_all()
@@ -509,7 +524,7 @@
     async def _try_replica(
         self, placement: dispatcher.Placement, current: response_reader.ResponseReader
     ) -> sent_attempts.Attempt:
-        """Send a slow stream to another replica; raises `AttemptError` if it stays where it is."""
+        """Send a slow request to another replica; raises `AttemptError` if it stays where it is."""
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._owner.dispatcher.end, placement)
             judgement = self._owner.suspects.assess(self._admitted.fingerprint)
@@ -529,16 +544,16 @@
     async def _await_takeover(
         self, attempt: sent_attempts.Attempt, current: response_reader.ResponseReader
     ) -> None:
-        """Wait until a replica continues a slow stream; raises `StalledError` if it stays.
+        """Wait until a replica responds to a slow request; raises `StalledError` if it stays.
 
-        Without a sign of either replica, it is taken from the current one only if it could return
-        there.
+        Without a response of either replica, it is taken from the current one only if it could
+        return there, also if no retry is left by then.
         """
         wait = min(OVERLAP_SECONDS, self.ends_at - clocks.now())
         takeover = await self._owner.heads.await_takeover(attempt, current, wait)
-        can_return = self._owner.dispatcher.accepts(self._call, self.upstream)
+        can_return = takeover is sent_attempts.Takeover.UNDECIDED and self._reserve_return()
         log.info(
-            'slow stream offered',
+            'slow request offered',
             extra={
                 'request': self.id,
                 'upstream': self.upstream,
@@ -551,10 +566,15 @@
         )
         fault = attempts.Fault.NO_ANSWER
         if takeover is sent_attempts.Takeover.OVERTAKEN:
-            raise response_reader.StalledError(fault, 'its replica was first to continue it')
+            raise response_reader.StalledError(fault, 'its replica was the first to respond')
         if takeover is sent_attempts.Takeover.UNDECIDED and not can_return:
             raise response_reader.StalledError(fault, 'not taken in time, and could not return')
 
+    def _reserve_return(self) -> bool:
+        """Reserve a retry for a return to the current replica, if that one takes requests."""
+        accepts = self._owner.dispatcher.accepts(self._call, self.upstream)
+        return accepts and self._retries.reserve(clocks.now(), self._owner.budget_sharers)
+
     async def _send_response(self, response: exchanges.Response) -> None:
         """Send an upstream's complete response to the client."""
         self._call.progress.completed = True
@@ -577,7 +597,7 @@
         has_budget = True
         if self._moved is not None:
             progress.may_have_run = True
-            step = attempts.Step.CONTINUE
+            step = attempts.Step.CONTINUE if progress.delivered else attempts.Step.RETRY
         elif error.fault is attempts.Fault.NOT_CONNECTED:
             self._failed_connects += 1
             if has_time and self._failed_connects < CONNECT_TRIES:
--- a/passpier/routing/response_reader.py
+++ b/passpier/routing/response_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -75,13 +76,15 @@
         """Return the next part of the body, or none at its end; raises `AttemptError`."""
         return await self._read_while_alive(self._exchange.read, wait, attempts.Fault.INTERRUPTED)
 
-    async def wait_for_more(self) -> bool:
-        """Wait until there is more of the body, or its end; return false if it is cut off."""
-        try:
-            await self._exchange.wait_readable()
-        except exchanges.ExchangeError:
-            return False
-        return True
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the next read raises an error that tells how the response was cut off."""
+        return self._exchange.is_cut_off
+
+    async def wait_for_more(self) -> None:
+        """Wait until there is more of the response, or it is cut off."""
+        with contextlib.suppress(exchanges.ExchangeError):
+            await self._exchange.wait_for_more()
 
     async def read_whole(self) -> exchanges.Response:
         """Return the complete response, before the client's deadline."""
--- a/passpier/routing/sent_attempts.py
+++ b/passpier/routing/sent_attempts.py
@@ -15,13 +15,13 @@
 
 
 class Takeover(enum.Enum):
-    """What became of an attempt that is to continue the stream of another one."""
+    """What became of an attempt that is to replace the one at a slow replica."""
 
     TAKEN = 'taken'
-    """Its replica runs it, or the other replica has broken off the stream."""
+    """Its replica has responded first, or the slow one has broken off."""
 
     OVERTAKEN = 'overtaken'
-    """The other replica has continued the stream first."""
+    """The slow replica has responded first."""
 
     UNDECIDED = 'undecided'
     """Neither replica has sent anything."""
@@ -72,9 +72,9 @@
     async def await_takeover(
         self, attempt: Attempt, current: response_reader.ResponseReader, wait: float
     ) -> Takeover:
-        """Return which of two replicas is first to continue a stream within `wait` seconds.
+        """Return which of two replicas is first to respond within `wait` seconds.
 
-        Raises `AttemptError` if the replica of `attempt` refuses the stream or fails.
+        Raises `AttemptError` if the replica of `attempt` refuses the request or fails.
         """
         head = asyncio.ensure_future(self.read(attempt, wait))
         more = asyncio.ensure_future(current.wait_for_more())
@@ -82,7 +82,7 @@
             await asyncio.wait([head, more], return_when=asyncio.FIRST_COMPLETED)
             if head.done():
                 await head
-            elif await more:
+            elif not current.is_cut_off:
                 return Takeover.OVERTAKEN
             return Takeover.TAKEN
         except response_reader.StalledError:
