Processes end as soon as their loop has: no teardown of the interpreter

What was seen: beside load a router was killed at the end of its grace period, although it had logged 'stopped' with 'cut' 0 up to 0.6 s before. Callers had their answers; the platform saw a kill. Cause: the teardown of the interpreter after the last line. Why it works: the process leaves by os._exit once its loop is closed. Log lines are written without a buffer, sockets and leases are released before. The same in passpierd. The new test, in which the teardown never ends, timed out before.

--- a/passpier/daemon/main.py
+++ b/passpier/daemon/main.py
@@ -232,7 +232,7 @@
             print(f'passpierd: {finding}', file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     logs.configure_logging(options.log_level, options.log_format, options.name)
-    clocks.run(_run(options))
+    tasks.run_process(_run(options))
 
 
 async def _run(options: settings.Settings) -> None:
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -12,10 +12,10 @@
 import sys
 from collections.abc import Mapping
 
-from passpier import clocks, exceptions
+from passpier import exceptions
 from passpier.clients import connections
 from passpier.core import buckets
-from passpier.daemon import logs
+from passpier.daemon import logs, tasks
 from passpier.platform import dialect as platform_dialect
 from passpier.platform import names, settings, store
 from passpier.routing import dialect, router
@@ -168,4 +168,4 @@
             print(f'passpier: {finding}', file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     logs.configure_logging(level, 'json', loaded.node_name, sys.stdout)
-    clocks.run(run(path, mtime, loaded, metrics_port))
+    tasks.run_process(run(path, mtime, loaded, metrics_port))
--- a/passpier/tests/platform/stopping_tests.py
+++ b/passpier/tests/platform/stopping_tests.py
@@ -330,3 +330,22 @@
         assert all(200 in c.statuses for c in clients)
 
     harness.run_process_check(tmp_path, check)
+
+
+def test_process_exits_without_the_teardown_of_the_interpreter(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that is killed after its last line because its teardown takes long.
+
+    Here the teardown never ends.
+    """
+    teardown = 'import atexit, threading\natexit.register(threading.Event().wait)\n'
+    (tmp_path / 'sitecustomize.py').write_text(teardown)
+    monkeypatch.setenv('PYTHONPATH', str(tmp_path))
+
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        process.send(signal.SIGTERM)
+        await harness.wait_for(lambda: not process.is_running)
+        assert process.popen.returncode == 0
+
+    harness.run_process_check(tmp_path, check)
