Releases: the grace for weights of unknown age counts from the start of the process

What was seen: runs on weights outdated for 8.0 to 12.4 s, of 8 s, by routers that had been started 3.0 to 4.0 s before, beside load. Cause: the grace of 2 s counted from the discovery of the release. A process that needs 3 s until its code runs was within it up to 5 s after its start; platforms check it from 3 s on. Why it works: the start is read from the process's status, and the grace ends 2 s after it. Peers are asked for the time as before, so that a process without a grace doesn't refuse for longer than it takes to learn it. The log line 'started' has the seconds that the start took. The new test of the grace failed before.

--- a/passpier/clocks.py
+++ b/passpier/clocks.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import pathlib
 import time
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -22,6 +24,9 @@
 """Seconds within which both clocks have to be read; otherwise the process was preempted between
 the reads, and they are repeated."""
 
+_START_FIELD = 19
+"""Index of the start time, in clock ticks, among the status fields behind the program's name."""
+
 _CLOCK_ID = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 """A clock that counts suspensions, if the system has one, as Linux does."""
 
@@ -36,6 +41,19 @@
     return time.monotonic()
 
 
+def read_process_start() -> float:
+    """Return when this process was started, as a time of `now`; the present if it is unknown.
+
+    Until its own code runs, a process may take seconds on a busy machine.
+    """
+    try:
+        status = pathlib.Path('/proc/self/stat').read_text()
+        ticks = int(status.rpartition(')')[2].split()[_START_FIELD])
+    except (OSError, ValueError, IndexError):
+        return now()
+    return min(ticks / os.sysconf('SC_CLK_TCK'), now())
+
+
 def read_time_of_day() -> float:
     """Return the Unix time, which jumps when the clock is set."""
     return time.time()
--- a/passpier/core/weight_releases.py
+++ b/passpier/core/weight_releases.py
@@ -18,10 +18,13 @@
 second for connecting, the rest for requests that wait longer at the replica than predicted."""
 
 LATE_DISCOVERY_GRACE = 2.0
-"""Seconds for which a process that discovers a release late, such as after its start, uses weights
-that may have been outdated for any time. Within half a second a peer sends a better time. Without
-this, no request would be served after a restart of all processes. Platforms check a process against
-their bounds only from 3 s after a disturbance."""
+"""Seconds for which a process that discovers a release late uses weights that may be outdated for
+any time. Within half a second a peer sends a better time. Without this, no request would be served
+after a restart of all processes."""
+
+START_GRACE = 2.0
+"""Seconds after the start of a process at which that ends at the latest. Platforms check a process
+against their bounds from 3 s after its start, however long it took until its code ran."""
 
 
 class Release(msgspec.Struct, frozen=True):
@@ -36,12 +39,14 @@
     version: int
     not_before: float
     at: float
+    grace_ends_at: float
 
 
 class ReleaseHistory:
-    """The releases of one model."""
+    """The releases of one model, as known to a process that was started at some time."""
 
-    def __init__(self) -> None:
+    def __init__(self, process_started_at: float = math.inf) -> None:
+        self._process_started_at = process_started_at
         self._known: list[Release] = []
         """Ascending by version and time."""
 
@@ -65,7 +70,11 @@
         if self._known:
             not_before = max(not_before, self._known[-1].not_before)
         self._known.append(Release(version, not_before))
-        self._discoveries.append(_Discovery(version, not_before, now))
+        grace_ends_at = now + LATE_DISCOVERY_GRACE
+        if math.isinf(not_before):
+            # Only a process that has just started knows no time at all.
+            grace_ends_at = min(grace_ends_at, self._process_started_at + START_GRACE)
+        self._discoveries.append(_Discovery(version, not_before, now, grace_ends_at))
         return True
 
     def merge(self, received: Sequence[Release]) -> float:
@@ -93,12 +102,13 @@
         if release is None:
             return True
         discovery = next(x for x in self._discoveries if x.version > version)
+        if now < release.not_before + bound - OLD_WEIGHTS_MARGIN:
+            return True
         # The grace ends once peers have sent an earlier release or a more precise time.
-        grace = LATE_DISCOVERY_GRACE if release.not_before == discovery.not_before else 0.0
-        return now < max(release.not_before + bound - OLD_WEIGHTS_MARGIN, discovery.at + grace)
+        return release.not_before == discovery.not_before and now < discovery.grace_ends_at
 
     def is_awaiting_time(self, now: float) -> bool:
-        """Return whether outdated weights may be used, since the time of a release is unknown."""
+        """Return whether the time of a release that was just discovered is unknown."""
         recent = {x.version for x in self._discoveries if now < x.at + LATE_DISCOVERY_GRACE}
         return any(n.version in recent and math.isinf(n.not_before) for n in self._known)
 
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -12,7 +12,7 @@
 import sys
 from collections.abc import Mapping
 
-from passpier import exceptions
+from passpier import clocks, exceptions
 from passpier.clients import connections
 from passpier.core import buckets
 from passpier.daemon import logs, tasks
@@ -102,7 +102,9 @@
         store.Store(loaded.platform.address, pool),
         pool,
     )
-    process = router.Router(build_options(loaded, metrics_port), adapter, random.Random())
+    process = router.Router(
+        build_options(loaded, metrics_port), adapter, random.Random(), clocks.read_process_start()
+    )
     loop = asyncio.get_running_loop()
     signal.signal(signal.SIGTERM, functools.partial(_handle_sigterm, loop, process))
     loop.add_signal_handler(signal.SIGINT, _handle_sigint, process)
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -63,7 +63,13 @@
 class Pools:
     """All replicas by service, with their load, weights and caches."""
 
-    def __init__(self, version_bound: float, view_blocks: int = 100_000) -> None:
+    def __init__(
+        self,
+        version_bound: float,
+        view_blocks: int = 100_000,
+        process_started_at: float = math.inf,
+    ) -> None:
+        self._process_started_at = process_started_at
         self.replicas: dict[str, replicas.Replica] = {}
         self.cache = cache_view.CacheView(view_blocks)
         self.ejector = ejection.Ejector()
@@ -147,7 +153,9 @@
 
         `not_before` is the latest time at which it was certainly not released yet.
         """
-        release_history = self.releases.setdefault(model, weight_releases.ReleaseHistory())
+        release_history = self.releases.setdefault(
+            model, weight_releases.ReleaseHistory(self._process_started_at)
+        )
         release_history.forget(now - self.version_bound)
         return release_history.note(version, not_before, now)
 
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import resource
 
@@ -112,11 +113,17 @@
 class Router:
     """All tasks of one router process."""
 
-    def __init__(self, options: dialect.Options, adapter: Adapter, rng: random.Random) -> None:
+    def __init__(
+        self,
+        options: dialect.Options,
+        adapter: Adapter,
+        rng: random.Random,
+        process_started_at: float = math.inf,
+    ) -> None:
         self.options = options
         self.adapter = adapter
         self.counters = metrics.Metrics()
-        self.pools = pools.Pools(options.version_bound)
+        self.pools = pools.Pools(options.version_bound, process_started_at=process_started_at)
         self.registry_state = registry_mirror.RegistryState(
             adapter.records, self.pools, options.key_bound
         )
@@ -252,6 +259,7 @@
         log.info(
             'started',
             extra={
+                'seconds': round(clocks.now() - clocks.read_process_start(), 3),
                 'entry': self.options.caller,
                 'peers': self.peers.address,
                 'incarnation': self.roster.membership.own.incarnation,
--- a/passpier/tests/clocks_tests.py
+++ b/passpier/tests/clocks_tests.py
@@ -5,6 +5,8 @@
 import asyncio
 import pathlib
 import re
+import subprocess
+import sys
 import time
 
 import pytest
@@ -50,6 +52,21 @@
     assert detector.poll() == pytest.approx(20.0, abs=0.05)
 
 
+def test_start_of_the_process_counts_the_time_until_its_code_runs() -> None:
+    code = (
+        'import time; time.sleep(0.5)\n'
+        'from passpier import clocks; print(clocks.now() - clocks.read_process_start())'
+    )
+    output = subprocess.run([sys.executable, '-c', code], capture_output=True, check=True).stdout
+    assert float(output) > 0.49
+
+
+def test_unknown_start_of_the_process_is_the_present(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pathlib.Path, 'read_text', lambda self: 'python)')
+    before = clocks.now()
+    assert before <= clocks.read_process_start() <= clocks.now()
+
+
 def test_timers_due_after_a_suspension_run_in_the_next_loop_iteration(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/passpier/tests/core/weight_releases_tests.py
+++ b/passpier/tests/core/weight_releases_tests.py
@@ -50,6 +50,25 @@
     assert not known.may_use(8, BOUND, 1.0 + BOUND - weight_releases.OLD_WEIGHTS_MARGIN)
 
 
+def test_a_process_that_takes_long_to_start_has_no_grace_period_left() -> None:
+    """Guards against a grace period that counts from the discovery, seconds after the start."""
+    known = weight_releases.ReleaseHistory(process_started_at=10.0)
+    known.note(8, UNKNOWN, 11.0)
+    assert known.may_use(7, BOUND, 11.9)
+    assert not known.may_use(7, BOUND, 10.0 + weight_releases.START_GRACE)
+    late = weight_releases.ReleaseHistory(process_started_at=10.0)
+    late.note(8, UNKNOWN, 14.0)
+    assert not late.may_use(7, BOUND, 14.0)
+    assert late.is_awaiting_time(14.0)
+
+
+def test_a_running_process_has_the_whole_grace_period() -> None:
+    known = weight_releases.ReleaseHistory(process_started_at=10.0)
+    known.note(8, 40.0, 60.0)
+    assert known.may_use(7, BOUND, 61.9)
+    assert not known.may_use(7, BOUND, 60.0 + weight_releases.LATE_DISCOVERY_GRACE)
+
+
 def test_better_times_from_peers_end_the_grace_period() -> None:
     """Guards against a new process using weights that its peers know to be long outdated."""
     known = weight_releases.ReleaseHistory()
