Streams: a begun one waits for a silent replica while nothing can continue it

What callers saw: streams that had begun ended in the middle with 0.4 to 7.9 s left, while their replica was suspended for about a second. Cause: two unanswered probes ended the attempt, also of a stream that may not be continued elsewhere or for which no retry was left. Why it works: such a stream waits until its deadline or its replica's next event. One that can be continued is, as before; so is a crash of the replica, which resets the connection or shows as a new process. The new test was cut in both its cases before.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -450,6 +450,7 @@
         progress = self._call.progress
         can_move = progress.continuable and progress.delivered > 0
         gap = max(EVENT_GAP_MIN, self._admitted.route.event_gap * EVENT_GAP_FACTOR)
+        is_silent = False
         while True:
             left = self.ends_at - clocks.now()
             wait = min(left, gap) if can_move else left
@@ -459,6 +460,13 @@
                 if wait == left:
                     raise
                 await self._move(reader, stall)
+            except response_reader.SilentError as error:
+                # The replica may only be suspended.
+                if not progress.delivered or self._can_continue():
+                    raise
+                if not is_silent:
+                    self._log_not_moved(None, str(error))
+                is_silent = True
 
     async def _move(
         self, current: response_reader.ResponseReader, stall: response_reader.StalledError
@@ -498,6 +506,12 @@
             },
         )
 
+    def _can_continue(self) -> bool:
+        """Return whether another replica may continue the stream and a retry is left for it."""
+        budget = self._owner.get_budget(self._service)
+        has_budget = budget.has_any(clocks.now(), self._owner.budget_sharers)
+        return self._call.progress.continuable and has_budget
+
     async def _place_move(self) -> dispatcher.Placement | None:
         """Place the next attempt of a slow request and pay for it, if that is possible at once."""
         call = self._call
--- a/passpier/routing/response_reader.py
+++ b/passpier/routing/response_reader.py
@@ -45,6 +45,10 @@
     """Nothing arrived before the timeout, from a replica that may still go on."""
 
 
+class SilentError(AttemptError):
+    """The replica gives no sign of life, or its connection has fallen silent."""
+
+
 class ResponseReader:
     """Reads one exchange with a replica process; `ends_at` is the client's deadline.
 
@@ -122,12 +126,12 @@
                     text = 'the replica has started again'
                     raise AttemptError(fault, text, broken_off=True) from error
                 if self._prober.is_unresponsive(self._process.id):
-                    raise AttemptError(fault, 'the replica gives no sign of life') from error
+                    raise SilentError(fault, 'the replica gives no sign of life') from error
                 if not self._exchange.has_unacked_data:
                     self._prober.probe(self._process)
                     continue
                 if marked and self._repeatable:
-                    raise AttemptError(fault, 'the connection has fallen silent') from error
+                    raise SilentError(fault, 'the connection has fallen silent') from error
                 marked = True
                 self._exchange.note_unresponsive()
                 # The probe uses a new connection, and is sent even if the replica responded on
--- a/passpier/tests/platform/moved_streams_tests.py
+++ b/passpier/tests/platform/moved_streams_tests.py
@@ -219,6 +219,28 @@
     harness.run_check(check)
 
 
+@pytest.mark.parametrize('path', ['/patient/x', '/resume/x'])
+def test_begun_stream_waits_for_a_silent_replica_if_nothing_can_continue_it(path: str) -> None:
+    """Guards against cutting a stream with time left when its replica is suspended for a second.
+
+    One stream may not be continued elsewhere, the other has no retry left for it.
+    """
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=2.4)
+        running.routers[0].forwarder.get_budget('llm').configure(0.0, 0.0, 10.0)
+        pending = asyncio.ensure_future(
+            running.ask(path, id='one', patience_ms=PATIENCE_MS, headers=harness.PROMPT_HEADERS)
+        )
+        await harness.wait_for(lambda: bool(running.list_runs('one')))
+        first, _ = get_models(running)
+        running.make_unreachable(first.id)
+        await harness.wait_for(lambda: running.routers[0].prober.is_unresponsive(first.id))
+        check_events(await pending)
+
+    harness.run_check(check)
+
+
 def test_interrupted_stream_that_is_refused_returns_to_its_first_replica() -> None:
     """The first replica resets the connection within an event; the other one is full."""
 
