Streams: a begun one waits for a retry or a replica until its deadline

What callers saw: streams that had begun were cut with 0.3 to 1.9 s left. Cause: after the failure of an attempt they ended when no retry was left, or no replica took work, at that very moment; the rule that a client with half a response waits for the rest until its deadline held for full replicas only. Why it works: such a stream tries again every 0.1 s. Budget and limits of attempts are as before. A stream whose replica is silent stays with it also if no other replica takes work. The new test was cut in both its cases before.

--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -143,11 +143,11 @@
         usable = [r for r in serving if r.name not in exclude]
         return self._place_on(call, attempt, usable, clocks.now())
 
-    def accepts(self, call: calls.Call, name: str) -> bool:
-        """Return whether an upstream takes new work for a call, whatever its present load."""
+    def list_accepting(self, call: calls.Call) -> set[str]:
+        """Return the upstreams that take new work for a call, whatever their present load."""
         now = clocks.now()
         serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
-        return any(r.name == name and replicas.compute_ready_at(r, now) <= now for r in serving)
+        return {r.name for r in serving if replicas.compute_ready_at(r, now) <= now}
 
     def end(self, placement: Placement) -> None:
         """End a placement and free its capacity."""
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -58,6 +58,9 @@
 """Seconds for which the replica that runs a slow request keeps it while another one may be running
 it already. The platform tolerates 0.4 s, of which the rest is for the way to the replicas."""
 
+CONTINUE_INTERVAL = 0.1
+"""Seconds between attempts to continue a begun stream for which no replica or retry is left."""
+
 RETRY_AFTER = 0.25
 """Seconds after which a refused client should retry, where nothing better is known."""
 
@@ -294,10 +297,7 @@
         if judgement.is_suspect:
             call.policy = 'apart'
             call.job = msgspec.structs.replace(call.job, spread_key=self._fingerprint)
-        allowed = None if call.progress.may_reach_others else self._reached
-        placement = await self._owner.dispatcher.place(
-            call, self._name_attempt(), self._excluded, allowed
-        )
+        placement = await self._place()
         if isinstance(placement, exceptions.Failure):
             await self._respond_directly(
                 503, placement.code.value, placement.message, placement.retry_after
@@ -307,6 +307,22 @@
             cleanup.callback(self._owner.dispatcher.end, placement)
             return await self._send_placed(placement, cleanup)
 
+    async def _place(self) -> dispatcher.Placement | exceptions.Failure:
+        """Place an attempt; a begun stream waits until its deadline for a replica that takes it."""
+        call = self._call
+        allowed = None if call.progress.may_reach_others else self._reached
+        while True:
+            placement = await self._owner.dispatcher.place(
+                call, self._name_attempt(), self._excluded, allowed
+            )
+            if isinstance(placement, dispatcher.Placement) or not self._can_wait():
+                return placement
+            await asyncio.sleep(CONTINUE_INTERVAL)
+
+    def _can_wait(self) -> bool:
+        """Return whether the client has half a response and time for the rest of it."""
+        return self._client.started and clocks.now() + CONTINUE_INTERVAL < self.ends_at
+
     def _name_attempt(self) -> str:
         return f'{self.id}-{self._call.progress.attempts}.{self._failed_connects}'
 
@@ -507,10 +523,11 @@
         )
 
     def _can_continue(self) -> bool:
-        """Return whether another replica may continue the stream and a retry is left for it."""
+        """Return whether another replica can continue the stream and a retry is left for it."""
         budget = self._owner.get_budget(self._service)
         has_budget = budget.has_any(clocks.now(), self._owner.budget_sharers)
-        return self._call.progress.continuable and has_budget
+        others = self._owner.dispatcher.list_accepting(self._call) - {self.upstream}
+        return self._call.progress.continuable and has_budget and bool(others)
 
     async def _place_move(self) -> dispatcher.Placement | None:
         """Place the next attempt of a slow request and pay for it, if that is possible at once."""
@@ -586,7 +603,7 @@
 
     def _reserve_return(self) -> bool:
         """Reserve a retry for a return to the current replica, if that one takes requests."""
-        accepts = self._owner.dispatcher.accepts(self._call, self.upstream)
+        accepts = self.upstream in self._owner.dispatcher.list_accepting(self._call)
         return accepts and self._retries.reserve(clocks.now(), self._owner.budget_sharers)
 
     async def _send_response(self, response: exchanges.Response) -> None:
@@ -618,7 +635,7 @@
                 step = attempts.Step.RETRY
         else:
             step = progress.decide(error.fault, has_time)
-            has_budget = step is attempts.Step.FAIL or self._spend_retry(now)
+            has_budget = step is attempts.Step.FAIL or await self._await_retry()
             if not has_budget:
                 step = attempts.Step.FAIL
         self._owner.counters.retries.inc({'step': step.value})
@@ -672,6 +689,14 @@
         )
         await self._respond_directly(503, 'suspected', judgement.reason, judgement.retry_after)
 
+    async def _await_retry(self) -> bool:
+        """Take a retry if one is left; a begun stream waits for one until its deadline."""
+        while not self._spend_retry(clocks.now()):
+            if not self._can_wait():
+                return False
+            await asyncio.sleep(CONTINUE_INTERVAL)
+        return True
+
     def _spend_retry(self, now: float) -> bool:
         return self._retries.spend(now, self._owner.budget_sharers)
 
--- a/passpier/tests/platform/moved_streams_tests.py
+++ b/passpier/tests/platform/moved_streams_tests.py
@@ -241,6 +241,36 @@
     harness.run_check(check)
 
 
+@pytest.mark.parametrize('lack', ['retry', 'replica'])
+def test_interrupted_stream_waits_until_it_can_be_continued(lack: str) -> None:
+    """Guards against cutting a stream with time left because nothing can continue it at once."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=0.3)
+        budget = running.routers[0].forwarder.get_budget('llm')
+        pending = await ask_stream(running)
+        models = get_models(running)
+        # The first event follows at once, the second one after a pause.
+        await harness.wait_for(lambda: bool(models[0].cache_events))
+        await asyncio.sleep(0.1)
+        if lack == 'retry':
+            budget.configure(0.0, 0.0, 10.0)
+        else:
+            for model in models:
+                running.remove_entry(model.id)
+            pools = running.routers[0].pools
+            await harness.wait_for(lambda: not pools.list_serving('llm'))
+        models[0].crash()
+        await asyncio.sleep(1.0)
+        models[0].restart()
+        budget.configure(0.0, 100.0, 10.0)
+        for model in models:
+            running.write_entry(model.id)
+        check_events(await pending)
+
+    harness.run_check(check)
+
+
 def test_interrupted_stream_that_is_refused_returns_to_its_first_replica() -> None:
     """The first replica resets the connection within an event; the other one is full."""
 
