--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -26,6 +26,7 @@
 from passpier.routing import (
     delivering,
     dialect,
+    moves,
     placement_sharing,
     probing,
     rate_limiting,
@@ -51,13 +52,6 @@
 EVENT_GAP_FACTOR = 2.0
 """The same, as a multiple of the longest gap that the route allows."""
 
-MOVE_CONNECT_SECONDS = 0.1
-"""Seconds in which another replica has to be connected to if a slow request is moved to it."""
-
-OVERLAP_SECONDS = 0.25
-"""Seconds for which the replica that runs a slow request keeps it while another one may be running
-it already. The platform tolerates 0.4 s, of which the rest is for the way to the replicas."""
-
 CONTINUE_INTERVAL = 0.1
 """Seconds between attempts to continue a begun stream for which no replica or retry is left."""
 
@@ -71,10 +65,6 @@
 """The same, where this process is stopping and the client will reach another one."""
 
 
-class _UnverifiedKeyError(Exception):
-    """The request was not sent, because the client's key may have been revoked meanwhile."""
-
-
 class Forwarder:
     """Forwards admitted requests."""
 
@@ -96,6 +86,9 @@
         self.suspects = suspect_tracker
         self.sharing = shared
         self.heads = sent_attempts.HeadReader(wire, registry_state.pools, prober)
+        self.mover = moves.Mover(
+            request_dispatcher, suspect_tracker, registry_state.pools, self.heads
+        )
         self.registry_state = registry_state
         self.pools = registry_state.pools
         self.dispatcher = request_dispatcher
@@ -142,8 +135,8 @@
         self._service = table.choose_service(route, admitted.client_request.id)
         self._splitter = sse.EventSplitter()
         self._splitter.last_id = admitted.client_request.last_event
-        self._call = requests.build_call(admitted, self._service)
-        self._excluded: list[str] = []
+        self.call = requests.build_call(admitted, self._service)
+        self.excluded: list[str] = []
         self._reached: set[str] = set()
         """The replicas that the request has been sent to."""
 
@@ -157,7 +150,7 @@
         self._retries = retries.RequestRetries(owner.get_budget(self._service))
 
         client_request = admitted.client_request
-        self._charge = rate_limiting.Charge(
+        self.charge = rate_limiting.Charge(
             owner.limiter, client_request.id, admitted.account, client_request.tokens
         )
         self._outcome = 'client_gone'
@@ -171,6 +164,11 @@
         """The request's id."""
         return self._admitted.client_request.id
 
+    @property
+    def fingerprint(self) -> int:
+        """The request's fingerprint."""
+        return self._admitted.fingerprint
+
     @property
     def _fingerprint(self) -> str:
         """The request's fingerprint as written to the log."""
@@ -218,19 +216,19 @@
             if self._moved is not None:
                 self._moved.cleanup.close()
             if not self.sent:
-                self._charge.refund()
+                self.charge.refund()
             self._retries.release()
             self._log_end(clocks.now() - started)
 
     async def _answer(self) -> None:
         """Make attempts until there is a response or a reason for having none."""
         budget = self._owner.get_budget(self._service)
-        budget.note_request(self._call.arrived_at)
+        budget.note_request(self.call.arrived_at)
         while True:
             try:
                 if await self._attempt():
                     return
-            except _UnverifiedKeyError:
+            except sent_attempts.UnverifiedKeyError:
                 await self._respond_directly(
                     503, 'stale_configuration', 'keys may have changed', RETRY_AFTER
                 )
@@ -250,8 +248,8 @@
                 'route': self._admitted.route.name,
                 'kind': self._admitted.route.kind.value,
                 'outcome': self._outcome,
-                'ran': self._call.progress.outcome.value,
-                'attempts': self._call.progress.attempts,
+                'ran': self.call.progress.outcome.value,
+                'attempts': self.call.progress.attempts,
                 'upstream': self._last_process.id,
                 'born': self._last_process.started_ms,
                 'seconds': round(seconds, 4),
@@ -278,17 +276,17 @@
         except BaseException:
             # The client has disconnected or this process stops; a request that was sent may have
             # run.
-            self._call.progress.may_have_run |= self.sent
+            self.call.progress.may_have_run |= self.sent
             raise
 
     async def _send(self) -> sent_attempts.Attempt | None:
         """Place and send an attempt, or answer the request without one."""
-        call = self._call
+        call = self.call
         judgement = self._owner.suspects.assess(self._admitted.fingerprint)
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
             return None
-        retry_after = await self._charge.acquire(self.ends_at - clocks.now())
+        retry_after = await self.charge.acquire(self.ends_at - clocks.now())
         if retry_after:
             await self._respond_directly(
                 429, 'over_limit', 'the account is at its limit', retry_after
@@ -309,11 +307,11 @@
 
     async def _place(self) -> dispatcher.Placement | exceptions.Failure:
         """Place an attempt; a begun stream waits until its deadline for a replica that takes it."""
-        call = self._call
+        call = self.call
         allowed = None if call.progress.may_reach_others else self._reached
         while True:
             placement = await self._owner.dispatcher.place(
-                call, self._name_attempt(), self._excluded, allowed
+                call, self.name_attempt(), self.excluded, allowed
             )
             if isinstance(placement, dispatcher.Placement) or not self._can_wait():
                 return placement
@@ -323,15 +321,16 @@
         """Return whether the client has half a response and time for the rest of it."""
         return self._client.started and clocks.now() + CONTINUE_INTERVAL < self.ends_at
 
-    def _name_attempt(self) -> str:
-        return f'{self.id}-{self._call.progress.attempts}.{self._failed_connects}'
+    def name_attempt(self) -> str:
+        """Return the name of the next attempt, for its placement and the log."""
+        return f'{self.id}-{self.call.progress.attempts}.{self._failed_connects}'
 
     async def _send_placed(
         self, placement: dispatcher.Placement, cleanup: contextlib.ExitStack
     ) -> sent_attempts.Attempt | None:
         admitted = self._admitted
-        if not self._is_key_valid():
-            raise _UnverifiedKeyError
+        if not self.is_key_valid():
+            raise sent_attempts.UnverifiedKeyError
         if clocks.now() >= admitted.ends_at:
             await self._respond_directly(
                 503, 'no_time', 'no time was left for an attempt', RETRY_AFTER
@@ -343,9 +342,9 @@
             await self._refuse_suspect(judgement)
             return None
         self._last_process = placement.replica.process
-        return await self._open(placement, judgement, cleanup)
+        return await self.open_attempt(placement, judgement, cleanup)
 
-    async def _open(
+    async def open_attempt(
         self,
         placement: dispatcher.Placement,
         judgement: crashes.Assessment,
@@ -368,7 +367,7 @@
             self._owner.prober,
             placement.replica.process,
             self.ends_at,
-            self._call.progress.repeatable,
+            self.call.progress.repeatable,
         )
         return sent_attempts.Attempt(placement, exchange, reader, clocks.now(), cleanup.pop_all())
 
@@ -379,7 +378,7 @@
         replica = placement.replica
         request = requests.build_request(
             admitted,
-            self._call.job,
+            self.call.job,
             replica,
             time_left,
             self._splitter.last_id,
@@ -387,18 +386,18 @@
             self._owner.wire,
             lambda: self._may_send(placement),
         )
-        self._call.progress.begin()
+        self.call.progress.begin()
         try:
             async with asyncio.timeout(min(time_left, connect_seconds)):
                 return await self._owner.pool.open(replica.address, request)
         except exchanges.ExchangeError as error:
-            self._call.progress.attempts -= 1
+            self.call.progress.attempts -= 1
             if error.fault is exchanges.Fault.WITHHELD:
                 raise self._build_withheld_error() from error
             self._owner.prober.probe(replica.process, 0.0)
             raise response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, str(error)) from error
         except TimeoutError as error:
-            self._call.progress.attempts -= 1
+            self.call.progress.attempts -= 1
             text = f'no connection for {admitted.client_request.id} in time'
             raise response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, text) from error
 
@@ -413,8 +412,8 @@
         reader = attempt.reader
         head = attempt.head or await self._read_head(attempt)
         self._retries.release()
-        if self._call.job.chain:
-            self._owner.sharing.record_placement(placement.replica, self._call.job)
+        if self.call.job.chain:
+            self._owner.sharing.record_placement(placement.replica, self.call.job)
         if self._admitted.route.kind.is_stream:
             await self._relay_events(reader, head)
         else:
@@ -428,11 +427,11 @@
 
         A request is taken from a slow replica only if another one can run it.
         """
-        progress = self._call.progress
+        progress = self.call.progress
         while True:
             left = self.ends_at - clocks.now()
             may_move = progress.repeatable and progress.may_reach_others
-            can_move = may_move and left > OVERLAP_SECONDS
+            can_move = may_move and left > moves.OVERLAP_SECONDS
             wait = left * ATTEMPT_SHARE if can_move else left
             try:
                 return await self._owner.heads.read(attempt, wait)
@@ -450,10 +449,10 @@
         while (part := await self._read_part(reader)) is not None:
             for event in splitter.feed(part):
                 await self._delivery.send_event(head, event)
-                self._call.progress.delivered += 1
+                self.call.progress.delivered += 1
         if splitter.has_rest:
             raise response_reader.AttemptError(attempts.Fault.INTERRUPTED, 'ended within an event')
-        self._call.progress.completed = True
+        self.call.progress.completed = True
         await self._delivery.finish_stream(head)
         self._outcome = 'answered'
 
@@ -463,7 +462,7 @@
         A stream is taken from a stalled replica only if another one can resume it, since the next
         event may still come.
         """
-        progress = self._call.progress
+        progress = self.call.progress
         can_move = progress.continuable and progress.delivered > 0
         gap = max(EVENT_GAP_MIN, self._admitted.route.event_gap * EVENT_GAP_FACTOR)
         is_silent = False
@@ -481,7 +480,7 @@
                 if not progress.delivered or self._can_continue():
                     raise
                 if not is_silent:
-                    self._log_not_moved(None, str(error))
+                    moves.log_not_moved(self, None, str(error))
                 is_silent = True
 
     async def _move(
@@ -489,138 +488,35 @@
     ) -> None:
         """Have another replica take over from a slow one, if one can.
 
-        The slow one runs the request meanwhile, so that it goes on where it is if the other one
-        refuses it or is slower. Raises `stall` if the request has been moved, unless the slow one
-        has broken off: its next read tells how.
+        Raises `stall` if the request has been moved, unless the slow replica has broken off: its
+        next read tells how.
         """
-        detail = 'no other replica available'
-        placement = await self._place_move()
-        if placement is not None:
-            try:
-                self._moved = await self._try_replica(placement, current)
-            except response_reader.AttemptError as error:
-                detail = str(error)
-                # The times are too short here for a slow response to count against the replica.
-                stalled = isinstance(error, response_reader.StalledError)
-                if error.fault not in attempts.NOT_RUN_FAULTS and not stalled:
-                    self._owner.pools.note_failure(placement.replica.process)
-            except _UnverifiedKeyError:
-                detail = 'keys may have changed'
-        if self._moved is None:
-            self._log_not_moved(placement, detail)
-        elif not current.is_cut_off:
+        self._moved = await self._owner.mover.move(self, current)
+        if self._moved is not None and not current.is_cut_off:
             raise stall
 
-    def _log_not_moved(self, placement: dispatcher.Placement | None, detail: str) -> None:
-        log.info(
-            'slow request not moved',
-            extra={
-                'request': self.id,
-                'upstream': self.upstream,
-                'other': placement.replica.name if placement else '',
-                'detail': detail,
-            },
-        )
-
     def _can_continue(self) -> bool:
         """Return whether another replica can continue the stream and a retry is left for it."""
         budget = self._owner.get_budget(self._service)
         has_budget = budget.has_any(clocks.now(), self._owner.budget_sharers)
-        others = self._owner.dispatcher.list_accepting(self._call) - {self.upstream}
-        return self._call.progress.continuable and has_budget and bool(others)
-
-    async def _place_move(self) -> dispatcher.Placement | None:
-        """Place the next attempt of a slow request and pay for it, if that is possible at once."""
-        call = self._call
-        if not call.progress.may_reach_others or not self._is_key_valid():
-            return None
-        if self._owner.suspects.assess(self._admitted.fingerprint).is_suspect:
-            return None
-        exclude = {*self._excluded, self.upstream}
-        placement = self._owner.dispatcher.place_now(call, self._name_attempt(), exclude)
-        if placement is None:
-            return None
-        with contextlib.ExitStack() as cleanup:
-            cleanup.callback(self._owner.dispatcher.end, placement)
-            # The current attempt runs, so its charge is spent.
-            self._charge.mark_spent()
-            if await self._charge.acquire(self.ends_at - clocks.now()):
-                return None
-            if not self._spend_retry(clocks.now()):
-                self._charge.refund()
-                return None
-            cleanup.pop_all()
-        return placement
-
-    async def _try_replica(
-        self, placement: dispatcher.Placement, current: response_reader.ResponseReader
-    ) -> sent_attempts.Attempt:
-        """Send a slow request to another replica; raises `AttemptError` if it stays where it is."""
-        with contextlib.ExitStack() as cleanup:
-            cleanup.callback(self._owner.dispatcher.end, placement)
-            judgement = self._owner.suspects.assess(self._admitted.fingerprint)
-            try:
-                attempt = await self._open(placement, judgement, cleanup, MOVE_CONNECT_SECONDS)
-                cleanup.push(attempt.cleanup)
-                await self._await_takeover(attempt, current)
-            except response_reader.AttemptError as error:
-                if error.fault in attempts.NOT_RUN_FAULTS:
-                    self._charge.refund()
-                else:
-                    self._charge.mark_spent()
-                raise
-            cleanup.pop_all()
-        return attempt
-
-    async def _await_takeover(
-        self, attempt: sent_attempts.Attempt, current: response_reader.ResponseReader
-    ) -> None:
-        """Wait until a replica responds to a slow request; raises `StalledError` if it stays.
-
-        Without a response of either replica, it is taken from the current one only if it could
-        return there, also if no retry is left by then.
-        """
-        wait = min(OVERLAP_SECONDS, self.ends_at - clocks.now())
-        takeover = await self._owner.heads.await_takeover(attempt, current, wait)
-        can_return = takeover is sent_attempts.Takeover.UNDECIDED and self._reserve_return()
-        log.info(
-            'slow request offered',
-            extra={
-                'request': self.id,
-                'upstream': self.upstream,
-                'other': attempt.process.id,
-                'result': takeover.value,
-                'can_return': can_return,
-                'seconds': round(clocks.now() - attempt.sent_at, 3),
-                'time_left': round(self.ends_at - clocks.now(), 3),
-            },
-        )
-        fault = attempts.Fault.NO_ANSWER
-        if takeover is sent_attempts.Takeover.OVERTAKEN:
-            raise response_reader.StalledError(fault, 'its replica was the first to respond')
-        if takeover is sent_attempts.Takeover.UNDECIDED and not can_return:
-            raise response_reader.StalledError(fault, 'not taken in time, and could not return')
-
-    def _reserve_return(self) -> bool:
-        """Reserve a retry for a return to the current replica, if that one takes requests."""
-        accepts = self.upstream in self._owner.dispatcher.list_accepting(self._call)
-        return accepts and self._retries.reserve(clocks.now(), self._owner.budget_sharers)
+        others = self._owner.dispatcher.list_accepting(self.call) - {self.upstream}
+        return self.call.progress.continuable and has_budget and bool(others)
 
     async def _send_response(self, response: exchanges.Response) -> None:
         """Send an upstream's complete response to the client."""
-        self._call.progress.completed = True
+        self.call.progress.completed = True
         await self._delivery.send_response(response)
 
     async def _handle_failure(self, error: response_reader.AttemptError) -> bool:
         """Decide what follows a failed attempt; return whether there is another one."""
-        progress = self._call.progress
+        progress = self.call.progress
         now = clocks.now()
         if error.fault is not attempts.Fault.REFUSED:
             self._owner.pools.note_failure(self._last_process)
         if error.fault in attempts.NOT_RUN_FAULTS:
             self.sent = False
         elif self._moved is None:
-            self._charge.mark_spent()
+            self.charge.mark_spent()
         if error.broken_off and not self._owner.pools.is_exit_expected(self._last_process):
             self._owner.suspects.note_disconnect(self._admitted.fingerprint, self._last_process)
         has_time = now < self._admitted.ends_at
@@ -642,7 +538,7 @@
         log.info(
             'attempt failed',
             extra={
-                'request': self._call.id,
+                'request': self.call.id,
                 'fingerprint': self._fingerprint,
                 'upstream': self._last_process.id,
                 'born': self._last_process.started_ms,
@@ -659,8 +555,8 @@
         if step is attempts.Step.FAIL:
             await self._respond_failure(error)
             return False
-        self._excluded.append(self._last_process.id)
-        self._call.placement_deadline = self._choose_hold_deadline(now)
+        self.excluded.append(self._last_process.id)
+        self.call.placement_deadline = self._choose_hold_deadline(now)
         return True
 
     def _choose_hold_deadline(self, now: float) -> float:
@@ -670,7 +566,7 @@
         the rest until the deadline.
         """
         ends_at = self._admitted.ends_at
-        if self._call.progress.delivered:
+        if self.call.progress.delivered:
             return ends_at
         return min(ends_at, now + self._admitted.route.objective * requests.HOLD_SHARE)
 
@@ -680,7 +576,7 @@
         log.info(
             'suspect request refused',
             extra={
-                'request': self._call.id,
+                'request': self.call.id,
                 'fingerprint': self._fingerprint,
                 'ends': judgement.crash_count,
                 'reason': judgement.reason,
@@ -691,14 +587,19 @@
 
     async def _await_retry(self) -> bool:
         """Take a retry if one is left; a begun stream waits for one until its deadline."""
-        while not self._spend_retry(clocks.now()):
+        while not self.spend_retry():
             if not self._can_wait():
                 return False
             await asyncio.sleep(CONTINUE_INTERVAL)
         return True
 
-    def _spend_retry(self, now: float) -> bool:
-        return self._retries.spend(now, self._owner.budget_sharers)
+    def spend_retry(self) -> bool:
+        """Take a retry for the next attempt; return false if none is left."""
+        return self._retries.spend(clocks.now(), self._owner.budget_sharers)
+
+    def reserve_retry(self) -> bool:
+        """Take a retry for a later attempt; return false if none is left."""
+        return self._retries.reserve(clocks.now(), self._owner.budget_sharers)
 
     async def _respond_failure(self, error: response_reader.AttemptError) -> None:
         """Send the final response of a request whose attempts have all failed."""
@@ -707,7 +608,7 @@
             await self._send_response(error.passed)
             return
         status = 503
-        if self._call.progress.outcome is not exceptions.Outcome.NOT_RUN:
+        if self.call.progress.outcome is not exceptions.Outcome.NOT_RUN:
             status = 504 if clocks.now() >= self._admitted.ends_at else 502
         retry_after = RETRY_AFTER_FAILURE if status == 503 else None
         await self._respond_directly(status, error.fault.value, str(error), retry_after)
@@ -720,16 +621,16 @@
             self._outcome = 'stream_cut'
             self._client.abort()
             return
-        if self._call.progress.outcome is not exceptions.Outcome.NOT_RUN and status in (429, 503):
+        if self.call.progress.outcome is not exceptions.Outcome.NOT_RUN and status in (429, 503):
             # These status codes would assert that the request has not run.
             status, retry_after = 502, None
         self._outcome = reason
         refusal = responses.Refusal(status, reason, message, retry_after)
-        await self._delivery.send_refusal(refusal, self._call.id)
+        await self._delivery.send_refusal(refusal, self.call.id)
 
     def _may_send(self, placement: dispatcher.Placement) -> bool:
         """Return whether the request may be sent; checked just before its first byte."""
-        if self._client.gone or not self._is_key_valid():
+        if self._client.gone or not self.is_key_valid():
             return False
         return replicas.may_send(placement.replica, placement.attempt, clocks.now())
 
@@ -737,12 +638,12 @@
         """Return the error for a request that was withheld."""
         if self._client.gone:
             return responses.ClientGoneError()
-        if not self._is_key_valid():
-            return _UnverifiedKeyError()
+        if not self.is_key_valid():
+            return sent_attempts.UnverifiedKeyError()
         text = 'the replica has asked for less since the request was placed'
         return response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, text)
 
-    def _is_key_valid(self) -> bool:
+    def is_key_valid(self) -> bool:
         """Return whether the client's key is certainly still valid."""
         if self._admitted.account is None or not self._owner.options.keys_expire:
             return True
