--- a/passpier/routing/moves.py
+++ b/passpier/routing/moves.py
@@ -172,7 +172,7 @@
         takeover = await self._heads.await_takeover(attempt, current, wait)
         can_return = takeover is sent_attempts.Takeover.UNDECIDED and self._reserve_return(run)
         log.info(
-            'slow request offered',
+            f'slow {_name_subject(run)} offered',
             extra={
                 'request': run.id,
                 'upstream': run.upstream,
@@ -196,9 +196,8 @@
 
 def log_not_moved(run: Run, placement: dispatcher.Placement | None, detail: str) -> None:
     """Log that a slow request stays where it is."""
-    subject = 'stream' if run.call.progress.delivered else 'request'
     log.info(
-        f'slow {subject} not moved',
+        f'slow {_name_subject(run)} not moved',
         extra={
             'request': run.id,
             'upstream': run.upstream,
@@ -206,3 +205,7 @@
             'detail': detail,
         },
     )
+
+
+def _name_subject(run: Run) -> str:
+    return 'stream' if run.call.progress.delivered else 'request'
