Pools: entries of other writers stay unused while all replicas of a service are gone

Cause: an entry without a start time counts as foreign only while another entry of the service has one. For 0.4 s there was none: llm-0 had crashed and its entry had lapsed, that of llm-1 was overwritten. The foreign entries then counted as those of older software. Why it works: what the entries of a service had is expected for 10 s more. After a change to software that reports less, the service is refused for that long once its last newer entry has gone; before, its entries were unused until then as well.

--- a/passpier/core/catalogue.py
+++ b/passpier/core/catalogue.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Mapping, Sequence
 
 import msgspec
@@ -25,6 +26,10 @@
 ENDED_KEPT = 8
 """Ended processes that are remembered per replica; late messages concern the last one or two."""
 
+FIELDS_EXPECTED_SECONDS = 10.0
+"""Seconds after the end of a service's last entry with an optional field for which entries without
+it are not used. After a change to older software, the service is not served for that long."""
+
 DRAINED_KEPT = 1000
 """Removed replicas that are remembered as draining, for a return of the registry."""
 
@@ -215,20 +220,43 @@
         return Change(entry.id, entry, 'started again')
 
 
-def find_incomplete(entries: Sequence[Entry]) -> set[str]:
-    """Return the ids whose entries lack fields that other entries of the service have.
+class ReportedFields:
+    """Which optional fields the entries of a service have or had until recently.
 
     All replicas of a service run the same software: if one reports its start time or its models,
-    all do, so an entry without them was not written by a replica. If no entry has these fields, as
-    with older software, none counts as incomplete.
+    all do, so an entry without them was not written by a replica. That holds for a while after the
+    last entry with them has gone, since replicas that restart or whose entries were overwritten
+    come back. If no entry has these fields, as with older software, none counts as incomplete.
     """
-    any_weights = any(e.reports_weights for e in entries)
-    any_start = any(e.reports_start for e in entries)
-    return {
-        e.id
-        for e in entries
-        if (any_weights and not e.reports_weights) or (any_start and not e.reports_start)
-    }
+
+    def __init__(self) -> None:
+        self._has_weights = False
+        self._has_starts = False
+        self._weights_until = float('-inf')
+        self._starts_until = float('-inf')
+        self.expires_at = math.inf
+        """When the result of `find_incomplete` changes, even if no entry does."""
+
+    def find_incomplete(self, entries: Sequence[Entry], now: float) -> set[str]:
+        """Return the ids of all entries that lack a field; `entries` are those of the service."""
+        # What the last entries had was in force until now.
+        if self._has_weights:
+            self._weights_until = now + FIELDS_EXPECTED_SECONDS
+        if self._has_starts:
+            self._starts_until = now + FIELDS_EXPECTED_SECONDS
+        self._has_weights = any(e.reports_weights for e in entries)
+        self._has_starts = any(e.reports_start for e in entries)
+        needs_weights = self._has_weights or now < self._weights_until
+        needs_start = self._has_starts or now < self._starts_until
+        self.expires_at = min(
+            self._weights_until if needs_weights and not self._has_weights else math.inf,
+            self._starts_until if needs_start and not self._has_starts else math.inf,
+        )
+        return {
+            e.id
+            for e in entries
+            if (needs_weights and not e.reports_weights) or (needs_start and not e.reports_start)
+        }
 
 
 def _describe(entry: Entry) -> Change:
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 import math
 from collections.abc import Callable, Mapping, Sequence
@@ -104,6 +105,10 @@
         self._incomplete: dict[str, set[str]] = {}
         """By service, the ids of entries that lack fields which other replicas' entries have."""
 
+        self._reported_fields: dict[str, catalogue.ReportedFields] = collections.defaultdict(
+            catalogue.ReportedFields
+        )
+
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Apply the services and cache stores of a configuration."""
         self._services = configuration.services
@@ -343,6 +348,8 @@
             return []
         now = clocks.now()
         usable = {}
+        if now >= self._reported_fields[pool].expires_at:
+            self._update_incomplete(pool)
         incomplete = self._incomplete.get(pool, ())
         for name in self._pools.get(pool, ()):
             replica = self.replicas[name]
@@ -418,7 +425,8 @@
     def _update_incomplete(self, service: str) -> None:
         """Recompute which entries of a service lack fields that the others have."""
         names = self._pools.get(service, ())
-        incomplete = catalogue.find_incomplete([self._entries[n] for n in names])
+        entries = [self._entries[n] for n in names]
+        incomplete = self._reported_fields[service].find_incomplete(entries, clocks.now())
         before = self._incomplete.get(service, set())
         if incomplete != before:
             self._incomplete[service] = incomplete
--- a/passpier/tests/routing/pools_tests.py
+++ b/passpier/tests/routing/pools_tests.py
@@ -102,3 +102,38 @@
     serving = {r.name for r in replica_pools.list_serving('s')}
     assert 'r0' not in serving
     assert 'r1' in serving
+
+
+def make_entry(id: str, started_ms: int) -> catalogue.Change:
+    entry = catalogue.Entry(
+        id, 't', f'{id}:1', 'd0', 8, False, {}, started_ms, reports_start=bool(started_ms)
+    )
+    return catalogue.Change(id, entry, 'recorded')
+
+
+def test_entries_of_other_writers_are_not_used_while_all_replicas_are_gone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against taking entries without a start time for those of older software.
+
+    For a moment no entry with one was there: a replica had crashed, the other's entry was
+    overwritten.
+    """
+    now = 100.0
+    monkeypatch.setattr(clocks, 'now', lambda: now)
+    replica_pools = pools.Pools(10.0)
+    replica_pools.apply_configuration(
+        routes.Configuration(1, services={'t': routes.Service('t', 100)})
+    )
+    replica_pools.apply_change(make_entry('foreign', 0))
+    assert [r.name for r in replica_pools.list_serving('t')] == ['foreign']
+    replica_pools.apply_change(make_entry('genuine', 7))
+    now = 500.0
+    replica_pools.apply_change(catalogue.Change('genuine', None, 'entry did not come back'))
+    assert replica_pools.list_serving('t') == []
+    now = 500.0 + catalogue.FIELDS_EXPECTED_SECONDS - 0.1
+    assert replica_pools.list_serving('t') == []
+    now = 500.0 + catalogue.FIELDS_EXPECTED_SECONDS
+    assert [r.name for r in replica_pools.list_serving('t')] == ['foreign']
+    replica_pools.apply_change(make_entry('genuine', 8))
+    assert [r.name for r in replica_pools.list_serving('t')] == ['genuine']
