Crashes: the cause is refused for its whole wait, also while a run of it is announced

What callers saw: a Retry-After of 0.5 s for a request that was then refused for 28 s more. Cause: an announced run blocks others for 3 s, also after it has crashed its replica, and this was looked at before the wait for the third crash. Why it works: the wait is looked at first. The new test of the core failed before.

--- a/passpier/core/crashes.py
+++ b/passpier/core/crashes.py
@@ -158,12 +158,12 @@
         crash_times = self._list_crashes(fingerprint)
         if not crash_times:
             return CLEAN
-        if len(crash_times) >= SHARING_THRESHOLD and self._is_running(fingerprint, now):
-            return Assessment(len(crash_times), COPY_RETRY_AFTER, 'the same request is being run')
         wait = _compute_wait(crash_times, now)
         if wait > 0:
             text = f'{len(crash_times)} replicas have ended while they ran it'
             return Assessment(len(crash_times), wait, text)
+        if len(crash_times) >= SHARING_THRESHOLD and self._is_running(fingerprint, now):
+            return Assessment(len(crash_times), COPY_RETRY_AFTER, 'the same request is being run')
         return Assessment(len(crash_times))
 
     def begin(self, fingerprint: int, now: float) -> None:
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -40,8 +40,7 @@
 
 DRAIN_FRACTION = 0.88
 """Fraction of the grace period before SIGKILL in which requests may finish during a drain.
-The rest is for the last responses, deregistration, the last messages to peers and the exit of the
-interpreter."""
+The rest is for the last responses, deregistration and the last messages to peers."""
 
 SETTINGS_CHECK_INTERVAL = 1.0
 """Seconds between checks whether the settings file has changed."""
--- a/passpier/tests/core/crashes_tests.py
+++ b/passpier/tests/core/crashes_tests.py
@@ -39,6 +39,13 @@
     assert is_allowed(make_crashes(9), NOW, fingerprint=8)
 
 
+def test_the_cause_is_refused_for_its_whole_wait_while_its_last_run_still_counts() -> None:
+    """Guards against asking callers to come back within a second, only to refuse them again."""
+    known = make_crashes(3)
+    known.note_remote_run(CRASHING, NOW + 3.0)
+    assert known.assess(CRASHING, NOW + 1.0).refused_for == crashes.TRIAL_AFTER - 1.0
+
+
 def test_a_process_counts_once_however_many_runs_it_interrupts() -> None:
     known = crashes.CrashTracker()
     for at in (NOW, NOW + 0.1, NOW + 9.0):
