Logs: why a connection failed, and what a VM knows of a replica that is unresponsive elsewhere

`cannot connect` said `Stream is closed` for a reset and a refusal alike. When a peer reports a replica as unresponsive, the line `upstream unresponsive at a peer` has the seconds since the replica last responded to this process: a replica that is down and a VM that is cut off are told apart in the log of one VM.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -325,7 +325,7 @@
                 await stream.connect((host, int(port)))
         except (TimeoutError, OSError, tornado.iostream.StreamClosedError) as error:
             stream.close()
-            message = f'cannot connect to {address}: {error}'
+            message = f'cannot connect to {address}: {_describe(error)}'
             raise exchanges.ExchangeError(exchanges.Fault.CONNECT, message, False) from error
         except BaseException:
             stream.close()
@@ -334,6 +334,13 @@
         return Connection(self, address, stream)
 
 
+def _describe(error: Exception) -> str:
+    """Return the cause of a failed connection attempt; that of a closed stream is in the stream."""
+    if isinstance(error, tornado.iostream.StreamClosedError) and error.real_error is not None:
+        return str(error.real_error)
+    return str(error) or 'timed out'
+
+
 def _is_expired(connection: Connection, now: float) -> bool:
     return now - connection.idle_since > connection.idle_limit - IDLE_MARGIN
 
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -154,18 +154,21 @@
             return
         self._pools.unresponsive.add(process.id)
         self._notify_peers(messages.ReplicaUnresponsive(process.id, process.started_ms))
-        contacted_at = self._get_last_contact(process)
-        age = round(clocks.now() - contacted_at, 3) if math.isfinite(contacted_at) else None
         log.warning(
             'upstream unresponsive',
             extra={
                 'upstream': process.id,
                 'born': process.started_ms,
                 'error': error,
-                'last_heard_age': age,
+                'last_heard_age': self.compute_contact_age(process),
             },
         )
 
+    def compute_contact_age(self, process: replica_processes.ReplicaProcess) -> float | None:
+        """Return the seconds since a process last responded, or none if it never did."""
+        contacted_at = self._get_last_contact(process)
+        return round(clocks.now() - contacted_at, 3) if math.isfinite(contacted_at) else None
+
     def _mark_responsive(self, process: replica_processes.ReplicaProcess) -> None:
         if self._pools.find(process) is None:
             return
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -349,6 +349,14 @@
     def _handle_unresponsive(
         self, sender: str, address: str, message: messages.ReplicaUnresponsive
     ) -> None:
+        log.info(
+            'upstream unresponsive at a peer',
+            extra={
+                'upstream': message.replica,
+                'peer': address,
+                'last_heard_age': self.prober.compute_contact_age(message.process),
+            },
+        )
         self.prober.probe(message.process)
 
     def _notify_departing(self, process: replica_processes.ReplicaProcess) -> None:
