--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -315,23 +315,27 @@
         return self._once_idle_limit if now < self._once_idle_limit_until else ONCE_IDLE_LIMIT
 
     async def _connect(self, address: str) -> Connection:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                stream = await self.dial(address)
+        except (TimeoutError, OSError, tornado.iostream.StreamClosedError) as error:
+            message = f'cannot connect to {address}: {_describe(error)}'
+            raise exchanges.ExchangeError(exchanges.Fault.CONNECT, message, False) from error
+        self.opened += 1
+        return Connection(self, address, stream)
+
+    async def dial(self, address: str) -> tornado.iostream.IOStream:
+        """Open a TCP connection; raises `OSError` or tornado's `StreamClosedError`."""
         host, _, port = address.rpartition(':')
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         configure_keepalive(sock)
         stream = tornado.iostream.IOStream(sock)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                await stream.connect((host, int(port)))
-        except (TimeoutError, OSError, tornado.iostream.StreamClosedError) as error:
-            stream.close()
-            message = f'cannot connect to {address}: {_describe(error)}'
-            raise exchanges.ExchangeError(exchanges.Fault.CONNECT, message, False) from error
+            return await stream.connect((host, int(port)))
         except BaseException:
             stream.close()
             raise
-        self.opened += 1
-        return Connection(self, address, stream)
 
 
 def _describe(error: Exception) -> str:
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -6,7 +6,7 @@
 import dataclasses
 import functools
 import random
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Collection, Sequence
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -22,7 +22,7 @@
 from passpier.routing import dialect as routing
 from passpier.routing import router
 from passpier.standins import processes
-from passpier.standins.platform import foreign_entries, metastore, replica
+from passpier.standins.platform import foreign_entries, metastore, partitions, replica
 
 HOST = 'desk.example'
 MODEL = 'm1'
@@ -70,6 +70,9 @@
         self.version = 0
         self.configuration: dict[str, Any] = build_configuration()
         self.pool = connections.Pool()
+        self.router_pools: dict[str, partitions.PartitionedPool] = {}
+        """The connections of each router, by its name."""
+
         self._servers: list[tornado.httpserver.HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._started_replicas: list[replica.Replica] = []
@@ -167,9 +170,14 @@
         """Make a replica answer again."""
         self.replicas[id].faults.unreachable = False
 
+    def cut_off(self, router: str, replica_ids: Collection[str], kind: partitions.Cut) -> None:
+        """Cut a router off from some replicas, which all others still reach."""
+        addresses = [self.replicas[id].address for id in replica_ids]
+        self.router_pools[router].cut_off(addresses, kind)
+
     def add_router(self, name: str, zone: str, **changes: Any) -> router.Router:
         """Start a router."""
-        pool = connections.Pool()
+        pool = self.router_pools[name] = partitions.PartitionedPool()
         adapter = router.Adapter(
             dialect.Requests(),
             dialect.Records(),
--- /dev/null
+++ b/passpier/standins/platform/partitions.py
@@ -0,0 +1,66 @@
+"""Cuts one router off from replicas that others still reach."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import weakref
+from collections.abc import Collection
+
+import tornado.iostream
+
+from passpier.clients import connections
+from passpier.standins.platform import proxy
+
+
+class Cut(enum.Enum):
+    """What a partition does to connections; new ones never come up."""
+
+    HANG = 'hang'
+    """Open connections fall silent, new ones hang."""
+
+    RESET = 'reset'
+    """Open connections are reset, and so are new ones."""
+
+    REFUSE = 'refuse'
+    """Open connections live on, new ones are refused."""
+
+
+class PartitionedPool(connections.Pool):
+    """A router's connections, which can be cut off from some addresses."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._cut: frozenset[str] = frozenset()
+        self._kind = Cut.HANG
+        self._streams: dict[str, weakref.WeakSet[tornado.iostream.IOStream]] = {}
+
+    def cut_off(self, addresses: Collection[str], kind: Cut) -> None:
+        """Cut the router off from addresses, in addition to the ones that are cut off already."""
+        self._cut |= frozenset(addresses)
+        self._kind = kind
+        for address in addresses:
+            for stream in list(self._streams.get(address, ())):
+                self._cut_stream(stream)
+
+    def heal(self) -> None:
+        """End the partition; connections that have fallen silent stay so."""
+        self._cut = frozenset()
+
+    async def dial(self, address: str) -> tornado.iostream.IOStream:
+        """Open a connection, unless the address is cut off."""
+        if address in self._cut:
+            if self._kind is Cut.HANG:
+                await asyncio.sleep(connections.CONNECT_TIMEOUT * 2)
+            raise ConnectionRefusedError('cut off')
+        stream = await super().dial(address)
+        self._streams.setdefault(address, weakref.WeakSet()).add(stream)
+        return stream
+
+    def _cut_stream(self, stream: tornado.iostream.IOStream) -> None:
+        if stream.closed() or self._kind is Cut.REFUSE:
+            return
+        if self._kind is Cut.RESET:
+            stream.close((ConnectionResetError, ConnectionResetError('cut off'), None))
+            return
+        proxy.drop_packets(stream.socket)
--- a/passpier/standins/platform/proxy.py
+++ b/passpier/standins/platform/proxy.py
@@ -137,11 +137,16 @@
 
 def _silence(writer: asyncio.StreamWriter) -> None:
     """Let the kernel drop all packets for a socket, including acknowledgements."""
-    code = ctypes.create_string_buffer(DROP_ALL)
-    program = struct.pack('HL', 1, ctypes.addressof(code))
     with contextlib.suppress(OSError):
         # The connection may have been closed already.
-        writer.get_extra_info('socket').setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+        drop_packets(writer.get_extra_info('socket'))
+
+
+def drop_packets(sock: socket.socket) -> None:
+    """Let the kernel drop all packets that arrive for a socket, including acknowledgements."""
+    code = ctypes.create_string_buffer(DROP_ALL)
+    program = struct.pack('HL', 1, ctypes.addressof(code))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
