Routers cut off from replicas reach them by tunnels through their peers

Cause: a router reached replicas over its own links only. Its probes told a replica that is down from one that responds, but not a replica that is down from a link that is lost, and there was no other way to the replica.

Change: a replica that doesn't answer a probe at once is asked through up to three peers as well, over HTTP's CONNECT on the peers' internal ports. If only they get an answer, new connections to the replica go through such a tunnel, and the direct path is tried again every second. The tunnel copies bytes: placement, keys, retries, limits and cancellation stay with the router that has the client. Peers connect members only, to known replicas only, never through a third process, and a bounded number of times.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -6,12 +6,15 @@
 import logging
 import socket
 import struct
+import weakref
+from collections.abc import Callable
+from typing import NamedTuple
 
 import h11
 import tornado.iostream
 
 from passpier import clocks
-from passpier.clients import exchanges
+from passpier.clients import exchanges, tunnels
 
 log = logging.getLogger(__name__)
 
@@ -68,13 +71,21 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+class Path(NamedTuple):
+    """A way to an address: direct, or by a tunnel through the peer at `proxy`."""
+
+    address: str
+    proxy: str = ''
+
+
 class Connection:
     """One connection; always reads, to detect a close or unsolicited bytes while it is idle."""
 
-    def __init__(self, pool: Pool, address: str, stream: tornado.iostream.IOStream) -> None:
+    def __init__(self, pool: Pool, path: Path, stream: tornado.iostream.IOStream) -> None:
         self._pool = pool
-        self.address = address
+        self.path = path
         self.stream = stream
+        self.is_path_lost = False
         self.exchange: exchanges.Exchange | None = None
         self.idle_since = 0.0
         self.idle_limit = DEFAULT_IDLE_LIMIT
@@ -84,6 +95,11 @@
 
         self._reader = asyncio.ensure_future(self._read())
 
+    @property
+    def address(self) -> str:
+        """The address that the connection leads to."""
+        return self.path.address
+
     @property
     def closed(self) -> bool:
         """Whether the connection can no longer be used."""
@@ -104,7 +120,7 @@
 
     def note_unresponsive(self) -> None:
         """Record that the current exchange has received nothing."""
-        self._pool.note_unresponsive(self.address, self.used_at)
+        self._pool.note_unresponsive(self.path, self.used_at)
 
     def close(self) -> None:
         """Close the connection immediately."""
@@ -153,23 +169,40 @@
     device has lost its state. Once one does, the idle connections to the same address are closed.
     If the address then responds on a new connection, the network was at fault, and all connections
     to any address that have been idle since before the fault are closed.
+
+    An address is reached directly, or by a tunnel through a peer if `choose_proxy` names one.
     """
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[Connection]] = {}
+        self.choose_proxy: Callable[[str], str] = lambda address: ''
+        """Returns the peer to go through to an address; empty for a direct connection."""
+
+        self._idle: dict[Path, list[Connection]] = {}
+        self._connections: weakref.WeakSet[Connection] = weakref.WeakSet()
         self._once_idle_limit = ONCE_IDLE_LIMIT
         self._once_idle_limit_until = float('-inf')
-        self._unresponsive_since: dict[str, float] = {}
-        """When the connections to an address became unresponsive, until it responds again."""
+        self._unresponsive_since: dict[Path, float] = {}
+        """When the connections of a path became unresponsive, until it responds again."""
 
         self.opened = 0
         self.reused = 0
 
-    async def open(self, address: str, request: exchanges.Request) -> exchanges.Exchange:
-        """Send a request and return its exchange; raise `ExchangeError` if that fails."""
-        connection = self._take_idle(address, request.once)
+    async def open(
+        self,
+        address: str,
+        request: exchanges.Request,
+        proxy: str | None = None,
+        is_new: bool = False,
+    ) -> exchanges.Exchange:
+        """Send a request and return its exchange; raise `ExchangeError` if that fails.
+
+        It takes the usual path to the address, or that through `proxy`, direct if empty. With
+        `is_new`, it takes a new connection.
+        """
+        path = Path(address, self.choose_proxy(address) if proxy is None else proxy)
+        connection = None if is_new else self._take_idle(path, request.once)
         if connection is None:
-            connection = await self._connect(address)
+            connection = await self._connect_by(path)
         else:
             self.reused += 1
         if request.may_send is not None and not request.may_send():
@@ -186,13 +219,21 @@
         return exchange
 
     async def fetch(
-        self, address: str, request: exchanges.Request, timeout: float
+        self,
+        address: str,
+        request: exchanges.Request,
+        timeout: float,
+        proxy: str | None = None,
+        is_new: bool = False,
     ) -> exchanges.Response:
-        """Return the complete response within `timeout` seconds; raise `ExchangeError` if not."""
+        """Return the complete response within `timeout` seconds; raise `ExchangeError` if not.
+
+        For `proxy` and `is_new` see `open`.
+        """
         exchange: exchanges.Exchange | None = None
         try:
             async with asyncio.timeout(timeout):
-                exchange = await self.open(address, request)
+                exchange = await self.open(address, request, proxy, is_new)
                 return await exchange.read_all()
         except TimeoutError as error:
             if exchange is not None and not exchange.received_any:
@@ -206,10 +247,13 @@
 
     def release(self, connection: Connection, head: exchanges.Head) -> None:
         """Return a connection to the pool for the next exchange."""
+        if connection.is_path_lost:
+            connection.close()
+            return
         limit = _parse_idle_limit(head.get('keep-alive'))
         connection.idle_limit = DEFAULT_IDLE_LIMIT if limit is None else limit
         connection.idle_since = clocks.now()
-        self._idle.setdefault(connection.address, []).append(connection)
+        self._idle.setdefault(connection.path, []).append(connection)
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -220,7 +264,16 @@
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address whose process has ended."""
-        for connection in self._idle.pop(address, []):
+        for path in [p for p in self._idle if p.address == address]:
+            for connection in self._idle.pop(path):
+                connection.close()
+
+    def note_path_lost(self, path: Path) -> None:
+        """Close the idle connections of a path that is replaced, and mark those in use."""
+        for connection in list(self._connections):
+            if connection.path == path:
+                connection.is_path_lost = True
+        for connection in self._idle.pop(path, []):
             connection.close()
 
     def close_expired(self) -> None:
@@ -229,21 +282,21 @@
         Also drops outdated records of unresponsive addresses.
         """
         now = clocks.now()
-        for address, since in list(self._unresponsive_since.items()):
+        for path, since in list(self._unresponsive_since.items()):
             if now - since > UNRESPONSIVE_MEMORY:
-                del self._unresponsive_since[address]
-        for address, idle in list(self._idle.items()):
+                del self._unresponsive_since[path]
+        for path, idle in list(self._idle.items()):
             kept = [c for c in idle if not c.closed and not _is_expired(c, now)]
             for connection in idle:
                 if connection not in kept:
                     connection.close()
             if kept:
-                self._idle[address] = kept
+                self._idle[path] = kept
             else:
-                del self._idle[address]
+                del self._idle[path]
 
-    def _take_idle(self, address: str, once: bool) -> Connection | None:
-        idle = self._idle.get(address, [])
+    def _take_idle(self, path: Path, once: bool) -> Connection | None:
+        idle = self._idle.get(path, [])
         now = clocks.now()
         while idle:
             connection = idle.pop()
@@ -276,15 +329,13 @@
             },
         )
 
-    def note_unresponsive(self, address: str, since: float) -> None:
+    def note_unresponsive(self, path: Path, since: float) -> None:
         """Record that a connection has received nothing since a request was sent on it."""
-        idle = self._idle.pop(address, [])
-        if idle or address not in self._unresponsive_since:
-            closed = len(idle)
-            log.info(
-                'connection unresponsive', extra={'address': address, 'resting_closed': closed}
-            )
-        self._unresponsive_since.setdefault(address, since)
+        idle = self._idle.pop(path, [])
+        if idle or path not in self._unresponsive_since:
+            fields = {'address': path.address, 'proxy': path.proxy, 'resting_closed': len(idle)}
+            log.info('connection unresponsive', extra=fields)
+        self._unresponsive_since.setdefault(path, since)
         for connection in idle:
             connection.close()
 
@@ -294,10 +345,10 @@
         A response on a new connection shows that older connections are unresponsive because of the
         network.
         """
-        since = self._unresponsive_since.get(connection.address)
+        since = self._unresponsive_since.get(connection.path)
         if since is None or connection.opened_at < since:
             return
-        del self._unresponsive_since[connection.address]
+        del self._unresponsive_since[connection.path]
         if clocks.now() - since > UNRESPONSIVE_MEMORY:
             return
         closed = 0
@@ -314,6 +365,14 @@
     def _get_once_idle_limit(self, now: float) -> float:
         return self._once_idle_limit if now < self._once_idle_limit_until else ONCE_IDLE_LIMIT
 
+    async def _connect_by(self, path: Path) -> Connection:
+        connection = await (
+            self._connect_through(path) if path.proxy else self._connect(path.address)
+        )
+        self.opened += 1
+        self._connections.add(connection)
+        return connection
+
     async def _connect(self, address: str) -> Connection:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
@@ -321,8 +380,24 @@
         except (TimeoutError, OSError, tornado.iostream.StreamClosedError) as error:
             message = f'cannot connect to {address}: {_describe(error)}'
             raise exchanges.ExchangeError(exchanges.Fault.CONNECT, message, False) from error
-        self.opened += 1
-        return Connection(self, address, stream)
+        return Connection(self, Path(address), stream)
+
+    async def _connect_through(self, path: Path) -> Connection:
+        stream: tornado.iostream.IOStream | None = None
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                stream = await self.dial(path.proxy)
+                await tunnels.open_tunnel(stream, path.address)
+        except (TimeoutError, OSError, tornado.iostream.StreamClosedError) as error:
+            message = f'cannot connect to {path.address} through {path.proxy}: {_describe(error)}'
+            raise exchanges.ExchangeError(exchanges.Fault.CONNECT, message, False) from error
+        else:
+            connection = Connection(self, path, stream)
+            stream = None
+            return connection
+        finally:
+            if stream is not None:
+                stream.close()
 
     async def dial(self, address: str) -> tornado.iostream.IOStream:
         """Open a TCP connection; raises `OSError` or tornado's `StreamClosedError`."""
--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -99,9 +99,14 @@
 class Connection(Protocol):
     """What an exchange requires of its connection."""
 
-    address: str
     stream: tornado.iostream.IOStream
     exchange: Exchange | None
+    is_path_lost: bool
+    """Whether another path to the address has replaced the connection's own."""
+
+    @property
+    def address(self) -> str:
+        """The address that the connection leads to."""
 
     @property
     def has_unacked_data(self) -> bool:
@@ -158,6 +163,11 @@
         """Whether the request is sent, but the peer's kernel has not acknowledged it."""
         return not self.received_any and self._connection.has_unacked_data
 
+    @property
+    def is_path_lost(self) -> bool:
+        """Whether another path has replaced the one that the response has to come by."""
+        return self._connection.is_path_lost
+
     def note_unresponsive(self) -> None:
         """Keep other requests off connections that may be as unresponsive as this one."""
         self._connection.note_unresponsive()
--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -55,6 +55,9 @@
     capacity: float = 1.0
     """CPU cores available to the daemon on its VM."""
 
+    tunnel_port: int = 0
+    """Port on which it connects members to replicas; 0 if it doesn't."""
+
     @property
     def entry(self) -> str:
         """The address that callers use."""
@@ -65,6 +68,11 @@
         """The address that other daemons use."""
         return f'{self.ip}:{self.peer_port}'
 
+    @property
+    def tunnel(self) -> str:
+        """The address at which other daemons request tunnels."""
+        return f'{self.ip}:{self.tunnel_port}'
+
 
 class Beat(msgspec.Struct, frozen=True, array_like=True):
     """One member's state in a heartbeat; encoded without field names, as it is sent often.
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -157,11 +157,13 @@
     def __init__(self, pool: connections.Pool) -> None:
         self._pool = pool
 
-    async def report(self, address: str, incarnation: str) -> dialect.Report:
+    async def report(
+        self, address: str, incarnation: str, proxy: str | None = None, is_new: bool = False
+    ) -> dialect.Report:
         """Fetch a replica's report; raise `ExchangeError` if that fails."""
         headers = [('Host', address), (names.EXPECT_INCARNATION, incarnation)]
         request = exchanges.Request('GET', names.REPORT_PATH, headers)
-        response = await self._pool.fetch(address, request, dialect.ASK_TIMEOUT)
+        response = await self._pool.fetch(address, request, dialect.ASK_TIMEOUT, proxy, is_new)
         if response.head.status in (400, 404, 405):
             # Replicas of plain services have no report; any response shows that they are alive.
             return dialect.Report({}, False, 0, 0, 0, signal=_read_signal(response.head))
@@ -216,7 +218,7 @@
         data = msgspec.json.encode(body)
         request = exchanges.Request('POST', names.ORDER_PATH, headers, data, once=True)
         try:
-            response = await self._pool.fetch(address, request, ORDER_TIMEOUT)
+            response = await self._pool.fetch(address, request, ORDER_TIMEOUT, proxy='')
         except exchanges.ExchangeError as error:
             log.warning('order not answered', extra={'upstream': address, 'error': str(error)})
             return dialect.OrderResult.UNKNOWN
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -63,6 +63,7 @@
 def build_options(loaded: settings.Settings, metrics_port: int = METRICS_PORT) -> dialect.Options:
     """Convert the settings to the router's options."""
     bounds = loaded.bounds
+    first_port, last_port = loaded.internal_ports
     return dialect.Options(
         name=loaded.node_name,
         ip=loaded.ip,
@@ -72,7 +73,8 @@
         caller=loaded.listen.frontend,
         ready=loaded.listen.ready,
         directory=loaded.listen.directory,
-        peer_port=loaded.internal_ports[0],
+        peer_port=first_port,
+        tunnel_port=last_port if last_port != first_port else 0,
         key_bound=bounds.revoke_ms / 1000,
         keys_expire=bounds.revoke_fail_closed,
         stop_bound=bounds.grace_s * DRAIN_FRACTION,
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -171,17 +171,20 @@
 class Engines(Protocol):
     """Calls to replicas other than client requests."""
 
-    async def report(self, address: str, incarnation: str) -> Report:
+    async def report(
+        self, address: str, incarnation: str, proxy: str | None = None, is_new: bool = False
+    ) -> Report:
         """Return a replica's report within `ASK_TIMEOUT`; raises `ExchangeError`.
 
-        A replica of a plain service, which has no reports, returns an empty one.
+        A replica of a plain service, which has no reports, returns an empty one. For `proxy` and
+        `is_new` see `connections.Pool.open`.
         """
 
     async def read_cache_changes(self, address: str, since: int, wait: float) -> CacheChanges:
         """Return a cache's events from number `since`; raises `ExchangeError`."""
 
     async def order(self, address: str, order: WeightOrder) -> OrderResult:
-        """Send an order."""
+        """Send an order, always directly: replicas tell the process that gives it by its VM."""
 
 
 class Records(Protocol):
@@ -216,6 +219,9 @@
     ready: str
     directory: str
     peer_port: int
+    tunnel_port: int
+    """Port at which peers request tunnels; 0 for none."""
+
     key_bound: float
     keys_expire: bool
     """Whether keys are refused once the newest configuration may be older than `key_bound`."""
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -27,6 +27,7 @@
     delivering,
     dialect,
     moves,
+    paths,
     placement_sharing,
     probing,
     rate_limiting,
@@ -42,6 +43,12 @@
 CONNECT_TRIES = 3
 """Connections tried for one attempt; nothing reaches an upstream before one is established."""
 
+CONNECT_SLOW = 0.15
+"""Seconds after which a connection that isn't established makes its path suspect."""
+
+PATH_SECONDS = 0.25
+"""Seconds for finding another path once a connection has failed."""
+
 ATTEMPT_SHARE = 0.4
 """Fraction of the time left after which a request without a response may be moved to another
 replica."""
@@ -77,12 +84,14 @@
         counters: metrics.Metrics,
         options: dialect.Options,
         prober: probing.Prober,
+        replica_paths: paths.Paths,
         shared: placement_sharing.PlacementSharing,
         suspect_tracker: suspects.SuspectRequests,
         limiter: rate_limiting.RateLimiter,
     ) -> None:
         self.limiter = limiter
         self.prober = prober
+        self.paths = replica_paths
         self.suspects = suspect_tracker
         self.sharing = shared
         self.heads = sent_attempts.HeadReader(wire, registry_state.pools, prober)
@@ -387,19 +396,44 @@
             lambda: self._may_send(placement),
         )
         self.call.progress.begin()
+        loop = asyncio.get_running_loop()
+        slow = loop.call_later(CONNECT_SLOW, self._check_path, replica)
         try:
             async with asyncio.timeout(min(time_left, connect_seconds)):
-                return await self._owner.pool.open(replica.address, request)
+                return await self._open_exchange(replica, request)
         except exchanges.ExchangeError as error:
             self.call.progress.attempts -= 1
             if error.fault is exchanges.Fault.WITHHELD:
                 raise self._build_withheld_error() from error
-            self._owner.prober.probe(replica.process, 0.0)
             raise response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, str(error)) from error
         except TimeoutError as error:
             self.call.progress.attempts -= 1
             text = f'no connection for {admitted.client_request.id} in time'
             raise response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, text) from error
+        finally:
+            slow.cancel()
+
+    async def _open_exchange(
+        self, replica: replicas.Replica, request: exchanges.Request
+    ) -> exchanges.Exchange:
+        """Send a request by the path to its replica, or by another one if that one is lost."""
+        owner = self._owner
+        path = owner.paths.choose(replica.address)
+        try:
+            return await owner.pool.open(replica.address, request, path)
+        except exchanges.ExchangeError as error:
+            if error.fault is exchanges.Fault.WITHHELD:
+                raise
+            self._check_path(replica)
+            await owner.prober.wait_probed(replica.process, PATH_SECONDS)
+            if owner.paths.choose(replica.address) == path:
+                raise
+        return await owner.pool.open(replica.address, request)
+
+    def _check_path(self, replica: replicas.Replica) -> None:
+        """Find out whether a replica can be connected to, by any path."""
+        self._owner.paths.note_connect_failure(replica.address)
+        self._owner.prober.probe(replica.process, 0.0)
 
     async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
         self._last_process = attempt.process
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -1,9 +1,9 @@
 """Detects unresponsive replicas: probes those on which requests are waiting.
 
-A replica that is merely slow or busy returns a report at once. One that is down or isolated from
-this process returns nothing: it gets no more requests, those that can are retried elsewhere, and it
-is probed until it responds. Other processes are told and probe it themselves, since a replica may
-be unreachable for some clients only.
+A replica that is merely slow or busy returns a report at once. One that is down returns nothing,
+by any path: it gets no more requests, those that can are retried elsewhere, and it is probed until
+it responds. Other processes are told and probe it themselves, since a replica may be unreachable
+for some clients only.
 
 Unresponsiveness belongs to one process: if another one responds, the replica has restarted.
 """
@@ -14,6 +14,7 @@
 import logging
 import math
 from collections.abc import Callable
+from typing import Protocol
 
 from passpier import clocks
 from passpier.clients import exchanges
@@ -37,18 +38,25 @@
 """Unanswered probes after which a replica counts as unresponsive: a packet may be lost."""
 
 
+class Reporter(Protocol):
+    """Asks replicas for their reports."""
+
+    async def report(self, address: str, incarnation: str) -> dialect.Report:
+        """Return a replica's report; raises `ExchangeError`."""
+
+
 class Prober:
     """Tracks which replicas don't respond to this process."""
 
     def __init__(
         self,
         registry_state: registry_mirror.RegistryState,
-        engines: dialect.Engines,
+        reporter: Reporter,
         notify_peers: Callable[[messages.ReplicaUnresponsive], None],
     ) -> None:
         self._registry_state = registry_state
         self._pools = registry_state.pools
-        self._engines = engines
+        self._reporter = reporter
         self._notify_peers = notify_peers
         self._last_contacts: dict[str, tuple[replica_processes.ReplicaProcess, float]] = {}
         """By name, the process that responded last, and when."""
@@ -86,6 +94,12 @@
         self._tasks[process] = task
         task.add_done_callback(lambda _: self._finish_probe(process))
 
+    async def wait_probed(self, process: replica_processes.ReplicaProcess, timeout: float) -> None:
+        """Wait until the probe of a replica has ended, if there is one."""
+        task = self._tasks.get(process)
+        if task is not None:
+            await asyncio.wait([task], timeout=timeout)
+
     async def has_ended(self, process: replica_processes.ReplicaProcess) -> bool:
         """Return whether a process whose connection broke has ended, after probing it."""
         if self._pools.find(process) is None:
@@ -127,7 +141,7 @@
         unanswered = 0
         while (replica := self._pools.find(process)) is not None:
             try:
-                report = await self._engines.report(replica.address, replica.incarnation)
+                report = await self._reporter.report(replica.address, replica.incarnation)
             except exchanges.ExchangeError as error:
                 if error.fault is exchanges.Fault.REPLACED:
                     self._pools.mark_replaced(process)
--- a/passpier/routing/response_reader.py
+++ b/passpier/routing/response_reader.py
@@ -127,6 +127,8 @@
                     raise AttemptError(fault, text, broken_off=True) from error
                 if self._prober.is_unresponsive(self._process.id):
                     raise SilentError(fault, 'the replica gives no sign of life') from error
+                if self._exchange.is_path_lost and self._repeatable:
+                    raise SilentError(fault, 'the path to the replica is lost') from error
                 if not self._exchange.has_unacked_data:
                     self._prober.probe(self._process)
                     continue
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -15,7 +15,7 @@
 
 from passpier import clocks
 from passpier.clients import connections, registry
-from passpier.core import drain, members, rates, replica_processes
+from passpier.core import drain, members, rates, replica_processes, replicas
 from passpier.daemon import (
     dispatcher,
     loads,
@@ -32,6 +32,7 @@
     dialect,
     forwarding,
     ingress,
+    paths,
     placement_sharing,
     pools,
     probing,
@@ -43,6 +44,7 @@
     roster,
     sources,
     throttling,
+    tunnel_server,
 )
 
 log = logging.getLogger(__name__)
@@ -86,6 +88,12 @@
 """Fraction of the file descriptors for client connections; the rest is for upstreams, peers and the
 registry."""
 
+TUNNELS_PER_FILE = 0.1
+"""Maximum number of tunnels per file descriptor of the process; each takes two."""
+
+MAX_SIBLINGS_CHECKED = 16
+"""Replicas of a service that are checked at once when the path to one of them is lost."""
+
 UPKEEP_INTERVAL = 1.0
 """Seconds between rounds that close expired idle connections."""
 
@@ -127,7 +135,6 @@
         self.registry_state = registry_mirror.RegistryState(
             adapter.records, self.pools, options.key_bound
         )
-        self.pools.on_process_ended = lambda replica: adapter.pool.close_idle(replica.address)
         self.registry_state.on_refused = lambda kind: self.counters.refused_records.inc(
             {'kind': kind}
         )
@@ -142,9 +149,13 @@
             self.peers.port,
             options.failure_domain,
             options.capacity,
+            options.tunnel_port,
         )
         self.meter = rates.Meter(clocks.now())
         self.roster = roster.Roster(own, self.registry_state, self.peers, self.meter, rng)
+        self.paths = paths.Paths(self.roster.membership, adapter.pool, adapter.engines, rng)
+        adapter.pool.choose_proxy = self.paths.choose
+        self.pools.on_process_ended = self._forget_address
         self.relay = relaying.Relay(self.registry_state, self.roster.membership, self.peers, rng)
         self.registry_follower = registry_follower.RegistryFollower(
             adapter.source, self.registry_state, self.relay, rng
@@ -170,9 +181,8 @@
         self.sharing = placement_sharing.PlacementSharing(
             sources.CacheSources(self.pools), self.roster.membership, self.peers
         )
-        self.prober = probing.Prober(
-            self.registry_state, adapter.engines, self.roster.notify_serving
-        )
+        self.prober = probing.Prober(self.registry_state, self.paths, self.roster.notify_serving)
+        self.paths.on_lost = self._check_siblings
         self.peers.register_handler(messages.ReplicaUnresponsive, self._handle_unresponsive)
         membership = self.roster.membership
         self.suspects = suspects.SuspectRequests(
@@ -200,6 +210,7 @@
             self.counters,
             options,
             self.prober,
+            self.paths,
             self.sharing,
             self.suspects,
             self.limiter,
@@ -219,6 +230,10 @@
         self.ingress.accepts_requests = self._accepts_requests
         files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.ingress.clients.max_open = int(files * CLIENT_FILES_SHARE)
+        self.tunnels = tunnel_server.TunnelServer(
+            membership, self.pools, adapter.pool.dial, int(files * TUNNELS_PER_FILE)
+        )
+        self.tunnels.is_direct = self.paths.is_direct
         self._client_server = self.ingress.build_server()
 
     async def run(self) -> None:
@@ -234,6 +249,7 @@
             tasks.start(self.roster.run_heartbeats()),
             tasks.start(self.rollouts.run_election()),
             tasks.start(self.rollouts.run_orders()),
+            tasks.start(self.paths.run()),
             tasks.start(self._check_loop()),
             tasks.start(suspension_monitor.watch(self.counters, self._resume)),
             tasks.start(self._run_upkeep()),
@@ -251,6 +267,8 @@
             for task in running:
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
+            self.paths.stop()
+            self.tunnels.close()
             self.adapter.pool.close()
             self.peers.close()
         log.info('stopped', extra={'cut': self.ingress.in_flight})
@@ -359,6 +377,21 @@
         )
         self.prober.probe(message.process)
 
+    def _forget_address(self, replica: replicas.Replica) -> None:
+        """Drop the connections and the path to a replica process that has ended."""
+        self.adapter.pool.close_idle(replica.address)
+        self.paths.forget(replica.address)
+
+    def _check_siblings(self, address: str) -> None:
+        """Check the paths to other replicas of a service when that to one of them is lost."""
+        known = self.pools.replicas
+        name = next((n for n, r in known.items() if r.address == address), '')
+        for sibling in self.pools.list_siblings(name)[:MAX_SIBLINGS_CHECKED] if name else ():
+            replica = known[sibling]
+            if self.paths.is_direct(replica.address):
+                self.paths.note_connect_failure(replica.address)
+                self.prober.probe(replica.process, 0.0)
+
     def _notify_departing(self, process: replica_processes.ReplicaProcess) -> None:
         self.roster.notify_serving(messages.ReplicaLeaving(process.id, process.started_ms))
 
@@ -374,7 +407,8 @@
         while True:
             now = clocks.now()
             recent = now - self.ingress.last_active_at < QUIET_BEFORE_STOP
-            phase = self._drain.get_phase(self.ingress.in_flight + recent, now)
+            busy = self.ingress.in_flight + recent + self.tunnels.count_busy()
+            phase = self._drain.get_phase(busy, now)
             if phase is drain.Phase.STOPPED:
                 break
             await asyncio.sleep(STOP_CHECK)
@@ -420,6 +454,10 @@
         )
         _listen_on(self._client_server, self.options.caller)
         servers = [self._client_server]
+        if self.options.tunnel_port:
+            tunnels = self.tunnels.build_server()
+            _listen_on(tunnels, self.roster.membership.own.tunnel)
+            servers.append(tunnels)
         metrics_address = f'{self.options.ip}:{self.options.metrics_port}'
         for address in {self.options.ready, self.options.directory, metrics_address}:
             server = tornado.httpserver.HTTPServer(pages)
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -371,7 +371,7 @@
 
 def build_options(name: str, zone: str) -> routing.Options:
     """Return options for a router on loopback, with short time limits."""
-    ports = [processes.pick_port() for _ in range(4)]
+    ports = [processes.pick_port() for _ in range(5)]
     return routing.Options(
         name=name,
         ip='127.0.0.1',
@@ -382,6 +382,7 @@
         ready=f'127.0.0.1:{ports[1]}',
         directory=f'127.0.0.1:{ports[2]}',
         peer_port=0,
+        tunnel_port=ports[4],
         key_bound=2.0,
         keys_expire=True,
         stop_bound=5.0,
--- a/passpier/standins/platform/routers.py
+++ b/passpier/standins/platform/routers.py
@@ -31,7 +31,7 @@
 ip = "127.0.0.1"
 zone = "{zone}"
 region = "here"
-internal_ports = [{peer}, {peer}]
+internal_ports = [{peer}, {tunnel}]
 [listen]
 frontend = "{caller}"
 ready = "{ready}"
@@ -62,7 +62,7 @@
         """Whether a fault is being injected into the process, which excludes further ones."""
 
         self.retry_slack = 40
-        self._peer = processes.pick_port()
+        self._peer, self._tunnel = sorted(processes.pick_port() for _ in range(2))
         self._metrics = processes.pick_port()
         self._zone = f'zone-{number % 2}'
         self._settings = folder / f'{name}.toml'
@@ -95,6 +95,7 @@
             name=self.name,
             zone=self._zone,
             peer=self._peer,
+            tunnel=self._tunnel,
             caller=self.caller,
             ready=self.ready,
             directory=self.directory,
--- a/passpier/tests/platform/partitions_tests.py
+++ b/passpier/tests/platform/partitions_tests.py
@@ -97,3 +97,91 @@
         await check_served(running, cuts, partitions.Cut.HANG)
 
     harness.run_check(check, routers=2)
+
+
+def test_most_routers_cut_off_serve_their_clients_through_the_last_one() -> None:
+    """Guards against asking only peers that are cut off themselves."""
+
+    async def check(running: deployment.Deployment) -> None:
+        everything = list(running.replicas)
+        cuts = dict.fromkeys(range(4), everything)
+        await check_served(running, cuts, partitions.Cut.RESET)
+
+    harness.run_check(check, routers=5)
+
+
+def test_router_returns_to_its_own_links_when_they_work_again() -> None:
+    """Guards against loading peers with traffic that doesn't need them any more."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await running.wait_settled()
+        cut, peer = running.routers
+        traffic = Traffic(running, 0)
+        sending = asyncio.ensure_future(traffic.send(6.0))
+        running.cut_off('vm-0', list(running.replicas), partitions.Cut.RESET)
+        await harness.wait_for(lambda: not cut.paths.is_direct(running.replicas['app-0'].address))
+        await asyncio.sleep(1.0)
+        running.router_pools['vm-0'].heal()
+        healed_at = clocks.now()
+        addresses = [replica.address for replica in running.replicas.values()]
+        await harness.wait_for(lambda: all(cut.paths.is_direct(a) for a in addresses))
+        await sending
+        assert not traffic.list_failed(healed_at)
+        await harness.wait_for(lambda: not peer.tunnels.count_busy())
+
+    harness.run_check(check, routers=2)
+
+
+def test_peer_that_stops_fails_no_request_of_its_tunnels() -> None:
+    """Guards against a planned stop that ends the tunnels of a router without own links."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await running.wait_settled()
+        running.cut_off('vm-0', list(running.replicas), partitions.Cut.RESET)
+        traffic = Traffic(running, 0)
+        sending = asyncio.ensure_future(traffic.send(9.0))
+        await asyncio.sleep(2.0)
+        stops_at = clocks.now()
+        used = next(r for r in running.routers if r.tunnels.count_busy())
+        used.begin_stop()
+        await running.wait_ended(used)
+        await sending
+        assert not traffic.list_failed(stops_at)
+
+    harness.run_check(check, routers=3)
+
+
+def test_peer_that_dies_is_replaced_by_another_one() -> None:
+    """Guards against a detour that ends with the peer that it leads through."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await running.wait_settled()
+        running.cut_off('vm-0', list(running.replicas), partitions.Cut.RESET)
+        traffic = Traffic(running, 0)
+        sending = asyncio.ensure_future(traffic.send(6.0))
+        await asyncio.sleep(2.0)
+        died_at = clocks.now()
+        next(r for r in running.routers if r.tunnels.count_busy()).force_stop()
+        await sending
+        assert not traffic.list_failed(died_at + CONTACT_SECONDS)
+
+    harness.run_check(check, routers=3)
+
+
+def test_a_lost_path_does_not_count_as_a_crash_of_the_replica() -> None:
+    """Requests that ran there were suspected of crashes at all routers."""
+
+    async def check(running: deployment.Deployment) -> None:
+        harness.set_processing_time(running, 0.4)
+        pending = [
+            asyncio.ensure_future(running.ask('/once/x', id=f'n{i}', body=bytes([i])))
+            for i in range(6)
+        ]
+        await harness.wait_for(lambda: all(running.list_runs(f'n{i}') for i in range(6)))
+        running.cut_off('vm-0', list(running.replicas), partitions.Cut.RESET)
+        await asyncio.gather(*pending)
+        await asyncio.sleep(1.0)
+        for router in running.routers:
+            assert not len(router.suspects.crashes)
+
+    harness.run_check(check, routers=2)
--- a/passpier/tests/platform/replica_restarts_tests.py
+++ b/passpier/tests/platform/replica_restarts_tests.py
@@ -13,7 +13,7 @@
 import pytest
 
 from passpier import clocks
-from passpier.clients import registry
+from passpier.clients import connections, registry
 from passpier.core import choice, pauses, prompts, replica_processes
 from passpier.platform import dialect, names
 from passpier.routing import pools, registry_mirror
@@ -184,10 +184,11 @@
         router = running.routers[0]
         restarted = running.replicas['app-0']
         idle = router.adapter.pool._idle
-        while not idle.get(restarted.address):
+        path = connections.Path(restarted.address)
+        while not idle.get(path):
             assert (await running.ask('/once/x')).status == 200
             await asyncio.sleep(0.01)
-        before = list(idle[restarted.address])
+        before = list(idle[path])
         entry = restarted.render_entry() | {'born': 2000}
         running.store.put(names.REPLICA_PREFIX + restarted.id, entry)
         await harness.wait_for(lambda: router.pools.get(restarted.id).started_ms == 2000)
--- a/passpier/tests/platform/unresponsive_connections_tests.py
+++ b/passpier/tests/platform/unresponsive_connections_tests.py
@@ -162,10 +162,12 @@
         others = [c for c in list_idle(pool) if c.address != address]
         assert others
         # Unresponsive for a long time: the process that responds now was restarted.
-        pool.note_unresponsive(address, clocks.now() - 2 * connections.UNRESPONSIVE_MEMORY)
+        pool.note_unresponsive(
+            connections.Path(address), clocks.now() - 2 * connections.UNRESPONSIVE_MEMORY
+        )
         await running.routers[0].adapter.engines.report(address, 'app-0')
         assert not [c for c in others if c.closed]
-        pool.note_unresponsive(address, clocks.now())
+        pool.note_unresponsive(connections.Path(address), clocks.now())
         await running.routers[0].adapter.engines.report(address, 'app-0')
         assert [c for c in others if c.closed]
 
--- a/passpier/tests/routing/replica_restarts_tests.py
+++ b/passpier/tests/routing/replica_restarts_tests.py
@@ -412,6 +412,7 @@
     """A connection to a process that is gone, on which nothing arrives any more."""
 
     has_unacked_data = False
+    is_path_lost = False
 
     async def read_head(self) -> exchanges.Head:
         await asyncio.sleep(1e6)
