Rollouts: a router cut off from the replicas that lack weights hands the orders over

Orders through a peer are no way out: replicas tell holders by the VM that an order comes from, and two at a time break the fencing.

The holder gives orders to the replicas that it reaches directly. When only others are left, it gives the lease up, and doesn't seek it again before it reaches one of them.

--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -7,7 +7,7 @@
 import logging
 import random
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, Protocol
 
 from passpier import clocks, exceptions
 from passpier.clients import exchanges, registry
@@ -49,6 +49,16 @@
 """Has no lease, so that a process elected twice in a row finds out that it succeeds itself."""
 
 
+class Paths(Protocol):
+    """The paths to replicas."""
+
+    def is_direct(self, address: str) -> bool:
+        """Return whether an address is reached without a peer."""
+
+    async def report(self, address: str, incarnation: str) -> dialect.Report:
+        """Return a replica's report by any path; raises `ExchangeError`."""
+
+
 class Rollouts:
     """Takes part in the election, and gives orders while elected."""
 
@@ -59,6 +69,7 @@
         follower: registry_follower.RegistryFollower,
         router_roster: roster.Roster,
         engines: dialect.Engines,
+        paths: Paths,
         link: peers.Peers,
         options: dialect.Options,
         rng: random.Random,
@@ -70,6 +81,7 @@
         self._follower = follower
         self._roster = router_roster
         self._engines = engines
+        self._paths = paths
         self._name = options.name
         self._rng = rng
         self._key = registry_state.records.own_prefix + _KEY
@@ -89,7 +101,10 @@
                 if self._roster.leaving and not (self.holder.token and self._is_pending()):
                     # The successor has to wait before it may give orders, which does least harm
                     # while no replica lacks weights.
-                    await self._resign()
+                    await self._resign('this process stops')
+                    await asyncio.sleep(CHECK_INTERVAL)
+                elif self._is_cut_off():
+                    await self._resign('no replica that lacks weights is reached directly')
                     await asyncio.sleep(CHECK_INTERVAL)
                 elif self.holder.token:
                     await self._hold_lease()
@@ -105,7 +120,7 @@
             now = clocks.now()
             if self.holder.may_order(now):
                 released = self._pools.list_released_versions()
-                for order in self._rollout.choose(released, self._pools.list_states(), now):
+                for order in self._rollout.choose(released, self._list_reached(), now):
                     self._start(self._execute_order(order))
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
@@ -119,7 +134,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         try:
-            await self._resign()
+            await self._resign('this process stops')
         except exceptions.StoreError as error:
             log.info('order lease not released, will expire', extra={'error': str(error)})
 
@@ -165,6 +180,19 @@
             self._pools.list_released_versions(), self._pools.list_states()
         )
 
+    def _is_cut_off(self) -> bool:
+        """Return whether only other processes can give the orders that are pending.
+
+        An order sent through a peer would count as one by another holder.
+        """
+        released = self._pools.list_released_versions()
+        return self._is_pending() and not self._rollout.is_pending(released, self._list_reached())
+
+    def _list_reached(self) -> list[rollout.State]:
+        """Return the weights of the replicas that are reached directly."""
+        known = self._pools.replicas
+        return [s for s in self._pools.list_states() if self._paths.is_direct(known[s.id].address)]
+
     def _choose_delay(self) -> float:
         """Return the seconds to wait before seeking election, fewest for the youngest process.
 
@@ -196,11 +224,11 @@
             if lease == self._lease:
                 self.holder.renew(sent_at)
 
-    async def _resign(self) -> None:
+    async def _resign(self, reason: str) -> None:
         if not self.holder.token:
             return
         lease = self._lease
-        self._drop_lease('this process stops')
+        self._drop_lease(reason)
         if lease is not None:
             await self._source.end(lease)
 
@@ -247,7 +275,10 @@
         self._pause(loading, 'is to load weights')
         self._roster.notify_serving(loading)
         await asyncio.sleep(NOTICE_DELAY)
-        report = await self._engines.report(replica.address, replica.incarnation)
+        report = await self._paths.report(replica.address, replica.incarnation)
+        if not self._paths.is_direct(replica.address):
+            log.info('order left to other processes', extra={'upstream': order.replica})
+            return 0
         if not self._registry_state.apply_report(order.process, report):
             return 0
         if report.versions.get(order.model, 0) >= order.version:
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -166,6 +166,7 @@
             self.registry_follower,
             self.roster,
             adapter.engines,
+            self.paths,
             self.peers,
             options,
             rng,
--- a/passpier/tests/platform/partitions_tests.py
+++ b/passpier/tests/platform/partitions_tests.py
@@ -185,3 +185,19 @@
             assert not len(router.suspects.crashes)
 
     harness.run_check(check, routers=2)
+
+
+def test_router_that_gives_orders_hands_them_over_when_it_reaches_no_replica() -> None:
+    """Released weights were loaded nowhere until the partition ended, by no router."""
+
+    async def check(running: deployment.Deployment) -> None:
+        await harness.wait_for(lambda: any(r.rollouts.holder.token for r in running.routers))
+        holder = next(r for r in running.routers if r.rollouts.holder.token)
+        engines = [replica for replica in running.replicas.values() if replica.model]
+        running.cut_off(holder.options.name, [e.id for e in engines], partitions.Cut.HANG)
+        running.release_version(2)
+        async with asyncio.timeout(holder.options.version_bound):
+            await harness.wait_for(lambda: all(e.version == 2 for e in engines))
+        assert not holder.rollouts.holder.token
+
+    harness.run_check(check, routers=3)
--- a/passpier/tests/routing/replica_restarts_tests.py
+++ b/passpier/tests/routing/replica_restarts_tests.py
@@ -115,6 +115,7 @@
             cast(registry_follower.RegistryFollower, None),
             cast(roster.Roster, rollouts_tests.Roster()),
             cast(dialect.Engines, None),
+            cast(rollouts.Paths, None),
             link,
             cast(dialect.Options, rollouts_tests.Options()),
             random.Random(1),
--- a/passpier/tests/routing/rollouts_tests.py
+++ b/passpier/tests/routing/rollouts_tests.py
@@ -57,11 +57,26 @@
         return dialect.OrderResult.TAKEN
 
 
+class Paths:
+    """Direct paths to all replicas but those whose addresses are in `lost`."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.lost: set[str] = set()
+
+    def is_direct(self, address: str) -> bool:
+        return address not in self.lost
+
+    async def report(self, address: str, incarnation: str) -> dialect.Report:
+        return await self._fleet.rollouts._engines.report(address, incarnation)
+
+
 class Fleet:
     """One process that may give orders, and replicas with version 1."""
 
     def __init__(self, *names: str) -> None:
         self.engines = Engines()
+        self.paths = Paths(self)
         self.roster = Roster()
         known = registry_mirror.RegistryState(fleets.Records(), pools.Pools(10.0), 5.0)
         self.pools = known.pools
@@ -75,6 +90,7 @@
             cast(registry_follower.RegistryFollower, None),
             cast(roster.Roster, self.roster),
             cast(dialect.Engines, self.engines),
+            self.paths,
             cast(peers.Peers, link),
             options,
             random.Random(1),
@@ -133,3 +149,25 @@
         assert fleet.engines.versions == {'r1': 2}
 
     virtual_time.run(check())
+
+
+def test_replicas_without_direct_path_are_left_to_another_process() -> None:
+    """Orders through a peer would count as those of a second holder; one at a time may order."""
+
+    async def check() -> None:
+        fleet = Fleet('r1', 'r2', 'r3')
+        fleet.paths.lost.add('r1:1')
+        fleet.elect(5)
+        fleet.release(2)
+        assert not fleet.rollouts._is_cut_off()
+        await run_orders(fleet, 8.0)
+        assert {o.incarnation for o in fleet.engines.orders} == {'r2', 'r3'}
+        # Nothing is left for this process to do.
+        assert fleet.rollouts._is_cut_off()
+        fleet.paths.lost.clear()
+        assert not fleet.rollouts._is_cut_off()
+        await run_orders(fleet, 4.0)
+        assert fleet.engines.versions == {'r1': 2, 'r2': 2, 'r3': 2}
+        assert not fleet.rollouts._is_cut_off()
+
+    virtual_time.run(check())
