Silent replicas: a request that may run only once waits for one that goes on

Callers got 502 from sound replicas that were silent for a second or two: after two unanswered probes (1.2 s), or when the kernel gave the connection up, because bytes were unacknowledged for 1.5 s. The same bound ends a connection at rest at the second unanswered keep-alive probe, whatever their number.

Such requests now wait until their deadline or the end of their connection, which the kernel keeps for 4 s: what is lost in a silence of 2 s is sent again within 3 s. The store's connections keep 1.5 s, as every call there can be repeated. Requests that may be repeated go elsewhere as before, after 0.8 s.

short_silences_tests: 4 of 4 failed before (2 s of silence; 502 or a cut stream), pass now.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 import weakref
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 import h11
@@ -22,7 +22,12 @@
 """Seconds; connecting takes milliseconds, and a failed attempt is safe because nothing was sent."""
 
 UNACKED_TIMEOUT = 1500
-"""Milliseconds for which sent bytes may stay unacknowledged (TCP_USER_TIMEOUT)."""
+"""Milliseconds for which sent bytes may stay unacknowledged (TCP_USER_TIMEOUT). It also ends a
+connection at rest whose keep-alive probes go unanswered for that long, whatever their number."""
+
+UPSTREAM_UNACKED_TIMEOUT = 4000
+"""The same to upstreams, which may be silent for a second or two and go on. What was sent meanwhile
+is acknowledged at the next retransmission, after up to twice the silence."""
 
 KEEPALIVE_IDLE = 1
 """Idle seconds before the kernel probes a connection, and seconds between probes."""
@@ -58,13 +63,9 @@
 """Offset of the number of unacknowledged segments in Linux's `struct tcp_info`."""
 
 
-def configure_keepalive(sock: socket.socket) -> None:
-    """Make the kernel close unresponsive connections; accepted sockets inherit the options.
-
-    On loopback with a packet filter, a connection was closed 1.9 s after unacknowledged bytes, and
-    an idle one 3.1 s after the last packet from the peer.
-    """
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT)
+def configure_keepalive(sock: socket.socket, unacked_timeout: int = UNACKED_TIMEOUT) -> None:
+    """Make the kernel close unresponsive connections; accepted sockets inherit the options."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_timeout)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE)
@@ -171,9 +172,13 @@
     to any address that have been idle since before the fault are closed.
 
     An address is reached directly, or by a tunnel through a peer if `choose_proxy` names one.
+
+    The connections to `quick` addresses are closed sooner when they become unresponsive, because
+    all requests there can be repeated.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, quick: Collection[str] = ()) -> None:
+        self._quick = quick
         self.choose_proxy: Callable[[str], str] = lambda address: ''
         """Returns the peer to go through to an address; empty for a direct connection."""
 
@@ -404,7 +409,8 @@
         host, _, port = address.rpartition(':')
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        configure_keepalive(sock)
+        timeout = UNACKED_TIMEOUT if address in self._quick else UPSTREAM_UNACKED_TIMEOUT
+        configure_keepalive(sock, timeout)
         stream = tornado.iostream.IOStream(sock)
         try:
             return await stream.connect((host, int(port)))
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -94,7 +94,7 @@
 
 async def run(path: str, mtime: int, loaded: settings.Settings, metrics_port: int) -> None:
     """Serve until the drain is complete; `mtime` is that of the loaded settings file."""
-    pool = connections.Pool()
+    pool = connections.Pool([loaded.platform.address])
     adapter = router.Adapter(
         platform_dialect.Requests(),
         platform_dialect.Records(),
--- a/passpier/routing/response_reader.py
+++ b/passpier/routing/response_reader.py
@@ -52,8 +52,8 @@
 class ResponseReader:
     """Reads one exchange with a replica process; `ends_at` is the client's deadline.
 
-    A repeatable request doesn't wait on an unresponsive connection. Any other one does, for as long
-    as the kernel keeps the connection open: its response may still arrive.
+    A repeatable request doesn't wait for an unresponsive replica or connection. Any other one does,
+    for as long as the kernel keeps the connection open: its response may still arrive.
     """
 
     def __init__(
@@ -125,7 +125,7 @@
                 if self._prober.has_restarted(self._process):
                     text = 'the replica has started again'
                     raise AttemptError(fault, text, broken_off=True) from error
-                if self._prober.is_unresponsive(self._process.id):
+                if self._prober.is_unresponsive(self._process.id) and self._repeatable:
                     raise SilentError(fault, 'the replica gives no sign of life') from error
                 if self._exchange.is_path_lost and self._repeatable:
                     raise SilentError(fault, 'the path to the replica is lost') from error
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -177,7 +177,7 @@
 
     def add_router(self, name: str, zone: str, **changes: Any) -> router.Router:
         """Start a router."""
-        pool = self.router_pools[name] = partitions.PartitionedPool()
+        pool = self.router_pools[name] = partitions.PartitionedPool([self.store_address])
         adapter = router.Adapter(
             dialect.Requests(),
             dialect.Records(),
--- a/passpier/standins/platform/partitions.py
+++ b/passpier/standins/platform/partitions.py
@@ -29,8 +29,8 @@
 class PartitionedPool(connections.Pool):
     """A router's connections, which can be cut off from some addresses."""
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, quick: Collection[str] = ()) -> None:
+        super().__init__(quick)
         self._cut: frozenset[str] = frozenset()
         self._kind = Cut.HANG
         self._streams: dict[str, weakref.WeakSet[tornado.iostream.IOStream]] = {}
@@ -47,6 +47,14 @@
         """End the partition; connections that have fallen silent stay so."""
         self._cut = frozenset()
 
+    def resume(self) -> None:
+        """End a silence: its connections go on, and nothing that was sent on them is lost."""
+        for address in self._cut:
+            for stream in list(self._streams.get(address, ())):
+                if not stream.closed():
+                    proxy.accept_packets(stream.socket)
+        self.heal()
+
     async def dial(self, address: str) -> tornado.iostream.IOStream:
         """Open a connection, unless the address is cut off."""
         if address in self._cut:
--- a/passpier/standins/platform/proxy.py
+++ b/passpier/standins/platform/proxy.py
@@ -17,6 +17,9 @@
 SO_ATTACH_FILTER = 26
 """Linux socket option that attaches a packet filter; the socket module does not define it."""
 
+SO_DETACH_FILTER = 27
+"""Linux socket option that removes it again."""
+
 DROP_ALL = struct.pack('HBBI', 0x06, 0, 0, 0)
 """Packet filter with one instruction, which keeps 0 bytes of each packet."""
 
@@ -149,6 +152,11 @@
     sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
 
 
+def accept_packets(sock: socket.socket) -> None:
+    """Undo `drop_packets`."""
+    sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a TCP reset."""
     with contextlib.suppress(OSError):
