Logs: the shared parts of prompts, and whether a failed response had begun

`attempt failed` and `request ended` name the fingerprints of all parts but the last, `attempt failed` the seconds since the response began: what requests have in common under several crashes is counted from the log. Fingerprints of requests are even from now on, those of parts odd.

--- a/passpier/core/fingerprints.py
+++ b/passpier/core/fingerprints.py
@@ -1,4 +1,4 @@
-"""Fingerprints that identify repeated requests."""
+"""Fingerprints that identify repeated requests, and the parts that prompts share."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 def compute_fingerprint(account: str, method: str, host: str, target: str, body: bytes) -> int:
-    """Return the fingerprint of a request, which doesn't reveal its content.
+    """Return the fingerprint of a request, which is even and doesn't reveal its content.
 
     A repeated request has another request id and is usually sent to another daemon, so only these
     properties are hashed. They include the account, so that no account can make the requests of
@@ -22,7 +22,21 @@
         # Prefixed with its length, so that different lists of parts are never encoded alike.
         digest.update(len(data).to_bytes(4, 'big') + data)
     digest.update(body)
-    return int.from_bytes(digest.digest(), 'big')
+    return int.from_bytes(digest.digest(), 'big') & ~1
+
+
+def compute_part_fingerprint(model: str, name: str) -> int:
+    """Return the fingerprint of a prompt part, which is odd; see `is_part`.
+
+    It doesn't include the account: the same part has the same content for all accounts.
+    """
+    digest = hashlib.blake2b(f'{len(model)}/{model}/{name}'.encode(), digest_size=SIZE)
+    return int.from_bytes(digest.digest(), 'big') | 1
+
+
+def is_part(fingerprint: int) -> bool:
+    """Return whether a fingerprint is that of a prompt part and not of a whole request."""
+    return bool(fingerprint & 1)
 
 
 def render_fingerprint(fingerprint: int) -> str:
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -72,6 +72,10 @@
 """The same, where this process is stopping and the client will reach another one."""
 
 
+MAX_LOGGED_PARTS = 6
+"""Maximum number of prompt parts in a log line."""
+
+
 class Forwarder:
     """Forwards admitted requests."""
 
@@ -168,6 +172,9 @@
         self._last_process = replica_processes.ReplicaProcess('')
         """The replica process of the current or last attempt."""
 
+        self._response_began_at: float | None = None
+        """When the response of that attempt began to arrive, if it has."""
+
     @property
     def id(self) -> str:
         """The request's id."""
@@ -254,6 +261,7 @@
             extra={
                 'request': self._admitted.client_request.id,
                 'fingerprint': self._fingerprint,
+                'parts': self._describe_parts(),
                 'route': self._admitted.route.name,
                 'kind': self._admitted.route.kind.value,
                 'outcome': self._outcome,
@@ -437,6 +445,7 @@
 
     async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
         self._last_process = attempt.process
+        self._response_began_at = None
         self.sent = True
         with attempt.cleanup:
             await self._relay_response(attempt)
@@ -445,6 +454,7 @@
         placement = attempt.placement
         reader = attempt.reader
         head = attempt.head or await self._read_head(attempt)
+        self._response_began_at = clocks.now()
         self._retries.release()
         if self.call.job.chain:
             self._owner.sharing.record_placement(placement.replica, self.call.job)
@@ -576,7 +586,9 @@
                 'fingerprint': self._fingerprint,
                 'upstream': self._last_process.id,
                 'born': self._last_process.started_ms,
+                'parts': self._describe_parts(),
                 'fault': error.fault.value,
+                'response_age': self._describe_response_age(now),
                 'detail': str(error),
                 'step': step.value,
                 'attempts': progress.attempts,
@@ -593,6 +605,16 @@
         self.call.placement_deadline = self._choose_hold_deadline(now)
         return True
 
+    def _describe_parts(self) -> list[str]:
+        """Return the prompt's shared parts as written to the log."""
+        shown = self._admitted.shared_parts[:MAX_LOGGED_PARTS]
+        return [fingerprints.render_fingerprint(part) for part in shown]
+
+    def _describe_response_age(self, now: float) -> float | None:
+        """Return for how many seconds the last attempt's response had been arriving, if it had."""
+        began_at = self._response_began_at
+        return None if began_at is None else round(now - began_at, 3)
+
     def _choose_hold_deadline(self, now: float) -> float:
         """Return until when the request may be queued for its next replica.
 
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -42,6 +42,17 @@
             account, client_request.method, client_request.host, client_request.target, self.body
         )
 
+    @functools.cached_property
+    def shared_parts(self) -> tuple[int, ...]:
+        """The fingerprints of the prompt's parts but the last, which is the request's own."""
+        prompt = self.client_request.prompt
+        if prompt is None:
+            return ()
+        model = prompt.model
+        return tuple(
+            fingerprints.compute_part_fingerprint(model, p.name) for p in prompt.parts[:-1]
+        )
+
     @property
     def ends_at(self) -> float:
         """When the client stops waiting, or the operator's timeout is reached."""
--- a/passpier/tests/core/fingerprints_tests.py
+++ b/passpier/tests/core/fingerprints_tests.py
@@ -26,3 +26,20 @@
 ) -> None:
     same = fingerprints.compute_fingerprint(*one) == fingerprints.compute_fingerprint(*other)
     assert same == (one == other)
+
+
+@hypothesis.given(texts, texts, texts, texts)
+def test_parts_have_the_same_fingerprint_only_in_the_same_model(
+    model: str, name: str, other_model: str, other_name: str
+) -> None:
+    one = fingerprints.compute_part_fingerprint(model, name)
+    other = fingerprints.compute_part_fingerprint(other_model, other_name)
+    assert (one == other) == ((model, name) == (other_model, other_name))
+
+
+@hypothesis.given(requests, texts)
+def test_a_part_is_never_taken_for_a_request(
+    request: tuple[str, str, str, str, bytes], name: str
+) -> None:
+    assert not fingerprints.is_part(fingerprints.compute_fingerprint(*request))
+    assert fingerprints.is_part(fingerprints.compute_part_fingerprint('model', name))
