--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -116,9 +116,22 @@
 
         A crashed replica restarts under its id after `away` seconds.
         """
-        loop = asyncio.get_running_loop()
         for target in self.replicas.values():
             target.crash_body = body
+        self._restart_after_crashes(away)
+
+    def crash_on_part(self, part: str, away: float) -> None:
+        """Make every prompt with this part crash the replica that responds to it.
+
+        A crashed replica restarts under its id after `away` seconds.
+        """
+        for target in self.replicas.values():
+            target.crash_part = part
+        self._restart_after_crashes(away)
+
+    def _restart_after_crashes(self, away: float) -> None:
+        loop = asyncio.get_running_loop()
+        for target in self.replicas.values():
             target.on_crash = functools.partial(
                 loop.call_later, away, self.restart_replica, target.id
             )
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -199,6 +199,9 @@
     crash_body: bytes = b''
     """Body of requests that crash each process that runs them; no request does if it is empty."""
 
+    crash_part: str = ''
+    """Part of prompts that crashes each process that begins to respond to it; none if empty."""
+
     on_crash: Callable[[], object] = lambda: None
     """Called after such a request has crashed the replica."""
 
@@ -490,6 +493,12 @@
             if self.is_alive:
                 replica.active -= 1
 
+    def _has_crash_part(self) -> bool:
+        parts = self.request.headers.get(names.PREFIX_HASHES, '').split(',')
+        return bool(self.replica.crash_part) and any(
+            part.strip().partition(':')[0] == self.replica.crash_part for part in parts
+        )
+
     async def _crash_replica(self, id: str) -> None:
         await self.pause(CRASH_AFTER)
         self.replica.crashed_by.append((id, clocks.now()))
@@ -543,6 +552,8 @@
             padding = ' ' * self.replica.event_bytes
             self.write(f'id: {number}\ndata: piece {number}{padding}\n\n')
             await self.flush()
+            if self._has_crash_part():
+                await self._crash_replica(self.id)
             await self.simulate_work(pause)
         self.replica.finished.append(id)
 
