Crashes: a prompt part that many requests share counts as their cause

Cause: crashes were counted by whole requests. Each of these requests was new, was in one or two crashes, and took a second replica along with its retry.

Change: the parts that a prompt shares (all but the last) are counted beside the request, by the same table, messages and records, over all accounts. A response that has gone on for 0.3 s, or has ended well, clears its parts at all routers, in the records of the registry as well, and makes a part no suspect of a crash then. From three crashes since then on a part is blocked: two trials of it are granted over all routers, the first after 0.3 s, requests with one blocked part before those with several, and a trial that ends well returns its claim. A request that is a cause itself explains its crashes, so that its parts are not blocked for them.

One test's constant became even, as the fingerprints of requests are now.

--- a/passpier/core/crashes.py
+++ b/passpier/core/crashes.py
@@ -6,16 +6,21 @@
 (identified by its fingerprint) as the number of distinct processes. All daemons share what they
 have seen; the union doesn't depend on the order or number of messages. A run that completes clears
 its request of all crashes that were known at that time.
+
+The cause may also be a part that the prompts of different requests share. Parts are counted beside
+the requests. All that are shared by many sound requests are involved in many crashes, too, but the
+replicas that respond to them soon clear them: a response that goes on for a while is enough, as the
+cause crashes a replica as soon as that begins to respond.
 """
 
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 import msgspec
 
-from passpier.core import replica_processes
+from passpier.core import fingerprints, replica_processes
 
 CAUSE_THRESHOLD = 3
 """Crashes from which on a request counts as their cause. Of 20 requests that run beside the cause
@@ -39,6 +44,22 @@
 """Seconds from the last crash to the first trial. A request that is blocked by mistake is delayed
 for that long; one that is the cause crashes one replica in it instead of one every 0.5 s."""
 
+UNEXPLAINED_MIN = 2
+"""Crashes of a part from which on it counts as the cause although some others are those of a
+request that is a cause itself."""
+
+PART_TRIAL_AFTER = 0.3
+"""Seconds from the last crash to the first trial of a prompt part. Trials of parts begin soon, as
+many sound requests may share them, and end in a fraction of a second."""
+
+JOINT_TRIAL_AFTER = 3.0
+"""The same for several parts of one request at once, and between the trials of a part. Requests
+that have only one of them come first, and clear those that didn't cause the crashes."""
+
+CLEARED_AFTER = 0.3
+"""Seconds for which a response has to go on arriving to clear the parts of its prompt. Replicas
+crash 0.04 to 0.11 s after they begin to respond."""
+
 COPY_RETRY_AFTER = 0.5
 """Seconds after which a copy of a running suspect may be retried; a run takes 0.1 to 1 s."""
 
@@ -100,6 +121,8 @@
     """Seconds until it may be retried; `None` if it may be sent now."""
 
     reason: str = ''
+    parts: tuple[int, ...] = ()
+    """The prompt parts that may be the cause, all of which are tried by a trial."""
 
     @property
     def retry_after(self) -> float | None:
@@ -125,6 +148,16 @@
 CLEAN = Assessment()
 
 
+class Trials(msgspec.Struct, frozen=True):
+    """How often a part was tried while it counted as the cause, by any daemon, and when last."""
+
+    count: int = 0
+    last_at: float = float('-inf')
+
+
+NO_TRIALS = Trials()
+
+
 class CrashTracker:
     """The crashes known to one daemon, with the requests involved; times are monotonic."""
 
@@ -143,6 +176,9 @@
         self._begun_at: dict[int, float] = {}
         """Start time of the last run of each running request."""
 
+        self.get_trials: Callable[[int], Trials] = lambda part: NO_TRIALS
+        """Returns the trials of a part."""
+
         self._remote_runs: dict[int, float] = {}
         """Suspects that other daemons run, with the time until which that blocks runs here."""
 
@@ -153,8 +189,46 @@
         """Return the number of known crashes that a request was involved in."""
         return len(self._list_crashes(fingerprint))
 
-    def assess(self, fingerprint: int, now: float) -> Assessment:
-        """Return whether a request may be sent now, and under which conditions."""
+    def assess(self, fingerprint: int, now: float, parts: Sequence[int] = ()) -> Assessment:
+        """Return whether a request may be sent now, and under which conditions.
+
+        `parts` are those that its prompt shares with others.
+        """
+        assessment = self._assess_request(fingerprint, now)
+        blocked = tuple(x for x in parts if self._is_blocked(x))
+        if assessment.refused_for is not None or not blocked:
+            return assessment
+        return self._assess_parts(blocked, now)
+
+    def _is_blocked(self, part: int) -> bool:
+        """Return whether a part counts as the cause, and no request of its own explains that."""
+        crash_times = self._list_crashes(part)
+        if len(crash_times) < CAUSE_THRESHOLD:
+            return False
+        explained = {
+            process
+            for fingerprint, times in self._crashes.items()
+            if len(times) >= CAUSE_THRESHOLD and not fingerprints.is_part(fingerprint)
+            for process in times
+        }
+        return len(crash_times.keys() - explained) >= UNEXPLAINED_MIN
+
+    def _assess_parts(self, parts: tuple[int, ...], now: float) -> Assessment:
+        """Return whether a request may be sent as a trial of parts that count as causes."""
+        count = max(self.count_crashes(x) for x in parts)
+        text = f'{count} replicas have ended while they responded to a part of its prompt'
+        last = max(max(self._list_crashes(x).values()) for x in parts)
+        trials = [self.get_trials(x) for x in parts]
+        if max(t.count for t in trials) >= MAX_TRIALS:
+            return Assessment(count, max(1.0, last + RETENTION_SECONDS - now), text, parts)
+        ready_at = last + (PART_TRIAL_AFTER if len(parts) == 1 else JOINT_TRIAL_AFTER)
+        ready_at = max(ready_at, max(t.last_at for t in trials) + JOINT_TRIAL_AFTER)
+        if now < ready_at:
+            wait = max(COPY_RETRY_AFTER, ready_at - now)
+            return Assessment(count, wait, text, parts)
+        return Assessment(count, parts=parts)
+
+    def _assess_request(self, fingerprint: int, now: float) -> Assessment:
         crash_times = self._list_crashes(fingerprint)
         if not crash_times:
             return CLEAN
@@ -224,11 +298,19 @@
             self._clear_crash(fingerprint, process, now)
         return len(crash_times)
 
-    def merge(self, ends: Iterable[Crash], cleared: Iterable[Clearing], now: float) -> list[int]:
-        """Merge another daemon's knowledge; return the requests whose count increased."""
+    def merge_cleared(self, cleared: Iterable[Clearing], now: float) -> list[int]:
+        """Merge what other daemons have cleared; return what counted for a crash until now."""
+        changed: dict[int, None] = {}
         for clearing in cleared:
             for fingerprint in clearing.suspects:
+                if clearing.process in self._crashes.get(fingerprint, ()):
+                    changed[fingerprint] = None
                 self._clear_crash(fingerprint, clearing.process, now)
+        return list(changed)
+
+    def merge(self, ends: Iterable[Crash], cleared: Iterable[Clearing], now: float) -> list[int]:
+        """Merge another daemon's knowledge; return the requests whose count increased."""
+        self.merge_cleared(cleared, now)
         changed: dict[int, None] = {}
         for end in ends:
             at = now - end.age
--- a/passpier/daemon/suspects.py
+++ b/passpier/daemon/suspects.py
@@ -42,6 +42,10 @@
         )
         """Called with each crash that this process detects, and the requests suspected of it."""
 
+        self.on_clear: Callable[[int], None] = lambda fingerprint: None
+        """Called when a request or a part is known not to have caused crashes that it counted
+        for."""
+
         self.claim_trial: Callable[[int], Awaitable[bool]] = self._claim_by_rank
         """Asked before a refused request is tried once more; true if this process may try it."""
 
@@ -49,16 +53,37 @@
         link.register_handler(messages.ReplicaCrashes, self._handle_ended)
         link.register_handler(messages.SuspectRun, self._handle_trying)
 
-    def assess(self, fingerprint: int) -> crashes.Assessment:
-        """Return whether a request may be sent now, and with which precautions."""
-        return self.crashes.assess(fingerprint, clocks.now())
+    def assess(self, fingerprint: int, parts: Sequence[int] = ()) -> crashes.Assessment:
+        """Return whether a request may be sent now, and with which precautions.
+
+        `parts` are those that its prompt shares with others.
+        """
+        return self.crashes.assess(fingerprint, clocks.now(), parts)
 
-    async def assess_before_send(self, fingerprint: int) -> crashes.Assessment:
+    async def assess_before_send(
+        self, fingerprint: int, parts: Sequence[int] = ()
+    ) -> crashes.Assessment:
         """Return the same right before sending; claims the trial if the request needs one."""
-        assessment = self.assess(fingerprint)
-        if not assessment.is_trial or await self.claim_trial(fingerprint):
+        assessment = self.assess(fingerprint, parts)
+        if not assessment.is_trial:
             return assessment
-        return crashes.Assessment(assessment.crash_count, crashes.TRIAL_AFTER, 'its trial is over')
+        for cause in assessment.parts or (fingerprint,):
+            if not await self.claim_trial(cause):
+                return self._refuse_trial(assessment, fingerprint, parts)
+        return assessment
+
+    def _refuse_trial(
+        self, assessment: crashes.Assessment, fingerprint: int, parts: Sequence[int]
+    ) -> crashes.Assessment:
+        count = assessment.crash_count
+        if not assessment.parts:
+            return crashes.Assessment(count, crashes.TRIAL_AFTER, 'its trial is over')
+        # Others may have been heard meanwhile.
+        again = self.assess(fingerprint, parts)
+        if again.refused_for is not None:
+            return again
+        text = 'another process tries its prompt'
+        return crashes.Assessment(count, crashes.COPY_RETRY_AFTER, text, assessment.parts)
 
     def begin(self, fingerprint: int, assessment: crashes.Assessment, seconds: float) -> None:
         """Register a request that is about to be sent with a timeout of `seconds`."""
@@ -72,21 +97,37 @@
         """Note that a run has finished, whether it succeeded or not."""
         self.crashes.end(fingerprint)
 
-    def note_disconnect(self, fingerprint: int, process: replica_processes.ReplicaProcess) -> None:
-        """Note that a run lost its connection, which may mean that the replica's process ended."""
-        if self.crashes.suspect(fingerprint, process, clocks.now()):
+    def note_disconnect(
+        self,
+        fingerprint: int,
+        process: replica_processes.ReplicaProcess,
+        parts: Sequence[int] = (),
+    ) -> None:
+        """Note that a run lost its connection, which may mean that the replica's process ended.
+
+        `parts` are those of its prompt that may be the cause.
+        """
+        now = clocks.now()
+        is_first = self.crashes.suspect(fingerprint, process, now)
+        for part in parts:
+            self.crashes.suspect(part, process, now)
+        if is_first:
             task = asyncio.ensure_future(self._check_process(process))
             self._checks.add(task)
             task.add_done_callback(self._checks.discard)
 
     def note_success(self, fingerprint: int) -> None:
-        """Note that a run succeeded, which clears its request of all crashes recorded so far."""
+        """Note that a run succeeded, which clears its request of all crashes recorded so far.
+
+        The same for a prompt part to which a replica responds.
+        """
         if not self.crashes.count_crashes(fingerprint):
             return
         now = clocks.now()
         ends = self.crashes.clear(fingerprint, now)
         fields = {'fingerprint': fingerprints.render_fingerprint(fingerprint), 'ends': ends}
-        log.info('request cleared', extra=fields)
+        log.info(f'{_name_cause(fingerprint)} cleared', extra=fields)
+        self.on_clear(fingerprint)
         if ends >= crashes.SHARING_THRESHOLD:
             _, cleared = self.crashes.export(now)
             self._broadcast(messages.ReplicaCrashes([], cleared))
@@ -98,7 +139,10 @@
         cleared: Sequence[crashes.Clearing] = (),
     ) -> None:
         """Merge reports of crashes from another source."""
-        changed = self.crashes.merge(ends, cleared, clocks.now())
+        now = clocks.now()
+        for fingerprint in self.crashes.merge_cleared(cleared, now):
+            self.on_clear(fingerprint)
+        changed = self.crashes.merge(ends, (), now)
         self._log_suspects(changed, source)
 
     async def run(self) -> None:
@@ -149,7 +193,7 @@
             if ends < crashes.SHARING_THRESHOLD:
                 continue
             log.warning(
-                'request suspected',
+                f'{_name_cause(fingerprint)} suspected',
                 extra={
                     'fingerprint': fingerprints.render_fingerprint(fingerprint),
                     'ends': ends,
@@ -159,5 +203,9 @@
             )
 
 
+def _name_cause(fingerprint: int) -> str:
+    return 'prompt part' if fingerprints.is_part(fingerprint) else 'request'
+
+
 def _describe(process: replica_processes.ReplicaProcess) -> dict[str, object]:
     return {'upstream': process.id, 'born': process.started_ms}
--- a/passpier/routing/crash_records.py
+++ b/passpier/routing/crash_records.py
@@ -41,6 +41,8 @@
 
 _KEY = 'suspects/'
 _TRIAL_KEY = 'trials/'
+_TRIAL_SUFFIXES = ('', '.2')
+"""Of the keys of a cause's first and second trial."""
 
 
 class Record(msgspec.Struct, array_like=True):
@@ -57,6 +59,20 @@
     """The requests running at the crash; more may be added later."""
 
 
+class _Claim(msgspec.Struct):
+    """The claim of a trial."""
+
+    at: float
+    """When it was made here, or first seen."""
+
+    timeline: int
+    is_listed: bool = False
+    """Whether the registry has listed it in that timeline."""
+
+    lease: registry.Lease | None = None
+    """Its lease, if it is one of our own."""
+
+
 class CrashRecords:
     """Reads and writes the records."""
 
@@ -83,15 +99,19 @@
         self._lease: registry.Lease | None = None
         self._granted_at = float('-inf')
         self._timeline = registry.NO_REVISION.timeline
-        self._claims: dict[str, float] = {}
-        """By key, when a trial was claimed or its claim was first seen here."""
+        self._claims: dict[str, _Claim] = {}
+        """The claims of trials by key."""
+
+        self._released: list[registry.Lease] = []
+        """The leases of own claims that are over."""
 
-        self._own_claims: set[str] = set()
         self._unwritten_claims: set[str] = set()
         """Own claims that have to be written again."""
 
         suspect_tracker.on_crash = self._note_crash
         suspect_tracker.claim_trial = self.claim_trial
+        suspect_tracker.on_clear = self._note_cleared
+        suspect_tracker.crashes.get_trials = self.get_trials
 
     async def run(self) -> None:
         """Read and write records until cancelled."""
@@ -100,22 +120,41 @@
             self.apply_records()
             try:
                 await self.write_records()
+                await self._end_released()
             except exceptions.StoreError as error:
                 self._granted_at = float('-inf')
                 log.info('crash record not written, will be retried', extra={'error': str(error)})
             await asyncio.sleep(INTERVAL)
 
     async def claim_trial(self, fingerprint: int) -> bool:
-        """Return whether this process alone may run a request that is refused everywhere else.
+        """Return whether this process alone may run what is refused everywhere else.
 
-        Over all processes, one claim is granted in `LEASE` seconds; none while the registry is
-        unavailable.
+        Over all processes, one claim for a request is granted in `LEASE` seconds, and
+        `crashes.MAX_TRIALS` for a prompt part; none while the registry is unavailable.
         """
-        name = fingerprints.render_fingerprint(fingerprint)
-        key = self._trial_prefix + name
-        if key in self._registry_state.members or key in self._claims:
+        most = crashes.MAX_TRIALS if fingerprints.is_part(fingerprint) else 1
+        keys = [key for key in self._list_claim_keys(fingerprint) if not self._is_claimed(key)]
+        if len(keys) <= len(_TRIAL_SUFFIXES) - most:
             # Asking for a lease would cost a call for each request.
             return False
+        return await self._claim(fingerprint, keys[0])
+
+    def get_trials(self, fingerprint: int) -> crashes.Trials:
+        """Return the trials that are known to have been claimed."""
+        known = [
+            self._claims[k].at for k in self._list_claim_keys(fingerprint) if k in self._claims
+        ]
+        return crashes.Trials(len(known), max(known, default=float('-inf')))
+
+    def _list_claim_keys(self, fingerprint: int) -> list[str]:
+        name = fingerprints.render_fingerprint(fingerprint)
+        return [f'{self._trial_prefix}{name}{suffix}' for suffix in _TRIAL_SUFFIXES]
+
+    def _is_claimed(self, key: str) -> bool:
+        return key in self._registry_state.members or key in self._claims
+
+    async def _claim(self, fingerprint: int, key: str) -> bool:
+        name = fingerprints.render_fingerprint(fingerprint)
         try:
             lease = await self._source.grant(LEASE)
             await self._source.write(
@@ -126,8 +165,7 @@
             fields = {'fingerprint': name, 'error': str(error)}
             log.info('trial of a suspect request not granted', extra=fields)
             return False
-        self._claims[key] = clocks.now()
-        self._own_claims.add(key)
+        self._claims[key] = _Claim(clocks.now(), self._timeline, lease=lease)
         log.info('trial of a suspect request granted', extra={'fingerprint': name})
         return True
 
@@ -138,7 +176,7 @@
             return
         oldest = clocks.now() - LEASE
         self._unwritten |= {process for process, seen in self._seen.items() if seen.at > oldest}
-        self._unwritten_claims |= self._own_claims
+        self._unwritten_claims |= {k for k, c in self._claims.items() if c.lease is not None}
         log.info(
             'records written again after a return of the registry',
             extra={'crashes': len(self._unwritten), 'trials': len(self._unwritten_claims)},
@@ -181,13 +219,40 @@
     def _note_claims(self) -> None:
         """Remember claims for as long as they last, also if the registry loses them."""
         now = clocks.now()
-        for key in self._registry_state.members:
+        members = self._registry_state.members
+        for key in members:
             if key.startswith(self._trial_prefix):
-                self._claims.setdefault(key, now)
-        self._claims = {key: at for key, at in self._claims.items() if now - at < LEASE}
-        self._own_claims &= self._claims.keys()
+                claim = self._claims.setdefault(key, _Claim(now, self._timeline))
+                claim.timeline, claim.is_listed = self._timeline, True
+        self._claims = {
+            key: claim
+            for key, claim in self._claims.items()
+            if now - claim.at < LEASE and not self._is_released(key, claim)
+        }
         self._unwritten_claims &= self._claims.keys()
 
+    def _is_released(self, key: str, claim: _Claim) -> bool:
+        """Return whether whoever made a claim has withdrawn it, as the part was cleared."""
+        is_gone = key not in self._registry_state.members
+        return is_gone and claim.is_listed and claim.timeline == self._timeline
+
+    def _note_cleared(self, fingerprint: int) -> None:
+        """Correct the records of this process, and release its claims of trials."""
+        for process, seen in self._seen.items():
+            if fingerprint in seen.suspects:
+                seen.suspects = [x for x in seen.suspects if x != fingerprint]
+                self._unwritten.add(process)
+        for key in self._list_claim_keys(fingerprint):
+            claim = self._claims.get(key)
+            if claim is not None and claim.lease is not None:
+                self._released.append(claim.lease)
+                del self._claims[key]
+
+    async def _end_released(self) -> None:
+        while self._released:
+            await self._source.end(self._released[0])
+            self._released.pop(0)
+
     def _note_crash(self, process: replica_processes.ReplicaProcess, running: list[int]) -> None:
         seen = self._seen.setdefault(process, _SeenCrash(clocks.now(), []))
         seen.suspects.extend(running)
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -185,6 +185,11 @@
         """The request's fingerprint."""
         return self._admitted.fingerprint
 
+    @property
+    def shared_parts(self) -> tuple[int, ...]:
+        """The fingerprints of the prompt's parts but the last."""
+        return self._admitted.shared_parts
+
     @property
     def _fingerprint(self) -> str:
         """The request's fingerprint as written to the log."""
@@ -299,7 +304,7 @@
     async def _send(self) -> sent_attempts.Attempt | None:
         """Place and send an attempt, or answer the request without one."""
         call = self.call
-        judgement = self._owner.suspects.assess(self._admitted.fingerprint)
+        judgement = self._owner.suspects.assess(self._admitted.fingerprint, self.shared_parts)
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
             return None
@@ -354,7 +359,9 @@
             )
             return None
         # Peers may have reported the request as a suspect while it was queued.
-        judgement = await self._owner.suspects.assess_before_send(admitted.fingerprint)
+        judgement = await self._owner.suspects.assess_before_send(
+            admitted.fingerprint, self.shared_parts
+        )
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
             return None
@@ -465,6 +472,7 @@
             self._outcome = 'answered'
         self._owner.pools.note_success(placement.replica.process)
         self._owner.suspects.note_success(self._admitted.fingerprint)
+        self._clear_parts()
 
     async def _read_head(self, attempt: sent_attempts.Attempt) -> exchanges.Head:
         """Return the head of a result; raises `AttemptError`.
@@ -494,6 +502,8 @@
             for event in splitter.feed(part):
                 await self._delivery.send_event(head, event)
                 self.call.progress.delivered += 1
+            if self._has_progressed(clocks.now()):
+                self._clear_parts()
         if splitter.has_rest:
             raise response_reader.AttemptError(attempts.Fault.INTERRUPTED, 'ended within an event')
         self.call.progress.completed = True
@@ -562,7 +572,9 @@
         elif self._moved is None:
             self.charge.mark_spent()
         if error.broken_off and not self._owner.pools.is_exit_expected(self._last_process):
-            self._owner.suspects.note_disconnect(self._admitted.fingerprint, self._last_process)
+            self._owner.suspects.note_disconnect(
+                self._admitted.fingerprint, self._last_process, self._list_suspect_parts(now)
+            )
         has_time = now < self._admitted.ends_at
         step = attempts.Step.FAIL
         has_budget = True
@@ -605,9 +617,23 @@
         self.call.placement_deadline = self._choose_hold_deadline(now)
         return True
 
+    def _has_progressed(self, now: float) -> bool:
+        """Return whether the response has gone on for too long to be that to a crash's cause."""
+        began_at = self._response_began_at
+        return began_at is not None and now - began_at >= crashes.CLEARED_AFTER
+
+    def _clear_parts(self) -> None:
+        """Clear the prompt's parts of crashes, as a replica responds to them."""
+        for part in self.shared_parts:
+            self._owner.suspects.note_success(part)
+
+    def _list_suspect_parts(self, now: float) -> tuple[int, ...]:
+        """Return the prompt's parts that may have crashed the replica of the last attempt."""
+        return () if self._has_progressed(now) else self.shared_parts
+
     def _describe_parts(self) -> list[str]:
         """Return the prompt's shared parts as written to the log."""
-        shown = self._admitted.shared_parts[:MAX_LOGGED_PARTS]
+        shown = self.shared_parts[:MAX_LOGGED_PARTS]
         return [fingerprints.render_fingerprint(part) for part in shown]
 
     def _describe_response_age(self, now: float) -> float | None:
@@ -635,6 +661,7 @@
                 'request': self.call.id,
                 'fingerprint': self._fingerprint,
                 'ends': judgement.crash_count,
+                'parts': [fingerprints.render_fingerprint(part) for part in judgement.parts],
                 'reason': judgement.reason,
                 'refused_for': round(judgement.refused_for, 3),
             },
--- a/passpier/routing/moves.py
+++ b/passpier/routing/moves.py
@@ -40,6 +40,10 @@
     def fingerprint(self) -> int:
         """The request's fingerprint."""
 
+    @property
+    def shared_parts(self) -> tuple[int, ...]:
+        """The fingerprints of the prompt's parts but the last."""
+
     @property
     def ends_at(self) -> float:
         """The request's deadline."""
@@ -116,7 +120,7 @@
         """Place the next attempt and pay for it, if that is possible at once."""
         if not run.call.progress.may_reach_others or not run.is_key_valid():
             return None
-        if self._suspects.assess(run.fingerprint).is_suspect:
+        if self._suspects.assess(run.fingerprint, run.shared_parts).is_suspect:
             return None
         exclude = {*run.excluded, run.upstream}
         placement = self._dispatcher.place_now(run.call, run.name_attempt(), exclude)
@@ -143,7 +147,7 @@
         """Send the request to another replica; raises `AttemptError` if it stays where it is."""
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._dispatcher.end, placement)
-            judgement = self._suspects.assess(run.fingerprint)
+            judgement = self._suspects.assess(run.fingerprint, run.shared_parts)
             try:
                 attempt = await run.open_attempt(placement, judgement, cleanup, CONNECT_SECONDS)
                 cleanup.push(attempt.cleanup)
--- a/passpier/tests/core/crashes_tests.py
+++ b/passpier/tests/core/crashes_tests.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+from collections.abc import Sequence
 
 import hypothesis
 import hypothesis.strategies as st
@@ -199,3 +200,88 @@
         export_to(daemons[one], daemons[other], now)
     for fingerprint in range(4):
         assert len({d.count_crashes(fingerprint) for d in daemons}) == 1
+
+
+PART = 101
+OTHER_PART = 103
+"""Parts of prompts, which have odd fingerprints."""
+
+
+def crash_part(
+    tracker: crashes.CrashTracker, number: int, at: float, parts: Sequence[int] = (PART,)
+) -> None:
+    """Record a crash in which one request with some parts was running, a new one each time."""
+    process = replica_processes.ReplicaProcess(f'r{number}', number)
+    tracker.note_crash(1000 + 2 * number, process, at)
+    for part in parts:
+        tracker.note_crash(part, process, at)
+
+
+def test_a_part_counts_as_the_cause_in_requests_that_differ() -> None:
+    tracker = crashes.CrashTracker()
+    for number in range(3):
+        assert tracker.assess(5000, 0.1 * number, [PART]).refused_for is None
+        crash_part(tracker, number, 0.1 * number)
+    assert tracker.assess(5000, 0.2, [PART]).refused_for is not None
+    assert tracker.assess(5000, 0.2, [OTHER_PART]) == crashes.CLEAN
+    assert tracker.assess(5000, 0.2) == crashes.CLEAN
+
+
+def test_a_part_is_cleared_by_a_run_of_any_request() -> None:
+    tracker = crashes.CrashTracker()
+    for number in range(4):
+        crash_part(tracker, number, 0.1 * number, [PART, OTHER_PART])
+    tracker.clear(PART, 0.4)
+    assert tracker.assess(5000, 0.4, [PART]) == crashes.CLEAN
+    assert tracker.assess(5000, 0.4, [PART, OTHER_PART]).parts == (OTHER_PART,)
+    # Only crashes since then count.
+    crash_part(tracker, 4, 0.5)
+    crash_part(tracker, 5, 0.6)
+    assert tracker.assess(5000, 0.6, [PART]) == crashes.CLEAN
+
+
+def test_a_part_alone_is_tried_sooner_than_several() -> None:
+    tracker = crashes.CrashTracker()
+    for number in range(3):
+        crash_part(tracker, number, 0.0, [PART, OTHER_PART])
+    soon = crashes.PART_TRIAL_AFTER + 0.01
+    assert tracker.assess(5000, soon, [PART]).is_trial
+    assert not tracker.assess(5000, soon, [PART, OTHER_PART]).is_trial
+    later = crashes.JOINT_TRIAL_AFTER + 0.01
+    assert tracker.assess(5000, later, [PART, OTHER_PART]).parts == (PART, OTHER_PART)
+    assert tracker.assess(5000, later, [PART, OTHER_PART]).is_trial
+
+
+def test_a_part_is_tried_twice_and_not_asked_back_after_that() -> None:
+    tracker = crashes.CrashTracker()
+    for number in range(3):
+        crash_part(tracker, number, 0.0)
+    tracker.get_trials = lambda part: crashes.Trials(1, 1.0)
+    assert not tracker.assess(5000, 1.0 + crashes.JOINT_TRIAL_AFTER - 0.1, [PART]).is_trial
+    assert tracker.assess(5000, 1.0 + crashes.JOINT_TRIAL_AFTER + 0.1, [PART]).is_trial
+    tracker.get_trials = lambda part: crashes.Trials(2, 5.0)
+    refused = tracker.assess(5000, 100.0, [PART])
+    assert not refused.is_trial
+    assert refused.retry_after == crashes.RETRY_AFTER_MAX
+
+
+def test_a_request_that_is_the_cause_itself_does_not_make_its_parts_causes() -> None:
+    tracker = crashes.CrashTracker()
+    for number in range(4):
+        process = replica_processes.ReplicaProcess(f'r{number}', number)
+        tracker.note_crash(1000, process, 0.0)
+        tracker.note_crash(PART, process, 0.0)
+    assert tracker.assess(1000, 0.0, [PART]).refused_for is not None
+    assert tracker.assess(5000, 0.0, [PART]) == crashes.CLEAN
+    # Crashes of other requests show that it is the part after all.
+    for number in range(4, 4 + crashes.UNEXPLAINED_MIN):
+        crash_part(tracker, number, 0.0)
+    assert tracker.assess(5000, 0.0, [PART]).refused_for is not None
+
+
+def test_what_peers_have_cleared_is_reported_once() -> None:
+    tracker = crashes.CrashTracker()
+    crash_part(tracker, 0, 0.0)
+    clearing = crashes.Clearing('r0', 0, [PART])
+    assert tracker.merge_cleared([clearing], 1.0) == [PART]
+    assert tracker.merge_cleared([clearing], 1.0) == []
--- a/passpier/tests/routing/crash_records_tests.py
+++ b/passpier/tests/routing/crash_records_tests.py
@@ -16,7 +16,7 @@
 from passpier.standins import virtual_time
 from passpier.tests.routing import fleets
 
-CRASHING = 7
+CRASHING = 6
 OTHER = 8
 PROCESS = replica_processes.ReplicaProcess('r1', 1000)
 
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self.items: dict[str, registry.Item] = {}
+        self.leases: dict[registry.Lease, list[str]] = {}
         self.unavailable = False
         self.granted = 0
         self.largest_write = 0
@@ -36,7 +37,11 @@
         if self.unavailable:
             raise exceptions.StoreError('no answer')
         self.granted += 1
-        return registry.Lease(fleets.TIMELINE, 1)
+        return registry.Lease(fleets.TIMELINE, self.granted)
+
+    async def end(self, lease: registry.Lease) -> None:
+        for key in self.leases.pop(lease, []):
+            del self.items[key]
 
     async def write(
         self, puts: Sequence[registry.Put], conditions: Sequence[registry.ExpectedRevision] = ()
@@ -49,6 +54,8 @@
         revision = fleets.at(len(self.items) + 1)
         for put in puts:
             self.items[put.key] = registry.Item(put.key, put.data, revision)
+            if put.lease is not None:
+                self.leases.setdefault(put.lease, []).append(put.key)
         return revision
 
 
@@ -83,6 +90,7 @@
         await asyncio.sleep(0.01)
 
     def read(self) -> crashes.CrashTracker:
+        self.known.members.clear()
         self.known.members.update(self.source.items)
         self.marks.apply_records()
         return self.suspects.crashes
@@ -205,3 +213,59 @@
         assert source.largest_write <= crash_records.BATCH_SIZE
 
     virtual_time.run(run())
+
+
+PART = 101
+"""A part of prompts, which has an odd fingerprint."""
+
+
+def test_two_trials_of_a_part_are_granted_to_all_processes_together() -> None:
+    async def run() -> None:
+        source = Registry()
+        processes = [Process(source, f'i{n}') for n in range(4)]
+        claims = []
+        for process in processes:
+            process.read()
+            claims.append(await process.marks.claim_trial(PART))
+        assert claims == [True, True, False, False]
+        assert processes[3].read().get_trials(PART).count == crashes.MAX_TRIALS
+
+    virtual_time.run(run())
+
+
+def test_a_part_that_is_cleared_may_be_tried_again_at_the_next_crashes() -> None:
+    """A sound part that many requests share was blocked for ten minutes in the second storm."""
+
+    async def run() -> None:
+        source = Registry()
+        first, other = Process(source, 'i1'), Process(source, 'i2')
+        await first.observe_crash(PART)
+        assert await first.marks.claim_trial(PART)
+        assert other.read().get_trials(PART).count == 1
+        task = asyncio.ensure_future(first.marks.run())
+        first.suspects.note_success(PART)
+        await asyncio.sleep(1.0)
+        task.cancel()
+        for process in (first, other):
+            assert process.read().get_trials(PART).count == 0
+        assert await other.marks.claim_trial(PART)
+
+    virtual_time.run(run())
+
+
+def test_a_starting_process_does_not_count_crashes_that_a_part_was_cleared_of() -> None:
+    """Guards against blocking sound parts after a restart, with all their trials used up."""
+
+    async def run() -> None:
+        source = Registry()
+        first = Process(source, 'i1')
+        await first.observe_crash(PART)
+        await first.observe_crash(OTHER)
+        await first.marks.write_records()
+        first.suspects.note_success(PART)
+        await first.marks.write_records()
+        known = Process(source, 'i2').read()
+        assert known.count_crashes(PART) == 0
+        assert known.count_crashes(OTHER) == 1
+
+    virtual_time.run(run())
