Brittle replicas: few routers risk refusals, as few as the replicas bear

Replicas may say in all responses how many requests a second they can refuse for want of room; one more ends them for some seconds, with everything that runs there.

What one replica says holds for its service, is told to peers, and ends with an answer without it to a later request. Meanwhile nothing waits at a replica of ours, and a request that may be refused (half of the slots taken, another one unanswered, or a refusal within a second) needs a token, which is returned unless it is refused. The tokens of a few routers, by rendezvous hashing, add up to what the replica bears.

--- a/passpier/core/backpressure.py
+++ b/passpier/core/backpressure.py
@@ -17,5 +17,9 @@
     backoff: float | None = None
     """Seconds for which the refused daemon must not send further requests."""
 
+    refusal_limit: float | None = None
+    """Requests per second that the replica can refuse for want of room, from all daemons together,
+    before it crashes; none if it isn't brittle."""
+
 
 NO_SIGNAL = Signal()
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from passpier.core import backpressure, replica_processes, throttles
+from passpier.core import backpressure, refusals, replica_processes, throttles
 
 DEFAULT_SECONDS_PER_TOKEN = 1 / 20_000
 """Prefill time per token that is assumed before any measurement."""
@@ -57,6 +57,9 @@
     charged: bool = False
     """Whether it has taken a token from the replica's throttle."""
 
+    at_risk: bool = False
+    """Whether it has taken a token because a brittle replica may refuse it."""
+
 
 class PeerLoad(msgspec.Struct, frozen=True):
     """The load that another daemon has on a replica: running requests and pending prefill tokens.
@@ -111,6 +114,12 @@
     throttle: throttles.Throttle | None = None
     """Limits the rate of this daemon's requests while the replica announces a limit."""
 
+    refusals: throttles.Throttle | None = None
+    """Limits the requests that the replica may have to refuse while it is brittle."""
+
+    refused_at: float = float('-inf')
+    """When it last refused a request of this daemon."""
+
     started_ms: int = 0
     """Start time of its process in Unix milliseconds; 0 if it isn't reported."""
 
@@ -177,8 +186,20 @@
         return False
     if replica.throttle is not None and not replica.throttle.has_token(now):
         return False
-    bound = replica.slots + max(1, int(replica.slots * QUEUE_PER_SLOT))
-    return estimate_running(replica, now) < bound
+    running = estimate_running(replica, now)
+    if replica.refusals is not None:
+        # A brittle replica may let fewer requests wait, or none.
+        risky = _is_risky(replica, running, now)
+        return running < replica.slots and (not risky or replica.refusals.has_token(now))
+    return running < replica.slots + max(1, int(replica.slots * QUEUE_PER_SLOT))
+
+
+def _is_risky(replica: Replica, running: int, now: float) -> bool:
+    """Return whether a brittle replica may refuse a request for want of room."""
+    if now - replica.refused_at < refusals.MEMORY_SECONDS:
+        return True
+    waits = any(not d.first_token for d in replica.dispatches.values())
+    return waits or running >= replica.slots * refusals.ROOM_SHARE
 
 
 def has_room(replica: Replica, now: float) -> bool:
@@ -202,7 +223,27 @@
     """Record an attempt that is about to be sent."""
     ahead = int(estimate_backlog(replica, now, priority))
     charged = replica.throttle is not None and replica.throttle.take(now)
-    replica.dispatches[attempt] = Dispatch(tokens, now, ahead, priority, charged=charged)
+    at_risk = False
+    if replica.refusals is not None and _is_risky(replica, estimate_running(replica, now), now):
+        at_risk = replica.refusals.take(now)
+    replica.dispatches[attempt] = Dispatch(
+        tokens, now, ahead, priority, charged=charged, at_risk=at_risk
+    )
+
+
+def note_refusal(replica: Replica, attempt: str, now: float) -> None:
+    """Record that a replica refused an attempt for want of room."""
+    replica.refused_at = now
+    dispatch = replica.dispatches.get(attempt)
+    if dispatch is not None:
+        dispatch.at_risk = False
+
+
+def _end_risk(replica: Replica, dispatch: Dispatch) -> None:
+    """Return the token of an attempt that wasn't refused."""
+    if dispatch.at_risk and replica.refusals is not None:
+        replica.refusals.give_back()
+    dispatch.at_risk = False
 
 
 def may_send(replica: Replica, attempt: str, now: float) -> bool:
@@ -230,6 +271,7 @@
     if dispatch is None or dispatch.first_token:
         return
     dispatch.first_token = True
+    _end_risk(replica, dispatch)
     work = dispatch.tokens + dispatch.work_ahead
     elapsed = now - dispatch.started_at
     if work < MIN_RATE_SAMPLE_TOKENS:
@@ -246,6 +288,8 @@
 def end_dispatch(replica: Replica, attempt: str, now: float) -> None:
     """Remove a finished attempt and update the service time."""
     dispatch = replica.dispatches.pop(attempt, None)
+    if dispatch is not None:
+        _end_risk(replica, dispatch)
     if dispatch is not None and dispatch.first_token:
         sample = now - dispatch.started_at
         replica.service_seconds += LEARNING_RATE * (sample - replica.service_seconds)
--- a/passpier/core/throttles.py
+++ b/passpier/core/throttles.py
@@ -63,6 +63,10 @@
         self.share = share
         self._level = min(self._level, share.burst)
 
+    def give_back(self) -> None:
+        """Return a token that was taken for nothing."""
+        self._level = min(self._level + 1.0, max(self._level, self.share.burst))
+
     def has_token(self, now: float) -> bool:
         """Return whether a request may be sent."""
         self._fill(now)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -268,6 +268,14 @@
         return replica_processes.ReplicaProcess(self.replica, self.started_ms)
 
 
+class ServiceBrittle(Message, tag='br'):
+    """Replicas of a service said `age` seconds ago how many refusals a second they bear, if any."""
+
+    service: str
+    refusal_limit: float | None
+    age: float
+
+
 class ReplicaLeaving(Message, tag='dp'):
     """A replica has announced that it is leaving."""
 
@@ -358,6 +366,7 @@
     | CacheStoreChanges
     | ReplicaUnresponsive
     | ReplicaLimit
+    | ServiceBrittle
     | ReplicaLeaving
     | ReplicaCrashes
     | SuspectRun
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -268,7 +268,12 @@
 def _read_signal(head: exchanges.Head) -> backpressure.Signal:
     leaving = (head.get(names.LEAVING) or '').strip() == '1'
     backoff = _read_amount(head, 'Retry-After') if head.status == 503 else None
-    return backpressure.Signal(_read_amount(head, names.RATE_LIMIT), leaving, backoff or None)
+    return backpressure.Signal(
+        _read_amount(head, names.RATE_LIMIT),
+        leaving,
+        backoff or None,
+        _read_amount(head, names.BRITTLE),
+    )
 
 
 def _read_amount(head: exchanges.Head, name: str) -> float | None:
--- a/passpier/platform/names.py
+++ b/passpier/platform/names.py
@@ -37,6 +37,10 @@
 RATE_LIMIT = 'Server-Limit'
 """Requests per second that a replica accepts from all VMs together."""
 
+BRITTLE = 'Server-Brittle'
+"""In all responses of a brittle replica: how many requests a second it can refuse for want of room
+without a crash."""
+
 WEIGHT_VERSION = 'X-Passpier-Weight-Versions'
 AUTHORIZATION = 'Authorization'
 AUTHORIZATION_SCHEME = 'Token '
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -286,6 +286,7 @@
                 'limit': signal.limit,
                 'leaving': signal.leaving,
                 'backoff': signal.backoff,
+                'refusal_limit': signal.refusal_limit,
             },
         )
 
@@ -503,6 +504,15 @@
         self.cache.set_incarnation(entry.id, key, capacity)
         self.update_version(replica.process, entry.versions.get(model, 0), 'registry')
 
+    def get_service(self, name: str) -> str:
+        """Return the service of a replica, or an empty string if the replica is gone."""
+        entry = self._entries.get(name)
+        return entry.service if entry else ''
+
+    def list_service(self, service: str) -> list[replicas.Replica]:
+        """Return all replicas of a service."""
+        return [self.replicas[name] for name in self._pools.get(service, ())]
+
     def list_siblings(self, name: str) -> list[str]:
         """Return all replicas of a replica's service, or just itself if it is gone."""
         entry = self._entries.get(name)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -15,7 +15,7 @@
 
 from passpier import clocks
 from passpier.clients import connections, registry
-from passpier.core import drain, members, rates, replica_processes, replicas
+from passpier.core import backpressure, drain, members, rates, replica_processes, replicas
 from passpier.daemon import (
     dispatcher,
     loads,
@@ -27,6 +27,7 @@
     tasks,
 )
 from passpier.routing import (
+    brittleness,
     cache_store_follower,
     crash_records,
     dialect,
@@ -198,7 +199,10 @@
         self.throttling = throttling.Throttling(
             self.pools, membership, self.peers, self.roster.notify_serving, rng
         )
-        self.pools.on_signal = self.throttling.handle_signal
+        self.brittleness = brittleness.Brittleness(
+            self.pools, membership, self.peers, self.roster.notify_serving
+        )
+        self.pools.on_signal = self._handle_signal
         self.pools.on_leaving = self._notify_departing
         self.peers.register_handler(messages.ReplicaLeaving, self._handle_replica_leaving)
         # Routing decisions can't be queried from this process, they are only logged.
@@ -261,6 +265,7 @@
             tasks.start(self.crash_records.run()),
             tasks.start(self.limiter.run()),
             tasks.start(self.throttling.run()),
+            tasks.start(self.brittleness.run()),
         ]
         try:
             await self._serve(servers)
@@ -393,6 +398,15 @@
                 self.paths.note_connect_failure(replica.address)
                 self.prober.probe(replica.process, 0.0)
 
+    def _handle_signal(
+        self,
+        process: replica_processes.ReplicaProcess,
+        signal: backpressure.Signal,
+        ran_since: float | None,
+    ) -> None:
+        self.throttling.handle_signal(process, signal, ran_since)
+        self.brittleness.handle_signal(process, signal, ran_since)
+
     def _notify_departing(self, process: replica_processes.ReplicaProcess) -> None:
         self.roster.notify_serving(messages.ReplicaLeaving(process.id, process.started_ms))
 
--- a/passpier/routing/sent_attempts.py
+++ b/passpier/routing/sent_attempts.py
@@ -106,6 +106,7 @@
         if version.isdigit():
             self._pools.update_version(process, int(version), 'answer')
         if verdict is dialect.Verdict.NOT_RUN:
+            replicas.note_refusal(replica, attempt.placement.attempt, clocks.now())
             self._pools.pause(process, pauses.Pause.FULL, pools.PAUSE_FULL, f'status {head.status}')
             raise response_reader.AttemptError(
                 attempts.Fault.REFUSED, f'refused with status {head.status}'
--- a/passpier/routing/throttling.py
+++ b/passpier/routing/throttling.py
@@ -173,12 +173,7 @@
             replica.throttle.allow_probe(now)
 
     def _list_senders(self, now: float) -> list[str]:
-        """Return the names of the processes that send requests now and will go on doing so."""
-        membership = self._membership
-        taking = {m.incarnation for m in membership.list_load_recipients(now)}
-        if not membership.is_standby(now):
-            taking.add(membership.own.incarnation)
-        return sorted(m.name for m in membership.list_serving(now) if m.incarnation in taking)
+        return list_senders(self._membership, now)
 
     def _notify_peers(
         self, process: replica_processes.ReplicaProcess, state: _LimitState, now: float
@@ -213,3 +208,11 @@
                 'senders': senders,
             },
         )
+
+
+def list_senders(membership: members.Membership, now: float) -> list[str]:
+    """Return the names of the processes that send requests now and will go on doing so."""
+    taking = {m.incarnation for m in membership.list_load_recipients(now)}
+    if not membership.is_standby(now):
+        taking.add(membership.own.incarnation)
+    return sorted(m.name for m in membership.list_serving(now) if m.incarnation in taking)
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -129,6 +129,16 @@
             target.crash_part = part
         self._restart_after_crashes(away)
 
+    def make_brittle(self, service: str, limit: int | None, away: float) -> None:
+        """Make replicas of a service crash if they refuse more than `limit` requests a second.
+
+        They say so in all responses, and restart `away` seconds after a crash.
+        """
+        for target in self.replicas.values():
+            if target.service == service:
+                target.faults.brittle = limit
+        self._restart_after_crashes(away)
+
     def _restart_after_crashes(self, away: float) -> None:
         loop = asyncio.get_running_loop()
         for target in self.replicas.values():
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -79,6 +79,10 @@
     backoff: float = 0.0
     """Every request is refused as not run with this `Retry-After` in seconds; 0 refuses none."""
 
+    brittle: int | None = None
+    """Requests a second that it can refuse for want of room; one more crashes it. Sent in each
+    response."""
+
     leaves: bool = False
     """Whether each response says that the replica is leaving; does not change its entry."""
 
@@ -196,6 +200,12 @@
     """Prompt parts cached by the current process: number, sign, salt, part, tokens and model."""
 
     faults: Faults = dataclasses.field(default_factory=Faults)
+    refused_at: list[float] = dataclasses.field(default_factory=list)
+    """When it refused requests for want of room."""
+
+    falls: list[float] = dataclasses.field(default_factory=list)
+    """When it crashed because it had to refuse too many."""
+
     crash_body: bytes = b''
     """Body of requests that crash each process that runs them; no request does if it is empty."""
 
@@ -323,6 +333,8 @@
         faults = self.replica.faults
         if faults.limit is not None:
             self.set_header(names.RATE_LIMIT, str(faults.limit))
+        if faults.brittle is not None:
+            self.set_header(names.BRITTLE, str(faults.brittle))
         if faults.leaves:
             self.set_header(names.LEAVING, '1')
         backoff = float(self._headers.get('Retry-After', 0.0))
@@ -454,6 +466,8 @@
             self.set_status(503)
             return
         full = replica.active >= replica.slots or replica.loading
+        if full and self._falls_over():
+            raise tornado.web.Finish
         if full or self.take_fault('refuse'):
             self.set_header(names.NOT_EXECUTED, '1')
             self.set_status(503)
@@ -462,6 +476,19 @@
 
     post = get
 
+    def _falls_over(self) -> bool:
+        """Count a refusal for want of room; return whether a brittle replica crashes by it."""
+        replica = self.replica
+        now = clocks.now()
+        replica.refused_at.append(now)
+        recent = sum(at > now - 1.0 for at in replica.refused_at)
+        if replica.faults.brittle is None or recent <= replica.faults.brittle:
+            return False
+        replica.falls.append(now)
+        replica.crash()
+        replica.on_crash()
+        return True
+
     async def _run(self) -> None:
         replica = self.replica
         headers = self.request.headers
