Crashes: a stream that ends inside an event may be that of a replica that crashed

A response with neither length nor chunks ends with its connection. When a replica crashed in it and its system closed the connection in order, the client got 502 or a cut stream, as it should, but the crash counted for nobody: only a reset, or a length or chunk that was not complete, had the process probed. The new test waits in vain for the count without the change; the other one shows that such streams are whole at an event's end.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -505,7 +505,8 @@
             if self._has_progressed(clocks.now()):
                 self._clear_parts()
         if splitter.has_rest:
-            raise response_reader.AttemptError(attempts.Fault.INTERRUPTED, 'ended within an event')
+            text = 'ended within an event'
+            raise response_reader.AttemptError(attempts.Fault.INTERRUPTED, text, broken_off=True)
         self.call.progress.completed = True
         await self._delivery.finish_stream(head)
         self._outcome = 'answered'
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -83,6 +83,9 @@
     """Requests a second that it can refuse for want of room; one more crashes it. Sent in each
     response."""
 
+    unframed: bool = False
+    """Whether streams have neither a length nor chunks, and end with their connection."""
+
     leaves: bool = False
     """Whether each response says that the replica is leaving; does not change its entry."""
 
@@ -568,6 +571,9 @@
         salt = self.request.headers.get(names.SALT, '')
         self.replica.cache_prompt(salt, self.request.headers.get(names.PREFIX_HASHES, ''))
         first = int(self.request.headers.get(names.LAST_EVENT_ID) or -1) + 1
+        if self.replica.faults.unframed:
+            await self._stream_unframed(first)
+            return
         cut = self.take_fault('cut')
         pause = self.replica.event_pause + self._extra_seconds / self.replica.event_count
         for number in range(first, self.replica.event_count):
@@ -584,6 +590,22 @@
             await self.simulate_work(pause)
         self.replica.finished.append(id)
 
+    async def _stream_unframed(self, first: int) -> None:
+        """Send a stream whose end is that of its connection, also if the replica crashes."""
+        self._auto_finish = False
+        fields = [f'{name}: {value}' for name, value in self._headers.get_all()]
+        stream = self.detach()
+        await stream.write('\r\n'.join(['HTTP/1.1 200 OK', *fields, '', '']).encode())
+        for number in range(first, self.replica.event_count):
+            if self._has_crash_part():
+                await stream.write(f'id: {number}\nda'.encode())
+                stream.close()
+                await self._crash_replica(self.id)
+            await stream.write(f'id: {number}\ndata: piece {number}\n\n'.encode())
+            await self.simulate_work(self.replica.event_pause)
+        self.replica.finished.append(self.id)
+        stream.close()
+
 
 def build_application(replica: Replica) -> tornado.web.Application:
     """Return the replica's HTTP application."""
--- a/passpier/tests/platform/crash_parts_tests.py
+++ b/passpier/tests/platform/crash_parts_tests.py
@@ -16,6 +16,7 @@
 
 from passpier import clocks
 from passpier.clients import exchanges
+from passpier.core import fingerprints
 from passpier.platform import names
 from passpier.standins.platform import deployment, replica
 from passpier.tests.platform import harness
@@ -141,3 +142,39 @@
         assert served >= MIN_SERVED * usual
 
     harness.run_check(check, routers=4)
+
+
+def make_headers(parts: str) -> list[tuple[str, str]]:
+    return [
+        (names.MODEL, deployment.MODEL),
+        (names.TOKEN_USAGE, '800,20'),
+        (names.PREFIX_HASHES, parts),
+    ]
+
+
+def test_stream_without_length_is_whole_at_the_end_of_its_connection() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for stand_in in running.replicas.values():
+            stand_in.faults.unframed = True
+        for path in ('/stream/x', '/resume/x'):
+            reply = await running.ask(path, headers=make_headers('a:400,b:400'))
+            assert reply.status == 200
+            assert reply.body.count(b'data: piece') == 5
+
+    harness.run_check(check)
+
+
+def test_stream_without_length_that_ends_in_an_event_may_be_that_of_a_crash() -> None:
+    """An orderly close inside an event was not counted as the end of a crashed replica."""
+
+    async def check(running: deployment.Deployment) -> None:
+        for stand_in in running.replicas.values():
+            stand_in.faults.unframed = True
+        running.crash_on_part(DEADLY, DOWNTIME)
+        reply = await running.ask('/stream/x', headers=make_headers(f'{DEADLY}:400,b:400'))
+        assert reply.status == 502
+        (router,) = running.routers
+        part = fingerprints.compute_part_fingerprint(deployment.MODEL, DEADLY)
+        await harness.wait_for(lambda: router.suspects.crashes.count_crashes(part) == 1)
+
+    harness.run_check(check)
