Cache stores: a reader that is cut off from a store reads through a peer

One process reads the events of the cache stores and tells the others. Two failed reads made all of them stop using a store that only this process didn't reach, and prompts were computed again everywhere. The same cause as with replicas: a link that is lost was taken for a peer that is down.

--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -161,14 +161,17 @@
         self, address: str, incarnation: str, proxy: str | None = None, is_new: bool = False
     ) -> dialect.Report:
         """Fetch a replica's report; raise `ExchangeError` if that fails."""
-        headers = [('Host', address), (names.EXPECT_INCARNATION, incarnation)]
+        headers = [('Host', address)]
+        if incarnation:
+            headers.append((names.EXPECT_INCARNATION, incarnation))
         request = exchanges.Request('GET', names.REPORT_PATH, headers)
         response = await self._pool.fetch(address, request, dialect.ASK_TIMEOUT, proxy, is_new)
         if response.head.status in (400, 404, 405):
             # Replicas of plain services have no report; any response shows that they are alive.
             return dialect.Report({}, False, 0, 0, 0, signal=_read_signal(response.head))
         reported = response.head.get(names.INCARNATION)
-        if response.head.status == 421 or (reported is not None and reported != incarnation):
+        replaced = incarnation and reported is not None and reported != incarnation
+        if response.head.status == 421 or replaced:
             text = f'{incarnation} is no longer at {address}'
             raise exchanges.ExchangeError(exchanges.Fault.REPLACED, text, True)
         raw = _decode_response(response, records.decode_report)
--- a/passpier/routing/cache_store_follower.py
+++ b/passpier/routing/cache_store_follower.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
@@ -28,6 +29,13 @@
 """Consecutive failed reads after which a store counts as down."""
 
 
+class Paths(Protocol):
+    """The paths to cache stores."""
+
+    async def report(self, address: str, incarnation: str) -> dialect.Report:
+        """Ask by any path, and keep to the one by which an answer comes."""
+
+
 class _StoreReader(msgspec.Struct):
     """How far the events of one store have been read."""
 
@@ -43,12 +51,14 @@
         self,
         replica_pools: pools.Pools,
         engines: dialect.Engines,
+        paths: Paths,
         router_roster: roster.Roster,
         link: peers.Peers,
         is_reader: Callable[[], bool],
     ) -> None:
         self._pools = replica_pools
         self._engines = engines
+        self._paths = paths
         self._roster = router_roster
         self._is_reader = is_reader
         self._readers: dict[str, _StoreReader] = {}
@@ -78,6 +88,7 @@
         try:
             batch = await self._engines.read_cache_changes(address, reader.next, READ_WAIT)
         except exchanges.ExchangeError as error:
+            await self._find_path(address)
             self._note_failure(address, reader, str(error))
             return
         reader.failures = 0
@@ -98,6 +109,13 @@
         if batch.changes:
             self._roster.notify_serving(message)
 
+    async def _find_path(self, address: str) -> None:
+        """Have the next read go through a peer, if the store is out of reach of this VM only."""
+        try:
+            await self._paths.report(address, '')
+        except exchanges.ExchangeError as error:
+            log.info('no path to a cache store', extra={'address': address, 'error': str(error)})
+
     def _note_failure(self, address: str, reader: _StoreReader, error: str) -> None:
         reader.failures += 1
         if reader.failures == FAILURES_TO_DOWN:
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -176,7 +176,8 @@
     ) -> Report:
         """Return a replica's report within `ASK_TIMEOUT`; raises `ExchangeError`.
 
-        A replica of a plain service, which has no reports, returns an empty one. For `proxy` and
+        A replica of a plain service or a cache store, which have no reports, returns an empty one;
+        a cache store has no incarnation. For `proxy` and
         `is_new` see `connections.Pool.open`.
         """
 
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -175,6 +175,7 @@
         self.cache_store_follower = cache_store_follower.CacheStoreFollower(
             self.pools,
             adapter.engines,
+            self.paths,
             self.roster,
             self.peers,
             lambda: bool(self.rollouts.holder.token),
--- a/passpier/routing/tunnel_server.py
+++ b/passpier/routing/tunnel_server.py
@@ -1,7 +1,8 @@
 """Connects peers to replicas that they don't reach themselves, by HTTP's CONNECT method.
 
 A tunnel copies bytes: the peer at its other end has the client, and decides everything about its
-requests. Only members may open tunnels, only to known replicas, and never through a third process.
+requests. Only members may open tunnels, only to known replicas and cache stores, never through a
+third process.
 """
 
 from __future__ import annotations
@@ -177,10 +178,10 @@
         """Return the status with which a tunnel is refused, or 0 if it isn't."""
         if source not in {m.ip for m in self._membership.list_known()}:
             return 403
-        replica = next((r for r in self._pools.replicas.values() if r.address == address), None)
-        if replica is None:
+        names = [r.name for r in self._pools.replicas.values() if r.address == address]
+        if not names and address not in self._pools.stores.addresses:
             return 403
-        if not self.is_direct(address) or replica.name in self._pools.unresponsive:
+        if not self.is_direct(address) or self._pools.unresponsive.intersection(names):
             return 502
         return 503 if len(self._tunnels) >= self._most else 0
 
