--- a/passpier/standins/platform/play.py
+++ b/passpier/standins/platform/play.py
@@ -19,7 +19,14 @@
 from passpier import clocks
 from passpier.clients import exchanges
 from passpier.platform import names
-from passpier.standins.platform import backpressure, deployment, invariants, replica, returns
+from passpier.standins.platform import (
+    backpressure,
+    deployment,
+    invariants,
+    partitions,
+    replica,
+    returns,
+)
 
 MEAN_FAULT_INTERVAL = 0.25
 """Mean seconds between the starts of two faults, which may overlap."""
@@ -71,6 +78,7 @@
         rate: float,
         asks: bool = False,
         returns_from_copies: bool = False,
+        cuts: bool = False,
     ) -> None:
         self._running = running
         self._rng = random.Random(seed)
@@ -85,6 +93,8 @@
         )
         self._with_returns = returns_from_copies
         self._returns = returns.ReturnInjector(running, self, random.Random(f'return {seed}'))
+        self._with_cuts = cuts
+        self._cut_rng = random.Random(f'cut {seed}')
         self.report = Report(seed)
 
     def log_fault(self, what: str, seconds: float | None = None) -> None:
@@ -100,6 +110,8 @@
             series.append(self._backpressure.run(ends_at))
         if self._with_returns:
             series.append(self._returns.run(ends_at - SETTLE_SECONDS))
+        if self._with_cuts:
+            series.append(self._inject_cuts(ends_at - SETTLE_SECONDS))
         faults = asyncio.gather(*series)
         pending: set[asyncio.Task[None]] = set()
         number = 0
@@ -225,6 +237,22 @@
             self._running.configure(tenants=accounts[:1])
             self._revoked_at['secret-2'] = clocks.now()
 
+    async def _inject_cuts(self, ends_at: float) -> None:
+        """Cut routers off from some or all replicas, again and again; cuts may overlap."""
+        rng = self._cut_rng
+        healing = []
+        while clocks.now() < ends_at:
+            name = rng.choice(list(self._running.router_pools))
+            service = rng.choice(['llm', 'app', ''])
+            known = self._running.replicas.values()
+            ids = [r.id for r in known if r.service == service or not service]
+            self.report.faults.append(f'cut {name} off from {service or "everything"}')
+            self._running.cut_off(name, ids, rng.choice(list(partitions.Cut)))
+            pool = self._running.router_pools[name]
+            healing.append(asyncio.ensure_future(_heal(pool, rng.uniform(0.3, 3.0))))
+            await asyncio.sleep(rng.uniform(0.3, 1.5))
+        await asyncio.gather(*healing)
+
     async def _stop_router(self) -> None:
         if len(self._running.routers) < 4:
             number = len(self._running.routers)
@@ -247,6 +275,11 @@
         )
 
 
+async def _heal(pool: partitions.PartitionedPool, seconds: float) -> None:
+    await asyncio.sleep(seconds)
+    pool.heal()
+
+
 async def _run(fault: Callable[[], Awaitable[None]]) -> None:
     await fault()
 
@@ -258,14 +291,15 @@
     routers: int = 3,
     asks: bool = False,
     returns_from_copies: bool = False,
+    cuts: bool = False,
 ) -> Report:
     """Run one seed on a new deployment.
 
     With `asks` replicas send backpressure signals, with `returns_from_copies` the store returns
-    from older copies.
+    from older copies, with `cuts` routers are cut off from replicas.
     """
     async with deployment.running(routers) as running:
-        return await FaultRun(running, seed, rate, asks, returns_from_copies).run(seconds)
+        return await FaultRun(running, seed, rate, asks, returns_from_copies, cuts).run(seconds)
 
 
 def main(
@@ -275,11 +309,12 @@
     rate: float = 60.0,
     asks: bool = False,
     returns: bool = False,
+    cuts: bool = False,
 ) -> None:
     """Run `count` seeds from `seed` on, `rate` requests a second; exit with 1 on a violation."""
     broken = 0
     for number in range(seed, seed + count):
-        report = asyncio.run(play(number, seconds, rate, 3, asks, returns))
+        report = asyncio.run(play(number, seconds, rate, 3, asks, returns, cuts))
         broken += bool(report.violations)
         print(report.render(), flush=True)
     sys.exit(1 if broken else 0)
--- a/passpier/tests/platform/play_tests.py
+++ b/passpier/tests/platform/play_tests.py
@@ -33,6 +33,13 @@
     assert any('returns' in text for text in report.faults)
 
 
+@pytest.mark.parametrize('seed', [200, 201, 202])
+def test_cuts_between_routers_and_replicas_violate_no_guarantee(seed: int) -> None:
+    report = asyncio.run(play.play(seed, SIGNALS_SECONDS, 60.0, cuts=True))
+    assert report.violations == []
+    assert any('cut' in text for text in report.faults)
+
+
 def test_router_that_repeats_non_idempotent_requests_is_detected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
