Forwarding: a failed connection waits for another path only until the replica is known to be down

A request whose connection was refused waited the whole 0.25 s for its probe to end, which it doesn't while the replica is down. The probe decides after two unanswered rounds, some 30 ms.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -440,7 +440,7 @@
             if error.fault is exchanges.Fault.WITHHELD:
                 raise
             self._check_path(replica)
-            await owner.prober.wait_probed(replica.process, PATH_SECONDS)
+            await owner.prober.wait_decided(replica.process, PATH_SECONDS)
             if owner.paths.choose(replica.address) == path:
                 raise
         return await owner.pool.open(replica.address, request)
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -94,11 +94,11 @@
         self._tasks[process] = task
         task.add_done_callback(lambda _: self._finish_probe(process))
 
-    async def wait_probed(self, process: replica_processes.ReplicaProcess, timeout: float) -> None:
-        """Wait until the probe of a replica has ended, if there is one."""
-        task = self._tasks.get(process)
-        if task is not None:
-            await asyncio.wait([task], timeout=timeout)
+    async def wait_decided(self, process: replica_processes.ReplicaProcess, timeout: float) -> None:
+        """Wait until a probe in progress, if there is one, shows whether the process responds."""
+        state = self._end_states.get(process)
+        if state is not None:
+            await asyncio.wait([state], timeout=timeout)
 
     async def has_ended(self, process: replica_processes.ReplicaProcess) -> bool:
         """Return whether a process whose connection broke has ended, after probing it."""
