--- a/passpier/routing/brittleness.py
+++ b/passpier/routing/brittleness.py
@@ -13,7 +13,14 @@
 import msgspec
 
 from passpier import clocks
-from passpier.core import backpressure, members, refusals, replica_processes, throttles
+from passpier.core import (
+    backpressure,
+    members,
+    refusals,
+    replica_processes,
+    replicas,
+    throttles,
+)
 from passpier.daemon import messages, peers
 from passpier.routing import pools, throttling
 
@@ -51,6 +58,7 @@
         self._membership = membership
         self._send_to_peers = send_to_peers
         self._states: dict[str, _State] = {}
+        replica_pools.on_process_added = self._limit_process
         link.register_handler(messages.ServiceBrittle, self._handle_brittle)
 
     def handle_signal(
@@ -107,17 +115,28 @@
         log.info('service brittle', extra={**fields, 'age': round(now - as_of, 3)})
 
     def _set_shares(self, service: str, limit: float | None, now: float) -> None:
-        own = self._membership.own.name
-        senders = throttling.list_senders(self._membership, now) if limit is not None else []
         for replica in self._pools.list_service(service):
-            if limit is None:
-                replica.refusals = None
-                continue
-            share = refusals.compute_share(replica.name, limit, own, senders)
-            if replica.refusals is None:
-                replica.refusals = throttles.Throttle(share, now)
-            else:
-                replica.refusals.configure(share, now)
+            self._set_share(replica, limit, now)
+
+    def _set_share(self, replica: replicas.Replica, limit: float | None, now: float) -> None:
+        if limit is None:
+            replica.refusals = None
+            return
+        senders = throttling.list_senders(self._membership, now)
+        share = refusals.compute_share(replica.name, limit, self._membership.own.name, senders)
+        if replica.refusals is None:
+            replica.refusals = throttles.Throttle(share, now)
+        else:
+            replica.refusals.configure(share, now)
+
+    def _limit_process(self, replica: replicas.Replica) -> None:
+        """Limit a replica process from its start: requests may be queued for it everywhere."""
+        state = self._states.get(self._pools.get_service(replica.name))
+        if state is not None:
+            now = clocks.now()
+            self._set_share(replica, state.refusal_limit, now)
+            # Nobody's load there is known yet.
+            replica.refused_at = now
 
     def _handle_brittle(self, sender: str, address: str, message: messages.ServiceBrittle) -> None:
         as_of = clocks.now() - message.age
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -88,6 +88,9 @@
         self.on_process_ended: Callable[[replicas.Replica], None] = lambda replica: None
         """Called with the state of a replica process that has ended."""
 
+        self.on_process_added: Callable[[replicas.Replica], None] = lambda replica: None
+        """Called with the state of a replica process that is new."""
+
         self.on_signal: Callable[
             [replica_processes.ReplicaProcess, backpressure.Signal, float | None], None
         ] = lambda process, signal, ran_since: None
@@ -130,10 +133,13 @@
         if before is not None and not _is_same_process(before, entry):
             self._remove_process(entry.id)
             self._update_incomplete(before.service)
-        if entry.id not in self.replicas:
+        is_new = entry.id not in self.replicas
+        if is_new:
             self._add_process(entry)
         self._entries[entry.id] = entry
         replica = self.replicas[entry.id]
+        if is_new:
+            self.on_process_added(replica)
         replica.slots = entry.slots
         replicas.set_leaving(replica, 'registry', entry.draining)
         self._apply_service(entry)
--- a/passpier/tests/routing/brittleness_tests.py
+++ b/passpier/tests/routing/brittleness_tests.py
@@ -90,13 +90,14 @@
     run(check)
 
 
-def test_a_replica_that_joins_is_limited_with_the_others() -> None:
+def test_a_replica_that_joins_is_limited_at_once() -> None:
+    """Guards against requests that were queued everywhere and all go to a replica that starts."""
+
     def check() -> None:
         process = Process()
         process.answer('r1', BRITTLE, None)
         entry = catalogue.Entry('r3', 's', 'r3:1', 'd0', 8, False, {})
         process.pools.apply_change(catalogue.Change('r3', entry, 'recorded'))
-        process.brittleness.sync(0.5)
         assert process.list_limited() == ['r1', 'r2', 'r3']
 
     run(check)
