--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -175,6 +175,9 @@
         self._response_began_at: float | None = None
         """When the response of that attempt began to arrive, if it has."""
 
+        self._has_progressed = False
+        """Whether it has gone on for too long to be the response to the cause of a crash."""
+
     @property
     def id(self) -> str:
         """The request's id."""
@@ -453,6 +456,7 @@
     async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
         self._last_process = attempt.process
         self._response_began_at = None
+        self._has_progressed = False
         self.sent = True
         with attempt.cleanup:
             await self._relay_response(attempt)
@@ -502,8 +506,7 @@
             for event in splitter.feed(part):
                 await self._delivery.send_event(head, event)
                 self.call.progress.delivered += 1
-            if self._has_progressed(clocks.now()):
-                self._clear_parts()
+            self._note_progress(clocks.now())
         if splitter.has_rest:
             text = 'ended within an event'
             raise response_reader.AttemptError(attempts.Fault.INTERRUPTED, text, broken_off=True)
@@ -574,7 +577,7 @@
             self.charge.mark_spent()
         if error.broken_off and not self._owner.pools.is_exit_expected(self._last_process):
             self._owner.suspects.note_disconnect(
-                self._admitted.fingerprint, self._last_process, self._list_suspect_parts(now)
+                self._admitted.fingerprint, self._last_process, self._list_suspect_parts()
             )
         has_time = now < self._admitted.ends_at
         step = attempts.Step.FAIL
@@ -618,19 +621,21 @@
         self.call.placement_deadline = self._choose_hold_deadline(now)
         return True
 
-    def _has_progressed(self, now: float) -> bool:
-        """Return whether the response has gone on for too long to be that to a crash's cause."""
-        began_at = self._response_began_at
-        return began_at is not None and now - began_at >= crashes.CLEARED_AFTER
+    def _note_progress(self, now: float) -> None:
+        """Clear the prompt's parts once the response has gone on for a while."""
+        assert self._response_began_at is not None, 'events follow a head'
+        if now - self._response_began_at >= crashes.CLEARED_AFTER:
+            self._has_progressed = True
+            self._clear_parts()
 
     def _clear_parts(self) -> None:
         """Clear the prompt's parts of crashes, as a replica responds to them."""
         for part in self.shared_parts:
             self._owner.suspects.note_success(part)
 
-    def _list_suspect_parts(self, now: float) -> tuple[int, ...]:
+    def _list_suspect_parts(self) -> tuple[int, ...]:
         """Return the prompt's parts that may have crashed the replica of the last attempt."""
-        return () if self._has_progressed(now) else self.shared_parts
+        return () if self._has_progressed else self.shared_parts
 
     def _describe_parts(self) -> list[str]:
         """Return the prompt's shared parts as written to the log."""
