--- a/passpier/core/crashes.py
+++ b/passpier/core/crashes.py
@@ -60,6 +60,10 @@
 """Seconds for which a response has to go on arriving to clear the parts of its prompt. Replicas
 crash 0.04 to 0.11 s after they begin to respond."""
 
+UNSUSPECTED_AFTER = 1.0
+"""Seconds between the beginning of a response and its failure from which on the parts of its prompt
+are no suspects, without any further event: a router notices a crash later than it was."""
+
 COPY_RETRY_AFTER = 0.5
 """Seconds after which a copy of a running suspect may be retried; a run takes 0.1 to 1 s."""
 
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -577,7 +577,7 @@
             self.charge.mark_spent()
         if error.broken_off and not self._owner.pools.is_exit_expected(self._last_process):
             self._owner.suspects.note_disconnect(
-                self._admitted.fingerprint, self._last_process, self._list_suspect_parts()
+                self._admitted.fingerprint, self._last_process, self._list_suspect_parts(now)
             )
         has_time = now < self._admitted.ends_at
         step = attempts.Step.FAIL
@@ -633,9 +633,11 @@
         for part in self.shared_parts:
             self._owner.suspects.note_success(part)
 
-    def _list_suspect_parts(self) -> tuple[int, ...]:
+    def _list_suspect_parts(self, now: float) -> tuple[int, ...]:
         """Return the prompt's parts that may have crashed the replica of the last attempt."""
-        return () if self._has_progressed else self.shared_parts
+        began_at = self._response_began_at
+        is_late = began_at is not None and now - began_at >= crashes.UNSUSPECTED_AFTER
+        return () if self._has_progressed or is_late else self.shared_parts
 
     def _describe_parts(self) -> list[str]:
         """Return the prompt's shared parts as written to the log."""
