--- a/passpier/tests/platform/crash_parts_tests.py
+++ b/passpier/tests/platform/crash_parts_tests.py
@@ -19,7 +19,7 @@
 from passpier.core import fingerprints
 from passpier.platform import names
 from passpier.standins.platform import deployment, replica
-from passpier.tests.platform import harness
+from passpier.tests.platform import crashes_tests, harness
 
 log = logging.getLogger(__name__)
 
@@ -109,15 +109,6 @@
         return sum(s.status == 200 for s in sent) / len(sent)
 
 
-def list_deadly_runs(running: deployment.Deployment) -> list[float]:
-    runs = [run for r in running.replicas.values() for run in r.runs]
-    return sorted(run.at for run in runs if run.id.startswith('deadly-'))
-
-
-def list_crashes(running: deployment.Deployment) -> list[float]:
-    return sorted(at for r in running.replicas.values() for _, at in r.crashed_by)
-
-
 @pytest.mark.parametrize('seed', [1, 2])
 @pytest.mark.parametrize('position', [0, 1])
 def test_part_that_crashes_replicas_is_soon_no_longer_sent(position: int, seed: int) -> None:
@@ -132,9 +123,9 @@
         traffic = Traffic(running, position, seed)
         began = clocks.now()
         await traffic.send(SECONDS, deadly_after=2.0)
-        crashes = list_crashes(running)
+        crashes = crashes_tests.list_crash_times(running)
         known_at = crashes[:CRASHES_UNTIL_KNOWN][-1] + CONTACT_SECONDS
-        late = [at for at in list_deadly_runs(running) if at > known_at]
+        late = [at for at in crashes_tests.list_send_times(running, 'deadly-') if at > known_at]
         served = traffic.compute_served(known_at + CONTACT_SECONDS)
         usual = traffic.compute_served(began, crashes[0] - 0.5)
         log.info('crashes %d, late %d, served %.2f', len(crashes), len(late), served)
