--- a/passpier/core/catalogue.py
+++ b/passpier/core/catalogue.py
@@ -55,6 +55,9 @@
     reports_start: bool = False
     """Whether the entry contains the start time of the process."""
 
+    software: str = ''
+    """Version of the process's software; empty if it is unknown."""
+
     @property
     def process(self) -> replica_processes.ReplicaProcess:
         """The process that wrote the entry."""
@@ -155,7 +158,8 @@
     ) -> Change | None:
         """Apply a replica's own report of a later start than its entry has.
 
-        The new process isn't draining, even if the previous one was.
+        The new process isn't draining, even if the previous one was. The version of its software is
+        unknown until its entry arrives.
         """
         known = self._known.get(process.id)
         if (
@@ -165,7 +169,11 @@
         ):
             return None
         entry = msgspec.structs.replace(
-            known.entry, started_ms=process.started_ms, draining=False, versions=dict(versions)
+            known.entry,
+            started_ms=process.started_ms,
+            draining=False,
+            versions=dict(versions),
+            software='',
         )
         return self._replace_process(known, entry)
 
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -123,6 +123,9 @@
     started_ms: int = 0
     """Start time of its process in Unix milliseconds; 0 if it isn't reported."""
 
+    software: str = ''
+    """Version of its process's software; empty if it is unknown."""
+
     @property
     def process(self) -> replica_processes.ReplicaProcess:
         """The process that this state belongs to."""
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -64,7 +64,8 @@
             _read_prompt(headers, usage),
             headers.get(names.LAST_EVENT_ID, ''),
             passed,
-            sum(usage) if usage is not None else None,
+            resumes=headers.get(names.RESUMES, ''),
+            tokens=sum(usage) if usage is not None else None,
         )
 
     def write_request(
--- a/passpier/platform/names.py
+++ b/passpier/platform/names.py
@@ -19,6 +19,9 @@
 """Segments of the prompt in order: a comma-separated list of `ID:TOKENS`."""
 
 LAST_EVENT_ID = 'Last-Event-Id'
+RESUMES = 'Resumes'
+"""Request id of the attempt that brought the first event of a stream which a client resumes."""
+
 ACCOUNT = 'X-Passpier-Tenant'
 EXPECT_INCARNATION = 'X-Passpier-Expect-Instance'
 INCARNATION = 'X-Passpier-Instance-Id'
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -222,6 +222,7 @@
         raw.born or 0,
         reports_weights=raw.models is not msgspec.UNSET,
         reports_start=raw.born is not msgspec.UNSET,
+        software=raw.version,
     )
 
 
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -29,6 +29,9 @@
     headers: exchanges.Headers
     """The headers that are forwarded to the upstream unchanged."""
 
+    resumes: str = ''
+    """The id of the request that began a stream which the client resumes, if it names one."""
+
     tokens: int | None = None
     """The prompt's tokens plus the maximum of the response, if the client states them."""
 
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -172,6 +172,9 @@
         self._last_process = replica_processes.ReplicaProcess('')
         """The replica process of the current or last attempt."""
 
+        self._last_software = ''
+        """The version of its software, if that was known when the attempt was placed."""
+
         self._response_began_at: float | None = None
         """When the response of that attempt began to arrive, if it has."""
 
@@ -277,6 +280,9 @@
                 'attempts': self.call.progress.attempts,
                 'upstream': self._last_process.id,
                 'born': self._last_process.started_ms,
+                'software': self._last_software,
+                'last_event': self._admitted.client_request.last_event,
+                'resumes': self._admitted.client_request.resumes,
                 'seconds': round(seconds, 4),
                 'configuration_age': round(
                     self._owner.registry_state.freshness.compute_revocation_age(clocks.now()), 3
@@ -368,7 +374,7 @@
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
             return None
-        self._last_process = placement.replica.process
+        self._note_replica(placement.replica)
         return await self.open_attempt(placement, judgement, cleanup)
 
     async def open_attempt(
@@ -453,8 +459,12 @@
         self._owner.paths.note_connect_failure(replica.address)
         self._owner.prober.probe(replica.process, 0.0)
 
+    def _note_replica(self, replica: replicas.Replica) -> None:
+        self._last_process = replica.process
+        self._last_software = replica.software
+
     async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
-        self._last_process = attempt.process
+        self._note_replica(attempt.placement.replica)
         self._response_began_at = None
         self._has_progressed = False
         self.sent = True
@@ -602,6 +612,7 @@
                 'fingerprint': self._fingerprint,
                 'upstream': self._last_process.id,
                 'born': self._last_process.started_ms,
+                'software': self._last_software,
                 'parts': self._describe_parts(),
                 'fault': error.fault.value,
                 'response_age': self._describe_response_age(now),
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -141,6 +141,7 @@
         if is_new:
             self.on_process_added(replica)
         replica.slots = entry.slots
+        replica.software = entry.software
         replicas.set_leaving(replica, 'registry', entry.draining)
         self._apply_service(entry)
         self._update_incomplete(entry.service)
@@ -154,6 +155,7 @@
                 'service': entry.service,
                 'configured': entry.service in self._services,
                 'address': entry.address,
+                'software': entry.software,
                 'weight_version': replica.weight_version,
                 'leaving': replica.leaving,
             },
