--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -146,9 +146,15 @@
                 loop.call_later, away, self.restart_replica, target.id
             )
 
-    def restart_replica(self, id: str, version: int | None = None, born: int | None = None) -> None:
+    def restart_replica(
+        self,
+        id: str,
+        version: int | None = None,
+        born: int | None = None,
+        software: str | None = None,
+    ) -> None:
         """Restart a replica under its id, at its address; see `Replica.restart`."""
-        self.replicas[id].restart(version, born)
+        self.replicas[id].restart(version, born, software)
         self.write_entry(id)
 
     def write_foreign_entries(self, count: int, rng: random.Random) -> list[str]:
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -27,6 +27,9 @@
 WORK_SECONDS = 'X-Standin-Seconds'
 """Header in which a client sets how many seconds of work a request takes."""
 
+SOFTWARE_FIELD = 'software'
+"""Field of an event with the version of its replica's software; readers ignore unknown ones."""
+
 CRASH_AFTER = 0.02
 """Seconds between the start of a run that crashes its replica and the crash."""
 
@@ -138,6 +141,12 @@
     zone: str
     model: str = ''
     version: int = 1
+    software: str = 'v1'
+    """Version of its software."""
+
+    tells_software: bool = False
+    """Whether each event of a stream has a line with the version of its software."""
+
     slots: int = 16
     work_seconds: float = 0.01
     event_count: int = 5
@@ -251,11 +260,14 @@
             self.server.reset_all()
             self.server = None
 
-    def restart(self, version: int | None = None, born: int | None = None) -> None:
+    def restart(
+        self, version: int | None = None, born: int | None = None, software: str | None = None
+    ) -> None:
         """Start a new process under the same id.
 
-        The new process has the weights `version`, by default those of the previous one. A `born`
-        before that of the previous process simulates a clock that was set back.
+        The new process has the weights `version` and the software version `software`, by default
+        those of the previous one. A `born` before that of the previous process simulates a clock
+        that was set back.
         """
         if self.server is not None:
             self.crash()
@@ -263,6 +275,8 @@
         self.state = 'ready'
         if version is not None:
             self.version = version
+        if software is not None:
+            self.software = software
         self.listen()
 
     def cache_prompt(self, salt: str, parts: str) -> None:
@@ -280,7 +294,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.software,
             'slots': self.slots,
             'state': self.state,
             'cold_remaining_ms': 0,
@@ -583,13 +597,19 @@
                 await self.pause(self.replica.event_pause)
                 self.reset()
             padding = ' ' * self.replica.event_bytes
-            self.write(f'id: {number}\ndata: piece {number}{padding}\n\n')
+            self.write(f'id: {number}\n{self._render_software()}data: piece {number}{padding}\n\n')
             await self.flush()
             if self._has_crash_part():
                 await self._crash_replica(self.id)
             await self.simulate_work(pause)
         self.replica.finished.append(id)
 
+    def _render_software(self) -> str:
+        """Return the line of an event that tells the version of the software."""
+        if not self.replica.tells_software:
+            return ''
+        return f'{SOFTWARE_FIELD}: {self.replica.software}\n'
+
     async def _stream_unframed(self, first: int) -> None:
         """Send a stream whose end is that of its connection, also if the replica crashes."""
         self._auto_finish = False
--- /dev/null
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -0,0 +1,226 @@
+"""Streams in services whose replicas run several versions of their software.
+
+Guards against streams that go on at another version than the one that began them: what two versions
+write doesn't fit together, and no replica checks it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+import pytest
+
+from passpier import clocks
+from passpier.standins.platform import deployment, replica, stream_clients
+from passpier.tests.platform import harness
+
+log = logging.getLogger(__name__)
+
+MAX_MIXED = 2
+"""Streams that may hold events of two versions."""
+
+MIN_CONTINUED_SHARE = 0.5
+"""Share of resumed streams that have to go on while two replicas of their version serve."""
+
+DOWNTIME = 2.0
+"""Seconds for which a crashed replica is down."""
+
+SECONDS = 8.0
+RATE = 12.0
+"""Streams per second."""
+
+
+def add_models(running: deployment.Deployment, versions: list[str], pause: float = 0.05) -> None:
+    """Have one model replica for each of the software versions, with streams of 30 events."""
+    for number, version in enumerate(versions):
+        id = f'llm-{number}'
+        if id not in running.replicas:
+            zone = f'zone-{number % 2}'
+            running.add_replica(replica.Replica(id, 'llm', zone, deployment.MODEL))
+        target = running.replicas[id]
+        target.software = version
+        target.tells_software = True
+        target.event_count = 30
+        target.event_pause = pause
+        running.write_entry(id)
+
+
+async def wait_known(running: deployment.Deployment) -> None:
+    """Wait until the routers know all replicas, and the versions that were written last."""
+    await running.wait_ready()
+    await asyncio.sleep(0.6)
+
+
+def find_runner(running: deployment.Deployment, attempt: str) -> replica.Replica:
+    """Return the replica that ran an attempt last."""
+    return max(
+        (r for r in running.replicas.values() if any(run.id == attempt for run in r.runs)),
+        key=lambda r: max(run.at for run in r.runs if run.id == attempt),
+    )
+
+
+def get_address(running: deployment.Deployment, entry: int) -> str:
+    """Return the address at which a router accepts clients."""
+    return running.routers[entry].options.caller
+
+
+async def begin_stream(
+    running: deployment.Deployment, stream: stream_clients.Stream
+) -> tuple[asyncio.Task[bool], replica.Replica]:
+    """Send a stream to the first router; return it once it has three events, and its replica."""
+    pending = asyncio.ensure_future(stream.read(running, get_address(running, 0)))
+    await harness.wait_for(lambda: len(stream.events) >= 3)
+    return pending, find_runner(running, f'{stream.id}.0')
+
+
+class Traffic:
+    """Streams of clients that resume what breaks off, while replicas crash."""
+
+    def __init__(self, running: deployment.Deployment, seed: int, leaves: bool) -> None:
+        self._running = running
+        self._rng = random.Random(seed)
+        self._leaves = leaves
+        self.streams: list[stream_clients.Stream] = []
+        self.resumable: list[stream_clients.Stream] = []
+        """Those that were resumed while two replicas of their version served."""
+
+    async def run(self, seconds: float, changes_version: bool) -> None:
+        """Send streams and crash replicas; crashed ones may return with another version."""
+        ends_at = clocks.now() + seconds
+        crashes = asyncio.ensure_future(self._crash_replicas(ends_at, changes_version))
+        pending = []
+        while clocks.now() < ends_at:
+            pending.append(asyncio.ensure_future(self._read(len(self.streams))))
+            await asyncio.sleep(self._rng.expovariate(RATE))
+        await asyncio.gather(crashes, *pending)
+
+    async def _read(self, number: int) -> None:
+        stream = stream_clients.Stream(f's{number}', deployment.make_prompt(self._rng))
+        self.streams.append(stream)
+        entries = self._rng.sample(range(len(self._running.routers)), 3)
+        addresses = [get_address(self._running, entry) for entry in entries]
+        stop_after = 3 if self._leaves else None
+        if await stream.read(self._running, addresses[0], stop_after) or not stream.events:
+            return
+        await asyncio.sleep(0.1)
+        if self._count_serving(stream.events[0].software) >= 2:
+            self.resumable.append(stream)
+        for address in addresses[1:]:
+            if await stream.read(self._running, address):
+                return
+
+    def _count_serving(self, software: str) -> int:
+        known = self._running.replicas.values()
+        return sum(r.server is not None and r.software == software for r in known if r.model)
+
+    async def _crash_replicas(self, ends_at: float, changes_version: bool) -> None:
+        rng = random.Random(f'crash {self._rng.random()}')
+        models = [r for r in self._running.replicas.values() if r.model]
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 1.0))
+            if clocks.now() + DOWNTIME >= ends_at:
+                return
+            chosen = rng.choice([r for r in models if r.server is not None])
+            self._running.crash_replica(chosen.id)
+            software = None
+            if changes_version:
+                software = 'v1.1' if chosen.software == 'v1' else 'v1'
+            asyncio.get_running_loop().call_later(
+                DOWNTIME, self._running.restart_replica, chosen.id, None, None, software
+            )
+
+    def check(self) -> None:
+        """Check that streams keep their version, and that the interrupted ones go on."""
+        mixed = [s for s in self.streams if len(s.versions) > 1]
+        continued = [s for s in self.resumable if s.is_complete]
+        log.info(
+            '%d streams, %d mixed, %d of %d resumed ones continued',
+            len(self.streams), len(mixed), len(continued), len(self.resumable),
+        )  # fmt: skip
+        assert all(s.is_whole for s in self.streams)
+        assert len(mixed) <= MAX_MIXED, [(s.id, s.versions) for s in mixed]
+        assert len(continued) >= MIN_CONTINUED_SHARE * len(self.resumable)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('kind', ['crashes', 'clients leave', 'other version returns'])
+def test_streams_keep_the_software_version_that_began_them(kind: str, seed: int) -> None:
+    """Replicas crash, and clients leave and resume their streams at other routers."""
+
+    async def check(running: deployment.Deployment) -> None:
+        add_models(running, ['v1', 'v1.1'] * 3)
+        await wait_known(running)
+        traffic = Traffic(running, seed, leaves=kind == 'clients leave')
+        await traffic.run(SECONDS, changes_version=kind == 'other version returns')
+        traffic.check()
+
+    harness.run_check(check, routers=4)
+
+
+def test_stream_ends_at_once_if_no_replica_of_its_software_version_is_left() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        add_models(running, ['v1', 'v1.1'])
+        await wait_known(running)
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        pending, first = await begin_stream(running, stream)
+        running.crash_replica(first.id)
+        crashed_at = clocks.now()
+        assert not await pending
+        assert clocks.now() - crashed_at < 1.0
+        assert stream.versions == {first.software}
+
+    harness.run_check(check)
+
+
+def test_slow_stream_is_not_moved_to_another_software_version() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.configure(
+            routes=[{**r, 'timeout_ms': 9000} for r in running.configuration['routes']]
+        )
+        add_models(running, ['v1', 'v1.1'], pause=1.3)
+        for model in running.replicas.values():
+            model.event_count = 3
+        await running.wait_settled()
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        assert await stream.read(running, get_address(running, 0), patience=9.0)
+        assert len(stream.versions) == 1
+        assert len(running.list_runs('one.0')) == 1
+
+    harness.run_check(check)
+
+
+def test_resumed_stream_goes_on_at_its_software_version_at_another_router() -> None:
+    """Guards against a choice by the second router alone, which has not seen the stream begin."""
+
+    async def check(running: deployment.Deployment) -> None:
+        add_models(running, ['v1', 'v1.1'] * 3)
+        await wait_known(running)
+        rng = random.Random(1)
+        for number in range(12):
+            stream = stream_clients.Stream(f's{number}', deployment.make_prompt(rng))
+            await stream.read(running, get_address(running, number % 3), stop_after=3)
+            first = find_runner(running, f's{number}.0')
+            running.crash_replica(first.id)
+            assert await stream.read(running, get_address(running, (number + 1) % 3))
+            running.restart_replica(first.id)
+            assert len(stream.versions) == 1
+            assert stream.is_whole
+
+    harness.run_check(check, routers=3)
+
+
+def test_stream_that_cannot_go_on_at_its_software_version_is_refused_at_once() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        add_models(running, ['v1', 'v1.1'])
+        await wait_known(running)
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        await stream.read(running, get_address(running, 0), stop_after=3)
+        running.crash_replica(find_runner(running, 'one.0').id)
+        resumed_at = clocks.now()
+        assert not await stream.read(running, get_address(running, 1))
+        assert clocks.now() - resumed_at < 1.0
+        assert stream.statuses == [200, 503]
+
+    harness.run_check(check, routers=2)
