--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -137,6 +137,11 @@
         return bool(self.leaving_reasons)
 
 
+def runs_software(replica: Replica, software: str | None) -> bool:
+    """Return whether a replica is known to run a software version; any will do for none."""
+    return software is None or (bool(software) and replica.software == software)
+
+
 def set_leaving(replica: Replica, reason: str, leaving: bool) -> bool:
     """Set or clear one reason for leaving; return whether it changed."""
     before = replica.leaving_reasons
--- a/passpier/daemon/calls.py
+++ b/passpier/daemon/calls.py
@@ -43,6 +43,10 @@
     model: declarations.Model | None = None
     job: choice.Job = choice.Job([], 1, 0)
     weight_version: str = ''
+    software: str | None = None
+    """The software version at which a stream has begun and has to go on; empty if that is unknown,
+    so that it can't go on, and none if any version will do."""
+
     raw: bytes = b''
     key: str = ''
     method: str = 'POST'
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -49,8 +49,13 @@
     def get(self, name: str) -> replicas.Replica:
         """Return an upstream by name."""
 
-    def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
-        """Return the upstreams of a pool that accept new work and serve a weight version."""
+    def list_serving(
+        self, pool: str, version: str = '', software: str | None = None
+    ) -> list[replicas.Replica]:
+        """Return the upstreams of a pool that accept new work and serve a weight version.
+
+        With `software`, only those that are known to run that software version.
+        """
 
     def describe_weights(self, name: str) -> Mapping[str, object]:
         """Return the log fields for an upstream's weights and the age of that information."""
@@ -139,14 +144,13 @@
         self, call: calls.Call, attempt: str, exclude: Collection[str]
     ) -> Placement | None:
         """Place an attempt at once on a replica with room that is not excluded, if there is one."""
-        serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
-        usable = [r for r in serving if r.name not in exclude]
+        usable = [r for r in self._list_serving(call) if r.name not in exclude]
         return self._place_on(call, attempt, usable, clocks.now())
 
     def list_accepting(self, call: calls.Call) -> set[str]:
         """Return the upstreams that take new work for a call, whatever their present load."""
         now = clocks.now()
-        serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
+        serving = self._list_serving(call)
         return {r.name for r in serving if replicas.compute_ready_at(r, now) <= now}
 
     def end(self, placement: Placement) -> None:
@@ -230,13 +234,15 @@
             exceptions.Code.OVERLOADED, call.progress.outcome, message, retry_after
         )
 
+    def _list_serving(self, call: calls.Call) -> list[replicas.Replica]:
+        return self._upstreams.list_serving(call.service.pool, call.weight_version, call.software)
+
     def _list_usable(self, waiting: _QueuedAttempt) -> list[replicas.Replica]:
         """Return the upstreams for a call, including excluded ones only if there are no others.
 
         The last one that was excluded is the least likely to succeed.
         """
-        call = waiting.call
-        serving = self._upstreams.list_serving(call.service.pool, call.weight_version)
+        serving = self._list_serving(waiting.call)
         if waiting.allowed is not None:
             serving = [r for r in serving if r.name in waiting.allowed]
         for exclude in (waiting.exclude, waiting.exclude[-1:]):
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from passpier.clients import registry
-from passpier.core import crashes, members, replica_processes, revisions
+from passpier.core import crashes, members, replica_processes, revisions, stream_origins
 
 
 class Message(msgspec.Struct, array_like=True, tag=True):
@@ -336,6 +336,31 @@
         return replica_processes.ReplicaProcess(self.replica, self.started_ms)
 
 
+class StreamBegun(Message, tag='sb'):
+    """A stream has begun that clients may resume for the given number of seconds."""
+
+    stream: str
+    origin: stream_origins.Origin
+    seconds: float
+
+
+class OriginRequest(Message, tag='ow'):
+    """Asks where a stream of a service began that may have lasted for `seconds`."""
+
+    id: str
+    stream: str
+    service: str
+    seconds: float
+
+
+class OriginResponse(Message, tag='os'):
+    """The response to `OriginRequest`, with the service's versions of that time."""
+
+    id: str
+    origin: stream_origins.Origin | None
+    sighting: stream_origins.Sighting
+
+
 AnyMessage = (
     Heartbeat
     | MembersRequest
@@ -372,6 +397,9 @@
     | SuspectRun
     | WeightsLoading
     | WeightsLoaded
+    | StreamBegun
+    | OriginRequest
+    | OriginResponse
 )
 
 
--- a/passpier/daemon/upstreams.py
+++ b/passpier/daemon/upstreams.py
@@ -89,14 +89,21 @@
         """Return an upstream by name."""
         return self.replicas[name]
 
-    def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
-        """Return the upstreams of a pool that accept new work and serve a weight version."""
+    def list_serving(
+        self, pool: str, version: str = '', software: str | None = None
+    ) -> list[replicas.Replica]:
+        """Return the upstreams of a pool that accept new work and serve a weight version.
+
+        With `software`, only those that are known to run that software version.
+        """
         now = clocks.now()
         members = [self.replicas[n] for n in self.pools.get(pool, ()) if n in self.replicas]
         usable = {
             r.name: r
             for r in members
-            if not r.leaving and (not version or r.weight_version in ('', version))
+            if not r.leaving
+            and (not version or r.weight_version in ('', version))
+            and replicas.runs_software(r, software)
         }
         return [usable[name] for name in self.ejector.select(list(usable), now)]
 
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -21,12 +21,14 @@
     retries,
     routes,
     sse,
+    stream_origins,
 )
 from passpier.daemon import dispatcher, metrics, suspects
 from passpier.routing import (
     delivering,
     dialect,
     moves,
+    origin_sharing,
     paths,
     placement_sharing,
     probing,
@@ -92,8 +94,10 @@
         shared: placement_sharing.PlacementSharing,
         suspect_tracker: suspects.SuspectRequests,
         limiter: rate_limiting.RateLimiter,
+        origins: origin_sharing.OriginSharing,
     ) -> None:
         self.limiter = limiter
+        self.origins = origins
         self.prober = prober
         self.paths = replica_paths
         self.suspects = suspect_tracker
@@ -145,7 +149,10 @@
         route = admitted.route
         table = owner.registry_state.table
         assert table is not None
-        self._service = table.choose_service(route, admitted.client_request.id)
+        self._stream = admitted.client_request.resumes or admitted.client_request.id
+        """The id of the request that began the stream, if the response is one."""
+
+        self._service = table.choose_service(route, self._stream)
         self._splitter = sse.EventSplitter()
         self._splitter.last_id = admitted.client_request.last_event
         self.call = requests.build_call(admitted, self._service)
@@ -251,6 +258,8 @@
         """Make attempts until there is a response or a reason for having none."""
         budget = self._owner.get_budget(self._service)
         budget.note_request(self.call.arrived_at)
+        if self._admitted.is_resumption and not await self._find_origin():
+            return
         while True:
             try:
                 if await self._attempt():
@@ -264,6 +273,21 @@
                 if not await self._handle_failure(error):
                     return
 
+    async def _find_origin(self) -> bool:
+        """Find out where a resumed stream began; refuse the request if it can't go on there."""
+        lifetime = self._compute_stream_lifetime()
+        origin = await self._owner.origins.find(self._stream, self._service, lifetime)
+        if origin is None or origin.service != self._service:
+            text = 'it is not known where the stream began, it has to be begun anew'
+            await self._respond_directly(503, 'unknown_stream', text, RETRY_AFTER_FAILURE)
+            return False
+        self.call.software = origin.software
+        return True
+
+    def _compute_stream_lifetime(self) -> float:
+        """Return the seconds for which the client may read or resume the stream."""
+        return max(self._admitted.route.timeout, self._admitted.client_request.timeout or 0.0)
+
     def _log_end(self, seconds: float) -> None:
         labels = {'service': self._service, 'outcome': self._outcome}
         self._owner.counters.requests.inc(labels)
@@ -349,8 +373,10 @@
             await asyncio.sleep(CONTINUE_INTERVAL)
 
     def _can_wait(self) -> bool:
-        """Return whether the client has half a response and time for the rest of it."""
-        return self._client.started and clocks.now() + CONTINUE_INTERVAL < self.ends_at
+        """Return whether the client has half a response and may still get the rest of it."""
+        has_time = clocks.now() + CONTINUE_INTERVAL < self.ends_at
+        is_superseded = self._owner.pools.is_superseded(self._service, self.call.software)
+        return self._client.started and has_time and not is_superseded
 
     def name_attempt(self) -> str:
         """Return the name of the next attempt, for its placement and the log."""
@@ -475,6 +501,8 @@
         placement = attempt.placement
         reader = attempt.reader
         head = attempt.head or await self._read_head(attempt)
+        if self.call.software is not None:
+            await self._confirm_process(attempt.process)
         self._response_began_at = clocks.now()
         self._retries.release()
         if self.call.job.chain:
@@ -488,6 +516,16 @@
         self._owner.suspects.note_success(self._admitted.fingerprint)
         self._clear_parts()
 
+    async def _confirm_process(self, process: replica_processes.ReplicaProcess) -> None:
+        """Check that a process has not been replaced by one that may run another version.
+
+        Raises `AttemptError`. A replica that has restarted accepts requests under its id before
+        its registry entry says so. Without start times, each process has an id of its own.
+        """
+        if process.started_ms and not await self._owner.prober.confirm(process):
+            text = 'the process that was to continue the stream may have been replaced'
+            raise response_reader.AttemptError(attempts.Fault.WRONG_VERSION, text)
+
     async def _read_head(self, attempt: sent_attempts.Attempt) -> exchanges.Head:
         """Return the head of a result; raises `AttemptError`.
 
@@ -514,6 +552,7 @@
         self._splitter = splitter
         while (part := await self._read_part(reader)) is not None:
             for event in splitter.feed(part):
+                self._note_origin()
                 await self._delivery.send_event(head, event)
                 self.call.progress.delivered += 1
             self._note_progress(clocks.now())
@@ -524,6 +563,17 @@
         await self._delivery.finish_stream(head)
         self._outcome = 'answered'
 
+    def _note_origin(self) -> None:
+        """Bind the stream to the software version that writes it, and record which one that is."""
+        if self._admitted.route.kind is not routes.Kind.RESUMABLE_STREAM:
+            return
+        if self.call.progress.delivered:
+            return
+        if self.call.software is None:
+            self.call.software = self._last_software
+        origin = stream_origins.Origin(self._service, self.call.software)
+        self._owner.origins.note_begun(self._stream, origin, self._compute_stream_lifetime())
+
     async def _read_part(self, reader: response_reader.ResponseReader) -> bytes | None:
         """Return the next part of a stream; raises `AttemptError`.
 
--- /dev/null
+++ b/passpier/routing/origin_sharing.py
@@ -0,0 +1,215 @@
+"""Shares with peers at which software version streams began, for clients that resume them.
+
+Clients mostly resume a stream because its router has gone. So each router tells a few peers of the
+streams that begin at it, chosen by the id of the stream, and a router at which a stream is resumed
+asks these. While all replicas of a service have one version, nobody is told: that version is where
+every stream began.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Collection, Sequence
+
+from passpier import clocks
+from passpier.core import members, rendezvous, stream_origins
+from passpier.daemon import messages, peers
+from passpier.routing import registry_mirror
+
+log = logging.getLogger(__name__)
+
+HOLDERS = 3
+"""Peers that are told where a stream began; in different failure domains, if there are as many."""
+
+PEERS_ASKED = 8
+"""Peers that are asked: more than are told, as the routers' views of the fleet differ."""
+
+ASK_SECONDS = 0.15
+"""Seconds in which peers must answer; those that are alive take a few milliseconds."""
+
+LIFETIME_MARGIN = 5.0
+"""Seconds for which an origin is remembered after the stream's deadline."""
+
+MAX_LIFETIME = 600.0
+"""Maximum number of seconds for which an origin is remembered."""
+
+VERSION_CHECK_INTERVAL = 0.1
+"""Seconds between checks for services that have got a second version."""
+
+EXPIRY_INTERVAL = 5.0
+"""Seconds between rounds in which expired records are dropped."""
+
+MAX_STATE_AGE = 3.0
+"""Maximum age in seconds of the registry's state for an inference without peers. A router that is
+cut off doesn't learn of new versions."""
+
+
+class OriginSharing:
+    """Records the origins of streams, here and at peers."""
+
+    def __init__(
+        self,
+        registry_state: registry_mirror.RegistryState,
+        membership: members.Membership,
+        link: peers.Peers,
+    ) -> None:
+        self.own = stream_origins.OriginTable()
+        """The streams that began here."""
+
+        self.held = stream_origins.OriginTable()
+        """Those that peers have told of."""
+
+        self._registry_state = registry_state
+        self._pools = registry_state.pools
+        self._membership = membership
+        self._peers = link
+        self._services: set[str] = set()
+        """The services of streams that began here."""
+
+        self._told_services: set[str] = set()
+        """Those with several versions, of which all streams have been told."""
+
+        self._numbers = itertools.count()
+        self._asked: dict[str, asyncio.Queue[messages.OriginResponse]] = {}
+        link.register_handler(messages.StreamBegun, self._handle_begun)
+        link.register_handler(messages.OriginRequest, self._handle_request)
+        link.register_handler(messages.OriginResponse, self._handle_response)
+
+    def note_begun(self, stream: str, origin: stream_origins.Origin, seconds: float) -> None:
+        """Record where a stream began that may last for the given number of seconds."""
+        if not origin.software:
+            return
+        now = clocks.now()
+        expires_at = now + _compute_lifetime(seconds)
+        self.own.note(stream, origin, expires_at)
+        self._services.add(origin.service)
+        if self._has_several_versions(origin.service, now):
+            self._tell(stream, origin, expires_at, now)
+
+    async def find(self, stream: str, service: str, seconds: float) -> stream_origins.Origin | None:
+        """Return where a stream began that may last for `seconds`, if that is certain."""
+        asked_at = clocks.now()
+        found, source = self._find_record(stream, asked_at), 'record'
+        responses: list[messages.OriginResponse] = []
+        if found is None:
+            lifetime = _compute_lifetime(seconds)
+            alive = self._membership.list_alive(asked_at)
+            asked = self._rank_peers(stream, alive)[:PEERS_ASKED]
+            responses = await self._ask(asked, stream, service, lifetime)
+            found, source = next((r.origin for r in responses if r.origin), None), 'peer'
+            if found is None and self._is_current(len(asked), len(responses)):
+                sightings = [self._see(service, lifetime), *(r.sighting for r in responses)]
+                found, source = _infer(service, sightings), 'only version'
+        log.info(
+            'stream origin found' if found else 'stream origin unknown',
+            extra={
+                'stream': stream,
+                'service': service,
+                'software': found.software if found else '',
+                'source': source if found else '',
+                'answers': len(responses),
+                'seconds': round(clocks.now() - asked_at, 4),
+                'registry_age': round(self._registry_state.freshness.compute_age(asked_at), 3),
+            },
+        )
+        return found
+
+    async def run(self) -> None:
+        """Tell peers of the streams of services that get a second version, until cancelled."""
+        expired_at = clocks.now()
+        while True:
+            await asyncio.sleep(VERSION_CHECK_INTERVAL)
+            now = clocks.now()
+            self._tell_services(now)
+            if now - expired_at >= EXPIRY_INTERVAL:
+                expired_at = now
+                self.own.expire(now)
+                self.held.expire(now)
+
+    def _tell_services(self, now: float) -> None:
+        several = {s for s in self._services if self._has_several_versions(s, now)}
+        for service in several - self._told_services:
+            records = self.own.list_service(service)
+            log.info('streams told to peers', extra={'service': service, 'count': len(records)})
+            for stream, origin, expires_at in records:
+                self._tell(stream, origin, expires_at, now)
+        self._told_services = several
+
+    def _tell(
+        self, stream: str, origin: stream_origins.Origin, expires_at: float, now: float
+    ) -> None:
+        holders = self._rank_peers(stream, self._membership.list_serving(now))[:HOLDERS]
+        seconds = round(expires_at - now, 1)
+        self._peers.send_all(holders, messages.StreamBegun(stream, origin, seconds))
+
+    def _has_several_versions(self, service: str, now: float) -> bool:
+        return len(self._pools.list_versions(service, now - MAX_LIFETIME)) > 1
+
+    def _find_record(self, stream: str, now: float) -> stream_origins.Origin | None:
+        return self.own.find(stream, now) or self.held.find(stream, now)
+
+    def _rank_peers(self, stream: str, known: Collection[members.Member]) -> list[str]:
+        """Return the peers' addresses, those first that are told of a stream."""
+        others = {m.name: m for m in known if m is not self._membership.own}
+        domains = {name: m.failure_domain for name, m in others.items()}
+        return [others[name].peer for name in rendezvous.rank_spread(stream, domains)]
+
+    async def _ask(
+        self, asked: Sequence[str], stream: str, service: str, lifetime: float
+    ) -> list[messages.OriginResponse]:
+        """Return the responses of peers, up to the first that knows the origin."""
+        id = str(next(self._numbers))
+        received: asyncio.Queue[messages.OriginResponse] = asyncio.Queue()
+        self._asked[id] = received
+        responses: list[messages.OriginResponse] = []
+        self._peers.send_all(asked, messages.OriginRequest(id, stream, service, lifetime))
+        try:
+            async with asyncio.timeout(ASK_SECONDS):
+                while len(responses) < len(asked):
+                    responses.append(await received.get())
+                    if responses[-1].origin is not None:
+                        break
+        except TimeoutError:
+            fields = {'stream': stream, 'asked': len(asked), 'answers': len(responses)}
+            log.info('peers did not answer in time', extra=fields)
+        finally:
+            del self._asked[id]
+        return responses
+
+    def _is_current(self, asked: int, answered: int) -> bool:
+        """Return whether all versions are known that streams may have begun at."""
+        age = self._registry_state.freshness.compute_age(clocks.now())
+        return age <= MAX_STATE_AGE or 2 * answered >= asked
+
+    def _see(self, service: str, lifetime: float) -> stream_origins.Sighting:
+        since = clocks.now() - lifetime
+        versions = frozenset(self._pools.list_versions(service, since))
+        return stream_origins.Sighting(versions, self._pools.observed_since <= since)
+
+    def _handle_begun(self, sender: str, address: str, message: messages.StreamBegun) -> None:
+        self.held.note(message.stream, message.origin, clocks.now() + message.seconds)
+
+    def _handle_request(self, sender: str, address: str, message: messages.OriginRequest) -> None:
+        origin = self._find_record(message.stream, clocks.now())
+        sighting = self._see(message.service, message.seconds)
+        self._peers.send(address, messages.OriginResponse(message.id, origin, sighting))
+
+    def _handle_response(self, sender: str, address: str, message: messages.OriginResponse) -> None:
+        received = self._asked.get(message.id)
+        if received is not None:
+            received.put_nowait(message)
+
+
+def _compute_lifetime(seconds: float) -> float:
+    """Return for how long a stream may be resumed that lasts for `seconds`."""
+    return min(seconds + LIFETIME_MARGIN, MAX_LIFETIME)
+
+
+def _infer(
+    service: str, sightings: Sequence[stream_origins.Sighting]
+) -> stream_origins.Origin | None:
+    """Return the origin of all streams of a service, if it has had one version only."""
+    software = stream_origins.find_only_version(sightings)
+    return stream_origins.Origin(service, software) if software else None
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -19,6 +19,7 @@
     replicas,
     rollout,
     routes,
+    stream_origins,
     weight_releases,
 )
 
@@ -105,6 +106,14 @@
         self._services: Mapping[str, routes.Service] = {}
         """The configured services; replicas of any other service are not used."""
 
+        self.observed_since = math.inf
+        """When this process first knew the configuration and the replicas."""
+
+        self._version_histories: dict[str, stream_origins.VersionHistory] = collections.defaultdict(
+            stream_origins.VersionHistory
+        )
+        """By service, the software versions that replicas have had."""
+
         self._incomplete: dict[str, set[str]] = {}
         """By service, the ids of entries that lack fields which other replicas' entries have."""
 
@@ -114,6 +123,7 @@
 
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Apply the services and cache stores of a configuration."""
+        self.observed_since = min(self.observed_since, clocks.now())
         self._services = configuration.services
         self.stores.set_domains({s.address: s.failure_domain for s in configuration.cache_stores})
         for entry in self._entries.values():
@@ -351,8 +361,14 @@
         """Return a known replica."""
         return self.replicas[name]
 
-    def list_serving(self, pool: str, version: str = '') -> list[replicas.Replica]:
-        """Return the replicas of a pool that may begin a request now or shortly."""
+    def list_serving(
+        self, pool: str, version: str = '', software: str | None = None
+    ) -> list[replicas.Replica]:
+        """Return the replicas of a pool that may begin a request now or shortly.
+
+        With `software`, only those that are known to run that software version and that respond:
+        a stream that has begun doesn't wait for a replica that may never come back.
+        """
         if pool not in self._services:
             return []
         now = clocks.now()
@@ -362,13 +378,35 @@
         incomplete = self._incomplete.get(pool, ())
         for name in self._pools.get(pool, ()):
             replica = self.replicas[name]
-            if name in incomplete:
+            if name in incomplete or not self._may_continue(replica, software):
                 continue
             if not replica.leaving and self._has_usable_weights(replica, now):
                 usable[name] = replica
         usable = self._prefer_new_weights(usable, now)
         return [usable[name] for name in self.ejector.select(list(usable), now)]
 
+    def is_superseded(self, service: str, software: str | None) -> bool:
+        """Return whether a service is served by replicas of other software versions only."""
+        stays = any(
+            not r.leaving and self._may_continue(r, software) for r in self.list_service(service)
+        )
+        return not stays and bool(self.list_serving(service))
+
+    def _may_continue(self, replica: replicas.Replica, software: str | None) -> bool:
+        """Return whether a stream of a software version, if it has one, may go on at a replica."""
+        if software is None:
+            return True
+        return replicas.runs_software(replica, software) and replica.name not in self.unresponsive
+
+    def list_versions(self, service: str, since: float) -> set[str]:
+        """Return the software versions that replicas of a service have had after `since`.
+
+        It contains an empty string if a version is unknown.
+        """
+        present = [r.software for r in self.list_service(service)]
+        history = self._version_histories.get(service)
+        return history.list_since(present, since) if history is not None else set(present)
+
     def describe_weights(self, name: str) -> Mapping[str, object]:
         """Return the fields of a routing decision on a replica's process and weights.
 
@@ -489,7 +527,9 @@
         entry = self._entries.pop(name, None)
         if entry is None:
             return
-        self.on_process_ended(self.replicas.pop(name))
+        ended = self.replicas.pop(name)
+        self._version_histories[entry.service].note_gone(ended.software, clocks.now())
+        self.on_process_ended(ended)
         self._pools[entry.service].remove(name)
         del self._pauses[name]
         self._models.pop(name, None)
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -107,6 +107,19 @@
         self.probe(process, 0.0)
         return await asyncio.shield(self._end_states[process])
 
+    async def confirm(self, process: replica_processes.ReplicaProcess) -> bool:
+        """Return whether a replica still is the given process, by its own report."""
+        replica = self._pools.find(process)
+        if replica is None:
+            return False
+        try:
+            report = await self._reporter.report(replica.address, replica.incarnation)
+        except exchanges.ExchangeError as error:
+            fields = {'upstream': process.id, 'born': process.started_ms, 'error': str(error)}
+            log.info('upstream process not confirmed', extra=fields)
+            return False
+        return self._registry_state.apply_report(process, report)
+
     def note_version_mismatch(
         self, process: replica_processes.ReplicaProcess, version: str
     ) -> None:
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -53,6 +53,13 @@
             fingerprints.compute_part_fingerprint(model, p.name) for p in prompt.parts[:-1]
         )
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the client already holds events of the response, and asks for the rest."""
+        client_request = self.client_request
+        is_resumed = bool(client_request.last_event or client_request.resumes)
+        return is_resumed and self.route.kind.is_stream
+
     @property
     def ends_at(self) -> float:
         """When the client stops waiting, or the operator's timeout is reached."""
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -33,6 +33,7 @@
     dialect,
     forwarding,
     ingress,
+    origin_sharing,
     paths,
     placement_sharing,
     pools,
@@ -197,6 +198,7 @@
         self.limiter = rate_limiting.RateLimiter(
             self.registry_state, membership, self.peers, options.rate_tolerance, rng
         )
+        self.origins = origin_sharing.OriginSharing(self.registry_state, membership, self.peers)
         self.throttling = throttling.Throttling(
             self.pools, membership, self.peers, self.roster.notify_serving, rng
         )
@@ -220,6 +222,7 @@
             self.sharing,
             self.suspects,
             self.limiter,
+            self.origins,
         )
         self.ingress = ingress.Ingress(
             self.registry_state, self.forwarder, adapter.wire, self.counters, self.meter
@@ -265,6 +268,7 @@
             tasks.start(self.suspects.run()),
             tasks.start(self.crash_records.run()),
             tasks.start(self.limiter.run()),
+            tasks.start(self.origins.run()),
             tasks.start(self.throttling.run()),
             tasks.start(self.brittleness.run()),
         ]
