--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -2,8 +2,8 @@
 
 Clients mostly resume a stream because its router has gone. So each router tells a few peers of the
 streams that begin at it, chosen by the id of the stream, and a router at which a stream is resumed
-asks these. While all replicas of a service have one version, nobody is told: that version is where
-every stream began.
+asks these. While all replicas of a service have had one version for as long as streams last, nobody
+is told: that version is where every stream began.
 """
 
 from __future__ import annotations
@@ -82,10 +82,11 @@
         if not origin.software:
             return
         now = clocks.now()
-        expires_at = now + _compute_lifetime(seconds)
+        lifetime = _compute_lifetime(seconds)
+        expires_at = now + lifetime
         self.own.note(stream, origin, expires_at)
         self._services.add(origin.service)
-        if self._has_several_versions(origin.service, now):
+        if self._has_several_versions(origin.service, now) or not self._has_watched(lifetime):
             self._tell(stream, origin, expires_at, now)
 
     async def find(self, stream: str, service: str, seconds: float) -> stream_origins.Origin | None:
@@ -147,6 +148,10 @@
     def _has_several_versions(self, service: str, now: float) -> bool:
         return len(self._pools.list_versions(service, now - MAX_LIFETIME)) > 1
 
+    def _has_watched(self, lifetime: float) -> bool:
+        """Return whether this process has seen the versions of that time."""
+        return self._pools.observed_since <= clocks.now() - lifetime
+
     def _find_record(self, stream: str, now: float) -> stream_origins.Origin | None:
         return self.own.find(stream, now) or self.held.find(stream, now)
 
@@ -181,12 +186,12 @@
     def _is_current(self, asked: int, answered: int) -> bool:
         """Return whether all versions are known that streams may have begun at."""
         age = self._registry_state.freshness.compute_age(clocks.now())
-        return age <= MAX_STATE_AGE or 2 * answered >= asked
+        return age <= MAX_STATE_AGE or (answered > 0 and 2 * answered >= asked)
 
     def _see(self, service: str, lifetime: float) -> stream_origins.Sighting:
         since = clocks.now() - lifetime
         versions = frozenset(self._pools.list_versions(service, since))
-        return stream_origins.Sighting(versions, self._pools.observed_since <= since)
+        return stream_origins.Sighting(versions, self._has_watched(lifetime))
 
     def _handle_begun(self, sender: str, address: str, message: messages.StreamBegun) -> None:
         self.held.note(message.stream, message.origin, clocks.now() + message.seconds)
--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -8,12 +8,13 @@
 
 import asyncio
 import logging
+import pathlib
 import random
 
 import pytest
 
 from passpier import clocks
-from passpier.standins.platform import deployment, replica, stream_clients
+from passpier.standins.platform import deployment, replica, routers, stream_clients
 from passpier.tests.platform import harness
 
 log = logging.getLogger(__name__)
@@ -224,3 +225,91 @@
         assert stream.statuses == [200, 503]
 
     harness.run_check(check, routers=2)
+
+
+def test_resumed_stream_of_unknown_origin_is_refused_while_there_are_several_versions() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        add_models(running, ['v1', 'v1.1'])
+        await wait_known(running)
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        stream.events.append(stream_clients.Event(0, 'v1'))
+        stream.first_attempt = 'never seen'
+        assert not await stream.read(running, get_address(running, 0))
+        assert stream.statuses == [503]
+        assert stream.bodies == [b'{"error":"unknown_stream"}']
+        assert not running.list_runs('one.0')
+
+    harness.run_check(check)
+
+
+def test_replica_that_restarted_unnoticed_with_another_version_continues_no_stream() -> None:
+    """Guards against relying on an entry of the process before, while the registry is down."""
+
+    async def check(running: deployment.Deployment) -> None:
+        add_models(running, ['v1', 'v1'])
+        await wait_known(running)
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        pending, first = await begin_stream(running, stream)
+        other = next(r for r in running.replicas.values() if r.model and r is not first)
+        running.faults.down = True
+        other.restart(software='v1.1')
+        running.crash_replica(first.id)
+        assert not await pending
+        assert stream.versions == {'v1'}
+        assert other.arrival_count
+
+    harness.run_check(check)
+
+
+def test_restarted_replica_runs_no_known_version_until_its_entry_arrives() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        add_models(running, ['v1', 'v1'])
+        await wait_known(running)
+        router = running.routers[0]
+        target = running.replicas['llm-0']
+        target.restart(software='v1.1')
+        known = router.pools.get('llm-0')
+        assert not await router.prober.confirm(known.process)
+        assert router.pools.get('llm-0').software == ''
+        assert router.pools.list_versions('llm', 0.0) == {'v1', ''}
+        running.write_entry('llm-0')
+        await harness.wait_for(lambda: router.pools.get('llm-0').software == 'v1.1')
+        assert router.pools.list_versions('llm', 0.0) == {'v1', 'v1.1'}
+
+    harness.run_check(check)
+
+
+def test_streams_go_on_after_their_router_was_killed(tmp_path: pathlib.Path) -> None:
+    """Guards against records that only the router has at which a stream began."""
+
+    async def check() -> None:
+        async with deployment.running(routers=0) as running:
+            add_models(running, ['v1', 'v1.1'] * 3)
+            processes = [
+                routers.RouterProcess(n, tmp_path, running.store_address) for n in range(4)
+            ]
+            try:
+                for process in processes:
+                    await process.open()
+                while not all([await p.is_ready(running.pool) for p in processes]):
+                    await asyncio.sleep(0.05)
+                await asyncio.sleep(1.5)
+                rng = random.Random(1)
+                streams = [
+                    stream_clients.Stream(f's{n}', deployment.make_prompt(rng)) for n in range(20)
+                ]
+                pending = [
+                    asyncio.ensure_future(s.read(running, processes[0].caller)) for s in streams
+                ]
+                await harness.wait_for(lambda: all(s.events for s in streams))
+                processes[0].kill()
+                await asyncio.gather(*pending)
+                await asyncio.gather(*(s.read(running, processes[1].caller) for s in streams))
+            finally:
+                for process in processes:
+                    await process.close()
+        assert [s.versions for s in streams if len(s.versions) > 1] == []
+        assert sum(s.is_complete for s in streams) >= MIN_CONTINUED_SHARE * len(streams)
+        log.info('%d of 20 streams went on', sum(s.is_complete for s in streams))
+
+    asyncio.run(asyncio.wait_for(check(), harness.TEST_TIMEOUT))
--- /dev/null
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -0,0 +1,242 @@
+"""Routers that tell each other where streams began, in virtual time, and of which some are lost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import cast
+
+import pytest
+
+from passpier import clocks
+from passpier.core import catalogue, members, routes, stream_origins
+from passpier.daemon import peers
+from passpier.routing import origin_sharing, pools, registry_mirror
+from passpier.standins import network, virtual_time
+from passpier.tests.routing import fleets
+
+pytestmark = pytest.mark.usefixtures('virtual_clock')
+
+SERVICE = 's'
+STREAM_SECONDS = 12.0
+LONG = 60.0
+"""Seconds after which a router has seen all versions that a stream may have begun at."""
+
+
+class Fleet:
+    """Routers in several failure domains, each with its own view of the replicas."""
+
+    def __init__(self, count: int, versions: list[str], seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.net = network.Network(self.rng)
+        self.sharing: list[origin_sharing.OriginSharing] = []
+        self.states: list[registry_mirror.RegistryState] = []
+        self.memberships: list[members.Membership] = []
+        self.addresses: list[str] = []
+        self.beats = 1
+        fleet = [
+            members.Member(f'vm-{n}', f'{n:05x}', '10.0.0.1', n, n, f'd{n % 4}')
+            for n in range(count)
+        ]
+        for own in fleet:
+            membership = members.Membership(own, 0.5, clocks.now())
+            for other in fleet:
+                membership.add(other, clocks.now())
+            self.memberships.append(membership)
+            link = cast(peers.Peers, self.net.connect(own))
+            state = registry_mirror.RegistryState(fleets.Records(), pools.Pools(10.0), 5.0)
+            state.pools.apply_configuration(
+                routes.Configuration(1, services={SERVICE: routes.Service(SERVICE, 100)})
+            )
+            state.freshness.prove(clocks.now())
+            self.states.append(state)
+            self.sharing.append(origin_sharing.OriginSharing(state, membership, link))
+            self.addresses.append(own.peer)
+        self.send_beats()
+        for number, version in enumerate(versions):
+            self.add_replica(f'r{number}', version)
+
+    def send_beats(self) -> None:
+        """Let all routers have just heard of each other."""
+        self.beats += 1
+        for membership in self.memberships:
+            fleet = membership.list_known()
+            beats = [members.Beat(m.incarnation, self.beats) for m in fleet]
+            membership.merge(beats, clocks.now())
+
+    def add_replica(self, id: str, version: str) -> None:
+        entry = catalogue.Entry(id, SERVICE, f'{id}:1', 'd0', 8, False, {}, software=version)
+        for state in self.states:
+            state.pools.apply_change(catalogue.Change(id, entry, 'recorded'))
+
+    def remove_replica(self, id: str) -> None:
+        for state in self.states:
+            state.pools.apply_change(catalogue.Change(id, None, 'entry removed'))
+
+    def begin(self, number: int, stream: str, version: str) -> None:
+        origin = stream_origins.Origin(SERVICE, version)
+        self.sharing[number].note_begun(stream, origin, STREAM_SECONDS)
+
+    async def find(self, number: int, stream: str) -> str:
+        origin = await self.sharing[number].find(stream, SERVICE, STREAM_SECONDS)
+        return origin.software if origin else ''
+
+    def kill(self, number: int) -> None:
+        self.net.cut.add(self.addresses[number])
+
+    def mark_watched(self) -> None:
+        """Let all routers have watched the service for long."""
+        for state in self.states:
+            state.pools.observed_since = clocks.now() - LONG
+
+
+def run(
+    count: int, versions: list[str], check: Callable[[Fleet], Awaitable[None]], seed: int = 1
+) -> None:
+    async def play() -> None:
+        await check(Fleet(count, versions, seed))
+
+    virtual_time.run(play())
+
+
+@pytest.mark.parametrize('count', [2, 3, 8, 60])
+def test_origin_is_known_after_the_first_router_was_lost(count: int) -> None:
+    async def check(fleet: Fleet) -> None:
+        for number in range(20):
+            fleet.begin(0, f's{number}', f'v{number % 2}')
+        await asyncio.sleep(0.1)
+        fleet.kill(0)
+        for number in range(20):
+            finder = fleet.rng.randrange(1, count)
+            assert await fleet.find(finder, f's{number}') == f'v{number % 2}'
+
+    run(count, ['v0', 'v1'], check)
+
+
+def test_most_origins_are_known_after_half_of_the_routers_were_lost() -> None:
+    async def check(fleet: Fleet) -> None:
+        for number in range(100):
+            fleet.begin(number % 4, f's{number}', 'v0')
+        await asyncio.sleep(0.1)
+        for number in range(4):
+            fleet.kill(number)
+        known = [await fleet.find(4 + number % 4, f's{number}') for number in range(100)]
+        assert known.count('v0') >= 90
+        assert set(known) <= {'v0', ''}
+
+    run(8, ['v0', 'v1'], check)
+
+
+def test_unknown_origin_is_not_guessed_while_there_are_several_versions() -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.mark_watched()
+        began = clocks.now()
+        assert await fleet.find(0, 'stream') == ''
+        assert clocks.now() - began <= origin_sharing.ASK_SECONDS
+
+    run(4, ['v0', 'v1'], check)
+
+
+def test_unknown_origin_is_the_only_version_of_as_long_as_streams_last() -> None:
+    async def check(fleet: Fleet) -> None:
+        assert await fleet.find(0, 'stream') == ''
+        fleet.mark_watched()
+        assert await fleet.find(0, 'stream') == 'v0'
+        fleet.add_replica('other', 'v1')
+        fleet.remove_replica('other')
+        assert await fleet.find(0, 'stream') == ''
+        await asyncio.sleep(STREAM_SECONDS + origin_sharing.LIFETIME_MARGIN + 1.0)
+        fleet.send_beats()
+        for state in fleet.states:
+            state.freshness.prove(clocks.now())
+        assert await fleet.find(0, 'stream') == 'v0'
+
+    run(4, ['v0', 'v0'], check)
+
+
+def test_version_that_only_a_peer_knows_rules_out_an_inference() -> None:
+    """Guards against a router that is cut off from the registry and has missed a release."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.mark_watched()
+        entry = catalogue.Entry('new', SERVICE, 'n:1', 'd0', 8, False, {}, software='v1')
+        change = catalogue.Change('new', entry, 'recorded')
+        fleet.states[2].pools.apply_change(change)
+        assert await fleet.find(0, 'stream') == ''
+        fleet.kill(2)
+        assert await fleet.find(0, 'stream') == 'v0'
+
+    run(4, ['v0'], check)
+
+
+def test_isolated_router_does_not_infer_an_origin() -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.mark_watched()
+        await asyncio.sleep(origin_sharing.MAX_STATE_AGE + 0.1)
+        assert await fleet.find(0, 'stream') == ''
+        fleet.send_beats()
+        assert await fleet.find(0, 'stream') == 'v0'
+        fleet.net.cut.update(fleet.addresses[1:])
+        assert await fleet.find(0, 'stream') == ''
+
+    run(4, ['v0'], check)
+
+
+def test_router_that_has_just_started_tells_peers_even_of_the_only_version() -> None:
+    """Guards against streams that nobody can resume because all routers have just started."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.begin(0, 'stream', 'v0')
+        await asyncio.sleep(0.1)
+        fleet.kill(0)
+        assert await fleet.find(1, 'stream') == 'v0'
+
+    run(4, ['v0'], check)
+
+
+def test_running_streams_are_told_when_a_second_version_appears() -> None:
+    """Nobody is told before."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.mark_watched()
+        upkeep = asyncio.ensure_future(fleet.sharing[0].run())
+        for number in range(10):
+            fleet.begin(0, f's{number}', 'v0')
+        await asyncio.sleep(1.0)
+        assert fleet.net.carried == 0
+        fleet.add_replica('other', 'v1')
+        await asyncio.sleep(1.0)
+        fleet.kill(0)
+        for number in range(10):
+            assert await fleet.find(1 + number % 7, f's{number}') == 'v0'
+        upkeep.cancel()
+
+    run(8, ['v0'], check)
+
+
+def test_stream_that_goes_on_keeps_its_record_alive() -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.begin(0, 'stream', 'v0')
+        await asyncio.sleep(STREAM_SECONDS)
+        fleet.send_beats()
+        fleet.begin(1, 'stream', 'v0')
+        await asyncio.sleep(STREAM_SECONDS)
+        fleet.send_beats()
+        assert await fleet.find(2, 'stream') == 'v0'
+
+    run(4, ['v0', 'v1'], check)
+
+
+def test_telling_of_a_stream_takes_as_many_messages_in_a_large_fleet() -> None:
+    async def check(fleet: Fleet) -> None:
+        for number in range(50):
+            fleet.begin(0, f's{number}', 'v0')
+        assert fleet.net.carried == 50 * origin_sharing.HOLDERS
+        fleet.net.carried = 0
+        await asyncio.sleep(0.1)
+        fleet.kill(0)
+        await fleet.find(1, 's0')
+        assert fleet.net.carried <= 2 * origin_sharing.PEERS_ASKED
+
+    run(60, ['v0', 'v1'], check)
