--- a/passpier/standins/platform/fault_injection.py
+++ b/passpier/standins/platform/fault_injection.py
@@ -256,9 +256,7 @@
     async def begin_replacement(self, chosen: replica.Replica) -> None:
         """Add a replica of the same service, and let the chosen one drain."""
         self._spare += 1
-        fresh = replica.Replica(
-            f'spare-{self._spare}', chosen.service, chosen.zone, chosen.model, chosen.version
-        )
+        fresh = chosen.build_successor(f'spare-{self._spare}')
         self.log_fault(f'{fresh.id} replaces {chosen.id}, which drains')
         self._targets.deployment.add_replica(fresh)
         await self._targets.put_behind_proxy(fresh)
--- a/passpier/standins/platform/play.py
+++ b/passpier/standins/platform/play.py
@@ -26,6 +26,7 @@
     partitions,
     replica,
     returns,
+    software_versions,
 )
 
 MEAN_FAULT_INTERVAL = 0.25
@@ -52,6 +53,8 @@
     outcomes: list[invariants.RequestOutcome] = dataclasses.field(default_factory=list)
     faults: list[str] = dataclasses.field(default_factory=list)
     violations: list[str] = dataclasses.field(default_factory=list)
+    streams: str = ''
+    """What became of the streams of the service with several software versions."""
 
     def render(self) -> str:
         """Return the report as text."""
@@ -64,6 +67,7 @@
             middle = times[len(times) // 2] * 1000 if times else 0.0
             told = ', '.join(f'{status}: {count}' for status, count in sorted(counts.items()))
             lines.append(f'  {kind:8} {told}; median of answers {middle:.0f} ms')
+        lines += [f'  {self.streams}'] if self.streams else []
         lines += [f'  broken: {text}' for text in self.violations] or ['  no promise broken']
         return '\n'.join(lines)
 
@@ -79,6 +83,7 @@
         asks: bool = False,
         returns_from_copies: bool = False,
         cuts: bool = False,
+        versions: bool = False,
     ) -> None:
         self._running = running
         self._rng = random.Random(seed)
@@ -93,6 +98,10 @@
         )
         self._with_returns = returns_from_copies
         self._returns = returns.ReturnInjector(running, self, random.Random(f'return {seed}'))
+        self._with_versions = versions
+        self._versions = software_versions.VersionInjector(
+            running, self, random.Random(f'software {seed}'), self._list_addresses
+        )
         self._with_cuts = cuts
         self._cut_rng = random.Random(f'cut {seed}')
         self.report = Report(seed)
@@ -112,6 +121,9 @@
             series.append(self._returns.run(ends_at - SETTLE_SECONDS))
         if self._with_cuts:
             series.append(self._inject_cuts(ends_at - SETTLE_SECONDS))
+        if self._with_versions:
+            self._versions.add_service()
+            series.append(self._versions.run(ends_at - SETTLE_SECONDS))
         faults = asyncio.gather(*series)
         pending: set[asyncio.Task[None]] = set()
         number = 0
@@ -125,6 +137,10 @@
         self._check()
         return self.report
 
+    def _list_addresses(self) -> list[str]:
+        known = self._running.routers
+        return [r.options.caller for r in known if not r.stopping]
+
     async def _ask(self, number: int) -> None:
         kind = self._rng.choice(['stream', 'resume', 'safe', 'once'])
         key = self._rng.choice(['secret-1', 'secret-2'])
@@ -206,9 +222,7 @@
     async def begin_replacement(self, chosen: replica.Replica) -> None:
         """Add a replica of the same service, and let the chosen one drain."""
         self._spare += 1
-        fresh = replica.Replica(
-            f'spare-{self._spare}', chosen.service, chosen.zone, chosen.model, chosen.version
-        )
+        fresh = chosen.build_successor(f'spare-{self._spare}')
         self._running.add_replica(fresh)
         chosen.state = 'draining'
         self._running.write_entry(chosen.id)
@@ -260,6 +274,9 @@
         self._rng.choice(self._running.routers[:1]).begin_stop()
 
     def _check(self) -> None:
+        if self._with_versions:
+            self.report.streams = self._versions.describe_streams()
+        self.report.violations += self._versions.find_violations()
         self.report.violations += invariants.find_violations(
             self.report.outcomes,
             self._running.replicas.values(),
@@ -292,14 +309,17 @@
     asks: bool = False,
     returns_from_copies: bool = False,
     cuts: bool = False,
+    versions: bool = False,
 ) -> Report:
     """Run one seed on a new deployment.
 
     With `asks` replicas send backpressure signals, with `returns_from_copies` the store returns
-    from older copies, with `cuts` routers are cut off from replicas.
+    from older copies, with `cuts` routers are cut off from replicas, with `versions` replicas run
+    several software versions.
     """
     async with deployment.running(routers) as running:
-        return await FaultRun(running, seed, rate, asks, returns_from_copies, cuts).run(seconds)
+        fault_run = FaultRun(running, seed, rate, asks, returns_from_copies, cuts, versions)
+        return await fault_run.run(seconds)
 
 
 def main(
@@ -310,11 +330,12 @@
     asks: bool = False,
     returns: bool = False,
     cuts: bool = False,
+    versions: bool = False,
 ) -> None:
     """Run `count` seeds from `seed` on, `rate` requests a second; exit with 1 on a violation."""
     broken = 0
     for number in range(seed, seed + count):
-        report = asyncio.run(play(number, seconds, rate, 3, asks, returns, cuts))
+        report = asyncio.run(play(number, seconds, rate, 3, asks, returns, cuts, versions))
         broken += bool(report.violations)
         print(report.render(), flush=True)
     sys.exit(1 if broken else 0)
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -279,6 +279,20 @@
             self.software = software
         self.listen()
 
+    def build_successor(self, id: str) -> Replica:
+        """Return a replica like this one under another id, yet to be started."""
+        return Replica(
+            id,
+            self.service,
+            self.zone,
+            self.model,
+            self.version,
+            self.software,
+            self.tells_software,
+            event_count=self.event_count,
+            event_pause=self.event_pause,
+        )
+
     def cache_prompt(self, salt: str, parts: str) -> None:
         """Add to the cache the parts of a prompt that it does not hold yet."""
         kept = {(event[2], event[3]) for event in self.cache_events}
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -33,6 +33,7 @@
     restarts,
     returns,
     routers,
+    software_versions,
     stops,
 )
 
@@ -71,6 +72,9 @@
     returns: bool = False
     """Whether the store returns from older copies."""
 
+    versions: bool = False
+    """Whether replicas of a service run several software versions."""
+
 
 @dataclasses.dataclass(slots=True)
 class Report:
@@ -80,6 +84,9 @@
     outcomes: list[invariants.RequestOutcome] = dataclasses.field(default_factory=list)
     faults: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     violations: list[str] = dataclasses.field(default_factory=list)
+    streams: str = ''
+    """What became of the streams of the service with several software versions."""
+
     backpressure_violations: list[str] = dataclasses.field(default_factory=list)
     """The violations of backpressure signals, which `violations` contains as well."""
 
@@ -88,6 +95,7 @@
         counts = collections.Counter(a.status for a in self.outcomes)
         told = ', '.join(f'{status}: {count}' for status, count in sorted(counts.items()))
         lines = [f'seed {self.seed}: {len(self.faults)} troubles; answers {told}']
+        lines += [f'  {self.streams}'] if self.streams else []
         lines += [f'  broken: {text}' for text in self.violations]
         if self.violations:
             lines += [f'  {at:6.2f} s {what}' for at, what in self.faults]
@@ -125,6 +133,12 @@
         self._returns = returns.ReturnInjector(
             self._deployment, self._faults, random.Random(f'return {seed}')
         )
+        self._versions = software_versions.VersionInjector(
+            self._deployment,
+            self._faults,
+            random.Random(f'software {seed}'),
+            lambda: [r.client_link.address for r in self._routers],
+        )
         self.report = Report(seed)
 
     async def run(self) -> Report:
@@ -148,6 +162,9 @@
         self.report.outcomes = self._clients.outcomes
         self.report.faults = self._faults.applied
         self.report.violations += self._faults.violations
+        if self._plan.versions:
+            self.report.streams = self._versions.describe_streams()
+        self.report.violations += self._versions.find_violations()
         self.report.violations += invariants.find_violations(
             self.report.outcomes,
             self._deployment.replicas.values(),
@@ -223,6 +240,9 @@
             series.append(self._backpressure.run(ends_at))
         if self._plan.returns:
             series.append(self._returns.run(ends_at))
+        if self._plan.versions:
+            self._versions.add_service()
+            series.append(self._versions.run(ends_at))
         stalls = asyncio.ensure_future(self._log_stalls())
         faults = asyncio.gather(self._rollouts.run(ends_at), *series)
         await self._clients.run(ends_at, self._plan.rate)
@@ -303,13 +323,14 @@
     lives: bool = False,
     asks: bool = False,
     returns: bool = False,
+    versions: bool = False,
 ) -> None:
     """Run `count` seeds from `seed` on; exit with 1 after a violation."""
     # The injected faults break connections, and tornado would log each of them.
     logging.disable(logging.CRITICAL)
     broken = 0
     for number in range(seed, seed + count):
-        plan = Plan(number, seconds, routers, rate, planned, lives, asks, returns)
+        plan = Plan(number, seconds, routers, rate, planned, lives, asks, returns, versions)
         report = asyncio.run(soak(plan, logs))
         broken += bool(report.violations)
         print(report.render(), flush=True)
--- a/passpier/standins/platform/stream_clients.py
+++ b/passpier/standins/platform/stream_clients.py
@@ -36,6 +36,7 @@
     bodies: list[bytes] = dataclasses.field(default_factory=list)
     """The body of each attempt that was not answered with a success."""
 
+    path: str = '/resume/x'
     is_complete: bool = False
     first_attempt: str = ''
     """The attempt that brought the first event."""
@@ -66,7 +67,7 @@
         if self.events:
             headers.append((names.LAST_EVENT_ID, str(self.events[-1].number)))
             headers.append((names.RESUMES, self.first_attempt))
-        request = exchanges.Request('POST', '/resume/x', headers, b'question')
+        request = exchanges.Request('POST', self.path, headers, b'question')
         self.statuses.append(0)
         exchange: exchanges.Exchange | None = None
         try:
--- a/passpier/tests/platform/play_tests.py
+++ b/passpier/tests/platform/play_tests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from passpier.core import routes
+from passpier.core import replicas, routes
 from passpier.standins.platform import play
 
 SECONDS = 4.0
@@ -40,6 +40,21 @@
     assert any('cut' in text for text in report.faults)
 
 
+@pytest.mark.parametrize('seed', [300, 301, 302])
+def test_streams_keep_their_software_version(seed: int) -> None:
+    report = asyncio.run(play.play(seed, SIGNALS_SECONDS, 60.0, versions=True))
+    assert report.violations == []
+    assert any('replaces mixed' in text for text in report.faults)
+
+
+def test_router_that_ignores_software_versions_is_detected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(replicas, 'runs_software', lambda replica, software: True)
+    report = asyncio.run(play.play(300, SIGNALS_SECONDS, 60.0, versions=True))
+    assert any('has events' in text for text in report.violations)
+
+
 def test_router_that_repeats_non_idempotent_requests_is_detected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
