--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -367,6 +367,7 @@
             'waited': round(now - call.arrived_at, 4),
             'chosen': chosen.name,
             'reason': chosen.reason,
+            **({} if call.software is None else {'software': call.software}),
             **self._upstreams.describe_weights(chosen.name),
             'candidate_count': len(chosen.candidates),
             'candidates': [_render(c) for c in _list_best(chosen)],
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -176,11 +176,8 @@
         self._outcome = 'client_gone'
         self._stopping = False
         self._delivery = delivering.Delivery(client, owner.wire, admitted.ends_at)
-        self._last_process = replica_processes.ReplicaProcess('')
-        """The replica process of the current or last attempt."""
-
-        self._last_software = ''
-        """The version of its software, if that was known when the attempt was placed."""
+        self._last_replica = replicas.Replica('', '', '', '')
+        """The replica of the current or last attempt."""
 
         self._response_began_at: float | None = None
         """When the response of that attempt began to arrive, if it has."""
@@ -208,6 +205,11 @@
         """The request's fingerprint as written to the log."""
         return fingerprints.render_fingerprint(self._admitted.fingerprint)
 
+    @property
+    def _last_process(self) -> replica_processes.ReplicaProcess:
+        """The process of the replica of the current or last attempt."""
+        return self._last_replica.process
+
     @property
     def upstream(self) -> str:
         """The id of the replica of the current or last attempt."""
@@ -304,7 +306,7 @@
                 'attempts': self.call.progress.attempts,
                 'upstream': self._last_process.id,
                 'born': self._last_process.started_ms,
-                'software': self._last_software,
+                'software': self._last_replica.software,
                 'last_event': self._admitted.client_request.last_event,
                 'resumes': self._admitted.client_request.resumes,
                 'seconds': round(seconds, 4),
@@ -352,14 +354,20 @@
             call.job = msgspec.structs.replace(call.job, spread_key=self._fingerprint)
         placement = await self._place()
         if isinstance(placement, exceptions.Failure):
-            await self._respond_directly(
-                503, placement.code.value, placement.message, placement.retry_after
-            )
+            await self._respond_not_placed(placement)
             return None
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._owner.dispatcher.end, placement)
             return await self._send_placed(placement, cleanup)
 
+    async def _respond_not_placed(self, failure: exceptions.Failure) -> None:
+        """Refuse a request for which there is no replica."""
+        if self._is_superseded:
+            text = "replicas of the stream's software version have gone, it has to be begun anew"
+            await self._respond_directly(503, 'version_gone', text, RETRY_AFTER_FAILURE)
+            return
+        await self._respond_directly(503, failure.code.value, failure.message, failure.retry_after)
+
     async def _place(self) -> dispatcher.Placement | exceptions.Failure:
         """Place an attempt; a begun stream waits until its deadline for a replica that takes it."""
         call = self.call
@@ -375,8 +383,13 @@
     def _can_wait(self) -> bool:
         """Return whether the client has half a response and may still get the rest of it."""
         has_time = clocks.now() + CONTINUE_INTERVAL < self.ends_at
-        is_superseded = self._owner.pools.is_superseded(self._service, self.call.software)
-        return self._client.started and has_time and not is_superseded
+        return self._client.started and has_time and not self._is_superseded
+
+    @property
+    def _is_superseded(self) -> bool:
+        """Whether only replicas of other software versions serve than the stream's own."""
+        software = self.call.software
+        return software is not None and self._owner.pools.is_superseded(self._service, software)
 
     def name_attempt(self) -> str:
         """Return the name of the next attempt, for its placement and the log."""
@@ -400,7 +413,7 @@
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
             return None
-        self._note_replica(placement.replica)
+        self._last_replica = placement.replica
         return await self.open_attempt(placement, judgement, cleanup)
 
     async def open_attempt(
@@ -485,12 +498,8 @@
         self._owner.paths.note_connect_failure(replica.address)
         self._owner.prober.probe(replica.process, 0.0)
 
-    def _note_replica(self, replica: replicas.Replica) -> None:
-        self._last_process = replica.process
-        self._last_software = replica.software
-
     async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
-        self._note_replica(attempt.placement.replica)
+        self._last_replica = attempt.placement.replica
         self._response_began_at = None
         self._has_progressed = False
         self.sent = True
@@ -564,13 +573,15 @@
         self._outcome = 'answered'
 
     def _note_origin(self) -> None:
-        """Bind the stream to the software version that writes it, and record which one that is."""
+        """Bind the stream to the software version that writes it, and record which one that is.
+
+        While the version is unknown, the stream can't leave its replica.
+        """
         if self._admitted.route.kind is not routes.Kind.RESUMABLE_STREAM:
             return
-        if self.call.progress.delivered:
+        if self.call.software and self.call.progress.delivered:
             return
-        if self.call.software is None:
-            self.call.software = self._last_software
+        self.call.software = self.call.software or self._last_replica.software
         origin = stream_origins.Origin(self._service, self.call.software)
         self._owner.origins.note_begun(self._stream, origin, self._compute_stream_lifetime())
 
@@ -662,7 +673,7 @@
                 'fingerprint': self._fingerprint,
                 'upstream': self._last_process.id,
                 'born': self._last_process.started_ms,
-                'software': self._last_software,
+                'software': self._last_replica.software,
                 'parts': self._describe_parts(),
                 'fault': error.fault.value,
                 'response_age': self._describe_response_age(now),
--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -14,7 +14,7 @@
 from collections.abc import Collection, Sequence
 
 from passpier import clocks
-from passpier.core import members, rendezvous, stream_origins
+from passpier.core import hash_ring, members, stream_origins
 from passpier.daemon import messages, peers
 from passpier.routing import registry_mirror
 
@@ -97,7 +97,7 @@
         if found is None:
             lifetime = _compute_lifetime(seconds)
             alive = self._membership.list_alive(asked_at)
-            asked = self._rank_peers(stream, alive)[:PEERS_ASKED]
+            asked = self._choose_peers(stream, alive, PEERS_ASKED)
             responses = await self._ask(asked, stream, service, lifetime)
             found, source = next((r.origin for r in responses if r.origin), None), 'peer'
             if found is None and self._is_current(len(asked), len(responses)):
@@ -141,7 +141,7 @@
     def _tell(
         self, stream: str, origin: stream_origins.Origin, expires_at: float, now: float
     ) -> None:
-        holders = self._rank_peers(stream, self._membership.list_serving(now))[:HOLDERS]
+        holders = self._choose_peers(stream, self._membership.list_serving(now), HOLDERS)
         seconds = round(expires_at - now, 1)
         self._peers.send_all(holders, messages.StreamBegun(stream, origin, seconds))
 
@@ -155,11 +155,13 @@
     def _find_record(self, stream: str, now: float) -> stream_origins.Origin | None:
         return self.own.find(stream, now) or self.held.find(stream, now)
 
-    def _rank_peers(self, stream: str, known: Collection[members.Member]) -> list[str]:
-        """Return the peers' addresses, those first that are told of a stream."""
+    def _choose_peers(
+        self, stream: str, known: Collection[members.Member], count: int
+    ) -> list[str]:
+        """Return the addresses of the peers that know of a stream, the likeliest first."""
         others = {m.name: m for m in known if m is not self._membership.own}
         domains = {name: m.failure_domain for name, m in others.items()}
-        return [others[name].peer for name in rendezvous.rank_spread(stream, domains)]
+        return [others[name].peer for name in hash_ring.find_nearest(stream, domains, count)]
 
     async def _ask(
         self, asked: Sequence[str], stream: str, service: str, lifetime: float
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -385,7 +385,7 @@
         usable = self._prefer_new_weights(usable, now)
         return [usable[name] for name in self.ejector.select(list(usable), now)]
 
-    def is_superseded(self, service: str, software: str | None) -> bool:
+    def is_superseded(self, service: str, software: str) -> bool:
         """Return whether a service is served by replicas of other software versions only."""
         stays = any(
             not r.leaving and self._may_continue(r, software) for r in self.list_service(service)
--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -223,6 +223,7 @@
         assert not await stream.read(running, get_address(running, 1))
         assert clocks.now() - resumed_at < 1.0
         assert stream.statuses == [200, 503]
+        assert stream.bodies == [b'{"error":"version_gone"}']
 
     harness.run_check(check, routers=2)
 
