--- a/passpier/standins/platform/stream_clients.py
+++ b/passpier/standins/platform/stream_clients.py
@@ -67,7 +67,7 @@
         if self.events:
             headers.append((names.LAST_EVENT_ID, str(self.events[-1].number)))
             headers.append((names.RESUMES, self.first_attempt))
-        request = exchanges.Request('POST', self.path, headers, b'question')
+        request = exchanges.Request('POST', self.path, headers, self.id.encode())
         self.statuses.append(0)
         exchange: exchanges.Exchange | None = None
         try:
