--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -387,10 +387,15 @@
 
     def is_superseded(self, service: str, software: str) -> bool:
         """Return whether a service is served by replicas of other software versions only."""
-        stays = any(
-            not r.leaving and self._may_continue(r, software) for r in self.list_service(service)
-        )
-        return not stays and bool(self.list_serving(service))
+        known = self._list_complete(service)
+        stays = any(not r.leaving and self._may_continue(r, software) for r in known)
+        serving = self.list_serving(service)
+        return not stays and any(r.software not in ('', software) for r in serving)
+
+    def _list_complete(self, service: str) -> list[replicas.Replica]:
+        """Return the replicas of a service whose entries lack no field that the others' have."""
+        incomplete = self._incomplete.get(service, ())
+        return [r for r in self.list_service(service) if r.name not in incomplete]
 
     def _may_continue(self, replica: replicas.Replica, software: str | None) -> bool:
         """Return whether a stream of a software version, if it has one, may go on at a replica."""
@@ -403,7 +408,7 @@
 
         It contains an empty string if a version is unknown.
         """
-        present = [r.software for r in self.list_service(service)]
+        present = [r.software for r in self._list_complete(service)]
         history = self._version_histories.get(service)
         return history.list_since(present, since) if history is not None else set(present)
 
@@ -528,7 +533,8 @@
         if entry is None:
             return
         ended = self.replicas.pop(name)
-        self._version_histories[entry.service].note_gone(ended.software, clocks.now())
+        if name not in self._incomplete.get(entry.service, ()):
+            self._version_histories[entry.service].note_gone(ended.software, clocks.now())
         self.on_process_ended(ended)
         self._pools[entry.service].remove(name)
         del self._pauses[name]
--- a/passpier/tests/core/catalogue_tests.py
+++ b/passpier/tests/core/catalogue_tests.py
@@ -6,7 +6,7 @@
 import hypothesis.strategies as st
 import msgspec
 
-from passpier.core import catalogue
+from passpier.core import catalogue, replica_processes
 
 
 def make_entry(id: str, draining: bool = False, address: str = '') -> catalogue.Entry:
@@ -120,3 +120,18 @@
 
 
 TestCatalogue = CatalogueMachine.TestCase
+
+
+def test_restarted_process_has_an_unknown_software_version_until_its_entry_arrives() -> None:
+    """Guards against taking a process for one of the version that its predecessor ran."""
+    known = catalogue.Catalogue()
+    before = catalogue.Entry('a', 's', 'a:1', 'd0', 8, False, {}, 1, software='v1')
+    known.put(before)
+    change = known.note_restart(replica_processes.ReplicaProcess('a', 2), {})
+    assert change is not None
+    assert change.entry is not None
+    assert change.entry.software == ''
+    after = catalogue.Entry('a', 's', 'a:1', 'd0', 8, False, {}, 2, software='v2')
+    change = known.put(after)
+    assert change is not None
+    assert change.entry == after
--- a/passpier/tests/routing/pools_tests.py
+++ b/passpier/tests/routing/pools_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from passpier import clocks
@@ -137,3 +138,70 @@
     assert [r.name for r in replica_pools.list_serving('t')] == ['foreign']
     replica_pools.apply_change(make_entry('genuine', 8))
     assert [r.name for r in replica_pools.list_serving('t')] == ['genuine']
+
+
+def make_version(id: str, software: str, started_ms: int = 7) -> catalogue.Change:
+    change = make_entry(id, started_ms)
+    assert change.entry is not None
+    entry = msgspec.structs.replace(change.entry, software=software)
+    return catalogue.Change(id, entry, 'recorded')
+
+
+def build_versions() -> pools.Pools:
+    """Return pools with two replicas of `v1` and one of `v2`."""
+    replica_pools = pools.Pools(10.0)
+    replica_pools.apply_configuration(
+        routes.Configuration(1, services={'t': routes.Service('t', 100)})
+    )
+    for id, software in (('a', 'v1'), ('b', 'v1'), ('c', 'v2')):
+        replica_pools.apply_change(make_version(id, software))
+    return replica_pools
+
+
+def list_names(replica_pools: pools.Pools, software: str | None) -> list[str]:
+    return [r.name for r in replica_pools.list_serving('t', software=software)]
+
+
+def test_replicas_of_one_software_version_are_listed() -> None:
+    replica_pools = build_versions()
+    assert list_names(replica_pools, None) == ['a', 'b', 'c']
+    assert list_names(replica_pools, 'v1') == ['a', 'b']
+    assert list_names(replica_pools, 'v3') == []
+    replica_pools.apply_change(make_version('d', ''))
+    assert list_names(replica_pools, '') == []
+    replica_pools.unresponsive.add('a')
+    assert list_names(replica_pools, 'v1') == ['b']
+    assert list_names(replica_pools, None) == ['a', 'b', 'c', 'd']
+
+
+def test_version_is_superseded_only_while_others_serve() -> None:
+    replica_pools = build_versions()
+    assert not replica_pools.is_superseded('t', 'v1')
+    replicas.set_leaving(replica_pools.get('a'), 'registry', True)
+    assert not replica_pools.is_superseded('t', 'v1')
+    replica_pools.unresponsive.add('b')
+    assert replica_pools.is_superseded('t', 'v1')
+    replicas.set_leaving(replica_pools.get('c'), 'registry', True)
+    assert not replica_pools.is_superseded('t', 'v1')
+    replica_pools.apply_change(make_version('d', ''))
+    assert not replica_pools.is_superseded('t', 'v1')
+
+
+def test_versions_of_replicas_that_have_gone_are_listed_for_some_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(clocks, 'now', lambda: 100.0)
+    replica_pools = build_versions()
+    replica_pools.apply_change(catalogue.Change('c', None, 'entry removed'))
+    assert replica_pools.list_versions('t', 99.0) == {'v1', 'v2'}
+    assert replica_pools.list_versions('t', 100.0) == {'v1'}
+    assert replica_pools.list_versions('other', 99.0) == set()
+
+
+def test_entries_of_other_writers_are_no_versions_of_a_service() -> None:
+    """Guards against refusing to continue streams because of a version that nobody runs."""
+    replica_pools = build_versions()
+    replica_pools.apply_change(make_version('foreign', 'v9', started_ms=0))
+    assert replica_pools.list_versions('t', 0.0) == {'v1', 'v2'}
+    replica_pools.apply_change(catalogue.Change('foreign', None, 'entry removed'))
+    assert replica_pools.list_versions('t', 0.0) == {'v1', 'v2'}
