--- a/passpier/tests/platform/leaving_replicas_tests.py
+++ b/passpier/tests/platform/leaving_replicas_tests.py
@@ -37,7 +37,7 @@
             # No more concurrent requests than slots of the only remaining replica.
             pending = [running.ask(path, n % 2, headers=harness.PROMPT_HEADERS) for n in range(10)]
             replies = await asyncio.gather(*pending)
-            assert {r.status for r in replies} == {200}
+            assert {r.status for r in replies} == {200}, [r.body for r in replies]
         assert leaving.arrival_count == before
 
     harness.run_check(check, routers=2)
