--- a/passpier/core/stream_origins.py
+++ b/passpier/core/stream_origins.py
@@ -54,6 +54,10 @@
         while self._bytes > self._max_bytes:
             self._remove(next(iter(self._records)))
 
+    def forget(self, stream: str) -> None:
+        """Drop the record of a stream."""
+        self._remove(stream)
+
     def find(self, stream: str, now: float) -> Origin | None:
         """Return where a stream began, if that is known."""
         record = self._records.get(stream)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -337,7 +337,10 @@
 
 
 class StreamBegun(Message, tag='sb'):
-    """A stream has begun that clients may resume for the given number of seconds."""
+    """A stream has begun that clients may resume for the given number of seconds.
+
+    Without a software version, it has become uncertain where it began.
+    """
 
     stream: str
     origin: stream_origins.Origin
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -179,6 +179,12 @@
         self._last_replica = replicas.Replica('', '', '', '')
         """The replica of the current or last attempt."""
 
+        self._is_process_certain = False
+        """Whether that process, and no later one of the replica, has the current attempt."""
+
+        self._is_origin_lost = False
+        """Whether it has become uncertain which software version began the stream."""
+
         self._response_began_at: float | None = None
         """When the response of that attempt began to arrive, if it has."""
 
@@ -500,6 +506,7 @@
 
     async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
         self._last_replica = attempt.placement.replica
+        self._is_process_certain = False
         self._response_began_at = None
         self._has_progressed = False
         self.sent = True
@@ -534,6 +541,7 @@
         if process.started_ms and not await self._owner.prober.confirm(process):
             text = 'the process that was to continue the stream may have been replaced'
             raise response_reader.AttemptError(attempts.Fault.WRONG_VERSION, text)
+        self._is_process_certain = True
 
     async def _read_head(self, attempt: sent_attempts.Attempt) -> exchanges.Head:
         """Return the head of a result; raises `AttemptError`.
@@ -577,14 +585,42 @@
 
         While the version is unknown, the stream can't leave its replica.
         """
-        if self._admitted.route.kind is not routes.Kind.RESUMABLE_STREAM:
+        is_resumable = self._admitted.route.kind is routes.Kind.RESUMABLE_STREAM
+        if not is_resumable or self._is_origin_lost:
             return
         if self.call.software and self.call.progress.delivered:
+            self._check_origin()
             return
         self.call.software = self.call.software or self._last_replica.software
         origin = stream_origins.Origin(self._service, self.call.software)
         self._owner.origins.note_begun(self._stream, origin, self._compute_stream_lifetime())
 
+    def _check_origin(self) -> None:
+        """Give the origin up if a later process of the replica may have begun the stream.
+
+        A process that is known to have been replaced sends no more events. They come from its
+        successor, which got the request before its start was known here, or were received before
+        the end of the process and are only read now.
+        """
+        pools = self._owner.pools
+        if self._is_process_certain or not pools.has_restarted(self._last_process):
+            return
+        if pools.get(self.upstream).software == self.call.software:
+            return
+        log.info(
+            'stream origin uncertain',
+            extra={
+                'request': self.id,
+                'stream': self._stream,
+                'upstream': self.upstream,
+                'born': self._last_process.started_ms,
+                'software': self.call.software,
+            },
+        )
+        self._is_origin_lost = True
+        self.call.software = ''
+        self._owner.origins.forget(self._stream, self._service)
+
     async def _read_part(self, reader: response_reader.ResponseReader) -> bytes | None:
         """Return the next part of a stream; raises `AttemptError`.
 
--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -89,6 +89,12 @@
         if self._has_several_versions(origin.service, now) or not self._has_watched(lifetime):
             self._tell(stream, origin, expires_at, now)
 
+    def forget(self, stream: str, service: str) -> None:
+        """Drop a record that has turned out to be uncertain, here and at peers."""
+        self.own.forget(stream)
+        now = clocks.now()
+        self._tell(stream, stream_origins.Origin(service, ''), now, now)
+
     async def find(self, stream: str, service: str, seconds: float) -> stream_origins.Origin | None:
         """Return where a stream began that may last for `seconds`, if that is certain."""
         asked_at = clocks.now()
@@ -196,7 +202,10 @@
         return stream_origins.Sighting(versions, self._has_watched(lifetime))
 
     def _handle_begun(self, sender: str, address: str, message: messages.StreamBegun) -> None:
-        self.held.note(message.stream, message.origin, clocks.now() + message.seconds)
+        if message.origin.software:
+            self.held.note(message.stream, message.origin, clocks.now() + message.seconds)
+        else:
+            self.held.forget(message.stream)
 
     def _handle_request(self, sender: str, address: str, message: messages.OriginRequest) -> None:
         origin = self._find_record(message.stream, clocks.now())
--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -43,6 +43,12 @@
 }
 """Seeds that have failed before with planned work, restarts of replicas and entries of others."""
 
+VERSIONS_REGRESSION_SEEDS = {
+    8607: 'the check of outdated weights did not know the routers of some streams (also 8615)',
+    8612: 'streams began at a replica that had restarted unnoticed with another software version',
+}
+"""Seeds that have failed before with several software versions."""
+
 LOGS = 'target/soak'
 """Folder for the routers' logs of a run that violated a guarantee."""
 
@@ -96,6 +102,13 @@
     assert report.streams
 
 
+@pytest.mark.parametrize('seed', VERSIONS_REGRESSION_SEEDS)
+def test_seeds_with_software_versions_that_once_failed_pass(seed: int) -> None:
+    plan = soak.Plan(seed, FULL_SECONDS, FULL_ROUTERS, versions=True)
+    report = asyncio.run(soak.soak(plan, f'{LOGS}/versions'))
+    assert report.violations == [], report.render()
+
+
 def make_request(id: str, kind: str, status: int, body: bytes = b'') -> invariants.RequestOutcome:
     return invariants.RequestOutcome(id, kind, 'k', 10.0, status, body, 0.1, id)
 
--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -262,6 +262,39 @@
     harness.run_check(check)
 
 
+def test_stream_that_a_successor_began_unnoticed_goes_on_nowhere_else() -> None:
+    """Guards against taking a stream for one of the version that the replica ran before.
+
+    A replica restarts under its id with another version, and gets the request before the router
+    knows of the restart.
+    """
+
+    async def check(running: deployment.Deployment) -> None:
+        add_models(running, ['v1', 'v1'])
+        await wait_known(running)
+        before = stream_clients.Stream('before', harness.PROMPT_HEADERS)
+        assert await before.read(running, get_address(running, 0))
+        first = find_runner(running, 'before.0')
+        running.faults.down = True
+        first.restart(software='v1.1')
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        pending, runner = await begin_stream(running, stream)
+        assert runner is first
+        running.faults.down = False
+        running.write_entry(first.id)
+        known = running.routers[0].pools
+        await harness.wait_for(lambda: known.get(first.id).software == 'v1.1')
+        count = len(stream.events)
+        await harness.wait_for(lambda: len(stream.events) > count)
+        running.crash_replica(first.id)
+        assert not await pending
+        assert not await stream.read(running, get_address(running, 1))
+        assert stream.bodies == [b'{"error":"unknown_stream"}']
+        assert stream.versions == {'v1.1'}
+
+    harness.run_check(check, routers=2)
+
+
 def test_restarted_replica_runs_no_known_version_until_its_entry_arrives() -> None:
     async def check(running: deployment.Deployment) -> None:
         add_models(running, ['v1', 'v1'])
--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -228,6 +228,18 @@
     run(4, ['v0', 'v1'], check)
 
 
+def test_origin_that_became_uncertain_is_forgotten_by_peers() -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.begin(0, 'stream', 'v0')
+        await asyncio.sleep(0.1)
+        fleet.sharing[0].forget('stream', SERVICE)
+        await asyncio.sleep(0.1)
+        for number in range(8):
+            assert await fleet.find(number, 'stream') == ''
+
+    run(8, ['v0', 'v1'], check)
+
+
 def test_telling_of_a_stream_takes_as_many_messages_in_a_large_fleet() -> None:
     async def check(fleet: Fleet) -> None:
         for number in range(50):
