--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -21,7 +21,6 @@
     retries,
     routes,
     sse,
-    stream_origins,
 )
 from passpier.daemon import dispatcher, metrics, suspects
 from passpier.routing import (
@@ -38,6 +37,7 @@
     response_reader,
     responses,
     sent_attempts,
+    stream_binding,
 )
 
 log = logging.getLogger(__name__)
@@ -149,13 +149,13 @@
         route = admitted.route
         table = owner.registry_state.table
         assert table is not None
-        self._stream = admitted.client_request.resumes or admitted.client_request.id
-        """The id of the request that began the stream, if the response is one."""
-
-        self._service = table.choose_service(route, self._stream)
+        self._service = table.choose_service(route, admitted.stream)
         self._splitter = sse.EventSplitter()
         self._splitter.last_id = admitted.client_request.last_event
         self.call = requests.build_call(admitted, self._service)
+        self._binding = stream_binding.StreamBinding(
+            admitted, self.call, owner.pools, owner.prober, owner.origins
+        )
         self.excluded: list[str] = []
         self._reached: set[str] = set()
         """The replicas that the request has been sent to."""
@@ -179,12 +179,6 @@
         self._last_replica = replicas.Replica('', '', '', '')
         """The replica of the current or last attempt."""
 
-        self._is_process_certain = False
-        """Whether that process, and no later one of the replica, has the current attempt."""
-
-        self._is_origin_lost = False
-        """Whether it has become uncertain which software version began the stream."""
-
         self._response_began_at: float | None = None
         """When the response of that attempt began to arrive, if it has."""
 
@@ -266,7 +260,9 @@
         """Make attempts until there is a response or a reason for having none."""
         budget = self._owner.get_budget(self._service)
         budget.note_request(self.call.arrived_at)
-        if self._admitted.is_resumption and not await self._find_origin():
+        if self._admitted.is_resumption and not await self._binding.find_origin():
+            text = 'it is not known where the stream began, it has to be begun anew'
+            await self._respond_directly(503, 'unknown_stream', text, RETRY_AFTER_FAILURE)
             return
         while True:
             try:
@@ -281,21 +277,6 @@
                 if not await self._handle_failure(error):
                     return
 
-    async def _find_origin(self) -> bool:
-        """Find out where a resumed stream began; refuse the request if it can't go on there."""
-        lifetime = self._compute_stream_lifetime()
-        origin = await self._owner.origins.find(self._stream, self._service, lifetime)
-        if origin is None or origin.service != self._service:
-            text = 'it is not known where the stream began, it has to be begun anew'
-            await self._respond_directly(503, 'unknown_stream', text, RETRY_AFTER_FAILURE)
-            return False
-        self.call.software = origin.software
-        return True
-
-    def _compute_stream_lifetime(self) -> float:
-        """Return the seconds for which the client may read or resume the stream."""
-        return max(self._admitted.route.timeout, self._admitted.client_request.timeout or 0.0)
-
     def _log_end(self, seconds: float) -> None:
         labels = {'service': self._service, 'outcome': self._outcome}
         self._owner.counters.requests.inc(labels)
@@ -368,7 +349,7 @@
 
     async def _respond_not_placed(self, failure: exceptions.Failure) -> None:
         """Refuse a request for which there is no replica."""
-        if self._is_superseded:
+        if self._binding.is_superseded:
             text = "replicas of the stream's software version have gone, it has to be begun anew"
             await self._respond_directly(503, 'version_gone', text, RETRY_AFTER_FAILURE)
             return
@@ -389,13 +370,7 @@
     def _can_wait(self) -> bool:
         """Return whether the client has half a response and may still get the rest of it."""
         has_time = clocks.now() + CONTINUE_INTERVAL < self.ends_at
-        return self._client.started and has_time and not self._is_superseded
-
-    @property
-    def _is_superseded(self) -> bool:
-        """Whether only replicas of other software versions serve than the stream's own."""
-        software = self.call.software
-        return software is not None and self._owner.pools.is_superseded(self._service, software)
+        return self._client.started and has_time and not self._binding.is_superseded
 
     def name_attempt(self) -> str:
         """Return the name of the next attempt, for its placement and the log."""
@@ -506,7 +481,7 @@
 
     async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
         self._last_replica = attempt.placement.replica
-        self._is_process_certain = False
+        self._binding.begin_attempt()
         self._response_began_at = None
         self._has_progressed = False
         self.sent = True
@@ -517,8 +492,9 @@
         placement = attempt.placement
         reader = attempt.reader
         head = attempt.head or await self._read_head(attempt)
-        if self.call.software is not None:
-            await self._confirm_process(attempt.process)
+        if not await self._binding.confirm(attempt.process):
+            text = 'the process that was to continue the stream may have been replaced'
+            raise response_reader.AttemptError(attempts.Fault.WRONG_VERSION, text)
         self._response_began_at = clocks.now()
         self._retries.release()
         if self.call.job.chain:
@@ -532,17 +508,6 @@
         self._owner.suspects.note_success(self._admitted.fingerprint)
         self._clear_parts()
 
-    async def _confirm_process(self, process: replica_processes.ReplicaProcess) -> None:
-        """Check that a process has not been replaced by one that may run another version.
-
-        Raises `AttemptError`. A replica that has restarted accepts requests under its id before
-        its registry entry says so. Without start times, each process has an id of its own.
-        """
-        if process.started_ms and not await self._owner.prober.confirm(process):
-            text = 'the process that was to continue the stream may have been replaced'
-            raise response_reader.AttemptError(attempts.Fault.WRONG_VERSION, text)
-        self._is_process_certain = True
-
     async def _read_head(self, attempt: sent_attempts.Attempt) -> exchanges.Head:
         """Return the head of a result; raises `AttemptError`.
 
@@ -569,7 +534,7 @@
         self._splitter = splitter
         while (part := await self._read_part(reader)) is not None:
             for event in splitter.feed(part):
-                self._note_origin()
+                self._binding.note_event(self._last_replica)
                 await self._delivery.send_event(head, event)
                 self.call.progress.delivered += 1
             self._note_progress(clocks.now())
@@ -580,47 +545,6 @@
         await self._delivery.finish_stream(head)
         self._outcome = 'answered'
 
-    def _note_origin(self) -> None:
-        """Bind the stream to the software version that writes it, and record which one that is.
-
-        While the version is unknown, the stream can't leave its replica.
-        """
-        is_resumable = self._admitted.route.kind is routes.Kind.RESUMABLE_STREAM
-        if not is_resumable or self._is_origin_lost:
-            return
-        if self.call.software and self.call.progress.delivered:
-            self._check_origin()
-            return
-        self.call.software = self.call.software or self._last_replica.software
-        origin = stream_origins.Origin(self._service, self.call.software)
-        self._owner.origins.note_begun(self._stream, origin, self._compute_stream_lifetime())
-
-    def _check_origin(self) -> None:
-        """Give the origin up if a later process of the replica may have begun the stream.
-
-        A process that is known to have been replaced sends no more events. They come from its
-        successor, which got the request before its start was known here, or were received before
-        the end of the process and are only read now.
-        """
-        pools = self._owner.pools
-        if self._is_process_certain or not pools.has_restarted(self._last_process):
-            return
-        if pools.get(self.upstream).software == self.call.software:
-            return
-        log.info(
-            'stream origin uncertain',
-            extra={
-                'request': self.id,
-                'stream': self._stream,
-                'upstream': self.upstream,
-                'born': self._last_process.started_ms,
-                'software': self.call.software,
-            },
-        )
-        self._is_origin_lost = True
-        self.call.software = ''
-        self._owner.origins.forget(self._stream, self._service)
-
     async def _read_part(self, reader: response_reader.ResponseReader) -> bytes | None:
         """Return the next part of a stream; raises `AttemptError`.
 
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -60,6 +60,16 @@
         is_resumed = bool(client_request.last_event or client_request.resumes)
         return is_resumed and self.route.kind.is_stream
 
+    @property
+    def stream(self) -> str:
+        """The id of the request that began the stream, if the response is one."""
+        return self.client_request.resumes or self.client_request.id
+
+    @property
+    def stream_seconds(self) -> float:
+        """The seconds for which the client may read or resume the stream."""
+        return max(self.route.timeout, self.client_request.timeout or 0.0)
+
     @property
     def ends_at(self) -> float:
         """When the client stops waiting, or the operator's timeout is reached."""
