--- a/passpier/core/stream_origins.py
+++ b/passpier/core/stream_origins.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from passpier.core import replica_processes
+
 MAX_BYTES = 4 * 2**20
 """Approximate memory of all records; the oldest are dropped first."""
 
@@ -21,11 +23,20 @@
 """Seconds for which a version that no replica has any more is remembered."""
 
 
-class Origin(msgspec.Struct, frozen=True):
-    """The service and the software version at which a stream began."""
+class Origin(msgspec.Struct, frozen=True, array_like=True):
+    """The service, the software version and the replica process at which a stream began."""
 
     service: str
     software: str
+    replica: str = ''
+    """Empty if only the version is known."""
+
+    started_ms: int = 0
+
+    @property
+    def process(self) -> replica_processes.ReplicaProcess:
+        """The process that began the stream, as far as the first router knew."""
+        return replica_processes.ReplicaProcess(self.replica, self.started_ms)
 
 
 class _Record(msgspec.Struct):
@@ -120,4 +131,5 @@
 
 
 def _estimate_bytes(stream: str, origin: Origin) -> int:
-    return RECORD_BYTES + len(stream) + len(origin.service) + len(origin.software)
+    texts = (stream, origin.service, origin.software, origin.replica)
+    return RECORD_BYTES + sum(len(text) for text in texts)
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -347,6 +347,18 @@
     seconds: float
 
 
+class ProcessReplaced(Message, tag='rp'):
+    """A process that the receiver takes for that of a replica has been replaced by another one."""
+
+    replica: str
+    started_ms: int
+
+    @property
+    def process(self) -> replica_processes.ReplicaProcess:
+        """The process that has been replaced."""
+        return replica_processes.ReplicaProcess(self.replica, self.started_ms)
+
+
 class OriginRequest(Message, tag='ow'):
     """Asks where a stream of a service began that may have lasted for `seconds`."""
 
@@ -401,6 +413,7 @@
     | WeightsLoading
     | WeightsLoaded
     | StreamBegun
+    | ProcessReplaced
     | OriginRequest
     | OriginResponse
 )
--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -202,10 +202,23 @@
         return stream_origins.Sighting(versions, self._has_watched(lifetime))
 
     def _handle_begun(self, sender: str, address: str, message: messages.StreamBegun) -> None:
-        if message.origin.software:
-            self.held.note(message.stream, message.origin, clocks.now() + message.seconds)
-        else:
+        origin = message.origin
+        if not origin.software:
             self.held.forget(message.stream)
+        elif self._is_replaced(origin):
+            # The sender doesn't know yet that another process got the request.
+            fields = {'stream': message.stream, 'upstream': origin.replica, 'peer': address}
+            log.info('stream origin rejected', extra=fields | {'born': origin.started_ms})
+            replaced = messages.ProcessReplaced(origin.replica, origin.started_ms)
+            self._peers.send(address, replaced)
+        else:
+            self.held.note(message.stream, origin, clocks.now() + message.seconds)
+
+    def _is_replaced(self, origin: stream_origins.Origin) -> bool:
+        """Return whether a process of another version has replaced that of an origin."""
+        if not self._pools.has_restarted(origin.process):
+            return False
+        return self._pools.get(origin.replica).software != origin.software
 
     def _handle_request(self, sender: str, address: str, message: messages.OriginRequest) -> None:
         origin = self._find_record(message.stream, clocks.now())
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -188,6 +188,7 @@
         self.prober = probing.Prober(self.registry_state, self.paths, self.roster.notify_serving)
         self.paths.on_lost = self._check_siblings
         self.peers.register_handler(messages.ReplicaUnresponsive, self._handle_unresponsive)
+        self.peers.register_handler(messages.ProcessReplaced, self._handle_process_replaced)
         membership = self.roster.membership
         self.suspects = suspects.SuspectRequests(
             membership, self.peers, self.prober.has_ended, lambda: membership.choose_targets(rng)
@@ -388,6 +389,11 @@
         )
         self.prober.probe(message.process)
 
+    def _handle_process_replaced(
+        self, sender: str, address: str, message: messages.ProcessReplaced
+    ) -> None:
+        self.prober.probe(message.process, 0.0)
+
     def _forget_address(self, replica: replicas.Replica) -> None:
         """Drop the connections and the path to a replica process that has ended."""
         self.adapter.pool.close_idle(replica.address)
--- a/passpier/routing/stream_binding.py
+++ b/passpier/routing/stream_binding.py
@@ -80,7 +80,9 @@
             return
         if not self._call.software or not self._call.progress.delivered:
             self._call.software = self._call.software or replica.software
-            origin = stream_origins.Origin(self._call.service.pool, self._call.software)
+            origin = stream_origins.Origin(
+                self._call.service.pool, self._call.software, replica.name, replica.started_ms
+            )
             seconds = self._admitted.stream_seconds
             self._origins.note_begun(self._admitted.stream, origin, seconds)
         self._check_process(replica)
--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -11,7 +11,7 @@
 
 from passpier import clocks
 from passpier.core import catalogue, members, routes, stream_origins
-from passpier.daemon import peers
+from passpier.daemon import messages, peers
 from passpier.routing import origin_sharing, pools, registry_mirror
 from passpier.standins import network, virtual_time
 from passpier.tests.routing import fleets
@@ -65,9 +65,14 @@
             beats = [members.Beat(m.incarnation, self.beats) for m in fleet]
             membership.merge(beats, clocks.now())
 
-    def add_replica(self, id: str, version: str) -> None:
-        entry = catalogue.Entry(id, SERVICE, f'{id}:1', 'd0', 8, False, {}, software=version)
-        for state in self.states:
+    def add_replica(
+        self, id: str, version: str, started_ms: int = 0, routers: slice = slice(None)
+    ) -> None:
+        """Let some or all routers know a replica, or a later process of it."""
+        entry = catalogue.Entry(
+            id, SERVICE, f'{id}:1', 'd0', 8, False, {}, started_ms, software=version
+        )
+        for state in self.states[routers]:
             state.pools.apply_change(catalogue.Change(id, entry, 'recorded'))
 
     def remove_replica(self, id: str) -> None:
@@ -240,6 +245,39 @@
     run(8, ['v0', 'v1'], check)
 
 
+def test_peers_reject_the_origin_of_a_process_that_they_know_to_have_been_replaced() -> None:
+    """Guards against a router that learns late of a replica's restart with another version."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.add_replica('r', 'v0', started_ms=1)
+        fleet.add_replica('r', 'v1', started_ms=2, routers=slice(1, None))
+        heard: list[messages.ProcessReplaced] = []
+        link = fleet.net.links[fleet.addresses[0]]
+        link.register_handler(messages.ProcessReplaced, lambda *received: heard.append(received[2]))
+        origin = stream_origins.Origin(SERVICE, 'v0', 'r', 1)
+        fleet.sharing[0].note_begun('stream', origin, STREAM_SECONDS)
+        await asyncio.sleep(0.1)
+        assert len(heard) == origin_sharing.HOLDERS
+        assert {m.process for m in heard} == {origin.process}
+        fleet.kill(0)
+        assert await fleet.find(1, 'stream') == ''
+
+    run(4, ['v0', 'v1'], check)
+
+
+def test_peers_accept_the_origin_of_a_process_whose_successor_has_the_same_version() -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.add_replica('r', 'v0', started_ms=1)
+        fleet.add_replica('r', 'v0', started_ms=2, routers=slice(1, None))
+        origin = stream_origins.Origin(SERVICE, 'v0', 'r', 1)
+        fleet.sharing[0].note_begun('stream', origin, STREAM_SECONDS)
+        await asyncio.sleep(0.1)
+        fleet.kill(0)
+        assert await fleet.find(1, 'stream') == 'v0'
+
+    run(4, ['v0', 'v1'], check)
+
+
 def test_telling_of_a_stream_takes_as_many_messages_in_a_large_fleet() -> None:
     async def check(fleet: Fleet) -> None:
         for number in range(50):
