Replicas: a late entry of an earlier restart does not replace the reported process

Callers were sent to replicas with outdated weights: orders for new weights went to no process. Cause: a replica restarts twice within a heartbeat. Change: while the current process is known from its own report only, entries of processes that started between the last entry and the report are skipped. If such a process runs after all, as with a clock that was set back, its own report replaces the known one.

--- a/passpier/core/catalogue.py
+++ b/passpier/core/catalogue.py
@@ -7,7 +7,8 @@
 A replica may restart under the same id. Its newest entry identifies the current process, even if
 the replica's clock was set back; the replica itself may report a later start before its entry does.
 A process that is known to have ended is never taken back, no matter how late messages about it
-arrive.
+arrive. While the current process is known from its own report only, entries of processes that
+started between the last entry and the report are late ones of earlier restarts.
 """
 
 from __future__ import annotations
@@ -77,6 +78,17 @@
     )
     """Start times of earlier processes, which have ended."""
 
+    recorded_ms: int = 0
+    """Start time of the process that wrote the last entry that was applied."""
+
+    skipped: Entry | None = None
+    """The last entry that was taken for a late one of an earlier restart."""
+
+    @property
+    def is_reported_only(self) -> bool:
+        """Whether the current process is known from its own report, and has no entry yet."""
+        return self.entry.started_ms != self.recorded_ms
+
 
 class Change(msgspec.Struct, frozen=True):
     """A replica that was added, changed or removed; `entry` is `None` if it was removed."""
@@ -137,13 +149,18 @@
         if known is None:
             if self._restorable.pop(entry.id, None) == entry.started_ms:
                 entry = msgspec.structs.replace(entry, draining=True)
-            self._known[entry.id] = _Known(entry)
+            self._known[entry.id] = _Known(entry, recorded_ms=entry.started_ms)
             return _describe(entry)
         if not entry.started_ms:
             entry = msgspec.structs.replace(entry, started_ms=known.entry.started_ms)
         if entry.started_ms in known.ended_processes:
             return None
         known.grace_until = None
+        if known.is_reported_only and known.recorded_ms < entry.started_ms < known.entry.started_ms:
+            # If its process runs after all, with a clock that was set back, its report tells.
+            known.skipped = entry
+            return None
+        known.recorded_ms = entry.started_ms
         if entry.started_ms != known.entry.started_ms:
             return self._replace_process(known, entry)
         if known.entry.draining and not entry.draining:
@@ -162,11 +179,12 @@
         unknown until its entry arrives.
         """
         known = self._known.get(process.id)
-        if (
-            known is None
-            or process.started_ms <= known.entry.started_ms
-            or process.started_ms in known.ended_processes
-        ):
+        if known is None or process.started_ms in known.ended_processes:
+            return None
+        if known.skipped is not None and process == known.skipped.process:
+            known.recorded_ms = process.started_ms
+            return self._replace_process(known, known.skipped)
+        if process.started_ms <= known.entry.started_ms:
             return None
         entry = msgspec.structs.replace(
             known.entry,
@@ -225,6 +243,7 @@
     def _replace_process(self, known: _Known, entry: Entry) -> Change:
         known.ended_processes.append(known.entry.started_ms)
         known.entry = entry
+        known.skipped = None
         return Change(entry.id, entry, 'started again')
 
 
--- a/passpier/tests/core/catalogue_tests.py
+++ b/passpier/tests/core/catalogue_tests.py
@@ -135,3 +135,34 @@
     change = known.put(after)
     assert change is not None
     assert change.entry == after
+
+
+def test_a_late_entry_of_an_earlier_restart_does_not_replace_the_reported_process() -> None:
+    """Guards against taking the running process for one that has ended, which can't be undone.
+
+    A replica restarts twice. It reports its second restart before the entry of its first one
+    arrives.
+    """
+    known = catalogue.Catalogue()
+    entry = msgspec.structs.replace(make_entry('a'), started_ms=1000)
+    known.put(entry)
+    known.note_restart(replica_processes.ReplicaProcess('a', 3000), {'m': 1})
+    assert known.put(msgspec.structs.replace(entry, started_ms=2000)) is None
+    assert known.list_entries()[0].started_ms == 3000
+    current = msgspec.structs.replace(entry, started_ms=3000, versions={'m': 2})
+    change = known.put(current)
+    assert change is not None
+    assert change.entry == current
+
+
+def test_a_process_with_a_clock_that_was_set_back_is_known_by_its_report() -> None:
+    """Guards against ignoring for good a process whose entry looked like a late one."""
+    known = catalogue.Catalogue()
+    entry = msgspec.structs.replace(make_entry('a'), started_ms=1000)
+    known.put(entry)
+    known.note_restart(replica_processes.ReplicaProcess('a', 3000), {'m': 1})
+    set_back = msgspec.structs.replace(entry, started_ms=2000, versions={'m': 3})
+    known.put(set_back)
+    change = known.note_restart(set_back.process, {'m': 3})
+    assert change is not None
+    assert change.entry == set_back
