Logs: the longest gap of each stream

An operator could not tell whether a late stream paused at its replica or on the way to the client. request ended now has the longest gap between two events, when it ended, and the longest time for which the client did not take an event.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -21,6 +21,7 @@
     retries,
     routes,
     sse,
+    stream_gaps,
 )
 from passpier.daemon import dispatcher, metrics, suspects
 from passpier.routing import (
@@ -156,6 +157,7 @@
         self._binding = stream_binding.StreamBinding(
             admitted, self.call, owner.pools, owner.prober, owner.origins
         )
+        self._gaps = stream_gaps.StreamGaps()
         self.excluded: list[str] = []
         self._reached: set[str] = set()
         """The replicas that the request has been sent to."""
@@ -297,12 +299,24 @@
                 'last_event': self._admitted.client_request.last_event,
                 'resumes': self._admitted.client_request.resumes,
                 'seconds': round(seconds, 4),
+                **self._describe_gaps(),
                 'configuration_age': round(
                     self._owner.registry_state.freshness.compute_revocation_age(clocks.now()), 3
                 ),
             },
         )
 
+    def _describe_gaps(self) -> dict[str, float]:
+        """Return the log fields for the gaps of a stream; empty without two events."""
+        gaps = self._gaps
+        if gaps.ended_at is None:
+            return {}
+        return {
+            'longest_gap': round(gaps.longest, 4),
+            'gap_age': round(clocks.now() - gaps.ended_at, 4),
+            'longest_send': round(gaps.longest_send, 4),
+        }
+
     async def _attempt(self) -> bool:
         """Make one attempt; return whether the request has its final response."""
         self.sent = False
@@ -535,7 +549,10 @@
         while (part := await self._read_part(reader)) is not None:
             for event in splitter.feed(part):
                 self._binding.note_event(self._last_replica)
+                arrived_at = clocks.now()
+                self._gaps.note_event(arrived_at)
                 await self._delivery.send_event(head, event)
+                self._gaps.note_sent(arrived_at, clocks.now())
                 self.call.progress.delivered += 1
             self._note_progress(clocks.now())
         if splitter.has_rest:
