--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -12,9 +12,11 @@
 import sys
 from collections.abc import Mapping
 
+import msgspec
+
 from passpier import clocks, exceptions
 from passpier.clients import connections
-from passpier.core import buckets
+from passpier.core import buckets, features
 from passpier.daemon import logs, tasks
 from passpier.platform import dialect as platform_dialect
 from passpier.platform import names, settings, store
@@ -28,6 +30,7 @@
 """Default port of the metrics endpoint; the deployment files name the same one."""
 
 LEVEL_VARIABLE = 'PASSPIER_LOG_LEVEL'
+FEATURES_VARIABLE = 'PASSPIER_DISABLED_FEATURES'
 LEVELS = ('debug', 'info', 'warning', 'error')
 
 ANSWER_TTL = 1.0
@@ -46,8 +49,19 @@
 """Seconds between checks whether the settings file has changed."""
 
 
-def read_environment(environment: Mapping[str, str]) -> tuple[int, str]:
-    """Return the metrics port and the log level; raise `FindingsError` with all findings."""
+class Environment(msgspec.Struct, frozen=True):
+    """The settings in environment variables."""
+
+    metrics_port: int = METRICS_PORT
+    level: str = 'info'
+    enabled_features: frozenset[features.Feature] = features.ALL
+
+
+DEFAULT_ENVIRONMENT = Environment()
+
+
+def read_environment(environment: Mapping[str, str]) -> Environment:
+    """Return the settings in the environment; raise `FindingsError` with all findings."""
     findings = []
     port = environment.get(METRICS_VARIABLE, str(METRICS_PORT))
     if not port.isdigit() or not 0 < int(port) < 65536:
@@ -55,12 +69,19 @@
     level = environment.get(LEVEL_VARIABLE, 'info')
     if level not in LEVELS:
         findings.append(exceptions.Finding(LEVEL_VARIABLE, f'must be one of {", ".join(LEVELS)}'))
+    disabled: frozenset[features.Feature] = frozenset()
+    try:
+        disabled = features.parse_disabled(environment.get(FEATURES_VARIABLE, ''))
+    except ValueError as error:
+        findings.append(exceptions.Finding(FEATURES_VARIABLE, str(error)))
     if findings:
         raise exceptions.FindingsError(findings)
-    return int(port), level
+    return Environment(int(port), level, features.ALL - disabled)
 
 
-def build_options(loaded: settings.Settings, metrics_port: int = METRICS_PORT) -> dialect.Options:
+def build_options(
+    loaded: settings.Settings, environment: Environment = DEFAULT_ENVIRONMENT
+) -> dialect.Options:
     """Convert the settings to the router's options."""
     bounds = loaded.bounds
     first_port, last_port = loaded.internal_ports
@@ -88,11 +109,12 @@
         rate_tolerance=buckets.Tolerance(
             bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack
         ),
-        metrics_port=metrics_port,
+        metrics_port=environment.metrics_port,
+        enabled_features=environment.enabled_features,
     )
 
 
-async def run(path: str, mtime: int, loaded: settings.Settings, metrics_port: int) -> None:
+async def run(path: str, mtime: int, loaded: settings.Settings, environment: Environment) -> None:
     """Serve until the drain is complete; `mtime` is that of the loaded settings file."""
     pool = connections.Pool([loaded.platform.address])
     adapter = router.Adapter(
@@ -104,13 +126,13 @@
         pool,
     )
     process = router.Router(
-        build_options(loaded, metrics_port), adapter, random.Random(), clocks.read_process_start()
+        build_options(loaded, environment), adapter, random.Random(), clocks.read_process_start()
     )
     loop = asyncio.get_running_loop()
     signal.signal(signal.SIGTERM, functools.partial(_handle_sigterm, loop, process))
     loop.add_signal_handler(signal.SIGINT, _handle_sigint, process)
-    loop.add_signal_handler(signal.SIGHUP, _reload_settings, path, process)
-    watcher = asyncio.ensure_future(_watch_file(path, mtime, process))
+    loop.add_signal_handler(signal.SIGHUP, _reload_settings, path, process, environment)
+    watcher = asyncio.ensure_future(_watch_file(path, mtime, process, environment))
     await process.run()
     # The drain is complete: a late SIGTERM must not terminate the process with an error.
     signal.signal(signal.SIGTERM, signal.SIG_IGN)
@@ -133,13 +155,15 @@
         process.begin_stop()
 
 
-async def _watch_file(path: str, seen: int, process: router.Router) -> None:
+async def _watch_file(
+    path: str, seen: int, process: router.Router, environment: Environment
+) -> None:
     while True:
         await asyncio.sleep(SETTINGS_CHECK_INTERVAL)
         mtime = _read_mtime(path)
         if mtime != seen:
             seen = mtime
-            _reload_settings(path, process)
+            _reload_settings(path, process, environment)
 
 
 def _read_mtime(path: str) -> int:
@@ -150,9 +174,9 @@
         return 0
 
 
-def _reload_settings(path: str, process: router.Router) -> None:
+def _reload_settings(path: str, process: router.Router, environment: Environment) -> None:
     try:
-        process.reload(build_options(settings.load_settings(path)))
+        process.reload(build_options(settings.load_settings(path), environment))
     except exceptions.FindingsError as error:
         for finding in error.findings:
             log.error('settings reload failed', extra={'finding': str(finding)})
@@ -162,7 +186,7 @@
     """Run the router; exit with status 2 if the settings are invalid."""
     path = os.environ.get(names.SETTINGS_VARIABLE, '/etc/passpier/settings.toml')
     try:
-        metrics_port, level = read_environment(os.environ)
+        environment = read_environment(os.environ)
         # Taken before the file is read, so that every later change is detected.
         mtime = _read_mtime(path)
         loaded = settings.load_settings(path)
@@ -170,5 +194,5 @@
         for finding in error.findings:
             print(f'passpier: {finding}', file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    logs.configure_logging(level, 'json', loaded.node_name, sys.stdout)
-    tasks.run_process(run(path, mtime, loaded, metrics_port))
+    logs.configure_logging(environment.level, 'json', loaded.node_name, sys.stdout)
+    tasks.run_process(run(path, mtime, loaded, environment))
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -10,7 +10,7 @@
 import tornado.httputil
 
 from passpier.clients import exchanges
-from passpier.core import backpressure, buckets, catalogue, prompts, routes
+from passpier.core import backpressure, buckets, catalogue, features, prompts, routes
 
 
 class ClientRequest(msgspec.Struct, frozen=True):
@@ -242,6 +242,7 @@
     """What accounts may spend above their rates."""
 
     metrics_port: int
+    enabled_features: frozenset[features.Feature] = features.ALL
 
 
 class Query(msgspec.Struct, frozen=True):
--- a/passpier/tests/platform/settings_tests.py
+++ b/passpier/tests/platform/settings_tests.py
@@ -15,6 +15,7 @@
 import pytest
 
 from passpier import exceptions
+from passpier.core import features
 from passpier.platform import main, settings
 from passpier.routing import router
 
@@ -99,10 +100,16 @@
 
 
 def test_all_environment_variables_are_checked() -> None:
-    assert main.read_environment({}) == (main.METRICS_PORT, 'info')
+    assert main.read_environment({}) == main.Environment(main.METRICS_PORT, 'info', features.ALL)
     with pytest.raises(exceptions.FindingsError) as caught:
-        main.read_environment({main.METRICS_VARIABLE: '0', main.LEVEL_VARIABLE: 'loud'})
-    assert len(caught.value.findings) == 2
+        main.read_environment(
+            {
+                main.METRICS_VARIABLE: '0',
+                main.LEVEL_VARIABLE: 'loud',
+                main.FEATURES_VARIABLE: 'no_such_feature',
+            }
+        )
+    assert len(caught.value.findings) == 3
 
 
 def test_sighup_is_ignored_before_the_main_module_is_imported(
