Dispatcher: filters of candidates and observers of placements

Several components restrict the candidates of a call or measure placements; each would have to change the dispatcher. They attach to it instead.

--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -8,7 +8,7 @@
 import logging
 import math
 import random
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from typing import Protocol
 
 import msgspec
@@ -70,6 +70,25 @@
     choice: choice.Choice
 
 
+class CandidateFilter(Protocol):
+    """Restricts the replicas that a call may be placed on."""
+
+    def select(
+        self, call: calls.Call, available: Sequence[replicas.Replica], now: float
+    ) -> Sequence[replicas.Replica]:
+        """Return the candidates among the available replicas; the call waits if none has room."""
+
+
+class PlacementObserver(Protocol):
+    """Is notified of placements and their ends."""
+
+    def note_placed(self, placement: Placement, queued: bool, now: float) -> None:
+        """Record a placement, and whether its call was queued before."""
+
+    def note_ended(self, placement: Placement, now: float) -> None:
+        """Record the end of a placement."""
+
+
 class _QueuedAttempt(msgspec.Struct):
     """An attempt that waits for its placement."""
 
@@ -107,6 +126,10 @@
         self._policies = choice.build_policies(rng)
         self._rng = rng
         self._decisions: collections.OrderedDict[str, list[bytes]] = collections.OrderedDict()
+        self.filters: list[CandidateFilter] = []
+        """Applied in order; each gets the candidates of the one before."""
+
+        self.observers: list[PlacementObserver] = []
 
     async def place(
         self,
@@ -155,7 +178,10 @@
 
     def end(self, placement: Placement) -> None:
         """End a placement and free its capacity."""
-        replicas.end_dispatch(placement.replica, placement.attempt, clocks.now())
+        now = clocks.now()
+        replicas.end_dispatch(placement.replica, placement.attempt, now)
+        for observer in self.observers:
+            observer.note_ended(placement, now)
         pool = self._pools[placement.call.service.pool]
         if len(pool.queue):
             self._place_queued(placement.call.service.pool, pool)
@@ -175,6 +201,19 @@
         """Return whether the account of a call has other calls queued for the same pool."""
         return self._pools[call.service.pool].queue.has_waiting(call.account.name)
 
+    def list_waiting(self, pool: str) -> Iterator[admission.Ticket[calls.Call]]:
+        """Yield a ticket for each call that is queued for a pool."""
+        if pool in self._pools:
+            for ticket in self._pools[pool].queue:
+                yield admission.Ticket(
+                    ticket.item.call,
+                    ticket.account,
+                    ticket.weight,
+                    ticket.priority,
+                    ticket.tokens,
+                    ticket.deadline,
+                )
+
     def count_queued(self) -> int:
         """Return the number of queued calls."""
         return sum(len(pool.queue) for pool in self._pools.values())
@@ -187,7 +226,9 @@
         if isinstance(placed, Placement):
             self.end(placed)
 
-    def _try_place(self, waiting: _QueuedAttempt) -> Placement | exceptions.Failure | None:
+    def _try_place(
+        self, waiting: _QueuedAttempt, queued: bool = False
+    ) -> Placement | exceptions.Failure | None:
         call = waiting.call
         usable = self._list_usable(waiting)
         if not usable:
@@ -197,16 +238,23 @@
             )
             self._log_refusal(call, refusal)
             return refusal
-        return self._place_on(call, waiting.attempt, usable, clocks.now())
+        return self._place_on(call, waiting.attempt, usable, clocks.now(), queued)
 
     def _place_on(
-        self, call: calls.Call, attempt: str, usable: Sequence[replicas.Replica], now: float
+        self,
+        call: calls.Call,
+        attempt: str,
+        usable: Sequence[replicas.Replica],
+        now: float,
+        queued: bool = False,
     ) -> Placement | None:
-        """Place an attempt on one of the usable replicas, unless none has room."""
-        if not any(replicas.has_room(r, now) for r in usable):
-            return None
+        """Place an attempt on one of the usable replicas, unless no candidate has room."""
+        available: Sequence[replicas.Replica] = [r for r in usable if replicas.is_open(r, now)]
+        for candidate_filter in self.filters:
+            available = candidate_filter.select(call, available, now)
         # While the pool has capacity, a busy replica that has the prefix cached may be the best.
-        available = [r for r in usable if replicas.is_open(r, now)]
+        if not any(replicas.has_room(r, now) for r in available):
+            return None
         chosen = choice.choose(
             call.job, available, self._upstreams.cache, self._policies[call.policy], now
         )
@@ -217,7 +265,10 @@
         replicas.begin_dispatch(replica, attempt, chosen.miss_tokens, now, priority)
         self._log_choice(call, attempt, chosen, now)
         self._count_waste(call, chosen)
-        return Placement(call, replica, attempt, chosen)
+        placement = Placement(call, replica, attempt, chosen)
+        for observer in self.observers:
+            observer.note_placed(placement, queued, now)
+        return placement
 
     def _check_ready(self, waiting: _QueuedAttempt) -> exceptions.Failure | None:
         """Refuse a call whose deadline passes before any upstream accepts another request."""
@@ -309,7 +360,7 @@
             assert ticket is not None
             if ticket.item.result.done():
                 continue
-            placed = self._try_place(ticket.item)
+            placed = self._try_place(ticket.item, queued=True)
             if placed is None:
                 # A retry may not be able to use the replicas that have room.
                 blocked.append(ticket)
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 from typing import cast
 
 import msgspec
@@ -240,3 +241,28 @@
         call_dispatcher.end(placement)
 
     virtual_time.run(run())
+
+
+def test_a_call_waits_while_a_filter_leaves_no_candidate_with_room() -> None:
+    """Guards against placing a call on a replica that a filter has excluded."""
+
+    class OnlyThird:
+        def select(
+            self, call: calls.Call, available: Sequence[replicas.Replica], now: float
+        ) -> Sequence[replicas.Replica]:
+            return [r for r in available if r.name == 'g']
+
+    async def run() -> None:
+        call_dispatcher, _ = make_dispatcher('f', 'g')
+        call_dispatcher.filters.append(OnlyThird())
+        running = await fill(call_dispatcher)
+        assert {p.replica.name for p in running} == {'g'}
+        waiting = asyncio.ensure_future(call_dispatcher.place(make_call('w'), 'w'))
+        await asyncio.sleep(0.1)
+        assert [t.item.id for t in call_dispatcher.list_waiting('p')] == ['w']
+        call_dispatcher.end(running.pop())
+        placed = await waiting
+        assert isinstance(placed, dispatcher.Placement)
+        assert placed.replica.name == 'g'
+
+    virtual_time.run(run())
