Crashes: the innermost frames of an invalid instruction come last

A router that ended with code 132 left a report without the function that crashed: the supervisor keeps the last lines of its output, and faulthandler writes the innermost frame first. A handler for SIGILL repeats the five innermost frames at the end. The new test executes an invalid instruction below twenty frames; it fails without the handler, as there is no such line. The cause of the three exits is still open.

--- a/passpier/platform/__main__.py
+++ b/passpier/platform/__main__.py
@@ -5,8 +5,7 @@
 the settings are read later.
 
 Native libraries may crash the process while they are imported, by an invalid instruction or an
-invalid address. `faulthandler` then writes the traceback to standard error; nothing else would
-report it.
+invalid address. The traceback is then written to standard error; nothing else would report it.
 """
 
 from __future__ import annotations
@@ -15,9 +14,12 @@
 import importlib
 import signal
 
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 faulthandler.enable()
 
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+from passpier.platform import crash_traces  # noqa: E402
+
+crash_traces.install()
 
 if __name__ == '__main__':
     # A top-level import would run before SIGHUP is ignored.
--- a/passpier/tests/platform/settings_tests.py
+++ b/passpier/tests/platform/settings_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 import importlib
 import pathlib
+import platform
 import runpy
 import signal
 import subprocess
@@ -152,3 +153,24 @@
     assert finished.returncode == -number
     assert b'Fatal Python error' in finished.stderr
     assert b'line 3' in finished.stderr
+
+
+def test_the_innermost_frames_of_an_invalid_instruction_come_last() -> None:
+    """Guards against losing the function that crashed: supervisors keep the last lines only."""
+    invalid = [0x0F, 0x0B] if platform.machine() == 'x86_64' else [0] * 4
+    program = (
+        'import ctypes, mmap, runpy\n'
+        "runpy.run_module('passpier.platform.__main__', run_name='loading')\n"
+        'code = mmap.mmap(-1, 4096, prot=mmap.PROT_READ | mmap.PROT_WRITE | mmap.PROT_EXEC)\n'
+        f'code.write(bytes({invalid}))\n'
+        'address = ctypes.addressof(ctypes.c_char.from_buffer(code))\n'
+        'def crash(): ctypes.CFUNCTYPE(None)(address)()\n'
+        'def recurse(n): return recurse(n - 1) if n else crash()\n'
+        'recurse(20)\n'
+    )
+    finished = subprocess.run([sys.executable, '-c', program], capture_output=True, check=False)
+    assert finished.returncode == -signal.SIGILL
+    last_lines = finished.stderr.splitlines()[-6:]
+    assert b'Fatal Python error' in finished.stderr
+    assert last_lines[0] == b'Innermost frames:'
+    assert last_lines[1].endswith(b'in crash')
