--- a/passpier/core/catalogue.py
+++ b/passpier/core/catalogue.py
@@ -195,6 +195,11 @@
         )
         return self._replace_process(known, entry)
 
+    def is_skipped(self, process: replica_processes.ReplicaProcess) -> bool:
+        """Return whether a process's entry was taken for a late one of an earlier restart."""
+        known = self._known.get(process.id)
+        return known is not None and known.skipped is not None and known.skipped.process == process
+
     def invalidate(self, id: str) -> Change | None:
         """Remove a replica whose entry was overwritten with an invalid one.
 
--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -272,12 +272,24 @@
             self._apply_release(item, now)
         elif item.key.startswith(records.replica_prefix):
             id = item.key.removeprefix(records.replica_prefix)
-            change = self.catalogue.put(records.decode_replica(id, item.data))
-            if change is not None:
-                self.pools.apply_change(change)
+            self._apply_entry(records.decode_replica(id, item.data), item.revision)
         elif item.key.startswith(records.own_prefix):
             self._members[item.key] = item
 
+    def _apply_entry(self, entry: catalogue.Entry, revision: registry.Revision) -> None:
+        change = self.catalogue.put(entry)
+        if change is not None:
+            self.pools.apply_change(change)
+        elif self.catalogue.is_skipped(entry.process):
+            log.info(
+                'late entry of an earlier upstream process skipped',
+                extra={
+                    'upstream': entry.id,
+                    'born': entry.started_ms,
+                    'revision': str(revision),
+                },
+            )
+
     def _apply_configuration(self, item: registry.Item) -> bool:
         """Apply a configuration; return false if a newer one is in force."""
         configuration = self.records.decode_configuration(item.data)
