--- a/passpier/standins/platform/software_versions.py
+++ b/passpier/standins/platform/software_versions.py
@@ -111,6 +111,9 @@
         while clocks.now() < ends_at:
             await asyncio.sleep(self._rng.uniform(*INTERVALS))
             free = [r for r in self._replicas if r.state == 'ready' and r.server is not None]
+            if not free:
+                # All of them drain or restart at this moment.
+                continue
             chosen = self._rng.choice(free)
             change = self._rng.choice([self._restart_replica, self._replace_replica])
             started.append(asyncio.ensure_future(change(chosen, self._rng.choice(VERSIONS))))
