Pool demand: exchange between VMs

Cause: no VM knows what others have waiting, so that decisions under scarcity differ between VMs. The router attaches it if the feature pool_demand is enabled.

--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -302,6 +302,12 @@
         everything across them.
         """
         others = [r.member for r in self._records.values() if r.member is not self.own]
+        return self.choose_among(others, rng, count)
+
+    def choose_among(
+        self, others: Sequence[Member], rng: random.Random, count: int = FANOUT
+    ) -> list[Member]:
+        """Return random ones of other members, most of them in the own failure domain."""
         local = [m for m in others if m.failure_domain == self.own.failure_domain]
         remote = [m for m in others if m.failure_domain != self.own.failure_domain]
         chosen = rng.sample(local, min(max(0, count - REMOTE_DOMAIN_TARGETS), len(local)))
--- a/passpier/core/pool_demand.py
+++ b/passpier/core/pool_demand.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 import msgspec
 
+from passpier.core import routes
+
 PRIORITIES = 4
 """Number of priorities; 0 is the most urgent."""
 
@@ -27,6 +30,15 @@
 """Seconds by which a relayed row has to be newer than the known one. Ages don't include the time in
 transit, so that a row that returns looks newer by that much; new rows come every second."""
 
+MIN_CHANGE_SHARE = 0.1
+"""Fraction by which a value has to change to be sent before the next full message."""
+
+MIN_COUNT_CHANGE = 2
+"""Requests, or requests per second, by which it has to change as well."""
+
+MIN_TOKEN_CHANGE = 1000
+"""Tokens, or tokens per second, by which it has to change as well, 20 to 50 ms of prefill."""
+
 
 class PriorityDemand(msgspec.Struct, array_like=True, frozen=True):
     """The demand of one priority."""
@@ -128,8 +140,11 @@
         self._aggregates: dict[str, _Aggregate] = {}
 
     def update_own(self, demand: ServiceDemand, now: float) -> None:
-        """Replace this VM's demand for a service."""
-        self._own[demand.service] = Row(demand, now)
+        """Replace this VM's demand for a service; without any, it has no row that could age."""
+        if demand.is_empty:
+            self._own.pop(demand.service, None)
+        else:
+            self._own[demand.service] = Row(demand, now)
         self._aggregates.pop(demand.service, None)
 
     def merge(
@@ -231,3 +246,33 @@
         for account, tokens in accounts:
             totals[account] += tokens
     return dict(totals)
+
+
+def is_changed(sent: ServiceDemand, demand: ServiceDemand) -> bool:
+    """Return whether peers should get a demand before the next full message."""
+    if bool(sent.waiting) != bool(demand.waiting) or sent.is_empty != demand.is_empty:
+        return True
+    pairs = itertools.zip_longest(sent.priorities, demand.priorities, fillvalue=NO_DEMAND)
+    return any(
+        _differs(old.running, new.running, MIN_COUNT_CHANGE)
+        or _differs(old.waiting, new.waiting, MIN_COUNT_CHANGE)
+        or _differs(old.request_rate, new.request_rate, MIN_COUNT_CHANGE)
+        or _differs(old.waiting_tokens, new.waiting_tokens, MIN_TOKEN_CHANGE)
+        or _differs(old.prefill_rate, new.prefill_rate, MIN_TOKEN_CHANGE)
+        or _differs(old.placed_rate, new.placed_rate, MIN_TOKEN_CHANGE)
+        for old, new in pairs
+    )
+
+
+def _differs(old: float, new: float, minimum: float) -> bool:
+    return abs(new - old) >= max(minimum, MIN_CHANGE_SHARE * max(old, new))
+
+
+def list_shared_services(configuration: routes.Configuration) -> list[str]:
+    """Return the services whose demand VMs share: those with several priorities or accounts."""
+    priorities: dict[str, set[int]] = collections.defaultdict(set)
+    for route in configuration.routes:
+        for share in route.shares:
+            priorities[share.service].add(route.priority)
+    has_accounts = configuration.has_accounts or bool(configuration.accounts)
+    return [s for s, found in priorities.items() if has_accounts or len(found) > 1]
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -90,6 +90,45 @@
     is_full: bool = True
 
 
+class PriorityDemandRow(msgspec.Struct, array_like=True, frozen=True):
+    """A `PriorityDemand` in integers, which are encoded in a third of the bytes."""
+
+    running: int = 0
+    waiting: int = 0
+    waiting_tokens: int = 0
+    requests_per_100s: int = 0
+    prefill_rate: int = 0
+    placed_rate: int = 0
+    longest_prefill: int = 0
+    slot_ms: int = 0
+
+
+class ServiceDemandRow(msgspec.Struct, array_like=True, frozen=True):
+    """A VM's demand for a service: by priority, if any, and the waiting tokens of accounts."""
+
+    service: str
+    priorities: tuple[PriorityDemandRow | None, ...] = ()
+    accounts: tuple[tuple[str, int], ...] = ()
+
+
+class RelayedDemand(msgspec.Struct, array_like=True, frozen=True):
+    """Demand that another VM, given by a short id, had `age_ms` milliseconds ago."""
+
+    sender: str
+    age_ms: int
+    rows: tuple[ServiceDemandRow, ...]
+
+
+class DemandShares(Message, tag='dm'):
+    """The sender's demand for services, and in large fleets the demand of others that it relays.
+
+    For services that are not listed nothing has changed.
+    """
+
+    rows: tuple[ServiceDemandRow, ...] = ()
+    relayed: tuple[RelayedDemand, ...] = ()
+
+
 class RateUsage(Message, tag='sp'):
     """The sender's use of rate limits since its start: account, units spent, units left.
 
@@ -389,6 +428,7 @@
     | Epoch
     | EpochRequest
     | ReplicaLoads
+    | DemandShares
     | RateUsage
     | BorrowRequest
     | BorrowResponse
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -89,6 +89,12 @@
             registry, 'passpier_dropped_chunks_total', 'Chunks of other attempts, or repeated.'
         )
         self.queued = _build_gauge(registry, 'passpier_queued', 'Requests waiting, by pool.')
+        self.demand_messages = _build_counter(
+            registry, 'passpier_demand_messages_total', 'Messages on demand, by direction.'
+        )
+        self.demand_vms = _build_gauge(
+            registry, 'passpier_demand_vms', 'VMs whose demand is known, by pool.'
+        )
         self.in_flight = _build_gauge(registry, 'passpier_in_flight', 'Requests running.')
         self.revision = _build_gauge(
             registry, 'passpier_configuration_revision', 'Configuration revision in force.'
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -15,8 +15,19 @@
 
 from passpier import clocks
 from passpier.clients import connections, registry
-from passpier.core import backpressure, drain, members, rates, replica_processes, replicas
+from passpier.core import (
+    backpressure,
+    drain,
+    features,
+    members,
+    pool_demand,
+    rates,
+    replica_processes,
+    replicas,
+    routes,
+)
 from passpier.daemon import (
+    demand_meter,
     dispatcher,
     loads,
     messages,
@@ -30,6 +41,7 @@
     brittleness,
     cache_store_follower,
     crash_records,
+    demand_sharing,
     dialect,
     forwarding,
     ingress,
@@ -211,6 +223,21 @@
         self.peers.register_handler(messages.ReplicaLeaving, self._handle_replica_leaving)
         # Routing decisions can't be queried from this process, they are only logged.
         request_dispatcher = dispatcher.Dispatcher(self.pools, self.counters, rng, decisions_kept=0)
+        self.demand_board = pool_demand.DemandBoard()
+        self.demand_sharing: demand_sharing.DemandSharing | None = None
+        self._shared_services: tuple[routes.Table | None, list[str]] = None, []
+        if features.Feature.POOL_DEMAND in options.enabled_features:
+            meter = demand_meter.DemandMeter(request_dispatcher.list_waiting)
+            request_dispatcher.observers.append(meter)
+            self.demand_sharing = demand_sharing.DemandSharing(
+                self.demand_board,
+                meter,
+                self._list_shared_services,
+                membership,
+                self.peers,
+                self.counters,
+                rng,
+            )
         self.forwarder = forwarding.Forwarder(
             self.registry_state,
             request_dispatcher,
@@ -273,6 +300,8 @@
             tasks.start(self.throttling.run()),
             tasks.start(self.brittleness.run()),
         ]
+        if self.demand_sharing is not None:
+            running.append(tasks.start(self.demand_sharing.run()))
         try:
             await self._serve(servers)
         finally:
@@ -376,6 +405,14 @@
         fresh = self.registry_state.freshness.is_fresh(now)
         return self.registry_state.is_ready() and fresh and not self.roster.leaving
 
+    def _list_shared_services(self) -> list[str]:
+        """Return the services whose demand is shared, of the configuration in force."""
+        table = self.registry_state.table
+        if table is not self._shared_services[0]:
+            names = pool_demand.list_shared_services(table.configuration) if table else []
+            self._shared_services = table, names
+        return self._shared_services[1]
+
     def _handle_unresponsive(
         self, sender: str, address: str, message: messages.ReplicaUnresponsive
     ) -> None:
