--- a/passpier/core/pool_demand.py
+++ b/passpier/core/pool_demand.py
@@ -216,7 +216,7 @@
 def sum_priorities(rows: Sequence[tuple[PriorityDemand, ...]]) -> tuple[PriorityDemand, ...]:
     """Return the aggregate of each priority over several VMs."""
     return tuple(
-        _sum([row[priority] for row in rows if len(row) > priority])
+        _sum([r[priority] for r in rows if len(r) > priority and r[priority] is not NO_DEMAND])
         for priority in range(PRIORITIES)
     )
 
