--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -20,11 +20,14 @@
     drain,
     features,
     members,
+    pool_demand,
     rates,
     replica_processes,
     replicas,
+    routes,
 )
 from passpier.daemon import (
+    demand_meter,
     dispatcher,
     loads,
     messages,
@@ -38,6 +41,7 @@
     brittleness,
     cache_store_follower,
     crash_records,
+    demand_sharing,
     dialect,
     forwarding,
     ingress,
@@ -221,6 +225,21 @@
         request_dispatcher = dispatcher.Dispatcher(self.pools, self.counters, rng, decisions_kept=0)
         if features.Feature.LOCALITY in options.enabled_features:
             request_dispatcher.own_domain = options.failure_domain
+        self.demand_board = pool_demand.DemandBoard()
+        self.demand_sharing: demand_sharing.DemandSharing | None = None
+        self._shared_services: tuple[routes.Table | None, list[str]] = None, []
+        if features.Feature.POOL_DEMAND in options.enabled_features:
+            meter = demand_meter.DemandMeter(request_dispatcher.list_waiting)
+            request_dispatcher.observers.append(meter)
+            self.demand_sharing = demand_sharing.DemandSharing(
+                self.demand_board,
+                meter,
+                self._list_shared_services,
+                membership,
+                self.peers,
+                self.counters,
+                rng,
+            )
         self.forwarder = forwarding.Forwarder(
             self.registry_state,
             request_dispatcher,
@@ -283,6 +302,8 @@
             tasks.start(self.throttling.run()),
             tasks.start(self.brittleness.run()),
         ]
+        if self.demand_sharing is not None:
+            running.append(tasks.start(self.demand_sharing.run()))
         try:
             await self._serve(servers)
         finally:
@@ -386,6 +407,14 @@
         fresh = self.registry_state.freshness.is_fresh(now)
         return self.registry_state.is_ready() and fresh and not self.roster.leaving
 
+    def _list_shared_services(self) -> list[str]:
+        """Return the services whose demand is shared, of the configuration in force."""
+        table = self.registry_state.table
+        if table is not self._shared_services[0]:
+            names = pool_demand.list_shared_services(table.configuration) if table else []
+            self._shared_services = table, names
+        return self._shared_services[1]
+
     def _handle_unresponsive(
         self, sender: str, address: str, message: messages.ReplicaUnresponsive
     ) -> None:
