Separation: replicas reserved for short urgent prompts

Where the measured speeds and the demand call for it, each VM reserves replicas for the most urgent priority of a service and restricts the candidates of calls accordingly. It is attached to the dispatcher as a filter and has no effect until pool demand is available, since the provider of the demand returns nothing.

The filter has no tests yet.

--- /dev/null
+++ b/passpier/core/separation.py
@@ -0,0 +1,353 @@
+"""Which replicas of a pool are reserved for short urgent prompts, and the candidates of a request.
+
+Engines run prefill between the events of their streams, so a long prompt pauses all streams at its
+replica. Short urgent prompts therefore get replicas of their own.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterable, Sequence
+from typing import Protocol
+
+import msgspec
+
+from passpier.core import choice, rendezvous, replica_processes, replicas
+
+SHORT_PROMPT_SHARE = 0.25
+"""Largest typical urgent prompt, as a fraction of the longest one of the other priorities. Longer
+ones would pause the streams at the reserved replicas themselves."""
+
+COINCIDING_PROMPTS = 2
+"""Long prompts that are assumed to follow each other at one replica."""
+
+USED_SHARE = 0.5
+"""Fraction of the reserved replicas' slots and prefill time that the urgent class takes."""
+
+SPARE_REPLICAS = 1
+"""Replicas reserved above that demand."""
+
+MAX_RESERVED_SHARE = 4
+"""One in this many replicas of a pool is reserved at most."""
+
+MIN_RESERVED = 2
+"""Pools of which fewer replicas could be reserved are not partitioned."""
+
+SHRINK_SECONDS = 5.0
+"""Seconds of lower demand after which one replica is released."""
+
+SLOW_SPEED_SHARE = 0.8
+"""Prefill speed below which a replica counts as slow, as a fraction of the pool's median speed."""
+
+SLOW_TARGET_SHARE = 0.5
+"""Fraction of the permitted pause within which a slow replica has to serve an urgent prompt."""
+
+OVERFLOW_SLOT_SHARE = 0.25
+"""Fraction of a reserved replica's slots below which it takes other requests if no other replica
+has room: their prefill pauses the streams that run there."""
+
+
+class Speed(Protocol):
+    """The measured speed of a replica."""
+
+    @property
+    def seconds_per_token(self) -> float:
+        """Prefill time per token."""
+
+    @property
+    def event_seconds(self) -> float:
+        """Time between two events of a stream, with no prefill in between."""
+
+
+class PriorityDemand(Protocol):
+    """The demand of one priority, as far as it is used here."""
+
+    @property
+    def request_rate(self) -> float:
+        """Requests placed per second."""
+
+    @property
+    def prefill_rate(self) -> float:
+        """Tokens to compute per second."""
+
+    @property
+    def longest_prefill(self) -> float:
+        """Tokens of a typical long prompt."""
+
+    @property
+    def slot_seconds(self) -> float:
+        """Mean time for which a request occupies its slot."""
+
+
+class Picture(Protocol):
+    """The demand for one service, aggregated over all active VMs, as far as it is used here."""
+
+    @property
+    def priorities(self) -> Sequence[PriorityDemand]:
+        """The demand by priority; the index is the priority."""
+
+    @property
+    def vms(self) -> int:
+        """Number of VMs included."""
+
+    @property
+    def age(self) -> float:
+        """Age of the oldest row."""
+
+
+class Separation(msgspec.Struct, frozen=True):
+    """The partition of a pool."""
+
+    reserved: frozenset[str] = frozenset()
+    """Replicas for short urgent prompts; empty if the pool is not partitioned."""
+
+
+class Assessment(msgspec.Struct, frozen=True):
+    """The inputs of a partition and the number of replicas that they call for."""
+
+    reason: str
+    wanted: int = 0
+    slots: float = 0.0
+    """Slots that the urgent class occupies."""
+
+    prefill_rate: float = 0.0
+    urgent_prefill: float = 0.0
+    other_prefill: float = 0.0
+    pause: float = 0.0
+    """Longest expected time between two events of a stream at the slowest replica."""
+
+
+class _LearntSpeed(msgspec.Struct, frozen=True):
+    seconds_per_token: float
+    event_seconds: float = 0.0
+
+
+class _ScaledDemand(msgspec.Struct, frozen=True):
+    request_rate: float
+    prefill_rate: float
+    longest_prefill: float
+    slot_seconds: float
+
+
+class _ScaledPicture(msgspec.Struct, frozen=True):
+    priorities: tuple[_ScaledDemand, ...]
+    vms: int
+    age: float
+
+
+def scale(picture: Picture, factor: float) -> Picture:
+    """Return a picture with its rates multiplied."""
+    rows = tuple(
+        _ScaledDemand(
+            d.request_rate * factor, d.prefill_rate * factor, d.longest_prefill, d.slot_seconds
+        )
+        for d in picture.priorities
+    )
+    return _ScaledPicture(rows, picture.vms, picture.age)
+
+
+def get_speed(replica: replicas.Replica) -> Speed | None:
+    """Return the measured speed of a replica, or `None` before any measurement."""
+    speed: Speed | None = getattr(replica, 'speed', None)
+    if speed is not None:
+        return speed
+    if replica.seconds_per_token == replicas.DEFAULT_SECONDS_PER_TOKEN:
+        return None
+    return _LearntSpeed(replica.seconds_per_token)
+
+
+class Separator:
+    """Partitions the pool of one service; `priority` is its most urgent one.
+
+    Requests of a more urgent priority than that, which accounts may have, belong to the urgent
+    class as well.
+    """
+
+    def __init__(self, service: str, priority: int) -> None:
+        self.priority = priority
+        self.assessment = Assessment('no demand known')
+        """The inputs of the last partition."""
+
+        self._service = service
+        self._number = 0
+        self._lower_since: float | None = None
+        self._reserved: dict[str, replica_processes.ReplicaProcess] = {}
+
+    def divide(
+        self,
+        pool: Sequence[replicas.Replica],
+        picture: Picture | None,
+        event_gap: float,
+        now: float,
+    ) -> Separation:
+        """Return the partition of the serving replicas; `event_gap` is 0 if pauses have no limit.
+
+        Measurements that no longer call for a partition count as lower demand, so that values near
+        a limit don't switch it on and off.
+        """
+        limit = len(pool) // MAX_RESERVED_SHARE
+        obstacle = ''
+        if picture is None:
+            obstacle = 'no demand known'
+        elif event_gap <= 0:
+            obstacle = 'pauses not limited'
+        elif limit < MIN_RESERVED:
+            obstacle = 'pool too small'
+        if picture is None or obstacle:
+            self.assessment = Assessment(obstacle)
+            self._number, self._lower_since, self._reserved = 0, None, {}
+            return Separation()
+        speeds = {r.name: s for r in pool if (s := get_speed(r)) is not None}
+        urgent = picture.priorities[: self.priority + 1]
+        typical = max((d.longest_prefill for d in urgent), default=0.0)
+        ranked = self._rank(pool, speeds, typical, event_gap)
+        kept = [r for r in ranked if self._reserved.get(r.name) == r.process]
+        ordered = kept + [r for r in ranked if self._reserved.get(r.name) != r.process]
+        self.assessment = self._assess(ordered, speeds, picture, event_gap)
+        self._adjust(min(self.assessment.wanted, limit), now)
+        self._number = min(self._number, limit)
+        chosen = _cover_domains(ordered[: self._number], ranked)
+        self._reserved = {r.name: r.process for r in chosen}
+        return Separation(frozenset(self._reserved))
+
+    def select(
+        self,
+        job: choice.Job,
+        available: Sequence[replicas.Replica],
+        separation: Separation,
+        now: float,
+    ) -> list[replicas.Replica]:
+        """Return the candidates for a request; it waits if there are none."""
+        reserved = separation.reserved
+        if not reserved or not job.prompt_tokens:
+            return list(available)
+        if job.priority <= self.priority:
+            own = [r for r in available if r.name in reserved and replicas.has_room(r, now)]
+            return own or list(available)
+        own = [r for r in available if r.name not in reserved and replicas.has_room(r, now)]
+        return own or [
+            r
+            for r in available
+            if r.name in reserved
+            and replicas.estimate_running(r, now) < r.slots * OVERFLOW_SLOT_SHARE
+            and replicas.has_room(r, now)
+        ]
+
+    def _rank(
+        self,
+        pool: Sequence[replicas.Replica],
+        speeds: dict[str, Speed],
+        typical: float,
+        event_gap: float,
+    ) -> list[replicas.Replica]:
+        """Return the replicas in the order in which they are reserved."""
+        slow = set()
+        if speeds:
+            limit = statistics.median(s.seconds_per_token for s in speeds.values())
+            limit /= SLOW_SPEED_SHARE
+            budget = event_gap * SLOW_TARGET_SHARE
+            for name, speed in speeds.items():
+                seconds = typical * speed.seconds_per_token + speed.event_seconds
+                if speed.seconds_per_token > limit and seconds <= budget:
+                    slow.add(name)
+        places = {n: i for i, n in enumerate(rendezvous.rank_names(self._service, _names(pool)))}
+        sizes: dict[str, int] = {}
+        ranks: dict[str, tuple[int, int]] = {}
+        for replica in sorted(pool, key=lambda r: (r.name not in slow, places[r.name])):
+            size = sizes.get(replica.failure_domain, 0)
+            sizes[replica.failure_domain] = size + 1
+            ranks[replica.name] = (size, places[replica.name])
+        return sorted(pool, key=lambda r: ranks[r.name])
+
+    def _assess(
+        self,
+        ordered: Sequence[replicas.Replica],
+        speeds: dict[str, Speed],
+        picture: Picture,
+        event_gap: float,
+    ) -> Assessment:
+        urgent = picture.priorities[: self.priority + 1]
+        others = picture.priorities[self.priority + 1 :]
+        pauses = [s.seconds_per_token for s in speeds.values()]
+        other_prefill = max((d.longest_prefill for d in others), default=0.0)
+        assessment = Assessment(
+            '',
+            0,
+            sum(d.request_rate * d.slot_seconds for d in urgent),
+            sum(d.prefill_rate for d in urgent),
+            max((d.longest_prefill for d in urgent), default=0.0),
+            other_prefill,
+            max(
+                (
+                    COINCIDING_PROMPTS * other_prefill * s.seconds_per_token + s.event_seconds
+                    for s in speeds.values()
+                ),
+                default=0.0,
+            ),
+        )
+        reason = ''
+        if not any(d.request_rate for d in urgent):
+            reason = 'no urgent demand'
+        elif assessment.urgent_prefill > other_prefill * SHORT_PROMPT_SHARE:
+            reason = 'urgent prompts not short'
+        elif not speeds:
+            reason = 'no speed known'
+        elif assessment.pause <= event_gap:
+            reason = 'pauses within the target'
+        if reason:
+            return msgspec.structs.replace(assessment, reason=reason)
+        wanted = _count_needed(ordered, speeds, statistics.median(pauses), assessment)
+        domains = len({r.failure_domain for r in ordered})
+        return msgspec.structs.replace(
+            assessment, reason='prefill pauses streams', wanted=max(wanted, domains)
+        )
+
+    def _adjust(self, wanted: int, now: float) -> None:
+        """Increase the number at once, and reduce it by one after a time of lower demand."""
+        if wanted >= self._number:
+            self._number, self._lower_since = wanted, None
+        elif self._lower_since is None:
+            self._lower_since = now
+        elif now - self._lower_since >= SHRINK_SECONDS:
+            self._number, self._lower_since = self._number - 1, now
+
+
+def _names(pool: Iterable[replicas.Replica]) -> list[str]:
+    return [r.name for r in pool]
+
+
+def _count_needed(
+    ordered: Sequence[replicas.Replica],
+    speeds: dict[str, Speed],
+    median: float,
+    assessment: Assessment,
+) -> int:
+    """Return how many of the first replicas the urgent class needs."""
+    slots = rate = 0.0
+    for number, replica in enumerate(ordered, 1):
+        speed = speeds.get(replica.name)
+        slots += replica.slots * USED_SHARE
+        rate += USED_SHARE / (speed.seconds_per_token if speed is not None else median)
+        if slots >= assessment.slots and rate >= assessment.prefill_rate:
+            return number + SPARE_REPLICAS
+    return len(ordered)
+
+
+def _cover_domains(
+    chosen: Sequence[replicas.Replica], ranked: Sequence[replicas.Replica]
+) -> list[replicas.Replica]:
+    """Replace the last replicas of other failure domains if a domain has none.
+
+    A domain that returns after a failure would otherwise have none until the number grows.
+    """
+    covered = list(chosen)
+    domains = {r.failure_domain for r in ranked}
+    if len(covered) < len(domains):
+        return covered
+    places = {r.name: place for place, r in enumerate(ranked)}
+    for domain in sorted(domains - {r.failure_domain for r in covered}):
+        present = [r.failure_domain for r in covered]
+        spare = [r for r in covered if present.count(r.failure_domain) > 1]
+        covered.remove(max(spare, key=lambda r: places[r.name]))
+        covered.append(next(r for r in ranked if r.failure_domain == domain))
+    return covered
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -96,6 +96,11 @@
         self.upstreams = _build_gauge(
             registry, 'passpier_upstreams', 'Upstreams by state: serving, leaving, ejected.'
         )
+        self.reserved_replicas = _build_gauge(
+            registry,
+            'passpier_reserved_replicas',
+            'Replicas reserved for short urgent prompts, by service.',
+        )
         self.members = _build_gauge(registry, 'passpier_members', 'Live daemons.')
         self.view_blocks = _build_gauge(registry, 'passpier_view_blocks', 'Blocks in view.')
         self.processor = _build_gauge(
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -15,7 +15,17 @@
 
 from passpier import clocks
 from passpier.clients import connections, registry
-from passpier.core import backpressure, drain, members, rates, replica_processes, replicas
+from passpier.core import (
+    backpressure,
+    drain,
+    features,
+    members,
+    rates,
+    replica_processes,
+    replicas,
+    routes,
+    separation,
+)
 from passpier.daemon import (
     dispatcher,
     loads,
@@ -42,6 +52,7 @@
     registry_follower,
     registry_mirror,
     relaying,
+    replica_separation,
     rollouts,
     roster,
     sources,
@@ -211,6 +222,16 @@
         self.peers.register_handler(messages.ReplicaLeaving, self._handle_replica_leaving)
         # Routing decisions can't be queried from this process, they are only logged.
         request_dispatcher = dispatcher.Dispatcher(self.pools, self.counters, rng, decisions_kept=0)
+        if features.Feature.SEPARATION in options.enabled_features:
+            request_dispatcher.filters.append(
+                replica_separation.ReplicaSeparation(
+                    self.pools,
+                    self._get_configuration,
+                    self._get_picture,
+                    lambda now: 1 + len(membership.list_load_recipients(now)),
+                    self.counters,
+                )
+            )
         self.forwarder = forwarding.Forwarder(
             self.registry_state,
             request_dispatcher,
@@ -394,6 +415,14 @@
     ) -> None:
         self.prober.probe(message.process, 0.0)
 
+    def _get_configuration(self) -> routes.Configuration | None:
+        table = self.registry_state.table
+        return table.configuration if table is not None else None
+
+    def _get_picture(self, service: str, now: float) -> separation.Picture | None:
+        """Return the pool demand of a service; without it, no replicas are reserved."""
+        return None
+
     def _forget_address(self, replica: replicas.Replica) -> None:
         """Drop the connections and the path to a replica process that has ended."""
         self.adapter.pool.close_idle(replica.address)
