--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -25,6 +25,7 @@
     replica_processes,
     replicas,
     routes,
+    separation,
 )
 from passpier.daemon import (
     demand_meter,
@@ -54,6 +55,7 @@
     registry_follower,
     registry_mirror,
     relaying,
+    replica_separation,
     rollouts,
     roster,
     sources,
@@ -240,6 +242,16 @@
                 self.counters,
                 rng,
             )
+        if features.Feature.SEPARATION in options.enabled_features:
+            request_dispatcher.filters.append(
+                replica_separation.ReplicaSeparation(
+                    self.pools,
+                    self._get_configuration,
+                    self._get_picture,
+                    lambda now: 1 + len(membership.list_load_recipients(now)),
+                    self.counters,
+                )
+            )
         self.forwarder = forwarding.Forwarder(
             self.registry_state,
             request_dispatcher,
@@ -433,6 +445,14 @@
     ) -> None:
         self.prober.probe(message.process, 0.0)
 
+    def _get_configuration(self) -> routes.Configuration | None:
+        table = self.registry_state.table
+        return table.configuration if table is not None else None
+
+    def _get_picture(self, service: str, now: float) -> separation.Picture | None:
+        """Return the pool demand of a service; without it, no replicas are reserved."""
+        return self.demand_board.get_picture(service, now) if self.demand_sharing else None
+
     def _forget_address(self, replica: replicas.Replica) -> None:
         """Drop the connections and the path to a replica process that has ended."""
         self.adapter.pool.close_idle(replica.address)
