Separation: a test with the dispatcher

The overflow in both directions was tested twice, in the core and in the filter, and nothing showed that urgent calls are placed while others wait in the same queue. The filter's test of the overflow is replaced by one with the dispatcher; the core's stays.

--- a/passpier/routing/replica_separation.py
+++ b/passpier/routing/replica_separation.py
@@ -84,7 +84,6 @@
             urgent = find_urgent(configuration, service)
             if urgent is None:
                 continue
-            priority, event_gap = urgent
             partition = before.get(service.name)
             if partition is None or urgent != (partition.separator.priority, partition.event_gap):
                 # The old set stays for the log line and the metric of the next change.
--- a/passpier/tests/routing/replica_separation_tests.py
+++ b/passpier/tests/routing/replica_separation_tests.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import random
 
-import msgspec
 import pytest
 
 from passpier import clocks
 from passpier.config import declarations
 from passpier.core import attempts, catalogue, choice, replicas, routes, separation
-from passpier.daemon import calls, metrics
+from passpier.daemon import calls, dispatcher, metrics
 from passpier.routing import pools, replica_separation
+from passpier.standins import virtual_time
 from passpier.tests.core import separation_tests
 
 ENGINE = routes.Engine(('m',), 48, 114_380)
@@ -96,10 +98,6 @@
     return Filter(monkeypatch)
 
 
-def fill(replica: replicas.Replica) -> None:
-    separation_tests.fill(replica, 72)
-
-
 def test_drafts_and_marks_share_no_replica(separated: Filter) -> None:
     """Guards against marks that pause drafts although the pool has room for both."""
     drafts, marks = separated.select_draft(), separated.select(make_call(1, 9190))
@@ -149,17 +147,27 @@
     assert separated.select(make_call(0, 826), [other]) == {other.name}
 
 
-def test_both_classes_overflow(separated: Filter) -> None:
-    """Guards against requests of a burst that wait while replicas of the other class have room."""
-    reserved = separated.select_draft()
-    for replica in separated.pools.list_serving('s'):
-        if replica.name not in reserved:
-            fill(replica)
-    assert separated.select(make_call(1, 9190)) == reserved
-    for name in reserved:
-        fill(separated.pools.get(name))
-    separated.pools.get('r00').dispatches.clear()
-    assert separated.select_draft() == {'r00'}
+def test_drafts_are_placed_while_marks_wait(separated: Filter) -> None:
+    """Guards against a burst of marks that holds drafts back or pauses their streams."""
+
+    async def run() -> None:
+        placer = dispatcher.Dispatcher(separated.pools, separated.counters, random.Random(1))
+        placer.filters.append(separated.filter)
+        reserved = separated.select_draft()
+        for name, replica in separated.pools.replicas.items():
+            separation_tests.fill(replica, 20 if name in reserved else 72)
+        waiting = asyncio.ensure_future(placer.place(make_call(1, 9190), 'm'))
+        await asyncio.sleep(0.1)
+        draft = await placer.place(make_call(0, 826), 'd')
+        assert isinstance(draft, dispatcher.Placement) and draft.replica.name in reserved
+        assert not waiting.done()
+        other = next(r for n, r in separated.pools.replicas.items() if n not in reserved)
+        other.dispatches.clear()
+        placer.end(draft)
+        mark = await waiting
+        assert isinstance(mark, dispatcher.Placement) and mark.replica is other
+
+    virtual_time.run(run())
 
 
 @pytest.mark.parametrize(
@@ -179,9 +187,8 @@
     separated.configuration = make_configuration(*own)
     if len(own) == 1:
         # All demand is of the one priority.
-        separated.picture = separation_tests.Picture(
-            (separation_tests.make_demand(124, 9190, 0.3),)
-        )
+        rows = separation_tests.make_tests_picture().priorities
+        separated.picture = separation_tests.Picture(rows[1:])
     assert len(separated.select_draft()) == 30
     assert len(separated.select(make_call(1, 9190))) == 30
 
@@ -241,10 +248,8 @@
 def test_a_changed_priority_begins_a_new_partition(separated: Filter) -> None:
     """Guards against drafts that keep the class of their former priority."""
     separated.select_draft()
-    separated.configuration = msgspec.structs.replace(
-        CONFIGURATION,
-        version=2,
-        routes=(make_route('draft', 1, 0.4), make_route('mark', 2, 0.4)),
+    separated.configuration = make_configuration(
+        make_route('draft', 1, 0.4), make_route('mark', 2, 0.4)
     )
     rows = separation_tests.make_tests_picture().priorities
     separated.picture = separation_tests.Picture((separation_tests.Demand(), *rows))
