--- a/passpier/routing/demand_sharing.py
+++ b/passpier/routing/demand_sharing.py
@@ -211,10 +211,11 @@
                 _log_change(service, picture, observed, now)
                 observed.is_waiting = is_waiting
                 observed.logged_at = now
-        for service in self._observed.keys() - services:
-            # Its demand is over, and the last line said so.
-            if not self._observed[service].is_waiting:
-                del self._observed[service]
+        if updates_metrics:
+            for service in self._observed.keys() - services:
+                # Its demand is over, and the last line and the metric said so.
+                if not self._observed[service].is_waiting:
+                    del self._observed[service]
 
 
 def _log_change(
--- a/passpier/tests/core/pool_demand_tests.py
+++ b/passpier/tests/core/pool_demand_tests.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from passpier.core import pool_demand
+from passpier.core import pool_demand, routes
 
 
 def make(waiting: int = 0, accounts: tuple[tuple[str, int], ...] = ()) -> pool_demand.ServiceDemand:
@@ -74,3 +74,31 @@
     demand = msgspec.msgpack.decode(old, type=pool_demand.ServiceDemand)
     assert demand.priorities == (pool_demand.PriorityDemand(1, 2, 300),)
     assert demand.accounts == ()
+
+
+def test_noise_is_no_change_but_a_queue_that_begins_or_ends_is() -> None:
+    """Guards against traffic at every measurement under steady load."""
+    sent = make(0)
+    noise = pool_demand.PriorityDemand(5, 0, 0, 9.5, 1700.0, 900.0, 9190.0, 3.0)
+    assert not pool_demand.is_changed(sent, pool_demand.ServiceDemand('s', (noise,)))
+    assert pool_demand.is_changed(sent, make(1))
+    assert pool_demand.is_changed(make(1), sent)
+    assert not pool_demand.is_changed(make(30), make(31))
+    assert pool_demand.is_changed(make(30), make(34))
+    running = pool_demand.PriorityDemand(running=2)
+    more = pool_demand.ServiceDemand('s', (*sent.priorities, running))
+    assert pool_demand.is_changed(sent, more)
+
+
+def test_services_with_several_priorities_or_accounts_are_shared() -> None:
+    def make_route(name: str, service: str, priority: int) -> routes.Route:
+        shares = (routes.Share(service, 1),)
+        return routes.Route(
+            name, 'h', f'/{name}', routes.Kind.ONCE, shares, 1.0, 1.0, priority=priority
+        )
+
+    table = (make_route('a', 's', 0), make_route('b', 's', 2), make_route('c', 'plain', 1))
+    configuration = routes.Configuration(1, table)
+    assert pool_demand.list_shared_services(configuration) == ['s']
+    configuration = routes.Configuration(1, table, accounts=(routes.Account('x', ('k',)),))
+    assert pool_demand.list_shared_services(configuration) == ['s', 'plain']
--- a/passpier/tests/routing/demand_sharing_tests.py
+++ b/passpier/tests/routing/demand_sharing_tests.py
@@ -108,10 +108,13 @@
     virtual_time.run(run())
 
 
-def test_a_queue_is_known_to_all_within_an_interval() -> None:
+@pytest.mark.parametrize(('count', 'intervals'), [(3, 1), (16, 2)])
+def test_a_queue_is_known_to_all_within_an_interval(count: int, intervals: int) -> None:
+    """With more than 8 peers, messages are half as frequent."""
+
     async def check(vms: list[Vm], net: network.Network) -> None:
         vms[0].meter.running, vms[0].meter.waiting = 4, 3
-        await asyncio.sleep(demand_sharing.INTERVAL + 0.01)
+        await asyncio.sleep(demand_sharing.INTERVAL * intervals + 0.01)
         for vm in vms:
             demand = vm.picture.priorities[2]
             assert (demand.running, demand.waiting) == (4, 3)
@@ -119,10 +122,15 @@
             assert demand.slot_seconds == 1.234
             assert vm.picture.accounts == {'account-1': 2700}
         vms[0].meter.waiting = 0
-        await asyncio.sleep(demand_sharing.INTERVAL + 0.01)
+        await asyncio.sleep(demand_sharing.INTERVAL * intervals + 0.01)
         assert vms[1].picture.waiting == 0
+        vms[0].sent_bytes = 0
+        for n in range(40):
+            vms[0].meter.running = 4 + 10 * (n % 2)
+            await asyncio.sleep(demand_sharing.INTERVAL)
+        assert vms[0].sent_bytes / 10.0 < 5000
 
-    play(check, 3)
+    play(check, count)
 
 
 def test_without_demand_nothing_is_sent_and_steady_demand_once_a_second() -> None:
