--- a/passpier/routing/replica_separation.py
+++ b/passpier/routing/replica_separation.py
@@ -16,6 +16,9 @@
 DIVIDE_INTERVAL = 0.25
 """Seconds for which a partition is reused unless one of its replicas is lost."""
 
+REASON_LOGGED_INTERVAL = 5.0
+"""Minimum seconds between two log lines on a new reason for the same set."""
+
 MAX_LOGGED_REPLICAS = 5
 """Maximum number of replicas that were added or removed in a log line."""
 
@@ -28,6 +31,8 @@
     current: separation.Separation = separation.Separation()
     reserved: list[replicas.Replica] = []
     divided_at: float = float('-inf')
+    logged_reason: str = ''
+    logged_at: float = float('-inf')
 
 
 class ReplicaSeparation:
@@ -106,13 +111,16 @@
         partition.divided_at = now
         partition.reserved = [r for r in serving if r.name in divided.reserved]
         before, partition.current = partition.current.reserved, divided
-        if divided.reserved == before:
+        reason = partition.separator.assessment.reason
+        is_due = now - partition.logged_at >= REASON_LOGGED_INTERVAL
+        if divided.reserved == before and (reason == partition.logged_reason or not is_due):
             return
+        partition.logged_reason, partition.logged_at = reason, now
         number = len(divided.reserved)
         self._counters.reserved_replicas.set({'service': service}, number)
         inputs = partition.separator.assessment
         log.info(
-            'reserved replicas changed',
+            'reserved replicas',
             extra={
                 'service': service,
                 'number': number,
--- a/passpier/tests/routing/replica_separation_tests.py
+++ b/passpier/tests/routing/replica_separation_tests.py
@@ -239,7 +239,7 @@
         for _ in range(20):
             separated.now += 0.1
             separated.select_draft()
-    fields = [vars(r) for r in caplog.records if r.message == 'reserved replicas changed']
+    fields = [vars(r) for r in caplog.records if r.message == 'reserved replicas']
     assert len(fields) == 1
     assert fields[0]['service'] == 's' and fields[0]['number'] == 6
     assert fields[0]['reason'] == 'prefill pauses streams' and fields[0]['age'] == 0.3
