Priorities: routes decide between requests of accounts with the same priority

On both deployments with hard load nearly all accounts have the same priority, which took the place of the route's: drafts and member queries were queued, here and at replicas, like the long prompts beside them. The account still takes precedence; the route's priority now orders the rest, in nine levels that replicas know as well (they take 0 to 9). Separation goes by the priority of routes.

--- a/passpier/core/pool_demand.py
+++ b/passpier/core/pool_demand.py
@@ -12,10 +12,7 @@
 
 import msgspec
 
-from passpier.core import routes
-
-PRIORITIES = 4
-"""Number of priorities; 0 is the most urgent."""
+from passpier.core import priorities, routes
 
 MAX_ACCOUNTS = 16
 """Accounts with the most waiting tokens that a row contains."""
@@ -99,7 +96,7 @@
 class Picture(msgspec.Struct, frozen=True):
     """The demand for one service, aggregated over all active VMs."""
 
-    priorities: tuple[PriorityDemand, ...] = (NO_DEMAND,) * PRIORITIES
+    priorities: tuple[PriorityDemand, ...] = (NO_DEMAND,) * priorities.LEVELS
     """Sums, but the maximum of `longest_prefill` and the weighted mean of `slot_seconds`."""
 
     accounts: Mapping[str, int] = {}
@@ -223,7 +220,7 @@
     """Return the aggregate of each priority over several VMs."""
     return tuple(
         _sum([r[priority] for r in rows if len(r) > priority and r[priority] is not NO_DEMAND])
-        for priority in range(PRIORITIES)
+        for priority in range(priorities.LEVELS)
     )
 
 
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from passpier.core import backpressure, refusals, replica_processes, throttles
+from passpier.core import backpressure, priorities, refusals, replica_processes, throttles
 
 DEFAULT_SECONDS_PER_TOKEN = 1 / 20_000
 """Prefill time per token that is assumed before any measurement."""
@@ -23,9 +23,6 @@
 QUEUE_PER_SLOT = 0.5
 """Requests that may be queued at a replica per slot."""
 
-LEAST_URGENT = 3
-"""The highest priority number, which is the least urgent."""
-
 MIN_PENDING_SHARE = 0.85
 """Minimum share of its prefill tokens that a request counts for until its first token arrives.
 
@@ -163,7 +160,9 @@
     return max(known, max(0, report.running + report.waiting - completed) + since)
 
 
-def estimate_backlog(replica: Replica, now: float, priority: int = LEAST_URGENT) -> float:
+def estimate_backlog(
+    replica: Replica, now: float, priority: int = priorities.LEAST_URGENT
+) -> float:
     """Return the prefill tokens ahead of a new request of that priority."""
     known = 0.0
     if replica.dispatches:
@@ -180,7 +179,7 @@
 
 def count_pending(replica: Replica, now: float, after: float = float('-inf')) -> tuple[int, ...]:
     """Return the pending prefill tokens of own dispatches since `after`, by priority."""
-    pending = [0] * (LEAST_URGENT + 1)
+    pending = [0] * priorities.LEVELS
     for dispatch in replica.dispatches.values():
         if not dispatch.first_token and dispatch.started_at > after:
             left = dispatch.tokens - _count_computed(replica, dispatch, now)
--- a/passpier/core/separation.py
+++ b/passpier/core/separation.py
@@ -12,7 +12,14 @@
 
 import msgspec
 
-from passpier.core import choice, pool_demand, rendezvous, replica_processes, replicas
+from passpier.core import (
+    choice,
+    pool_demand,
+    priorities,
+    rendezvous,
+    replica_processes,
+    replicas,
+)
 
 PAUSED_SHARE_MIN = 0.02
 """Fraction of the urgent streams with too long a pause from which on a pool is partitioned, even if
@@ -128,10 +135,10 @@
 
 
 class Separator:
-    """Partitions the pool of one service; `priority` is its most urgent one.
+    """Partitions the pool of one service; `priority` is that of its most urgent routes.
 
-    Requests of a more urgent priority than that, which accounts may have, belong to the urgent
-    class as well.
+    The priority of an account doesn't matter here: the class of a request follows from its size,
+    which its route tells.
     """
 
     def __init__(self, service: str, priority: int) -> None:
@@ -169,7 +176,7 @@
             self._number, self._lower_since, self._reserved = 0, None, {}
             return Separation()
         speeds = {r.name: s for r in pool if (s := get_speed(r)) is not None}
-        urgent = picture.priorities[: self.priority + 1]
+        urgent, _ = self._split(picture)
         typical = max((d.longest_prefill for d in urgent), default=0.0)
         ranked = self._rank(pool, speeds, typical, event_gap)
         # Reserved replicas stay so, but the last in the order are the first to be released: sets of
@@ -194,7 +201,7 @@
         reserved = separation.reserved
         if not reserved or not job.prompt_tokens:
             return list(available)
-        if job.priority <= self.priority:
+        if self._is_urgent(job.priority):
             own = [r for r in available if r.name in reserved and replicas.has_room(r, now)]
             return own or list(available)
         own = [r for r in available if r.name not in reserved and replicas.has_room(r, now)]
@@ -206,6 +213,17 @@
             and replicas.has_room(r, now)
         ]
 
+    def _is_urgent(self, level: int) -> bool:
+        return priorities.get_route_priority(level) <= self.priority
+
+    def _split(
+        self, picture: pool_demand.Picture
+    ) -> tuple[list[pool_demand.PriorityDemand], list[pool_demand.PriorityDemand]]:
+        """Return the demand of the urgent class and that of all others."""
+        urgent = [d for n, d in enumerate(picture.priorities) if self._is_urgent(n)]
+        others = [d for n, d in enumerate(picture.priorities) if not self._is_urgent(n)]
+        return urgent, others
+
     def _rank(
         self,
         pool: Sequence[replicas.Replica],
@@ -240,8 +258,7 @@
         picture: pool_demand.Picture,
         event_gap: float,
     ) -> Assessment:
-        urgent = picture.priorities[: self.priority + 1]
-        others = picture.priorities[self.priority + 1 :]
+        urgent, others = self._split(picture)
         other_prefill = max((d.longest_prefill for d in others), default=0.0)
         slowest = max((s.seconds_per_token for s in speeds.values()), default=0.0)
         event_seconds = max((s.event_seconds for s in speeds.values()), default=0.0)
--- a/passpier/daemon/demand_meter.py
+++ b/passpier/daemon/demand_meter.py
@@ -7,7 +7,7 @@
 import math
 from collections.abc import Callable, Iterator
 
-from passpier.core import admission, pool_demand, replicas
+from passpier.core import admission, pool_demand, priorities
 from passpier.daemon import calls, dispatcher
 
 AVERAGE_SECONDS = 2.0
@@ -85,7 +85,7 @@
     """The requests of one service."""
 
     def __init__(self, now: float) -> None:
-        self.priorities = [_PriorityMeter() for _ in range(pool_demand.PRIORITIES)]
+        self.priorities = [_PriorityMeter() for _ in range(priorities.LEVELS)]
         self.measured_at = now
         self.is_idle = False
         """Whether there was no demand at the last measurement and nothing was placed since."""
@@ -140,7 +140,7 @@
         elif service.is_idle:
             service.is_idle = False
         tokens = placement.choice.miss_tokens
-        meter = service.priorities[min(call.service.priority, replicas.LEAST_URGENT)]
+        meter = service.priorities[min(call.service.priority, priorities.LEAST_URGENT)]
         meter.running += 1
         meter.placed += 1
         meter.placed_tokens += tokens
@@ -158,7 +158,7 @@
             return
         service = placement.call.service
         meter = self._services[service.pool].priorities[
-            min(service.priority, replicas.LEAST_URGENT)
+            min(service.priority, priorities.LEAST_URGENT)
         ]
         seconds = now - known[1]
         meter.running -= 1
@@ -170,7 +170,7 @@
         service = self._services.get(call.service.pool)
         if service is None:
             return
-        meter = service.priorities[min(call.service.priority, replicas.LEAST_URGENT)]
+        meter = service.priorities[min(call.service.priority, priorities.LEAST_URGENT)]
         meter.streams += 1
         meter.paused_streams += paused
 
@@ -187,11 +187,11 @@
             return pool_demand.ServiceDemand(name)
         first_waiting = min((t.item.arrived_at for t in waiting), default=None)
         is_used = service.update(first_waiting, now)
-        counts = [0] * pool_demand.PRIORITIES
-        tokens = [0] * pool_demand.PRIORITIES
+        counts = [0] * priorities.LEVELS
+        tokens = [0] * priorities.LEVELS
         accounts: collections.Counter[str] = collections.Counter()
         for ticket in waiting:
-            priority = min(ticket.priority, replicas.LEAST_URGENT)
+            priority = min(ticket.priority, priorities.LEAST_URGENT)
             counts[priority] += 1
             tokens[priority] += ticket.tokens
             if ticket.account:
--- a/passpier/daemon/loads.py
+++ b/passpier/daemon/loads.py
@@ -112,7 +112,7 @@
 
     def _collect(self, now: float) -> dict[replica_processes.ReplicaProcess, Load]:
         return {
-            r.process: (replicas.count_pending(r, now), len(r.dispatches))
+            r.process: (_trim(replicas.count_pending(r, now)), len(r.dispatches))
             for r in self._upstreams.replicas.values()
             if r.dispatches
         }
@@ -137,6 +137,12 @@
                     del replica.peers[sender]
 
 
+def _trim(tokens: tuple[int, ...]) -> tuple[int, ...]:
+    """Leave out the zeros at the end, since most replicas have requests of few priorities."""
+    used = max((n + 1 for n, count in enumerate(tokens) if count), default=0)
+    return tokens[:used]
+
+
 def _build_message(
     loads: Mapping[replica_processes.ReplicaProcess, Load], whole: bool
 ) -> messages.ReplicaLoads:
--- a/passpier/routing/replica_separation.py
+++ b/passpier/routing/replica_separation.py
@@ -147,7 +147,7 @@
 def find_urgent(
     configuration: routes.Configuration | None, service: routes.Service
 ) -> tuple[int, float] | None:
-    """Return the most urgent priority of a service and the longest pause that its routes allow.
+    """Return the most urgent priority of a service's routes, and the longest pause of these.
 
     `None` if the service has no prompts or no routes; the pause is 0 if it is not limited.
     """
@@ -156,11 +156,6 @@
     own = [r for r in configuration.routes if any(s.service == service.name for s in r.shares)]
     if not own:
         return None
-    priority = min(_clamp(r.priority) for r in own)
-    gaps = [r.event_gap for r in own if _clamp(r.priority) == priority and r.event_gap > 0]
+    priority = min(r.priority for r in own)
+    gaps = [r.event_gap for r in own if r.priority == priority and r.event_gap > 0]
     return priority, min(gaps, default=0.0)
-
-
-def _clamp(priority: int) -> int:
-    """Return a route's priority as calls have it."""
-    return min(max(0, priority), replicas.LEAST_URGENT)
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -9,7 +9,15 @@
 
 from passpier.clients import exchanges
 from passpier.config import declarations
-from passpier.core import attempts, choice, fingerprints, prompts, replicas, routes
+from passpier.core import (
+    attempts,
+    choice,
+    fingerprints,
+    priorities,
+    prompts,
+    replicas,
+    routes,
+)
 from passpier.daemon import calls
 from passpier.routing import dialect, sources
 
@@ -28,10 +36,9 @@
 
     @property
     def priority(self) -> int:
-        """The priority; 0 is the most urgent."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
+        """The priority level; 0 is the most urgent."""
+        account_priority = self.account.priority if self.account is not None else None
+        return priorities.combine(account_priority, self.route.priority)
 
     @functools.cached_property
     def fingerprint(self) -> int:
@@ -83,7 +90,7 @@
     """Return the call to be dispatched for a request."""
     route = admitted.route
     prompt = admitted.client_request.prompt
-    priority = min(max(0, admitted.priority), replicas.LEAST_URGENT)
+    priority = admitted.priority
     hold = min(route.objective * HOLD_SHARE, admitted.ends_at - admitted.arrived_at)
     declared = declarations.Service(
         service,
