--- a/passpier/core/separation.py
+++ b/passpier/core/separation.py
@@ -202,7 +202,7 @@
         if not reserved or not job.prompt_tokens:
             return list(available)
         if self._is_urgent(job.priority):
-            own = [r for r in available if r.name in reserved and replicas.has_room(r, now)]
+            own = [r for r in available if r.name in reserved and _has_free_slot(r, now)]
             return own or list(available)
         own = [r for r in available if r.name not in reserved and replicas.has_room(r, now)]
         return own or [
@@ -299,6 +299,13 @@
             self._number, self._lower_since = self._number - 1, now
 
 
+def _has_free_slot(replica: replicas.Replica, now: float) -> bool:
+    """Return whether a replica starts an urgent request at once, without a queue for its slots."""
+    if replicas.estimate_running(replica, now) >= replica.slots:
+        return False
+    return replicas.has_room(replica, now)
+
+
 def _compute_paused_share(urgent: Sequence[pool_demand.PriorityDemand]) -> float:
     """Return the fraction of streams with too long a pause, or 0 if these are few."""
     paused = sum(d.paused_rate for d in urgent)
--- a/passpier/tests/core/separation_tests.py
+++ b/passpier/tests/core/separation_tests.py
@@ -303,3 +303,17 @@
     rare = msgspec.structs.replace(rows[0], request_rate=5.0, stream_rate=5.0, paused_rate=0.2)
     picture = make_picture(rare, msgspec.structs.replace(rows[1], longest_prefill=7800))
     assert not divide(make_pool(), picture)
+
+
+def test_urgent_requests_do_not_queue_for_the_slots_of_reserved_replicas() -> None:
+    """Guards against queues at reserved replicas while others have free slots.
+
+    With eight replicas of 16 slots, member queries need five and get two.
+    """
+    pool = make_pool(8, 50_700, 16, LICENCE_SPEEDS, 0.03)
+    reserved = {'r00', 'r01'}
+    for replica in pool[:2]:
+        fill(replica, replica.slots)
+    assert len(select(pool, reserved, SHORT)) == 8
+    del pool[0].dispatches['0']
+    assert select(pool, reserved, SHORT) == ['r00']
