Replicas: speeds learnt from the samples of all VMs

Cause: prefill takes 0.6 to 1.6 times as long at some replicas, while choices and queue limits use the pool's median, and no VM alone collects enough samples. Change: an estimator per service with decaying sums by sender, the message ReplicaSpeeds, and rates of choices and backlogs that use the estimate where the replicas of a service differ.

--- a/passpier/core/choice.py
+++ b/passpier/core/choice.py
@@ -247,7 +247,7 @@
             job,
             r,
             m,
-            get_rate(r, median),
+            get_rate(r, median, now),
             job.count_tokens(max(most, preamble)) - job.count_tokens(max(m.blocks, preamble)),
             ranks.get(r.name, 1.0),
             now,
@@ -263,11 +263,14 @@
     return {name: place / max(1, places) for place, name in enumerate(first)}
 
 
-def get_rate(replica: replicas.Replica, median: float) -> float:
+def get_rate(replica: replicas.Replica, median: float, now: float) -> float:
     """Return a replica's prefill time per token: the pool's median unless it differs widely.
 
-    Small differences are measurement noise and would move prompts away from their homes.
+    Small differences are measurement noise and would move prompts away from their homes. Speeds
+    are only set while the replicas are known to differ.
     """
+    if replica.speed is not None:
+        return replicas.get_seconds_per_token(replica, now)
     own = replica.seconds_per_token
     return median if median / RATE_TOLERANCE < own < median * RATE_TOLERANCE else own
 
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from passpier.core import backpressure, refusals, replica_processes, throttles
+from passpier.core import backpressure, refusals, replica_processes, speeds, throttles
 
 DEFAULT_SECONDS_PER_TOKEN = 1 / 20_000
 """Prefill time per token that is assumed before any measurement."""
@@ -46,6 +46,17 @@
     received_at: float
 
 
+class PrefillSample(msgspec.Struct, frozen=True):
+    """The measured prefill of one attempt, with the work that was ahead of it."""
+
+    tokens: int
+    seconds: float
+    """Bounded, as waiting for a slot must not be learnt as slow prefill."""
+
+    waited: float
+    """The same without the bound."""
+
+
 class Dispatch(msgspec.Struct):
     """An attempt that this daemon sent to a replica; `tokens` is its estimated prefill."""
 
@@ -126,6 +137,15 @@
     software: str = ''
     """Version of its process's software; empty if it is unknown."""
 
+    prefilled_at: float = float('-inf')
+    """When the last prefill for this daemon ended."""
+
+    speed: speeds.Speed | None = None
+    """Its speed as learnt by all VMs; none unless the replicas of its service differ in speed."""
+
+    slowed_until: float = float('-inf')
+    """Until when its prefill takes `speeds.SLOWED_FACTOR` times as long as `speed` tells."""
+
     @property
     def process(self) -> replica_processes.ReplicaProcess:
         """The process that this state belongs to."""
@@ -149,6 +169,14 @@
     return before != replica.leaving_reasons
 
 
+def get_seconds_per_token(replica: Replica, now: float) -> float:
+    """Return a replica's prefill time per token, by the estimate of all VMs if there is one."""
+    if replica.speed is None:
+        return replica.seconds_per_token
+    slowed = speeds.SLOWED_FACTOR if now < replica.slowed_until else 1.0
+    return replica.speed.seconds_per_token * slowed
+
+
 def estimate_running(replica: Replica, now: float) -> int:
     """Return the estimated number of running or queued requests, from reports and dispatches."""
     known = len(replica.dispatches)
@@ -174,16 +202,17 @@
     if report is None or replica.peers_complete:
         return known
     since = sum(count_pending(replica, now, report.received_at)[: priority + 1])
-    computed = (now - report.received_at) / replica.seconds_per_token
+    computed = (now - report.received_at) / get_seconds_per_token(replica, now)
     return max(known, max(0.0, report.backlog * replica.miss_share - computed) + since)
 
 
 def count_pending(replica: Replica, now: float, after: float = float('-inf')) -> tuple[int, ...]:
     """Return the pending prefill tokens of own dispatches since `after`, by priority."""
     pending = [0] * (LEAST_URGENT + 1)
+    rate = get_seconds_per_token(replica, now)
     for dispatch in replica.dispatches.values():
         if not dispatch.first_token and dispatch.started_at > after:
-            left = dispatch.tokens - _count_computed(replica, dispatch, now)
+            left = dispatch.tokens - _count_computed(dispatch, rate, now)
             pending[dispatch.priority] += int(max(left, dispatch.tokens * MIN_PENDING_SHARE))
     return tuple(pending)
 
@@ -218,11 +247,12 @@
     # requests is the first to learn that one has ended, and would otherwise keep the whole queue
     # for as long as it has requests waiting.
     sharers = 1 + sum(p.running > 0 for p in _list_peers(replica, now))
-    own = sum(count_pending(replica, now)) * replica.seconds_per_token
+    rate = get_seconds_per_token(replica, now)
+    own = sum(count_pending(replica, now)) * rate
     if own >= replica.room_seconds / sharers:
         return False
     # The total is checked as well, as one request per daemon may already exceed it.
-    return estimate_backlog(replica, now) * replica.seconds_per_token < replica.room_seconds
+    return estimate_backlog(replica, now) * rate < replica.room_seconds
 
 
 def begin_dispatch(
@@ -273,12 +303,16 @@
     return max(ready_at, replica.throttle.compute_ready_at(now))
 
 
-def note_first_token(replica: Replica, attempt: str, now: float) -> None:
-    """Update the prefill rate from the time to an attempt's first token."""
+def note_first_token(replica: Replica, attempt: str, now: float) -> PrefillSample | None:
+    """Update the prefill rate from the time to an attempt's first token; return the sample.
+
+    Short prompts give none, and neither does a token that isn't the first one.
+    """
     dispatch = replica.dispatches.get(attempt)
     if dispatch is None or dispatch.first_token:
-        return
+        return None
     dispatch.first_token = True
+    replica.prefilled_at = now
     _end_risk(replica, dispatch)
     work = dispatch.tokens + dispatch.work_ahead
     elapsed = now - dispatch.started_at
@@ -286,11 +320,22 @@
         # The duration of a short prefill is mostly network latency.
         sample = elapsed - work * replica.seconds_per_token
         replica.overhead += LEARNING_RATE * (max(0.0, sample) - replica.overhead)
-        return
-    sample = max(0.0, elapsed - replica.overhead) / work
+        return None
+    waited = max(0.0, elapsed - replica.overhead)
     # Bounded, as waiting for a slot must not be learnt as slow prefill.
-    sample = min(sample, replica.seconds_per_token * 2)
+    sample = min(waited / work, replica.seconds_per_token * 2)
     replica.seconds_per_token += LEARNING_RATE * (sample - replica.seconds_per_token)
+    return PrefillSample(work, sample * work, waited)
+
+
+def has_prefill(replica: Replica, since: float, now: float) -> bool:
+    """Return whether a prefill is known to have run at a replica after `since`."""
+    if replica.prefilled_at >= since:
+        return True
+    if any(not d.first_token for d in replica.dispatches.values()):
+        return True
+    # A load that has just changed may be that of a prefill that has just ended.
+    return any(p.received_at >= since or any(p.tokens) for p in _list_peers(replica, now))
 
 
 def end_dispatch(replica: Replica, attempt: str, now: float) -> None:
@@ -298,6 +343,8 @@
     dispatch = replica.dispatches.pop(attempt, None)
     if dispatch is not None:
         _end_risk(replica, dispatch)
+        if not dispatch.first_token:
+            replica.prefilled_at = now
     if dispatch is not None and dispatch.first_token:
         sample = now - dispatch.started_at
         replica.service_seconds += LEARNING_RATE * (sample - replica.service_seconds)
@@ -325,7 +372,7 @@
         weighted_age += tokens * (now - peer.received_at)
     if not total:
         return 0.0
-    computed = weighted_age / total / replica.seconds_per_token
+    computed = weighted_age / total / get_seconds_per_token(replica, now)
     return max(total * MIN_PENDING_SHARE, total - computed * total / (total + own))
 
 
@@ -333,6 +380,6 @@
     return [p for p in replica.peers.values() if now - p.received_at < PEER_LOAD_SECONDS]
 
 
-def _count_computed(replica: Replica, dispatch: Dispatch, now: float) -> float:
-    elapsed = now - dispatch.started_at - dispatch.work_ahead * replica.seconds_per_token
-    return max(0.0, elapsed) / replica.seconds_per_token
+def _count_computed(dispatch: Dispatch, rate: float, now: float) -> float:
+    elapsed = now - dispatch.started_at - dispatch.work_ahead * rate
+    return max(0.0, elapsed) / rate
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -376,6 +376,29 @@
     sighting: stream_origins.Sighting
 
 
+class SpeedRow(msgspec.Struct, array_like=True):
+    """The sender's samples of one replica process, in the units of `routing/speed_sharing.py`."""
+
+    name: str
+    mark: int
+    """The short process id."""
+
+    prefills: int
+    tokens: int
+    prefill_time: int
+    gaps: int = 0
+    gap_time: int = 0
+
+
+class ReplicaSpeeds(Message, tag='sv'):
+    """The sender's samples of the speeds of replicas, in place of those it sent before.
+
+    For replicas that are not listed nothing has changed.
+    """
+
+    rows: list[SpeedRow]
+
+
 AnyMessage = (
     Heartbeat
     | MembersRequest
@@ -416,6 +439,7 @@
     | ProcessReplaced
     | OriginRequest
     | OriginResponse
+    | ReplicaSpeeds
 )
 
 
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -98,6 +98,11 @@
         )
         self.members = _build_gauge(registry, 'passpier_members', 'Live daemons.')
         self.view_blocks = _build_gauge(registry, 'passpier_view_blocks', 'Blocks in view.')
+        self.speed_spread = _build_gauge(
+            registry,
+            'passpier_replica_speed_spread',
+            'Ratio of the slowest to the fastest replica, by service.',
+        )
         self.processor = _build_gauge(
             registry, 'passpier_processor_seconds', 'Processor time of this process.'
         )
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -7,6 +7,7 @@
 import contextlib
 import logging
 import math
+from collections.abc import Callable
 
 import msgspec
 
@@ -75,6 +76,10 @@
 """The same, where this process is stopping and the client will reach another one."""
 
 
+SEND_SECONDS = 0.002
+"""Seconds from which on a client is slow to take an event: the next one may have arrived unnoticed
+meanwhile."""
+
 MAX_LOGGED_PARTS = 6
 """Maximum number of prompt parts in a log line."""
 
@@ -114,6 +119,12 @@
         self.wire = wire
         self.counters = counters
         self.options = options
+        self.on_event_gap: Callable[[replicas.Replica, float, float], None] = (
+            lambda replica, began_at, now: None
+        )
+        """Called with the replica and the arrival times of two successive events of a stream,
+        unless the client was slow to take the first of them."""
+
         self.budget_sharers = 1
         """Processes that share the retry budget; never decreases."""
 
@@ -546,13 +557,18 @@
         splitter = sse.EventSplitter()
         splitter.last_id = self._splitter.last_id
         self._splitter = splitter
+        previous_at: float | None = None
         while (part := await self._read_part(reader)) is not None:
             for event in splitter.feed(part):
                 self._binding.note_event(self._last_replica)
                 arrived_at = clocks.now()
                 self._gaps.note_event(arrived_at)
+                if previous_at is not None:
+                    self._owner.on_event_gap(self._last_replica, previous_at, arrived_at)
                 await self._delivery.send_event(head, event)
-                self._gaps.note_sent(arrived_at, clocks.now())
+                sent_at = clocks.now()
+                self._gaps.note_sent(arrived_at, sent_at)
+                previous_at = arrived_at if sent_at - arrived_at < SEND_SECONDS else None
                 self.call.progress.delivered += 1
             self._note_progress(clocks.now())
         if splitter.has_rest:
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -496,7 +496,8 @@
         if release_history is None or version >= release_history.newest:
             return True
         # The request begins once the engine has prefilled those queued before it.
-        wait = replicas.estimate_backlog(replica, now) * replica.seconds_per_token
+        rate = replicas.get_seconds_per_token(replica, now)
+        wait = replicas.estimate_backlog(replica, now) * rate
         return release_history.may_use(version, self.version_bound, now + wait)
 
     def _prefer_new_weights(
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -15,7 +15,15 @@
 
 from passpier import clocks
 from passpier.clients import connections, registry
-from passpier.core import backpressure, drain, members, rates, replica_processes, replicas
+from passpier.core import (
+    backpressure,
+    drain,
+    features,
+    members,
+    rates,
+    replica_processes,
+    replicas,
+)
 from passpier.daemon import (
     dispatcher,
     loads,
@@ -45,6 +53,7 @@
     rollouts,
     roster,
     sources,
+    speed_sharing,
     throttling,
     tunnel_server,
 )
@@ -225,6 +234,13 @@
             self.limiter,
             self.origins,
         )
+        self.speeds: speed_sharing.SpeedSharing | None = None
+        if features.Feature.REPLICA_SPEEDS in options.enabled_features:
+            self.speeds = speed_sharing.SpeedSharing(
+                self.pools, membership, self.peers, self.counters
+            )
+            self.forwarder.heads.on_prefill = self.speeds.note_prefill
+            self.forwarder.on_event_gap = self.speeds.note_event_gap
         self.ingress = ingress.Ingress(
             self.registry_state, self.forwarder, adapter.wire, self.counters, self.meter
         )
@@ -273,6 +289,8 @@
             tasks.start(self.throttling.run()),
             tasks.start(self.brittleness.run()),
         ]
+        if self.speeds is not None:
+            running.append(tasks.start(self.speeds.run()))
         try:
             await self._serve(servers)
         finally:
--- a/passpier/routing/sent_attempts.py
+++ b/passpier/routing/sent_attempts.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import enum
+from collections.abc import Callable
 
 from passpier import clocks
 from passpier.clients import exchanges
@@ -59,6 +60,10 @@
         self._wire = wire
         self._pools = replica_pools
         self._prober = prober
+        self.on_prefill: Callable[[replicas.Replica, replicas.PrefillSample], None] = (
+            lambda replica, sample: None
+        )
+        """Called with each sample of a replica's prefill rate."""
 
     async def read(self, attempt: Attempt, wait: float) -> exchanges.Head:
         """Return the head of a result within `wait` seconds; raises `AttemptError`."""
@@ -69,7 +74,10 @@
             raise response_reader.AttemptError(
                 attempts.Fault.FAILED, f'status {head.status}', response
             )
-        replicas.note_first_token(attempt.placement.replica, attempt.placement.attempt, now)
+        replica = attempt.placement.replica
+        sample = replicas.note_first_token(replica, attempt.placement.attempt, now)
+        if sample is not None:
+            self.on_prefill(replica, sample)
         attempt.head = head
         return head
 
