Replica speeds: tests of the estimator and of the choice

Cause: the estimates and the rates that depend on them had no tests. Change: tests of uneven, equal and slowed replicas, of lost senders and of the totals.

--- a/passpier/tests/core/choice_tests.py
+++ b/passpier/tests/core/choice_tests.py
@@ -6,8 +6,9 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 
-from passpier.core import cache_view, choice, replicas
+from passpier.core import cache_view, choice, replicas, speeds
 
 CHAIN = list(range(1, 41))
 
@@ -195,3 +196,139 @@
     assert replicas.estimate_backlog(replica, 10.0 + 9000 * rate) >= least - 1
     replicas.note_first_token(replica, 'a', 10.5)
     assert replicas.estimate_backlog(replica, 10.5) < least
+
+
+RATE = 1 / 81_900
+"""Prefill time per token at the usual speed."""
+
+LONG = 9190
+PROMPTS = 1500
+UNEVEN = (0.6, 1.0, 1.6)
+
+
+class Load:
+    """Long prompts without a common prefix, in the order in which one VM gets them.
+
+    Each replica computes its prompts one after the other.
+    """
+
+    def __init__(self, relative: tuple[float, ...], use_speeds: bool, seed: int = 1) -> None:
+        self.pool, self.cache = make_pool(30)
+        self.taken = {
+            r.name: LONG * RATE / relative[n % len(relative)] for n, r in enumerate(self.pool)
+        }
+        for replica in self.pool:
+            replica.seconds_per_token = RATE
+            replica.slots = 48
+        self.estimator = speeds.SpeedEstimator()
+        self.use_speeds = use_speeds
+        self.rng = random.Random(seed)
+        self.waits: list[float] = []
+        """Seconds from the placement of each prompt to its first event."""
+
+        self.placed: list[str] = []
+
+    def run(self, utilization: float) -> None:
+        """Place all prompts."""
+        now = 0.0
+        interval = 1 / sum(1 / taken for taken in self.taken.values()) / utilization
+        free_at = dict.fromkeys(self.taken, 0.0)
+        running: list[tuple[float, int, replicas.Replica]] = []
+        policy = choice.CostPolicy()
+        for number in range(PROMPTS):
+            now += self.rng.expovariate(1 / interval)
+            while running and min(running)[0] <= now:
+                ended_at, attempt, replica = min(running)
+                running.remove((ended_at, attempt, replica))
+                self.end(str(attempt), replica, ended_at)
+            job = choice.Job([number], LONG, LONG)
+            usable = [r for r in self.pool if replicas.has_room(r, now)] or self.pool
+            chosen = choice.choose(job, usable, self.cache, policy, now)
+            assert chosen is not None
+            replica = next(r for r in self.pool if r.name == chosen.name)
+            replicas.begin_dispatch(replica, str(number), LONG, now)
+            free_at[replica.name] = max(now, free_at[replica.name]) + self.taken[replica.name]
+            running.append((free_at[replica.name], number, replica))
+            self.waits.append(free_at[replica.name] - now)
+            self.placed.append(replica.name)
+
+    def end(self, attempt: str, replica: replicas.Replica, now: float) -> None:
+        """Learn from the first event of a prompt."""
+        sample = replicas.note_first_token(replica, attempt, now)
+        replicas.end_dispatch(replica, attempt, now)
+        if sample is None or not self.use_speeds:
+            return
+        process = replica.process
+        self.estimator.note_prefill(process, sample.tokens, sample.seconds, now, sample.waited)
+        self.estimator.assess(now)
+        for known in self.pool:
+            speed = self.estimator.estimate(known.process, now)
+            known.speed = speed if self.estimator.is_uneven else None
+
+
+def test_slow_replicas_get_fewer_of_the_long_prompts() -> None:
+    """Replicas of 0.6, 1 and 1.6 times the usual speed.
+
+    Two prompts in a row at the slowest ones, 374 ms, exceed the pause that streams may have.
+    """
+    load = Load(UNEVEN, use_speeds=True)
+    load.run(0.7)
+    waits = sorted(load.waits[PROMPTS // 3 :])
+    assert waits[-1] < 0.33
+    assert sum(waits) / len(waits) < 0.13
+    counts = [sum(int(n[1:]) % 3 == k for n in load.placed[PROMPTS // 3 :]) for k in range(3)]
+    assert counts[0] < counts[1] < counts[2]
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_nothing_changes_at_replicas_of_equal_speed(seed: int) -> None:
+    """Guards against noise in the estimates, which would move prompts from their homes."""
+    before, after = (Load((1.0,), use_speeds=x, seed=seed) for x in (False, True))
+    before.run(0.7)
+    after.run(0.7)
+    assert after.placed == before.placed
+
+
+def make_replica(rate: float) -> replicas.Replica:
+    replica = replicas.Replica('r', '', '', '', slots=48, seconds_per_token=RATE)
+    replica.room_seconds = 0.3
+    replica.speed = speeds.Speed(rate, 0.03, 20.0)
+    return replica
+
+
+@pytest.mark.parametrize('relative', UNEVEN)
+def test_the_queue_of_a_slow_replica_is_no_longer_in_seconds(relative: float) -> None:
+    """Guards against limits in tokens at the usual speed: 0.3 s are 0.5 s at a slow replica."""
+    replica = make_replica(RATE / relative)
+    queued = 0
+    while replicas.has_room(replica, 1.0):
+        replicas.begin_dispatch(replica, str(queued), 1000, 1.0)
+        queued += 1
+    assert queued * 1000 * RATE / relative == pytest.approx(0.3, abs=1000 * RATE / relative)
+
+
+def test_a_slowed_replica_counts_with_twice_its_time_per_token() -> None:
+    """A replica that turns 2.5 times slower for 0.6 s and back."""
+    replica = make_replica(RATE)
+    replica.slowed_until = 1.6
+    assert choice.get_rate(replica, RATE * 5, 1.5) == 2 * RATE
+    assert choice.get_rate(replica, RATE * 5, 1.6) == RATE
+    replicas.begin_dispatch(replica, 'a', 15_000, 1.0)
+    assert not replicas.has_room(replica, 1.0)
+    assert replicas.has_room(replica, 1.6)
+
+
+def test_gaps_count_only_while_no_prefill_is_known_to_run() -> None:
+    replica = replicas.Replica('r', '', '', '')
+    assert not replicas.has_prefill(replica, 1.0, 1.1)
+    replicas.begin_dispatch(replica, 'a', LONG, 1.0)
+    assert replicas.has_prefill(replica, 1.05, 1.1)
+    replicas.note_first_token(replica, 'a', 1.2)
+    assert replicas.has_prefill(replica, 1.1, 1.3)
+    assert not replicas.has_prefill(replica, 1.25, 1.3)
+    replica.peers['x'] = replicas.PeerLoad((0, LONG, 0, 0), 1, 1.3)
+    assert replicas.has_prefill(replica, 1.4, 1.5)
+    assert not replicas.has_prefill(replica, 3.4, 3.5), 'the peer may have failed'
+    replica.peers['x'] = replicas.PeerLoad((0, 0, 0, 0), 1, 4.0)
+    assert replicas.has_prefill(replica, 3.9, 4.1), 'its prefill may just have ended'
+    assert not replicas.has_prefill(replica, 4.05, 4.1)
