Replica speeds: a pool is uneven only if its rates vary more than by noise

Cause: with nine VMs that learn of each other's loads every 0.1 s, samples of equal replicas vary by a relative variance of 0.1 to 0.3. Among 30 replicas this alone exceeds the ratio of 1.25, in the load of choice_tests at 2 s and in some cases later, and moves prompts from their homes. Change: the variance of the replicas' rates must exceed the one that the samples' own deviations explain. A sample is compared for slowdowns only if no other VM has prefill at the replica.

--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -53,8 +53,9 @@
     seconds: float
     """Bounded, as waiting for a slot must not be learnt as slow prefill."""
 
-    waited: float
-    """The same without the bound."""
+    waited: float | None
+    """The same without the bound; none if the replica may have had work that was unknown here, or
+    no free slot."""
 
 
 class Dispatch(msgspec.Struct):
@@ -325,7 +326,9 @@
     # Bounded, as waiting for a slot must not be learnt as slow prefill.
     sample = min(waited / work, replica.seconds_per_token * 2)
     replica.seconds_per_token += LEARNING_RATE * (sample - replica.seconds_per_token)
-    return PrefillSample(work, sample * work, waited)
+    busy = estimate_running(replica, now) > replica.slots
+    uncertain = busy or any(any(p.tokens) for p in _list_peers(replica, now))
+    return PrefillSample(work, sample * work, None if uncertain else waited)
 
 
 def has_prefill(replica: Replica, since: float, now: float) -> bool:
--- a/passpier/core/speeds.py
+++ b/passpier/core/speeds.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 import msgspec
 
@@ -29,6 +29,21 @@
 """Ratio below which an uneven pool becomes even again. Replicas of 1 and 1.3 times the usual speed
 are measured close to `UNEVEN_RATIO`, so that a single limit would be crossed again and again."""
 
+NOISE_BEFORE = 0.25
+"""Mean squared relative deviation of a sample from its estimate that is assumed at first. Prompts of
+other VMs that are ahead unnoticed cause 0.1 to 0.3."""
+
+NOISE_LEARNING_RATE = 0.02
+"""Weight of a new sample in the moving average of these deviations."""
+
+MIN_NOISE = 1e-4
+"""Lower bound of the relative variance that noise causes in a replica's mean."""
+
+DEVIATIONS = 5.0
+"""Standard deviations by which the variance of the replicas' rates must exceed the one that noise
+causes, for a pool to become uneven. In pools of dozens of replicas, noise alone makes the slowest
+and the fastest differ by more than `UNEVEN_RATIO`."""
+
 SLOWED_SECONDS = 0.6
 """Seconds for which a replica counts as slowed, the duration of a slowdown."""
 
@@ -143,6 +158,7 @@
         self._pool = _DecayingSums()
         """The sum over all replicas."""
 
+        self._noise = NOISE_BEFORE
         self.is_uneven = False
         """Whether the replicas differed in speed at the last call of `assess`."""
 
@@ -168,12 +184,13 @@
         if tokens <= 0 or seconds <= 0:
             return
         record = self._records.get(process)
-        if record is not None and waited is not None:
-            total = record.total.read(now)
-            speed = self.estimate(process, now)
-            if speed is not None and total.prefills >= MIN_SAMPLES:
-                ratio = waited / (tokens * speed.seconds_per_token)
-                self._compare(record, ratio, SLOWED_PREFILL_RATIO, now)
+        speed = self.estimate(process, now)
+        if record is not None and speed is not None:
+            expected = tokens * speed.seconds_per_token
+            deviation = (seconds / expected - 1) ** 2
+            self._noise += NOISE_LEARNING_RATE * (deviation - self._noise)
+            if waited is not None and record.total.read(now).prefills >= MIN_SAMPLES:
+                self._compare(record, waited / expected, SLOWED_PREFILL_RATIO, now)
         self._add(process, SpeedSums(1.0, tokens, seconds), now)
 
     def note_event_gap(
@@ -238,15 +255,23 @@
 
     def assess(self, now: float) -> bool:
         """Decide whether the pool is uneven; return whether that has changed."""
+        known = []
         rates = []
         for process, record in self._records.items():
-            if record.total.read(now).prefills >= MIN_SAMPLES:
+            total = record.total.read(now)
+            if total.prefills >= MIN_SAMPLES and total.tokens:
                 speed = self.estimate(process, now)
-                if speed is not None:
-                    rates.append(speed.seconds_per_token)
+                assert speed is not None, 'the pool has at least the samples of the replica'
+                rates.append(speed.seconds_per_token)
+                known.append((total.prefill_seconds / total.tokens, total.prefills))
         self.spread = max(rates) / min(rates) if rates else 1.0
         before = self.is_uneven
-        self.is_uneven = self.spread > (EVEN_RATIO if before else UNEVEN_RATIO)
+        excess = _compute_excess(known, self._noise)
+        if before:
+            # A lower limit, so that the state doesn't change with each sample.
+            self.is_uneven = self.spread > EVEN_RATIO and excess > DEVIATIONS / 2
+        else:
+            self.is_uneven = self.spread > UNEVEN_RATIO and excess > DEVIATIONS
         return self.is_uneven != before
 
     def list_own(
@@ -304,3 +329,19 @@
             record.slowed_until = now + SLOWED_SECONDS
         elif ratio <= EXPECTED_RATIO:
             record.slowed_until = min(record.slowed_until, now)
+
+
+def _compute_excess(known: Sequence[tuple[float, float]], noise: float) -> float:
+    """Return by how much the rates vary more than by noise, in standard deviations.
+
+    `known` has the mean rate of each replica and the number of its samples, `noise` is the relative
+    variance of one sample.
+    """
+    if len(known) < 2:
+        return 0.0
+    mean = sum(rate for rate, _ in known) / len(known)
+    variance = sum((rate / mean - 1) ** 2 for rate, _ in known) / (len(known) - 1)
+    expected = sum(noise / samples for _, samples in known) / len(known)
+    # The relative standard deviation of a variance that is measured over n values.
+    deviation = math.sqrt(2 / (len(known) - 1))
+    return (variance / max(expected, MIN_NOISE) - 1) / deviation
--- a/passpier/routing/speed_sharing.py
+++ b/passpier/routing/speed_sharing.py
@@ -112,12 +112,10 @@
         if service is None:
             return
         now = clocks.now()
-        # An attempt that had to wait for a slot says nothing about a slowdown.
-        has_waited = replicas.estimate_running(replica, now) > replica.slots
-        waited = None if has_waited else sample.waited
-        estimator = service.estimator
-        estimator.note_prefill(replica.process, sample.tokens, sample.seconds, now, waited)
-        self._apply_slowdown(service, replica, now, 'prefill', sample.waited)
+        service.estimator.note_prefill(
+            replica.process, sample.tokens, sample.seconds, now, sample.waited
+        )
+        self._apply_slowdown(service, replica, now, 'prefill', sample.waited or 0.0)
         self._update(service, replica, now)
 
     def note_event_gap(self, replica: replicas.Replica, began_at: float, now: float) -> None:
