--- a/passpier/core/speeds.py
+++ b/passpier/core/speeds.py
@@ -30,8 +30,10 @@
 are measured close to `UNEVEN_RATIO`, so that a single limit would be crossed again and again."""
 
 NOISE_BEFORE = 0.25
-"""Mean squared relative deviation of a sample from its estimate that is assumed at first. Prompts of
-other VMs that are ahead unnoticed cause 0.1 to 0.3."""
+"""Mean squared relative deviation of a sample from its estimate that is assumed at first.
+
+Prompts of other VMs that are ahead unnoticed cause 0.1 to 0.3 with nine VMs.
+"""
 
 NOISE_LEARNING_RATE = 0.02
 """Weight of a new sample in the moving average of these deviations."""
