Replica speeds: bounded work for many VMs and replicas

Cause: with 60 senders and 670 replicas, the check for old sums took 30 ms every 2 s, and the choice of rows 8 ms; a sample at the very time of a message was not sent before the next full one. Change: only times are compared, every 4 s, and only the rows that are sent are computed.

--- a/passpier/core/speeds.py
+++ b/passpier/core/speeds.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 
 import msgspec
 
@@ -12,8 +12,9 @@
 HALF_LIFE = 10.0
 """Seconds in which the weight of a sample is halved."""
 
-EXPIRY_SECONDS = 30.0
-"""Seconds without an update after which a sender's sums are dropped, as it may have failed."""
+EXPIRY_SECONDS = 25.0
+"""Seconds without an update after which a sender's sums are dropped, as it may have failed. With
+the interval of the checks, they are gone within 30 seconds."""
 
 POOL_WEIGHT = 4.0
 """Samples that the pool's mean counts for in the estimate of a replica."""
@@ -276,14 +277,14 @@
             self.is_uneven = self.spread > UNEVEN_RATIO and excess > DEVIATIONS
         return self.is_uneven != before
 
-    def list_own(
-        self, since: float, now: float
-    ) -> Iterator[tuple[replica_processes.ReplicaProcess, SpeedSums]]:
-        """Yield this VM's sums for the replicas that have a sample after `since`."""
-        for process, record in self._records.items():
-            row = record.rows.get(OWN)
-            if row is not None and row.updated_at > since:
-                yield process, row.sums.read(now)
+    def list_own(self, since: float) -> list[replica_processes.ReplicaProcess]:
+        """Return the replicas of which this VM has had a sample since then."""
+        rows = ((process, record.rows.get(OWN)) for process, record in self._records.items())
+        return [process for process, row in rows if row is not None and row.updated_at >= since]
+
+    def read_own(self, process: replica_processes.ReplicaProcess, now: float) -> SpeedSums:
+        """Return this VM's sums for a replica that it has had samples of."""
+        return self._records[process].rows[OWN].sums.read(now)
 
     def list_processes(self) -> list[replica_processes.ReplicaProcess]:
         """Return the replicas with samples."""
@@ -296,14 +297,16 @@
             self._pool.add(record.total.read(now), now, -1.0)
 
     def expire(self, now: float) -> None:
-        """Drop the sums of senders that have sent none for long, and sums without weight."""
+        """Drop the sums of senders that have sent none for long, and own sums without weight."""
         for process, record in list(self._records.items()):
             for sender, row in list(record.rows.items()):
-                sums = row.sums.read(now)
-                # This VM can't have failed; its samples lose weight by themselves.
-                is_old = sender != OWN and now - row.updated_at >= EXPIRY_SECONDS
-                if is_old or sums.weight < MIN_WEIGHT:
-                    self._change(record, row, sums, now, -1.0)
+                if sender == OWN:
+                    # This VM can't have failed; its samples lose weight by themselves.
+                    is_old = row.sums.read(now).weight < MIN_WEIGHT
+                else:
+                    is_old = now - row.updated_at >= EXPIRY_SECONDS
+                if is_old:
+                    self._change(record, row, row.sums.read(now), now, -1.0)
                     del record.rows[sender]
             if not record.rows:
                 self.forget(process, now)
--- a/passpier/routing/speed_sharing.py
+++ b/passpier/routing/speed_sharing.py
@@ -34,6 +34,9 @@
 ASSESS_INTERVAL = 1.0
 """Seconds between assessments of a pool, which take time in proportion to its size."""
 
+EXPIRY_INTERVAL = 4.0
+"""Seconds between checks for sums that are too old, which go through those of all senders."""
+
 GAP_STRIDE = 8
 """One in so many gaps between events is a sample, to limit the work per event."""
 
@@ -143,11 +146,14 @@
 
     async def run(self) -> None:
         """Send sums to peers and drop old ones until cancelled."""
+        expired_at = clocks.now()
         while True:
             await asyncio.sleep(INTERVAL)
             now = clocks.now()
-            for service in self._services.values():
-                service.estimator.expire(now)
+            if now - expired_at >= EXPIRY_INTERVAL:
+                expired_at = now
+                for service in self._services.values():
+                    service.estimator.expire(now)
             for name in list(self._services):
                 self._assess(name, now)
             self._send(now)
@@ -246,16 +252,16 @@
 
     def _collect(self, since: float, now: float) -> list[messages.SpeedRow]:
         """Return the rows with samples after `since`, other ones at each call if they are many."""
-        rows = [
-            _pack(process, sums)
+        listed = [
+            (service.estimator, process)
             for service in self._services.values()
-            for process, sums in service.estimator.list_own(since, now)
+            for process in service.estimator.list_own(since)
         ]
-        if len(rows) <= MAX_ROWS:
-            return rows
-        first = self._row_turn % len(rows)
-        self._row_turn = first + MAX_ROWS
-        return (rows + rows)[first : first + MAX_ROWS]
+        if len(listed) > MAX_ROWS:
+            first = self._row_turn % len(listed)
+            self._row_turn = first + MAX_ROWS
+            listed = (listed + listed)[first : first + MAX_ROWS]
+        return [_pack(process, known.read_own(process, now)) for known, process in listed]
 
     def _handle_speeds(self, sender: str, address: str, message: messages.ReplicaSpeeds) -> None:
         now = clocks.now()
--- a/passpier/tests/core/choice_tests.py
+++ b/passpier/tests/core/choice_tests.py
@@ -304,9 +304,9 @@
         """Tell all VMs the samples of the others, and set the speeds."""
         for vm in self.vms:
             for other in self.vms:
-                for process, sums in list(vm.estimator.list_own(now - 2.0, now)):
-                    if other is not vm:
-                        other.estimator.merge(vm.name, process, sums, now)
+                for process in vm.estimator.list_own(now - 2.0) if other is not vm else ():
+                    sums = vm.estimator.read_own(process, now)
+                    other.estimator.merge(vm.name, process, sums, now)
         for vm in self.vms:
             vm.estimator.assess(now)
             for known in vm.pool:
--- a/passpier/tests/core/speeds_tests.py
+++ b/passpier/tests/core/speeds_tests.py
@@ -39,8 +39,8 @@
                     vm.note_prefill(process, TOKENS, taken, now, taken)
         if step % 20 == 19:
             for number, vm in enumerate(vms[1:]):
-                for process, sums in vm.list_own(now - 2.0, now):
-                    vms[0].merge(f'vm-{number}', process, sums, now)
+                for process in vm.list_own(now - 2.0):
+                    vms[0].merge(f'vm-{number}', process, vm.read_own(process, now), now)
     vms[0].assess(seconds)
     return vms[0]
 
--- a/passpier/tests/routing/speed_sharing_tests.py
+++ b/passpier/tests/routing/speed_sharing_tests.py
@@ -237,7 +237,7 @@
     async def check(fleet: Fleet) -> None:
         await fleet.work(9.0)
         fleet.net.cut.update(list(fleet.net.links)[1:])
-        await asyncio.sleep(speeds.EXPIRY_SECONDS + speed_sharing.INTERVAL)
+        await asyncio.sleep(30.0)
         estimator = fleet.sharing[0]._services[SERVICE].estimator
         for process in estimator.list_processes():
             speed = estimator.estimate(process, clocks.now())
@@ -307,7 +307,8 @@
             for name in fleet.names:
                 fleet.run_prompt(0, name)
             await asyncio.sleep(2.0)
-        assert sum(s for s, _ in fleet.sent) / 10 < 5_500
+        # The last round may fall on either side of the end.
+        assert 1_500 < sum(s for s, _ in fleet.sent) / 10 < 3_700
         assert max(len(m.rows) for _, m in fleet.sent) <= speed_sharing.MAX_ROWS
         if size > speed_sharing.MAX_ROWS:
             assert {r.name for _, m in fleet.sent for r in m.rows} == set(fleet.names)
