--- a/passpier/routing/speed_sharing.py
+++ b/passpier/routing/speed_sharing.py
@@ -37,11 +37,9 @@
 EXPIRY_INTERVAL = 4.0
 """Seconds between checks for sums that are too old, which go through those of all senders."""
 
-GAP_STRIDE = 8
-"""One in so many gaps between events is a sample, to limit the work per event."""
-
-MIN_GAP = 0.001
-"""Seconds below which two events arrived together, so that their gap tells nothing."""
+GAP_STRIDE = 7
+"""One in so many gaps between events is a sample, to limit the work per event. A prime, as the
+samples of streams with a common number of events must not all be of the same event."""
 
 SLOWED_LOG_INTERVAL = 10.0
 """Minimum seconds between log lines on slowdowns in one service. Every replica may have one every
@@ -109,6 +107,10 @@
         self._row_turn = 0
         link.register_handler(messages.ReplicaSpeeds, self._handle_speeds)
 
+    def get_estimator(self, service: str) -> speeds.SpeedEstimator:
+        """Return the speeds of a service's replicas."""
+        return self._services[service].estimator
+
     def note_prefill(self, replica: replicas.Replica, sample: replicas.PrefillSample) -> None:
         """Add the prefill sample of an attempt."""
         service = self._find_service(replica)
@@ -125,13 +127,14 @@
         """Add a gap between two events of a stream, if it is to be sampled."""
         self._gaps += 1
         seconds = now - began_at
-        speed = replica.speed
+        usual = replica.speed.event_seconds if replica.speed is not None else 0.0
         # Only long gaps show a slowdown, and any gap may show its end.
-        is_checked = speed is not None and (
-            seconds >= speeds.SLOWED_GAP_RATIO * speed.event_seconds or now < replica.slowed_until
-        )
+        is_long = usual > 0 and seconds >= speeds.SLOWED_GAP_RATIO * usual
+        is_checked = is_long or now < replica.slowed_until
+        # Gaps near zero are samples as well: events may arrive together, late, and the mean of
+        # their gaps is that of the events.
         is_sample = not self._gaps % GAP_STRIDE
-        if not (is_sample or is_checked) or seconds < MIN_GAP:
+        if not (is_sample or is_checked):
             return
         service = self._find_service(replica)
         if service is None or replicas.has_prefill(replica, began_at, now):
