Replica speeds: bound of the deviations that the noise is learnt from

Cause: a single attempt that waited for a slot could raise the learnt noise for dozens of samples, during which an uneven pool would not be noticed. Change: the squared deviation of a sample counts for at most 1.

--- a/passpier/core/speeds.py
+++ b/passpier/core/speeds.py
@@ -190,7 +190,8 @@
         speed = self.estimate(process, now)
         if record is not None and speed is not None:
             expected = tokens * speed.seconds_per_token
-            deviation = (seconds / expected - 1) ** 2
+            # Bounded, as waiting for a slot may take many times as long.
+            deviation = min(1.0, (seconds / expected - 1) ** 2)
             self._noise += NOISE_LEARNING_RATE * (deviation - self._noise)
             if waited is not None and record.total.read(now).prefills >= MIN_SAMPLES:
                 self._compare(record, waited / expected, SLOWED_PREFILL_RATIO, now)
