--- a/passpier/core/separation.py
+++ b/passpier/core/separation.py
@@ -8,7 +8,6 @@
 
 import statistics
 from collections.abc import Sequence
-from typing import Protocol
 
 import msgspec
 
@@ -19,6 +18,7 @@
     rendezvous,
     replica_processes,
     replicas,
+    speeds,
 )
 
 PAUSED_SHARE_MIN = 0.02
@@ -66,18 +66,6 @@
 has room: their prefill pauses the streams that run there."""
 
 
-class Speed(Protocol):
-    """The measured speed of a replica."""
-
-    @property
-    def seconds_per_token(self) -> float:
-        """Prefill time per token."""
-
-    @property
-    def event_seconds(self) -> float:
-        """Time between two events of a stream, with no prefill in between."""
-
-
 class Separation(msgspec.Struct, frozen=True):
     """The partition of a pool."""
 
@@ -103,11 +91,6 @@
     """Fraction of the urgent streams with too long a pause."""
 
 
-class _LearntSpeed(msgspec.Struct, frozen=True):
-    seconds_per_token: float
-    event_seconds: float = 0.0
-
-
 def scale(picture: pool_demand.Picture, factor: float) -> pool_demand.Picture:
     """Return a picture with its rates multiplied."""
     rows = tuple(
@@ -123,15 +106,14 @@
     return msgspec.structs.replace(picture, priorities=rows)
 
 
-def get_speed(replica: replicas.Replica) -> Speed | None:
+def get_speed(replica: replicas.Replica) -> speeds.Speed | None:
     """Return the measured speed of a replica, or `None` before any measurement."""
-    speed: Speed | None = getattr(replica, 'speed', None)
-    if speed is not None:
-        return speed
+    if replica.speed is not None:
+        return replica.speed
     # The default is no measurement, and could call for a partition that isn't needed.
     if replica.seconds_per_token == replicas.DEFAULT_SECONDS_PER_TOKEN:
         return None
-    return _LearntSpeed(replica.seconds_per_token)
+    return speeds.Speed(replica.seconds_per_token, 0.0, 0.0)
 
 
 class Separator:
@@ -175,15 +157,15 @@
             self.assessment = Assessment(obstacle)
             self._number, self._lower_since, self._reserved = 0, None, {}
             return Separation()
-        speeds = {r.name: s for r in pool if (s := get_speed(r)) is not None}
+        known = {r.name: s for r in pool if (s := get_speed(r)) is not None}
         urgent, _ = self._split(picture)
         typical = max((d.longest_prefill for d in urgent), default=0.0)
-        ranked = self._rank(pool, speeds, typical, event_gap)
+        ranked = self._rank(pool, known, typical, event_gap)
         # Reserved replicas stay so, but the last in the order are the first to be released: sets of
         # VMs that differ converge with each change of the number.
         kept = [r for r in ranked if self._reserved.get(r.name) == r.process]
         ordered = kept + [r for r in ranked if self._reserved.get(r.name) != r.process]
-        self.assessment = self._assess(ordered, speeds, picture, event_gap)
+        self.assessment = self._assess(ordered, known, picture, event_gap)
         self._adjust(min(self.assessment.wanted, limit), now)
         self._number = min(self._number, limit)
         chosen = _cover_domains(ordered[: self._number], ranked)
@@ -227,17 +209,17 @@
     def _rank(
         self,
         pool: Sequence[replicas.Replica],
-        speeds: dict[str, Speed],
+        known: dict[str, speeds.Speed],
         typical: float,
         event_gap: float,
     ) -> list[replicas.Replica]:
         """Return the replicas in the order in which they are reserved."""
         slow = set()
-        if speeds:
-            limit = statistics.median(s.seconds_per_token for s in speeds.values())
+        if known:
+            limit = statistics.median(s.seconds_per_token for s in known.values())
             limit /= SLOW_SPEED_SHARE
             budget = event_gap * SLOW_TARGET_SHARE
-            for name, speed in speeds.items():
+            for name, speed in known.items():
                 seconds = typical * speed.seconds_per_token + speed.event_seconds
                 if speed.seconds_per_token > limit and seconds <= budget:
                     slow.add(name)
@@ -254,14 +236,14 @@
     def _assess(
         self,
         ordered: Sequence[replicas.Replica],
-        speeds: dict[str, Speed],
+        known: dict[str, speeds.Speed],
         picture: pool_demand.Picture,
         event_gap: float,
     ) -> Assessment:
         urgent, others = self._split(picture)
         other_prefill = max((d.longest_prefill for d in others), default=0.0)
-        slowest = max((s.seconds_per_token for s in speeds.values()), default=0.0)
-        event_seconds = max((s.event_seconds for s in speeds.values()), default=0.0)
+        slowest = max((s.seconds_per_token for s in known.values()), default=0.0)
+        event_seconds = max((s.event_seconds for s in known.values()), default=0.0)
         assessment = Assessment(
             'prefill pauses streams',
             slots=sum(d.request_rate * d.slot_seconds for d in urgent),
@@ -279,13 +261,13 @@
             reason = 'no urgent demand'
         elif assessment.urgent_prefill > other_prefill * SHORT_PROMPT_SHARE:
             reason = 'urgent prompts not short'
-        elif not speeds:
+        elif not known:
             reason = 'no speed known'
         elif assessment.pause <= event_gap and not is_paused and not is_kept:
             reason = 'pauses within the target'
         if reason:
             return msgspec.structs.replace(assessment, reason=reason)
-        wanted = _count_needed(ordered, speeds, assessment)
+        wanted = _count_needed(ordered, known, assessment)
         domains = len({r.failure_domain for r in ordered})
         return msgspec.structs.replace(assessment, wanted=max(wanted, domains))
 
@@ -316,14 +298,14 @@
 
 def _count_needed(
     ordered: Sequence[replicas.Replica],
-    speeds: dict[str, Speed],
+    known: dict[str, speeds.Speed],
     assessment: Assessment,
 ) -> int:
     """Return how many of the first replicas the urgent class needs."""
-    median = statistics.median(s.seconds_per_token for s in speeds.values())
+    median = statistics.median(s.seconds_per_token for s in known.values())
     slots = rate = 0.0
     for number, replica in enumerate(ordered, 1):
-        speed = speeds.get(replica.name)
+        speed = known.get(replica.name)
         slots += replica.slots * USED_SHARE
         rate += USED_SHARE / (speed.seconds_per_token if speed is not None else median)
         if slots >= assessment.slots and rate >= assessment.prefill_rate:
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -58,6 +58,7 @@
     rollouts,
     roster,
     sources,
+    speed_sharing,
     throttling,
     tunnel_server,
 )
@@ -268,6 +269,13 @@
         )
         if meter is not None:
             self.forwarder.on_stream_ended = meter.note_stream
+        self.speeds: speed_sharing.SpeedSharing | None = None
+        if features.Feature.REPLICA_SPEEDS in options.enabled_features:
+            self.speeds = speed_sharing.SpeedSharing(
+                self.pools, membership, self.peers, self.counters
+            )
+            self.forwarder.heads.on_prefill = self.speeds.note_prefill
+            self.forwarder.on_event_gap = self.speeds.note_event_gap
         self.ingress = ingress.Ingress(
             self.registry_state, self.forwarder, adapter.wire, self.counters, self.meter
         )
@@ -318,6 +326,8 @@
         ]
         if self.demand_sharing is not None:
             running.append(tasks.start(self.demand_sharing.run()))
+        if self.speeds is not None:
+            running.append(tasks.start(self.speeds.run()))
         try:
             await self._serve(servers)
         finally:
--- a/passpier/tests/core/choice_tests.py
+++ b/passpier/tests/core/choice_tests.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 
-from passpier.core import cache_view, choice, replicas
+from passpier.core import cache_view, choice, replicas, speeds
 
 CHAIN = list(range(1, 41))
 
@@ -195,3 +197,197 @@
     assert replicas.estimate_backlog(replica, 10.0 + 9000 * rate) >= least - 1
     replicas.note_first_token(replica, 'a', 10.5)
     assert replicas.estimate_backlog(replica, 10.5) < least
+
+
+RATE = 1 / 81_900
+"""Prefill time per token at the usual speed."""
+
+LONG = 9190
+PROMPTS = 2500
+UNEVEN = (0.6, 1.0, 1.6)
+
+
+class Vm:
+    """What one VM knows of the replicas."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.pool, self.cache = make_pool(30)
+        self.estimator = speeds.SpeedEstimator()
+        for replica in self.pool:
+            replica.seconds_per_token = RATE
+            replica.slots = 48
+            replica.room_seconds = 0.3
+
+
+class Load:
+    """Long prompts without a common prefix that nine VMs place on 30 replicas.
+
+    Each replica computes its prompts one after the other. The VMs tell each other their loads every
+    0.1 seconds, and their samples every 2 seconds if they use speeds.
+    """
+
+    def __init__(
+        self, relative: tuple[float, ...], use_speeds: bool, seed: int = 1, slowdowns: bool = False
+    ) -> None:
+        self.vms = [Vm(f'vm-{n}') for n in range(9)]
+        names = [r.name for r in self.vms[0].pool]
+        self.taken = {x: LONG * RATE / relative[n % len(relative)] for n, x in enumerate(names)}
+        self.use_speeds = use_speeds
+        self.rng = random.Random(seed)
+        self.phases = {x: self.rng.uniform(0, 4) for x in names} if slowdowns else {}
+        self.free_at = dict.fromkeys(names, 0.0)
+        self.waits: list[float] = []
+        """Seconds from the placement of each prompt to its first event."""
+
+        self.placed: list[str] = []
+
+    def run(self, utilization: float, prompts: int = PROMPTS) -> None:
+        """Place all prompts."""
+        now, shared_at, samples_sent_at = 0.0, 0.0, 0.0
+        interval = 1 / sum(1 / taken for taken in self.taken.values()) / utilization
+        running: list[tuple[float, int, Vm, replicas.Replica]] = []
+        policy = choice.CostPolicy()
+        for number in range(prompts):
+            now += self.rng.expovariate(1 / interval)
+            while running and running[0][0] <= now:
+                ended_at, attempt, vm, replica = heapq.heappop(running)
+                self.end(vm, replica, str(attempt), ended_at)
+            if now - shared_at >= 0.1:
+                shared_at = now
+                self.share_loads(now)
+            if now - samples_sent_at >= 2.0 and self.use_speeds:
+                samples_sent_at = now
+                self.share_samples(now)
+            vm = self.rng.choice(self.vms)
+            usable = [r for r in vm.pool if replicas.has_room(r, now)] or vm.pool
+            job = choice.Job([number], LONG, LONG)
+            chosen = choice.choose(job, usable, vm.cache, policy, now)
+            assert chosen is not None
+            replica = next(r for r in vm.pool if r.name == chosen.name)
+            replicas.begin_dispatch(replica, str(number), LONG, now)
+            ends_at = self.compute(replica.name, now)
+            heapq.heappush(running, (ends_at, number, vm, replica))
+            self.waits.append(ends_at - now)
+            self.placed.append(replica.name)
+
+    def compute(self, name: str, now: float) -> float:
+        """Return when a replica has computed another prompt."""
+        begins_at = max(now, self.free_at[name])
+        slowed = name in self.phases and (begins_at + self.phases[name]) % 4 < 0.6
+        self.free_at[name] = begins_at + self.taken[name] * (2.5 if slowed else 1)
+        return self.free_at[name]
+
+    def end(self, vm: Vm, replica: replicas.Replica, attempt: str, now: float) -> None:
+        """Learn from the first event of a prompt."""
+        sample = replicas.note_first_token(replica, attempt, now)
+        replicas.end_dispatch(replica, attempt, now)
+        if sample is None or not self.use_speeds:
+            return
+        process = replica.process
+        vm.estimator.note_prefill(process, sample.tokens, sample.seconds, now, sample.waited)
+        replica.slowed_until = vm.estimator.get_slowed_until(process)
+
+    def share_loads(self, now: float) -> None:
+        """Tell all VMs the loads of the others."""
+        for vm in self.vms:
+            for index, replica in enumerate(vm.pool):
+                load = replicas.PeerLoad(
+                    replicas.count_pending(replica, now), len(replica.dispatches), now
+                )
+                for other in self.vms:
+                    if other is not vm:
+                        other.pool[index].peers[vm.name] = load
+                        other.pool[index].peers_complete = True
+
+    def share_samples(self, now: float) -> None:
+        """Tell all VMs the samples of the others, and set the speeds."""
+        for vm in self.vms:
+            for other in self.vms:
+                for process in vm.estimator.list_own(now - 2.0) if other is not vm else ():
+                    sums = vm.estimator.read_own(process, now)
+                    other.estimator.merge(vm.name, process, sums, now)
+        for vm in self.vms:
+            vm.estimator.assess(now)
+            for known in vm.pool:
+                speed = vm.estimator.estimate(known.process, now)
+                known.speed = speed if vm.estimator.is_uneven else None
+
+
+def compute_late_share(load: Load) -> float:
+    """Return the share of prompts that take longer than two in a row at the slowest replicas."""
+    waits = load.waits[PROMPTS // 3 :]
+    return sum(w > 0.374 for w in waits) / len(waits)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_prompts_rarely_queue_at_slow_replicas(seed: int) -> None:
+    """Replicas of 0.6, 1 and 1.6 times the usual speed.
+
+    Two prompts in a row at the slowest ones, 374 ms, leave nothing of the pause that streams may
+    have. Without speeds, 5% of the prompts take longer.
+    """
+    load = Load(UNEVEN, use_speeds=True, seed=seed)
+    load.run(0.7)
+    assert compute_late_share(load) < 0.02
+    slow = sum(int(name[1:]) % 3 == 0 for name in load.placed[PROMPTS // 3 :])
+    # Their share of the pool's capacity is 0.19.
+    assert slow < 0.19 * PROMPTS * 2 / 3
+
+
+@pytest.mark.parametrize('slowdowns', [False, True])
+@pytest.mark.parametrize('seed', [1, 2])
+def test_nothing_changes_at_replicas_of_equal_speed(seed: int, slowdowns: bool) -> None:
+    """Guards against noise in the estimates, which would move prompts from their homes.
+
+    Slowdowns that affect all replicas alike must not count as a difference either.
+    """
+    before, after = (Load((1.0,), x, seed, slowdowns) for x in (False, True))
+    before.run(0.7)
+    after.run(0.7)
+    assert after.placed == before.placed
+
+
+def make_replica(rate: float) -> replicas.Replica:
+    replica = replicas.Replica('r', '', '', '', slots=48, seconds_per_token=RATE)
+    replica.room_seconds = 0.3
+    replica.speed = speeds.Speed(rate, 0.03, 20.0)
+    return replica
+
+
+@pytest.mark.parametrize('relative', UNEVEN)
+def test_the_queue_of_a_slow_replica_is_no_longer_in_seconds(relative: float) -> None:
+    """Guards against limits in tokens at the usual speed: 0.3 s are 0.5 s at a slow replica."""
+    replica = make_replica(RATE / relative)
+    queued = 0
+    while replicas.has_room(replica, 1.0):
+        replicas.begin_dispatch(replica, str(queued), 1000, 1.0)
+        queued += 1
+    assert queued * 1000 * RATE / relative == pytest.approx(0.3, abs=1000 * RATE / relative)
+
+
+def test_a_slowed_replica_counts_with_twice_its_time_per_token() -> None:
+    """A replica that turns 2.5 times slower for 0.6 s and back."""
+    replica = make_replica(RATE)
+    replica.slowed_until = 1.6
+    assert choice.get_rate(replica, RATE * 5, 1.5) == 2 * RATE
+    assert choice.get_rate(replica, RATE * 5, 1.6) == RATE
+    replicas.begin_dispatch(replica, 'a', 15_000, 1.0)
+    assert not replicas.has_room(replica, 1.0)
+    assert replicas.has_room(replica, 1.6)
+
+
+def test_gaps_count_only_while_no_prefill_is_known_to_run() -> None:
+    replica = replicas.Replica('r', '', '', '')
+    assert not replicas.has_prefill(replica, 1.0, 1.1)
+    replicas.begin_dispatch(replica, 'a', LONG, 1.0)
+    assert replicas.has_prefill(replica, 1.05, 1.1)
+    replicas.note_first_token(replica, 'a', 1.2)
+    assert replicas.has_prefill(replica, 1.1, 1.3)
+    assert not replicas.has_prefill(replica, 1.25, 1.3)
+    replica.peers['x'] = replicas.PeerLoad((0, LONG, 0, 0), 1, 1.3)
+    assert replicas.has_prefill(replica, 1.4, 1.5)
+    assert not replicas.has_prefill(replica, 3.4, 3.5), 'the peer may have failed'
+    replica.peers['x'] = replicas.PeerLoad((0, 0, 0, 0), 1, 4.0)
+    assert replicas.has_prefill(replica, 3.9, 4.1), 'its prefill may just have ended'
+    assert not replicas.has_prefill(replica, 4.05, 4.1)
--- a/passpier/tests/core/separation_tests.py
+++ b/passpier/tests/core/separation_tests.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 
-from passpier.core import choice, pool_demand, replicas, separation
+from passpier.core import choice, pool_demand, replicas, separation, speeds
 
 GAP = 0.4
 SPEEDS = (0.6, 1.0, 1.6)
@@ -21,15 +21,6 @@
 SHORT = choice.Job([], 64, 826, priority=0)
 
 
-class Speed(msgspec.Struct):
-    seconds_per_token: float
-    event_seconds: float
-
-
-class Replica(replicas.Replica):
-    speed: Speed | None = None
-
-
 def make_picture(*priorities: pool_demand.PriorityDemand, vms: int = 9) -> pool_demand.Picture:
     return pool_demand.Picture(priorities, vms=vms, age=0.3)
 
@@ -57,14 +48,14 @@
     size: int = 30,
     rate: float = 81_900,
     slots: int = 48,
-    speeds: tuple[float, ...] = SPEEDS,
+    factors: tuple[float, ...] = SPEEDS,
     step: float = 0.026,
 ) -> list[replicas.Replica]:
     pool: list[replicas.Replica] = []
     for n in range(size):
-        speed = speeds[n // 3 % len(speeds)]
-        replica = Replica(f'r{n:02}', '', '', f'd{n % 3}', slots=slots)
-        replica.speed = Speed(1 / rate / speed, step / speed)
+        speed = factors[n // 3 % len(factors)]
+        replica = replicas.Replica(f'r{n:02}', '', '', f'd{n % 3}', slots=slots)
+        replica.speed = speeds.Speed(1 / rate / speed, step / speed, 10.0)
         pool.append(replica)
     return pool
 
@@ -154,9 +145,9 @@
     for tick in range(240):
         common = rng.uniform(0.8, 1.1) if tick else 1.1
         for number, replica in enumerate(pool):
-            assert isinstance(replica, Replica)
             usual = 1 / 81_900 / SPEEDS[number // 3 % 3]
-            replica.speed = Speed(usual * common * rng.uniform(0.95, 1.05), 0.026)
+            own = usual * common * rng.uniform(0.95, 1.05)
+            replica.speed = speeds.Speed(own, 0.026, 10.0)
         picture = make_tests_picture(rng.uniform(0.9, 1.1))
         sets.append(separator.divide(pool, picture, GAP, tick * 0.25).reserved)
     assert all(sets)
