Admission: room at replicas by priority, and a queue that places past blocked priorities

Cause: a replica's queue filled by digests left no room for a member query although the replica would have served the query first, and a round of placements ended at the first queued request without room. The queue is searched by priority: one without room blocks itself and less urgent ones for the round, and at most 8 requests of a priority are tried although their candidates have no room. Every tenth request taken while others wait behind it is a less urgent one, which uses the room of the most urgent. Without the feature, and in passpierd, the dispatcher is as before. The platform test that patches `replicas.has_room` takes the new argument.

--- a/passpier/core/admission.py
+++ b/passpier/core/admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from typing import Generic, TypeVar
 
 import msgspec
@@ -31,6 +31,12 @@
     deadline: float
     """Time at which the first token is due."""
 
+    returned: bool = False
+    """Whether the request was refused before; it precedes others of its account and priority."""
+
+    overtaken: bool = False
+    """Whether it was taken because more urgent tickets had overtaken it; see `FairQueue.take`."""
+
 
 class _AccountQueue(Generic[T]):
     """One account's tickets by priority, with its deficit counter."""
@@ -46,19 +52,27 @@
             yield from tickets
 
     def put(self, ticket: Ticket[T]) -> None:
-        self.classes.setdefault(ticket.priority, collections.deque()).append(ticket)
-
-    def get_next(self) -> Ticket[T]:
+        tickets = self.classes.setdefault(ticket.priority, collections.deque())
+        if not ticket.returned:
+            tickets.append(ticket)
+            return
+        place = next((n for n, t in enumerate(tickets) if not t.returned), len(tickets))
+        tickets.insert(place, ticket)
+
+    def has_other_than(self, blocked: Collection[int]) -> bool:
+        return any(priority not in blocked for priority in self.classes)
+
+    def get_next(self, blocked: Collection[int] | None) -> Ticket[T]:
+        if blocked is not None:
+            return self.classes[min(p for p in self.classes if p not in blocked)][0]
         starving = (self.taken + 1) % STARVATION_INTERVAL == 0
         return self.classes[max(self.classes) if starving else min(self.classes)][0]
 
-    def pop_next(self) -> Ticket[T]:
-        ticket = self.get_next()
+    def pop(self, ticket: Ticket[T]) -> None:
         self.taken += 1
         self.deficit -= ticket.tokens
-        self.classes[ticket.priority].popleft()
+        self.classes[ticket.priority].remove(ticket)
         self._drop_empty(ticket.priority)
-        return ticket
 
     def remove(self, matches: Callable[[Ticket[T]], bool]) -> list[Ticket[T]]:
         removed = [t for t in self if matches(t)]
@@ -81,8 +95,11 @@
     """
 
     def __init__(self) -> None:
+        self.quantum = QUANTUM
         self._queues: dict[str, _AccountQueue[T]] = {}
         self._size = 0
+        self._overtakings = 0
+        """Tickets taken since the last overtaken one while less urgent ones waited."""
 
     def __len__(self) -> int:
         return self._size
@@ -104,20 +121,41 @@
         queue = self._queues[ticket.account]
         queue.deficit += ticket.tokens
         queue.taken -= 1
-
-    def take(self) -> Ticket[T] | None:
-        """Remove and return the next ticket, or `None` if the queue is empty."""
-        if not self._size:
+        if ticket.overtaken:
+            ticket.overtaken = False
+            self._overtakings = STARVATION_INTERVAL - 1
+        elif self._has_less_urgent(ticket.priority):
+            self._overtakings = max(0, self._overtakings - 1)
+
+    def take(self, blocked: Collection[int] | None = None) -> Ticket[T] | None:
+        """Remove and return the next ticket, or `None` if there is none.
+
+        `blocked` lists priorities for which no replica has room. With it, more urgent requests may
+        find room while less urgent ones find none. So every tenth ticket is then the less urgent
+        one with the earliest deadline, in whichever account, and `overtaken` is set.
+        """
+        if blocked is not None and self._overtakings >= STARVATION_INTERVAL - 1:
+            overtaken = self._find_overtaken()
+            if overtaken is not None:
+                self._overtakings = 0
+                overtaken.overtaken = True
+                return self._pop(overtaken)
+        accounts = [a for a, q in self._queues.items() if q.has_other_than(blocked or ())]
+        if not accounts:
             return None
-        if not self._list_eligible():
-            self._grant_quanta()
-        account = min(self._list_eligible(), key=lambda a: self._queues[a].get_next().priority)
-        ticket = self._queues[account].pop_next()
-        self._size -= 1
-        if not self._queues[account].classes:
-            del self._queues[account]
+        if not self._list_eligible(accounts, blocked):
+            self._grant_quanta(accounts, blocked)
+        eligible = self._list_eligible(accounts, blocked)
+        account = min(eligible, key=lambda a: self._queues[a].get_next(blocked).priority)
+        ticket = self._pop(self._queues[account].get_next(blocked))
+        if blocked is not None and self._has_less_urgent(ticket.priority):
+            self._overtakings += 1
         return ticket
 
+    def has_as_urgent(self, priority: int) -> bool:
+        """Return whether a ticket of the same or a more urgent priority waits."""
+        return any(min(queue.classes) <= priority for queue in self._queues.values())
+
     def remove(self, matches: Callable[[Ticket[T]], bool]) -> list[Ticket[T]]:
         """Remove and return all tickets that match the predicate."""
         removed = []
@@ -132,33 +170,59 @@
         """Return whether an account has tickets waiting, so that its demand exceeds its share."""
         return account in self._queues
 
-    def count_ahead(self, account: str, weight: int, priority: int, tokens: int) -> int:
+    def count_ahead(
+        self, account: str, weight: int, priority: int, tokens: int, by_priority: bool = False
+    ) -> int:
         """Return the tokens that are served before a new ticket of this account and priority.
 
         These are the account's own tickets that are at least as urgent, and of each other account
-        at most its fair share during the time in which the own tickets are served.
+        at most its fair share during the time in which the own tickets are served. With
+        `by_priority`, for queues taken from with `blocked`, less urgent ones don't count.
         """
+        least_urgent = priority if by_priority else float('inf')
         own = tokens
         if account in self._queues:
             own += sum(t.tokens for t in self._queues[account] if t.priority <= priority)
         ahead = own - tokens
         for name, queue in self._queues.items():
             if name != account:
-                share = own * queue.weight // weight + QUANTUM
-                ahead += min(share, sum(t.tokens for t in queue))
+                share = own * queue.weight // weight + self.quantum
+                waiting = sum(t.tokens for t in queue if t.priority <= least_urgent)
+                ahead += min(share, waiting)
         return ahead
 
-    def _list_eligible(self) -> list[str]:
-        return [a for a, queue in self._queues.items() if queue.deficit >= queue.get_next().tokens]
+    def _pop(self, ticket: Ticket[T]) -> Ticket[T]:
+        queue = self._queues[ticket.account]
+        queue.pop(ticket)
+        self._size -= 1
+        if not queue.classes:
+            del self._queues[ticket.account]
+        return ticket
+
+    def _has_less_urgent(self, priority: int) -> bool:
+        return any(max(queue.classes) > priority for queue in self._queues.values())
 
-    def _grant_quanta(self) -> None:
-        """Grant quanta to all accounts until at least one has enough for its next ticket."""
+    def _find_overtaken(self) -> Ticket[T] | None:
+        """Return the ticket with the earliest deadline but those of the most urgent priority."""
+        most_urgent = min((min(q.classes) for q in self._queues.values()), default=0)
+        others = (t for queue in self._queues.values() for t in queue if t.priority > most_urgent)
+        return min(others, key=lambda t: t.deadline, default=None)
+
+    def _list_eligible(
+        self, accounts: Collection[str], blocked: Collection[int] | None
+    ) -> list[str]:
+        queues = self._queues
+        return [a for a in accounts if queues[a].deficit >= queues[a].get_next(blocked).tokens]
+
+    def _grant_quanta(self, accounts: Collection[str], blocked: Collection[int] | None) -> None:
+        """Grant quanta to these accounts until at least one has enough for its next ticket."""
+        queues = [self._queues[a] for a in accounts]
         rounds = min(
-            -(-(queue.get_next().tokens - queue.deficit) // (QUANTUM * queue.weight))
-            for queue in self._queues.values()
+            -(-(queue.get_next(blocked).tokens - queue.deficit) // (self.quantum * queue.weight))
+            for queue in queues
         )
-        for queue in self._queues.values():
-            queue.deficit += QUANTUM * queue.weight * rounds
+        for queue in queues:
+            queue.deficit += self.quantum * queue.weight * rounds
 
 
 def predict_wait(ahead_tokens: int, tokens_per_second: float) -> float:
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -199,7 +199,12 @@
         # A brittle replica may let fewer requests wait, or none.
         risky = _is_risky(replica, running, now)
         return running < replica.slots and (not risky or replica.refusals.has_token(now))
-    return running < replica.slots + max(1, int(replica.slots * QUEUE_PER_SLOT))
+    return running < replica.slots + count_queue_places(replica)
+
+
+def count_queue_places(replica: Replica) -> int:
+    """Return how many requests may be queued at a replica that isn't brittle."""
+    return max(1, int(replica.slots * QUEUE_PER_SLOT))
 
 
 def _is_risky(replica: Replica, running: int, now: float) -> bool:
@@ -210,19 +215,23 @@
     return waits or running >= replica.slots * refusals.ROOM_SHARE
 
 
-def has_room(replica: Replica, now: float) -> bool:
-    """Return whether the queue at a replica is short enough to send another request now."""
+def has_room(replica: Replica, now: float, priority: int = LEAST_URGENT) -> bool:
+    """Return whether the queue at a replica is short enough to send another request now.
+
+    Only queued requests of the same and more urgent priorities count.
+    """
     if not is_open(replica, now):
         return False
     # The allowed queue is divided among the daemons that use the replica: a daemon with running
     # requests is the first to learn that one has ended, and would otherwise keep the whole queue
     # for as long as it has requests waiting.
     sharers = 1 + sum(p.running > 0 for p in _list_peers(replica, now))
-    own = sum(count_pending(replica, now)) * replica.seconds_per_token
+    own = sum(count_pending(replica, now)[: priority + 1]) * replica.seconds_per_token
     if own >= replica.room_seconds / sharers:
         return False
     # The total is checked as well, as one request per daemon may already exceed it.
-    return estimate_backlog(replica, now) * replica.seconds_per_token < replica.room_seconds
+    backlog = estimate_backlog(replica, now, priority)
+    return backlog * replica.seconds_per_token < replica.room_seconds
 
 
 def begin_dispatch(
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from passpier import clocks, exceptions
-from passpier.core import admission, cache_view, choice, replicas
+from passpier.core import admission, admission_policy, cache_view, choice, replicas
 from passpier.daemon import calls, metrics
 
 log = logging.getLogger(__name__)
@@ -28,6 +28,11 @@
 MAX_LOGGED_CANDIDATES = 5
 """Maximum number of candidates in the log line of a decision, which also has the total count."""
 
+MAX_UNPLACED = 8
+"""Queued requests of a priority that may find no candidate with room in one round although a
+replica has room. They may exclude replicas or need more memory than others, but a long queue must
+not cost a selection of candidates per request and round."""
+
 RATE_SHARE = 0.05
 """Weight of a new sample in the moving average of the drain rate."""
 
@@ -130,6 +135,9 @@
         """Applied in order; each gets the candidates of the one before."""
 
         self.observers: list[PlacementObserver] = []
+        self.admission: admission_policy.Admission | None = None
+        """Decides for which priorities replicas have room, and who is refused; if none, requests
+        queue regardless of the priorities at the replicas."""
 
     async def place(
         self,
@@ -147,7 +155,9 @@
         waiting = _QueuedAttempt(
             call, tuple(exclude), allowed, attempt, asyncio.get_running_loop().create_future()
         )
-        if not len(pool.queue):
+        if self.admission is not None:
+            self.admission.note_arrival(call.service.pool, call.service.priority, clocks.now())
+        if not self._has_precedence(pool, call):
             placed = self._try_place(waiting)
             if placed is not None:
                 return placed
@@ -226,8 +236,30 @@
         if isinstance(placed, Placement):
             self.end(placed)
 
+    def _has_precedence(self, pool: _Pool, call: calls.Call) -> bool:
+        """Return whether queued requests are placed before a new one."""
+        if self.admission is None:
+            return len(pool.queue) > 0
+        return pool.queue.has_as_urgent(call.service.priority)
+
+    def _list_open(
+        self, usable: Sequence[replicas.Replica], service: str, priority: int, now: float
+    ) -> list[replicas.Replica]:
+        if self.admission is None:
+            return [r for r in usable if replicas.is_open(r, now)]
+        most_urgent = self.admission.get_most_urgent(service, now)
+        return [r for r in usable if admission_policy.is_open(r, now, priority, most_urgent)]
+
+    def _any_has_room(
+        self, available: Sequence[replicas.Replica], service: str, priority: int, now: float
+    ) -> bool:
+        if self.admission is None:
+            return any(replicas.has_room(r, now) for r in available)
+        most_urgent = self.admission.get_most_urgent(service, now)
+        return any(admission_policy.has_room(r, now, priority, most_urgent) for r in available)
+
     def _try_place(
-        self, waiting: _QueuedAttempt, queued: bool = False
+        self, waiting: _QueuedAttempt, queued: bool = False, priority: int | None = None
     ) -> Placement | exceptions.Failure | None:
         call = waiting.call
         usable = self._list_usable(waiting)
@@ -238,7 +270,7 @@
             )
             self._log_refusal(call, refusal)
             return refusal
-        return self._place_on(call, waiting.attempt, usable, clocks.now(), queued)
+        return self._place_on(call, waiting.attempt, usable, clocks.now(), queued, priority)
 
     def _place_on(
         self,
@@ -247,13 +279,20 @@
         usable: Sequence[replicas.Replica],
         now: float,
         queued: bool = False,
+        room_priority: int | None = None,
     ) -> Placement | None:
-        """Place an attempt on one of the usable replicas, unless no candidate has room."""
-        available: Sequence[replicas.Replica] = [r for r in usable if replicas.is_open(r, now)]
+        """Place an attempt on one of the usable replicas, unless no candidate has room.
+
+        `room_priority` is the priority for which there has to be room, if it isn't its own.
+        """
+        pool, priority = call.service.pool, call.service.priority
+        if room_priority is None:
+            room_priority = priority
+        available: Sequence[replicas.Replica] = self._list_open(usable, pool, room_priority, now)
         for candidate_filter in self.filters:
             available = candidate_filter.select(call, available, now)
         # While the pool has capacity, a busy replica that has the prefix cached may be the best.
-        if not any(replicas.has_room(r, now) for r in available):
+        if not self._any_has_room(available, pool, room_priority, now):
             return None
         chosen = choice.choose(
             call.job, available, self._upstreams.cache, self._policies[call.policy], now
@@ -261,7 +300,6 @@
         if chosen is None:
             return None
         replica = self._upstreams.get(chosen.name)
-        priority = call.service.priority
         replicas.begin_dispatch(replica, attempt, chosen.miss_tokens, now, priority)
         self._log_choice(call, attempt, chosen, now)
         self._count_waste(call, chosen)
@@ -306,7 +344,11 @@
         """Refuse a call if its predicted wait exceeds its deadline or the queue is full."""
         tokens = call.job.prompt_tokens
         ahead = pool.queue.count_ahead(
-            call.account.name, call.account.weight, call.service.priority, tokens
+            call.account.name,
+            call.account.weight,
+            call.service.priority,
+            tokens,
+            self.admission is not None,
         )
         wait = admission.predict_wait(ahead, self._get_rate(pool, call)) if ahead else 0.0
         overdue = clocks.now() + wait - call.deadline
@@ -350,6 +392,9 @@
         self._counters.queued.set({'pool': name}, 0)
 
     def _place_queued(self, name: str, pool: _Pool) -> None:
+        if self.admission is not None:
+            self._place_by_priority(name, pool, self.admission)
+            return
         blocked = []
         while len(pool.queue):
             now = clocks.now()
@@ -370,6 +415,37 @@
         for ticket in blocked:
             pool.queue.put_back(ticket)
 
+    def _place_by_priority(
+        self, name: str, pool: _Pool, policy: admission_policy.Admission
+    ) -> None:
+        """Place queued requests until nothing has room for any of their priorities."""
+        blocked: set[int] = set()
+        unplaced: list[admission.Ticket[_QueuedAttempt]] = []
+        tries: collections.Counter[int] = collections.Counter()
+        serving = self._upstreams.list_serving(name)
+        while (ticket := pool.queue.take(blocked)) is not None:
+            if ticket.item.result.done():
+                continue
+            now = clocks.now()
+            most_urgent = policy.get_most_urgent(name, now)
+            priority = most_urgent if ticket.overtaken else ticket.priority
+            if serving and not self._any_has_room(serving, name, priority, now):
+                # What has no room for a priority has none for less urgent ones either.
+                blocked.update(range(priority, replicas.LEAST_URGENT + 1))
+                unplaced.append(ticket)
+                continue
+            placed = self._try_place(ticket.item, queued=True, priority=priority)
+            if placed is None:
+                tries[ticket.priority] += 1
+                if tries[ticket.priority] >= MAX_UNPLACED:
+                    blocked.add(ticket.priority)
+                unplaced.append(ticket)
+                continue
+            self._update_rate(pool, ticket.tokens)
+            ticket.item.result.set_result(placed)
+        for ticket in unplaced:
+            pool.queue.put_back(ticket)
+
     def _update_rate(self, pool: _Pool, tokens: int) -> None:
         now = clocks.now()
         sample = tokens / max(now - pool.last_placed_at, 1e-3)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -15,7 +15,16 @@
 
 from passpier import clocks
 from passpier.clients import connections, registry
-from passpier.core import backpressure, drain, members, rates, replica_processes, replicas
+from passpier.core import (
+    admission_policy,
+    backpressure,
+    drain,
+    features,
+    members,
+    rates,
+    replica_processes,
+    replicas,
+)
 from passpier.daemon import (
     dispatcher,
     loads,
@@ -211,6 +220,8 @@
         self.peers.register_handler(messages.ReplicaLeaving, self._handle_replica_leaving)
         # Routing decisions can't be queried from this process, they are only logged.
         request_dispatcher = dispatcher.Dispatcher(self.pools, self.counters, rng, decisions_kept=0)
+        if features.Feature.ADMISSION in options.enabled_features:
+            request_dispatcher.admission = admission_policy.Admission()
         self.forwarder = forwarding.Forwarder(
             self.registry_state,
             request_dispatcher,
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -13,7 +13,7 @@
 from passpier import clocks, exceptions
 from passpier.clients import engines, web
 from passpier.config import declarations
-from passpier.core import attempts, choice, replicas
+from passpier.core import admission, admission_policy, attempts, choice, replicas
 from passpier.daemon import calls, dispatcher, metrics, upstreams
 from passpier.standins import virtual_time
 
@@ -34,9 +34,13 @@
     return dispatcher.Dispatcher(pools, metrics.Metrics(), random.Random(1)), replica
 
 
-def make_call(id: str, deadline_ms: int = 20_000) -> calls.Call:
-    account = declarations.Account(name='a', key_digests=())
-    service = declarations.Service(name='s', model='m', pool='p', deadline_ms=deadline_ms)
+def make_call(
+    id: str, deadline_ms: int = 20_000, priority: int = 1, account_name: str = 'a'
+) -> calls.Call:
+    account = declarations.Account(name=account_name, key_digests=())
+    service = declarations.Service(
+        name='s', model='m', pool='p', priority=priority, deadline_ms=deadline_ms
+    )
     call = calls.Call(
         id, account, service, '', 'cost', clocks.now(), attempts.RequestProgress(True)
     )
@@ -266,3 +270,135 @@
         assert placed.replica.name == 'g'
 
     virtual_time.run(run())
+
+
+DIGEST_TOKENS = 9_190
+QUERY_TOKENS = 826
+"""Prompts of the licences: a digest (priority 2) and a member query (priority 0)."""
+
+
+def make_licences() -> tuple[dispatcher.Dispatcher, replicas.Replica]:
+    """Return a dispatcher with the admission policy and a replica as the licences have them."""
+    call_dispatcher, replica = make_dispatcher()
+    call_dispatcher.admission = admission_policy.Admission()
+    replica.slots = 16
+    replica.room_seconds = 0.3
+    replica.seconds_per_token = 1 / 50_700
+    return call_dispatcher, replica
+
+
+def make_digest(id: str, account: str = 'a', deadline_ms: int = 517) -> calls.Call:
+    call = make_call(id, deadline_ms, 2, account)
+    call.job = choice.Job([], 64, DIGEST_TOKENS, priority=2)
+    return call
+
+
+def make_query(id: str, account: str = 'a', deadline_ms: int = 132) -> calls.Call:
+    call = make_call(id, deadline_ms, 0, account)
+    call.job = choice.Job([], 64, QUERY_TOKENS, priority=0)
+    return call
+
+
+async def start(
+    call_dispatcher: dispatcher.Dispatcher, placed_calls: Sequence[calls.Call]
+) -> list[asyncio.Task[dispatcher.Placement | exceptions.Failure]]:
+    """Start the placements of calls and return them once those with room are placed."""
+    started = [asyncio.ensure_future(call_dispatcher.place(c, c.id)) for c in placed_calls]
+    await asyncio.sleep(0)
+    return started
+
+
+async def cancel(
+    started: Sequence[asyncio.Task[dispatcher.Placement | exceptions.Failure]],
+) -> None:
+    for task in started:
+        task.cancel()
+    await asyncio.gather(*started, return_exceptions=True)
+
+
+def test_a_query_is_placed_past_digests_that_wait(virtual_clock: None) -> None:
+    """Digests in a burst (2.1 times 76 requests/s) fill a replica's queue, and more wait here.
+
+    Queries used to be refused: they waited for the digests at the replica and at the VM.
+    """
+
+    async def run() -> None:
+        call_dispatcher, _ = make_licences()
+        digests = await start(call_dispatcher, [make_digest(f'd{n}') for n in range(6)])
+        assert call_dispatcher.count_queued() > 0
+        (query,) = await start(call_dispatcher, [make_query('q')])
+        assert isinstance(query.result(), dispatcher.Placement)
+        await cancel(digests)
+
+    virtual_time.run(run())
+
+
+def test_a_queued_query_is_placed_although_the_next_digest_has_no_room(
+    virtual_clock: None,
+) -> None:
+    """Guards against a round that ends at the first queued request without room."""
+
+    async def run() -> None:
+        call_dispatcher, replica = make_licences()
+        replica.paused_until = clocks.now() + 0.05
+        waiting = [make_digest(f'd{n}', f'a{n}') for n in range(6)]
+        digests = await start(call_dispatcher, waiting)
+        queries = await start(call_dispatcher, [make_query(f'q{n}') for n in range(3)])
+        await asyncio.sleep(0.08)
+        assert all(isinstance(q.result(), dispatcher.Placement) for q in queries)
+        assert any(not d.done() for d in digests)
+        await cancel(digests)
+
+    virtual_time.run(run())
+
+
+def test_digests_have_turns_while_queries_never_stop(virtual_clock: None) -> None:
+    """Guards against starvation: queries take the room before there is any for a digest."""
+
+    async def run() -> None:
+        call_dispatcher, replica = make_licences()
+        replica.slots = 1
+        queries = await start(
+            call_dispatcher, [make_query(f'q{n}', f'a{n % 3}', 30_000) for n in range(60)]
+        )
+        digests = await start(call_dispatcher, [make_digest('d', 'other', 30_000)])
+        count = 0
+        while not digests[0].done():
+            count += 1
+            (done, *_) = [q for q in queries if q.done()]
+            queries.remove(done)
+            placed = done.result()
+            assert isinstance(placed, dispatcher.Placement)
+            call_dispatcher.end(placed)
+            await asyncio.sleep(0.02)
+        assert admission.STARVATION_INTERVAL - 2 <= count <= 2 * admission.STARVATION_INTERVAL
+        await cancel([*queries, *digests])
+
+    virtual_time.run(run())
+
+
+def test_a_long_queue_costs_no_selection_per_request(virtual_clock: None) -> None:
+    """Nine VMs wait for one pool with long queues: guards against a selection per request."""
+
+    class Counting:
+        selections = 0
+
+        def select(
+            self, call: calls.Call, available: Sequence[replicas.Replica], now: float
+        ) -> Sequence[replicas.Replica]:
+            self.selections += 1
+            return []
+
+    async def run() -> None:
+        call_dispatcher, _ = make_licences()
+        counting = Counting()
+        call_dispatcher.filters.append(counting)
+        digests = await start(
+            call_dispatcher, [make_digest(f'd{n}', deadline_ms=30_000) for n in range(300)]
+        )
+        counting.selections = 0
+        await asyncio.sleep(10 * dispatcher.QUEUE_CHECK_INTERVAL)
+        assert counting.selections <= 11 * dispatcher.MAX_UNPLACED
+        await cancel(digests)
+
+    virtual_time.run(run())
--- a/passpier/tests/platform/single_requests_tests.py
+++ b/passpier/tests/platform/single_requests_tests.py
@@ -144,10 +144,13 @@
     has_room = replicas.has_room
     first_at: list[float] = []
 
-    def has_room_later(replica: replicas.Replica, now: float) -> bool:
+    def has_room_later(replica: replicas.Replica, now: float, *priority: int) -> bool:
         if not first_at:
             first_at.append(now)
-        return has_room(replica, now) and not 0.0 < now - first_at[0] < SECONDS_WITHOUT_CAPACITY
+        return (
+            has_room(replica, now, *priority)
+            and not 0.0 < now - first_at[0] < SECONDS_WITHOUT_CAPACITY
+        )
 
     async def check(running: deployment.Deployment) -> None:
         await running.wait_settled()
