Admission: expected waits, refusals and fair shares from the demand of all VMs

Cause: each VM refused by the length of its own queue, which says little with one of nine to 91 VMs in front of a pool, and told clients to return after the time by which they would have been late, at which they met the same queue. Requests whose first event would be late are refused with a return time after those given out before, by the schedule that accounts' limits use, with a third instead of three quarters of the client's time as its limit. Returned requests are recognised and not refused again if they can be served within their deadline. An account with over twice its fair share of the waiting tokens is refused at half the permitted wait.

--- a/passpier/core/retry_schedule.py
+++ b/passpier/core/retry_schedule.py
@@ -14,9 +14,13 @@
 
 
 class RetrySchedule:
-    """Scheduled retries of refused clients by account."""
+    """Scheduled retries of refused clients by account, or by another key.
 
-    def __init__(self) -> None:
+    `max_wait_share` is the maximum scheduled wait as a share of the client's remaining timeout.
+    """
+
+    def __init__(self, max_wait_share: float = MAX_WAIT_SHARE) -> None:
+        self._max_wait_share = max_wait_share
         self._reserved_until: dict[str, float] = {}
 
     def schedule(
@@ -38,7 +42,7 @@
             return available_in
         slot_start = max(now, self._reserved_until.get(account, now))
         slot_wait = slot_start - now + cost / per_second if per_second else client_timeout
-        max_wait = client_timeout * MAX_WAIT_SHARE
+        max_wait = client_timeout * self._max_wait_share
         if slot_wait > max_wait:
             # It retries as late as possible without reserving any units.
             return max(available_in, max_wait)
--- a/passpier/tests/core/admission_policy_tests.py
+++ b/passpier/tests/core/admission_policy_tests.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from passpier.core import admission_policy, replicas
+import msgspec
+import pytest
+
+from passpier.core import admission_policy, refusal_schedule, replicas
+from passpier.tests import fakes
 
 DIGEST = 2
 QUERY = 0
@@ -51,3 +55,142 @@
     while admission_policy.has_room(replica, 0.0, 2, most_urgent=2):
         replicas.begin_dispatch(replica, f'{len(replica.dispatches)}', 0, 0.0, 2)
     assert len(replica.dispatches) == 6 + 3
+
+
+NOTHING = fakes.PriorityDemand()
+RATE = 100_000.0
+"""Tokens that the pool places per second."""
+
+QUERY_DEMAND = admission_policy.Demand(
+    's', 'a', 1, QUERY, 826, 10.132, 10.265, 25.9, 0.01, 0, RATE, RATE
+)
+DIGEST_DEMAND = admission_policy.Demand(
+    's', 'a', 1, DIGEST, DIGEST_TOKENS, 10.517, 11.035, 15.176, 0.2, 0, RATE, RATE
+)
+"""A member query and a digest that arrive at 10 s."""
+
+
+def make_picture(
+    queries: int = 0, digests: int = 0, accounts: dict[str, int] | None = None, age: float = 0.2
+) -> fakes.Picture:
+    """Return the demand with these waiting tokens."""
+    return fakes.Picture(
+        (
+            fakes.PriorityDemand(queries // 826, queries, RATE if queries else 0.0),
+            NOTHING,
+            fakes.PriorityDemand(digests // DIGEST_TOKENS, digests, RATE if digests else 0.0),
+        ),
+        {'a': queries + digests} if accounts is None else accounts,
+        age=age,
+    )
+
+
+def assess(
+    demand: admission_policy.Demand, picture: fakes.Picture | None
+) -> admission_policy.Verdict:
+    return admission_policy.Admission().assess(demand, picture, 10.0)
+
+
+def is_refused(demand: admission_policy.Demand, picture: fakes.Picture | None) -> bool:
+    return assess(demand, picture).action is admission_policy.Action.REFUSE
+
+
+def test_digests_that_wait_delay_no_query() -> None:
+    """A burst of digests, 2 s of work: digests are refused at once, queries are not."""
+    picture = make_picture(digests=200_000)
+    refused = assess(DIGEST_DEMAND, picture)
+    assert refused.reason is admission_policy.Reason.OBJECTIVE
+    assert refused.estimate.wait == pytest.approx(2.0)
+    assert not is_refused(QUERY_DEMAND, picture)
+    assert is_refused(QUERY_DEMAND, make_picture(queries=200_000))
+
+
+def test_every_vm_refuses_the_same_requests() -> None:
+    """Nine VMs in front of one pool: guards against refusals by the length of the own queue."""
+    picture = make_picture(digests=45_000)
+    other_queue = msgspec.structs.replace(DIGEST_DEMAND, own_ahead=500_000, own_rate=1_000.0)
+    for demand in (DIGEST_DEMAND, other_queue):
+        assert not is_refused(demand, picture)
+        assert is_refused(demand, make_picture(digests=90_000))
+
+
+@pytest.mark.parametrize(
+    'picture',
+    [None, make_picture(age=1.5), msgspec.structs.replace(make_picture(), vms=1)],
+    ids=['missing', 'stale', 'this VM only'],
+)
+def test_without_a_current_picture_the_own_queue_decides(picture: fakes.Picture | None) -> None:
+    assert not is_refused(QUERY_DEMAND, picture)
+    waiting = msgspec.structs.replace(QUERY_DEMAND, own_ahead=30_000)
+    assert is_refused(waiting, picture)
+    assert assess(waiting, picture).estimate.age is None
+    assert not is_refused(waiting, make_picture())
+
+
+def test_nothing_is_refused_while_nothing_waits() -> None:
+    """Prefill during a slowdown alone takes longer than the objective of a mark (535 ms)."""
+    slow = msgspec.structs.replace(DIGEST_DEMAND, prefill_seconds=2.0)
+    for picture in (None, make_picture()):
+        assert not is_refused(slow, picture)
+
+
+def test_a_hot_account_is_refused_before_others() -> None:
+    """An account at six times its usual load among 16: the others' requests still wait."""
+    accounts = {'hot': 24_000} | {f'a{n}': 1_600 for n in range(15)}
+    picture = make_picture(digests=48_000, accounts=accounts)
+    hot = msgspec.structs.replace(DIGEST_DEMAND, account='hot')
+    assert assess(hot, picture).reason is admission_policy.Reason.ACCOUNT_SHARE
+    assert not is_refused(msgspec.structs.replace(DIGEST_DEMAND, account='a1'), picture)
+
+
+def test_a_hot_account_counts_up_to_its_share_against_others() -> None:
+    """Queries of the hot account wait for 2 s of work; those of another account for their share."""
+    accounts = {'hot': 200_000, 'a': 0}
+    estimate = admission_policy.estimate_wait(
+        QUERY_DEMAND, make_picture(queries=200_000, accounts=accounts)
+    )
+    assert estimate.wait == pytest.approx((826 + QUERY_DEMAND.quantum) / RATE, abs=1e-3)
+
+
+def test_one_long_prompt_is_no_excess() -> None:
+    """Guards against refusing an account for its only digest while others wait with queries."""
+    accounts = {'a': DIGEST_TOKENS} | {f'a{n}': 826 for n in range(3)}
+    picture = make_picture(digests=sum(accounts.values()), accounts=accounts)
+    assert not admission_policy.is_over_share(DIGEST_DEMAND, picture)
+
+
+def test_a_lost_plain_replica_leads_to_refusals_by_requests() -> None:
+    """Two of three plain replicas of 6 slots serve 133 requests/s; each waiting one takes a slot.
+
+    Requests without a prompt have no tokens, so a wait in tokens alone would be zero.
+    """
+    lost = 12 / 0.09
+    check = admission_policy.Demand(
+        's', 'a', 1, 2, 1, 10.207, 10.415, 14.15, 0.0, 0, lost, lost, quantum=1
+    )
+    few, many = (fakes.Picture((NOTHING, NOTHING, fakes.PriorityDemand(n)), {}) for n in (20, 40))
+    assert not is_refused(check, few)
+    assert is_refused(check, many)
+
+
+def test_a_returned_request_is_refused_only_if_its_client_stops_waiting_first() -> None:
+    returned = msgspec.structs.replace(DIGEST_DEMAND, returned=True)
+    verdict = assess(returned, make_picture(digests=300_000))
+    assert verdict.action is admission_policy.Action.WAIT
+    assert verdict.until == pytest.approx(10.0 + 5.176 / 3)
+    refused = assess(returned, make_picture(digests=600_000))
+    assert refused.reason is admission_policy.Reason.DEADLINE
+    assert refused.retry_after == pytest.approx(5.176 * refusal_schedule.MAX_WAIT_SHARE)
+
+
+def test_returns_of_a_hot_account_delay_no_others() -> None:
+    """Guards against a schedule full of the returns of one account."""
+    policy = admission_policy.Admission()
+    accounts = {'hot': 60_000, 'a': 20_000}
+    picture = make_picture(digests=80_000, accounts=accounts)
+    hot = msgspec.structs.replace(DIGEST_DEMAND, account='hot')
+    for _ in range(20):
+        policy.assess(hot, picture, 10.0)
+    own = policy.assess(DIGEST_DEMAND, picture, 10.0)
+    first = admission_policy.Admission().assess(DIGEST_DEMAND, picture, 10.0)
+    assert own.retry_after == first.retry_after
--- a/passpier/tests/fakes.py
+++ b/passpier/tests/fakes.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Sequence
 
+import msgspec
+
 from passpier import exceptions
 from passpier.clients import store
 
@@ -58,3 +60,20 @@
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
         if self.down or self.rng.random() < self.loss:
             raise exceptions.StoreError('no answer')
+
+
+class PriorityDemand(msgspec.Struct, frozen=True):
+    """The demand of one priority, with the fields that admission uses."""
+
+    waiting: int = 0
+    waiting_tokens: int = 0
+    placed_rate: float = 0.0
+
+
+class Picture(msgspec.Struct, frozen=True):
+    """The demand of all VMs for a service."""
+
+    priorities: tuple[PriorityDemand, ...]
+    accounts: dict[str, int]
+    vms: int = 9
+    age: float = 0.2
