Dispatcher: requests that found no room are admitted by the admission policy

Change: requests whose service has several priorities or whose clients have accounts are assessed by the policy when they find no room, and told when to return if they were held for too long. Returned requests precede others of their account and priority. Further attempts of a request and calls of passpierd are decided as before. Requests without room keep their place. New metrics: passpier_admission_refusals_total and passpier_expected_wait_seconds; the refusal's log line has the inputs of the decision.

--- a/passpier/core/admission.py
+++ b/passpier/core/admission.py
@@ -51,8 +51,11 @@
         for tickets in self.classes.values():
             yield from tickets
 
-    def put(self, ticket: Ticket[T]) -> None:
+    def put(self, ticket: Ticket[T], first: bool) -> None:
         tickets = self.classes.setdefault(ticket.priority, collections.deque())
+        if first:
+            tickets.appendleft(ticket)
+            return
         if not ticket.returned:
             tickets.append(ticket)
             return
@@ -108,16 +111,19 @@
         for queue in self._queues.values():
             yield from queue
 
-    def put(self, ticket: Ticket[T]) -> None:
-        """Append a ticket to its account's queue of that priority."""
+    def put(self, ticket: Ticket[T], first: bool = False) -> None:
+        """Append a ticket to its account's queue of that priority, or put it first there."""
         if ticket.account not in self._queues:
             self._queues[ticket.account] = _AccountQueue(ticket.weight)
-        self._queues[ticket.account].put(ticket)
+        self._queues[ticket.account].put(ticket, first)
         self._size += 1
 
-    def put_back(self, ticket: Ticket[T]) -> None:
-        """Return a ticket that was taken but could not be served; its account is not charged."""
-        self.put(ticket)
+    def put_back(self, ticket: Ticket[T], first: bool = False) -> None:
+        """Return a ticket that was taken but could not be served; its account is not charged.
+
+        With `first`, it keeps its place before others of its account and priority.
+        """
+        self.put(ticket, first)
         queue = self._queues[ticket.account]
         queue.deficit += ticket.tokens
         queue.taken -= 1
--- a/passpier/daemon/calls.py
+++ b/passpier/daemon/calls.py
@@ -55,6 +55,15 @@
     placement_deadline: float | None = None
     """Deadline of the next placement, if it differs from the deadline of the first token."""
 
+    first_event_due: float | None = None
+    """When the first event is late, if the route has an objective for it."""
+
+    ends_at: float | None = None
+    """When the client stops waiting, if that is known."""
+
+    fingerprint: int = 0
+    """Identifies the request when it is sent again under another id; 0 if it isn't known."""
+
     @property
     def chat(self) -> bool:
         """Whether this is a chat completion."""
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -102,6 +102,11 @@
     allowed: Collection[str] | None
     attempt: str
     result: asyncio.Future[Placement | exceptions.Failure]
+    returned: bool = False
+    """Whether the request was refused before."""
+
+    hold_until: float | None = None
+    """When it is refused unless it is placed, if that isn't the call's deadline."""
 
 
 class _Pool:
@@ -156,14 +161,19 @@
             call, tuple(exclude), allowed, attempt, asyncio.get_running_loop().create_future()
         )
         if self.admission is not None:
-            self.admission.note_arrival(call.service.pool, call.service.priority, clocks.now())
+            self._note_arrival(pool, waiting, self.admission)
         if not self._has_precedence(pool, call):
             placed = self._try_place(waiting)
             if placed is not None:
                 return placed
-        refusal = self._check_ready(waiting) or self._check_queue(pool, call)
+        refusal = self._check_ready(waiting)
+        verdict = None
+        if refusal is None and self._is_assessed(call):
+            refusal, verdict = self._assess(pool, waiting)
+        elif refusal is None:
+            refusal = self._check_queue(pool, call)
         if refusal is not None:
-            self._log_refusal(call, refusal)
+            self._log_refusal(call, refusal, self._describe_verdict(waiting, verdict))
             return refusal
         pool.queue.put(self._make_ticket(waiting))
         self._start_worker(call.service.pool, pool)
@@ -236,6 +246,94 @@
         if isinstance(placed, Placement):
             self.end(placed)
 
+    def _note_arrival(
+        self, pool: _Pool, waiting: _QueuedAttempt, policy: admission_policy.Admission
+    ) -> None:
+        call = waiting.call
+        now = clocks.now()
+        policy.note_arrival(call.service.pool, call.service.priority, now)
+        if call.fingerprint and call.placement_deadline is None:
+            waiting.returned = policy.schedule.recognise(call.fingerprint, now)
+        if not call.job.prompt_tokens:
+            # Each request without a prompt counts as one token; accounts take turns by request.
+            pool.queue.quantum = 1
+
+    def _is_assessed(self, call: calls.Call) -> bool:
+        """Return whether the admission policy decides on a call, and not its deadline alone.
+
+        Further attempts of a request were admitted with the first one.
+        """
+        if self.admission is None or call.ends_at is None or call.placement_deadline is not None:
+            return False
+        return self.admission.applies(call.service.pool, call.account.name, clocks.now())
+
+    def _assess(
+        self, pool: _Pool, waiting: _QueuedAttempt
+    ) -> tuple[exceptions.Failure | None, admission_policy.Verdict]:
+        """Return the verdict on a call that found no room, with the failure if it is refused."""
+        assert self.admission is not None
+        call = waiting.call
+        now = clocks.now()
+        picture = self.admission.get_picture(call.service.pool, now)
+        verdict = self.admission.assess(self._build_demand(pool, waiting), picture, now)
+        labels = {'pool': call.service.pool, 'priority': str(call.service.priority)}
+        self._counters.expected_wait.set(labels, verdict.estimate.wait)
+        if verdict.action is admission_policy.Action.WAIT:
+            waiting.hold_until = verdict.until
+            return self._check_size(pool, call, verdict.estimate.wait), verdict
+        message = f'the expected wait is {verdict.estimate.wait:.2f} s'
+        return self._note_verdict(call, verdict, message), verdict
+
+    def _note_verdict(
+        self, call: calls.Call, verdict: admission_policy.Verdict, message: str
+    ) -> exceptions.Failure:
+        """Record a refusal by the admission policy and return it as a failure."""
+        assert self.admission is not None
+        if call.fingerprint:
+            self.admission.schedule.remember(call.fingerprint, clocks.now())
+        reason = verdict.reason.value if verdict.reason is not None else ''
+        labels = {'reason': reason, 'priority': str(call.service.priority)}
+        self._counters.admission_refusals.inc(labels)
+        code = exceptions.Code.DEADLINE
+        return exceptions.Failure(code, call.progress.outcome, message, verdict.retry_after)
+
+    def _build_demand(self, pool: _Pool, waiting: _QueuedAttempt) -> admission_policy.Demand:
+        call = waiting.call
+        tokens = call.job.prompt_tokens
+        serving = self._upstreams.list_serving(call.service.pool)
+        if tokens:
+            pool_rate = sum(1 / r.seconds_per_token for r in serving)
+        else:
+            pool_rate = sum(r.slots / max(r.service_seconds, 1e-3) for r in serving)
+        prefill = sum(r.seconds_per_token * r.miss_share for r in serving) * tokens
+        assert call.ends_at is not None
+        due = call.first_event_due
+        return admission_policy.Demand(
+            call.service.pool,
+            call.account.name,
+            call.account.weight,
+            call.service.priority,
+            max(1, tokens),
+            call.deadline,
+            call.ends_at if due is None else due,
+            call.ends_at,
+            prefill / max(1, len(serving)),
+            self._count_ahead(pool, call),
+            pool.rate or pool_rate,
+            pool_rate,
+            pool.queue.quantum,
+            waiting.returned,
+        )
+
+    def _count_ahead(self, pool: _Pool, call: calls.Call) -> int:
+        return pool.queue.count_ahead(
+            call.account.name,
+            call.account.weight,
+            call.service.priority,
+            call.job.prompt_tokens,
+            self.admission is not None,
+        )
+
     def _has_precedence(self, pool: _Pool, call: calls.Call) -> bool:
         """Return whether queued requests are placed before a new one."""
         if self.admission is None:
@@ -342,20 +440,17 @@
 
     def _check_queue(self, pool: _Pool, call: calls.Call) -> exceptions.Failure | None:
         """Refuse a call if its predicted wait exceeds its deadline or the queue is full."""
-        tokens = call.job.prompt_tokens
-        ahead = pool.queue.count_ahead(
-            call.account.name,
-            call.account.weight,
-            call.service.priority,
-            tokens,
-            self.admission is not None,
-        )
+        ahead = self._count_ahead(pool, call)
         wait = admission.predict_wait(ahead, self._get_rate(pool, call)) if ahead else 0.0
         overdue = clocks.now() + wait - call.deadline
         if overdue > 0:
             message = f'the first token would come {overdue:.2f} s after its deadline'
             code = exceptions.Code.DEADLINE
             return exceptions.Failure(code, call.progress.outcome, message, max(0.1, overdue))
+        return self._check_size(pool, call, wait)
+
+    def _check_size(self, pool: _Pool, call: calls.Call, wait: float) -> exceptions.Failure | None:
+        """Refuse a call if the queue is full."""
         if len(pool.queue) >= admission.MAX_WAITING:
             code = exceptions.Code.OVERLOADED
             return exceptions.Failure(code, call.progress.outcome, 'too many wait', max(1.0, wait))
@@ -375,7 +470,8 @@
             call.account.weight,
             call.service.priority,
             max(1, call.job.prompt_tokens),
-            call.deadline,
+            call.deadline if waiting.hold_until is None else waiting.hold_until,
+            waiting.returned,
         )
 
     def _start_worker(self, name: str, pool: _Pool) -> None:
@@ -421,6 +517,7 @@
         """Place queued requests until nothing has room for any of their priorities."""
         blocked: set[int] = set()
         unplaced: list[admission.Ticket[_QueuedAttempt]] = []
+        without_room: list[admission.Ticket[_QueuedAttempt]] = []
         tries: collections.Counter[int] = collections.Counter()
         serving = self._upstreams.list_serving(name)
         while (ticket := pool.queue.take(blocked)) is not None:
@@ -432,7 +529,7 @@
             if serving and not self._any_has_room(serving, name, priority, now):
                 # What has no room for a priority has none for less urgent ones either.
                 blocked.update(range(priority, replicas.LEAST_URGENT + 1))
-                unplaced.append(ticket)
+                without_room.append(ticket)
                 continue
             placed = self._try_place(ticket.item, queued=True, priority=priority)
             if placed is None:
@@ -445,6 +542,8 @@
             ticket.item.result.set_result(placed)
         for ticket in unplaced:
             pool.queue.put_back(ticket)
+        for ticket in without_room:
+            pool.queue.put_back(ticket, first=True)
 
     def _update_rate(self, pool: _Pool, tokens: int) -> None:
         now = clocks.now()
@@ -461,7 +560,14 @@
         now = clocks.now()
         for ticket in pool.queue.remove(lambda t: t.deadline <= now):
             message = 'the first token can no longer come before its deadline'
-            self._refuse(ticket.item, exceptions.Code.DEADLINE, message, 0.5)
+            waiting = ticket.item
+            if self.admission is None or not self._is_assessed(waiting.call):
+                self._refuse(waiting, exceptions.Code.DEADLINE, message, 0.5)
+                continue
+            picture = self.admission.get_picture(waiting.call.service.pool, now)
+            demand = self._build_demand(pool, waiting)
+            verdict = self.admission.refuse_held(demand, picture, now)
+            self._end_refused(waiting, self._note_verdict(waiting.call, verdict, message), verdict)
 
     def _refuse(
         self,
@@ -471,7 +577,15 @@
         retry_after: float | None,
     ) -> None:
         failure = exceptions.Failure(code, waiting.call.progress.outcome, message, retry_after)
-        self._log_refusal(waiting.call, failure)
+        self._end_refused(waiting, failure)
+
+    def _end_refused(
+        self,
+        waiting: _QueuedAttempt,
+        failure: exceptions.Failure,
+        verdict: admission_policy.Verdict | None = None,
+    ) -> None:
+        self._log_refusal(waiting.call, failure, self._describe_verdict(waiting, verdict))
         if not waiting.result.done():
             waiting.result.set_result(failure)
 
@@ -502,7 +616,27 @@
         self._record(call.id, fields)
         log.info('routing decision', extra=fields)
 
-    def _log_refusal(self, call: calls.Call, refusal: exceptions.Failure) -> None:
+    def _describe_verdict(
+        self, waiting: _QueuedAttempt, verdict: admission_policy.Verdict | None
+    ) -> dict[str, object]:
+        """Return the log fields for the inputs of a decision of the admission policy."""
+        if verdict is None:
+            return {}
+        estimate = verdict.estimate
+        return {
+            'cause': verdict.reason.value if verdict.reason is not None else '',
+            'priority': waiting.call.service.priority,
+            'expected_wait': round(estimate.wait, 4),
+            'tokens_ahead': estimate.tokens_ahead,
+            'tokens_per_second': round(estimate.rate),
+            'picture_age': round(estimate.age, 3) if estimate.age is not None else None,
+            'picture_vms': estimate.vms,
+            'returned': waiting.returned,
+        }
+
+    def _log_refusal(
+        self, call: calls.Call, refusal: exceptions.Failure, inputs: Mapping[str, object] = {}
+    ) -> None:
         fields = {
             'request': call.id,
             'account': call.account.name,
@@ -511,6 +645,7 @@
             'outcome': refusal.outcome.value,
             'detail': refusal.message,
             'retry_after': refusal.retry_after,
+            **inputs,
         }
         self._record(call.id, fields)
         log.info('refusal', extra=fields)
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -62,6 +62,11 @@
         self.refusals = _build_counter(
             registry, 'passpier_refusals_total', 'Requests not answered, by code and outcome.'
         )
+        self.admission_refusals = _build_counter(
+            registry,
+            'passpier_admission_refusals_total',
+            'Requests refused under scarcity, by reason and priority.',
+        )
         self.prompt_tokens = _build_counter(
             registry, 'passpier_prompt_tokens_total', 'Prompt tokens, by kind: cached, computed.'
         )
@@ -89,6 +94,11 @@
             registry, 'passpier_dropped_chunks_total', 'Chunks of other attempts, or repeated.'
         )
         self.queued = _build_gauge(registry, 'passpier_queued', 'Requests waiting, by pool.')
+        self.expected_wait = _build_gauge(
+            registry,
+            'passpier_expected_wait_seconds',
+            'Expected wait of the last request that found no room, by pool and priority.',
+        )
         self.in_flight = _build_gauge(registry, 'passpier_in_flight', 'Requests running.')
         self.revision = _build_gauge(
             registry, 'passpier_configuration_revision', 'Configuration revision in force.'
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -106,6 +106,9 @@
         'cost' if prompt else 'least_load',
         admitted.arrived_at,
         progress,
+        first_event_due=admitted.arrived_at + route.objective,
+        ends_at=admitted.ends_at,
+        fingerprint=admitted.fingerprint,
     )
     if prompt is None:
         call.job = choice.Job([], 1, 0, priority=priority)
--- a/passpier/tests/core/admission_tests.py
+++ b/passpier/tests/core/admission_tests.py
@@ -93,3 +93,29 @@
         queue.put(make_ticket(number, 'light', 1, 1024, weight=1))
     taken = [ticket.account for _ in range(200) if (ticket := queue.take())]
     assert 2.5 < taken.count('heavy') / taken.count('light') < 3.5
+
+
+@hypothesis.given(TICKETS, st.sets(st.integers(0, 3)))
+def test_blocked_priorities_wait_for_their_turn(
+    tickets: list[tuple[str, int, int]], blocked: set[int]
+) -> None:
+    """Tickets put back keep their turn, and all are taken once nothing is blocked."""
+    queue = fill(tickets)
+    taken = []
+    while (ticket := queue.take(blocked)) is not None:
+        assert ticket.overtaken or ticket.priority not in blocked
+        taken.append(ticket)
+    for ticket in taken[::2]:
+        queue.put_back(ticket)
+    rest = [ticket for _ in range(len(queue)) if (ticket := queue.take(()))]
+    assert sorted(t.item for t in [*taken[1::2], *rest]) == list(range(len(tickets)))
+    assert queue.take(()) is None
+
+
+def test_returned_tickets_go_first_within_account_and_priority() -> None:
+    queue = fill([('a', 1, 1), ('a', 0, 1)])
+    for number in (2, 3):
+        ticket = make_ticket(number, 'a', 1, 1)
+        ticket.returned = True
+        queue.put(ticket)
+    assert [ticket.item for _ in range(4) if (ticket := queue.take(()))] == [1, 2, 3, 0]
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -16,6 +16,7 @@
 from passpier.core import admission, admission_policy, attempts, choice, replicas
 from passpier.daemon import calls, dispatcher, metrics, upstreams
 from passpier.standins import virtual_time
+from passpier.tests import fakes
 
 SLOTS = 2
 CAPACITY = 3
@@ -352,6 +353,21 @@
     virtual_time.run(run())
 
 
+def test_requests_without_room_keep_their_order(virtual_clock: None) -> None:
+    """Guards against rounds that move the first request behind the others."""
+
+    async def run() -> None:
+        call_dispatcher, _ = make_licences()
+        calls_placed = [make_digest(f'd{n}', deadline_ms=30_000) for n in range(6)]
+        digests = await start(call_dispatcher, calls_placed)
+        before = [t.item.id for t in call_dispatcher.list_waiting('p')]
+        await asyncio.sleep(3.5 * dispatcher.QUEUE_CHECK_INTERVAL)
+        assert [t.item.id for t in call_dispatcher.list_waiting('p')] == before
+        await cancel(digests)
+
+    virtual_time.run(run())
+
+
 def test_digests_have_turns_while_queries_never_stop(virtual_clock: None) -> None:
     """Guards against starvation: queries take the room before there is any for a digest."""
 
@@ -402,3 +418,99 @@
         await cancel(digests)
 
     virtual_time.run(run())
+
+
+def make_refusable(call: calls.Call, fingerprint: int = 2) -> calls.Call:
+    """Give a call of the licences its client's deadline, so that the policy decides on it."""
+    hold = (call.service.deadline_ms or 0) / 1000
+    call.first_event_due = call.arrived_at + 2 * hold
+    call.ends_at = call.arrived_at + 10 * hold
+    call.fingerprint = fingerprint
+    return call
+
+
+async def serve(
+    call_dispatcher: dispatcher.Dispatcher,
+    started: list[asyncio.Task[dispatcher.Placement | exceptions.Failure]],
+    seconds: float,
+) -> None:
+    """End a placed call every `seconds`."""
+    for task in started:
+        placed = await task
+        await asyncio.sleep(seconds)
+        if isinstance(placed, dispatcher.Placement):
+            call_dispatcher.end(placed)
+
+
+def test_a_refused_digest_that_returns_as_told_is_placed_first(
+    virtual_clock: None, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A burst of digests: guards against a `Retry-After` at which the same queue is met."""
+    caplog.set_level('INFO')
+
+    async def run() -> None:
+        call_dispatcher, _ = make_licences()
+        assert call_dispatcher.admission is not None
+        waiting = [make_digest(f'd{n}', deadline_ms=30_000) for n in range(10)]
+        digests = await start(call_dispatcher, waiting)
+        serving = asyncio.ensure_future(serve(call_dispatcher, digests, 0.18))
+        refused = await call_dispatcher.place(make_refusable(make_digest('r')), 'r')
+        assert isinstance(refused, exceptions.Failure)
+        assert refused.retry_after is not None
+        assert refused.retry_after <= 5.17 / 3
+        (line,) = [r for r in caplog.records if r.msg == 'refusal']
+        assert vars(line)['cause'] == 'objective'
+        assert vars(line)['tokens_ahead'] > 0
+        assert not vars(line)['returned']
+        later = await start(
+            call_dispatcher, [make_digest(f'l{n}', deadline_ms=30_000) for n in range(3)]
+        )
+        await asyncio.sleep(refused.retry_after)
+        (returned,) = await start(call_dispatcher, [make_refusable(make_digest('r'))])
+        assert isinstance(await returned, dispatcher.Placement)
+        assert not any(task.done() for task in later)
+        await cancel([*later, *digests])
+        serving.cancel()
+
+    virtual_time.run(run())
+
+
+def test_digests_beyond_the_pool_are_refused_by_its_demand(virtual_clock: None) -> None:
+    """The queue of this VM is empty: the eight others' queues decide, and queries still wait."""
+
+    class Pictures:
+        def get_picture(self, service: str, now: float) -> fakes.Picture:
+            waiting = fakes.PriorityDemand(200, 200 * DIGEST_TOKENS, 50_000.0)
+            nothing = fakes.PriorityDemand()
+            return fakes.Picture((nothing, nothing, waiting), {'a': 200 * DIGEST_TOKENS})
+
+    async def run() -> None:
+        call_dispatcher, replica = make_licences()
+        assert call_dispatcher.admission is not None
+        call_dispatcher.admission.pictures = Pictures()
+        replica.paused_until = clocks.now() + 0.1
+        (query,) = await start(call_dispatcher, [make_refusable(make_query('q'), 4)])
+        refused = await call_dispatcher.place(make_refusable(make_digest('d')), 'd')
+        assert isinstance(refused, exceptions.Failure)
+        assert refused.code is exceptions.Code.DEADLINE
+        assert isinstance(await query, dispatcher.Placement)
+        # With room at a replica, nothing is refused whatever the others' queues.
+        (digest,) = await start(call_dispatcher, [make_refusable(make_digest('e'), 6)])
+        assert isinstance(digest.result(), dispatcher.Placement)
+
+    virtual_time.run(run())
+
+
+def test_a_query_that_was_held_is_told_when_to_return(virtual_clock: None) -> None:
+    async def run() -> None:
+        call_dispatcher, replica = make_licences()
+        replica.paused_until = clocks.now() + 60.0
+        call = make_refusable(make_query('q'))
+        began = clocks.now()
+        refused = await call_dispatcher.place(call, 'q')
+        assert isinstance(refused, exceptions.Failure)
+        assert clocks.now() - began < 0.132 + 2 * dispatcher.QUEUE_CHECK_INTERVAL
+        assert call_dispatcher.admission is not None
+        assert call_dispatcher.admission.schedule.recognise(call.fingerprint, clocks.now())
+
+    virtual_time.run(run())
