--- a/passpier/core/admission_policy.py
+++ b/passpier/core/admission_policy.py
@@ -276,9 +276,14 @@
                 return self._refuse(demand, picture, estimate, reason, now)
         return Verdict(Action.WAIT, estimate, demand.hold_until)
 
-    def refuse_held(self, demand: Demand, picture: Picture | None, now: float) -> Verdict:
-        """Return the refusal of a request that was queued for as long as permitted."""
-        return self._refuse(demand, picture, estimate_wait(demand, picture), Reason.HELD, now)
+    def refuse_held(
+        self, demand: Demand, picture: Picture | None, held: float, now: float
+    ) -> Verdict:
+        """Return the refusal of a request that was queued for `held` seconds, as permitted."""
+        estimate = estimate_wait(demand, picture)
+        # The wait was longer than expected, so that a return after the expected wait is too early.
+        estimate = msgspec.structs.replace(estimate, wait=max(held, estimate.wait))
+        return self._refuse(demand, picture, estimate, Reason.HELD, now)
 
     def _refuse(
         self,
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -577,7 +577,8 @@
                 continue
             picture = self.admission.get_picture(waiting.call.service.pool, now)
             demand = self._build_demand(pool, waiting)
-            verdict = self.admission.refuse_held(demand, picture, now)
+            held = now - waiting.call.arrived_at
+            verdict = self.admission.refuse_held(demand, picture, held, now)
             self._end_refused(waiting, self._note_verdict(waiting.call, verdict, message), verdict)
 
     def _refuse(
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -522,7 +522,11 @@
         began = clocks.now()
         refused = await call_dispatcher.place(call, 'q')
         assert isinstance(refused, exceptions.Failure)
-        assert clocks.now() - began < 0.132 + 2 * dispatcher.QUEUE_CHECK_INTERVAL
+        held = clocks.now() - began
+        assert 0.13 < held < 0.132 + 2 * dispatcher.QUEUE_CHECK_INTERVAL
+        # Guards against a return at once, as nothing was ahead of it.
+        assert refused.retry_after is not None
+        assert held <= refused.retry_after <= (1.32 - held) / 3
         assert call_dispatcher.admission is not None
         assert call_dispatcher.admission.schedule.recognise(call.fingerprint, clocks.now())
 
--- a/passpier/tests/platform/single_requests_tests.py
+++ b/passpier/tests/platform/single_requests_tests.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import pytest
 
-from passpier.core import replicas
+from passpier.core import features, replicas
 from passpier.platform import names
 from passpier.standins.platform import deployment, replica
 from passpier.tests.platform import harness
@@ -165,6 +166,29 @@
     harness.run_check(check)
 
 
+@pytest.mark.parametrize('enabled', [True, False])
+def test_requests_held_without_room_are_told_when_to_return(enabled: bool) -> None:
+    """Guards against an admission policy that isn't attached, or not with the feature off."""
+
+    async def check(running: deployment.Deployment) -> None:
+        others = frozenset() if enabled else frozenset({features.Feature.ADMISSION})
+        running.add_router('vm-x', 'a', enabled_features=features.ALL - others)
+        await running.wait_ready()
+        process = running.routers[-1]
+        request_dispatcher = process.forwarder.dispatcher
+        assert (request_dispatcher.admission is not None) == enabled
+        for known in process.pools.replicas.values():
+            known.paused_until = math.inf
+        reply = await running.ask('/open/x', entry=1)
+        assert reply.status == 503
+        returns_after = float(reply.headers.get('Retry-After') or 0.0)
+        assert 0 < returns_after < 2.0
+        if enabled:
+            assert returns_after <= 2.0 / 3
+
+    harness.run_check(check)
+
+
 def test_without_replicas_requests_are_refused_at_once_with_retry_after() -> None:
     async def check(running: deployment.Deployment) -> None:
         for id in list(running.replicas):
