Tests: accounts take turns by request at plain replicas

Cause: requests without a prompt count as one token, and a turn of 2,048 tokens let a hot account go first with all its waiting requests. Change: a test of the turns at two plain replicas of 6 slots, the third one lost.

--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -609,3 +609,37 @@
     assert queries_before < 0.7
     assert queries > 0.95
     assert digests > digests_before - 0.1
+
+
+def test_accounts_take_turns_at_plain_replicas(virtual_clock: None) -> None:
+    """A hot account at a pool of three plain replicas of 6 slots, one of which is lost.
+
+    Guards against turns of 2,048 requests, since those without a prompt count as one token.
+    """
+
+    async def run() -> None:
+        call_dispatcher, _ = make_dispatcher('f')
+        call_dispatcher.admission = admission_policy.Admission()
+        pools = call_dispatcher._upstreams
+        for name in ('e', 'f'):
+            pools.get(name).slots = 6
+
+        def make_check(id: str, account: str) -> calls.Call:
+            call = make_refusable(make_call(id, 207, 2, account), 0)
+            call.job = choice.Job([], 1, 0, priority=2)
+            return call
+
+        hot = await start(call_dispatcher, [make_check(f'h{n}', 'hot') for n in range(40)])
+        other = await start(call_dispatcher, [make_check(f'o{n}', 'other') for n in range(3)])
+        results = [task.result() for task in hot if task.done()]
+        placed = [r for r in results if isinstance(r, dispatcher.Placement)]
+        assert len(placed) == 2 * (6 + 3)
+        assert call_dispatcher.count_queued() > 2 * len(other)
+        for placement in placed[:8]:
+            call_dispatcher.end(placement)
+        await asyncio.sleep(0.001)
+        assert all(task.done() for task in other)
+        assert all(isinstance(task.result(), dispatcher.Placement) for task in other)
+        await cancel([*hot, *other])
+
+    virtual_time.run(run())
