Admission: return times below a third of the remaining time; cancelled requests leave the queue

Cause: `Retry-After` could be a third of the remaining time at the VM, which is more than a third of what remains when the client has the response. A request whose client had gone stayed in the queue until its deadline, counted as waiting tokens and was then counted as a refusal. Change: at most 0.32 of the remaining time. With the policy attached, cancelled requests are removed.

--- a/passpier/core/refusal_schedule.py
+++ b/passpier/core/refusal_schedule.py
@@ -11,8 +11,9 @@
 
 from passpier.core import retry_schedule
 
-MAX_WAIT_SHARE = 1 / 3
-"""The longest `Retry-After` that clients honour, as a share of their remaining time."""
+MAX_WAIT_SHARE = 0.32
+"""The longest `Retry-After` as a share of the client's remaining time. Clients honour a third of
+what remains when the response arrives, which is less than when it was sent."""
 
 REMEMBERED_SECONDS = 10.0
 """Seconds for which a refused request is remembered; the longest permitted wait is about 5 s."""
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -189,6 +189,10 @@
             return await waiting.result
         except asyncio.CancelledError:
             self._end_unclaimed(waiting)
+            if self.admission is not None:
+                # It would count as waiting and as a refusal until its deadline. Without a policy,
+                # `abandon` removes it.
+                pool.queue.remove(lambda t: t.item is waiting)
             raise
 
     def place_now(
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -514,6 +514,18 @@
     virtual_time.run(run())
 
 
+def test_a_cancelled_request_waits_no_longer(virtual_clock: None) -> None:
+    """Guards against clients that have gone and still count as waiting tokens and as refusals."""
+
+    async def run() -> None:
+        call_dispatcher, replica = make_licences()
+        replica.paused_until = clocks.now() + 60.0
+        await cancel(await start(call_dispatcher, [make_refusable(make_query('q'))]))
+        assert not list(call_dispatcher.list_waiting('p'))
+
+    virtual_time.run(run())
+
+
 def test_a_query_that_was_held_is_told_when_to_return(virtual_clock: None) -> None:
     async def run() -> None:
         call_dispatcher, replica = make_licences()
