--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from passpier import clocks, exceptions
-from passpier.core import admission, cache_view, choice, replicas
+from passpier.core import admission, admission_policy, cache_view, choice, priorities, replicas
 from passpier.daemon import calls, metrics
 
 log = logging.getLogger(__name__)
@@ -28,6 +28,14 @@
 MAX_LOGGED_CANDIDATES = 5
 """Maximum number of candidates in the log line of a decision, which also has the total count."""
 
+MAX_UNPLACED = 2
+"""Queued requests of a priority that may find no candidate in one round although a replica has
+room, as a filter excludes it. A long queue must not cost a selection of candidates per request and
+round."""
+
+MAX_UNPLACED_RETRIES = 8
+"""The same for requests that may not use all replicas, which tells nothing about others."""
+
 RATE_SHARE = 0.05
 """Weight of a new sample in the moving average of the drain rate."""
 
@@ -97,6 +105,16 @@
     allowed: Collection[str] | None
     attempt: str
     result: asyncio.Future[Placement | exceptions.Failure]
+    returned: bool = False
+    """Whether the request was refused before."""
+
+    hold_until: float | None = None
+    """When it is refused unless it is placed, if that isn't the call's deadline."""
+
+    @property
+    def restricted(self) -> bool:
+        """Whether it may not use all replicas of its pool."""
+        return bool(self.exclude) or self.allowed is not None or self.call.software is not None
 
 
 class _Pool:
@@ -132,6 +150,9 @@
         self.observers: list[PlacementObserver] = []
         self.own_domain = ''
         """The failure domain that calls should not leave without need; empty for none."""
+        self.admission: admission_policy.Admission | None = None
+        """Decides for which priorities replicas have room, and who is refused; if none, requests
+        queue regardless of the priorities at the replicas."""
 
     async def place(
         self,
@@ -149,13 +170,20 @@
         waiting = _QueuedAttempt(
             call, tuple(exclude), allowed, attempt, asyncio.get_running_loop().create_future()
         )
-        if not len(pool.queue):
+        if self.admission is not None:
+            self._note_arrival(pool, waiting, self.admission)
+        if not self._has_precedence(pool, call):
             placed = self._try_place(waiting)
             if placed is not None:
                 return placed
-        refusal = self._check_ready(waiting) or self._check_queue(pool, call)
+        refusal = self._check_ready(waiting)
+        verdict = None
+        if refusal is None and self._is_assessed(call):
+            refusal, verdict = self._assess(pool, waiting)
+        elif refusal is None:
+            refusal = self._check_queue(pool, call)
         if refusal is not None:
-            self._log_refusal(call, refusal)
+            self._log_refusal(call, refusal, self._describe_verdict(waiting, verdict))
             return refusal
         pool.queue.put(self._make_ticket(waiting))
         self._start_worker(call.service.pool, pool)
@@ -163,6 +191,10 @@
             return await waiting.result
         except asyncio.CancelledError:
             self._end_unclaimed(waiting)
+            if self.admission is not None:
+                # It would count as waiting and as a refusal until its deadline. Without a policy,
+                # `abandon` removes it.
+                pool.queue.remove(lambda t: t.item is waiting)
             raise
 
     def place_now(
@@ -228,8 +260,118 @@
         if isinstance(placed, Placement):
             self.end(placed)
 
+    def _note_arrival(
+        self, pool: _Pool, waiting: _QueuedAttempt, policy: admission_policy.Admission
+    ) -> None:
+        call = waiting.call
+        now = clocks.now()
+        policy.note_arrival(call.service.pool, call.service.priority, now)
+        if call.fingerprint and call.placement_deadline is None:
+            waiting.returned = policy.schedule.recognise(call.fingerprint, now)
+        if not call.job.prompt_tokens:
+            # Each request without a prompt counts as one token; accounts take turns by request.
+            pool.queue.quantum = 1
+
+    def _is_assessed(self, call: calls.Call) -> bool:
+        """Return whether the admission policy decides on a call, and not its deadline alone.
+
+        Further attempts of a request were admitted with the first one.
+        """
+        if self.admission is None or call.ends_at is None or call.placement_deadline is not None:
+            return False
+        return self.admission.applies(call.service.pool, call.account.name, clocks.now())
+
+    def _assess(
+        self, pool: _Pool, waiting: _QueuedAttempt
+    ) -> tuple[exceptions.Failure | None, admission_policy.Verdict]:
+        """Return the verdict on a call that found no room, with the failure if it is refused."""
+        assert self.admission is not None
+        call = waiting.call
+        now = clocks.now()
+        picture = self.admission.get_picture(call.service.pool, now)
+        verdict = self.admission.assess(self._build_demand(pool, waiting), picture, now)
+        labels = {'pool': call.service.pool, 'priority': str(call.service.priority)}
+        self._counters.expected_wait.set(labels, verdict.estimate.wait)
+        if verdict.action is admission_policy.Action.WAIT:
+            waiting.hold_until = verdict.until
+            return self._check_size(pool, call, verdict.estimate.wait), verdict
+        message = f'the expected wait is {verdict.estimate.wait:.2f} s'
+        return self._note_verdict(call, verdict, message), verdict
+
+    def _note_verdict(
+        self, call: calls.Call, verdict: admission_policy.Verdict, message: str
+    ) -> exceptions.Failure:
+        """Record a refusal by the admission policy and return it as a failure."""
+        assert self.admission is not None
+        if call.fingerprint:
+            self.admission.schedule.remember(call.fingerprint, clocks.now())
+        reason = verdict.reason.value if verdict.reason is not None else ''
+        labels = {'reason': reason, 'priority': str(call.service.priority)}
+        self._counters.admission_refusals.inc(labels)
+        code = exceptions.Code.DEADLINE
+        return exceptions.Failure(code, call.progress.outcome, message, verdict.retry_after)
+
+    def _build_demand(self, pool: _Pool, waiting: _QueuedAttempt) -> admission_policy.Demand:
+        call = waiting.call
+        tokens = call.job.prompt_tokens
+        serving = self._upstreams.list_serving(call.service.pool)
+        if tokens:
+            pool_rate = sum(1 / r.seconds_per_token for r in serving)
+        else:
+            pool_rate = sum(r.slots / max(r.service_seconds, 1e-3) for r in serving)
+        prefill = sum(r.seconds_per_token * r.miss_share for r in serving) * tokens
+        assert call.ends_at is not None
+        due = call.first_event_due
+        return admission_policy.Demand(
+            call.service.pool,
+            call.account.name,
+            call.account.weight,
+            call.service.priority,
+            max(1, tokens),
+            call.deadline,
+            call.ends_at if due is None else due,
+            call.ends_at,
+            prefill / max(1, len(serving)),
+            self._count_ahead(pool, call),
+            pool.rate or pool_rate,
+            pool_rate,
+            pool.queue.quantum,
+            waiting.returned,
+        )
+
+    def _count_ahead(self, pool: _Pool, call: calls.Call) -> int:
+        return pool.queue.count_ahead(
+            call.account.name,
+            call.account.weight,
+            call.service.priority,
+            call.job.prompt_tokens,
+            self.admission is not None,
+        )
+
+    def _has_precedence(self, pool: _Pool, call: calls.Call) -> bool:
+        """Return whether queued requests are placed before a new one."""
+        if self.admission is None:
+            return len(pool.queue) > 0
+        return pool.queue.has_as_urgent(call.service.priority)
+
+    def _list_open(
+        self, usable: Sequence[replicas.Replica], service: str, priority: int, now: float
+    ) -> list[replicas.Replica]:
+        if self.admission is None:
+            return [r for r in usable if replicas.is_open(r, now)]
+        most_urgent = self.admission.get_most_urgent(service, now)
+        return [r for r in usable if admission_policy.is_open(r, now, priority, most_urgent)]
+
+    def _any_has_room(
+        self, available: Sequence[replicas.Replica], service: str, priority: int, now: float
+    ) -> bool:
+        if self.admission is None:
+            return any(replicas.has_room(r, now) for r in available)
+        most_urgent = self.admission.get_most_urgent(service, now)
+        return any(admission_policy.has_room(r, now, priority, most_urgent) for r in available)
+
     def _try_place(
-        self, waiting: _QueuedAttempt, queued: bool = False
+        self, waiting: _QueuedAttempt, queued: bool = False, priority: int | None = None
     ) -> Placement | exceptions.Failure | None:
         call = waiting.call
         usable = self._list_usable(waiting)
@@ -240,7 +382,7 @@
             )
             self._log_refusal(call, refusal)
             return refusal
-        return self._place_on(call, waiting.attempt, usable, clocks.now(), queued)
+        return self._place_on(call, waiting.attempt, usable, clocks.now(), queued, priority)
 
     def _place_on(
         self,
@@ -249,13 +391,20 @@
         usable: Sequence[replicas.Replica],
         now: float,
         queued: bool = False,
+        room_priority: int | None = None,
     ) -> Placement | None:
-        """Place an attempt on one of the usable replicas, unless no candidate has room."""
-        available: Sequence[replicas.Replica] = [r for r in usable if replicas.is_open(r, now)]
+        """Place an attempt on one of the usable replicas, unless no candidate has room.
+
+        `room_priority` is the priority for which there has to be room, if it isn't its own.
+        """
+        pool, priority = call.service.pool, call.service.priority
+        if room_priority is None:
+            room_priority = priority
+        available: Sequence[replicas.Replica] = self._list_open(usable, pool, room_priority, now)
         for candidate_filter in self.filters:
             available = candidate_filter.select(call, available, now)
         # While the pool has capacity, a busy replica that has the prefix cached may be the best.
-        if not any(replicas.has_room(r, now) for r in available):
+        if not self._any_has_room(available, pool, room_priority, now):
             return None
         chosen = choice.choose(
             call.job,
@@ -268,7 +417,6 @@
         if chosen is None:
             return None
         replica = self._upstreams.get(chosen.name)
-        priority = call.service.priority
         replicas.begin_dispatch(replica, attempt, chosen.miss_tokens, now, priority)
         self._log_choice(call, attempt, chosen, now)
         self._count_waste(call, chosen)
@@ -311,16 +459,17 @@
 
     def _check_queue(self, pool: _Pool, call: calls.Call) -> exceptions.Failure | None:
         """Refuse a call if its predicted wait exceeds its deadline or the queue is full."""
-        tokens = call.job.prompt_tokens
-        ahead = pool.queue.count_ahead(
-            call.account.name, call.account.weight, call.service.priority, tokens
-        )
+        ahead = self._count_ahead(pool, call)
         wait = admission.predict_wait(ahead, self._get_rate(pool, call)) if ahead else 0.0
         overdue = clocks.now() + wait - call.deadline
         if overdue > 0:
             message = f'the first token would come {overdue:.2f} s after its deadline'
             code = exceptions.Code.DEADLINE
             return exceptions.Failure(code, call.progress.outcome, message, max(0.1, overdue))
+        return self._check_size(pool, call, wait)
+
+    def _check_size(self, pool: _Pool, call: calls.Call, wait: float) -> exceptions.Failure | None:
+        """Refuse a call if the queue is full."""
         if len(pool.queue) >= admission.MAX_WAITING:
             code = exceptions.Code.OVERLOADED
             return exceptions.Failure(code, call.progress.outcome, 'too many wait', max(1.0, wait))
@@ -340,7 +489,8 @@
             call.account.weight,
             call.service.priority,
             max(1, call.job.prompt_tokens),
-            call.deadline,
+            call.deadline if waiting.hold_until is None else waiting.hold_until,
+            waiting.returned,
         )
 
     def _start_worker(self, name: str, pool: _Pool) -> None:
@@ -357,6 +507,9 @@
         self._counters.queued.set({'pool': name}, 0)
 
     def _place_queued(self, name: str, pool: _Pool) -> None:
+        if self.admission is not None:
+            self._place_by_priority(name, pool, self.admission)
+            return
         blocked = []
         while len(pool.queue):
             now = clocks.now()
@@ -377,6 +530,43 @@
         for ticket in blocked:
             pool.queue.put_back(ticket)
 
+    def _place_by_priority(
+        self, name: str, pool: _Pool, policy: admission_policy.Admission
+    ) -> None:
+        """Place queued requests until nothing has room for any of their priorities."""
+        blocked: set[int] = set()
+        retries: list[admission.Ticket[_QueuedAttempt]] = []
+        unplaced: list[admission.Ticket[_QueuedAttempt]] = []
+        tries: collections.Counter[tuple[int, bool]] = collections.Counter()
+        serving = self._upstreams.list_serving(name)
+        while (ticket := pool.queue.take(blocked)) is not None:
+            if ticket.item.result.done():
+                continue
+            now = clocks.now()
+            most_urgent = policy.get_most_urgent(name, now)
+            priority = most_urgent if ticket.overtaken else ticket.priority
+            if serving and not self._any_has_room(serving, name, priority, now):
+                # What has no room for a priority has none for less urgent ones either.
+                blocked.update(range(priority, priorities.LEAST_URGENT + 1))
+                unplaced.append(ticket)
+                continue
+            placed = self._try_place(ticket.item, queued=True, priority=priority)
+            if placed is None:
+                restricted = ticket.item.restricted
+                tries[ticket.priority, restricted] += 1
+                limit = MAX_UNPLACED_RETRIES if restricted else MAX_UNPLACED
+                if tries[ticket.priority, restricted] >= limit:
+                    blocked.add(ticket.priority)
+                (retries if restricted else unplaced).append(ticket)
+                continue
+            self._update_rate(pool, ticket.tokens)
+            ticket.item.result.set_result(placed)
+        for ticket in retries:
+            # At the end, so that the next round tries others.
+            pool.queue.put_back(ticket)
+        for ticket in reversed(unplaced):
+            pool.queue.put_back(ticket, first=True)
+
     def _update_rate(self, pool: _Pool, tokens: int) -> None:
         now = clocks.now()
         sample = tokens / max(now - pool.last_placed_at, 1e-3)
@@ -392,7 +582,15 @@
         now = clocks.now()
         for ticket in pool.queue.remove(lambda t: t.deadline <= now):
             message = 'the first token can no longer come before its deadline'
-            self._refuse(ticket.item, exceptions.Code.DEADLINE, message, 0.5)
+            waiting = ticket.item
+            if self.admission is None or not self._is_assessed(waiting.call):
+                self._refuse(waiting, exceptions.Code.DEADLINE, message, 0.5)
+                continue
+            picture = self.admission.get_picture(waiting.call.service.pool, now)
+            demand = self._build_demand(pool, waiting)
+            held = now - waiting.call.arrived_at
+            verdict = self.admission.refuse_held(demand, picture, held, now)
+            self._end_refused(waiting, self._note_verdict(waiting.call, verdict, message), verdict)
 
     def _refuse(
         self,
@@ -402,7 +600,15 @@
         retry_after: float | None,
     ) -> None:
         failure = exceptions.Failure(code, waiting.call.progress.outcome, message, retry_after)
-        self._log_refusal(waiting.call, failure)
+        self._end_refused(waiting, failure)
+
+    def _end_refused(
+        self,
+        waiting: _QueuedAttempt,
+        failure: exceptions.Failure,
+        verdict: admission_policy.Verdict | None = None,
+    ) -> None:
+        self._log_refusal(waiting.call, failure, self._describe_verdict(waiting, verdict))
         if not waiting.result.done():
             waiting.result.set_result(failure)
 
@@ -433,7 +639,27 @@
         self._record(call.id, fields)
         log.info('routing decision', extra=fields)
 
-    def _log_refusal(self, call: calls.Call, refusal: exceptions.Failure) -> None:
+    def _describe_verdict(
+        self, waiting: _QueuedAttempt, verdict: admission_policy.Verdict | None
+    ) -> dict[str, object]:
+        """Return the log fields for the inputs of a decision of the admission policy."""
+        if verdict is None:
+            return {}
+        estimate = verdict.estimate
+        return {
+            'cause': verdict.reason.value if verdict.reason is not None else '',
+            'priority': waiting.call.service.priority,
+            'expected_wait': round(estimate.wait, 4),
+            'tokens_ahead': estimate.tokens_ahead,
+            'tokens_per_second': round(estimate.rate),
+            'picture_age': round(estimate.age, 3) if estimate.age is not None else None,
+            'picture_vms': estimate.vms,
+            'returned': waiting.returned,
+        }
+
+    def _log_refusal(
+        self, call: calls.Call, refusal: exceptions.Failure, inputs: Mapping[str, object] = {}
+    ) -> None:
         fields = {
             'request': call.id,
             'account': call.account.name,
@@ -442,6 +668,7 @@
             'outcome': refusal.outcome.value,
             'detail': refusal.message,
             'retry_after': refusal.retry_after,
+            **inputs,
         }
         self._record(call.id, fields)
         log.info('refusal', extra=fields)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -16,6 +16,7 @@
 from passpier import clocks
 from passpier.clients import connections, registry
 from passpier.core import (
+    admission_policy,
     backpressure,
     drain,
     features,
@@ -253,6 +254,10 @@
                     self.counters,
                 )
             )
+        if features.Feature.ADMISSION in options.enabled_features:
+            request_dispatcher.admission = admission_policy.Admission()
+            if self.demand_sharing is not None:
+                request_dispatcher.admission.pictures = self.demand_board
         self.forwarder = forwarding.Forwarder(
             self.registry_state,
             request_dispatcher,
