Replica memory: KV memory limits a replica beside slots and prefill

Cause: a replica of 16 slots and 96,567 tokens is full with ten long prompts. The engine preempts a request for the eleventh and computes it again. Change: a candidate filter excludes replicas without memory for a call, from the requests of this VM and its peers and from reports that arrive anyway. Load messages carry the tokens per row.

--- a/passpier/core/choice.py
+++ b/passpier/core/choice.py
@@ -69,6 +69,9 @@
     family: str = ''
     """Key that prompts with a common prefix share, if the request provides one."""
 
+    max_output: int = 0
+    """Maximum number of output tokens, or 0 if the client states none."""
+
     def count_tokens(self, blocks: int) -> int:
         """Return the number of tokens in the first `blocks` blocks."""
         if not self.block_ends:
--- a/passpier/core/prompts.py
+++ b/passpier/core/prompts.py
@@ -57,6 +57,7 @@
         priority=priority,
         block_ends=ends,
         family=get_family(prompt),
+        max_output=prompt.max_output,
     )
 
 
--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -60,6 +60,12 @@
     at_risk: bool = False
     """Whether it has taken a token because a brittle replica may refuse it."""
 
+    memory_tokens: int = 0
+    """KV memory that the request needs, in tokens; 0 if memory is not limited."""
+
+    memory_parts: tuple[tuple[int, int], ...] = ()
+    """Hash and tokens of the prompt parts that other requests may share."""
+
 
 class PeerLoad(msgspec.Struct, frozen=True):
     """The load that another daemon has on a replica: running requests and pending prefill tokens.
@@ -70,6 +76,17 @@
     tokens: tuple[int, ...]
     running: int
     received_at: float
+    memory_tokens: int = 0
+
+
+class MemoryReport(msgspec.Struct, frozen=True):
+    """KV memory of a replica by its own report, in tokens; some hundred milliseconds old."""
+
+    used: int
+    total: int
+    """Its capacity, or 0 if it is not reported."""
+
+    received_at: float
 
 
 class Replica(msgspec.Struct):
@@ -126,6 +143,11 @@
     software: str = ''
     """Version of its process's software; empty if it is unknown."""
 
+    memory_capacity: int = 0
+    """Configured KV memory in tokens, or 0 if it is unknown."""
+
+    memory_report: MemoryReport | None = None
+
     @property
     def process(self) -> replica_processes.ReplicaProcess:
         """The process that this state belongs to."""
--- a/passpier/daemon/loads.py
+++ b/passpier/daemon/loads.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Mapping
 from typing import Protocol
 
 from passpier import clocks
-from passpier.core import members, replica_processes, replicas
+from passpier.core import members, replica_memory, replica_processes, replicas
 from passpier.daemon import messages, peers
 
 INTERVAL = 0.05
@@ -34,14 +35,18 @@
 MIN_SLOT_CHANGE = 0.125
 """Change of the running requests that is sent, as a fraction of the replica's slots."""
 
+MIN_MEMORY_CHANGE = 0.125
+"""Change of the KV memory needed at a replica that is sent, as a fraction of its capacity."""
+
 MAX_PEERS = 64
 """Number of peers beyond which no loads are sent, as the traffic grows with its square."""
 
 
-Load = tuple[tuple[int, ...], int]
-"""Tokens left to compute, by priority, and the number of running requests."""
+Load = tuple[tuple[int, ...], int, int]
+"""Tokens left to compute, by priority, the number of running requests, and the tokens of KV memory
+that they need."""
 
-NO_LOAD: Load = ((), 0)
+NO_LOAD: Load = ((), 0, 0)
 
 
 class Upstreams(Protocol):
@@ -98,12 +103,14 @@
         return _build_message(changed, False)
 
     def _is_changed(self, process: replica_processes.ReplicaProcess, load: Load) -> bool:
-        tokens, running = load
-        sent_tokens, sent_running = self._sent.get(process, NO_LOAD)
+        tokens, running, memory = load
+        sent_tokens, sent_running, sent_memory = self._sent.get(process, NO_LOAD)
         if process not in self._sent or abs(sum(tokens) - sum(sent_tokens)) >= MIN_TOKEN_CHANGE:
             return True
-        slots = self._upstreams.replicas[process.id].slots
-        return abs(running - sent_running) >= max(1, slots * MIN_SLOT_CHANGE)
+        replica = self._upstreams.replicas[process.id]
+        if abs(memory - sent_memory) > replica.memory_capacity * MIN_MEMORY_CHANGE:
+            return True
+        return abs(running - sent_running) >= max(1, replica.slots * MIN_SLOT_CHANGE)
 
     def _choose_interval(self, peers: int) -> float:
         if not self._sent and self._membership.is_standby(clocks.now()):
@@ -112,7 +119,11 @@
 
     def _collect(self, now: float) -> dict[replica_processes.ReplicaProcess, Load]:
         return {
-            r.process: (replicas.count_pending(r, now), len(r.dispatches))
+            r.process: (
+                replicas.count_pending(r, now),
+                len(r.dispatches),
+                replica_memory.count_own(r),
+            )
             for r in self._upstreams.replicas.values()
             if r.dispatches
         }
@@ -121,14 +132,15 @@
         now = clocks.now()
         known = self._upstreams.replicas
         listed = set()
-        for name, mark, tokens, running in message.loads:
+        rows = itertools.zip_longest(message.loads, message.memory[: len(message.loads)])
+        for (name, mark, tokens, running), memory in rows:
             replica = known.get(name)
             if replica is None or replica.process.short_id != mark:
                 # The load belongs to an earlier process, which has ended.
                 continue
             listed.add(name)
             if running:
-                replica.peers[sender] = replicas.PeerLoad(tokens, running, now)
+                replica.peers[sender] = replicas.PeerLoad(tokens, running, now, max(0, memory or 0))
             else:
                 replica.peers.pop(sender, None)
         if message.is_full:
@@ -140,5 +152,6 @@
 def _build_message(
     loads: Mapping[replica_processes.ReplicaProcess, Load], whole: bool
 ) -> messages.ReplicaLoads:
-    rows = [(process.id, process.short_id, *load) for process, load in loads.items()]
-    return messages.ReplicaLoads(rows, whole)
+    rows = [(x.id, x.short_id, tokens, running) for x, (tokens, running, _) in loads.items()]
+    memory = [tokens for _, _, tokens in loads.values()]
+    return messages.ReplicaLoads(rows, whole, memory if any(memory) else [])
--- /dev/null
+++ b/passpier/daemon/memory_filter.py
@@ -0,0 +1,113 @@
+"""Excludes replicas that lack the KV memory for a call."""
+
+from __future__ import annotations
+
+import collections
+import logging
+from collections.abc import Sequence
+
+from passpier.core import admission, replica_memory, replicas
+from passpier.daemon import calls, dispatcher, metrics
+
+log = logging.getLogger(__name__)
+
+
+class MemoryFilter:
+    """Implements `dispatcher.CandidateFilter` and records the memory of each placement.
+
+    An engine that runs out of memory preempts its newest least urgent request and computes it
+    again, so a call waits here instead.
+    """
+
+    def __init__(self, counters: metrics.Metrics) -> None:
+        self._counters = counters
+        self._sizes: dict[str, replica_memory.RequestSizes] = collections.defaultdict(
+            replica_memory.RequestSizes
+        )
+        self._logged: collections.OrderedDict[str, None] = collections.OrderedDict()
+        """Calls whose wait was logged, the oldest first."""
+
+    def select(
+        self, call: calls.Call, available: Sequence[replicas.Replica], now: float
+    ) -> Sequence[replicas.Replica]:
+        """Return the replicas with memory for a call.
+
+        A call that no replica could ever have memory for goes to the one with the most.
+        """
+        sizes = self._sizes[call.service.pool]
+        limited = {r.name for r in available if sizes.is_limiting(r, now)}
+        if not limited or not call.job.prompt_tokens:
+            return available
+        priority = call.service.priority
+        need = replica_memory.build_need(call.job, sizes.estimate_tokens(call.job))
+        fitting = [
+            r
+            for r in available
+            if r.name not in limited
+            or replica_memory.has_memory(r, replica_memory.count_added(r, need), now, priority)
+        ]
+        if len(fitting) == len(available):
+            return available
+        if not fitting and all(
+            need.tokens > replica_memory.get_limit(r, priority) for r in available
+        ):
+            return [max(available, key=lambda r: _rank(r, now))]
+        if call.id not in self._logged and not any(replicas.has_room(r, now) for r in fitting):
+            self._note_wait(call, need.tokens, available, now)
+        return fitting
+
+    def note_placed(self, placement: dispatcher.Placement, queued: bool, now: float) -> None:
+        """Record the memory of a placement where memory may run out."""
+        call = placement.call
+        self._logged.pop(call.id, None)
+        replica = placement.replica
+        if not replica.memory_capacity or not call.job.prompt_tokens:
+            return
+        sizes = self._sizes[call.service.pool]
+        sizes.note(call.job, now)
+        dispatch = replica.dispatches.get(placement.attempt)
+        if dispatch is not None and sizes.is_limiting(replica, now):
+            need = replica_memory.build_need(call.job, sizes.estimate_tokens(call.job))
+            dispatch.memory_tokens, dispatch.memory_parts = need.tokens, need.parts
+
+    def note_ended(self, placement: dispatcher.Placement, now: float) -> None:
+        """Do nothing: the memory is recorded in the dispatch, which has ended."""
+
+    def _note_wait(
+        self, call: calls.Call, tokens: int, available: Sequence[replicas.Replica], now: float
+    ) -> None:
+        """Log and count, once per call, that only memory keeps it from being placed."""
+        if not any(replicas.has_room(r, now) for r in available):
+            return
+        self._logged[call.id] = None
+        # Refused calls are not removed otherwise.
+        if len(self._logged) > admission.MAX_WAITING:
+            self._logged.popitem(last=False)
+        self._counters.memory_waits.inc({'service': call.service.pool})
+        best = max(available, key=lambda r: _rank(r, now))
+        report = best.memory_report
+        log.info(
+            'request waits for memory',
+            extra={
+                'request': call.id,
+                'service': call.service.pool,
+                'priority': call.service.priority,
+                'tokens': tokens,
+                'replicas': len(available),
+                'upstream': best.name,
+                'used': round(replica_memory.estimate_used(best, now)),
+                'capacity': replica_memory.get_capacity(best),
+                'report_age': round(now - report.received_at, 3) if report else None,
+                'peers_age': round(max(ages), 3) if (ages := _list_ages(best, now)) else None,
+            },
+        )
+
+
+def _rank(replica: replicas.Replica, now: float) -> tuple[int, float]:
+    """Return the key by which replicas are ordered by their memory: all of it, then the free."""
+    return replica_memory.get_capacity(replica), -replica_memory.estimate_used(replica, now)
+
+
+def _list_ages(replica: replicas.Replica, now: float) -> list[float]:
+    ages = (now - p.received_at for p in replica.peers.values())
+    return [age for age in ages if age < replicas.PEER_LOAD_SECONDS]
--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -84,10 +84,14 @@
 
     The tokens are those left to compute, the requests those that run or wait. For replicas that are
     not listed nothing has changed, or, if `is_full` is set, the sender has no load there.
+
+    `memory` lists the KV memory, in tokens, that the requests of each row need. It is empty if no
+    row needs any, and in messages of older releases.
     """
 
     loads: list[tuple[str, int, tuple[int, ...], int]]
     is_full: bool = True
+    memory: list[int] = []
 
 
 class RateUsage(Message, tag='sp'):
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -89,6 +89,11 @@
             registry, 'passpier_dropped_chunks_total', 'Chunks of other attempts, or repeated.'
         )
         self.queued = _build_gauge(registry, 'passpier_queued', 'Requests waiting, by pool.')
+        self.memory_waits = _build_counter(
+            registry,
+            'passpier_memory_waits_total',
+            'Requests that waited for KV memory of a replica, by service.',
+        )
         self.in_flight = _build_gauge(registry, 'passpier_in_flight', 'Requests running.')
         self.revision = _build_gauge(
             registry, 'passpier_configuration_revision', 'Configuration revision in force.'
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -185,6 +185,8 @@
             raw.queued,
             raw.born,
             _read_signal(response.head),
+            _read_tokens(raw.kv_used),
+            _read_tokens(raw.kv_total),
         )
 
     async def read_cache_changes(
@@ -295,6 +297,13 @@
     return None
 
 
+def _read_tokens(value: object) -> int | None:
+    """Return a number of tokens in a report, or none if it is missing or invalid."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return int(value) if 0 <= value <= records.MAX_INTEGER else None
+
+
 def _read_usage(headers: tornado.httputil.HTTPHeaders) -> tuple[int, int] | None:
     """Return the prompt tokens and the maximum completion tokens, if the client declares them."""
     value = headers.get(names.TOKEN_USAGE)
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -154,6 +154,12 @@
 
     queued: _Count = 0
     active: _Count = 0
+    kv_used: Any = None
+    """Tokens of KV cache that can't be evicted. Not validated here: an invalid value must not make
+    the report count as missing, which would make the replica seem unresponsive."""
+
+    kv_total: Any = None
+    """Capacity of the KV cache in tokens."""
 
 
 class _CacheEvent(msgspec.Struct, array_like=True):
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -120,6 +120,12 @@
     signal: backpressure.Signal = backpressure.NO_SIGNAL
     """Its backpressure signal."""
 
+    memory_used: int | None = None
+    """Tokens of KV memory that running requests use; none if it doesn't say."""
+
+    memory_total: int | None = None
+    """Its KV memory in tokens; none if it doesn't say."""
+
 
 class OrderResult(enum.Enum):
     """How a replica responded to an order."""
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -244,6 +244,14 @@
         else:
             self.update_version(process, version, 'report')
 
+    def apply_memory(
+        self, process: replica_processes.ReplicaProcess, used: int, total: int
+    ) -> None:
+        """Apply the KV memory that a replica reports, in tokens; `total` is 0 if it is unknown."""
+        replica = self.find(process)
+        if replica is not None:
+            replica.memory_report = replicas.MemoryReport(used, total, clocks.now())
+
     def _set_version(self, replica: replicas.Replica, version: int, source: str) -> None:
         process = replica.process
         replica.weight_version = str(version)
@@ -554,6 +562,7 @@
         if model:
             replica.room_seconds = ENGINE_QUEUE_SECONDS
         capacity = engine.cache_tokens if engine else 0
+        replica.memory_capacity = capacity
         key = identify_cache(replica.process, replica.weight_version)
         self.cache.set_incarnation(entry.id, key, capacity)
         self.update_version(replica.process, entry.versions.get(model, 0), 'registry')
--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -112,6 +112,8 @@
         if report.started_ms is None or report.started_ms == process.started_ms:
             self.pools.apply_report(process, report.versions)
             self.pools.apply_signal(process, report.signal)
+            if report.memory_used is not None:
+                self.pools.apply_memory(process, report.memory_used, report.memory_total or 0)
             return True
         other = replica_processes.ReplicaProcess(process.id, report.started_ms)
         change = self.catalogue.note_restart(other, report.versions)
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -15,10 +15,19 @@
 
 from passpier import clocks
 from passpier.clients import connections, registry
-from passpier.core import backpressure, drain, members, rates, replica_processes, replicas
+from passpier.core import (
+    backpressure,
+    drain,
+    features,
+    members,
+    rates,
+    replica_processes,
+    replicas,
+)
 from passpier.daemon import (
     dispatcher,
     loads,
+    memory_filter,
     messages,
     metrics,
     peers,
@@ -211,6 +220,10 @@
         self.peers.register_handler(messages.ReplicaLeaving, self._handle_replica_leaving)
         # Routing decisions can't be queried from this process, they are only logged.
         request_dispatcher = dispatcher.Dispatcher(self.pools, self.counters, rng, decisions_kept=0)
+        if features.Feature.REPLICA_MEMORY in options.enabled_features:
+            limiter = memory_filter.MemoryFilter(self.counters)
+            request_dispatcher.filters.append(limiter)
+            request_dispatcher.observers.append(limiter)
         self.forwarder = forwarding.Forwarder(
             self.registry_state,
             request_dispatcher,
