--- a/passpier/core/replica_memory.py
+++ b/passpier/core/replica_memory.py
@@ -9,6 +9,10 @@
 REPORT_SECONDS = 1.0
 """Seconds for which a replica's report on its memory is used."""
 
+REPORT_LAG = 0.3
+"""Seconds by which the values of a report lag behind its arrival: they are a few hundred
+milliseconds old."""
+
 LESS_URGENT_SHARE = 0.9
 """Fraction of the capacity that requests other than the most urgent may fill. The rest lets an
 urgent request start without the preemption of another one."""
@@ -108,7 +112,7 @@
 def estimate_used(replica: replicas.Replica, now: float) -> float:
     """Return the memory in use: the larger of what all daemons have sent and what is reported.
 
-    A report does not include the requests that were sent after it.
+    A report does not include the requests that were sent after its values were taken.
     """
     peers = replica.peers.values()
     known = count_own(replica) + sum(
@@ -117,7 +121,7 @@
     report = replica.memory_report
     if report is None or now - report.received_at >= REPORT_SECONDS:
         return known
-    return max(known, report.used + count_own(replica, report.received_at))
+    return max(known, report.used + count_own(replica, report.received_at - REPORT_LAG))
 
 
 def get_limit(replica: replicas.Replica, priority: int) -> float:
--- a/passpier/tests/daemon/loads_tests.py
+++ b/passpier/tests/daemon/loads_tests.py
@@ -6,9 +6,10 @@
 import random
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import pytest
 
-from passpier.core import members, replicas
+from passpier.core import members, replica_memory, replicas
 from passpier.daemon import loads, messages
 from passpier.standins import network, virtual_time
 
@@ -128,3 +129,64 @@
         assert receiver.upstreams.replicas['r1'].peers['i0'].running == 1
 
     run_check(check)
+
+
+def send_with_memory(daemon: Daemon, name: str, tokens: int) -> None:
+    replica = daemon.upstreams.replicas[name]
+    replicas.begin_dispatch(replica, f'{name}{tokens}', 100, now())
+    replica.dispatches[f'{name}{tokens}'].memory_tokens = tokens
+
+
+def test_the_memory_of_requests_is_sent_even_if_nothing_is_left_to_compute() -> None:
+    """Guards against ten cached prompts that count at their own VM only, and its lost messages."""
+
+    async def check(sender: Daemon, receiver: Daemon, net: network.Network) -> None:
+        for daemon in (sender, receiver):
+            daemon.upstreams.replicas['r1'].memory_capacity = 96_567
+        send_with_memory(sender, 'r1', 9_200)
+        await asyncio.sleep(0.2)
+        replica = receiver.upstreams.replicas['r1']
+        assert replica.peers['i0'].memory_tokens == 9_200
+        net.loss = 1.0
+        send_with_memory(sender, 'r1', 80_000)
+        await asyncio.sleep(0.1)
+        assert replica_memory.has_memory(replica, 9_200, now())
+        net.loss = 0.0
+        await asyncio.sleep(loads.FULL_INTERVAL + 0.1)
+        assert not replica_memory.has_memory(replica, 9_200, now())
+
+    run_check(check)
+
+
+class OlderLoads(messages.Message, tag='ld'):
+    """`ReplicaLoads` of a release without memory."""
+
+    loads: list[tuple[str, int, tuple[int, ...], int]]
+    is_full: bool = True
+
+
+def test_messages_of_older_releases_decode_and_ours_decode_there() -> None:
+    """Guards against loads that are dropped for as long as an update of the VMs lasts."""
+    row = ('r1', 7, (0, 0, 9000, 0), 1)
+    older = msgspec.msgpack.encode(OlderLoads([row], False))
+    ours = msgspec.msgpack.encode(messages.ReplicaLoads([row], False, [9_200]))
+    assert msgspec.msgpack.decode(older, type=messages.ReplicaLoads).memory == []
+    assert msgspec.msgpack.decode(ours, type=OlderLoads) == OlderLoads([row], False)
+    without = msgspec.msgpack.encode(messages.ReplicaLoads([row], False))
+    assert len(ours) - len(without) == 3
+
+
+def test_rows_without_memory_count_as_needing_none() -> None:
+    """Guards against an error at a message of an older release, or with too few or many rows."""
+
+    async def check(sender: Daemon, receiver: Daemon, net: network.Network) -> None:
+        rows: list[tuple[str, int, tuple[int, ...], int]] = [
+            (f'r{n}', 0, (0,), 1) for n in range(2)
+        ]
+        for memory in ([], [-5], [0, 0, 9_200]):
+            message = messages.ReplicaLoads(rows, True, memory)
+            receiver.loads._handle_loads('i0', '', message)
+            known = [receiver.upstreams.replicas[f'r{n}'].peers['i0'] for n in range(2)]
+            assert [p.memory_tokens for p in known] == [0, 0]
+
+    run_check(check)
--- a/passpier/tests/platform/records_tests.py
+++ b/passpier/tests/platform/records_tests.py
@@ -11,7 +11,7 @@
 import pytest
 
 from passpier import exceptions
-from passpier.platform import names, records
+from passpier.platform import dialect, names, records
 from passpier.routing import registry_mirror
 from passpier.tests.platform import replica_restarts_tests
 
@@ -289,3 +289,16 @@
 def test_invalid_report_is_rejected(field: dict[str, Any]) -> None:
     with pytest.raises(exceptions.StoreError):
         records.decode_report(json.dumps({'sequence': 2, 'models': []} | field).encode())
+
+
+@pytest.mark.parametrize(
+    ('value', 'expected'),
+    [(0, 0), (96_567, 96_567), (12.5, 12), (-1, None), ('x', None), (True, None), (1e300, None)],
+)
+def test_invalid_memory_does_not_invalidate_a_report(value: object, expected: int | None) -> None:
+    """Guards against replicas that seem unresponsive because of a field they need not have."""
+    data = json.dumps({'sequence': 2, 'kv_used': value}).encode()
+    report = records.decode_report(data)
+    assert report.sequence == 2
+    assert dialect._read_tokens(report.kv_used) == expected
+    assert dialect._read_tokens(report.kv_total) is None
--- a/passpier/tests/routing/replica_restarts_tests.py
+++ b/passpier/tests/routing/replica_restarts_tests.py
@@ -24,6 +24,7 @@
     members,
     pauses,
     prompts,
+    replica_memory,
     replica_processes,
     routes,
 )
@@ -153,6 +154,26 @@
     return happen
 
 
+def test_a_report_on_memory_belongs_to_one_process(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a restarted replica that counts as full, or whose capacity is another's."""
+    monkeypatch.setattr(clocks, 'now', lambda: 100.0)
+    process = Process()
+    process.record(2, OLD, 7)
+    assert process.pools.get(ID).memory_capacity == 10_000
+    received = dialect.Report(
+        {MODEL: 7}, False, 1, 0, 0, OLD.started_ms, memory_used=9_000, memory_total=9_500
+    )
+    assert process.known.apply_report(OLD, received)
+    replica = process.pools.get(ID)
+    assert replica_memory.get_capacity(replica) == 9_500
+    assert not replica_memory.has_memory(replica, 1_000, 100.1)
+    process.record(3, NEW, 1)
+    process.known.apply_report(NEW, received)
+    replica = process.pools.get(ID)
+    assert replica_memory.get_capacity(replica) == 10_000
+    assert replica_memory.has_memory(replica, 1_000, 100.1)
+
+
 def answer(replica_process: replica_processes.ReplicaProcess, version: int) -> Event:
     return lambda process: process.pools.update_version(replica_process, version, 'answer')
 
