Replica memory: measure each replica once per check of the queue

Cause: while calls wait for memory, each check of the queue asks for every call and every replica. Change: the measured memory of a replica is used again for 10 ms, unless a request there begins or ends.

--- a/passpier/core/replica_memory.py
+++ b/passpier/core/replica_memory.py
@@ -65,13 +65,36 @@
         """Return the tokens of prompt and response; the latter is the mean if none is stated."""
         return job.prompt_tokens + (job.max_output or round(self._output))
 
-    def is_limiting(self, replica: replicas.Replica, now: float) -> bool:
-        """Return whether requests in all slots of a replica could need more than its memory."""
-        capacity = get_capacity(replica)
-        if not capacity:
-            return False
+    def get_mean(self, now: float) -> float:
+        """Return the mean tokens of a request, of the priority for which it is the largest."""
         means = (m.value for m in self._means.values() if now - m.updated_at <= MEAN_SECONDS)
-        return replica.slots * max(means, default=0.0) > capacity
+        return max(means, default=0.0)
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """The memory of one replica at one time."""
+
+    replica: replicas.Replica
+    used: float
+    parts: frozenset[int]
+    """The prompt parts of this daemon's requests there."""
+
+    def has_memory(self, need: Need, priority: int) -> bool:
+        """Return whether there is memory for a request, which shares the parts already there."""
+        shared = sum(tokens for part, tokens in need.parts if part in self.parts)
+        return self.used + need.tokens - shared <= get_limit(self.replica, priority)
+
+
+def measure_usage(replica: replicas.Replica, now: float) -> Usage:
+    """Return the memory in use at a replica and what it is used for, as far as it is known."""
+    parts = frozenset(part for d in replica.dispatches.values() for part, _ in d.memory_parts)
+    return Usage(replica, estimate_used(replica, now), parts)
+
+
+def is_limiting(replica: replicas.Replica, mean: float) -> bool:
+    """Return whether requests of a mean size in all slots need more than a replica's memory."""
+    capacity = get_capacity(replica)
+    return bool(capacity) and replica.slots * mean > capacity
 
 
 def build_need(job: choice.Job, tokens: int) -> Need:
@@ -103,12 +126,6 @@
     return total
 
 
-def count_added(replica: replicas.Replica, need: Need) -> int:
-    """Return the memory that a request needs beyond the parts that others running there share."""
-    running = {part for d in replica.dispatches.values() for part, _ in d.memory_parts}
-    return need.tokens - sum(tokens for part, tokens in need.parts if part in running)
-
-
 def estimate_used(replica: replicas.Replica, now: float) -> float:
     """Return the memory in use: the larger of what all daemons have sent and what is reported.
 
--- a/passpier/daemon/memory_filter.py
+++ b/passpier/daemon/memory_filter.py
@@ -11,6 +11,10 @@
 
 log = logging.getLogger(__name__)
 
+USAGE_SECONDS = 0.01
+"""Seconds for which the measured memory of a replica is used again, unless this daemon places or
+ends a request there. Each check of the queue asks for all waiting calls and all replicas."""
+
 
 class MemoryFilter:
     """Implements `dispatcher.CandidateFilter` and records the memory of each placement.
@@ -27,6 +31,9 @@
         self._logged: collections.OrderedDict[str, None] = collections.OrderedDict()
         """Calls whose wait was logged, the oldest first."""
 
+        self._usages: dict[str, replica_memory.Usage] = {}
+        self._measured_since = float('-inf')
+
     def select(
         self, call: calls.Call, available: Sequence[replicas.Replica], now: float
     ) -> Sequence[replicas.Replica]:
@@ -35,16 +42,16 @@
         A call that no replica could ever have memory for goes to the one with the most.
         """
         sizes = self._sizes[call.service.pool]
-        limited = {r.name for r in available if sizes.is_limiting(r, now)}
-        if not limited or not call.job.prompt_tokens:
+        mean = sizes.get_mean(now)
+        if not mean or not call.job.prompt_tokens:
             return available
         priority = call.service.priority
         need = replica_memory.build_need(call.job, sizes.estimate_tokens(call.job))
         fitting = [
             r
             for r in available
-            if r.name not in limited
-            or replica_memory.has_memory(r, replica_memory.count_added(r, need), now, priority)
+            if not replica_memory.is_limiting(r, mean)
+            or self._get_usage(r, now).has_memory(need, priority)
         ]
         if len(fitting) == len(available):
             return available
@@ -61,17 +68,28 @@
         call = placement.call
         self._logged.pop(call.id, None)
         replica = placement.replica
+        self._usages.pop(replica.name, None)
         if not replica.memory_capacity or not call.job.prompt_tokens:
             return
         sizes = self._sizes[call.service.pool]
         sizes.note(call.job, now)
         dispatch = replica.dispatches.get(placement.attempt)
-        if dispatch is not None and sizes.is_limiting(replica, now):
+        if dispatch is not None and replica_memory.is_limiting(replica, sizes.get_mean(now)):
             need = replica_memory.build_need(call.job, sizes.estimate_tokens(call.job))
             dispatch.memory_tokens, dispatch.memory_parts = need.tokens, need.parts
 
     def note_ended(self, placement: dispatcher.Placement, now: float) -> None:
-        """Do nothing: the memory is recorded in the dispatch, which has ended."""
+        """Forget the measured memory of a replica, as a request there has ended."""
+        self._usages.pop(placement.replica.name, None)
+
+    def _get_usage(self, replica: replicas.Replica, now: float) -> replica_memory.Usage:
+        if now - self._measured_since >= USAGE_SECONDS:
+            self._usages.clear()
+            self._measured_since = now
+        usage = self._usages.get(replica.name)
+        if usage is None or usage.replica is not replica:
+            usage = self._usages[replica.name] = replica_memory.measure_usage(replica, now)
+        return usage
 
     def _note_wait(
         self, call: calls.Call, tokens: int, available: Sequence[replicas.Replica], now: float
--- a/passpier/tests/core/replica_memory_tests.py
+++ b/passpier/tests/core/replica_memory_tests.py
@@ -42,9 +42,11 @@
     """Guards against forgetting a shared prefix when the first request that needed it ends."""
     replica = make_replica()
     send(replica, 'a', make_need('s', 'a'), 1.0)
-    assert replica_memory.count_added(replica, make_need('s', 'b')) == LONG - SHARED
+    replica.memory_capacity = 2 * LONG - SHARED
+    usage = replica_memory.measure_usage(replica, 1.0)
+    assert usage.has_memory(make_need('s', 'b'), 0)
     # A prefix is shared only from its beginning.
-    assert replica_memory.count_added(replica, make_need('x', 'a')) == LONG
+    assert not usage.has_memory(make_need('x', 'a'), 0)
     send(replica, 'b', make_need('s', 'b'), 1.0)
     assert replica_memory.estimate_used(replica, 1.0) == 2 * LONG - SHARED
     replicas.end_dispatch(replica, 'a', 1.5)
@@ -79,11 +81,11 @@
     sizes = replica_memory.RequestSizes()
     replica = make_replica()
     sizes.note(choice.Job([], 1, 826, priority=0, max_output=58), 1.0)
-    assert not sizes.is_limiting(replica, 1.0)
+    assert not replica_memory.is_limiting(replica, sizes.get_mean(1.0))
     # Short prompts don't lower the mean of the long ones, which may share few replicas.
     sizes.note(choice.Job([], 1, 9190, priority=2, max_output=10), 1.0)
-    assert sizes.is_limiting(replica, 1.0)
-    assert not sizes.is_limiting(replicas.Replica('p', '', '', ''), 1.0)
+    assert replica_memory.is_limiting(replica, sizes.get_mean(1.0))
+    assert not replica_memory.is_limiting(replicas.Replica('p', '', '', ''), sizes.get_mean(1.0))
     sizes.note(choice.Job([], 1, 826, priority=0, max_output=58), 100.0)
-    assert not sizes.is_limiting(replica, 100.0)
+    assert not replica_memory.is_limiting(replica, sizes.get_mean(100.0))
     assert sizes.estimate_tokens(choice.Job([], 1, 826)) > 826
