Buffers: bound what is buffered for slow clients and replicas

A client that reads nothing is disconnected already: the kernel ends its connection within 2 s, and UNREAD_GRACE after its deadline. Change: at most 256 KB per stream; above a quarter of memory_mb, bodies of over 64 KB are refused with 503 and streams buffer one part each. Bodies above the configured size are not kept.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -15,6 +15,7 @@
 
 from passpier import clocks
 from passpier.clients import exchanges, tunnels
+from passpier.core import buffer_limits
 
 log = logging.getLogger(__name__)
 
@@ -182,6 +183,9 @@
         self.choose_proxy: Callable[[str], str] = lambda address: ''
         """Returns the peer to go through to an address; empty for a direct connection."""
 
+        self.buffers = buffer_limits.BufferUsage()
+        """Counts what is buffered for the exchanges."""
+
         self._idle: dict[Path, list[Connection]] = {}
         self._connections: weakref.WeakSet[Connection] = weakref.WeakSet()
         self._once_idle_limit = ONCE_IDLE_LIMIT
@@ -215,7 +219,7 @@
             raise exchanges.ExchangeError(
                 exchanges.Fault.WITHHELD, 'no longer allowed once connected', False
             )
-        exchange = exchanges.Exchange(connection, request)
+        exchange = exchanges.Exchange(connection, request, self.buffers)
         try:
             exchange.send()
         except (h11.LocalProtocolError, tornado.iostream.StreamClosedError) as error:
--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections
 import enum
+import functools
 import logging
 from collections.abc import Callable, Sequence
 from typing import Protocol
@@ -19,10 +20,13 @@
 import msgspec
 import tornado.iostream
 
+from passpier.core import buffer_limits
+
 log = logging.getLogger(__name__)
 
-BUFFERED_MAX = 512 * 1024
-"""Unread bytes of a response body beyond which the socket is no longer read."""
+BUFFERED_MAX = 128 * 1024
+"""Unread bytes of a response body beyond which the socket is no longer read. With what is read at
+once and the stream's own buffer, of 64 KB each, at most 256 KB of a response are buffered."""
 
 
 class Fault(enum.Enum):
@@ -125,13 +129,20 @@
 class Exchange:
     """One request and its response, which is streamed."""
 
-    def __init__(self, connection: Connection, request: Request) -> None:
+    def __init__(
+        self,
+        connection: Connection,
+        request: Request,
+        buffers: buffer_limits.BufferUsage | None = None,
+    ) -> None:
+        self._buffers = buffers or buffer_limits.BufferUsage()
         self._connection = connection
         self._request = request
         self._parser = _start_parser()
         self._head: asyncio.Future[Head] = asyncio.get_running_loop().create_future()
         self._parts: collections.deque[bytes] = collections.deque()
         self._buffered = 0
+        self._is_closed = False
         self._progress = asyncio.Event()
         self._drained = asyncio.Event()
         self._ended = False
@@ -156,7 +167,12 @@
         data += self._parser.send(h11.EndOfMessage()) or b''
         future = self._connection.stream.write(data)
         # The reader detects a closed connection; the error of the write adds nothing to that.
-        future.add_done_callback(lambda f: f.exception())
+        self._buffers.add(len(data))
+        future.add_done_callback(functools.partial(self._note_sent, len(data)))
+
+    def _note_sent(self, size: int, sending: asyncio.Future[None]) -> None:
+        self._buffers.remove(size)
+        sending.exception()
 
     @property
     def has_unacked_data(self) -> bool:
@@ -208,7 +224,7 @@
         if not self._parts:
             return None
         part = self._parts.popleft()
-        self._buffered -= len(part)
+        self._count(-len(part))
         self._drained.set()
         return part
 
@@ -216,21 +232,39 @@
         """Read the complete response; its body may have at most `max_bytes` bytes."""
         head = await self.read_head()
         body = bytearray()
-        while (part := await self.read()) is not None:
-            body += part
-            if len(body) > max_bytes:
-                raise ExchangeError(Fault.MALFORMED, 'the response is too long', True)
+        try:
+            while (part := await self.read()) is not None:
+                body += part
+                self._buffers.add(len(part))
+                if len(body) > max_bytes:
+                    raise ExchangeError(Fault.MALFORMED, 'the response is too long', True)
+        finally:
+            self._buffers.remove(len(body))
         return Response(head, bytes(body))
 
     def close(self) -> None:
         """Abort the exchange; whatever has not been received is discarded."""
         self._drained.set()
+        if not self._is_closed:
+            self._is_closed = True
+            self._buffers.remove(self._buffered)
         if self._connection.exchange is self:
             self._connection.exchange = None
             self._connection.close()
         if not self._head.done():
             self._head.cancel()
 
+    def _count(self, size: int) -> None:
+        """Count unread bytes of the body, until the exchange is closed."""
+        self._buffered += size
+        if not self._is_closed:
+            self._buffers.add(size)
+
+    @property
+    def _is_behind(self) -> bool:
+        """Whether the reader of the body is so far behind that the socket is not to be read."""
+        return self._buffered > (0 if self._buffers.is_full else BUFFERED_MAX)
+
     async def feed(self, data: bytes) -> None:
         """Parse received bytes; wait while the reader of the body is far behind."""
         self.received_any = True
@@ -240,7 +274,7 @@
         except h11.RemoteProtocolError as error:
             self._fail(Fault.MALFORMED, str(error))
             self._connection.close()
-        while self._buffered > BUFFERED_MAX and self._connection.exchange is self:
+        while self._is_behind and self._connection.exchange is self:
             self._drained.clear()
             await self._drained.wait()
 
@@ -291,7 +325,7 @@
     def _receive_part(self, part: bytes) -> None:
         if not self._is_mismatched:
             self._parts.append(part)
-            self._buffered += len(part)
+            self._count(len(part))
             self._progress.set()
 
     def _skip_response(self) -> None:
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -95,6 +95,11 @@
             'Requests that waited for KV memory of a replica, by service.',
         )
         self.in_flight = _build_gauge(registry, 'passpier_in_flight', 'Requests running.')
+        self.buffered_bytes = _build_gauge(
+            registry,
+            'passpier_buffered_bytes',
+            'Bytes of requests and responses buffered for slow clients and replicas.',
+        )
         self.revision = _build_gauge(
             registry, 'passpier_configuration_revision', 'Configuration revision in force.'
         )
--- a/passpier/platform/main.py
+++ b/passpier/platform/main.py
@@ -111,6 +111,7 @@
         ),
         metrics_port=environment.metrics_port,
         enabled_features=environment.enabled_features,
+        memory_mb=loaded.limits.memory_mb,
     )
 
 
--- a/passpier/platform/settings.py
+++ b/passpier/platform/settings.py
@@ -55,10 +55,12 @@
 
 
 class Limits(msgspec.Struct, frozen=True):
-    """Processor limits of the VM: a quota of a core that is `cores` times as fast as usual."""
+    """Limits of the VM: its memory, and a quota of a core `cores` times as fast as usual."""
 
     cpu_quota: float = 1.0
     cores: float = 1.0
+    memory_mb: float | None = None
+    """None if it is unknown."""
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -249,6 +249,8 @@
 
     metrics_port: int
     enabled_features: frozenset[features.Feature] = features.ALL
+    memory_mb: float | None = None
+    """Memory of the VM in MB; none if it is unknown."""
 
 
 class Query(msgspec.Struct, frozen=True):
--- a/passpier/routing/ingress.py
+++ b/passpier/routing/ingress.py
@@ -12,7 +12,7 @@
 import tornado.iostream
 
 from passpier import clocks
-from passpier.core import rates
+from passpier.core import buffer_limits, rates
 from passpier.daemon import metrics
 from passpier.routing import (
     client_connections,
@@ -52,8 +52,10 @@
         self,
         connection: tornado.http1connection.HTTP1Connection,
         should_close: Callable[[], bool] = lambda: False,
+        buffers: buffer_limits.BufferUsage | None = None,
     ) -> None:
         self._connection = connection
+        self._buffers = buffers or buffer_limits.BufferUsage()
         self._should_close = should_close
         self._closes = False
         self.started = False
@@ -94,7 +96,11 @@
     async def write(self, data: bytes) -> None:
         """Send a part of the body; waits for a client that reads slowly."""
         if data:
-            await self._connection.write(data)
+            self._buffers.add(len(data))
+            try:
+                await self._connection.write(data)
+            finally:
+                self._buffers.remove(len(data))
 
     async def finish(self) -> None:
         """End the response as complete; returns when its last byte is sent.
@@ -124,8 +130,10 @@
         wire: dialect.Dialect,
         counters: metrics.Metrics,
         meter: rates.Meter,
+        buffers: buffer_limits.BufferUsage | None = None,
     ) -> None:
         self.meter = meter
+        self.buffers = buffers or buffer_limits.BufferUsage()
         self.registry_state = registry_state
         self.forwarder = forwarder
         self.wire = wire
@@ -185,10 +193,13 @@
     def __init__(self, owner: Ingress, connection: tornado.http1connection.HTTP1Connection) -> None:
         self._owner = owner
         self._connection = connection
-        self._client = HttpClient(connection, lambda: owner.stopping)
+        self._client = HttpClient(connection, lambda: owner.stopping, owner.buffers)
         self._client_request: dialect.ClientRequest | None = None
         self._refusal: responses.Refusal | None = None
         self._body = bytearray()
+        self._counted = 0
+        """Bytes of the body that are counted as buffered."""
+
         self._arrived_at = 0.0
         self._work: asyncio.Task[None] | None = None
         self._run: forwarding.RequestRun | None = None
@@ -209,8 +220,32 @@
             self._refusal = responses.Refusal(400, 'bad_request', str(error))
 
     def data_received(self, chunk: bytes) -> None:
-        """Append a part of the body."""
+        """Append a part of the body, unless the request is refused."""
+        if self._refusal is not None:
+            return
+        size = len(self._body) + len(chunk)
+        owner = self._owner
+        table = owner.registry_state.table
+        if table is not None and size > table.configuration.max_body:
+            self._refusal = responses.Refusal(413, 'body_too_large', 'the body is too large')
+        elif not owner.buffers.may_receive(size):
+            message = f'{owner.buffers.used} bytes are buffered, above {owner.buffers.limit}'
+            self._refusal = responses.Refusal(
+                503, 'buffers_full', message, buffer_limits.RETRY_AFTER
+            )
+        if self._refusal is not None:
+            # The rest still arrives, as the client reads the response after it has sent all.
+            self._release_body()
+            return
         self._body += chunk
+        self._counted = size
+        owner.buffers.add(len(chunk))
+
+    def _release_body(self) -> None:
+        """Drop the body and stop counting it."""
+        self._owner.buffers.remove(self._counted)
+        self._counted = 0
+        self._body = bytearray()
 
     def finish(self) -> None:
         """Answer the complete request."""
@@ -220,6 +255,8 @@
         running.add(self)
         self._work = asyncio.ensure_future(self._serve())
         self._work.add_done_callback(lambda _: running.discard(self))
+        # Until then the body may be sent again to another replica.
+        self._work.add_done_callback(lambda _: self._release_body())
 
     def on_connection_close(self) -> None:
         """Log that the client disconnected before its request was complete."""
@@ -229,6 +266,7 @@
             'client disconnected before its request was complete',
             extra={'request': id, 'bytes': len(self._body)},
         )
+        self._release_body()
 
     def end(self, stopped_at: float) -> asyncio.Task[None]:
         """Have the request answered now, and return the task; the signal came at `stopped_at`."""
@@ -319,9 +357,10 @@
             account = table.find_account(client_request.key) if client_request.key else None
             if account is None:
                 return self._refuse_unknown(401, 'unknown_key', 'the key is missing or unknown')
-        return requests.Admitted(
-            client_request, route, account, bytes(self._body), self._arrived_at
-        )
+        body = bytes(self._body)
+        # Holds no second copy; the body counts as buffered until the request ends.
+        self._body = bytearray()
+        return requests.Admitted(client_request, route, account, body, self._arrived_at)
 
     def _refuse_unknown(self, status: int, reason: str, message: str) -> responses.Refusal:
         """Refuse for good only if no newer configuration can say otherwise."""
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -239,8 +239,14 @@
             self.origins,
         )
         self.ingress = ingress.Ingress(
-            self.registry_state, self.forwarder, adapter.wire, self.counters, self.meter
+            self.registry_state,
+            self.forwarder,
+            adapter.wire,
+            self.counters,
+            self.meter,
+            adapter.pool.buffers,
         )
+        self._limit_buffers(options)
         self._drain = drain.Drain(*_read_stop_times(options))
         self.forwarder.budget_sharers = DAEMONS_AT_START
         self._started_at = clocks.now()
@@ -376,8 +382,13 @@
         self.pools.version_bound = options.version_bound
         self.limiter.buckets.tolerance = options.rate_tolerance
         self._drain.configure(*_read_stop_times(options))
+        self._limit_buffers(options)
         log.info('settings reloaded', extra={'key_bound': options.key_bound})
 
+    def _limit_buffers(self, options: dialect.Options) -> None:
+        if features.Feature.BUFFER_LIMITS in options.enabled_features:
+            self.adapter.pool.buffers.configure(options.memory_mb)
+
     @property
     def stopping(self) -> bool:
         """Whether a drain has begun."""
@@ -468,6 +479,7 @@
         while True:
             await asyncio.sleep(UPKEEP_INTERVAL)
             self.adapter.pool.close_expired()
+            self.counters.buffered_bytes.set({}, self.adapter.pool.buffers.used)
             starting = clocks.now() - self._started_at < STARTUP_SECONDS
             self.forwarder.budget_sharers = max(
                 self.roster.max_alive, DAEMONS_AT_START if starting else 1
