--- a/passpier/tests/platform/settings_tests.py
+++ b/passpier/tests/platform/settings_tests.py
@@ -54,6 +54,14 @@
     assert options.peer_port == 7340
 
 
+def test_memory_is_optional(tmp_path: pathlib.Path) -> None:
+    """Guards against a router that does not start where the platform does not state the memory."""
+    without = main.build_options(settings.load_settings(write(tmp_path, VALID)))
+    assert without.memory_mb is None
+    text = VALID + '[limits]\ncpu_quota = 0.5\nmemory_mb = 128\n'
+    assert main.build_options(settings.load_settings(write(tmp_path, text))).memory_mb == 128
+
+
 def test_addresses_can_be_encoded_for_the_registry(tmp_path: pathlib.Path) -> None:
     """The encoder accepts `str`, but no subclass of it."""
     options = main.build_options(settings.load_settings(write(tmp_path, VALID)))
