--- a/passpier/tests/routing/buffering_tests.py
+++ b/passpier/tests/routing/buffering_tests.py
@@ -57,16 +57,13 @@
 
 
 def test_above_the_limit_streams_of_slow_readers_buffer_one_part_each() -> None:
-    """Guards against hundreds of slow readers that take more than a VM of 128 MB has.
-
-    Scaled down by eight: 64 readers at a limit of 4 MB.
-    """
-    count = 64
+    """Guards against 256 slow readers that take more than a VM of 128 MB has."""
+    count = 256
 
     async def run() -> None:
         pool = connections.Pool()
-        pool.buffers.configure(16)
-        assert pool.buffers.limit == 4 * 2**20
+        pool.buffers.configure(128)
+        assert pool.buffers.limit == 32 * 2**20
         async with exchanges_tests.serving(send_for_ever) as server:
             request = exchanges_tests.make_request()
             opened = [await pool.open(server.address, request) for _ in range(count)]
