Replica memory: bound the output that a request may state

Cause: the maximum output of a request was used as stated. One request of 1e9 tokens raised the mean output of its service above every capacity, so that requests without a maximum counted as too large for any replica; a number that is no float raised an OverflowError in the dispatcher after the dispatch had begun; a negative one counted as memory given back.

Change: the stated output is bounded by 0 and the replica's capacity, and a sample of the mean size by the capacity.

--- a/passpier/core/replica_memory.py
+++ b/passpier/core/replica_memory.py
@@ -47,13 +47,12 @@
         self._means: dict[int, _Mean] = {}
         self._output = 0.0
 
-    def note(self, job: choice.Job, now: float) -> None:
-        """Record the size of a request that is sent to a replica."""
-        if job.max_output:
-            self._output += (
-                MEAN_WEIGHT * (job.max_output - self._output) if self._output else (job.max_output)
-            )
-        tokens = self.estimate_tokens(job)
+    def note(self, job: choice.Job, now: float, capacity: int) -> None:
+        """Record the size of a request that is sent to a replica with a capacity in tokens."""
+        output = _bound_output(job, capacity)
+        if output:
+            self._output += MEAN_WEIGHT * (output - self._output) if self._output else output
+        tokens = min(self.estimate_tokens(job, capacity), capacity)
         mean = self._means.get(job.priority)
         if mean is None or now - mean.updated_at > MEAN_SECONDS:
             self._means[job.priority] = _Mean(tokens, now)
@@ -61,9 +60,9 @@
             mean.value += MEAN_WEIGHT * (tokens - mean.value)
             mean.updated_at = now
 
-    def estimate_tokens(self, job: choice.Job) -> int:
+    def estimate_tokens(self, job: choice.Job, capacity: int) -> int:
         """Return the tokens of prompt and response; the latter is the mean if none is stated."""
-        return job.prompt_tokens + (job.max_output or round(self._output))
+        return job.prompt_tokens + (_bound_output(job, capacity) or round(self._output))
 
     def get_mean(self, now: float) -> float:
         """Return the mean tokens of a request, of the priority for which it is the largest."""
@@ -71,6 +70,14 @@
         return max(means, default=0.0)
 
 
+def _bound_output(job: choice.Job, capacity: int) -> int:
+    """Return the stated maximum output, or 0 if there is none, at most a replica's capacity.
+
+    Clients may state any number; one without a bound would dominate the means for many requests.
+    """
+    return min(max(0, job.max_output), capacity)
+
+
 class Usage(msgspec.Struct, frozen=True):
     """The memory of one replica at one time."""
 
--- a/passpier/daemon/memory_filter.py
+++ b/passpier/daemon/memory_filter.py
@@ -46,7 +46,8 @@
         if not mean or not call.job.prompt_tokens:
             return available
         priority = call.service.priority
-        need = replica_memory.build_need(call.job, sizes.estimate_tokens(call.job))
+        capacity = max((replica_memory.get_capacity(r) for r in available), default=0)
+        need = replica_memory.build_need(call.job, sizes.estimate_tokens(call.job, capacity))
         fitting = [
             r
             for r in available
@@ -72,10 +73,12 @@
         if not replica.memory_capacity or not call.job.prompt_tokens:
             return
         sizes = self._sizes[call.service.pool]
-        sizes.note(call.job, now)
+        capacity = replica_memory.get_capacity(replica)
+        sizes.note(call.job, now, capacity)
         dispatch = replica.dispatches.get(placement.attempt)
         if dispatch is not None and replica_memory.is_limiting(replica, sizes.get_mean(now)):
-            need = replica_memory.build_need(call.job, sizes.estimate_tokens(call.job))
+            tokens = sizes.estimate_tokens(call.job, capacity)
+            need = replica_memory.build_need(call.job, tokens)
             dispatch.memory_tokens, dispatch.memory_parts = need.tokens, need.parts
 
     def note_ended(self, placement: dispatcher.Placement, now: float) -> None:
--- a/passpier/tests/core/replica_memory_tests.py
+++ b/passpier/tests/core/replica_memory_tests.py
@@ -80,12 +80,12 @@
     """Guards against changed decisions where short prompts fill the slots first."""
     sizes = replica_memory.RequestSizes()
     replica = make_replica()
-    sizes.note(choice.Job([], 1, 826, priority=0, max_output=58), 1.0)
+    sizes.note(choice.Job([], 1, 826, priority=0, max_output=58), 1.0, CAPACITY)
     assert not replica_memory.is_limiting(replica, sizes.get_mean(1.0))
     # Short prompts don't lower the mean of the long ones, which may share few replicas.
-    sizes.note(choice.Job([], 1, 9190, priority=2, max_output=10), 1.0)
+    sizes.note(choice.Job([], 1, 9190, priority=2, max_output=10), 1.0, CAPACITY)
     assert replica_memory.is_limiting(replica, sizes.get_mean(1.0))
     assert not replica_memory.is_limiting(replicas.Replica('p', '', '', ''), sizes.get_mean(1.0))
-    sizes.note(choice.Job([], 1, 826, priority=0, max_output=58), 100.0)
+    sizes.note(choice.Job([], 1, 826, priority=0, max_output=58), 100.0, CAPACITY)
     assert not replica_memory.is_limiting(replica, sizes.get_mean(100.0))
-    assert sizes.estimate_tokens(choice.Job([], 1, 826)) > 826
+    assert sizes.estimate_tokens(choice.Job([], 1, 826), CAPACITY) > 826
--- a/passpier/tests/daemon/memory_filter_tests.py
+++ b/passpier/tests/daemon/memory_filter_tests.py
@@ -38,10 +38,10 @@
     return call_dispatcher, pool, counters
 
 
-def make_call(id: str, priority: int, tokens: int = LONG - 10) -> calls.Call:
+def make_call(id: str, priority: int, tokens: int = LONG - 10, output: int = 10) -> calls.Call:
     call = dispatcher_tests.make_call(id)
     call.service = msgspec.structs.replace(call.service, priority=priority)
-    prompt = prompts.Prompt('m', (prompts.Part(id, tokens),), 10)
+    prompt = prompts.Prompt('m', (prompts.Part(id, tokens),), output)
     call.job = prompts.build_job(prompt, None, priority)
     return call
 
@@ -119,3 +119,29 @@
         assert not any(d.memory_tokens for d in replica.dispatches.values())
 
     virtual_time.run(run())
+
+
+@pytest.mark.parametrize(
+    'output', [10**9, 10**400, -(10**9)], ids=['large', 'not_a_float', 'negative']
+)
+def test_a_maximum_output_beyond_any_capacity_affects_no_other_requests(output: int) -> None:
+    """Guards against one client's number that makes all others wait, or fails the dispatcher.
+
+    A mean that includes 1e9 tokens exceeds every capacity; 1e400 is no float and fits no message.
+    A negative number must not give memory back.
+    """
+
+    async def run() -> None:
+        call_dispatcher, (replica,), _ = make_dispatcher()
+        await place(call_dispatcher, 'warm', DIGEST)
+        call = make_call('x', DIGEST, output=output)
+        placed = await asyncio.wait_for(call_dispatcher.place(call, 'x'), 1.0)
+        if isinstance(placed, dispatcher.Placement):
+            assert LONG - 10 <= replica.dispatches['x'].memory_tokens <= CAPACITY + LONG
+            call_dispatcher.end(placed)
+        unstated = make_call('y', DIGEST, output=0)
+        placed = await asyncio.wait_for(call_dispatcher.place(unstated, 'y'), 1.0)
+        assert isinstance(placed, dispatcher.Placement)
+        assert replica.dispatches['y'].memory_tokens < 2 * LONG
+
+    virtual_time.run(run())
