--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -120,6 +120,12 @@
     signal: backpressure.Signal = backpressure.NO_SIGNAL
     """Its backpressure signal."""
 
+    memory_used: int | None = None
+    """Tokens of KV memory that running requests use; none if it doesn't say."""
+
+    memory_total: int | None = None
+    """Its KV memory in tokens; none if it doesn't say."""
+
 
 class OrderResult(enum.Enum):
     """How a replica responded to an order."""
@@ -243,6 +249,8 @@
 
     metrics_port: int
     enabled_features: frozenset[features.Feature] = features.ALL
+    memory_mb: float | None = None
+    """Memory of the VM in MB; none if it is unknown."""
 
 
 class Query(msgspec.Struct, frozen=True):
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -31,6 +31,7 @@
     demand_meter,
     dispatcher,
     loads,
+    memory_filter,
     messages,
     metrics,
     peers,
@@ -244,6 +245,10 @@
                 self.counters,
                 rng,
             )
+        if features.Feature.REPLICA_MEMORY in options.enabled_features:
+            limiter = memory_filter.MemoryFilter(self.counters)
+            request_dispatcher.filters.append(limiter)
+            request_dispatcher.observers.append(limiter)
         if features.Feature.SEPARATION in options.enabled_features:
             request_dispatcher.filters.append(
                 replica_separation.ReplicaSeparation(
@@ -282,8 +287,14 @@
             self.forwarder.heads.on_prefill = self.speeds.note_prefill
             self.forwarder.on_event_gap = self.speeds.note_event_gap
         self.ingress = ingress.Ingress(
-            self.registry_state, self.forwarder, adapter.wire, self.counters, self.meter
+            self.registry_state,
+            self.forwarder,
+            adapter.wire,
+            self.counters,
+            self.meter,
+            adapter.pool.buffers,
         )
+        self._limit_buffers(options)
         self._drain = drain.Drain(*_read_stop_times(options))
         self.forwarder.budget_sharers = DAEMONS_AT_START
         self._started_at = clocks.now()
@@ -423,8 +434,13 @@
         self.pools.version_bound = options.version_bound
         self.limiter.buckets.tolerance = options.rate_tolerance
         self._drain.configure(*_read_stop_times(options))
+        self._limit_buffers(options)
         log.info('settings reloaded', extra={'key_bound': options.key_bound})
 
+    def _limit_buffers(self, options: dialect.Options) -> None:
+        if features.Feature.BUFFER_LIMITS in options.enabled_features:
+            self.adapter.pool.buffers.configure(options.memory_mb)
+
     @property
     def stopping(self) -> bool:
         """Whether a drain has begun."""
@@ -531,6 +547,7 @@
         while True:
             await asyncio.sleep(UPKEEP_INTERVAL)
             self.adapter.pool.close_expired()
+            self.counters.buffered_bytes.set({}, self.adapter.pool.buffers.used)
             starting = clocks.now() - self._started_at < STARTUP_SECONDS
             self.forwarder.budget_sharers = max(
                 self.roster.max_alive, DAEMONS_AT_START if starting else 1
