Replica speeds: rotate the rows of long messages by recipient

Cause: the first row of messages with more than 60 rows came from one counter for all recipients. Where the recipients of a round times 60 is a multiple of the number of rows, for example 8 peers and 120 replicas, each peer got the same rows each time and never learnt the others from this VM.

Change: each recipient has its own position; new ones begin at different rows.

Result: the new test fails before with 2 and with 8 peers and passes now.

--- a/passpier/routing/speed_sharing.py
+++ b/passpier/routing/speed_sharing.py
@@ -80,10 +80,12 @@
 
 
 class _Recipient(msgspec.Struct):
-    """When a peer was last sent messages."""
+    """What a peer was last sent, and when."""
 
     sent_at: float = float('-inf')
     full_sent_at: float = float('-inf')
+    row_turn: int = 0
+    """Where its next message begins in a list of rows that is too long for one."""
 
 
 class SpeedSharing:
@@ -235,10 +237,10 @@
         known = {m.incarnation for m in others}
         self._recipients = {i: r for i, r in self._recipients.items() if i in known}
         for member in self._choose_recipients(others):
-            recipient = self._recipients.setdefault(member.incarnation, _Recipient())
+            recipient = self._get_recipient(member.incarnation)
             # Half an interval of tolerance, as the timer isn't exact.
             is_full = now - recipient.full_sent_at >= FULL_INTERVAL - INTERVAL / 2
-            rows = self._collect(float('-inf') if is_full else recipient.sent_at, now)
+            rows = self._collect(recipient, float('-inf') if is_full else recipient.sent_at, now)
             recipient.sent_at = now
             if is_full:
                 recipient.full_sent_at = now
@@ -253,16 +255,24 @@
         self._turn = first + ROTATED_PEERS
         return (ordered + ordered)[first : first + ROTATED_PEERS]
 
-    def _collect(self, since: float, now: float) -> list[messages.SpeedRow]:
-        """Return the rows with samples after `since`, other ones at each call if they are many."""
+    def _get_recipient(self, incarnation: str) -> _Recipient:
+        recipient = self._recipients.get(incarnation)
+        if recipient is None:
+            # Peers begin at different rows, so that all rows are known somewhere soon.
+            recipient = self._recipients[incarnation] = _Recipient(row_turn=self._row_turn)
+            self._row_turn += MAX_ROWS
+        return recipient
+
+    def _collect(self, recipient: _Recipient, since: float, now: float) -> list[messages.SpeedRow]:
+        """Return the rows with samples after `since`; if they are many, in turn per recipient."""
         listed = [
             (service.estimator, process)
             for service in self._services.values()
             for process in service.estimator.list_own(since)
         ]
         if len(listed) > MAX_ROWS:
-            first = self._row_turn % len(listed)
-            self._row_turn = first + MAX_ROWS
+            first = recipient.row_turn % len(listed)
+            recipient.row_turn = first + MAX_ROWS
             listed = (listed + listed)[first : first + MAX_ROWS]
         return [_pack(process, known.read_own(process, now)) for known, process in listed]
 
--- a/passpier/tests/routing/speed_sharing_tests.py
+++ b/passpier/tests/routing/speed_sharing_tests.py
@@ -314,3 +314,27 @@
             assert {r.name for _, m in fleet.sent for r in m.rows} == set(fleet.names)
 
     run(check, vms, size)
+
+
+@pytest.mark.parametrize('vms', [3, 9])
+def test_every_peer_gets_all_rows_in_turn(vms: int) -> None:
+    """Guards against peers that get the same 60 of 120 rows each time and never the others."""
+    received: dict[str, set[str]] = {}
+
+    async def check(fleet: Fleet) -> None:
+        link = fleet.net.links['10.0.0.1:0']
+        send = link.send
+
+        def note(address: str, message: messages.ReplicaSpeeds) -> None:
+            received.setdefault(address, set()).update(r.name for r in message.rows)
+            send(address, message)
+
+        link.send = note  # type: ignore[method-assign,assignment]
+        for _ in range(5):
+            for name in fleet.names:
+                fleet.run_prompt(0, name)
+            await asyncio.sleep(speed_sharing.INTERVAL)
+        assert len(received) == vms - 1
+        assert all(names == set(fleet.names) for names in received.values())
+
+    run(check, vms, 2 * speed_sharing.MAX_ROWS)
