Admission: the pool's demand counts for 1.5 s

Cause: demand was ignored when older than 1 s, but peers whose demand is steady send it once per second, and its delivery takes time as well. A VM would have fallen back to its own queue for a part of every second.

--- a/passpier/core/admission_policy.py
+++ b/passpier/core/admission_policy.py
@@ -18,8 +18,9 @@
 """Seconds after the last request of a priority in which the service is expected to have more. A VM
 gets about one request of each kind per second in both deployments of the page on hard load."""
 
-MAX_PICTURE_AGE = 1.0
-"""Seconds after which the pool's demand is too old to decide from."""
+MAX_PICTURE_AGE = 1.5
+"""Seconds after which the pool's demand is too old to decide from. Peers whose demand is steady
+send it once per second, so a limit of 1 s would ignore it for part of the time."""
 
 OVER_SHARE = 2.0
 """Multiple of its fair share of the waiting tokens above which an account is refused early."""
