Admission: queries placed without being queued count for the turns of digests

Cause: only tickets taken from the queue counted as overtaking less urgent ones, and a turn needed a more urgent ticket in the queue. Urgent requests that always find room are never queued: while they kept the unreserved places of a replica's queue taken, a digest waited until its refusal.

Change: direct placements count as well, and the turn goes to tickets less urgent than the requests that overtook. The count begins again once the least urgent waiting tickets are placed without a turn, since turns that nobody needs cost digests in time.

--- a/passpier/core/admission.py
+++ b/passpier/core/admission.py
@@ -102,7 +102,10 @@
         self._queues: dict[str, _AccountQueue[T]] = {}
         self._size = 0
         self._overtakings = 0
-        """Tickets taken since the last overtaken one while less urgent ones waited."""
+        """Requests placed since the last overtaken one while less urgent ones waited."""
+
+        self._overtaker = 0
+        """The most urgent priority of these requests."""
 
     def __len__(self) -> int:
         return self._size
@@ -154,10 +157,28 @@
         eligible = self._list_eligible(accounts, blocked)
         account = min(eligible, key=lambda a: self._queues[a].get_next(blocked).priority)
         ticket = self._pop(self._queues[account].get_next(blocked))
-        if blocked is not None and self._has_less_urgent(ticket.priority):
-            self._overtakings += 1
+        if blocked is not None:
+            self.note_overtaking(ticket.priority)
         return ticket
 
+    def note_overtaking(self, priority: int) -> None:
+        """Count a request of this priority for the turns of less urgent tickets; see `take`.
+
+        One that is placed without being queued delays them as much as one that is taken.
+        """
+        if self._has_less_urgent(priority):
+            most_urgent = min(self._overtaker, priority) if self._overtakings else priority
+            self._overtaker = most_urgent
+            self._overtakings += 1
+
+    def note_room(self, priority: int) -> None:
+        """Record that a ticket of this priority was placed without having been overtaken.
+
+        If no less urgent ones wait, none of the overtaken ones lacks room, and turns are needless.
+        """
+        if priority > self._overtaker and not self._has_less_urgent(priority):
+            self._overtakings = 0
+
     def has_as_urgent(self, priority: int) -> bool:
         """Return whether a ticket of the same or a more urgent priority waits."""
         return any(min(queue.classes) <= priority for queue in self._queues.values())
@@ -209,9 +230,8 @@
         return any(max(queue.classes) > priority for queue in self._queues.values())
 
     def _find_overtaken(self) -> Ticket[T] | None:
-        """Return the ticket with the earliest deadline but those of the most urgent priority."""
-        most_urgent = min((min(q.classes) for q in self._queues.values()), default=0)
-        others = (t for queue in self._queues.values() for t in queue if t.priority > most_urgent)
+        """Return the ticket with the earliest deadline among those that were overtaken."""
+        others = (t for q in self._queues.values() for t in q if t.priority > self._overtaker)
         return min(others, key=lambda t: t.deadline, default=None)
 
     def _list_eligible(
--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -173,6 +173,8 @@
         if not self._has_precedence(pool, call):
             placed = self._try_place(waiting)
             if placed is not None:
+                if isinstance(placed, Placement):
+                    pool.queue.note_overtaking(call.service.priority)
                 return placed
         refusal = self._check_ready(waiting)
         verdict = None
@@ -532,6 +534,7 @@
         unplaced: list[admission.Ticket[_QueuedAttempt]] = []
         tries: collections.Counter[tuple[int, bool]] = collections.Counter()
         serving = self._upstreams.list_serving(name)
+        least_urgent = 0
         while (ticket := pool.queue.take(blocked)) is not None:
             if ticket.item.result.done():
                 continue
@@ -553,12 +556,15 @@
                 (retries if restricted else unplaced).append(ticket)
                 continue
             self._update_rate(pool, ticket.tokens)
+            if not ticket.overtaken and isinstance(placed, Placement):
+                least_urgent = max(least_urgent, ticket.priority)
             ticket.item.result.set_result(placed)
         for ticket in retries:
             # At the end, so that the next round tries others.
             pool.queue.put_back(ticket)
         for ticket in reversed(unplaced):
             pool.queue.put_back(ticket, first=True)
+        pool.queue.note_room(least_urgent)
 
     def _update_rate(self, pool: _Pool, tokens: int) -> None:
         now = clocks.now()
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -406,6 +406,42 @@
     virtual_time.run(run())
 
 
+def test_digests_have_turns_while_queries_are_placed_without_queueing(
+    virtual_clock: None,
+) -> None:
+    """Guards against starvation by queries that always find room and are never queued."""
+
+    async def run() -> None:
+        call_dispatcher, replica = make_licences()
+        replica.slots = 6
+        # Running queries leave free only the place that is reserved for queries.
+        unreserved = 6 + replicas.count_queue_places(replica)
+        unreserved -= replicas.count_queue_places(replica) // admission_policy.RESERVED_SHARE
+        placed = []
+        for number in range(unreserved):
+            placement = await call_dispatcher.place(make_query(f'q{number}'), f'q{number}')
+            assert isinstance(placement, dispatcher.Placement)
+            replicas.note_first_token(replica, placement.attempt, clocks.now())
+            placed.append(placement)
+        (digest,) = await start(call_dispatcher, [make_digest('d', 'other', 30_000)])
+        assert not digest.done()
+        count = 0
+        while not digest.done():
+            count += 1
+            (query,) = await start(call_dispatcher, [make_query(f'n{count}')])
+            placement = query.result()
+            assert isinstance(placement, dispatcher.Placement)
+            replicas.note_first_token(replica, placement.attempt, clocks.now())
+            placed.append(placement)
+            call_dispatcher.end(placed.pop(0))
+            await asyncio.sleep(0)
+            assert count <= 2 * admission.STARVATION_INTERVAL
+        assert isinstance(digest.result(), dispatcher.Placement)
+        assert count >= admission.STARVATION_INTERVAL - 2
+
+    virtual_time.run(run())
+
+
 def test_a_long_queue_costs_no_selection_per_request(virtual_clock: None) -> None:
     """Nine VMs wait for one pool with long queues: guards against a selection per request."""
 
