Dispatcher: requests refused without replicas no longer raise the measured rate

Cause: when a pool lost all replicas, each queued request that was refused counted as placed at that moment. 60 digests raised the measured rate from 91,900 to 1,454,201 tokens/s, so that expected waits were nearly zero afterwards and requests were held instead of refused.

Change: with the admission policy, only placements count. The round without a policy is left as it is, so that passpierd doesn't change.

Result: the new test fails before and passes now.

--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -555,9 +555,10 @@
                     blocked.add(ticket.priority)
                 (retries if restricted else unplaced).append(ticket)
                 continue
-            self._update_rate(pool, ticket.tokens)
-            if not ticket.overtaken and isinstance(placed, Placement):
-                least_urgent = max(least_urgent, ticket.priority)
+            if isinstance(placed, Placement):
+                self._update_rate(pool, ticket.tokens)
+                if not ticket.overtaken:
+                    least_urgent = max(least_urgent, ticket.priority)
             ticket.item.result.set_result(placed)
         for ticket in retries:
             # At the end, so that the next round tries others.
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -550,6 +550,28 @@
     virtual_time.run(run())
 
 
+def test_refusals_without_replicas_leave_the_measured_rate(virtual_clock: None) -> None:
+    """Guards against expected waits of nearly zero after all replicas were lost for a moment."""
+
+    async def run() -> None:
+        call_dispatcher, _ = make_licences()
+        waiting = [make_digest(f'd{n}', deadline_ms=30_000) for n in range(60)]
+        digests = await start(call_dispatcher, waiting)
+        placed = digests[0].result()
+        assert isinstance(placed, dispatcher.Placement)
+        await asyncio.sleep(0.1)
+        call_dispatcher.end(placed)
+        pool = call_dispatcher._pools['p']
+        rate = pool.rate
+        assert rate > 0
+        cast(upstreams.Upstreams, call_dispatcher._upstreams).pools['p'] = []
+        await asyncio.sleep(2 * dispatcher.QUEUE_CHECK_INTERVAL)
+        assert all(task.done() for task in digests)
+        assert pool.rate == rate
+
+    virtual_time.run(run())
+
+
 def test_a_cancelled_request_waits_no_longer(virtual_clock: None) -> None:
     """Guards against clients that have gone and still count as waiting tokens and as refusals."""
 
