Tests: retries without a place and the returns of hot accounts

Cause: two changes of the code left all tests passing: retries that find no place kept at the head of the queue, and one schedule of returns for an account above its fair share and all others.

Change: a test for each.

--- a/passpier/tests/core/admission_policy_tests.py
+++ b/passpier/tests/core/admission_policy_tests.py
@@ -148,6 +148,19 @@
     assert not is_refused(msgspec.structs.replace(DIGEST_DEMAND, account='a1'), picture)
 
 
+def test_returns_of_a_hot_account_do_not_delay_those_of_others() -> None:
+    """Guards against one schedule for all, which a hot account's refusals would fill."""
+    accounts = {'hot': 24_000} | {f'a{n}': 1_600 for n in range(15)}
+    picture = make_picture(queries=48_000, accounts=accounts)
+    hot = msgspec.structs.replace(QUERY_DEMAND, account='hot')
+    other = msgspec.structs.replace(QUERY_DEMAND, account='a1')
+    policy = admission_policy.Admission()
+    before = admission_policy.Admission().refuse_held(other, picture, 0.132, 10.0)
+    told = [policy.refuse_held(hot, picture, 0.132, 10.0).retry_after for _ in range(2)]
+    assert before.retry_after < told[0] < told[1]
+    assert policy.refuse_held(other, picture, 0.132, 10.0).retry_after == before.retry_after
+
+
 def test_a_hot_account_counts_up_to_its_share_against_others() -> None:
     """Queries of the hot account wait for 2 s of work; those of another account for their share."""
     accounts = {'hot': 200_000, 'a': 0}
--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -550,6 +550,31 @@
     virtual_time.run(run())
 
 
+def test_retries_that_cannot_be_placed_do_not_block_others(virtual_clock: None) -> None:
+    """Guards against rounds that always try the same retries, whose only replica is paused."""
+
+    async def run() -> None:
+        call_dispatcher, _ = make_dispatcher('f')
+        call_dispatcher.admission = admission_policy.Admission()
+        call_dispatcher._upstreams.get('f').paused_until = clocks.now() + 15.0
+        running = await fill(call_dispatcher)
+        blocked = [
+            asyncio.ensure_future(call_dispatcher.place(make_call(id), id, allowed={'f'}))
+            for id in (f'r{n}' for n in range(dispatcher.MAX_UNPLACED_RETRIES + 1))
+        ]
+        await asyncio.sleep(0)
+        other = asyncio.ensure_future(call_dispatcher.place(make_call('o'), 'o', allowed={'e'}))
+        await asyncio.sleep(0)
+        for placement in running:
+            call_dispatcher.end(placement)
+        await asyncio.sleep(2.5 * dispatcher.QUEUE_CHECK_INTERVAL)
+        assert isinstance(other.result(), dispatcher.Placement)
+        assert not any(task.done() for task in blocked)
+        await cancel(blocked)
+
+    virtual_time.run(run())
+
+
 def test_refusals_without_replicas_leave_the_measured_rate(virtual_clock: None) -> None:
     """Guards against expected waits of nearly zero after all replicas were lost for a moment."""
 
