--- a/passpier/tests/daemon/dispatcher_tests.py
+++ b/passpier/tests/daemon/dispatcher_tests.py
@@ -406,6 +406,42 @@
     virtual_time.run(run())
 
 
+def test_digests_have_turns_while_queries_are_placed_without_queueing(
+    virtual_clock: None,
+) -> None:
+    """Guards against starvation by queries that always find room and are never queued."""
+
+    async def run() -> None:
+        call_dispatcher, replica = make_licences()
+        replica.slots = 6
+        # Running queries leave free only the place that is reserved for queries.
+        unreserved = 6 + replicas.count_queue_places(replica)
+        unreserved -= replicas.count_queue_places(replica) // admission_policy.RESERVED_SHARE
+        placed = []
+        for number in range(unreserved):
+            placement = await call_dispatcher.place(make_query(f'q{number}'), f'q{number}')
+            assert isinstance(placement, dispatcher.Placement)
+            replicas.note_first_token(replica, placement.attempt, clocks.now())
+            placed.append(placement)
+        (digest,) = await start(call_dispatcher, [make_digest('d', 'other', 30_000)])
+        assert not digest.done()
+        count = 0
+        while not digest.done():
+            count += 1
+            (query,) = await start(call_dispatcher, [make_query(f'n{count}')])
+            placement = query.result()
+            assert isinstance(placement, dispatcher.Placement)
+            replicas.note_first_token(replica, placement.attempt, clocks.now())
+            placed.append(placement)
+            call_dispatcher.end(placed.pop(0))
+            await asyncio.sleep(0)
+            assert count <= 2 * admission.STARVATION_INTERVAL
+        assert isinstance(digest.result(), dispatcher.Placement)
+        assert count >= admission.STARVATION_INTERVAL - 2
+
+    virtual_time.run(run())
+
+
 def test_a_long_queue_costs_no_selection_per_request(virtual_clock: None) -> None:
     """Nine VMs wait for one pool with long queues: guards against a selection per request."""
 
@@ -514,6 +550,53 @@
     virtual_time.run(run())
 
 
+def test_retries_that_cannot_be_placed_do_not_block_others(virtual_clock: None) -> None:
+    """Guards against rounds that always try the same retries, whose only replica is paused."""
+
+    async def run() -> None:
+        call_dispatcher, _ = make_dispatcher('f')
+        call_dispatcher.admission = admission_policy.Admission()
+        call_dispatcher._upstreams.get('f').paused_until = clocks.now() + 15.0
+        running = await fill(call_dispatcher)
+        blocked = [
+            asyncio.ensure_future(call_dispatcher.place(make_call(id), id, allowed={'f'}))
+            for id in (f'r{n}' for n in range(dispatcher.MAX_UNPLACED_RETRIES + 1))
+        ]
+        await asyncio.sleep(0)
+        other = asyncio.ensure_future(call_dispatcher.place(make_call('o'), 'o', allowed={'e'}))
+        await asyncio.sleep(0)
+        for placement in running:
+            call_dispatcher.end(placement)
+        await asyncio.sleep(2.5 * dispatcher.QUEUE_CHECK_INTERVAL)
+        assert isinstance(other.result(), dispatcher.Placement)
+        assert not any(task.done() for task in blocked)
+        await cancel(blocked)
+
+    virtual_time.run(run())
+
+
+def test_refusals_without_replicas_leave_the_measured_rate(virtual_clock: None) -> None:
+    """Guards against expected waits of nearly zero after all replicas were lost for a moment."""
+
+    async def run() -> None:
+        call_dispatcher, _ = make_licences()
+        waiting = [make_digest(f'd{n}', deadline_ms=30_000) for n in range(60)]
+        digests = await start(call_dispatcher, waiting)
+        placed = digests[0].result()
+        assert isinstance(placed, dispatcher.Placement)
+        await asyncio.sleep(0.1)
+        call_dispatcher.end(placed)
+        pool = call_dispatcher._pools['p']
+        rate = pool.rate
+        assert rate > 0
+        cast(upstreams.Upstreams, call_dispatcher._upstreams).pools['p'] = []
+        await asyncio.sleep(2 * dispatcher.QUEUE_CHECK_INTERVAL)
+        assert all(task.done() for task in digests)
+        assert pool.rate == rate
+
+    virtual_time.run(run())
+
+
 def test_a_cancelled_request_waits_no_longer(virtual_clock: None) -> None:
     """Guards against clients that have gone and still count as waiting tokens and as refusals."""
 
