--- a/passpier/core/stream_gaps.py
+++ b/passpier/core/stream_gaps.py
@@ -16,6 +16,9 @@
         self.longest_send = 0.0
         """The longest time for which the client did not take an event."""
 
+        self.first_at: float | None = None
+        """When the first event arrived."""
+
         self._last_at: float | None = None
 
     def note_event(self, now: float) -> None:
@@ -23,6 +26,8 @@
         if self._last_at is not None and now - self._last_at > self.longest:
             self.longest = now - self._last_at
             self.ended_at = now
+        if self.first_at is None:
+            self.first_at = now
         self._last_at = now
 
     def note_sent(self, arrived_at: float, now: float) -> None:
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -323,11 +323,15 @@
         )
 
     def _describe_gaps(self) -> dict[str, float]:
-        """Return the log fields for the gaps of a stream; empty without two events."""
+        """Return the log fields for the times of a stream's events; empty without any."""
         gaps = self._gaps
-        if gaps.ended_at is None:
+        if gaps.first_at is None:
             return {}
+        first_event = round(gaps.first_at - self._admitted.arrived_at, 4)
+        if gaps.ended_at is None:
+            return {'first_event': first_event}
         return {
+            'first_event': first_event,
             'longest_gap': round(gaps.longest, 4),
             'gap_age': round(clocks.now() - gaps.ended_at, 4),
             'longest_send': round(gaps.longest_send, 4),
--- a/passpier/tests/core/stream_gaps_tests.py
+++ b/passpier/tests/core/stream_gaps_tests.py
@@ -12,6 +12,7 @@
         gaps.note_event(now)
     assert round(gaps.longest, 6) == 0.8
     assert gaps.ended_at == 5.9
+    assert gaps.first_at == 5.0
 
 
 def test_a_stream_of_one_event_has_no_gap() -> None:
