Admission: accounts weigh by their rate limits; reserved replicas keep free slots

On the licences half of the refused digests were refused because their account had over twice an equal share of the waiting tokens; the largest of the 16 accounts send many times as much as the smallest, within their limits. Shares now follow the limits, and without any limits no account is refused for its share. Reserved replicas get urgent requests up to three quarters of their slots: what other VMs place there is known a tenth of a second later, and member queries queued for slots (first events after 0.3 to 0.5 s beside an expected wait of zero).

--- a/passpier/core/admission_policy.py
+++ b/passpier/core/admission_policy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
 import msgspec
@@ -207,14 +207,15 @@
     return int(min(ahead, own + unlisted + sum(min(limit, tokens) for tokens in others)))
 
 
-def is_over_share(demand: Demand, picture: Picture | None) -> bool:
+def is_over_share(demand: Demand, picture: Picture | None, weights: Mapping[str, int]) -> bool:
     """Return whether the waiting tokens of an account are far above its fair share.
 
-    The weights of other accounts aren't known to be other than 1.
+    Without configured limits, large accounts can't be told from those that exceed their share.
     """
-    if picture is None or not is_current(picture):
+    if picture is None or not is_current(picture) or not weights:
         return False
-    others = sum(1 for a, tokens in picture.accounts.items() if tokens and a != demand.account)
+    waiting = [a for a, tokens in picture.accounts.items() if tokens and a != demand.account]
+    others = sum(weights.get(a, 1) for a in waiting)
     own = picture.accounts.get(demand.account, 0)
     # A single long prompt that waits isn't an excess.
     if not others or own <= demand.tokens:
@@ -228,6 +229,9 @@
 
     def __init__(self, pictures: PictureProvider | None = None) -> None:
         self.pictures = pictures
+        self.get_weights: Callable[[], Mapping[str, int]] = dict
+        """Returns the weights of accounts in fair shares, if any are configured."""
+
         self.schedule = refusal_schedule.RefusalSchedule()
         self._arrived_at: dict[str, dict[int, float]] = {}
         """When the last request of each priority arrived, by service."""
@@ -267,7 +271,7 @@
             remaining = demand.ends_at - now
             until = max(demand.hold_until, now + remaining * refusal_schedule.MAX_WAIT_SHARE)
             return Verdict(Action.WAIT, estimate, until)
-        over_share = is_over_share(demand, picture)
+        over_share = is_over_share(demand, picture, self.get_weights())
         # Without anything ahead of it, an estimate of the prefill alone refuses no request.
         if estimate.tokens_ahead:
             latest = min(demand.hold_until, demand.first_event_due - demand.prefill_seconds)
@@ -297,7 +301,7 @@
         key = f'{demand.service}/{demand.priority}'
         # All VMs refuse about as many, each tells its own when to return.
         rate = estimate.rate * RETURN_SHARE / estimate.vms
-        if picture is not None and is_over_share(demand, picture):
+        if picture is not None and is_over_share(demand, picture, self.get_weights()):
             key += f'/{demand.account}'
             rate /= len(picture.accounts)
         remaining = demand.ends_at - now
--- a/passpier/core/routes.py
+++ b/passpier/core/routes.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable, Mapping
+import statistics
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -124,6 +125,22 @@
     """Maximum size of a request body in bytes."""
 
 
+MEDIAN_WEIGHT = 8
+"""Weight of the account with the median rate limit; others are in proportion."""
+
+MAX_WEIGHT = 64
+"""Largest weight: an account's turn in a queue must not keep all others waiting."""
+
+
+def compute_weights(accounts: Sequence[Account]) -> dict[str, int]:
+    """Return the accounts' weights in fair shares, by their rate limits; empty without limits."""
+    limits = {a.name: a.rate.per_second for a in accounts if a.rate is not None}
+    if not limits:
+        return {}
+    unit = statistics.median(limits.values()) / MEDIAN_WEIGHT
+    return {a: min(MAX_WEIGHT, max(1, round(limit / unit))) for a, limit in limits.items()}
+
+
 class Table:
     """A configuration with its routes and keys indexed for lookup."""
 
@@ -135,6 +152,7 @@
         for routes in self._hosts.values():
             routes.sort(key=lambda r: -len(r.prefix))
         self._accounts = {k: a for a in configuration.accounts for k in a.keys}
+        self.weights = compute_weights(configuration.accounts)
         self.rates = {a.name: a.rate for a in configuration.accounts if a.rate is not None}
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/passpier/core/separation.py
+++ b/passpier/core/separation.py
@@ -61,6 +61,10 @@
 SLOW_TARGET_SHARE = 0.5
 """Fraction of the permitted pause within which a slow replica has to serve an urgent prompt."""
 
+FREE_SLOT_SHARE = 0.75
+"""Fraction of a reserved replica's slots up to which it gets urgent requests while others have
+room: placements of other VMs are known a tenth of a second later."""
+
 OVERFLOW_SLOT_SHARE = 0.25
 """Fraction of a reserved replica's slots below which it takes other requests if no other replica
 has room: their prefill pauses the streams that run there."""
@@ -283,7 +287,7 @@
 
 def _has_free_slot(replica: replicas.Replica, now: float) -> bool:
     """Return whether a replica starts an urgent request at once, without a queue for its slots."""
-    if replicas.estimate_running(replica, now) >= replica.slots:
+    if replicas.estimate_running(replica, now) >= replica.slots * FREE_SLOT_SHARE:
         return False
     return replicas.has_room(replica, now)
 
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -166,7 +166,9 @@
         self._service = table.choose_service(route, admitted.stream)
         self._splitter = sse.EventSplitter()
         self._splitter.last_id = admitted.client_request.last_event
-        self.call = requests.build_call(admitted, self._service)
+        account = admitted.account.name if admitted.account is not None else ''
+        weight = table.weights.get(account, 1)
+        self.call = requests.build_call(admitted, self._service, weight)
         self._binding = stream_binding.StreamBinding(
             admitted, self.call, owner.pools, owner.prober, owner.origins
         )
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -86,8 +86,8 @@
         return self.arrived_at + timeout
 
 
-def build_call(admitted: Admitted, service: str) -> calls.Call:
-    """Return the call to be dispatched for a request."""
+def build_call(admitted: Admitted, service: str, weight: int = 1) -> calls.Call:
+    """Return the call to be dispatched for a request; `weight` is that of its account."""
     route = admitted.route
     prompt = admitted.client_request.prompt
     priority = admitted.priority
@@ -107,7 +107,7 @@
     )
     call = calls.Call(
         admitted.client_request.id,
-        declarations.Account(admitted.account.name if admitted.account else ''),
+        declarations.Account(admitted.account.name if admitted.account else '', weight=weight),
         declared,
         admitted.client_request.target,
         'cost' if prompt else 'least_load',
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -7,6 +7,7 @@
 import math
 import random
 import resource
+from collections.abc import Mapping
 
 import tornado.httpserver
 import tornado.netutil
@@ -261,6 +262,7 @@
             )
         if features.Feature.ADMISSION in options.enabled_features:
             request_dispatcher.admission = admission_policy.Admission()
+            request_dispatcher.admission.get_weights = self._get_weights
             if self.demand_sharing is not None:
                 request_dispatcher.admission.pictures = self.demand_board
         self.forwarder = forwarding.Forwarder(
@@ -478,6 +480,10 @@
     ) -> None:
         self.prober.probe(message.process, 0.0)
 
+    def _get_weights(self) -> Mapping[str, int]:
+        table = self.registry_state.table
+        return table.weights if table is not None else {}
+
     def _get_configuration(self) -> routes.Configuration | None:
         table = self.registry_state.table
         return table.configuration if table is not None else None
--- a/passpier/tests/core/routes_tests.py
+++ b/passpier/tests/core/routes_tests.py
@@ -6,8 +6,9 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 
-from passpier.core import routes
+from passpier.core import buckets, routes
 
 
 def make_route(
@@ -68,3 +69,15 @@
     assert routes.Kind.RESUMABLE_STREAM.is_repeatable
     assert not routes.Kind.STREAM.is_repeatable
     assert not routes.Kind.ONCE.is_repeatable
+
+
+def test_accounts_weigh_by_their_rate_limits() -> None:
+    """Guards against equal shares for accounts with limits of different size."""
+    limits = {'small': 100.0, 'usual': 1000.0, 'large': 4000.0, 'huge': 1e9}
+    accounts = [routes.Account(a, (), rate=buckets.Rate(r, 0.0)) for a, r in limits.items()]
+    weights = routes.compute_weights([*accounts, routes.Account('unlimited', ())])
+    assert 'unlimited' not in weights
+    assert weights['large'] == pytest.approx(4 * weights['usual'], rel=0.2)
+    assert weights['small'] >= 1
+    assert weights['huge'] == routes.MAX_WEIGHT
+    assert not routes.compute_weights([routes.Account('unlimited', ())])
