Separation: at most a third of a pool is reserved, and pools of fewer than eight are left whole

On the licences (45 replicas) the demand of member queries exceeded a quarter of the pool through the bursts.

--- a/passpier/core/separation.py
+++ b/passpier/core/separation.py
@@ -46,11 +46,12 @@
 SPARE_REPLICAS = 1
 """Replicas reserved above that demand."""
 
-POOL_PER_RESERVED = 4
+POOL_PER_RESERVED = 3
 """Serving replicas for each one that may be reserved."""
 
-MIN_RESERVED = 2
-"""Pools of which fewer replicas could be reserved are not partitioned."""
+MIN_POOL = 8
+"""Serving replicas below which a pool is not partitioned: the others would have to take the work of
+a lost replica from too few."""
 
 SHRINK_SECONDS = 5.0
 """Seconds of lower demand after which one replica is released."""
@@ -155,7 +156,7 @@
             obstacle = 'no demand known'
         elif event_gap <= 0:
             obstacle = 'pauses not limited'
-        elif limit < MIN_RESERVED:
+        elif len(pool) < MIN_POOL:
             obstacle = 'pool too small'
         if picture is None or obstacle:
             self.assessment = Assessment(obstacle)
