--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -7,7 +7,6 @@
 import math
 import random
 import resource
-from collections.abc import Mapping
 
 import tornado.httpserver
 import tornado.netutil
@@ -17,22 +16,17 @@
 from passpier import clocks
 from passpier.clients import connections, registry
 from passpier.core import (
-    admission_policy,
     backpressure,
     drain,
     features,
     members,
-    pool_demand,
     rates,
     replica_processes,
     replicas,
-    routes,
 )
 from passpier.daemon import (
-    demand_meter,
     dispatcher,
     loads,
-    memory_filter,
     messages,
     metrics,
     peers,
@@ -44,10 +38,10 @@
     brittleness,
     cache_store_follower,
     crash_records,
-    demand_sharing,
     dialect,
     forwarding,
     ingress,
+    load_balancing,
     origin_sharing,
     paths,
     placement_sharing,
@@ -57,11 +51,9 @@
     registry_follower,
     registry_mirror,
     relaying,
-    replica_separation,
     rollouts,
     roster,
     sources,
-    speed_sharing,
     throttling,
     tunnel_server,
 )
@@ -228,43 +220,10 @@
         self.peers.register_handler(messages.ReplicaLeaving, self._handle_replica_leaving)
         # Routing decisions can't be queried from this process, they are only logged.
         request_dispatcher = dispatcher.Dispatcher(self.pools, self.counters, rng, decisions_kept=0)
-        if features.Feature.LOCALITY in options.enabled_features:
-            request_dispatcher.own_domain = options.failure_domain
-        self.demand_board = pool_demand.DemandBoard()
-        self.demand_sharing: demand_sharing.DemandSharing | None = None
-        self._shared_services: tuple[routes.Table | None, list[str]] = None, []
-        meter: demand_meter.DemandMeter | None = None
-        if features.Feature.POOL_DEMAND in options.enabled_features:
-            meter = demand_meter.DemandMeter(request_dispatcher.list_waiting)
-            request_dispatcher.observers.append(meter)
-            self.demand_sharing = demand_sharing.DemandSharing(
-                self.demand_board,
-                meter,
-                self._list_shared_services,
-                membership,
-                self.peers,
-                self.counters,
-                rng,
-            )
-        if features.Feature.REPLICA_MEMORY in options.enabled_features:
-            limiter = memory_filter.MemoryFilter(self.counters)
-            request_dispatcher.filters.append(limiter)
-            request_dispatcher.observers.append(limiter)
-        if features.Feature.SEPARATION in options.enabled_features:
-            request_dispatcher.filters.append(
-                replica_separation.ReplicaSeparation(
-                    self.pools,
-                    self._get_configuration,
-                    self._get_picture,
-                    lambda now: 1 + len(membership.list_load_recipients(now)),
-                    self.counters,
-                )
-            )
-        if features.Feature.ADMISSION in options.enabled_features:
-            request_dispatcher.admission = admission_policy.Admission()
-            request_dispatcher.admission.get_weights = self._get_weights
-            if self.demand_sharing is not None:
-                request_dispatcher.admission.pictures = self.demand_board
+        self.load_balancing = load_balancing.LoadBalancing(
+            options, self.registry_state, membership, self.peers, self.counters, rng
+        )
+        self.load_balancing.attach_dispatcher(request_dispatcher)
         self.forwarder = forwarding.Forwarder(
             self.registry_state,
             request_dispatcher,
@@ -279,15 +238,7 @@
             self.limiter,
             self.origins,
         )
-        if meter is not None:
-            self.forwarder.on_stream_ended = meter.note_stream
-        self.speeds: speed_sharing.SpeedSharing | None = None
-        if features.Feature.REPLICA_SPEEDS in options.enabled_features:
-            self.speeds = speed_sharing.SpeedSharing(
-                self.pools, membership, self.peers, self.counters
-            )
-            self.forwarder.heads.on_prefill = self.speeds.note_prefill
-            self.forwarder.on_event_gap = self.speeds.note_event_gap
+        self.load_balancing.attach_forwarder(self.forwarder)
         self.ingress = ingress.Ingress(
             self.registry_state,
             self.forwarder,
@@ -342,10 +293,7 @@
             tasks.start(self.throttling.run()),
             tasks.start(self.brittleness.run()),
         ]
-        if self.demand_sharing is not None:
-            running.append(tasks.start(self.demand_sharing.run()))
-        if self.speeds is not None:
-            running.append(tasks.start(self.speeds.run()))
+        running += [tasks.start(run()) for run in self.load_balancing.list_tasks()]
         try:
             await self._serve(servers)
         finally:
@@ -454,14 +402,6 @@
         fresh = self.registry_state.freshness.is_fresh(now)
         return self.registry_state.is_ready() and fresh and not self.roster.leaving
 
-    def _list_shared_services(self) -> list[str]:
-        """Return the services whose demand is shared, of the configuration in force."""
-        table = self.registry_state.table
-        if table is not self._shared_services[0]:
-            names = pool_demand.list_shared_services(table.configuration) if table else []
-            self._shared_services = table, names
-        return self._shared_services[1]
-
     def _handle_unresponsive(
         self, sender: str, address: str, message: messages.ReplicaUnresponsive
     ) -> None:
@@ -480,18 +420,6 @@
     ) -> None:
         self.prober.probe(message.process, 0.0)
 
-    def _get_weights(self) -> Mapping[str, int]:
-        table = self.registry_state.table
-        return table.weights if table is not None else {}
-
-    def _get_configuration(self) -> routes.Configuration | None:
-        table = self.registry_state.table
-        return table.configuration if table is not None else None
-
-    def _get_picture(self, service: str, now: float) -> pool_demand.Picture | None:
-        """Return the pool demand of a service; without it, no replicas are reserved."""
-        return self.demand_board.get_picture(service, now) if self.demand_sharing else None
-
     def _forget_address(self, replica: replicas.Replica) -> None:
         """Drop the connections and the path to a replica process that has ended."""
         self.adapter.pool.close_idle(replica.address)
--- a/passpier/tests/platform/demand_sharing_tests.py
+++ b/passpier/tests/platform/demand_sharing_tests.py
@@ -19,7 +19,9 @@
         asked = asyncio.ensure_future(running.ask('/safe/x', 0, patience_ms=5000))
 
         def count_running(entry: int) -> int:
-            picture = running.routers[entry].demand_board.get_picture('app', clocks.now())
+            picture = running.routers[entry].load_balancing.demand_board.get_picture(
+                'app', clocks.now()
+            )
             return sum(p.running for p in picture.priorities)
 
         await harness.wait_for(lambda: count_running(1) == 1)
--- a/passpier/tests/platform/speeds_tests.py
+++ b/passpier/tests/platform/speeds_tests.py
@@ -25,9 +25,9 @@
     async def check(running: deployment.Deployment) -> None:
         await ask_streams(running)
         process = running.routers[0]
-        assert process.speeds is not None
+        assert process.load_balancing.speeds is not None
         found = [
-            process.speeds.get_estimator(process.pools.get_service(r.name)).estimate(
+            process.load_balancing.speeds.get_estimator(process.pools.get_service(r.name)).estimate(
                 r.process, clocks.now()
             )
             for r in process.pools.replicas.values()
@@ -45,7 +45,7 @@
         process = running.add_router('off', 'a', enabled_features=frozenset())
         await running.wait_ready()
         await ask_streams(running, 1)
-        assert process.speeds is None
+        assert process.load_balancing.speeds is None
         assert features.Feature.REPLICA_SPEEDS in running.routers[0].options.enabled_features
         assert all(r.speed is None for r in process.pools.replicas.values())
 
