--- a/passpier/core/admission_policy.py
+++ b/passpier/core/admission_policy.py
@@ -16,7 +16,7 @@
 
 PRIORITY_SECONDS = 30.0
 """Seconds after the last request of a priority in which the service is expected to have more. A VM
-gets about one request of each kind per second in both deployments of the page on hard load."""
+may get only one request of a kind per second."""
 
 MAX_PICTURE_AGE = 1.5
 """Seconds after which the pool's demand is too old to decide from. Peers whose demand is steady
