--- a/passpier/daemon/dispatcher.py
+++ b/passpier/daemon/dispatcher.py
@@ -150,6 +150,7 @@
         self.observers: list[PlacementObserver] = []
         self.own_domain = ''
         """The failure domain that calls should not leave without need; empty for none."""
+
         self.admission: admission_policy.Admission | None = None
         """Decides for which priorities replicas have room, and who is refused; if none, requests
         queue regardless of the priorities at the replicas."""
