--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -30,10 +31,15 @@
 
 
 def pick_port() -> int:
-    """Return a free port on loopback."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Return a free port on loopback, below those that the kernel gives to connections."""
+    while True:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
 
 
 class Record:
