Logs: the state of the retry budget and the age of each retry

Change: 'retry sent' with the age of the retry that paid for it, the budget's state there and on 'attempt failed', 'retry budget shared', and the gauges passpier_retries_left and passpier_retry_sharers. No decision is changed.

--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -68,6 +68,16 @@
         self._requests: collections.deque[float] = collections.deque()
         self._spent: collections.deque[float] = collections.deque()
 
+    @property
+    def requests(self) -> int:
+        """The number of requests counted in the current window."""
+        return len(self._requests)
+
+    @property
+    def spent(self) -> int:
+        """The number of retries taken in the current window."""
+        return len(self._spent)
+
     def configure(self, ratio: float, slack: float, window: float) -> None:
         """Set the parameters; requests and retries counted before are kept."""
         self._ratio = ratio
@@ -98,9 +108,13 @@
 
     def has_any(self, now: float, daemons: int) -> bool:
         """Return whether a retry is left; `daemons` is the number that share the slack."""
+        return self.compute_left(now, daemons) >= 1.0
+
+    def compute_left(self, now: float, daemons: int) -> float:
+        """Return the number of retries left; `daemons` is the number that share the slack."""
         self._forget(now)
         allowed = self._ratio * len(self._requests) + self._slack / max(1, daemons)
-        return len(self._spent) + 1 <= allowed * BUDGET_SAFETY_FACTOR
+        return allowed * BUDGET_SAFETY_FACTOR - len(self._spent)
 
     def _forget(self, now: float) -> None:
         for times in (self._requests, self._spent):
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -79,6 +79,14 @@
         self.retries = _build_counter(
             registry, 'passpier_retries_total', 'Further attempts, by step.'
         )
+        self.retries_left = _build_gauge(
+            registry,
+            'passpier_retries_left',
+            'Retries that the shared budget leaves to this process, by service.',
+        )
+        self.retry_sharers = _build_gauge(
+            registry, 'passpier_retry_sharers', 'Processes assumed to share the retry budget.'
+        )
         self.refused_records = _build_counter(
             registry, 'passpier_refused_records_total', 'Records that say nothing, by kind.'
         )
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -146,6 +146,29 @@
         """Return the retry budget of a service."""
         return self._budgets[service]
 
+    def share_budget(self, processes: int) -> None:
+        """Share the retry budgets with that many processes, and publish what is left of them."""
+        now = clocks.now()
+        if processes != self.budget_sharers:
+            fields = {'sharers': processes, 'before': self.budget_sharers}
+            log.info('retry budget shared', extra=fields)
+        self.budget_sharers = processes
+        self.counters.retry_sharers.set({}, processes)
+        for service, budget in self._budgets.items():
+            left = round(budget.compute_left(now, processes), 2)
+            self.counters.retries_left.set({'service': service}, left)
+
+    def describe_budget(self, service: str) -> dict[str, float]:
+        """Return the log fields for the state of a service's retry budget."""
+        budget = self._budgets[service]
+        left = budget.compute_left(clocks.now(), self.budget_sharers)
+        return {
+            'retries_left': round(left, 2),
+            'retries_spent': budget.spent,
+            'recent_requests': budget.requests,
+            'sharers': self.budget_sharers,
+        }
+
     def begin(self, admitted: requests.Admitted, client: responses.Client) -> RequestRun:
         """Return the execution of an admitted request, yet to be started."""
         return RequestRun(self, admitted, client)
@@ -185,6 +208,8 @@
         """The next attempt, if another replica is to take over from the current one."""
 
         self._retries = retries.RequestRetries(owner.get_budget(self._service))
+        self._retry_taken_at: float | None = None
+        """When the retry for the next attempt was taken, if that attempt needs one."""
 
         client_request = admitted.client_request
         self.charge = rate_limiting.Charge(
@@ -450,6 +475,7 @@
         cleanup.callback(self._owner.suspects.end, fingerprint)
         exchange = await self._connect(placement, time_left, connect_seconds)
         cleanup.callback(exchange.close)
+        self._log_retry(placement)
         self._reached.add(placement.replica.name)
         reader = response_reader.ResponseReader(
             exchange,
@@ -460,6 +486,23 @@
         )
         return sent_attempts.Attempt(placement, exchange, reader, clocks.now(), cleanup.pop_all())
 
+    def _log_retry(self, placement: dispatcher.Placement) -> None:
+        """Log a request that was sent again, with the age of the retry that it took."""
+        taken_at, self._retry_taken_at = self._retry_taken_at, None
+        if not self._reached:
+            return
+        log.info(
+            'retry sent',
+            extra={
+                'request': self.id,
+                'service': self._service,
+                'upstream': placement.replica.process.id,
+                'reached': len(self._reached),
+                'taken_for': None if taken_at is None else round(clocks.now() - taken_at, 3),
+                **self._owner.describe_budget(self._service),
+            },
+        )
+
     async def _connect(
         self, placement: dispatcher.Placement, time_left: float, connect_seconds: float
     ) -> exchanges.Exchange:
@@ -686,6 +729,7 @@
                 'attempts': progress.attempts,
                 'reached': len(self._reached),
                 'has_budget': has_budget,
+                **self._owner.describe_budget(self._service),
                 'ran': progress.outcome.value,
                 'time_left': round(self._admitted.ends_at - now, 3),
             },
@@ -762,7 +806,11 @@
 
     def spend_retry(self) -> bool:
         """Take a retry for the next attempt; return false if none is left."""
-        return self._retries.spend(clocks.now(), self._owner.budget_sharers)
+        now = clocks.now()
+        if not self._retries.spend(now, self._owner.budget_sharers):
+            return False
+        self._retry_taken_at = now
+        return True
 
     def reserve_retry(self) -> bool:
         """Take a retry for a later attempt; return false if none is left."""
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -483,8 +483,8 @@
             self.adapter.pool.close_expired()
             self.counters.buffered_bytes.set({}, self.adapter.pool.buffers.used)
             starting = clocks.now() - self._started_at < STARTUP_SECONDS
-            self.forwarder.budget_sharers = max(
-                self.roster.max_alive, DAEMONS_AT_START if starting else 1
+            self.forwarder.share_budget(
+                max(self.roster.max_alive, DAEMONS_AT_START if starting else 1)
             )
 
     def _listen(self) -> list[tornado.httpserver.HTTPServer]:
