Tests: retries of all routers together against the retry budget

Cause: play and soak checked no sum of retries over the routers, and no test restarted routers after they had spent their budget.

--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -97,6 +97,10 @@
         self.configuration = {**self.configuration, **changes, 'version': self.version}
         self.store.put(names.CONFIGURATION_KEY, self.configuration)
 
+    def map_services(self) -> dict[str, str]:
+        """Return the service of each kind of request; each has a route of that name."""
+        return {route['name']: route['service'] for route in self.configuration['routes']}
+
     def release_version(self, version: int) -> None:
         """Release new weights, as the operator does."""
         self.store.put(f'{names.VERSION_PREFIX}{MODEL}', {'model': MODEL, 'version': version})
--- a/passpier/standins/platform/fault_injection.py
+++ b/passpier/standins/platform/fault_injection.py
@@ -205,7 +205,7 @@
         router = self._pick_router()
         if router is None or not router.handles_signal(signal.SIGHUP):
             return
-        router.retry_slack = self._rng.randint(20, 60)
+        router.retry_slack = self._rng.randint(*routers.RETRY_SLACKS)
         self.log_fault(f'{router.name} is told to reload')
         router.write_settings()
         router.send(signal.SIGHUP)
--- a/passpier/standins/platform/invariants.py
+++ b/passpier/standins/platform/invariants.py
@@ -151,6 +151,16 @@
     ended: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryAllowance:
+    """How many retries a service may get: `ratio` times its requests plus `slack` in a window."""
+
+    ratio: float
+    slack: float
+    window: float
+    """Seconds."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbance:
     """A period in which a router started or was paused, or a replica's link was disturbed."""
@@ -271,6 +281,62 @@
     return []
 
 
+def find_retry_excess(
+    outcomes: Iterable[RequestOutcome],
+    replicas: Iterable[replica.Replica],
+    services: Mapping[str, str],
+    allowance: RetryAllowance,
+) -> list[str]:
+    """Return, for each service, the window in which the most retries above the allowance arrived.
+
+    `services` has the service of each kind of request. The requests are those of the window, of
+    the one before it or of the one half a window before it, whichever has the most.
+    """
+    outcomes, targets = list(outcomes), list(replicas)
+    violations = []
+    for service in sorted(set(services.values())):
+        sent = sorted(one.sent_at for one in outcomes if services.get(one.kind) == service)
+        retried = _list_retries(target for target in targets if target.service == service)
+        excess, at = max(
+            ((_compute_excess(at, retried, sent, allowance), at) for at in retried),
+            default=(0.0, 0.0),
+        )
+        if excess > 0:
+            violations.append(
+                f'{service} got {excess:.1f} retries more than allowed in the {allowance.window} s '
+                f'until {at:.2f}'
+            )
+    return violations
+
+
+def _list_retries(replicas: Iterable[replica.Replica]) -> list[float]:
+    """Return the times of all arrivals but the first of each request, in order."""
+    seen = set()
+    retried = []
+    for arrival in sorted((a for r in replicas for a in r.arrivals), key=lambda a: a.at):
+        if arrival.id in seen:
+            retried.append(arrival.at)
+        seen.add(arrival.id)
+    return retried
+
+
+def _compute_excess(
+    at: float, retried: list[float], sent: list[float], allowance: RetryAllowance
+) -> float:
+    """Return how many retries above the allowance arrived in the window that ends at a time."""
+    window = allowance.window
+    requests = max(
+        _count_between(sent, end - window, end) for end in (at, at - window / 2, at - window)
+    )
+    allowed = allowance.ratio * requests + allowance.slack
+    return _count_between(retried, at - window, at) - allowed
+
+
+def _count_between(times: list[float], began: float, ended: float) -> int:
+    """Return how many of the sorted times lie after `began` and not after `ended`."""
+    return bisect.bisect_right(times, ended) - bisect.bisect_right(times, began)
+
+
 def find_backpressure_violations(
     outcomes: Iterable[RequestOutcome],
     replicas: Iterable[replica.Replica],
--- a/passpier/standins/platform/play.py
+++ b/passpier/standins/platform/play.py
@@ -284,6 +284,15 @@
             self._running.routers[0].options.key_bound,
             ORDER_GAP,
         )
+        options = self._running.routers[0].options
+        self.report.violations += invariants.find_retry_excess(
+            self.report.outcomes,
+            self._running.replicas.values(),
+            self._running.map_services(),
+            invariants.RetryAllowance(
+                options.retry_ratio, options.retry_slack, options.retry_window
+            ),
+        )
         self.report.violations += invariants.find_backpressure_violations(
             self.report.outcomes,
             self._running.replicas.values(),
--- a/passpier/standins/platform/routers.py
+++ b/passpier/standins/platform/routers.py
@@ -9,7 +9,7 @@
 from passpier.clients import connections, exchanges
 from passpier.platform import names
 from passpier.standins import processes
-from passpier.standins.platform import proxy
+from passpier.standins.platform import invariants, proxy
 
 KEY_BOUND = 3.0
 """Seconds after which a revoked key is rejected, as in the settings."""
@@ -20,6 +20,12 @@
 VERSION_BOUND = 8.0
 """Seconds after which no request may start on outdated weights, as in the settings."""
 
+RETRY_SLACKS = (20, 60)
+"""Least and greatest slack of the retry budget that settings are given."""
+
+MAX_RETRY_ALLOWANCE = invariants.RetryAllowance(0.2, RETRY_SLACKS[1], 10.0)
+"""Retries that all routers together may send with any of these settings."""
+
 STOP_BOUND = 6.0
 """Seconds after SIGTERM at which the platform kills a process."""
 
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -197,6 +197,12 @@
             self._faults.unplanned,
             self._versions.routers,
         )
+        self.report.violations += invariants.find_retry_excess(
+            self.report.outcomes,
+            self._deployment.replicas.values(),
+            self._deployment.map_services(),
+            routers.MAX_RETRY_ALLOWANCE,
+        )
         self.report.backpressure_violations = invariants.find_backpressure_violations(
             self.report.outcomes,
             self._deployment.replicas.values(),
--- /dev/null
+++ b/passpier/tests/platform/retry_budget_tests.py
@@ -0,0 +1,170 @@
+"""The retries that all routers together send stay within the budget of their deployment."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+
+from passpier import clocks
+from passpier.clients import exchanges
+from passpier.standins.platform import deployment, invariants, replica, routers
+from passpier.tests.platform import harness
+
+ROUTERS = 4
+RATE = 60.0
+"""Requests a second."""
+
+ALWAYS = 1_000_000
+"""Number of coming requests that a fault affects: more than any test sends."""
+
+SETTLED_SECONDS = 11.0
+"""Seconds after which a router knows the others, and has served for longer than a window."""
+
+FAILING_SECONDS = 1.5
+SECOND_FAILURE = 8.5
+"""Seconds from the start of the first failure to that of the second, within one window."""
+
+WINDOW = 3.0
+STREAMS = 150
+EVENT_PAUSE = 0.5
+OUTAGE_SECONDS = 4.0
+"""Seconds for which streams wait for a replica, longer than a window."""
+
+
+class Load:
+    """Clients that send requests of one kind to random routers, and what they received."""
+
+    def __init__(self, running: deployment.Deployment, kind: str, addresses: list[str]) -> None:
+        self.outcomes: list[invariants.RequestOutcome] = []
+        self._running = running
+        self._kind = kind
+        self._addresses = addresses
+        self._rng = random.Random(1)
+        self._pending: list[asyncio.Task[None]] = []
+
+    async def send(self, seconds: float, rate: float = RATE, patience: float = 2.0) -> None:
+        """Send `rate` requests a second, whose clients wait for `patience` seconds."""
+        ends_at = clocks.now() + seconds
+        while clocks.now() < ends_at:
+            self._pending.append(asyncio.ensure_future(self._ask(patience)))
+            await asyncio.sleep(1 / rate)
+
+    async def finish(self) -> None:
+        """Wait until all clients have their responses."""
+        await asyncio.gather(*self._pending)
+
+    async def _ask(self, patience: float) -> None:
+        id = f'n{len(self._pending)}'
+        address = self._rng.choice(self._addresses)
+        prompt = deployment.make_prompt(self._rng) if self._kind == 'resume' else []
+        headers = [*deployment.build_headers(id, int(patience * 1000)), *prompt]
+        request = exchanges.Request('POST', f'/{self._kind}/x', headers, b'question')
+        began = clocks.now()
+        observed = await self._running.observe_at(address, request, patience)
+        self.outcomes.append(
+            invariants.RequestOutcome(
+                id, self._kind, '', began, observed.status, observed.body, clocks.now() - began
+            )
+        )
+
+
+async def start_routers(
+    running: deployment.Deployment, folder: pathlib.Path
+) -> list[routers.RouterProcess]:
+    """Start router processes and wait until they know each other and have served for a while."""
+    started = [
+        routers.RouterProcess(number, folder, running.store_address) for number in range(ROUTERS)
+    ]
+    for process in started:
+        await process.open()
+    await wait_ready(running, started)
+    return started
+
+
+async def wait_ready(running: deployment.Deployment, started: list[routers.RouterProcess]) -> None:
+    """Wait until all router processes are ready."""
+    while not all([await process.is_ready(running.pool) for process in started]):
+        await asyncio.sleep(0.05)
+
+
+def set_failing(running: deployment.Deployment, count: int) -> None:
+    """Have each application replica run the next `count` requests and answer with a failure."""
+    for target in running.replicas.values():
+        if not target.model:
+            target.faults.fail = count
+
+
+# Guards against retries above the budget when all routers restart after they have spent it.
+def test_routers_that_restart_together_do_not_spend_the_retry_budget_twice(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def run() -> None:
+        async with deployment.running(routers=0) as running:
+            running.configure(
+                routes=[{**r, 'max_attempts': 4} for r in running.configuration['routes']]
+            )
+            for number in range(2, 4):
+                running.add_replica(replica.Replica(f'app-{number}', 'app', 'zone-0'))
+            processes = await start_routers(running, tmp_path)
+            try:
+                load = Load(running, 'safe', [process.caller for process in processes])
+                await load.send(SETTLED_SECONDS)
+                set_failing(running, ALWAYS)
+                began = clocks.now()
+                await load.send(FAILING_SECONDS)
+                for process in processes:
+                    process.kill()
+                set_failing(running, 0)
+                for process in processes:
+                    process.start()
+                await wait_ready(running, processes)
+                await load.send(began + SECOND_FAILURE - clocks.now())
+                set_failing(running, ALWAYS)
+                await load.send(FAILING_SECONDS)
+                await load.finish()
+            finally:
+                for process in processes:
+                    await process.close()
+            allowance = invariants.RetryAllowance(0.2, processes[0].retry_slack, 10.0)
+            assert sum(one.status == 200 for one in load.outcomes) > RATE * SETTLED_SECONDS / 2
+            assert not invariants.find_retry_excess(
+                load.outcomes, running.replicas.values(), running.map_services(), allowance
+            )
+
+    asyncio.run(asyncio.wait_for(run(), 2 * harness.TEST_TIMEOUT))
+
+
+# Guards against retries above the budget when streams wait for a replica longer than a window.
+def test_streams_that_wait_for_a_replica_do_not_send_the_retries_of_two_windows_at_once() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.configure(
+            routes=[{**r, 'timeout_ms': 20_000} for r in running.configuration['routes']]
+        )
+        process = running.routers[0]
+        options = process.options
+        process.forwarder.get_budget('llm').configure(
+            options.retry_ratio, options.retry_slack, WINDOW
+        )
+        await running.wait_settled()
+        models = [target for target in running.replicas.values() if target.model]
+        for model in models:
+            model.slots = STREAMS
+            model.event_pause = EVENT_PAUSE
+            model.faults.cut = ALWAYS
+        load = Load(running, 'resume', [options.caller])
+        sending = EVENT_PAUSE * 0.8
+        await load.send(sending, rate=STREAMS / sending, patience=15.0)
+        for model in models:
+            running.remove_entry(model.id)
+        await asyncio.sleep(OUTAGE_SECONDS)
+        for model in models:
+            running.add_replica(model.build_successor(f'{model.id}-again'))
+        await load.finish()
+        allowance = invariants.RetryAllowance(options.retry_ratio, options.retry_slack, WINDOW)
+        assert not invariants.find_retry_excess(
+            load.outcomes, running.replicas.values(), running.map_services(), allowance
+        )
+        assert sum(one.status == 200 for one in load.outcomes) > STREAMS / 4
+
+    harness.run_check(check)
