Routers: retries are earned and saved, and count when they are sent

What callers saw: more arrivals beyond the first of each request than the deployment allows (BUDGET), after routers restarted or after an outage of a service that lasted longer than the budget's window.

Cause: a sliding window of what this process has taken. It is forgotten with the process, so that routers which restart together spend the same budget again; and a retry counted when it was taken, so that streams which waited for a replica sent the retries of two windows at once. The slack was divided by the processes alive at once, and by one for a process that had not heard its peers by 5 s after its start.

Change: SharedBudget is a balance that starts at nothing, earns by time and by request, and saves at most half of a window's retries. A held retry stays in the balance until its attempt is sent; open_attempt is the one place that counts, and it logs an attempt that has no retry. The slack is divided by the VMs seen alive or registered at once, by 32 at least until 5 s after the first configuration.

Tests that need a retry from a router that has just started call age_routers first; their checks are unchanged.

--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import contextlib
 import random
 
 import msgspec
@@ -18,7 +17,10 @@
 """Retries earned per second, so that a daemon with little traffic can retry at all."""
 
 BUDGET_SAFETY_FACTOR = 0.8
-"""Share of a shared budget that is used, as windows of daemons differ and restarts reset them."""
+"""Share of a shared budget that is used: a retry may arrive some seconds after it was sent."""
+
+SAVED_SHARE = 0.5
+"""Share of a window's retries that can be saved up; the others are earned during the window."""
 
 BACKOFF_BASE = 0.02
 BACKOFF_MAX = 1.0
@@ -56,17 +58,22 @@
 
 
 class SharedBudget:
-    """One daemon's share of a retry budget that all daemons keep without coordination.
+    """One process's share of a retry budget that all processes keep without coordination.
+
+    In each window, all processes together may send `ratio` times their requests plus `slack`
+    retries. A process earns retries with time and with each request, and can save a part of those
+    of a window. It starts without any, so that a restart never adds to what is sent.
 
-    In each window, all daemons together may send `ratio` times their requests plus `slack` retries.
-    Each spends at most `ratio` times its own requests plus an equal share of the slack, so the sum
-    holds regardless of which others are alive or reachable.
+    A retry that is held for an attempt counts as saved until the attempt has been sent.
     """
 
-    def __init__(self, ratio: float, slack: float, window: float) -> None:
-        self.configure(ratio, slack, window)
+    def __init__(self, ratio: float, slack: float, window: float, started_at: float) -> None:
+        """`started_at` is the start of the process, which has sent no retry since then."""
         self._requests: collections.deque[float] = collections.deque()
-        self._spent: collections.deque[float] = collections.deque()
+        self._balance = 0.0
+        self._held = 0
+        self._earned_until = started_at
+        self.configure(ratio, slack, window)
 
     @property
     def requests(self) -> int:
@@ -74,80 +81,116 @@
         return len(self._requests)
 
     @property
-    def spent(self) -> int:
-        """The number of retries taken in the current window."""
-        return len(self._spent)
+    def held(self) -> int:
+        """The number of retries held for attempts that have not been sent."""
+        return self._held
 
     def configure(self, ratio: float, slack: float, window: float) -> None:
-        """Set the parameters; requests and retries counted before are kept."""
-        self._ratio = ratio
-        self._slack = slack
+        """Set the parameters; requests counted and retries saved before are kept."""
+        self._ratio = ratio * BUDGET_SAFETY_FACTOR
+        self._slack = slack * BUDGET_SAFETY_FACTOR
         self._window = window
 
     def note_request(self, now: float) -> None:
         """Count a request of a client."""
         self._forget(now)
         self._requests.append(now)
+        self._balance += self._ratio * (1 - SAVED_SHARE)
+
+    def compute_left(self, now: float, processes: int) -> float:
+        """Return the number of retries left; `processes` is the number that share the slack."""
+        self._update(now, max(1, processes))
+        return self._balance - self._held
 
-    def spend(self, now: float, daemons: int) -> bool:
-        """Take one retry if any is left; `daemons` is the number that share the slack."""
-        if not self.has_any(now, daemons):
+    def has_any(self, now: float, processes: int) -> bool:
+        """Return whether a retry is left; `processes` is the number that share the slack."""
+        return self.compute_left(now, processes) >= 1.0
+
+    def hold(self, now: float, processes: int) -> bool:
+        """Hold a retry if any is left; `processes` is the number that share the slack."""
+        if not self.has_any(now, processes):
             return False
-        self._spent.append(now)
+        self._held += 1
         return True
 
-    def refund(self, taken_at: float) -> None:
-        """Return a retry that was taken at that time and not used."""
-        with contextlib.suppress(ValueError):
-            self._spent.remove(taken_at)
+    def release(self) -> None:
+        """Return a held retry that is not used."""
+        self._held -= 1
 
-    def postpone(self, taken_at: float, now: float) -> None:
-        """Count a retry that was taken at one time as taken now, when it is used."""
-        self.refund(taken_at)
-        self._spent.append(now)
+    def spend(self) -> None:
+        """Count a held retry as sent."""
+        self._held -= 1
+        self._balance -= 1.0
 
-    def has_any(self, now: float, daemons: int) -> bool:
-        """Return whether a retry is left; `daemons` is the number that share the slack."""
-        return self.compute_left(now, daemons) >= 1.0
+    def charge(self) -> None:
+        """Count a retry that was sent without having been held."""
+        self._balance -= 1.0
 
-    def compute_left(self, now: float, daemons: int) -> float:
-        """Return the number of retries left; `daemons` is the number that share the slack."""
+    def _update(self, now: float, processes: int) -> None:
+        """Earn the retries of the time since the last update, and drop those above the limit."""
         self._forget(now)
-        allowed = self._ratio * len(self._requests) + self._slack / max(1, daemons)
-        return allowed * BUDGET_SAFETY_FACTOR - len(self._spent)
+        slack = self._slack / processes
+        windows = max(0.0, now - self._earned_until) / self._window
+        self._balance += slack * (1 - SAVED_SHARE) * windows
+        self._earned_until = now
+        limit = (slack + self._ratio * len(self._requests)) * SAVED_SHARE
+        self._balance = min(self._balance, max(limit, float(self._held)))
 
     def _forget(self, now: float) -> None:
-        for times in (self._requests, self._spent):
-            while times and times[0] <= now - self._window:
-                times.popleft()
+        """Drop the requests of before the window."""
+        while self._requests and self._requests[0] <= now - self._window:
+            self._requests.popleft()
 
 
 class RequestRetries:
-    """The retries of one request, of which one can be reserved for later."""
+    """The retries of one request: one held for its next attempt, and one reserved for later."""
 
     def __init__(self, budget: SharedBudget) -> None:
         self._budget = budget
-        self._reserved_at: float | None = None
-
-    def spend(self, now: float, daemons: int) -> bool:
-        """Use the reserved retry, or else take one; return false if none is left."""
-        if self._reserved_at is None:
-            return self._budget.spend(now, daemons)
-        self._budget.postpone(self._reserved_at, now)
-        self._reserved_at = None
-        return True
-
-    def reserve(self, now: float, daemons: int) -> bool:
-        """Take a retry for later; return false if none is left.
-
-        It counts as taken until `release` is called.
+        self._was_sent = False
+        self._is_held = False
+        self._is_reserved = False
+
+    def has_any(self, now: float, processes: int) -> bool:
+        """Return whether the request has a retry or can get one."""
+        return self._is_held or self._is_reserved or self._budget.has_any(now, processes)
+
+    def hold(self, now: float, processes: int) -> bool:
+        """Hold a retry for the next attempt, the reserved one if there is one; return success."""
+        if not self._is_held:
+            self._is_held = self._is_reserved or self._budget.hold(now, processes)
+            self._is_reserved = False
+        return self._is_held
+
+    def reserve(self, now: float, processes: int) -> bool:
+        """Reserve a retry for later, until `release` is called; return success."""
+        if not self._is_reserved:
+            self._is_reserved = self._budget.hold(now, processes)
+        return self._is_reserved
+
+    def note_sent(self) -> bool:
+        """Count an attempt that was sent; return false if it should have had a retry and had none.
+
+        The first one needs no retry.
         """
-        if self._reserved_at is None and self._budget.spend(now, daemons):
-            self._reserved_at = now
-        return self._reserved_at is not None
+        is_paid = self._is_held or not self._was_sent
+        if self._is_held:
+            self._budget.spend()
+        elif self._was_sent:
+            self._budget.charge()
+        self._was_sent = True
+        self._is_held = False
+        return is_paid
 
     def release(self) -> None:
         """Return the reserved retry, if there is one."""
-        if self._reserved_at is not None:
-            self._budget.refund(self._reserved_at)
-            self._reserved_at = None
+        if self._is_reserved:
+            self._budget.release()
+            self._is_reserved = False
+
+    def close(self) -> None:
+        """Return all retries that were not used."""
+        self.release()
+        if self._is_held:
+            self._budget.release()
+            self._is_held = False
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -130,6 +130,9 @@
         self.budget_sharers = 1
         """Processes that share the retry budget; never decreases."""
 
+        self.started_at = clocks.now()
+        """Since when retries are earned."""
+
         self._budgets: dict[str, retries.SharedBudget] = collections.defaultdict(self._build_budget)
 
     def reload(self, options: dialect.Options) -> None:
@@ -140,7 +143,9 @@
 
     def _build_budget(self) -> retries.SharedBudget:
         options = self.options
-        return retries.SharedBudget(options.retry_ratio, options.retry_slack, options.retry_window)
+        return retries.SharedBudget(
+            options.retry_ratio, options.retry_slack, options.retry_window, self.started_at
+        )
 
     def get_budget(self, service: str) -> retries.SharedBudget:
         """Return the retry budget of a service."""
@@ -164,7 +169,7 @@
         left = budget.compute_left(clocks.now(), self.budget_sharers)
         return {
             'retries_left': round(left, 2),
-            'retries_spent': budget.spent,
+            'retries_held': budget.held,
             'recent_requests': budget.requests,
             'sharers': self.budget_sharers,
         }
@@ -208,8 +213,8 @@
         """The next attempt, if another replica is to take over from the current one."""
 
         self._retries = retries.RequestRetries(owner.get_budget(self._service))
-        self._retry_taken_at: float | None = None
-        """When the retry for the next attempt was taken, if that attempt needs one."""
+        self._retry_held_at: float | None = None
+        """When the retry for the next attempt was obtained, if that attempt needs one."""
 
         client_request = admitted.client_request
         self.charge = rate_limiting.Charge(
@@ -295,7 +300,7 @@
                 self._moved.cleanup.close()
             if not self.sent:
                 self.charge.refund()
-            self._retries.release()
+            self._retries.close()
             self._log_end(clocks.now() - started)
 
     async def _answer(self) -> None:
@@ -475,7 +480,9 @@
         cleanup.callback(self._owner.suspects.end, fingerprint)
         exchange = await self._connect(placement, time_left, connect_seconds)
         cleanup.callback(exchange.close)
-        self._log_retry(placement)
+        is_paid = self._retries.note_sent()
+        if self._reached:
+            self._log_retry(placement, is_paid)
         self._reached.add(placement.replica.name)
         reader = response_reader.ResponseReader(
             exchange,
@@ -486,22 +493,21 @@
         )
         return sent_attempts.Attempt(placement, exchange, reader, clocks.now(), cleanup.pop_all())
 
-    def _log_retry(self, placement: dispatcher.Placement) -> None:
-        """Log a request that was sent again, with the age of the retry that it took."""
-        taken_at, self._retry_taken_at = self._retry_taken_at, None
-        if not self._reached:
-            return
-        log.info(
-            'retry sent',
-            extra={
-                'request': self.id,
-                'service': self._service,
-                'upstream': placement.replica.process.id,
-                'reached': len(self._reached),
-                'taken_for': None if taken_at is None else round(clocks.now() - taken_at, 3),
-                **self._owner.describe_budget(self._service),
-            },
-        )
+    def _log_retry(self, placement: dispatcher.Placement, is_paid: bool) -> None:
+        """Log a request that was sent again, and for how long its retry had been held."""
+        held_at, self._retry_held_at = self._retry_held_at, None
+        fields = {
+            'request': self.id,
+            'service': self._service,
+            'upstream': placement.replica.process.id,
+            'reached': len(self._reached),
+            'held_for': None if held_at is None else round(clocks.now() - held_at, 3),
+            **self._owner.describe_budget(self._service),
+        }
+        if is_paid:
+            log.info('retry sent', extra=fields)
+        else:
+            log.error('retry sent without a budget', extra=fields)
 
     async def _connect(
         self, placement: dispatcher.Placement, time_left: float, connect_seconds: float
@@ -673,8 +679,7 @@
 
     def _can_continue(self) -> bool:
         """Return whether another replica can continue the stream and a retry is left for it."""
-        budget = self._owner.get_budget(self._service)
-        has_budget = budget.has_any(clocks.now(), self._owner.budget_sharers)
+        has_budget = self._retries.has_any(clocks.now(), self._owner.budget_sharers)
         others = self._owner.dispatcher.list_accepting(self.call) - {self.upstream}
         return self.call.progress.continuable and has_budget and bool(others)
 
@@ -797,23 +802,24 @@
         await self._respond_directly(503, 'suspected', judgement.reason, judgement.retry_after)
 
     async def _await_retry(self) -> bool:
-        """Take a retry if one is left; a begun stream waits for one until its deadline."""
-        while not self.spend_retry():
+        """Hold a retry if one is left; a begun stream waits for one until its deadline."""
+        while not self.hold_retry():
             if not self._can_wait():
                 return False
             await asyncio.sleep(CONTINUE_INTERVAL)
         return True
 
-    def spend_retry(self) -> bool:
-        """Take a retry for the next attempt; return false if none is left."""
+    def hold_retry(self) -> bool:
+        """Hold a retry for the next attempt; return false if none is left."""
         now = clocks.now()
-        if not self._retries.spend(now, self._owner.budget_sharers):
+        if not self._retries.hold(now, self._owner.budget_sharers):
             return False
-        self._retry_taken_at = now
+        if self._retry_held_at is None:
+            self._retry_held_at = now
         return True
 
     def reserve_retry(self) -> bool:
-        """Take a retry for a later attempt; return false if none is left."""
+        """Reserve a retry for a later attempt; return false if none is left."""
         return self._retries.reserve(clocks.now(), self._owner.budget_sharers)
 
     async def _respond_failure(self, error: response_reader.AttemptError) -> None:
--- a/passpier/routing/moves.py
+++ b/passpier/routing/moves.py
@@ -62,11 +62,11 @@
     def is_key_valid(self) -> bool:
         """Return whether the client's key is certainly still valid."""
 
-    def spend_retry(self) -> bool:
-        """Take a retry for the next attempt; return false if none is left."""
+    def hold_retry(self) -> bool:
+        """Hold a retry for the next attempt; return false if none is left."""
 
     def reserve_retry(self) -> bool:
-        """Take a retry for a later attempt; return false if none is left."""
+        """Reserve a retry for a later attempt; return false if none is left."""
 
     async def open_attempt(
         self,
@@ -132,7 +132,7 @@
             run.charge.mark_spent()
             if await run.charge.acquire(run.ends_at - clocks.now()):
                 return None
-            if not run.spend_retry():
+            if not run.hold_retry():
                 run.charge.refund()
                 return None
             cleanup.pop_all()
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -58,15 +58,17 @@
     ) -> None:
         self.membership = members.Membership(own, HEARTBEAT, clocks.now())
         self.leaving = False
-        self.max_alive = 1
-        """The largest number of processes alive at once since this one started."""
+        self.max_known = 1
+        """The largest number of VMs that had a live or a registered process at the same time."""
 
         self._registry_state = registry_state
         self._peers = link
         self._rng = rng
         self._prefix = registry_state.records.own_prefix + _KEY
         self._meter = meter
-        self._listed: set[str] = set()
+        self._listed: dict[str, str] = {}
+        """The names of the registered processes by incarnation."""
+
         self._refuses = False
         self._lease: registry.Lease | None = None
         self._departed = False
@@ -99,7 +101,7 @@
             now = clocks.now()
             self.sync_registry(now)
             self.membership.forget_gone(now)
-            self.max_alive = max(self.max_alive, len(self.membership.list_alive(now)))
+            self.max_known = max(self.max_known, self._count_known(now))
             pause = HEARTBEAT if len(self.membership) > 1 else DISCOVERY_HEARTBEAT
             await asyncio.sleep(pause * self._rng.uniform(0.9, 1.1))
 
@@ -142,7 +144,7 @@
 
     def sync_registry(self, now: float) -> None:
         """Apply the list of processes in the registry."""
-        listed = set()
+        listed = {}
         for key, item in self._registry_state.members.items():
             if not key.startswith(self._prefix):
                 continue
@@ -151,13 +153,13 @@
             except msgspec.MsgspecError as error:
                 log.error('invalid member entry ignored', extra={'key': key, 'error': str(error)})
                 continue
-            listed.add(member.incarnation)
+            listed[member.incarnation] = member.name
             if self.membership.add(member, now, listed=True):
                 log.info(
                     'member found in the registry',
                     extra={'member': member.name, 'address': member.entry},
                 )
-        for incarnation in self._listed - listed:
+        for incarnation in self._listed.keys() - listed.keys():
             self._remove_expired(incarnation, now)
         self._listed = listed
 
@@ -178,6 +180,11 @@
         addresses = [m.peer for m in targets]
         self._peers.send_all(addresses, heartbeat)
 
+    def _count_known(self, now: float) -> int:
+        """Return the number of VMs with a process that is alive or registered."""
+        alive = {member.name for member in self.membership.list_alive(now)}
+        return len(alive | set(self._listed.values()))
+
     def _choose_registration_pause(self) -> float:
         """Return the seconds to wait before the own entry is written again."""
         alive = self.membership.list_alive(clocks.now())
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -85,8 +85,9 @@
 """Processes assumed to share the retry budget until the others are known: after a power failure all
 start at once, and none may spend the budget of all."""
 
-STARTUP_SECONDS = 5.0
-"""Seconds after the start in which that is assumed; heartbeats need about one to make all known."""
+DISCOVERY_SECONDS = 5.0
+"""Seconds after the first configuration in which that is assumed; heartbeats need about one to make
+all known."""
 
 LOADS_INTERVAL = 0.1
 """Seconds between messages on loads to a peer: traffic between failure domains is billed."""
@@ -251,6 +252,9 @@
         self._drain = drain.Drain(*_read_stop_times(options))
         self.forwarder.budget_sharers = DAEMONS_AT_START
         self._started_at = clocks.now()
+        self.configured_at: float | None = None
+        """When this process had a configuration for the first time."""
+
         self.loop_checked_at = self._started_at
         """When the event loop was last known to run. A signal that is handled now arrived after
         that; how long after is unknown, since the VM may not have scheduled the process
@@ -482,10 +486,15 @@
             await asyncio.sleep(UPKEEP_INTERVAL)
             self.adapter.pool.close_expired()
             self.counters.buffered_bytes.set({}, self.adapter.pool.buffers.used)
-            starting = clocks.now() - self._started_at < STARTUP_SECONDS
-            self.forwarder.share_budget(
-                max(self.roster.max_alive, DAEMONS_AT_START if starting else 1)
-            )
+            self.forwarder.share_budget(self._count_retry_sharers(clocks.now()))
+
+    def _count_retry_sharers(self, now: float) -> int:
+        """Return the number of processes to assume for the retry budget."""
+        if self.configured_at is None and self.registry_state.table is not None:
+            self.configured_at = now
+        if self.configured_at is None or now - self.configured_at < DISCOVERY_SECONDS:
+            return max(self.roster.max_known, DAEMONS_AT_START)
+        return self.roster.max_known
 
     def _listen(self) -> list[tornado.httpserver.HTTPServer]:
         """Open all ports; raises `OSError`, with the peers' sockets closed, if one is taken."""
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -240,6 +240,13 @@
             while any(r.forwarder.budget_sharers >= router.DAEMONS_AT_START for r in self.routers):
                 await asyncio.sleep(0.05)
 
+    def age_routers(self) -> None:
+        """Treat the routers as having run for a while: they have earned retries."""
+        for process in self.routers:
+            process.configured_at = clocks.now() - router.DISCOVERY_SECONDS
+            process.forwarder.started_at -= process.options.retry_window
+            process.forwarder.share_budget(len(self.routers))
+
     async def wait_ended(self, process: router.Router) -> None:
         """Wait until a router has ended; raises its exception."""
         await self._tasks[self.routers.index(process)]
--- a/passpier/tests/platform/client_disconnects_tests.py
+++ b/passpier/tests/platform/client_disconnects_tests.py
@@ -262,6 +262,7 @@
 
 def test_resumed_stream_is_not_resumed_again_after_a_disconnect() -> None:
     async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
         for replica in running.replicas.values():
             replica.event_count = 10_000
             replica.faults.cut = 1
--- a/passpier/tests/platform/replica_restarts_tests.py
+++ b/passpier/tests/platform/replica_restarts_tests.py
@@ -231,6 +231,7 @@
 
 def test_stream_of_a_stopped_process_is_resumed_elsewhere() -> None:
     async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
         for replica in running.replicas.values():
             replica.faults.silent = True
         pending = asyncio.ensure_future(
--- a/passpier/tests/platform/single_requests_tests.py
+++ b/passpier/tests/platform/single_requests_tests.py
@@ -107,6 +107,7 @@
 )
 def test_outcome_of_a_single_fault(path: str, fault: str, status: int, runs: int) -> None:
     async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
         # The replicas share a single fault, so it hits one request, wherever that goes first.
         wants_model = path.startswith(('/stream/', '/resume/'))
         headers = harness.PROMPT_HEADERS if wants_model else []
--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -247,6 +247,7 @@
     """Guards against relying on an entry of the process before, while the registry is down."""
 
     async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
         add_models(running, ['v1', 'v1'])
         await wait_known(running)
         stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
--- a/passpier/tests/platform/unresponsive_connections_tests.py
+++ b/passpier/tests/platform/unresponsive_connections_tests.py
@@ -201,6 +201,7 @@
 
 def test_running_stream_is_resumed_elsewhere() -> None:
     async def check(proxied: ProxiedDeployment) -> None:
+        proxied.running.age_routers()
         for replica in proxied.running.replicas.values():
             replica.event_count = 100
         pending = asyncio.ensure_future(
