Exchanges: responses, skipped bytes and events have limits

What callers saw: nothing yet.

Cause: informational heads, answers to other requests and their bodies were skipped without a limit; an event without an end was buffered whole and searched again from its start with each part; reports of replicas could have 16 MB each.

Change: at most 32 skipped responses and 1 MB before the response's own head, 256 KB for an event, 256 KB for a report, 1 MB for cache events, 4 MB for other complete responses. What is beyond that is malformed: the attempt fails and its connection is closed.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -234,16 +234,17 @@
         timeout: float,
         proxy: str | None = None,
         is_new: bool = False,
+        max_bytes: int = exchanges.RESPONSE_MAX,
     ) -> exchanges.Response:
         """Return the complete response within `timeout` seconds; raise `ExchangeError` if not.
 
-        For `proxy` and `is_new` see `open`.
+        Its body may have at most `max_bytes` bytes. For `proxy` and `is_new` see `open`.
         """
         exchange: exchanges.Exchange | None = None
         try:
             async with asyncio.timeout(timeout):
                 exchange = await self.open(address, request, proxy, is_new)
-                return await exchange.read_all()
+                return await exchange.read_all(max_bytes)
         except TimeoutError as error:
             if exchange is not None and not exchange.received_any:
                 exchange.note_unresponsive()
--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -28,6 +28,15 @@
 """Unread bytes of a response body beyond which the socket is no longer read. With what is read at
 once and the stream's own buffer, of 64 KB each, at most 256 KB of a response are buffered."""
 
+SKIPPED_MAX = 32
+"""Maximum number of informational responses and responses to other requests before the response."""
+
+SKIPPED_BYTES_MAX = 1024 * 1024
+"""Maximum size in bytes of all that is received before the head of the response."""
+
+RESPONSE_MAX = 4 * 1024 * 1024
+"""Maximum size in bytes of a response that is read completely."""
+
 
 class Fault(enum.Enum):
     """Reasons for which an exchange fails."""
@@ -148,6 +157,8 @@
         self._ended = False
         self._error: ExchangeError | None = None
         self._is_mismatched = False
+        self._skipped = 0
+        self._skipped_bytes = 0
         self.received_any = False
         """Whether any bytes have been received."""
 
@@ -228,7 +239,7 @@
         self._drained.set()
         return part
 
-    async def read_all(self, max_bytes: int = 16 * 1024 * 1024) -> Response:
+    async def read_all(self, max_bytes: int = RESPONSE_MAX) -> Response:
         """Read the complete response; its body may have at most `max_bytes` bytes."""
         head = await self.read_head()
         body = bytearray()
@@ -271,6 +282,7 @@
         try:
             self._parser.receive_data(data)
             self._parse()
+            self._check_skipped(len(data))
         except h11.RemoteProtocolError as error:
             self._fail(Fault.MALFORMED, str(error))
             self._connection.close()
@@ -301,7 +313,9 @@
             event = self._parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if isinstance(event, h11.Response):
+            if isinstance(event, h11.InformationalResponse):
+                self._note_skipped()
+            elif isinstance(event, h11.Response):
                 self._receive_head(event)
             elif isinstance(event, h11.Data):
                 self._receive_part(bytes(event.data))
@@ -322,6 +336,19 @@
         if not self._is_mismatched and not self._head.done():
             self._head.set_result(head)
 
+    def _note_skipped(self) -> None:
+        """Count a response that is not the final response to the request."""
+        self._skipped += 1
+        if self._skipped > SKIPPED_MAX:
+            raise h11.RemoteProtocolError('too many other responses')
+
+    def _check_skipped(self, received: int) -> None:
+        """Count received bytes while the head of the response has not arrived."""
+        if not self._head.done():
+            self._skipped_bytes += received
+        if self._skipped_bytes > SKIPPED_BYTES_MAX:
+            raise h11.RemoteProtocolError('too many bytes before the response')
+
     def _receive_part(self, part: bytes) -> None:
         if not self._is_mismatched:
             self._parts.append(part)
@@ -330,6 +357,7 @@
 
     def _skip_response(self) -> None:
         """Skip the response to another request; ours may follow on the same connection."""
+        self._note_skipped()
         log.warning(
             'response to another request dropped',
             extra={'request': self._request.id, 'address': self._connection.address},
--- a/passpier/core/sse.py
+++ b/passpier/core/sse.py
@@ -2,14 +2,27 @@
 
 from __future__ import annotations
 
-_TERMINATORS = (b'\n\n', b'\r\n\r\n')
+import re
+
+EVENT_MAX = 256 * 1024
+"""Maximum size in bytes of an event; events of models have a few hundred bytes."""
+
+_TERMINATOR = re.compile(rb'\n\n|\r\n\r\n')
+_TERMINATOR_MAX = 4
+
+
+class OverlongEventError(Exception):
+    """An event is longer than `EVENT_MAX`; it may have no end."""
 
 
 class EventSplitter:
     """Buffers bytes and returns complete events; `last_id` is the id of the last one returned."""
 
     def __init__(self) -> None:
-        self._buffer = b''
+        self._buffer = bytearray()
+        self._searched = 0
+        """Position in the buffer before which no terminator begins."""
+
         self.last_id = ''
 
     @property
@@ -18,18 +31,22 @@
         return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the events completed by `data`, each with its terminator."""
+        """Return the events completed by `data`, each with its terminator.
+
+        Raises `OverlongEventError` if none is complete and the buffer holds too much.
+        """
         self._buffer += data
         events: list[bytes] = []
-        while True:
-            candidates = [(i, e) for e in _TERMINATORS if (i := self._buffer.find(e)) >= 0]
-            if not candidates:
-                return events
-            index, ending = min(candidates)
-            event = self._buffer[: index + len(ending)]
-            self._buffer = self._buffer[len(event) :]
+        while found := _TERMINATOR.search(self._buffer, self._searched):
+            event = bytes(self._buffer[: found.end()])
+            del self._buffer[: found.end()]
+            self._searched = 0
             self.last_id = _find_id(event) or self.last_id
             events.append(event)
+        self._searched = max(0, len(self._buffer) - _TERMINATOR_MAX + 1)
+        if not events and len(self._buffer) > EVENT_MAX:
+            raise OverlongEventError(f'an event of over {EVENT_MAX} bytes')
+        return events
 
 
 def _find_id(event: bytes) -> str:
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -23,6 +23,12 @@
 ORDER_TIMEOUT = 0.4
 """Timeout of an order in seconds; a replica accepts one within milliseconds."""
 
+REPORT_MAX = 256 * 1024
+"""Maximum size in bytes of a replica's report, and of its answer to an order."""
+
+CACHE_EVENTS_MAX = 1024 * 1024
+"""Maximum size in bytes of a list of cache events."""
+
 ORDER_MODE = 'keep'
 """How a weight change treats running requests: they continue."""
 
@@ -166,7 +172,9 @@
         if incarnation:
             headers.append((names.EXPECT_INCARNATION, incarnation))
         request = exchanges.Request('GET', names.REPORT_PATH, headers)
-        response = await self._pool.fetch(address, request, dialect.ASK_TIMEOUT, proxy, is_new)
+        response = await self._pool.fetch(
+            address, request, dialect.ASK_TIMEOUT, proxy, is_new, REPORT_MAX
+        )
         if response.head.status in (400, 404, 405):
             # Replicas of plain services have no report; any response shows that they are alive.
             return dialect.Report({}, False, 0, 0, 0, signal=_read_signal(response.head))
@@ -196,7 +204,8 @@
         headers = [('Host', address), (names.WAIT_MS, str(int(wait * 1000)))]
         target = f'{names.CACHE_EVENTS_PATH}?since={since}'
         request = exchanges.Request('GET', target, headers)
-        response = await self._pool.fetch(address, request, wait + dialect.ASK_TIMEOUT)
+        timeout = wait + dialect.ASK_TIMEOUT
+        response = await self._pool.fetch(address, request, timeout, max_bytes=CACHE_EVENTS_MAX)
         raw = _decode_response(response, records.decode_cache_events)
         changes = tuple(
             # A partial eviction counts as a removal: what remains of the segment is unusable.
@@ -224,7 +233,9 @@
         data = msgspec.json.encode(body)
         request = exchanges.Request('POST', names.ORDER_PATH, headers, data, once=True)
         try:
-            response = await self._pool.fetch(address, request, ORDER_TIMEOUT, proxy='')
+            response = await self._pool.fetch(
+                address, request, ORDER_TIMEOUT, proxy='', max_bytes=REPORT_MAX
+            )
         except exchanges.ExchangeError as error:
             log.warning('order not answered', extra={'upstream': address, 'error': str(error)})
             return dialect.OrderResult.UNKNOWN
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -619,7 +619,7 @@
         self._splitter = splitter
         previous_at: float | None = None
         while (part := await self._read_part(reader)) is not None:
-            for event in splitter.feed(part):
+            for event in _split_events(splitter, part):
                 self._binding.note_event(self._last_replica)
                 arrived_at = clocks.now()
                 self._gaps.note_event(arrived_at)
@@ -869,3 +869,11 @@
         if self._admitted.account is None or not self._owner.options.keys_expire:
             return True
         return self._owner.registry_state.freshness.is_fresh(clocks.now())
+
+
+def _split_events(splitter: sse.EventSplitter, part: bytes) -> list[bytes]:
+    """Return the events that a part of a stream completes; raises `AttemptError`."""
+    try:
+        return splitter.feed(part)
+    except sse.OverlongEventError as error:
+        raise response_reader.AttemptError(attempts.Fault.INTERRUPTED, str(error)) from error
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import socket
@@ -86,6 +87,9 @@
     """Requests a second that it can refuse for want of room; one more crashes it. Sent in each
     response."""
 
+    endless: tuple[bytes, bytes] | None = None
+    """Every call gets the first of these in place of a response, then the second without end."""
+
     unframed: bool = False
     """Whether streams have neither a length nor chunks, and end with their connection."""
 
@@ -211,6 +215,9 @@
     cache_events: list[list[object]] = dataclasses.field(default_factory=list)
     """Prompt parts cached by the current process: number, sign, salt, part, tokens and model."""
 
+    endless_bytes: int = 0
+    """Bytes of responses without end that callers have taken."""
+
     faults: Faults = dataclasses.field(default_factory=Faults)
     refused_at: list[float] = dataclasses.field(default_factory=list)
     """When it refused requests for want of room."""
@@ -353,6 +360,20 @@
     async def prepare(self) -> None:
         while self.replica.faults.unreachable:
             await self.pause(0.01)
+        if self.replica.faults.endless is not None:
+            await self._send_endless(*self.replica.faults.endless)
+
+    async def _send_endless(self, first: bytes, more: bytes) -> None:
+        """Send bytes until the caller closes the connection."""
+        if self.id:
+            self.replica.arrivals.append(Arrival(self.id, clocks.now(), self._life))
+        stream = self.detach()
+        with contextlib.suppress(tornado.iostream.StreamClosedError):
+            await stream.write(first)
+            while True:
+                await stream.write(more)
+                self.replica.endless_bytes += len(more)
+        raise tornado.web.Finish
 
     def flush(self, include_footers: bool = False) -> asyncio.Future[None]:
         """Add the current backpressure signals to the response head."""
--- /dev/null
+++ b/passpier/tests/clients/endless_responses_tests.py
@@ -0,0 +1,114 @@
+"""Bytes from an upstream that never end: memory stays bounded and the connection is closed."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterator
+
+import pytest
+
+from passpier.clients import connections, exchanges
+from passpier.core import sse
+from passpier.tests.clients import exchanges_tests
+
+BLOCK = 16 * 1024
+SENT_MAX = 64 * 1024 * 1024
+"""Bytes after which a server gives up: far more than a client may take."""
+
+TAKEN_MAX = 8 * 1024 * 1024
+"""Bytes that a client may take before it closes the connection, with the kernel's buffers."""
+
+PATIENCE = 4.0
+LOOP_STALL_MAX = 0.25
+"""Seconds for which the event loop may be busy with one upstream."""
+
+
+def head(id: str, framing: str = 'Transfer-Encoding: chunked') -> bytes:
+    return f'HTTP/1.1 200 OK\r\n{exchanges_tests.ID}: {id}\r\n{framing}\r\n\r\n'.encode()
+
+
+def chunk(data: bytes) -> bytes:
+    return b'%x\r\n' % len(data) + data + b'\r\n'
+
+
+FILLER = b'x' * BLOCK
+CASES = {
+    'head': (b'HTTP/1.1 200 OK\r\nX: ', FILLER),
+    'header lines': (b'HTTP/1.1 200 OK\r\n', b'X: y\r\n' * 2000),
+    'informational heads': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 500),
+    'no protocol': (b'', FILLER),
+    'body of another response': (head('stranger'), chunk(FILLER)),
+    'unframed body of another response': (head('stranger', 'X: y'), FILLER),
+    'other responses': (b'', exchanges_tests.render_response('stranger') * 200),
+    'chunk extension': (head('1') + b'5;', FILLER),
+    'trailers': (head('1') + b'0\r\n', b'X: y\r\n' * 2000),
+    'body': (head('1'), chunk(FILLER)),
+    'unframed body': (head('1', 'X: y'), FILLER),
+}
+"""What a server sends first, and then without end."""
+
+
+class Server:
+    """A server that answers each request without end; `taken` is what was taken off it."""
+
+    def __init__(self, first: bytes, more: bytes) -> None:
+        self.taken = 0
+        self.closed = asyncio.Event()
+        self._first = first
+        self._more = more
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await exchanges_tests.read_request(reader)
+        blocks: Iterator[bytes] = itertools.chain([self._first], itertools.repeat(self._more))
+        try:
+            while self.taken < SENT_MAX:
+                block = next(blocks)
+                writer.write(block)
+                await writer.drain()
+                self.taken += len(block)
+        finally:
+            self.closed.set()
+
+
+async def measure_stall() -> float:
+    """Return the longest time for which the event loop was busy, until cancelled."""
+    loop = asyncio.get_running_loop()
+    longest = 0.0
+    try:
+        while True:
+            began = loop.time()
+            await asyncio.sleep(0)
+            longest = max(longest, loop.time() - began)
+    except asyncio.CancelledError:
+        return longest
+
+
+# Guards against an upstream that takes a VM's memory or time with bytes that are no response.
+@pytest.mark.parametrize('case', CASES)
+def test_endless_response_is_given_up(case: str) -> None:
+    async def check() -> None:
+        server = Server(*CASES[case])
+        async with exchanges_tests.serving(server.serve) as listening:
+            pool = connections.Pool()
+            stall = asyncio.ensure_future(measure_stall())
+            await asyncio.sleep(0)
+            with pytest.raises(exchanges.ExchangeError) as raised:
+                await pool.fetch(listening.address, exchanges_tests.make_request(), PATIENCE)
+            assert raised.value.fault is exchanges.Fault.MALFORMED
+            await asyncio.wait_for(server.closed.wait(), PATIENCE)
+            stall.cancel()
+            assert await stall < LOOP_STALL_MAX
+            assert server.taken < TAKEN_MAX
+            assert pool.buffers.used == 0
+
+    exchanges_tests.run(check())
+
+
+# Guards against an event that takes a VM's memory, and time that grows with its square.
+@pytest.mark.parametrize('part', [b'x' * 100, b'data: x\n', b'id: 1\r\n'])
+def test_endless_event_is_given_up(part: bytes) -> None:
+    splitter = sse.EventSplitter()
+    with pytest.raises(sse.OverlongEventError):
+        for _ in range(SENT_MAX // len(part)):
+            splitter.feed(part)
--- /dev/null
+++ b/passpier/tests/platform/endless_responses_tests.py
@@ -0,0 +1,49 @@
+"""Replicas that answer every call without end; tests of exchanges have more sorts of bytes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from passpier.platform import names
+from passpier.standins.platform import deployment
+from passpier.tests.platform import harness
+
+BLOCK = b'x' * 16384
+CHUNK = b'4000\r\n' + BLOCK + b'\r\n'
+STREAM_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n'
+STREAM_HEADERS = f'{names.REQUEST_ID}: one\r\n{names.SERVER_STAMP}: s\r\n\r\n'
+
+ENDLESS = {
+    'head': (b'HTTP/1.1 200 OK\r\nX: ', BLOCK),
+    'informational': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 500),
+    'other response': (b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', CHUNK),
+    'event': ((STREAM_HEAD + STREAM_HEADERS).encode(), CHUNK),
+}
+TAKEN_MAX = 32 * 1024 * 1024
+"""Bytes that the router may take of all calls in a test, with what the kernel buffers of each."""
+
+
+# Guards against a replica that costs other requests, or memory, with bytes that are no response.
+@pytest.mark.parametrize('sort', ENDLESS)
+@pytest.mark.parametrize('path', ['/safe/x', '/resume/x'])
+def test_endless_responses_of_a_replica_cost_no_request(path: str, sort: str) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
+        is_stream = path.startswith('/resume/')
+        headers = harness.PROMPT_HEADERS if is_stream else []
+        endless = running.replicas['llm-0' if is_stream else 'app-0']
+        endless.faults.endless = ENDLESS[sort]
+        buffers = running.routers[0].adapter.pool.buffers
+        for _ in range(6):
+            reply = await running.ask(path, id='one', headers=headers, patience_ms=2000)
+            assert reply.status == 200
+        assert endless.arrivals
+        await harness.wait_for(lambda: buffers.used == 0)
+        taken = endless.endless_bytes
+        assert taken < TAKEN_MAX
+        await asyncio.sleep(1.0)
+        assert endless.endless_bytes - taken < TAKEN_MAX
+
+    harness.run_check(check)
