Exchanges: what is given up is reset, so that it never arrives

Cause: the connection of an exchange that is given up was closed in order, which leaves its bytes with the kernel for up to 4 s.

Change: an exchange that is given up or fails resets its connection (SO_LINGER 0); connections at rest are closed in order as before. The test of an aborted exchange expects the reset.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -73,6 +73,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def reset_on_close(stream: tornado.iostream.IOStream) -> None:
+    """Make the kernel reset a connection when it is closed, without sending what is left."""
+    if not stream.closed():
+        linger = struct.pack('ii', 1, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 class Path(NamedTuple):
     """A way to an address: direct, or by a tunnel through the peer at `proxy`."""
 
@@ -128,6 +135,11 @@
         """Close the connection immediately."""
         self.stream.close()
 
+    def reset(self) -> None:
+        """Close the connection; the kernel drops what the peer has not acknowledged."""
+        reset_on_close(self.stream)
+        self.stream.close()
+
     def release(self, head: exchanges.Head) -> None:
         """Return the connection to its pool; `head` may state its idle timeout."""
         self._pool.release(self, head)
--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -131,6 +131,9 @@
     def close(self) -> None:
         """Close the connection immediately."""
 
+    def reset(self) -> None:
+        """Close the connection; what the peer has not received never arrives."""
+
     def release(self, head: Head) -> None:
         """Return the connection to its pool; `head` may state its idle timeout."""
 
@@ -254,14 +257,17 @@
         return Response(head, bytes(body))
 
     def close(self) -> None:
-        """Abort the exchange; whatever has not been received is discarded."""
+        """Abort the exchange; whatever has not been received or sent is discarded.
+
+        A request that is given up must not arrive later, when links are back.
+        """
         self._drained.set()
         if not self._is_closed:
             self._is_closed = True
             self._buffers.remove(self._buffered)
         if self._connection.exchange is self:
             self._connection.exchange = None
-            self._connection.close()
+            self._connection.reset()
         if not self._head.done():
             self._head.cancel()
 
@@ -285,7 +291,6 @@
             self._check_skipped(len(data))
         except h11.RemoteProtocolError as error:
             self._fail(Fault.MALFORMED, str(error))
-            self._connection.close()
         while self._is_behind and self._connection.exchange is self:
             self._drained.clear()
             await self._drained.wait()
@@ -397,7 +402,7 @@
         self._error = self._error or ExchangeError(fault, message, True)
         if self._connection.exchange is self:
             self._connection.exchange = None
-            self._connection.close()
+            self._connection.reset()
         if not self._head.done():
             self._head.set_exception(self._error)
             # Retrieves the exception, because an abandoned exchange has nobody to read the head.
--- a/passpier/routing/tunnel_server.py
+++ b/passpier/routing/tunnel_server.py
@@ -10,7 +10,6 @@
 import asyncio
 import logging
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 
 import tornado.http1connection
@@ -50,7 +49,7 @@
 
         self._used_at = clocks.now()
         # A process that is killed in the middle of a response must not make it look complete.
-        _reset_on_close(peer)
+        connections.reset_on_close(peer)
 
     def is_busy(self, now: float) -> bool:
         """Return whether a request is probably in progress."""
@@ -233,8 +232,3 @@
         log.debug('peer has gone', extra={'error': str(error)})
         return ''
     return ip
-
-
-def _reset_on_close(stream: tornado.iostream.IOStream) -> None:
-    linger = struct.pack('ii', 1, 0)
-    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/passpier/tests/clients/exchanges_tests.py
+++ b/passpier/tests/clients/exchanges_tests.py
@@ -290,12 +290,13 @@
     run(check())
 
 
-def test_aborted_exchange_closes_its_connection() -> None:
+def test_aborted_exchange_resets_its_connection() -> None:
     closed = asyncio.Event()
 
     async def handler(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await read_request(reader)
-        await reader.read()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
         closed.set()
 
     async def check() -> None:
@@ -381,3 +382,28 @@
             pool.close()
 
     asyncio.run(run())
+
+
+# Guards against a request that is given up and arrives once a lost link is back.
+def test_request_that_is_given_up_never_arrives() -> None:
+    received = bytearray()
+
+    async def check() -> None:
+        listening = socket.create_server(('127.0.0.1', 0))
+        listening.setblocking(False)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        address = f'127.0.0.1:{listening.getsockname()[1]}'
+        pool = connections.Pool()
+        # The server reads nothing meanwhile, so that most of the body stays with the client.
+        with pytest.raises(exchanges.ExchangeError, match='timed out'):
+            await pool.fetch(address, make_request(body=b'x' * 8_000_000), 0.3)
+        loop = asyncio.get_running_loop()
+        accepted, _ = await loop.sock_accept(listening)
+        with pytest.raises(ConnectionResetError):
+            while data := await loop.sock_recv(accepted, 65536):
+                received.extend(data)
+        accepted.close()
+        listening.close()
+
+    run(check())
+    assert len(received) < 8_000_000
