Exchanges: attempts of one request use different connections

Cause: surplus answers are told by the request's id alone, which all of its attempts share, and a refused attempt returned its connection to the pool, from which the next one took it.

Change: Pool.open takes none of the connections that earlier attempts of the request were sent on.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 import weakref
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Container
 from typing import NamedTuple
 
 import h11
@@ -214,14 +214,15 @@
         request: exchanges.Request,
         proxy: str | None = None,
         is_new: bool = False,
+        avoided: Container[exchanges.Connection] = (),
     ) -> exchanges.Exchange:
         """Send a request and return its exchange; raise `ExchangeError` if that fails.
 
         It takes the usual path to the address, or that through `proxy`, direct if empty. With
-        `is_new`, it takes a new connection.
+        `is_new`, it takes a new connection, else none of those that are `avoided`.
         """
         path = Path(address, self.choose_proxy(address) if proxy is None else proxy)
-        connection = None if is_new else self._take_idle(path, request.once)
+        connection = None if is_new else self._take_idle(path, request.once, avoided)
         if connection is None:
             connection = await self._connect_by(path)
         else:
@@ -317,20 +318,23 @@
             else:
                 del self._idle[path]
 
-    def _take_idle(self, path: Path, once: bool) -> Connection | None:
+    def _take_idle(
+        self, path: Path, once: bool, avoided: Container[exchanges.Connection]
+    ) -> Connection | None:
         idle = self._idle.get(path, [])
         now = clocks.now()
-        while idle:
-            connection = idle.pop()
+        # The one that has been idle for the shortest time comes first.
+        for connection in reversed(idle.copy()):
+            if connection in avoided:
+                continue
+            if once and now - connection.idle_since > self._get_once_idle_limit(now):
+                return None
+            idle.remove(connection)
             if connection.closed:
                 continue
             if _is_expired(connection, now):
                 connection.close()
                 continue
-            if once and now - connection.idle_since > self._get_once_idle_limit(now):
-                # The remaining ones have been idle for even longer.
-                idle.append(connection)
-                return None
             connection.used_at = now
             return connection
         return None
--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -202,6 +202,11 @@
         """Keep other requests off connections that may be as unresponsive as this one."""
         self._connection.note_unresponsive()
 
+    @property
+    def connection(self) -> Connection:
+        """The connection that the request was sent on."""
+        return self._connection
+
     @property
     def local_port(self) -> int:
         """The local port of the connection, or 0 if it is closed."""
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -205,6 +205,10 @@
         self._reached: set[str] = set()
         """The replicas that the request has been sent to."""
 
+        self._connections: list[exchanges.Connection] = []
+        """The connections that it has been sent on. A replica may repeat its answer to an attempt
+        on the same connection, where it would pass for the answer to a later attempt."""
+
         self._failed_connects = 0
         self.sent = False
         """Whether the current attempt has reached an upstream."""
@@ -484,6 +488,7 @@
         if self._reached:
             self._log_retry(placement, is_paid)
         self._reached.add(placement.replica.name)
+        self._connections.append(exchange.connection)
         reader = response_reader.ResponseReader(
             exchange,
             self._owner.prober,
@@ -549,7 +554,7 @@
         owner = self._owner
         path = owner.paths.choose(replica.address)
         try:
-            return await owner.pool.open(replica.address, request, path)
+            return await owner.pool.open(replica.address, request, path, avoided=self._connections)
         except exchanges.ExchangeError as error:
             if error.fault is exchanges.Fault.WITHHELD:
                 raise
@@ -557,7 +562,7 @@
             await owner.prober.wait_decided(replica.process, PATH_SECONDS)
             if owner.paths.choose(replica.address) == path:
                 raise
-        return await owner.pool.open(replica.address, request)
+        return await owner.pool.open(replica.address, request, avoided=self._connections)
 
     def _check_path(self, replica: replicas.Replica) -> None:
         """Find out whether a replica can be connected to, by any path."""
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -50,6 +50,9 @@
     refuse: int = 0
     """Refused as full, not run."""
 
+    repeat: int = 0
+    """Refusals that are repeated where the next answer on their connection is expected."""
+
     fail: int = 0
     """Run, then answered with 500."""
 
@@ -501,6 +504,7 @@
         self.set_header(names.REQUEST_ID, self.request.headers.get(names.REQUEST_ID, ''))
         replica = self.replica
         replica.arrivals.append(Arrival(self.id, clocks.now(), self._life))
+        await self._repeat_refusal()
         wanted = self.request.headers.get(names.EXPECT_VERSION, str(replica.version))
         if self.is_misdirected() or (replica.model and wanted != str(replica.version)):
             replica.misdirected += 1
@@ -523,11 +527,24 @@
         if full or self.take_fault('refuse'):
             self.set_header(names.NOT_EXECUTED, '1')
             self.set_status(503)
+            if self.take_fault('repeat'):
+                self._get_stream().repeated = self.id
             return
         await self._run()
 
     post = get
 
+    def _get_stream(self) -> Any:
+        return self.request.connection.stream  # type: ignore[union-attr]
+
+    async def _repeat_refusal(self) -> None:
+        """Send the refusal of an earlier request on this connection once more."""
+        stream = self._get_stream()
+        id, stream.repeated = getattr(stream, 'repeated', ''), ''
+        if id:
+            head = f'HTTP/1.1 503 Full\r\n{names.REQUEST_ID}: {id}\r\n{names.NOT_EXECUTED}: 1\r\n'
+            await stream.write(f'{head}Content-Length: 0\r\n\r\n'.encode())
+
     def _falls_over(self) -> bool:
         """Count a refusal for want of room; return whether a brittle replica crashes by it."""
         replica = self.replica
--- a/passpier/tests/platform/single_requests_tests.py
+++ b/passpier/tests/platform/single_requests_tests.py
@@ -128,6 +128,30 @@
     harness.run_check(check)
 
 
+# Guards against a repeated refusal of one attempt that passes for the answer to the next one.
+@pytest.mark.parametrize('path', ['/once/x', '/stream/x'])
+def test_repeated_refusal_is_not_taken_for_the_answer_to_another_attempt(path: str) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
+        routes = running.configuration['routes']
+        running.configure(routes=[{**r, 'max_attempts': 3} for r in routes])
+        for id in ('llm-1', 'app-1'):
+            running.remove_entry(id)
+        pools = running.routers[0].pools
+        await harness.wait_for(lambda: len(pools.list_serving('app')) == 1)
+        wants_model = path == '/stream/x'
+        headers = harness.PROMPT_HEADERS if wants_model else []
+        only = running.replicas['llm-0' if wants_model else 'app-0']
+        assert (await running.ask(path, headers=headers)).status == 200
+        only.faults.refuse = only.faults.repeat = 1
+        reply = await running.ask(path, id='one', headers=headers)
+        assert reply.status == 200
+        assert len(running.list_runs('one')) == 1
+        assert sum(a.id == 'one' for a in only.arrivals) == 2
+
+    harness.run_check(check)
+
+
 def test_interrupted_stream_that_cannot_be_resumed_does_not_look_complete() -> None:
     async def check(running: deployment.Deployment) -> None:
         for stand_in in running.replicas.values():
