Headers: numbers of clients and replicas are bounded where they are read

What callers saw: a part with over 2^64 tokens in X-Passpier-Prefix-Hash ended each router that got it.

Cause: the number went into the loads that are told to peers; it cannot be encoded, and the failure of the task that tells them ends the process.

A message to peers that cannot be encoded is logged and left out.

Evidence: the new cases of input_tests and exchanges_tests.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 import socket
 import struct
 import weakref
@@ -455,6 +456,6 @@
     """Return the timeout in seconds of a `Keep-Alive: timeout=N` header."""
     for part in (text or '').split(','):
         name, _, value = part.strip().partition('=')
-        if name.lower() == 'timeout' and value.strip().isdigit():
+        if name.lower() == 'timeout' and re.fullmatch('[0-9]+', value.strip()):
             return float(value)
     return None
--- a/passpier/daemon/peers.py
+++ b/passpier/daemon/peers.py
@@ -72,7 +72,13 @@
 
     def send_all(self, addresses: Iterable[str], message: messages.AnyMessage) -> None:
         """Send one message to several peers, encoding it once."""
-        data = messages.encode(messages.Envelope(self.incarnation, self.address, message))
+        try:
+            data = messages.encode(messages.Envelope(self.incarnation, self.address, message))
+        except (OverflowError, ValueError) as error:
+            # Senders are background tasks, whose failure ends the process.
+            fields = {'kind': type(message).__name__, 'error': str(error)}
+            log.error('message not encoded', extra=fields)
+            return
         for address in addresses:
             self._send(address, data)
 
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import re
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
@@ -20,6 +21,12 @@
 
 T = TypeVar('T')
 
+DEADLINE_MAX = 86_400.0
+"""Maximum seconds for which a client is taken to wait."""
+
+TOKENS_MAX = 2**31
+"""Maximum number of tokens in a client's header; sums of them are sent between processes."""
+
 ORDER_TIMEOUT = 0.4
 """Timeout of an order in seconds; a replica accepts one within milliseconds."""
 
@@ -29,6 +36,8 @@
 CACHE_EVENTS_MAX = 1024 * 1024
 """Maximum size in bytes of a list of cache events."""
 
+_VERSION = re.compile('[0-9]{1,18}')
+
 ORDER_MODE = 'keep'
 """How a weight change treats running requests: they continue."""
 
@@ -106,7 +115,8 @@
 
     def read_version(self, head: exchanges.Head) -> str:
         """Return the weight version that produced a response, or an empty string."""
-        return head.get(names.WEIGHT_VERSION) or ''
+        version = head.get(names.WEIGHT_VERSION) or ''
+        return version if _VERSION.fullmatch(version) else ''
 
     def read_incarnation(self, head: exchanges.Head) -> str:
         """Return the incarnation that an upstream reports, or an empty string."""
@@ -279,7 +289,7 @@
     seconds = float(value) / 1000
     if not math.isfinite(seconds) or seconds < 0:
         raise ValueError('the deadline is no time')
-    return seconds
+    return min(seconds, DEADLINE_MAX)
 
 
 def _read_signal(head: exchanges.Head) -> backpressure.Signal:
@@ -321,10 +331,15 @@
     if value is None:
         return None
     prompt_tokens, _, completion_tokens = value.partition(',')
-    usage = int(prompt_tokens), int(completion_tokens or 0)
-    if sum(usage) < 0:
+    return _read_count(prompt_tokens), _read_count(completion_tokens or '0')
+
+
+def _read_count(text: str) -> int:
+    """Return a number of tokens that a client declares; raises `ValueError`."""
+    count = int(text)
+    if not 0 <= count <= TOKENS_MAX:
         raise ValueError('the tokens are no count')
-    return usage
+    return count
 
 
 def _read_prompt(
@@ -336,5 +351,5 @@
     parts = []
     for item in filter(None, headers.get(names.PREFIX_HASHES, '').split(',')):
         name, _, tokens = item.strip().partition(':')
-        parts.append(prompts.Part(name, int(tokens)))
+        parts.append(prompts.Part(name, _read_count(tokens)))
     return prompts.Prompt(model, tuple(parts), usage[1] if usage is not None else 0)
--- a/passpier/routing/sent_attempts.py
+++ b/passpier/routing/sent_attempts.py
@@ -111,7 +111,7 @@
         replica = attempt.placement.replica
         self._learn_signal(head, attempt, verdict)
         version = self._wire.read_version(head)
-        if version.isdigit():
+        if version:
             self._pools.update_version(process, int(version), 'answer')
         if verdict is dialect.Verdict.NOT_RUN:
             replicas.note_refusal(replica, attempt.placement.attempt, clocks.now())
--- a/passpier/tests/clients/exchanges_tests.py
+++ b/passpier/tests/clients/exchanges_tests.py
@@ -407,3 +407,22 @@
 
     run(check())
     assert len(received) < 8_000_000
+
+
+# Guards against a header that ends the reader of a connection, so that its request gets no answer.
+def test_idle_timeout_that_is_no_number_is_ignored() -> None:
+    async def handler(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            id = await read_request(reader)
+            response = render_response(id, b'ok', 'Keep-Alive: timeout=?\r\n')
+            writer.write(response.replace(b'?', b'\xb2'))
+
+    async def check() -> None:
+        async with serving(handler) as server:
+            pool = connections.Pool()
+            for id in ('a', 'b'):
+                assert await fetch(pool, server, id) == b'ok'
+            assert pool.opened == 1
+            pool.close()
+
+    run(check())
--- a/passpier/tests/platform/input_tests.py
+++ b/passpier/tests/platform/input_tests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from passpier.daemon import messages
 from passpier.platform import names
 from passpier.standins.platform import deployment
 from passpier.tests.platform import harness
@@ -137,3 +138,30 @@
         assert received.index(b'first') < received.index(b'second')
 
     harness.run_check(check)
+
+
+# Guards against a number in a client's header that ends the process once its load is told to peers.
+@pytest.mark.parametrize('tokens', [2**31 + 1, 2**64, 10**30, -1])
+@pytest.mark.parametrize('header', [names.PREFIX_HASHES, names.TOKEN_USAGE])
+def test_token_count_out_of_range_is_refused(header: str, tokens: int) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.add_router('vm-1', 'zone-1')
+        await running.wait_ready()
+        value = {names.PREFIX_HASHES: f'aa:{tokens}', names.TOKEN_USAGE: f'{tokens},1'}[header]
+        headers = [(n, v) for n, v in harness.PROMPT_HEADERS if n != header] + [(header, value)]
+        reply = await running.ask('/stream/x', headers=headers)
+        assert reply.status == 400
+        await asyncio.sleep(0.3)
+        assert (await running.ask('/stream/x', headers=harness.PROMPT_HEADERS)).status == 200
+
+    harness.run_check(check)
+
+
+def test_number_that_cannot_be_encoded_is_not_sent_to_peers() -> None:
+    """Guards against ending a background task, and with it the process."""
+
+    async def check(running: deployment.Deployment) -> None:
+        link = running.routers[0].peers
+        link.send('127.0.0.1:1', messages.WeightsLoaded('llm-0', 1, 2**64))
+
+    harness.run_check(check)
