Routers: a key is looked up again right before its request is sent

What callers saw: a request with a revoked key, sent 5.7 s to 6.8 s after the revocation was acknowledged, waited in the queue over the end of a partition and ran (CONFIG).

Cause: the key was looked up when the request arrived, and only the age of the registry state was checked before the send.

Change: RequestRun.is_key_valid looks the key up in the configuration in force, as well as before a move and right before the first byte. A request whose key has gone gets 401, or 502 if it may have run.

Not done: orders still check their lease before the connection is opened.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -324,6 +324,9 @@
                     503, 'stale_configuration', 'keys may have changed', RETRY_AFTER
                 )
                 return
+            except sent_attempts.RevokedKeyError:
+                await self._respond_revoked()
+                return
             except response_reader.AttemptError as error:
                 if not await self._handle_failure(error):
                     return
@@ -451,7 +454,7 @@
     ) -> sent_attempts.Attempt | None:
         admitted = self._admitted
         if not self.is_key_valid():
-            raise sent_attempts.UnverifiedKeyError
+            raise self._build_key_error()
         if clocks.now() >= admitted.ends_at:
             await self._respond_directly(
                 503, 'no_time', 'no time was left for an attempt', RETRY_AFTER
@@ -865,16 +868,41 @@
         if self._client.gone:
             return responses.ClientGoneError()
         if not self.is_key_valid():
-            return sent_attempts.UnverifiedKeyError()
+            return self._build_key_error()
         text = 'the replica has asked for less since the request was placed'
         return response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, text)
 
     def is_key_valid(self) -> bool:
         """Return whether the client's key is certainly still valid."""
-        if self._admitted.account is None or not self._owner.options.keys_expire:
+        if self._admitted.account is None:
+            return True
+        return not self._is_key_revoked() and self._is_key_state_fresh()
+
+    def _is_key_revoked(self) -> bool:
+        """Return whether the configuration has changed so that the key is not the account's."""
+        table = self._owner.registry_state.table
+        assert table is not None and self._admitted.account is not None
+        account = table.find_account(self._admitted.client_request.key or '')
+        is_known = account is not None and account.name == self._admitted.account.name
+        return table.configuration.has_accounts and not is_known
+
+    def _is_key_state_fresh(self) -> bool:
+        if not self._owner.options.keys_expire:
             return True
         return self._owner.registry_state.freshness.is_fresh(clocks.now())
 
+    def _build_key_error(self) -> Exception:
+        """Return the error for a request whose key is not certainly valid."""
+        if self._is_key_revoked():
+            return sent_attempts.RevokedKeyError()
+        return sent_attempts.UnverifiedKeyError()
+
+    async def _respond_revoked(self) -> None:
+        """Refuse a request whose key was revoked while it was queued."""
+        has_run = self.call.progress.outcome is not exceptions.Outcome.NOT_RUN
+        status = 502 if has_run else 401
+        await self._respond_directly(status, 'unknown_key', 'the key has been revoked', None)
+
 
 def _split_events(splitter: sse.EventSplitter, part: bytes) -> list[bytes]:
     """Return the events that a part of a stream completes; raises `AttemptError`."""
--- a/passpier/routing/moves.py
+++ b/passpier/routing/moves.py
@@ -112,7 +112,7 @@
             if error.fault not in attempts.NOT_RUN_FAULTS and not stalled:
                 self._pools.note_failure(placement.replica.process)
             log_not_moved(run, placement, str(error))
-        except sent_attempts.UnverifiedKeyError:
+        except (sent_attempts.UnverifiedKeyError, sent_attempts.RevokedKeyError):
             log_not_moved(run, placement, 'keys may have changed')
         return None
 
--- a/passpier/routing/sent_attempts.py
+++ b/passpier/routing/sent_attempts.py
@@ -19,6 +19,10 @@
     """The request was not sent, because the client's key may have been revoked meanwhile."""
 
 
+class RevokedKeyError(Exception):
+    """The request was not sent, because the client's key has been revoked meanwhile."""
+
+
 class Takeover(enum.Enum):
     """What became of an attempt that is to replace the one at a slow replica."""
 
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -120,6 +120,33 @@
     run_check(check, routers=2)
 
 
+# Guards against running a request whose key was revoked while the request was queued.
+def test_queued_request_with_a_revoked_key_does_not_run() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        process = running.routers[0]
+        for id in ('app-0', 'app-1'):
+            running.replicas[id].slots = 1
+            running.replicas[id].work_seconds = 1.0
+            running.write_entry(id)
+            # The router sends one request more than that, which is not to be refused.
+            running.replicas[id].slots = 2
+        routes = [{**r, 'target_latency_ms': 4000} for r in running.configuration['routes']]
+        running.configure(routes=routes)
+        await wait_for(lambda: process.registry_state.configuration_version == running.version)
+        await wait_for(lambda: [r.slots for r in process.pools.list_serving('app')] == [1, 1])
+        running_before = [asyncio.ensure_future(running.ask('/safe/x')) for _ in range(4)]
+        await asyncio.sleep(0.1)
+        late = asyncio.ensure_future(running.ask('/safe/x', key='secret-2', id='late'))
+        await asyncio.sleep(0.1)
+        assert not late.done()
+        running.configure(tenants=running.configuration['tenants'][:1])
+        assert {reply.status for reply in await asyncio.gather(*running_before)} == {200}
+        assert (await late).status == 401
+        assert not running.list_runs('late')
+
+    run_check(check)
+
+
 def test_revoked_key_is_refused() -> None:
     async def check(running: deployment.Deployment) -> None:
         assert (await running.ask('/safe/x', key='secret-2')).status == 200
