--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -21,6 +21,9 @@
 """Timeout of a call in seconds; the store responds within milliseconds, and a slow one within a
 quarter of a second."""
 
+RESPONSE_MAX = 16 * 1024 * 1024
+"""Maximum size in bytes of a response, which may hold several versions of the configuration."""
+
 
 class _Item(msgspec.Struct):
     private_key: str
@@ -154,7 +157,9 @@
         data = msgspec.json.encode(body) if body is not None else b''
         request = exchanges.Request(method, target, headers, data)
         try:
-            response = await self._pool.fetch(self.address, request, timeout)
+            response = await self._pool.fetch(
+                self.address, request, timeout, max_bytes=RESPONSE_MAX
+            )
         except exchanges.ExchangeError as error:
             raise exceptions.StoreError(f'{method} {path}: {error}') from error
         text = f'{method} {path}: status {response.head.status}'
