--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -128,7 +128,7 @@
         unless the client was slow to take the first of them."""
 
         self.budget_sharers = 1
-        """Processes that share the retry budget; never decreases."""
+        """Processes assumed to share the retry budget."""
 
         self.started_at = clocks.now()
         """Since when retries are earned."""
