--- a/passpier/tests/platform/store_tests.py
+++ b/passpier/tests/platform/store_tests.py
@@ -22,7 +22,7 @@
         self.sent: list[exchanges.Request] = []
 
     async def fetch(
-        self, address: str, request: exchanges.Request, timeout: float
+        self, address: str, request: exchanges.Request, timeout: float, max_bytes: int
     ) -> exchanges.Response:
         self.sent.append(request)
         status, era, body = self.responses.pop(0)
