Metrics: retries sent by service, and whether the registry lists a router that shares the budget

The sum of retries over all routers could only be counted from log lines, and a router that divides the slack by too few processes looked like one that knows them all. Change: passpier_retries_sent_total by service; field 'listed' of 'retry budget shared'. The stand-in's deployment can let requests reach several replicas, for the tests that follow. Measured: nothing; no logic is changed.

--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -79,6 +79,9 @@
         self.retries = _build_counter(
             registry, 'passpier_retries_total', 'Further attempts, by step.'
         )
+        self.retries_sent = _build_counter(
+            registry, 'passpier_retries_sent_total', 'Requests sent to a replica again, by service.'
+        )
         self.retries_left = _build_gauge(
             registry,
             'passpier_retries_left',
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -151,11 +151,14 @@
         """Return the retry budget of a service."""
         return self._budgets[service]
 
-    def share_budget(self, processes: int) -> None:
-        """Share the retry budgets with that many processes, and publish what is left of them."""
+    def share_budget(self, processes: int, is_listed: bool) -> None:
+        """Share the retry budgets with that many processes, and publish what is left of them.
+
+        `is_listed` tells whether the registry lists this process, and so would list the others.
+        """
         now = clocks.now()
         if processes != self.budget_sharers:
-            fields = {'sharers': processes, 'before': self.budget_sharers}
+            fields = {'sharers': processes, 'before': self.budget_sharers, 'listed': is_listed}
             log.info('retry budget shared', extra=fields)
         self.budget_sharers = processes
         self.counters.retry_sharers.set({}, processes)
@@ -503,6 +506,7 @@
 
     def _log_retry(self, placement: dispatcher.Placement, is_paid: bool) -> None:
         """Log a request that was sent again, and for how long its retry had been held."""
+        self._owner.counters.retries_sent.inc({'service': self._service})
         held_at, self._retry_held_at = self._retry_held_at, None
         fields = {
             'request': self.id,
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -77,6 +77,11 @@
         link.register_handler(messages.Members, self._handle_members)
         link.register_handler(messages.Goodbye, self._handle_goodbye)
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the registry lists this process."""
+        return self.membership.own.incarnation in self._listed
+
     async def run_registration(self, source: registry.Registry) -> None:
         """Keep this process's entry alive until cancelled."""
         while not self._departed:
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -486,7 +486,8 @@
             await asyncio.sleep(UPKEEP_INTERVAL)
             self.adapter.pool.close_expired()
             self.counters.buffered_bytes.set({}, self.adapter.pool.buffers.used)
-            self.forwarder.share_budget(self._count_retry_sharers(clocks.now()))
+            sharers = self._count_retry_sharers(clocks.now())
+            self.forwarder.share_budget(sharers, self.roster.is_listed)
 
     def _count_retry_sharers(self, now: float) -> int:
         """Return the number of processes to assume for the retry budget."""
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -97,6 +97,14 @@
         self.configuration = {**self.configuration, **changes, 'version': self.version}
         self.store.put(names.CONFIGURATION_KEY, self.configuration)
 
+    def allow_attempts(self, count: int) -> None:
+        """Let a request reach that many replicas on any route, and have as many of each service."""
+        routes = [{**route, 'max_attempts': count} for route in self.configuration['routes']]
+        self.configure(routes=routes)
+        for number in range(2, count):
+            self.add_replica(replica.Replica(f'llm-{number}', 'llm', 'zone-0', MODEL))
+            self.add_replica(replica.Replica(f'app-{number}', 'app', 'zone-0'))
+
     def map_services(self) -> dict[str, str]:
         """Return the service of each kind of request; each has a route of that name."""
         return {route['name']: route['service'] for route in self.configuration['routes']}
@@ -245,7 +253,7 @@
         for process in self.routers:
             process.configured_at = clocks.now() - router.DISCOVERY_SECONDS
             process.forwarder.started_at -= process.options.retry_window
-            process.forwarder.share_budget(len(self.routers))
+            process.forwarder.share_budget(len(self.routers), process.roster.is_listed)
 
     async def wait_ended(self, process: router.Router) -> None:
         """Wait until a router has ended; raises its exception."""
