Tests: outages of services in the soak, and how near each run comes to the retry budget

Change: soak and play print how near each service came to its allowance. A router without a budget has to be detected.

--- a/passpier/standins/platform/clients.py
+++ b/passpier/standins/platform/clients.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from typing import Any
 
 from passpier import clocks
@@ -28,6 +28,9 @@
 WORK_SHARE = 0.7
 """Maximum work on a long request, as a share of the client's timeout."""
 
+SHORT_KINDS = ('stream', 'resume', 'safe', 'once')
+"""Kinds of short requests."""
+
 SHORT_PATIENCE = 1.5
 LONG_PATIENCE = {'slow': 9.0, 'patient': 9.0, 'resume': 3.0}
 """Timeouts in seconds of clients with long requests, at most those of their routes."""
@@ -46,6 +49,7 @@
         rng: random.Random,
     ) -> None:
         self.outcomes: list[invariants.RequestOutcome] = []
+        self.short_kinds: Sequence[str] = SHORT_KINDS
         self._running = running
         self._routers = processes
         self._rng = rng
@@ -81,7 +85,7 @@
 
     async def _ask_short(self, id: str) -> None:
         rng = self._rng
-        kind = rng.choice(['stream', 'resume', 'safe', 'once'])
+        kind = rng.choice(self.short_kinds)
         key = rng.choice(['secret-1', 'secret-2'])
         router = await self._choose_router(rng, f'short {rng.randrange(8)}', RESOLVE_TTL)
         headers = deployment.make_prompt(rng) if kind in invariants.STREAM_KINDS else []
--- a/passpier/standins/platform/fault_injection.py
+++ b/passpier/standins/platform/fault_injection.py
@@ -14,6 +14,9 @@
 MEAN_FAULT_INTERVAL = 0.4
 """Mean seconds between the starts of two faults, which may overlap."""
 
+MEAN_INTERVAL_BESIDE_OUTAGES = 4.0
+"""The same during outages of services, which are to be seen by routers that work."""
+
 REVOKE_AFTER = 12
 """Number of faults after which a configuration change revokes a key."""
 
@@ -115,12 +118,28 @@
         ]
         await self._run_kinds(kinds, ends_at)
 
-    async def _run_kinds(self, kinds: Sequence[FaultAction], ends_at: float) -> None:
+    async def run_beside_outages(self, ends_at: float) -> None:
+        """Do the same at longer intervals, with faults of routers, links and the store only."""
+        kinds: list[FaultAction] = [
+            self._pause_router,
+            self._kill_router,
+            self._stop_router,
+            self._disturb_link,
+            self._disturb_store,
+        ]
+        await self._run_kinds(kinds, ends_at, MEAN_INTERVAL_BESIDE_OUTAGES)
+
+    async def _run_kinds(
+        self,
+        kinds: Sequence[FaultAction],
+        ends_at: float,
+        mean_interval: float = MEAN_FAULT_INTERVAL,
+    ) -> None:
         started: list[asyncio.Task[None]] = []
         while clocks.now() < ends_at:
             chosen = self._rng.choice(kinds)
             started.append(asyncio.ensure_future(_run(chosen)))
-            await asyncio.sleep(self._rng.expovariate(1 / MEAN_FAULT_INTERVAL))
+            await asyncio.sleep(self._rng.expovariate(1 / mean_interval))
         await asyncio.gather(*started)
 
     def log_fault(self, what: str, seconds: float | None = None) -> None:
--- a/passpier/standins/platform/invariants.py
+++ b/passpier/standins/platform/invariants.py
@@ -161,6 +161,32 @@
     """Seconds."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryPeak:
+    """The retries that a service got in the window that came nearest to the allowance."""
+
+    service: str
+    count: int
+    allowed: float
+    until: float
+    window: float
+    """Seconds."""
+
+    @property
+    def excess(self) -> float:
+        """By how many retries the allowance was exceeded; negative if it wasn't."""
+        return self.count - self.allowed
+
+    @property
+    def share(self) -> float:
+        """The retries as a share of the allowance."""
+        return self.count / self.allowed
+
+    def render(self) -> str:
+        """Return the peak as text."""
+        return f'{self.service} {self.count} of {self.allowed:.0f} ({self.share:.2f})'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbance:
     """A period in which a router started or was paused, or a replica's link was disturbed."""
@@ -281,32 +307,36 @@
     return []
 
 
-def find_retry_excess(
+def measure_retries(
     outcomes: Iterable[RequestOutcome],
     replicas: Iterable[replica.Replica],
     services: Mapping[str, str],
     allowance: RetryAllowance,
-) -> list[str]:
-    """Return, for each service, the window in which the most retries above the allowance arrived.
+) -> list[RetryPeak]:
+    """Return, for each service that got retries, the window that came nearest to the allowance.
 
     `services` has the service of each kind of request. The requests are those of the window, of
     the one before it or of the one half a window before it, whichever has the most.
     """
     outcomes, targets = list(outcomes), list(replicas)
-    violations = []
+    peaks = []
     for service in sorted(set(services.values())):
         sent = sorted(one.sent_at for one in outcomes if services.get(one.kind) == service)
         retried = _list_retries(target for target in targets if target.service == service)
-        excess, at = max(
-            ((_compute_excess(at, retried, sent, allowance), at) for at in retried),
-            default=(0.0, 0.0),
-        )
-        if excess > 0:
-            violations.append(
-                f'{service} got {excess:.1f} retries more than allowed in the {allowance.window} s '
-                f'until {at:.2f}'
-            )
-    return violations
+        windows = [_measure_window(service, at, retried, sent, allowance) for at in retried]
+        if windows:
+            peaks.append(max(windows, key=lambda one: one.excess))
+    return peaks
+
+
+def find_retry_excess(peaks: Iterable[RetryPeak]) -> list[str]:
+    """Return the windows with more retries than allowed."""
+    return [
+        f'{one.service} got {one.excess:.1f} retries more than allowed in the {one.window} s '
+        f'until {one.until:.2f}'
+        for one in peaks
+        if one.excess > 0
+    ]
 
 
 def _list_retries(replicas: Iterable[replica.Replica]) -> list[float]:
@@ -320,16 +350,16 @@
     return retried
 
 
-def _compute_excess(
-    at: float, retried: list[float], sent: list[float], allowance: RetryAllowance
-) -> float:
-    """Return how many retries above the allowance arrived in the window that ends at a time."""
+def _measure_window(
+    service: str, at: float, retried: list[float], sent: list[float], allowance: RetryAllowance
+) -> RetryPeak:
+    """Return the retries of the window that ends at a time, and how many were allowed."""
     window = allowance.window
     requests = max(
         _count_between(sent, end - window, end) for end in (at, at - window / 2, at - window)
     )
     allowed = allowance.ratio * requests + allowance.slack
-    return _count_between(retried, at - window, at) - allowed
+    return RetryPeak(service, _count_between(retried, at - window, at), allowed, at, window)
 
 
 def _count_between(times: list[float], began: float, ended: float) -> int:
--- a/passpier/standins/platform/metastore.py
+++ b/passpier/standins/platform/metastore.py
@@ -44,6 +44,9 @@
     refuse: int = 0
     """Calls that are answered with 429."""
 
+    is_read_only: bool = False
+    """Grants no leases and takes no transactions; answers 503 instead."""
+
 
 @dataclasses.dataclass(slots=True)
 class Copy:
@@ -298,6 +301,9 @@
 
 class _Transaction(_Handler):
     async def post(self) -> None:
+        if self.faults.is_read_only:
+            self.set_status(503)
+            return
         body = json.loads(self.request.body)
         if self.faults.late_effects:
             self.faults.late_effects -= 1
@@ -314,6 +320,9 @@
 
 class _Lease(_Handler):
     def post(self) -> None:
+        if self.faults.is_read_only:
+            self.set_status(503)
+            return
         ttl = json.loads(self.request.body)['ttl_ms']
         self.write({'lease': self.store.grant(ttl / 1000), 'ttl_ms': ttl})
 
--- a/passpier/standins/platform/play.py
+++ b/passpier/standins/platform/play.py
@@ -56,6 +56,9 @@
     streams: str = ''
     """What became of the streams of the service with several software versions."""
 
+    retries: list[invariants.RetryPeak] = dataclasses.field(default_factory=list)
+    """How near each service came to the allowance of retries."""
+
     def render(self) -> str:
         """Return the report as text."""
         lines = [f'seed {self.seed}: {len(self.outcomes)} requests, {len(self.faults)} troubles']
@@ -68,6 +71,7 @@
             told = ', '.join(f'{status}: {count}' for status, count in sorted(counts.items()))
             lines.append(f'  {kind:8} {told}; median of answers {middle:.0f} ms')
         lines += [f'  {self.streams}'] if self.streams else []
+        lines += [f'  most retries in a window: {one.render()}' for one in self.retries]
         lines += [f'  broken: {text}' for text in self.violations] or ['  no promise broken']
         return '\n'.join(lines)
 
@@ -285,7 +289,7 @@
             ORDER_GAP,
         )
         options = self._running.routers[0].options
-        self.report.violations += invariants.find_retry_excess(
+        self.report.retries = invariants.measure_retries(
             self.report.outcomes,
             self._running.replicas.values(),
             self._running.map_services(),
@@ -293,6 +297,7 @@
                 options.retry_ratio, options.retry_slack, options.retry_window
             ),
         )
+        self.report.violations += invariants.find_retry_excess(self.report.retries)
         self.report.violations += invariants.find_backpressure_violations(
             self.report.outcomes,
             self._running.replicas.values(),
--- a/passpier/standins/platform/routers.py
+++ b/passpier/standins/platform/routers.py
@@ -11,6 +11,9 @@
 from passpier.standins import processes
 from passpier.standins.platform import invariants, proxy
 
+PROGRAM = 'passpier.platform'
+"""The module that runs as a router."""
+
 KEY_BOUND = 3.0
 """Seconds after which a revoked key is rejected, as in the settings."""
 
@@ -23,6 +26,12 @@
 RETRY_SLACKS = (20, 60)
 """Least and greatest slack of the retry budget that settings are given."""
 
+DEFAULT_RETRY_SLACK = 40
+"""Slack of the retry budget in the settings, unless they are changed."""
+
+DEFAULT_RETRY_ALLOWANCE = invariants.RetryAllowance(0.2, DEFAULT_RETRY_SLACK, 10.0)
+"""Retries that all routers together may send with that slack."""
+
 MAX_RETRY_ALLOWANCE = invariants.RetryAllowance(0.2, RETRY_SLACKS[1], 10.0)
 """Retries that all routers together may send with any of these settings."""
 
@@ -56,9 +65,11 @@
 class RouterProcess(processes.Process):
     """A router process, with a proxy for its clients and one in front of the store."""
 
-    def __init__(self, number: int, folder: pathlib.Path, store: str) -> None:
+    def __init__(
+        self, number: int, folder: pathlib.Path, store: str, program: str = PROGRAM
+    ) -> None:
         name = f'vm-{number}'
-        super().__init__(name, ['passpier.platform'], folder)
+        super().__init__(name, [program], folder)
         self.caller, self.ready, self.directory = (
             f'127.0.0.1:{processes.pick_port()}' for _ in range(3)
         )
@@ -67,7 +78,7 @@
         self.busy = False
         """Whether a fault is being injected into the process, which excludes further ones."""
 
-        self.retry_slack = 40
+        self.retry_slack = DEFAULT_RETRY_SLACK
         self._peer, self._tunnel = sorted(processes.pick_port() for _ in range(2))
         self._metrics = processes.pick_port()
         self._zone = f'zone-{number % 2}'
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -29,6 +29,7 @@
     deployment,
     fault_injection,
     invariants,
+    outages,
     replica,
     restarts,
     returns,
@@ -46,6 +47,14 @@
 STALL_THRESHOLD = 0.5
 """Seconds of a stall that count as a fault: clients, replicas and proxies stall with the loop."""
 
+PROGRAM = routers.PROGRAM
+OUTAGE_ATTEMPTS = 4
+"""Replicas that a request may be sent to during outages, and replicas of each service: each request
+wants several retries."""
+
+OUTAGE_KINDS = ('resume', 'safe')
+"""Kinds of short requests during outages: those that may be repeated after they have run."""
+
 RECOVERY_SECONDS = 12.0
 """Seconds after the last fault within which everything has to recover."""
 
@@ -75,6 +84,12 @@
     versions: bool = False
     """Whether replicas of a service run several software versions."""
 
+    outages: bool = False
+    """Whether all replicas of a service fail for a while, again and again."""
+
+    program: str = PROGRAM
+    """The module that runs as a router."""
+
 
 @dataclasses.dataclass(slots=True)
 class Report:
@@ -87,6 +102,9 @@
     streams: str = ''
     """What became of the streams of the service with several software versions."""
 
+    retries: list[invariants.RetryPeak] = dataclasses.field(default_factory=list)
+    """How near each service came to the allowance of retries."""
+
     backpressure_violations: list[str] = dataclasses.field(default_factory=list)
     """The violations of backpressure signals, which `violations` contains as well."""
 
@@ -96,6 +114,7 @@
         told = ', '.join(f'{status}: {count}' for status, count in sorted(counts.items()))
         lines = [f'seed {self.seed}: {len(self.faults)} troubles; answers {told}']
         lines += [f'  {self.streams}'] if self.streams else []
+        lines += [f'  most retries in a window: {one.render()}' for one in self.retries]
         lines += [f'  broken: {text}' for text in self.violations]
         if self.violations:
             lines += [f'  {at:6.2f} s {what}' for at, what in self.faults]
@@ -139,6 +158,9 @@
             random.Random(f'software {seed}'),
             lambda: {r.name: r.client_link.address for r in self._routers},
         )
+        self._outages = outages.OutageInjector(
+            self._targets, self._faults, random.Random(f'outage {seed}')
+        )
         self.report = Report(seed)
 
     async def run(self) -> Report:
@@ -197,12 +219,13 @@
             self._faults.unplanned,
             self._versions.routers,
         )
-        self.report.violations += invariants.find_retry_excess(
+        self.report.retries = invariants.measure_retries(
             self.report.outcomes,
             self._deployment.replicas.values(),
             self._deployment.map_services(),
-            routers.MAX_RETRY_ALLOWANCE,
+            self._retry_allowance,
         )
+        self.report.violations += invariants.find_retry_excess(self.report.retries)
         self.report.backpressure_violations = invariants.find_backpressure_violations(
             self.report.outcomes,
             self._deployment.replicas.values(),
@@ -216,12 +239,24 @@
                 'writers'
             )
 
+    @property
+    def _retry_allowance(self) -> invariants.RetryAllowance:
+        """The retries that all routers together may send with any of the settings of the run."""
+        if self._plan.outages:
+            return routers.DEFAULT_RETRY_ALLOWANCE
+        return routers.MAX_RETRY_ALLOWANCE
+
     async def _start(self) -> None:
         await self._deployment.start(routers=0)
+        if self._plan.outages:
+            self._deployment.allow_attempts(OUTAGE_ATTEMPTS)
+            self._clients.short_kinds = OUTAGE_KINDS
         for target in list(self._deployment.replicas.values()):
             await self._targets.put_behind_proxy(target)
         for number in range(self._plan.routers):
-            router = routers.RouterProcess(number, self._folder, self._deployment.store_address)
+            router = routers.RouterProcess(
+                number, self._folder, self._deployment.store_address, self._plan.program
+            )
             self._routers.append(router)
             await router.open()
         if not await self._wait_ready(START_SECONDS):
@@ -238,7 +273,9 @@
 
     async def _run_scenario(self, seconds: float) -> None:
         ends_at = clocks.now() + seconds
-        if self._plan.planned:
+        if self._plan.outages:
+            series = [self._faults.run_beside_outages(ends_at), self._outages.run(ends_at)]
+        elif self._plan.planned:
             series = [self._faults.run_planned(ends_at), self._stops.run(ends_at)]
         else:
             series = [self._faults.run(ends_at), self._silences.run(ends_at)]
@@ -332,13 +369,16 @@
     asks: bool = False,
     returns: bool = False,
     versions: bool = False,
+    outages: bool = False,
 ) -> None:
     """Run `count` seeds from `seed` on; exit with 1 after a violation."""
     # The injected faults break connections, and tornado would log each of them.
     logging.disable(logging.CRITICAL)
     broken = 0
     for number in range(seed, seed + count):
-        plan = Plan(number, seconds, routers, rate, planned, lives, asks, returns, versions)
+        plan = Plan(
+            number, seconds, routers, rate, planned, lives, asks, returns, versions, outages
+        )
         report = asyncio.run(soak(plan, logs))
         broken += bool(report.violations)
         print(report.render(), flush=True)
--- a/passpier/tests/platform/retry_budget_tests.py
+++ b/passpier/tests/platform/retry_budget_tests.py
@@ -8,6 +8,7 @@
 
 from passpier import clocks
 from passpier.clients import exchanges
+from passpier.routing import router
 from passpier.standins.platform import deployment, invariants, replica, routers
 from passpier.tests.platform import harness
 
@@ -128,9 +129,10 @@
                     await process.close()
             allowance = invariants.RetryAllowance(0.2, processes[0].retry_slack, 10.0)
             assert sum(one.status == 200 for one in load.outcomes) > RATE * SETTLED_SECONDS / 2
-            assert not invariants.find_retry_excess(
+            peaks = invariants.measure_retries(
                 load.outcomes, running.replicas.values(), running.map_services(), allowance
             )
+            assert not invariants.find_retry_excess(peaks)
 
     asyncio.run(asyncio.wait_for(run(), 2 * harness.TEST_TIMEOUT))
 
@@ -162,9 +164,41 @@
             running.add_replica(model.build_successor(f'{model.id}-again'))
         await load.finish()
         allowance = invariants.RetryAllowance(options.retry_ratio, options.retry_slack, WINDOW)
-        assert not invariants.find_retry_excess(
+        peaks = invariants.measure_retries(
             load.outcomes, running.replicas.values(), running.map_services(), allowance
         )
+        assert not invariants.find_retry_excess(peaks)
         assert sum(one.status == 200 for one in load.outcomes) > STREAMS / 4
 
     harness.run_check(check)
+
+
+# Guards against retries above the budget while no router knows of any other one.
+def test_routers_that_do_not_know_each_other_keep_the_retry_budget() -> None:
+    async def run() -> None:
+        async with deployment.running(routers=0) as running:
+            running.allow_attempts(ROUTERS)
+            running.faults.is_read_only = True
+            started = [
+                running.add_router(f'vm-{number}', 'zone-0', retry_window=WINDOW)
+                for number in range(ROUTERS)
+            ]
+            addresses = {process.peers.address for process in started}
+            for process in started:
+                process.peers.blocked |= addresses
+            while not all(process.is_ready() for process in started):
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(router.DISCOVERY_SECONDS + WINDOW)
+            load = Load(running, 'safe', [process.options.caller for process in started])
+            set_failing(running, ALWAYS)
+            await load.send(2 * WINDOW)
+            await load.finish()
+            options = started[0].options
+            allowance = invariants.RetryAllowance(options.retry_ratio, options.retry_slack, WINDOW)
+            peaks = invariants.measure_retries(
+                load.outcomes, running.replicas.values(), running.map_services(), allowance
+            )
+            assert not invariants.find_retry_excess(peaks)
+            assert peaks
+
+    asyncio.run(asyncio.wait_for(run(), 2 * harness.TEST_TIMEOUT))
--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -49,6 +49,17 @@
 }
 """Seeds that have failed before with several software versions."""
 
+OUTAGE_SEEDS = {
+    4: 'routers that had restarted spent their share of the retry budget again',
+}
+"""Seeds that have failed before with outages, with the cause."""
+
+OUTAGE_SECONDS = 45.0
+OUTAGE_RATE = 120.0
+"""Requests a second; failures of all replicas then want several times the retries allowed."""
+
+DETECTION_SECONDS = 15.0
+
 LOGS = 'target/soak'
 """Folder for the routers' logs of a run that violated a guarantee."""
 
@@ -109,6 +120,28 @@
     assert report.violations == [], report.render()
 
 
+# Guards against retries above the budget, which restarts of all routers between outages provoke.
+@pytest.mark.parametrize('seed', OUTAGE_SEEDS)
+def test_outages_do_not_exceed_the_retry_budget(seed: int) -> None:
+    plan = soak.Plan(seed, OUTAGE_SECONDS, FULL_ROUTERS, OUTAGE_RATE, outages=True)
+    report = asyncio.run(soak.soak(plan, f'{LOGS}/outages'))
+    assert report.violations == [], report.render()
+    assert report.retries
+
+
+def test_router_that_ignores_the_retry_budget_is_detected() -> None:
+    plan = soak.Plan(
+        4,
+        DETECTION_SECONDS,
+        rate=OUTAGE_RATE,
+        outages=True,
+        program='passpier.tests.platform.unbounded_retries',
+    )
+    report = asyncio.run(soak.soak(plan))
+    assert max(peak.share for peak in report.retries) > 1.0, report.render()
+    assert any('retries more than allowed' in text for text in report.violations)
+
+
 def make_request(id: str, kind: str, status: int, body: bytes = b'') -> invariants.RequestOutcome:
     return invariants.RequestOutcome(id, kind, 'k', 10.0, status, body, 0.1, id)
 
