Routers: the retry budget's slack is divided by few only after the registry has listed the router

What callers saw: nothing by itself; replicas that fail get several times the retries allowed. Cause: a router that sees no other one, alive or registered, took that for being alone, from 5 s after its first configuration on. While the registry serves reads and refuses writes nobody is listed, and behind cuts nobody is heard: each router took the whole slack. Ruled out: a smaller number assumed for longer; it takes retries from all routers after each start. Change: the 5 s count from the router's own listing. If the registry doesn't list this router, it doesn't list others of the same fate either, and many are assumed.

--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -86,8 +86,8 @@
 start at once, and none may spend the budget of all."""
 
 DISCOVERY_SECONDS = 5.0
-"""Seconds after the first configuration in which that is assumed; heartbeats need about one to make
-all known."""
+"""Seconds after its first listing in the registry in which a process assumes that; heartbeats need
+about one to make all known."""
 
 LOADS_INTERVAL = 0.1
 """Seconds between messages on loads to a peer: traffic between failure domains is billed."""
@@ -252,8 +252,8 @@
         self._drain = drain.Drain(*_read_stop_times(options))
         self.forwarder.budget_sharers = DAEMONS_AT_START
         self._started_at = clocks.now()
-        self.configured_at: float | None = None
-        """When this process had a configuration for the first time."""
+        self.listed_at: float | None = None
+        """When the registry listed this process for the first time, as far as it knows."""
 
         self.loop_checked_at = self._started_at
         """When the event loop was last known to run. A signal that is handled now arrived after
@@ -490,10 +490,14 @@
             self.forwarder.share_budget(sharers, self.roster.is_listed)
 
     def _count_retry_sharers(self, now: float) -> int:
-        """Return the number of processes to assume for the retry budget."""
-        if self.configured_at is None and self.registry_state.table is not None:
-            self.configured_at = now
-        if self.configured_at is None or now - self.configured_at < DISCOVERY_SECONDS:
+        """Return the number of processes to assume for the retry budget.
+
+        A process that the registry doesn't list can't expect to find the others there, so that
+        seeing nobody doesn't mean that it is alone.
+        """
+        if self.listed_at is None and self.roster.is_listed:
+            self.listed_at = now
+        if self.listed_at is None or now - self.listed_at < DISCOVERY_SECONDS:
             return max(self.roster.max_known, DAEMONS_AT_START)
         return self.roster.max_known
 
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -251,7 +251,7 @@
     def age_routers(self) -> None:
         """Treat the routers as having run for a while: they have earned retries."""
         for process in self.routers:
-            process.configured_at = clocks.now() - router.DISCOVERY_SECONDS
+            process.listed_at = clocks.now() - router.DISCOVERY_SECONDS
             process.forwarder.started_at -= process.options.retry_window
             process.forwarder.share_budget(len(self.routers), process.roster.is_listed)
 
