Streams: routers that all started again know where a stream began

Cause: where a stream began was known to its router and three peers, all in memory. Class: what has to outlive one process was kept by several, which is no help where one event ends them all. Ruled out: what replicas still know; their reports list a run for as long as its connection is open. Change: while a service has several versions, or a router has watched for less than a stream may last, it writes the streams that begin to the registry, at most 4 times a second and 40 times for all routers, in groups of 2 s with one key each, under a lease of ten minutes. A stream that nobody knows is looked for there before peers are asked. What was begun after the last write stays unknown and is refused. The mapping never changes, so that a late record is no wrong one.

--- /dev/null
+++ b/passpier/routing/origin_records.py
@@ -0,0 +1,178 @@
+"""Records in the registry where streams began, for routers that start after all others have ended.
+
+Peers that were told where a stream began are lost together with its router if all routers end at
+once. While a service has several software versions, each router therefore writes the streams that
+begin at it to the registry, some times a second. A stream that began after the last write is
+unknown to the routers that follow.
+
+A router groups its streams by the time of their beginning, with one key for each group, so that a
+write has the newest streams only. Keys are used again once the streams of their group are over.
+"""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from passpier import clocks, exceptions
+from passpier.clients import registry
+from passpier.core import members, stream_origins
+from passpier.routing import registry_mirror
+
+log = logging.getLogger(__name__)
+
+MIN_WRITE_INTERVAL = 0.25
+"""Minimum seconds between two writes of a router: a longer one loses more streams."""
+
+WRITES_PER_SECOND = 40.0
+"""Maximum number of writes per second of all routers together; registries limit them."""
+
+GROUP_SECONDS = 2.0
+"""Seconds for which the streams that begin belong to one group."""
+
+MAX_GROUPS = 32
+"""Maximum number of groups of a router, the most that one transaction can write."""
+
+MAX_GROUP_STREAMS = 500
+"""Maximum number of streams in a group; any further ones are not recorded."""
+
+LEASE = 600.0
+"""Seconds after which the records of a router that has ended expire, the most that registries
+grant."""
+
+LEASE_USED = 300.0
+"""Seconds for which a lease is used, so that records outlast it by the longest stream."""
+
+_KEY = 'origins/'
+
+
+_decoder = msgspec.json.Decoder(dict[str, stream_origins.Origin])
+
+
+class _Group(msgspec.Struct):
+    """Streams that began within a short time."""
+
+    number: int
+    began_at: float
+    origins: dict[str, stream_origins.Origin] = {}
+    """The origins by stream."""
+
+    expires_at: float = 0.0
+    """When the last of the streams is over."""
+
+    is_written: bool = False
+
+
+class OriginRecords:
+    """Writes the records of this router, and reads those of all."""
+
+    def __init__(
+        self,
+        source: registry.Registry,
+        registry_state: registry_mirror.RegistryState,
+        membership: members.Membership,
+    ) -> None:
+        self._source = source
+        self._registry_state = registry_state
+        self._membership = membership
+        self._prefix = registry_state.records.own_prefix + _KEY
+        self._own_prefix = f'{self._prefix}{membership.own.incarnation}/'
+        self._groups: list[_Group] = []
+        """The own groups, the oldest first."""
+
+        self._lease: registry.Lease | None = None
+        self._granted_at = float('-inf')
+        self._written_at = float('-inf')
+        self._timeline = registry.NO_REVISION.timeline
+
+    def note(self, stream: str, origin: stream_origins.Origin, expires_at: float) -> None:
+        """Have a stream recorded that began here."""
+        now = clocks.now()
+        group = self._groups[-1] if self._groups else None
+        if group is None or now - group.began_at >= GROUP_SECONDS:
+            group = self._add_group(now)
+        if len(group.origins) >= MAX_GROUP_STREAMS:
+            return
+        group.origins[stream] = origin
+        group.expires_at = max(group.expires_at, expires_at)
+        group.is_written = False
+
+    def forget(self, stream: str) -> None:
+        """Have the record of a stream removed, as its origin has turned out to be uncertain."""
+        for group in self._groups:
+            if group.origins.pop(stream, None) is not None:
+                group.is_written = False
+
+    def find(self, stream: str) -> stream_origins.Origin | None:
+        """Return where a stream began, if that is recorded."""
+        # Few streams are looked for, so that nothing is decoded but the group that has the stream.
+        text = msgspec.json.encode(stream)
+        for key, item in self._registry_state.members.items():
+            if key.startswith(self._prefix) and text in item.data:
+                found = _decode_group(key, item.data).get(stream)
+                if found is not None:
+                    return found
+        return None
+
+    async def write(self) -> None:
+        """Write the groups that have changed, unless the last write was too recent."""
+        now = clocks.now()
+        self._check_timeline()
+        changed = [group for group in self._groups if not group.is_written]
+        if not changed or now - self._written_at < self._compute_interval(now):
+            return
+        self._written_at = now
+        try:
+            await self._write_groups(changed, now)
+        except exceptions.StoreError as error:
+            self._granted_at = float('-inf')
+            for group in changed:
+                group.is_written = False
+            log.info('stream origins not recorded', extra={'error': str(error)})
+
+    async def _write_groups(self, groups: list[_Group], now: float) -> None:
+        """Write groups; raises `StoreError`."""
+        if self._lease is None or now - self._granted_at > LEASE_USED:
+            self._lease = await self._source.grant(LEASE)
+            self._granted_at = now
+        puts = []
+        for group in groups:
+            # Streams that begin during the write need another one.
+            group.is_written = True
+            key = f'{self._own_prefix}{group.number}'
+            puts.append(registry.Put(key, msgspec.json.encode(group.origins), self._lease))
+        await self._source.write(puts)
+
+    def _compute_interval(self, now: float) -> float:
+        routers = len(self._membership.list_alive(now))
+        return max(MIN_WRITE_INTERVAL, routers / WRITES_PER_SECOND)
+
+    def _check_timeline(self) -> None:
+        """Have all groups written again if the registry has returned from an older copy."""
+        before, self._timeline = self._timeline, self._registry_state.revision.timeline
+        if self._timeline == before or before == registry.NO_REVISION.timeline:
+            return
+        self._granted_at = float('-inf')
+        for group in self._groups:
+            group.is_written = False
+
+    def _add_group(self, now: float) -> _Group:
+        """Begin a group under the first free number, or that of the oldest group."""
+        self._groups = [group for group in self._groups if group.expires_at > now]
+        if len(self._groups) >= MAX_GROUPS:
+            self._groups.pop(0)
+        used = {group.number for group in self._groups}
+        number = next(n for n in range(MAX_GROUPS) if n not in used)
+        group = _Group(number, now)
+        self._groups.append(group)
+        return group
+
+
+def _decode_group(key: str, data: bytes) -> dict[str, stream_origins.Origin]:
+    """Return the origins of a group by stream; none if the record is invalid."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        log.error('invalid stream origins ignored', extra={'key': key, 'error': str(error)})
+        return {}
--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -2,8 +2,9 @@
 
 Clients mostly resume a stream because its router has gone. So each router tells a few peers of the
 streams that begin at it, chosen by the id of the stream, and a router at which a stream is resumed
-asks these. While all replicas of a service have had one version for as long as streams last, nobody
-is told: that version is where every stream began.
+asks these. If all routers end at once, the registry has the records (`origin_records`). While all
+replicas of a service have had one version for as long as streams last, nobody is told: that version
+is where every stream began.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 from passpier import clocks
 from passpier.core import hash_ring, members, stream_origins
 from passpier.daemon import messages, peers
-from passpier.routing import registry_mirror
+from passpier.routing import origin_records, registry_mirror
 
 log = logging.getLogger(__name__)
 
@@ -54,7 +55,9 @@
         registry_state: registry_mirror.RegistryState,
         membership: members.Membership,
         link: peers.Peers,
+        records: origin_records.OriginRecords,
     ) -> None:
+        self.records = records
         self.own = stream_origins.OriginTable()
         """The streams that began here."""
 
@@ -88,10 +91,12 @@
         self._services.add(origin.service)
         if self._has_several_versions(origin.service, now) or not self._has_watched(lifetime):
             self._tell(stream, origin, expires_at, now)
+            self.records.note(stream, origin, expires_at)
 
     def forget(self, stream: str, service: str) -> None:
         """Drop a record that has turned out to be uncertain, here and at peers."""
         self.own.forget(stream)
+        self.records.forget(stream)
         now = clocks.now()
         self._tell(stream, stream_origins.Origin(service, ''), now, now)
 
@@ -99,6 +104,8 @@
         """Return where a stream began that may last for `seconds`, if that is certain."""
         asked_at = clocks.now()
         found, source = self._find_record(stream, asked_at), 'record'
+        if found is None:
+            found, source = self.records.find(stream), 'registry'
         responses: list[messages.OriginResponse] = []
         if found is None:
             lifetime = _compute_lifetime(seconds)
@@ -124,12 +131,13 @@
         return found
 
     async def run(self) -> None:
-        """Tell peers of the streams of services that get a second version, until cancelled."""
+        """Tell of streams whose service gets a second version, and record them, until cancelled."""
         expired_at = clocks.now()
         while True:
             await asyncio.sleep(VERSION_CHECK_INTERVAL)
             now = clocks.now()
             self._tell_services(now)
+            await self.records.write()
             if now - expired_at >= EXPIRY_INTERVAL:
                 expired_at = now
                 self.own.expire(now)
@@ -142,6 +150,7 @@
             log.info('streams told to peers', extra={'service': service, 'count': len(records)})
             for stream, origin, expires_at in records:
                 self._tell(stream, origin, expires_at, now)
+                self.records.note(stream, origin, expires_at)
         self._told_services = several
 
     def _tell(
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -42,6 +42,7 @@
     forwarding,
     ingress,
     load_balancing,
+    origin_records,
     origin_sharing,
     paths,
     placement_sharing,
@@ -209,7 +210,12 @@
         self.limiter = rate_limiting.RateLimiter(
             self.registry_state, membership, self.peers, options.rate_tolerance, rng
         )
-        self.origins = origin_sharing.OriginSharing(self.registry_state, membership, self.peers)
+        self.origins = origin_sharing.OriginSharing(
+            self.registry_state,
+            membership,
+            self.peers,
+            origin_records.OriginRecords(adapter.source, self.registry_state, membership),
+        )
         self.throttling = throttling.Throttling(
             self.pools, membership, self.peers, self.roster.notify_serving, rng
         )
--- a/passpier/tests/routing/fleets.py
+++ b/passpier/tests/routing/fleets.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import msgspec
 
@@ -245,3 +245,41 @@
             await fleet.stop()
 
     virtual_time.run(run())
+
+
+class LeaseRegistry:
+    """Keeps what is written, under leases that do not expire by themselves."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, registry.Item] = {}
+        self.leases: dict[registry.Lease, list[str]] = {}
+        self.unavailable = False
+        self.granted = 0
+        self.largest_write = 0
+        self.writes = 0
+
+    async def grant(self, ttl: float) -> registry.Lease:
+        if self.unavailable:
+            raise exceptions.StoreError('no answer')
+        self.granted += 1
+        return registry.Lease(TIMELINE, self.granted)
+
+    async def end(self, lease: registry.Lease) -> None:
+        for key in self.leases.pop(lease, []):
+            del self.items[key]
+
+    async def write(
+        self, puts: Sequence[registry.Put], conditions: Sequence[registry.ExpectedRevision] = ()
+    ) -> registry.Revision:
+        if self.unavailable:
+            raise exceptions.StoreError('no answer')
+        self.writes += 1
+        self.largest_write = max(self.largest_write, len(puts))
+        if any(c.key in self.items for c in conditions):
+            raise exceptions.ConflictError('exists')
+        revision = at(len(self.items) + 1)
+        for put in puts:
+            self.items[put.key] = registry.Item(put.key, put.data, revision)
+            if put.lease is not None:
+                self.leases.setdefault(put.lease, []).append(put.key)
+        return revision
