Engines: a head that is cut before its last byte is no response

What callers saw, from another operator: 200 with an empty body, framed as whole, after a replica had stopped within the head of its response. Cause: at the end of a connection curl reports the rest of the last line like a whole line and takes the head for complete. passpierd's client took an end of line without its line feed for the end of the head: 200 with an empty body, also where chunks were announced. Ruled out: the router. h11 waits for the end of the head; no cut of 5 sorts of responses, on new and kept connections, after a response to another request and through a tunnel, gave a success. Change: a line of the head counts once its line feed has arrived.

--- a/passpier/clients/web.py
+++ b/passpier/clients/web.py
@@ -118,6 +118,9 @@
         return pycurl.PREREQFUNC_OK
 
     def _receive_header_line(self, line: str) -> None:
+        if not line.endswith('\n'):
+            # The connection was closed within the line. Curl takes the head for complete.
+            return
         if line.startswith('HTTP/'):
             self._lines = [line]
         elif line.strip():
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -93,6 +93,9 @@
     endless: tuple[bytes, bytes] | None = None
     """Every call gets the first of these in place of a response, then the second without end."""
 
+    partial: bytes | None = None
+    """Every request gets these bytes in place of a response, and the connection is closed."""
+
     unframed: bool = False
     """Whether streams have neither a length nor chunks, and end with their connection."""
 
@@ -365,6 +368,17 @@
             await self.pause(0.01)
         if self.replica.faults.endless is not None:
             await self._send_endless(*self.replica.faults.endless)
+        if self.replica.faults.partial is not None and self.id:
+            await self._send_partial(self.replica.faults.partial)
+
+    async def _send_partial(self, data: bytes) -> None:
+        """Send bytes and close the connection in order."""
+        self.replica.arrivals.append(Arrival(self.id, clocks.now(), self._life))
+        stream = self.detach()
+        with contextlib.suppress(tornado.iostream.StreamClosedError):
+            await stream.write(data)
+        stream.close()
+        raise tornado.web.Finish
 
     async def _send_endless(self, first: bytes, more: bytes) -> None:
         """Send bytes until the caller closes the connection."""
