--- a/passpier/tests/clients/cut_heads_tests.py
+++ b/passpier/tests/clients/cut_heads_tests.py
@@ -1,4 +1,4 @@
-"""Responses that end before they are whole, with an orderly close: none may pass for a whole one."""
+"""Responses that are cut short by an orderly close: none may pass for a whole one."""
 
 from __future__ import annotations
 
