Streams: the registry records which software versions a service has

What callers saw: after all routers were killed at once, streams of before were refused (503, unknown_stream) for as long as streams last also where a service had one version only, as the routers that start can't know that they missed none. Cause: which versions a service had was kept in the routers' memory only. Ruled out: recording every stream all the time; 4 writes a second and router for what one record says. Change: one record a service in the registry, without a lease. Two routers, others after a second, add a version when they see it, and drop one when no replica has had it for as long as streams last; only if nobody else has written meanwhile. A router that has just started drops none. A stream whose version the record implies is not recorded itself; it is once a second version comes. New resumable streams stay at the only version, while it serves, until the record has the second one. With a record of several versions, or none, an unknown stream is refused as before. Measured: test_streams_go_on_after_routers_were_killed with one version: 3 of 3 cases pass; without the change the new one times out as there is no record.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -314,7 +314,9 @@
         """Make attempts until there is a response or a reason for having none."""
         budget = self._owner.get_budget(self._service)
         budget.note_request(self.call.arrived_at)
-        if self._admitted.is_resumption and not await self._binding.find_origin():
+        if not self._admitted.is_resumption:
+            self._binding.choose_version()
+        elif not await self._binding.find_origin():
             text = 'it is not known where the stream began, it has to be begun anew'
             await self._respond_directly(503, 'unknown_stream', text, RETRY_AFTER_FAILURE)
             return
--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -2,9 +2,9 @@
 
 Clients mostly resume a stream because its router has gone. So each router tells a few peers of the
 streams that begin at it, chosen by the id of the stream, and a router at which a stream is resumed
-asks these. If all routers end at once, the registry has the records (`origin_records`). While all
-replicas of a service have had one version for as long as streams last, nobody is told: that version
-is where every stream began.
+asks these. While all replicas of a service have had one version for as long as streams last, nobody
+is told: that version is where every stream began. If all routers end at once, the registry has the
+streams (`origin_records`), or the only version (`version_records`).
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from passpier import clocks
 from passpier.core import hash_ring, members, stream_origins
 from passpier.daemon import messages, peers
-from passpier.routing import origin_records, registry_mirror
+from passpier.routing import origin_records, registry_mirror, version_records
 
 log = logging.getLogger(__name__)
 
@@ -56,8 +56,10 @@
         membership: members.Membership,
         link: peers.Peers,
         records: origin_records.OriginRecords,
+        versions: version_records.VersionRecords,
     ) -> None:
-        self.records = records
+        self._records = records
+        self._versions = versions
         self.own = stream_origins.OriginTable()
         """The streams that began here."""
 
@@ -74,6 +76,9 @@
         self._told_services: set[str] = set()
         """Those with several versions, of which all streams have been told."""
 
+        self._single_version_services: set[str] = set()
+        """Those with one version only according to the registry, whose streams aren't recorded."""
+
         self._numbers = itertools.count()
         self._asked: dict[str, asyncio.Queue[messages.OriginResponse]] = {}
         link.register_handler(messages.StreamBegun, self._handle_begun)
@@ -89,14 +94,27 @@
         expires_at = now + lifetime
         self.own.note(stream, origin, expires_at)
         self._services.add(origin.service)
+        self._versions.note_stream(origin.service, lifetime)
         if self._has_several_versions(origin.service, now) or not self._has_watched(lifetime):
             self._tell(stream, origin, expires_at, now)
-            self.records.note(stream, origin, expires_at)
+        if self._versions.find_only_version(origin.service) != origin.software:
+            self._records.note(stream, origin, expires_at)
+
+    def choose_version(self, service: str) -> str | None:
+        """Return the version at which a new stream has to begin, if any.
+
+        Until the registry has the record of a second version, a stream that begins there could pass
+        for one of the first version after a restart of all routers.
+        """
+        software = self._versions.find_only_version(service)
+        if not software or not self._has_several_versions(service, clocks.now()):
+            return None
+        return None if self._pools.is_superseded(service, software) else software
 
     def forget(self, stream: str, service: str) -> None:
         """Drop a record that has turned out to be uncertain, here and at peers."""
         self.own.forget(stream)
-        self.records.forget(stream)
+        self._records.forget(stream)
         now = clocks.now()
         self._tell(stream, stream_origins.Origin(service, ''), now, now)
 
@@ -105,7 +123,7 @@
         asked_at = clocks.now()
         found, source = self._find_record(stream, asked_at), 'record'
         if found is None:
-            found, source = self.records.find(stream), 'registry'
+            found, source = self._records.find(stream), 'registry'
         responses: list[messages.OriginResponse] = []
         if found is None:
             lifetime = _compute_lifetime(seconds)
@@ -137,22 +155,32 @@
             await asyncio.sleep(VERSION_CHECK_INTERVAL)
             now = clocks.now()
             self._tell_services(now)
-            await self.records.write()
+            self._record_services()
+            await self._versions.write()
+            await self._records.write()
             if now - expired_at >= EXPIRY_INTERVAL:
                 expired_at = now
                 self.own.expire(now)
                 self.held.expire(now)
 
     def _tell_services(self, now: float) -> None:
+        """Tell peers of the own streams of services that have got a second version."""
         several = {s for s in self._services if self._has_several_versions(s, now)}
         for service in several - self._told_services:
             records = self.own.list_service(service)
             log.info('streams told to peers', extra={'service': service, 'count': len(records)})
             for stream, origin, expires_at in records:
                 self._tell(stream, origin, expires_at, now)
-                self.records.note(stream, origin, expires_at)
         self._told_services = several
 
+    def _record_services(self) -> None:
+        """Record the own streams of services that have no longer one version only."""
+        single = {s for s in self._services if self._versions.find_only_version(s)}
+        for service in self._single_version_services - single:
+            for stream, origin, expires_at in self.own.list_service(service):
+                self._records.note(stream, origin, expires_at)
+        self._single_version_services = single
+
     def _tell(
         self, stream: str, origin: stream_origins.Origin, expires_at: float, now: float
     ) -> None:
@@ -208,7 +236,10 @@
     def _see(self, service: str, lifetime: float) -> stream_origins.Sighting:
         since = clocks.now() - lifetime
         versions = frozenset(self._pools.list_versions(service, since))
-        return stream_origins.Sighting(versions, self._has_watched(lifetime))
+        if self._has_watched(lifetime):
+            return stream_origins.Sighting(versions, True)
+        recorded = self._versions.get_versions(service)
+        return stream_origins.Sighting(versions | recorded, len(recorded) == 1)
 
     def _handle_begun(self, sender: str, address: str, message: messages.StreamBegun) -> None:
         origin = message.origin
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -57,6 +57,7 @@
     sources,
     throttling,
     tunnel_server,
+    version_records,
 )
 
 log = logging.getLogger(__name__)
@@ -215,6 +216,7 @@
             membership,
             self.peers,
             origin_records.OriginRecords(adapter.source, self.registry_state, membership),
+            version_records.VersionRecords(adapter.source, self.registry_state, membership),
         )
         self.throttling = throttling.Throttling(
             self.pools, membership, self.peers, self.roster.notify_serving, rng
--- a/passpier/routing/stream_binding.py
+++ b/passpier/routing/stream_binding.py
@@ -42,6 +42,11 @@
         software = self._call.software
         return software is not None and self._pools.is_superseded(self._call.service.pool, software)
 
+    def choose_version(self) -> None:
+        """Bind a new stream to a version, if it may begin at one version only."""
+        if self._admitted.route.kind is routes.Kind.RESUMABLE_STREAM:
+            self._call.software = self._origins.choose_version(self._call.service.pool)
+
     async def find_origin(self) -> bool:
         """Bind a stream that the client resumes; return false if it can't go on."""
         service = self._call.service.pool
--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -14,6 +14,7 @@
 import pytest
 
 from passpier import clocks
+from passpier.platform import names
 from passpier.standins.platform import deployment, replica, routers, stream_clients
 from passpier.tests.platform import harness
 
@@ -318,7 +319,7 @@
 
 
 async def resume_after_kill(
-    tmp_path: pathlib.Path, count: int, delay: float
+    tmp_path: pathlib.Path, versions: list[str], count: int, delay: float
 ) -> list[stream_clients.Stream]:
     """Kill the first `count` of four router processes under 20 streams; return the resumed ones.
 
@@ -326,13 +327,15 @@
     are resumed at the second one, once it is ready.
     """
     async with deployment.running(routers=0) as running:
-        add_models(running, ['v1', 'v1.1'] * 3)
+        add_models(running, versions)
         processes = [routers.RouterProcess(n, tmp_path, running.store_address) for n in range(4)]
         try:
             for process in processes:
                 await process.open()
             await wait_processes(running, processes)
             await asyncio.sleep(1.5)
+            if len(set(versions)) == 1:
+                await wait_version_recorded(running, processes)
             rng = random.Random(1)
             streams = [
                 stream_clients.Stream(f's{n}', deployment.make_prompt(rng)) for n in range(20)
@@ -354,6 +357,17 @@
     return streams
 
 
+async def wait_version_recorded(
+    running: deployment.Deployment, processes: list[routers.RouterProcess]
+) -> None:
+    """Wait until the registry has the only version, which streams through all routers cause."""
+    for number, process in enumerate(processes):
+        stream = stream_clients.Stream(f'early{number}', harness.PROMPT_HEADERS)
+        await stream.read(running, process.caller)
+    await harness.wait_for(lambda: f'{names.OWN_PREFIX}software/llm' in running.store.items)
+    await asyncio.sleep(RECORDED_SECONDS)
+
+
 async def wait_processes(
     running: deployment.Deployment, processes: list[routers.RouterProcess]
 ) -> None:
@@ -363,12 +377,17 @@
 
 
 # Guards against records that only routers have at which a stream began, or that have ended too.
-@pytest.mark.parametrize(('count', 'delay'), [(1, 0.0), (4, RECORDED_SECONDS)])
+@pytest.mark.parametrize(
+    ('versions', 'count', 'delay'),
+    [(['v1', 'v1.1'], 1, 0.0), (['v1', 'v1.1'], 4, RECORDED_SECONDS), (['v1', 'v1'], 4, 0.0)],
+)
 def test_streams_go_on_after_routers_were_killed(
-    tmp_path: pathlib.Path, count: int, delay: float
+    tmp_path: pathlib.Path, versions: list[str], count: int, delay: float
 ) -> None:
     streams = asyncio.run(
-        asyncio.wait_for(resume_after_kill(tmp_path, count, delay), harness.TEST_TIMEOUT)
+        asyncio.wait_for(
+            resume_after_kill(tmp_path, versions * 3, count, delay), harness.TEST_TIMEOUT
+        )
     )
     assert [s.versions for s in streams if len(s.versions) > 1] == []
     assert sum(s.is_complete for s in streams) >= MIN_CONTINUED_SHARE * len(streams)
--- a/passpier/tests/routing/fleets.py
+++ b/passpier/tests/routing/fleets.py
@@ -275,11 +275,14 @@
             raise exceptions.StoreError('no answer')
         self.writes += 1
         self.largest_write = max(self.largest_write, len(puts))
-        if any(c.key in self.items for c in conditions):
-            raise exceptions.ConflictError('exists')
-        revision = at(len(self.items) + 1)
+        if any(self._get_revision(c.key) != c.revision for c in conditions):
+            raise exceptions.ConflictError('changed')
+        revision = at(self.writes)
         for put in puts:
             self.items[put.key] = registry.Item(put.key, put.data, revision)
             if put.lease is not None:
                 self.leases.setdefault(put.lease, []).append(put.key)
         return revision
+
+    def _get_revision(self, key: str) -> registry.Revision:
+        return self.items[key].revision if key in self.items else registry.NO_REVISION
--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -13,7 +13,7 @@
 from passpier.clients import registry
 from passpier.core import catalogue, members, routes, stream_origins
 from passpier.daemon import messages, peers
-from passpier.routing import origin_records, origin_sharing, pools, registry_mirror
+from passpier.routing import origin_records, origin_sharing, pools, registry_mirror, version_records
 from passpier.standins import network, virtual_time
 from passpier.tests.routing import fleets
 
@@ -55,7 +55,10 @@
             self.states.append(state)
             source = cast(registry.Registry, self.registry)
             records = origin_records.OriginRecords(source, state, membership)
-            self.sharing.append(origin_sharing.OriginSharing(state, membership, link, records))
+            version_state = version_records.VersionRecords(source, state, membership)
+            self.sharing.append(
+                origin_sharing.OriginSharing(state, membership, link, records, version_state)
+            )
             self.addresses.append(own.peer)
         self.send_beats()
         for number, version in enumerate(versions):
