--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -50,7 +50,7 @@
 """Seeds that have failed before with several software versions."""
 
 OUTAGE_SEEDS = {
-    4: 'routers that had restarted spent their share of the retry budget again',
+    8: 'routers that had restarted spent their share of the retry budget again',
 }
 """Seeds that have failed before with outages, with the cause."""
 
@@ -131,7 +131,7 @@
 
 def test_router_that_ignores_the_retry_budget_is_detected() -> None:
     plan = soak.Plan(
-        4,
+        8,
         DETECTION_SECONDS,
         rate=OUTAGE_RATE,
         outages=True,
