Registry: a watch that was cut is no outage if the next call is answered

Cause: each failed call counted as an outage, during which entries may expire, so that an entry which vanished was kept for 2 s after the last cut. Class: one failed call taken for the state of the peer. Change: after a watch has failed, the registry is asked once more, 0.1 s later, without waiting. If it answers, nothing can have expired, and what vanished has been removed; if not, it is away as before.

--- a/passpier/routing/registry_follower.py
+++ b/passpier/routing/registry_follower.py
@@ -20,6 +20,10 @@
 RETRY_SHARED_MAX = 2.0
 """Maximum seconds before a retry by one of many processes that all fall back to reading."""
 
+CUT_PAUSE = 0.1
+"""Seconds between a watch that was cut and the call that shows whether the registry answers; it
+bounds the rate of calls if every watch is cut."""
+
 ROLE_CHECK_INTERVAL = 0.25
 """Seconds between checks whether this process should read."""
 
@@ -78,6 +82,17 @@
             self._note_answer()
             return
         wait = self._registry_state.freshness.choose_wait(clocks.now(), self._rng.random())
+        try:
+            await self._watch(wait)
+        except registry.CompactedError:
+            raise
+        except exceptions.StoreError as error:
+            if not self.reachable:
+                raise
+            await self._check_cut(error)
+
+    async def _watch(self, wait: float) -> None:
+        """Wait for changes for at most `wait` seconds, and apply them."""
         changes = await self._source.watch(ALL_KEYS, self._registry_state.revision, wait)
         self._compactions = 0
         now = clocks.now()
@@ -87,6 +102,15 @@
         if changes.items:
             await asyncio.sleep(self._registry_state.freshness.choose_pause(now))
 
+    async def _check_cut(self, error: exceptions.StoreError) -> None:
+        """Find out whether the registry has cut a waiting watch, or is away; raises `StoreError`.
+
+        An entry that vanishes beside a cut has been removed; during an outage it may have expired.
+        """
+        await asyncio.sleep(CUT_PAUSE)
+        await self._watch(0.0)
+        log.info('watch of the registry cut', extra={'error': str(error)})
+
     def _note_answer(self) -> None:
         if not self.reachable:
             self.reachable = True
--- a/passpier/standins/platform/metastore.py
+++ b/passpier/standins/platform/metastore.py
@@ -44,6 +44,9 @@
     refuse: int = 0
     """Calls that are answered with 429."""
 
+    cuts_watches: bool = False
+    """Closes the connections of watches that wait."""
+
     is_read_only: bool = False
     """Grants no leases and takes no transactions; answers 503 instead."""
 
@@ -285,13 +288,13 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + int(self.get_argument('wait_ms')) / 1000
         while True:
-            if self.faults.down:
+            left = ends_at - loop.time()
+            if self.faults.down or (self.faults.cuts_watches and left > 0):
                 self.drop_connection()
             events = self.store.list_changes(prefix, after)
             if events is None:
                 self.set_status(410)
                 return
-            left = ends_at - loop.time()
             if events or left <= 0:
                 break
             # The expiry of a lease wakes no waiter, so the store is polled.
