Prompts: what an account made before it became isolated is used by no other one

Cause: all accounts that aren't isolated had one salt for good, so that what one of them had made stayed with the others. Class: an identity that doesn't say whose content it may name. Change: the salt of shared parts, and the identity by which replicas are chosen, contain a digest of the set of isolated accounts. Nothing is kept: a set that comes back has only what others made under it. It is that of the configuration at the time of sending, also for requests that were queued. Price: when the set changes, shared parts are read once more. Without isolated accounts the salt is as before.

--- a/passpier/core/prompts.py
+++ b/passpier/core/prompts.py
@@ -12,7 +12,7 @@
 import msgspec
 import xxhash
 
-from passpier.core import choice, routes
+from passpier.core import choice
 
 
 class Part(msgspec.Struct, frozen=True):
@@ -35,16 +35,18 @@
         return sum(p.tokens for p in self.parts)
 
 
-def render_salt(account: routes.Account | None, model: str, weight_version: str) -> str:
-    """Return the salt that separates an engine's cached parts by account, model and version."""
-    owner = account.name if account is not None and account.isolated else ''
+def render_salt(owner: str, model: str, weight_version: str) -> str:
+    """Return the salt that separates an engine's cached parts by owner, model and version.
+
+    The owner is that of `routes.Table.get_cache_owner`.
+    """
     return f'{owner}/{model}/{weight_version}'
 
 
-def build_job(prompt: Prompt, account: routes.Account | None, priority: int) -> choice.Job:
+def build_job(prompt: Prompt, owner: str, priority: int) -> choice.Job:
     """Return the properties of a prompt for the choice of a replica."""
     chain = []
-    identity = xxhash.xxh3_64_intdigest(render_salt(account, prompt.model, '').encode())
+    identity = xxhash.xxh3_64_intdigest(render_salt(owner, prompt.model, '').encode())
     for part in prompt.parts:
         identity = xxhash.xxh3_64_intdigest(f'{identity:x}/{part.name}'.encode())
         chain.append(identity)
--- a/passpier/core/routes.py
+++ b/passpier/core/routes.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import enum
+import json
 import statistics
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import msgspec
+import xxhash
 
 from passpier.core import buckets, rendezvous
 
@@ -155,6 +157,21 @@
         self.weights = compute_weights(configuration.accounts)
         self.rates = {a.name: a.rate for a in configuration.accounts if a.rate is not None}
 
+        self._isolated = {a.name for a in configuration.accounts if a.isolated}
+        self._shared_owner = _name_shared_owner(self._isolated)
+
+    def get_cache_owner(self, account: Account | None) -> str:
+        """Return whose cached prompt parts a request may use: the account's own, or shared ones.
+
+        The shared ones change with the set of isolated accounts: what an account made before it
+        became isolated is used by no other one afterwards.
+        """
+        if account is None:
+            return self._shared_owner
+        # The account may be that of an earlier configuration.
+        is_isolated = account.isolated or account.name in self._isolated
+        return account.name if is_isolated else self._shared_owner
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`, if any."""
         routes: Iterable[Route] = self._hosts.get(host.lower(), ())
@@ -173,3 +190,10 @@
             if point < 0:
                 return share.service
         return route.shares[-1].service
+
+
+def _name_shared_owner(isolated: Collection[str]) -> str:
+    """Return the owner of the parts that all accounts but the isolated ones share."""
+    if not isolated:
+        return ''
+    return f'/{xxhash.xxh3_64_hexdigest(json.dumps(sorted(isolated)).encode())}'
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -199,7 +199,9 @@
         self._splitter.last_id = admitted.client_request.last_event
         account = admitted.account.name if admitted.account is not None else ''
         weight = table.weights.get(account, 1)
-        self.call = requests.build_call(admitted, self._service, weight)
+        self.call = requests.build_call(
+            admitted, self._service, table.get_cache_owner(admitted.account), weight
+        )
         self._binding = stream_binding.StreamBinding(
             admitted, self.call, owner.pools, owner.prober, owner.origins
         )
@@ -528,8 +530,11 @@
     ) -> exchanges.Exchange:
         admitted = self._admitted
         replica = placement.replica
+        table = self._owner.registry_state.table
+        assert table is not None
         request = requests.build_request(
             admitted,
+            table.get_cache_owner(admitted.account),
             self.call.job,
             replica,
             time_left,
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -86,7 +86,9 @@
         return self.arrived_at + timeout
 
 
-def build_call(admitted: Admitted, service: str, weight: int = 1) -> calls.Call:
+def build_call(
+    admitted: Admitted, service: str, cache_owner: str = '', weight: int = 1
+) -> calls.Call:
     """Return the call to be dispatched for a request; `weight` is that of its account."""
     route = admitted.route
     prompt = admitted.client_request.prompt
@@ -120,12 +122,13 @@
     if prompt is None:
         call.job = choice.Job([], 1, 0, priority=priority)
     else:
-        call.job = prompts.build_job(prompt, admitted.account, priority)
+        call.job = prompts.build_job(prompt, cache_owner, priority)
     return call
 
 
 def build_request(
     admitted: Admitted,
+    cache_owner: str,
     job: choice.Job,
     replica: replicas.Replica,
     time_left: float,
@@ -140,9 +143,7 @@
     source = sources.CacheSource()
     if client_request.prompt is not None:
         # The salt depends on the replica's weights, and the request asks for just these.
-        salt = prompts.render_salt(
-            admitted.account, client_request.prompt.model, replica.weight_version
-        )
+        salt = prompts.render_salt(cache_owner, client_request.prompt.model, replica.weight_version)
         source = cache_sources.choose(replica, job, client_request.prompt, salt)
     added = dialect.AttemptFields(
         replica.incarnation,
--- a/passpier/standins/fleet/model.py
+++ b/passpier/standins/fleet/model.py
@@ -167,7 +167,7 @@
         job = placement.call.job
         loop = asyncio.get_running_loop()
         engine = self._by_address[replica.address]
-        salt = prompts.render_salt(None, 'm', replica.weight_version)
+        salt = prompts.render_salt('', 'm', replica.weight_version)
         source = chosen.sharing.sources.choose(replica, job, arrival.prompt, salt)
         run = engines.Run(
             [(f'{salt}/{p.name}', p.tokens) for p in arrival.prompt.parts],
@@ -245,7 +245,7 @@
         began,
         attempts.RequestProgress(False, False),
     )
-    call.job = prompts.build_job(arrival.prompt, None, kind.priority)
+    call.job = prompts.build_job(arrival.prompt, '', kind.priority)
     return call
 
 
--- a/passpier/tests/core/replica_memory_tests.py
+++ b/passpier/tests/core/replica_memory_tests.py
@@ -16,7 +16,7 @@
 def make_need(*parts: str) -> replica_memory.Need:
     sizes = (SHARED, LONG - SHARED)
     named = tuple(prompts.Part(n, s) for n, s in zip(parts, sizes, strict=True))
-    job = prompts.build_job(prompts.Prompt('m', named), None, 2)
+    job = prompts.build_job(prompts.Prompt('m', named), '', 2)
     return replica_memory.build_need(job, job.prompt_tokens)
 
 
--- a/passpier/tests/daemon/memory_filter_tests.py
+++ b/passpier/tests/daemon/memory_filter_tests.py
@@ -42,7 +42,7 @@
     call = dispatcher_tests.make_call(id)
     call.service = msgspec.structs.replace(call.service, priority=priority)
     prompt = prompts.Prompt('m', (prompts.Part(id, tokens),), output)
-    call.job = prompts.build_job(prompt, None, priority)
+    call.job = prompts.build_job(prompt, '', priority)
     return call
 
 
--- a/passpier/tests/platform/replica_restarts_tests.py
+++ b/passpier/tests/platform/replica_restarts_tests.py
@@ -69,7 +69,7 @@
 
 def make_job() -> choice.Job:
     parts = (prompts.Part('aa', 800), prompts.Part('own', 50))
-    return prompts.build_job(prompts.Prompt(MODEL, parts), None, 1)
+    return prompts.build_job(prompts.Prompt(MODEL, parts), '', 1)
 
 
 @pytest.fixture(name='store')
--- a/passpier/tests/platform/single_requests_tests.py
+++ b/passpier/tests/platform/single_requests_tests.py
@@ -51,7 +51,11 @@
         assert 0 < run.time_left_ms <= 900
         await running.ask('/stream/x', id='two', headers=harness.PROMPT_HEADERS, key='secret-2')
         (run,) = running.list_runs('two')
-        assert (run.account, run.salt) == ('farm', f'/{deployment.MODEL}/1')
+        table = running.routers[0].registry_state.table
+        assert table is not None
+        owner = table.get_cache_owner(table.find_account('secret-2'))
+        assert owner not in ('tower', 'farm')
+        assert (run.account, run.salt) == ('farm', f'{owner}/{deployment.MODEL}/1')
 
     harness.run_check(check)
 
--- a/passpier/tests/routing/replica_restarts_tests.py
+++ b/passpier/tests/routing/replica_restarts_tests.py
@@ -72,7 +72,7 @@
 
 def make_job() -> choice.Job:
     parts = (prompts.Part('aa', 800), prompts.Part('own', 50))
-    return prompts.build_job(prompts.Prompt(MODEL, parts), None, 1)
+    return prompts.build_job(prompts.Prompt(MODEL, parts), '', 1)
 
 
 class Records:
--- a/passpier/tests/routing/sources_tests.py
+++ b/passpier/tests/routing/sources_tests.py
@@ -40,7 +40,7 @@
 
 def choose(cache_sources: sources.CacheSources, name: str, family: str) -> sources.CacheSource:
     prompt = make_prompt(family)
-    job = prompts.build_job(prompt, None, 1)
+    job = prompts.build_job(prompt, '', 1)
     return cache_sources.choose(cache_sources.pools.get(name), job, prompt, 'salt')
 
 
@@ -96,7 +96,7 @@
     store = choose(cache_sources, 'r0', 'f').save
     store_parts(cache_sources, store, 'f')
     assert choose(cache_sources, 'r0', 'f') == sources.CacheSource(store)
-    job = prompts.build_job(make_prompt('f'), None, 1)
+    job = prompts.build_job(make_prompt('f'), '', 1)
     record_read(cache_sources, 'r5', job)
     assert choose(cache_sources, 'r0', 'f') == sources.CacheSource('a5:1')
     assert choose(cache_sources, 'r5', 'f') == sources.CacheSource(store)
@@ -107,7 +107,7 @@
 ) -> None:
     store = choose(cache_sources, 'r0', 'f').save
     store_parts(cache_sources, store, 'f')
-    job = prompts.build_job(make_prompt('f'), None, 1)
+    job = prompts.build_job(make_prompt('f'), '', 1)
     record_read(cache_sources, 'r5', job)
     cache_sources.pools.update_version(replica_processes.ReplicaProcess('r5'), 2, 'report')
     assert choose(cache_sources, 'r0', 'f').fetch == store
