Streams: a slow registry doesn't delay what peers are told

Cause: one loop told peers of the streams of a second version and wrote to the registry; a write that gets no answer held the loop up for its time limit. Ids of streams, which clients choose, had no limit in the records. Change: a loop of its own for the records; ids of over 100 characters are not recorded. Measured: origin_records_tests, version_records_tests, origin_sharing_tests, software_versions_tests: 57 passed.

--- a/passpier/routing/origin_records.py
+++ b/passpier/routing/origin_records.py
@@ -38,6 +38,9 @@
 MAX_GROUPS = 32
 """Maximum number of groups of a router, the most that one transaction can write."""
 
+MAX_ID_LENGTH = 100
+"""Maximum length of the id of a stream that is recorded; clients choose the ids."""
+
 MAX_GROUP_STREAMS = 500
 """Maximum number of streams in a group; any further ones are not recorded."""
 
@@ -100,6 +103,8 @@
 
     def note(self, stream: str, origin: stream_origins.Origin, expires_at: float) -> None:
         """Have a stream recorded that began here."""
+        if len(stream) > MAX_ID_LENGTH:
+            return
         now = clocks.now()
         group = self._groups[-1] if self._groups else None
         if group is None or now - group.began_at >= GROUP_SECONDS:
--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -149,20 +149,25 @@
         return found
 
     async def run(self) -> None:
-        """Tell of streams whose service gets a second version, and record them, until cancelled."""
+        """Tell peers of the streams of services that get a second version, until cancelled."""
         expired_at = clocks.now()
         while True:
             await asyncio.sleep(VERSION_CHECK_INTERVAL)
             now = clocks.now()
             self._tell_services(now)
-            self._record_services()
-            await self._versions.write()
-            await self._records.write()
             if now - expired_at >= EXPIRY_INTERVAL:
                 expired_at = now
                 self.own.expire(now)
                 self.held.expire(now)
 
+    async def run_records(self) -> None:
+        """Write the records of versions and streams to the registry, until cancelled."""
+        while True:
+            await asyncio.sleep(VERSION_CHECK_INTERVAL)
+            self._record_services()
+            await self._versions.write()
+            await self._records.write()
+
     def _tell_services(self, now: float) -> None:
         """Tell peers of the own streams of services that have got a second version."""
         several = {s for s in self._services if self._has_several_versions(s, now)}
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -302,6 +302,7 @@
             tasks.start(self.crash_records.run()),
             tasks.start(self.limiter.run()),
             tasks.start(self.origins.run()),
+            tasks.start(self.origins.run_records()),
             tasks.start(self.throttling.run()),
             tasks.start(self.brittleness.run()),
         ]
--- a/passpier/tests/routing/origin_records_tests.py
+++ b/passpier/tests/routing/origin_records_tests.py
@@ -146,6 +146,15 @@
     play(check)
 
 
+def test_long_ids_are_not_recorded() -> None:
+    async def check(source: fleets.LeaseRegistry, first: Router) -> None:
+        first.note('x' * (origin_records.MAX_ID_LENGTH + 1))
+        await first.run(1.0)
+        assert source.writes == 0
+
+    play(check)
+
+
 # Guards against streams that go on at a version which turned out not to be theirs.
 def test_forgotten_streams_are_removed() -> None:
     async def check(source: fleets.LeaseRegistry, first: Router) -> None:
