Streams: a record of where one began is checked against the replica's restart when it is used

What clients saw: streams joined from two versions. A replica restarted under its id with another version and got a stream before its router knew of the restart; that router recorded the old version and was killed, so that it could not correct the record. Whoever resumed the stream took the record.

Cause: a record is valid as long as its process is, and only the router that wrote it checked that (and peers at the moment in which they were told). Answers of peers, records in the registry and the process itself were believed without a check. Class: a claim about a process that outlives what its author could still correct.

Change: records are checked where they are held and where they are asked for, against a bound of the time at which the successor started: the earlier of the registry's last proof without it and its own clock. The replica that began a resumed stream is asked for its report once, where replicas report their starts. Records in the registry name the process.

--- a/passpier/core/stream_origins.py
+++ b/passpier/core/stream_origins.py
@@ -39,8 +39,13 @@
         return replica_processes.ReplicaProcess(self.replica, self.started_ms)
 
 
-class _Record(msgspec.Struct):
+class Record(msgspec.Struct, frozen=True):
+    """Where a stream began, as recorded at a point in time."""
+
     origin: Origin
+    noted_at: float
+    """When the stream had certainly begun."""
+
     expires_at: float
 
 
@@ -48,20 +53,21 @@
     """The origins of recent streams by the id of the request that began them."""
 
     def __init__(self, max_bytes: int = MAX_BYTES) -> None:
-        self._records: collections.OrderedDict[str, _Record] = collections.OrderedDict()
+        self._records: collections.OrderedDict[str, Record] = collections.OrderedDict()
         self._max_bytes = max_bytes
         self._bytes = 0
 
     def __len__(self) -> int:
         return len(self._records)
 
-    def note(self, stream: str, origin: Origin, expires_at: float) -> None:
+    def note(self, stream: str, origin: Origin, now: float, expires_at: float) -> None:
         """Record an origin, or keep a known one for longer."""
+        record = Record(origin, now, expires_at)
         known = self._remove(stream)
         if known is not None:
-            origin, expires_at = known.origin, max(known.expires_at, expires_at)
-        self._records[stream] = _Record(origin, expires_at)
-        self._bytes += _estimate_bytes(stream, origin)
+            record = msgspec.structs.replace(known, expires_at=max(known.expires_at, expires_at))
+        self._records[stream] = record
+        self._bytes += _estimate_bytes(stream, record.origin)
         while self._bytes > self._max_bytes:
             self._remove(next(iter(self._records)))
 
@@ -69,25 +75,21 @@
         """Drop the record of a stream."""
         self._remove(stream)
 
-    def find(self, stream: str, now: float) -> Origin | None:
-        """Return where a stream began, if that is known."""
+    def find(self, stream: str, now: float) -> Record | None:
+        """Return the record of a stream, if there is one."""
         record = self._records.get(stream)
-        return record.origin if record is not None and record.expires_at > now else None
+        return record if record is not None and record.expires_at > now else None
 
-    def list_service(self, service: str) -> list[tuple[str, Origin, float]]:
-        """Return the records of a service: stream, origin and end of the record."""
-        return [
-            (stream, record.origin, record.expires_at)
-            for stream, record in self._records.items()
-            if record.origin.service == service
-        ]
+    def list_service(self, service: str) -> list[tuple[str, Record]]:
+        """Return the streams of a service and their records."""
+        return [item for item in self._records.items() if item[1].origin.service == service]
 
     def expire(self, now: float) -> None:
         """Drop the records of streams that are over."""
         for stream in [s for s, record in self._records.items() if record.expires_at <= now]:
             self._remove(stream)
 
-    def _remove(self, stream: str) -> _Record | None:
+    def _remove(self, stream: str) -> Record | None:
         record = self._records.pop(stream, None)
         if record is not None:
             self._bytes -= _estimate_bytes(stream, record.origin)
--- a/passpier/routing/origin_records.py
+++ b/passpier/routing/origin_records.py
@@ -60,6 +60,10 @@
     service: str
     software: str
     streams: list[str]
+    replica: str = ''
+    """The replica that began them; empty if replicas don't report when they started."""
+
+    started_ms: int = 0
 
 
 _decoder = msgspec.json.Decoder(list[StreamRecord])
@@ -129,7 +133,9 @@
             if key.startswith(self._prefix) and text in item.data:
                 for record in _decode_group(key, item.data):
                     if stream in record.streams:
-                        return stream_origins.Origin(record.service, record.software)
+                        return stream_origins.Origin(
+                            record.service, record.software, record.replica, record.started_ms
+                        )
         return None
 
     async def write(self) -> None:
@@ -186,10 +192,17 @@
 
 def _encode_group(group: _Group) -> bytes:
     """Return the record of a group."""
-    streams: dict[tuple[str, str], list[str]] = {}
+    streams: dict[stream_origins.Origin, list[str]] = {}
     for stream, origin in group.origins.items():
-        streams.setdefault((origin.service, origin.software), []).append(stream)
-    return msgspec.json.encode([StreamRecord(*key, names) for key, names in streams.items()])
+        if not origin.started_ms:
+            origin = stream_origins.Origin(origin.service, origin.software)
+        streams.setdefault(origin, []).append(stream)
+    return msgspec.json.encode(
+        [
+            StreamRecord(o.service, o.software, names, o.replica, o.started_ms)
+            for o, names in streams.items()
+        ]
+    )
 
 
 def _decode_group(key: str, data: bytes) -> list[StreamRecord]:
--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -92,7 +92,7 @@
         now = clocks.now()
         lifetime = _compute_lifetime(seconds)
         expires_at = now + lifetime
-        self.own.note(stream, origin, expires_at)
+        self.own.note(stream, origin, now, expires_at)
         self._services.add(origin.service)
         self._versions.note_stream(origin.service, lifetime)
         if self._has_several_versions(origin.service, now) or not self._has_watched(lifetime):
@@ -121,16 +121,17 @@
     async def find(self, stream: str, service: str, seconds: float) -> stream_origins.Origin | None:
         """Return where a stream began that may last for `seconds`, if that is certain."""
         asked_at = clocks.now()
-        found, source = self._find_record(stream, asked_at), 'record'
+        found, source = self._find_certain(stream, asked_at), 'record'
         if found is None:
-            found, source = self._records.find(stream), 'registry'
+            found, source = self._check(stream, self._records.find(stream), asked_at), 'registry'
         responses: list[messages.OriginResponse] = []
         if found is None:
             lifetime = _compute_lifetime(seconds)
             alive = self._membership.list_alive(asked_at)
             asked = self._choose_peers(stream, alive, PEERS_ASKED)
             responses = await self._ask(asked, stream, service, lifetime)
-            found, source = next((r.origin for r in responses if r.origin), None), 'peer'
+            named = next((r.origin for r in responses if r.origin), None)
+            found, source = self._check(stream, named, clocks.now()), 'peer'
             if found is None and self._is_current(len(asked), len(responses)):
                 sightings = [self._see(service, lifetime), *(r.sighting for r in responses)]
                 found, source = _infer(service, sightings), 'only version'
@@ -174,16 +175,16 @@
         for service in several - self._told_services:
             records = self.own.list_service(service)
             log.info('streams told to peers', extra={'service': service, 'count': len(records)})
-            for stream, origin, expires_at in records:
-                self._tell(stream, origin, expires_at, now)
+            for stream, record in records:
+                self._tell(stream, record.origin, record.expires_at, now)
         self._told_services = several
 
     def _record_services(self) -> None:
         """Record the own streams of services that have no longer one version only."""
         single = {s for s in self._services if self._versions.find_only_version(s)}
         for service in self._single_version_services - single:
-            for stream, origin, expires_at in self.own.list_service(service):
-                self._records.note(stream, origin, expires_at)
+            for stream, record in self.own.list_service(service):
+                self._records.note(stream, record.origin, record.expires_at)
         self._single_version_services = single
 
     def _tell(
@@ -200,8 +201,40 @@
         """Return whether this process has seen the versions of that time."""
         return self._pools.observed_since <= clocks.now() - lifetime
 
-    def _find_record(self, stream: str, now: float) -> stream_origins.Origin | None:
-        return self.own.find(stream, now) or self.held.find(stream, now)
+    def _find_certain(self, stream: str, now: float) -> stream_origins.Origin | None:
+        """Return where a stream began, if that is known here and certain."""
+        record = self.own.find(stream, now) or self.held.find(stream, now)
+        return self._check(stream, record.origin, record.noted_at) if record is not None else None
+
+    def _check(
+        self, stream: str, origin: stream_origins.Origin | None, noted_at: float
+    ) -> stream_origins.Origin | None:
+        """Return the origin of a stream that had begun at `noted_at`, unless it is uncertain.
+
+        If its replica has restarted since, others may not know when, and get the version only.
+        """
+        if origin is None or not self._pools.has_restarted(origin.process):
+            return origin
+        if not self._is_uncertain(origin, noted_at):
+            return stream_origins.Origin(origin.service, origin.software)
+        log.info(
+            'stream record uncertain',
+            extra={
+                'stream': stream,
+                'upstream': origin.replica,
+                'born': origin.started_ms,
+                'software': origin.software,
+                'age': round(clocks.now() - noted_at, 3),
+            },
+        )
+        return None
+
+    def _is_uncertain(self, origin: stream_origins.Origin, noted_at: float) -> bool:
+        """Return whether another process than the recorded one may have begun a stream.
+
+        Its router may have learnt of the replica's restart too late, or may have ended before.
+        """
+        return self._pools.may_be_other_version(origin.process, origin.software, noted_at)
 
     def _choose_peers(
         self, stream: str, known: Collection[members.Member], count: int
@@ -250,23 +283,18 @@
         origin = message.origin
         if not origin.software:
             self.held.forget(message.stream)
-        elif self._is_replaced(origin):
+        elif self._is_uncertain(origin, clocks.now()):
             # The sender doesn't know yet that another process got the request.
             fields = {'stream': message.stream, 'upstream': origin.replica, 'peer': address}
             log.info('stream origin rejected', extra=fields | {'born': origin.started_ms})
             replaced = messages.ProcessReplaced(origin.replica, origin.started_ms)
             self._peers.send(address, replaced)
         else:
-            self.held.note(message.stream, origin, clocks.now() + message.seconds)
-
-    def _is_replaced(self, origin: stream_origins.Origin) -> bool:
-        """Return whether a process of another version has replaced that of an origin."""
-        if not self._pools.has_restarted(origin.process):
-            return False
-        return self._pools.get(origin.replica).software != origin.software
+            now = clocks.now()
+            self.held.note(message.stream, origin, now, now + message.seconds)
 
     def _handle_request(self, sender: str, address: str, message: messages.OriginRequest) -> None:
-        origin = self._find_record(message.stream, clocks.now())
+        origin = self._find_certain(message.stream, clocks.now())
         sighting = self._see(message.service, message.seconds)
         self._peers.send(address, messages.OriginResponse(message.id, origin, sighting))
 
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -16,6 +16,7 @@
     ejection,
     pauses,
     replica_processes,
+    replica_restarts,
     replicas,
     rollout,
     routes,
@@ -114,6 +115,8 @@
         )
         """By service, the software versions that replicas have had."""
 
+        self._restarts = replica_restarts.RestartHistory()
+
         self._incomplete: dict[str, set[str]] = {}
         """By service, the ids of entries that lack fields which other replicas' entries have."""
 
@@ -129,8 +132,11 @@
         for entry in self._entries.values():
             self._apply_service(entry)
 
-    def apply_change(self, change: catalogue.Change) -> None:
-        """Apply the addition, update, restart or removal of a replica."""
+    def apply_change(self, change: catalogue.Change, unchanged_at: float = float('-inf')) -> None:
+        """Apply the addition, update, restart or removal of a replica.
+
+        `unchanged_at` is the latest time at which the registry certainly didn't have it yet.
+        """
         if change.entry is None:
             gone = self._entries.get(change.id)
             self._remove_process(change.id)
@@ -141,6 +147,7 @@
         entry = change.entry
         before = self._entries.get(entry.id)
         if before is not None and not _is_same_process(before, entry):
+            self._note_restart(before.process, entry, unchanged_at)
             self._remove_process(entry.id)
             self._update_incomplete(before.service)
         is_new = entry.id not in self.replicas
@@ -171,6 +178,15 @@
             },
         )
 
+    def _note_restart(
+        self,
+        replaced: replica_processes.ReplicaProcess,
+        entry: catalogue.Entry,
+        unchanged_at: float,
+    ) -> None:
+        uptime = clocks.read_time_of_day() - entry.started_ms / 1000
+        self._restarts.note(replaced, unchanged_at, clocks.now() - uptime)
+
     def record_release(self, model: str, version: int, not_before: float, now: float) -> bool:
         """Record the release of a weight version; return whether it is newer than the known ones.
 
@@ -207,6 +223,14 @@
         replica = self.replicas.get(process.id)
         return replica is not None and replica.started_ms != process.started_ms
 
+    def may_be_other_version(
+        self, process: replica_processes.ReplicaProcess, software: str, at: float
+    ) -> bool:
+        """Return whether a successor of a process, not of its version, may have run at a time."""
+        if not self.has_restarted(process) or self._restarts.precedes(process, at):
+            return False
+        return self.replicas[process.id].software != software
+
     def is_exit_expected(self, process: replica_processes.ReplicaProcess) -> bool:
         """Return whether a process was expected to exit, so that its end is no crash."""
         replica = self.find(process)
--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -118,7 +118,7 @@
         other = replica_processes.ReplicaProcess(process.id, report.started_ms)
         change = self.catalogue.note_restart(other, report.versions)
         if change is not None:
-            self.pools.apply_change(change)
+            self.pools.apply_change(change, self.freshness.covered_at)
         return False
 
     def export_since(self, revision: registry.Revision) -> history.ChangeSet:
@@ -281,7 +281,7 @@
     def _apply_entry(self, entry: catalogue.Entry, revision: registry.Revision) -> None:
         change = self.catalogue.put(entry)
         if change is not None:
-            self.pools.apply_change(change)
+            self.pools.apply_change(change, self.freshness.covered_at)
         elif self.catalogue.is_skipped(entry.process):
             log.info(
                 'late entry of an earlier upstream process skipped',
--- a/passpier/routing/stream_binding.py
+++ b/passpier/routing/stream_binding.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from passpier import clocks
 from passpier.core import replica_processes, replicas, routes, stream_origins
 from passpier.daemon import calls
 from passpier.routing import origin_sharing, pools, probing, requests
@@ -49,15 +50,30 @@
 
     async def find_origin(self) -> bool:
         """Bind a stream that the client resumes; return false if it can't go on."""
-        service = self._call.service.pool
-        origin = await self._origins.find(
-            self._admitted.stream, service, self._admitted.stream_seconds
-        )
-        if origin is None or origin.service != service:
+        origin = await self._find_origin()
+        if origin is not None and await self._has_restarted_unnoticed(origin):
+            origin = await self._find_origin()
+        if origin is None or origin.service != self._call.service.pool:
             return False
         self._call.software = origin.software
         return True
 
+    async def _find_origin(self) -> stream_origins.Origin | None:
+        admitted = self._admitted
+        return await self._origins.find(
+            admitted.stream, self._call.service.pool, admitted.stream_seconds
+        )
+
+    async def _has_restarted_unnoticed(self, origin: stream_origins.Origin) -> bool:
+        """Return whether the replica that began a stream has restarted, by its own report.
+
+        No router may have known of the restart when the stream began.
+        """
+        if not origin.started_ms or self._prober.is_unresponsive(origin.replica):
+            return False
+        is_same = await self._prober.confirm(origin.process)
+        return not is_same and self._pools.has_restarted(origin.process)
+
     def begin_attempt(self) -> None:
         """Note that another attempt follows."""
         self._is_process_certain = False
@@ -99,9 +115,9 @@
         successor, which got the request before its start was known here, or were received before
         the end of the process and are only read now.
         """
-        if self._is_process_certain or not self._pools.has_restarted(replica.process):
-            return
-        if self._pools.get(replica.name).software == self._call.software:
+        if self._is_process_certain or not self._pools.may_be_other_version(
+            replica.process, self._call.software or '', clocks.now()
+        ):
             return
         log.info(
             'stream origin uncertain',
--- a/passpier/tests/core/stream_origins_tests.py
+++ b/passpier/tests/core/stream_origins_tests.py
@@ -13,8 +13,8 @@
 
 def test_origin_is_known_until_its_record_ends() -> None:
     table = stream_origins.OriginTable()
-    table.note('a', ORIGIN, 10.0)
-    assert table.find('a', 9.0) == ORIGIN
+    table.note('a', ORIGIN, 1.0, 10.0)
+    assert table.find('a', 9.0) == stream_origins.Record(ORIGIN, 1.0, 10.0)
     assert table.find('a', 10.0) is None
     assert table.find('b', 9.0) is None
 
@@ -22,29 +22,29 @@
 def test_first_origin_of_a_stream_stays_and_is_kept_for_longer() -> None:
     """Guards against a router that resumes a stream and records its own choice as the origin."""
     table = stream_origins.OriginTable()
-    table.note('a', ORIGIN, 10.0)
-    table.note('a', stream_origins.Origin('s', 'v2'), 20.0)
-    table.note('a', ORIGIN, 15.0)
-    assert table.find('a', 19.0) == ORIGIN
+    table.note('a', ORIGIN, 1.0, 10.0)
+    table.note('a', stream_origins.Origin('s', 'v2'), 2.0, 20.0)
+    table.note('a', ORIGIN, 3.0, 15.0)
+    assert table.find('a', 19.0) == stream_origins.Record(ORIGIN, 1.0, 20.0)
 
 
 def test_expired_records_are_dropped() -> None:
     table = stream_origins.OriginTable()
-    table.note('a', ORIGIN, 10.0)
-    table.note('b', ORIGIN, 20.0)
+    table.note('a', ORIGIN, 1.0, 10.0)
+    table.note('b', ORIGIN, 1.0, 20.0)
     table.expire(15.0)
     assert len(table) == 1
-    assert table.list_service('s') == [('b', ORIGIN, 20.0)]
+    assert table.list_service('s') == [('b', stream_origins.Record(ORIGIN, 1.0, 20.0))]
     assert table.list_service('t') == []
 
 
 def test_memory_is_bounded_and_the_oldest_records_go_first() -> None:
     table = stream_origins.OriginTable(max_bytes=4 * stream_origins.RECORD_BYTES)
     for number in range(10):
-        table.note(f's{number}', ORIGIN, 10.0)
+        table.note(f's{number}', ORIGIN, 0.0, 10.0)
     assert len(table) == 3
-    assert table.find('s9', 0.0) == ORIGIN
-    table.note('x' * 10_000, ORIGIN, 10.0)
+    assert table.find('s9', 0.0) == stream_origins.Record(ORIGIN, 0.0, 10.0)
+    table.note('x' * 10_000, ORIGIN, 0.0, 10.0)
     assert len(table) == 0
 
 
--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -300,6 +300,26 @@
     harness.run_check(check, routers=2)
 
 
+# Guards against streams of two versions where no router knows of a restart in between.
+def test_resumed_stream_that_a_successor_began_unnoticed_is_refused() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
+        add_models(running, ['v1', 'v1'])
+        await wait_known(running)
+        before = stream_clients.Stream('before', harness.PROMPT_HEADERS)
+        assert await before.read(running, get_address(running, 0))
+        first = find_runner(running, 'before.0')
+        running.faults.down = True
+        first.restart(software='v1.1')
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        await stream.read(running, get_address(running, 0), stop_after=3)
+        assert not await stream.read(running, get_address(running, 1))
+        assert stream.bodies == [b'{"error":"unknown_stream"}']
+        assert stream.versions == {'v1.1'}
+
+    harness.run_check(check, routers=2)
+
+
 def test_restarted_replica_runs_no_known_version_until_its_entry_arrives() -> None:
     async def check(running: deployment.Deployment) -> None:
         add_models(running, ['v1', 'v1'])
--- a/passpier/tests/routing/origin_records_tests.py
+++ b/passpier/tests/routing/origin_records_tests.py
@@ -17,9 +17,7 @@
 
 pytestmark = pytest.mark.usefixtures('virtual_clock')
 
-BEGUN = stream_origins.Origin('s', 'v1', 'r1', 1000)
-ORIGIN = stream_origins.Origin('s', 'v1')
-"""The part of it that is recorded."""
+ORIGIN = stream_origins.Origin('s', 'v1', 'r1', 1000)
 
 LIFETIME = 17.0
 
@@ -37,7 +35,7 @@
         )
 
     def note(self, stream: str) -> None:
-        self.records.note(stream, BEGUN, clocks.now() + LIFETIME)
+        self.records.note(stream, ORIGIN, clocks.now() + LIFETIME)
 
     def read(self) -> None:
         """Read the registry."""
@@ -74,6 +72,19 @@
     play(check)
 
 
+# Guards against entries of all replicas in the registry, where a replica's id means its process.
+def test_replicas_without_start_times_are_not_recorded() -> None:
+    async def check(source: fleets.LeaseRegistry, first: Router) -> None:
+        for number in range(10):
+            begun = stream_origins.Origin('s', 'v1', f'r{number}')
+            first.records.note(f's{number}', begun, clocks.now() + LIFETIME)
+        await first.run(0.2)
+        first.read()
+        assert first.records.find('s9') == stream_origins.Origin('s', 'v1')
+
+    play(check)
+
+
 def test_streams_of_some_time_are_written_together() -> None:
     async def check(source: fleets.LeaseRegistry, first: Router) -> None:
         for number in range(100):
--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -12,7 +12,7 @@
 
 from passpier import clocks
 from passpier.clients import registry
-from passpier.core import catalogue, members, routes, stream_origins
+from passpier.core import catalogue, members, replica_restarts, routes, stream_origins
 from passpier.daemon import messages, peers
 from passpier.routing import origin_records, origin_sharing, pools, registry_mirror, version_records
 from passpier.standins import network, virtual_time
@@ -74,14 +74,22 @@
             membership.merge(beats, clocks.now())
 
     def add_replica(
-        self, id: str, version: str, started_ms: int = 0, routers: slice = slice(None)
+        self,
+        id: str,
+        version: str,
+        started_ms: int = 0,
+        routers: slice = slice(None),
+        unchanged_at: float = float('-inf'),
     ) -> None:
-        """Let some or all routers know a replica, or a later process of it."""
+        """Let some or all routers know a replica, or a later process of it.
+
+        The registry didn't have it yet at `unchanged_at`.
+        """
         entry = catalogue.Entry(
             id, SERVICE, f'{id}:1', 'd0', 8, False, {}, started_ms, software=version
         )
         for state in self.states[routers]:
-            state.pools.apply_change(catalogue.Change(id, entry, 'recorded'))
+            state.pools.apply_change(catalogue.Change(id, entry, 'recorded'), unchanged_at)
 
     def remove_replica(self, id: str) -> None:
         for state in self.states:
@@ -280,6 +288,65 @@
     run(4, ['v0', 'v1'], check)
 
 
+# Guards against streams of two versions: a record may be older than the news of a restart.
+@pytest.mark.parametrize('informed', [[0], [1, 2, 3], [2]])
+def test_origin_of_a_process_that_was_replaced_after_it_was_recorded_is_unknown(
+    informed: list[int],
+) -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.add_replica('r', 'v0', started_ms=1)
+        origin = stream_origins.Origin(SERVICE, 'v0', 'r', 1)
+        fleet.sharing[0].note_begun('stream', origin, STREAM_SECONDS)
+        await asyncio.sleep(0.1)
+        for number in informed:
+            fleet.add_replica('r', 'v1', started_ms=2, routers=slice(number, number + 1))
+        for number in informed:
+            assert await fleet.find(number, 'stream') == ''
+
+    run(4, ['v0', 'v1'], check)
+
+
+def read_unix_ms() -> int:
+    return int(clocks.read_time_of_day() * 1000)
+
+
+# Guards against refusing all streams of replicas that have ended since.
+def test_origin_stays_known_if_it_was_recorded_long_before_the_restart() -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.add_replica('r', 'v0', started_ms=1)
+        origin = stream_origins.Origin(SERVICE, 'v0', 'r', 1)
+        fleet.sharing[0].note_begun('stream', origin, STREAM_SECONDS)
+        await asyncio.sleep(replica_restarts.MARGIN + 0.5)
+        fleet.send_beats()
+        fleet.kill(0)
+        started_ms = read_unix_ms()
+        fleet.add_replica('r', 'v1', started_ms, slice(1, 7), unchanged_at=clocks.now())
+        # This one has just started.
+        fleet.add_replica('r', 'v1', started_ms, slice(7, 8))
+        for number in range(1, 8):
+            assert await fleet.find(number, 'stream') == 'v0'
+
+    run(8, ['v0', 'v1'], check)
+
+
+@pytest.mark.parametrize(('entry_age', 'uptime'), [(0.0, 2.0), (2.0, 0.0)])
+def test_origin_is_unknown_if_the_replica_may_have_restarted_before(
+    entry_age: float, uptime: float
+) -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.add_replica('r', 'v0', started_ms=1)
+        origin = stream_origins.Origin(SERVICE, 'v0', 'r', 1)
+        fleet.sharing[0].note_begun('stream', origin, STREAM_SECONDS)
+        await asyncio.sleep(replica_restarts.MARGIN + 0.5)
+        fleet.send_beats()
+        started_ms = read_unix_ms() - int(uptime * 1000)
+        fleet.add_replica('r', 'v1', started_ms, unchanged_at=clocks.now() - entry_age)
+        for number in range(8):
+            assert await fleet.find(number, 'stream') == ''
+
+    run(8, ['v0', 'v1'], check)
+
+
 def test_peers_accept_the_origin_of_a_process_whose_successor_has_the_same_version() -> None:
     async def check(fleet: Fleet) -> None:
         fleet.add_replica('r', 'v0', started_ms=1)
