--- a/passpier/standins/platform/backpressure.py
+++ b/passpier/standins/platform/backpressure.py
@@ -22,6 +22,12 @@
 DURATIONS = (2.0, 8.0)
 """Minimum and maximum seconds for which a replica sends a limit or refuses."""
 
+SCARCE_LIMITS = (2.0, 3.0, 5.0)
+"""Possible limits of all replicas of a service, in requests a second for each."""
+
+SCARCE_SECONDS = (6.0, 12.0)
+"""Minimum and maximum seconds for which all replicas of a service send a limit."""
+
 QUIET_SECONDS = 4.0
 """Seconds before the end of a run in which no replica sends signals, so that routers can also
 forget the last ones."""
@@ -56,12 +62,23 @@
             await asyncio.sleep(self._rng.uniform(*INTERVALS))
         await asyncio.gather(*started)
 
+    async def run_scarcity(self, ends_at: float) -> None:
+        """Let all replicas of one service after the other send a limit until `ends_at`."""
+        while clocks.now() < ends_at:
+            service = self._rng.choice(sorted({r.service for r in self._list_free()}))
+            limit = self._rng.choice(SCARCE_LIMITS)
+            seconds = min(self._rng.uniform(*SCARCE_SECONDS), ends_at - clocks.now())
+            limited = self._list_free(service)
+            await asyncio.gather(*(self._limit_replica(r, limit, seconds) for r in limited))
+
     async def _limit(self, last: float) -> None:
         chosen = self._pick()
         if chosen is None:
             return
         limit = self._rng.choice(LIMITS)
-        seconds = self._draw_seconds(last)
+        await self._limit_replica(chosen, limit, self._draw_seconds(last))
+
+    async def _limit_replica(self, chosen: replica.Replica, limit: float, seconds: float) -> None:
         self._host.log_fault(f'{chosen.id} accepts {limit} requests a second for {seconds:.2f} s')
         began = clocks.now()
         chosen.faults.limit = limit
--- a/passpier/standins/platform/invariants.py
+++ b/passpier/standins/platform/invariants.py
@@ -187,6 +187,45 @@
         return f'{self.service} {self.count} of {self.allowed:.0f} ({self.share:.2f})'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BoundUse:
+    """How near a run came to a bound; a check that nothing comes near proves nothing."""
+
+    name: str
+    used: float
+    allowed: float
+
+    @property
+    def share(self) -> float:
+        """What was used as a share of what is allowed."""
+        return self.used / self.allowed
+
+    def render(self) -> str:
+        """Return it as text."""
+        return f'{self.name} {self.used:.2f} of {self.allowed:.2f} ({self.share:.2f})'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutdatedRun:
+    """A run on weights that had been outdated for `age` seconds."""
+
+    id: str
+    router: str
+    replica: str
+    version: int
+    age: float
+    undisturbed: float
+    """Seconds since the last disturbance of its router or replica, or for which the weights had
+    been outdated."""
+
+    def render(self) -> str:
+        """Return it as text."""
+        return (
+            f'{self.id} by {self.router} began at {self.replica} on weights {self.version}, '
+            f'outdated for {self.age:.2f} s, {self.undisturbed:.2f} s after any disturbance'
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbance:
     """A period in which a router started or was paused, or a replica's link was disturbed."""
@@ -249,19 +288,34 @@
     `stream_routers` has the routers of requests without an outcome, by request id.
     """
     routers = {**stream_routers, **{one.id: one.router for one in outcomes}}
-    violations = []
+    outdated = list_outdated_runs(replicas, named, disturbances, routers)
+    return [run.render() for run in outdated if run.age > bound]
+
+
+def list_outdated_runs(
+    replicas: Iterable[replica.Replica],
+    named: Mapping[int, float],
+    disturbances: Sequence[Disturbance],
+    routers: Mapping[str, str],
+) -> list[OutdatedRun]:
+    """Return each run on outdated weights that no disturbance excuses.
+
+    `routers` has the routers of requests by request id; see `find_outdated_runs` for the rest.
+    """
+    outdated = []
     for target in replicas:
         for run in target.runs if target.model else ():
             newer = min((at for v, at in named.items() if v > run.version), default=run.at)
             router = routers.get(run.id, '')
             mine = [d for d in disturbances if d.of in (router, target.id)]
-            if run.at > newer + bound and not any(d.excuses(run.at) for d in mine):
+            if run.at > newer and not any(d.excuses(run.at) for d in mine):
                 last = max((d.ended for d in mine if d.began <= run.at), default=newer)
-                violations.append(
-                    f'{run.id} by {router} began at {target.id} on weights {run.version}, outdated '
-                    f'for {run.at - newer:.2f} s, {run.at - last:.2f} s after any disturbance'
+                outdated.append(
+                    OutdatedRun(
+                        run.id, router, target.id, run.version, run.at - newer, run.at - last
+                    )
                 )
-    return violations
+    return outdated
 
 
 def find_runs_after_overwrite(
@@ -296,15 +350,65 @@
 
 
 def find_limit_excess(arrived: Sequence[float], limit: float) -> list[str]:
-    """Return a description of the first window with more requests than tolerated."""
-    allowed = limit * LIMIT_WINDOW * LIMIT_SHARE + LIMIT_SLACK
+    """Return a description of the window with the most requests, if more than tolerated."""
+    count, allowed = _measure_limit(arrived, limit)
+    if count <= allowed:
+        return []
+    text = f'{count} requests within {LIMIT_WINDOW:.0f} s at a limit of {limit} a second'
+    return [f'{text}, {int(allowed)} allowed']
+
+
+def _measure_limit(arrived: Sequence[float], limit: float) -> tuple[int, float]:
+    """Return the most requests in a window, and how many are tolerated."""
     times = sorted(arrived)
-    for number, at in enumerate(times):
-        count = number + 1 - bisect.bisect_right(times, at - LIMIT_WINDOW)
-        if count > allowed:
-            text = f'{count} requests within {LIMIT_WINDOW:.0f} s at a limit of {limit} a second'
-            return [f'{text}, {int(allowed)} allowed']
-    return []
+    counts = [_count_between(times, at - LIMIT_WINDOW, at) for at in times]
+    return max(counts, default=0), limit * LIMIT_WINDOW * LIMIT_SHARE + LIMIT_SLACK
+
+
+def measure_revocations(
+    outcomes: Iterable[RequestOutcome],
+    replicas: Iterable[replica.Replica],
+    revoked: Mapping[str, float],
+    key_bound: float,
+) -> list[BoundUse]:
+    """Return the longest time after which a revoked key ran a request, if any key was revoked."""
+    ran = {run.id for target in replicas for run in target.runs}
+    ages = [
+        one.sent_at - revoked[one.key]
+        for one in outcomes
+        if one.id in ran and one.sent_at > revoked.get(one.key, math.inf)
+    ]
+    if not revoked:
+        return []
+    return [BoundUse('seconds after a revocation', max(ages, default=0.0), key_bound)]
+
+
+def measure_outdated_weights(
+    outcomes: Iterable[RequestOutcome],
+    replicas: Iterable[replica.Replica],
+    named: Mapping[int, float],
+    bound: float,
+    disturbances: Sequence[Disturbance],
+) -> list[BoundUse]:
+    """Return for how long weights had been outdated that a request ran on, if one did."""
+    routers = {one.id: one.router for one in outcomes}
+    ages = [run.age for run in list_outdated_runs(replicas, named, disturbances, routers)]
+    return [BoundUse('seconds on outdated weights', max(ages), bound)] if ages else []
+
+
+def measure_limits(
+    outcomes: Iterable[RequestOutcome],
+    replicas: Iterable[replica.Replica],
+    limits: Sequence[LimitPeriod],
+    disturbances: Sequence[Disturbance],
+) -> list[BoundUse]:
+    """Return the most requests in a window at a replica's limit, if there was a limit."""
+    arrivals = _list_limited_arrivals(outcomes, replicas, limits, disturbances)
+    uses = [
+        BoundUse('requests at a limit', *_measure_limit(arrived, period.limit))
+        for period, arrived in arrivals
+    ]
+    return [max(uses, key=lambda use: use.share)] if uses else []
 
 
 def measure_retries(
@@ -390,9 +494,23 @@
     disturbances: Sequence[Disturbance] = (),
 ) -> list[str]:
     """Return each limit that was exceeded by all routers together that knew it."""
+    return [
+        f'{period.id} got {text}'
+        for period, arrived in _list_limited_arrivals(outcomes, replicas, limits, disturbances)
+        for text in find_limit_excess(arrived, period.limit)
+    ]
+
+
+def _list_limited_arrivals(
+    outcomes: Iterable[RequestOutcome],
+    replicas: Iterable[replica.Replica],
+    limits: Sequence[LimitPeriod],
+    disturbances: Sequence[Disturbance],
+) -> list[tuple[LimitPeriod, list[float]]]:
+    """Return, for each limit, when requests arrived whose router knew it."""
     targets = {r.id: r for r in replicas}
     by_id = {one.id: one for one in outcomes}
-    violations = []
+    found = []
     for one in limits:
         limited = targets.get(one.id)
         if limited is None:
@@ -409,8 +527,8 @@
             counts = since + LIMIT_GRACE <= arrival.at <= one.ended
             if counts and not _is_excused(disturbances, (router, one.id), arrival.at):
                 arrived.append(arrival.at)
-        violations += [f'{one.id} got {text}' for text in find_limit_excess(arrived, one.limit)]
-    return violations
+        found.append((one, arrived))
+    return found
 
 
 def find_backoff_violations(
--- a/passpier/standins/platform/play.py
+++ b/passpier/standins/platform/play.py
@@ -59,6 +59,9 @@
     retries: list[invariants.RetryPeak] = dataclasses.field(default_factory=list)
     """How near each service came to the allowance of retries."""
 
+    bounds: list[invariants.BoundUse] = dataclasses.field(default_factory=list)
+    """How near the run came to other bounds."""
+
     def render(self) -> str:
         """Return the report as text."""
         lines = [f'seed {self.seed}: {len(self.outcomes)} requests, {len(self.faults)} troubles']
@@ -72,6 +75,7 @@
             lines.append(f'  {kind:8} {told}; median of answers {middle:.0f} ms')
         lines += [f'  {self.streams}'] if self.streams else []
         lines += [f'  most retries in a window: {one.render()}' for one in self.retries]
+        lines += [f'  nearest to a bound: {one.render()}' for one in self.bounds]
         lines += [f'  broken: {text}' for text in self.violations] or ['  no promise broken']
         return '\n'.join(lines)
 
@@ -298,6 +302,13 @@
             ),
         )
         self.report.violations += invariants.find_retry_excess(self.report.retries)
+        outcomes, replicas = self.report.outcomes, self._running.replicas.values()
+        self.report.bounds += invariants.measure_revocations(
+            outcomes, replicas, self._revoked_at, options.key_bound
+        )
+        self.report.bounds += invariants.measure_limits(
+            outcomes, replicas, self._backpressure.limits, self._disturbances
+        )
         self.report.violations += invariants.find_backpressure_violations(
             self.report.outcomes,
             self._running.replicas.values(),
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -87,6 +87,9 @@
     outages: bool = False
     """Whether all replicas of a service fail for a while, again and again."""
 
+    scarcity: bool = False
+    """Whether all replicas of a service send a limit for a while, again and again."""
+
     program: str = PROGRAM
     """The module that runs as a router."""
 
@@ -105,6 +108,9 @@
     retries: list[invariants.RetryPeak] = dataclasses.field(default_factory=list)
     """How near each service came to the allowance of retries."""
 
+    bounds: list[invariants.BoundUse] = dataclasses.field(default_factory=list)
+    """How near the run came to other bounds."""
+
     backpressure_violations: list[str] = dataclasses.field(default_factory=list)
     """The violations of backpressure signals, which `violations` contains as well."""
 
@@ -115,6 +121,7 @@
         lines = [f'seed {self.seed}: {len(self.faults)} troubles; answers {told}']
         lines += [f'  {self.streams}'] if self.streams else []
         lines += [f'  most retries in a window: {one.render()}' for one in self.retries]
+        lines += [f'  nearest to a bound: {one.render()}' for one in self.bounds]
         lines += [f'  broken: {text}' for text in self.violations]
         if self.violations:
             lines += [f'  {at:6.2f} s {what}' for at, what in self.faults]
@@ -226,6 +233,7 @@
             self._retry_allowance,
         )
         self.report.violations += invariants.find_retry_excess(self.report.retries)
+        self.report.bounds = self._measure_bounds()
         self.report.backpressure_violations = invariants.find_backpressure_violations(
             self.report.outcomes,
             self._deployment.replicas.values(),
@@ -239,6 +247,20 @@
                 'writers'
             )
 
+    def _measure_bounds(self) -> list[invariants.BoundUse]:
+        """Return how near the run came to the bounds of keys, weights and limits."""
+        outcomes, replicas = self.report.outcomes, self._deployment.replicas.values()
+        disturbances = self._faults.disturbances
+        return [
+            *invariants.measure_revocations(
+                outcomes, replicas, self._faults.revoked, routers.KEY_BOUND
+            ),
+            *invariants.measure_outdated_weights(
+                outcomes, replicas, self._targets.released, routers.VERSION_BOUND, disturbances
+            ),
+            *invariants.measure_limits(outcomes, replicas, self._backpressure.limits, disturbances),
+        ]
+
     @property
     def _retry_allowance(self) -> invariants.RetryAllowance:
         """The retries that all routers together may send with any of the settings of the run."""
@@ -275,6 +297,9 @@
         ends_at = clocks.now() + seconds
         if self._plan.outages:
             series = [self._faults.run_beside_outages(ends_at), self._outages.run(ends_at)]
+        elif self._plan.scarcity:
+            scarcity = self._backpressure.run_scarcity(ends_at)
+            series = [self._faults.run_beside_outages(ends_at), scarcity]
         elif self._plan.planned:
             series = [self._faults.run_planned(ends_at), self._stops.run(ends_at)]
         else:
@@ -370,6 +395,7 @@
     returns: bool = False,
     versions: bool = False,
     outages: bool = False,
+    scarcity: bool = False,
 ) -> None:
     """Run `count` seeds from `seed` on; exit with 1 after a violation."""
     # The injected faults break connections, and tornado would log each of them.
@@ -377,7 +403,17 @@
     broken = 0
     for number in range(seed, seed + count):
         plan = Plan(
-            number, seconds, routers, rate, planned, lives, asks, returns, versions, outages
+            number,
+            seconds,
+            routers,
+            rate,
+            planned,
+            lives,
+            asks,
+            returns,
+            versions,
+            outages,
+            scarcity,
         )
         report = asyncio.run(soak(plan, logs))
         broken += bool(report.violations)
--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -63,6 +63,10 @@
 LOGS = 'target/soak'
 """Folder for the routers' logs of a run that violated a guarantee."""
 
+SCARCITY_SECONDS = 10.0
+SCARCITY_RATE = 100.0
+"""Requests a second: several times what replicas with limits accept."""
+
 FULL_SECONDS = 12.0
 FULL_ROUTERS = 4
 
@@ -142,6 +146,25 @@
     assert any('retries more than allowed' in text for text in report.violations)
 
 
+# Guards against limits that hold in plays with few requests only.
+def test_limits_of_all_replicas_of_a_service_are_respected() -> None:
+    plan = soak.Plan(1, SCARCITY_SECONDS, rate=SCARCITY_RATE, scarcity=True)
+    report = asyncio.run(soak.soak(plan, f'{LOGS}/scarcity'))
+    assert report.backpressure_violations == [], report.render()
+
+
+def test_router_that_ignores_limits_is_detected() -> None:
+    plan = soak.Plan(
+        1,
+        SCARCITY_SECONDS,
+        rate=SCARCITY_RATE,
+        scarcity=True,
+        program='passpier.tests.platform.unlimited_requests',
+    )
+    report = asyncio.run(soak.soak(plan))
+    assert any('at a limit of' in text for text in report.violations), report.render()
+
+
 def make_request(id: str, kind: str, status: int, body: bytes = b'') -> invariants.RequestOutcome:
     return invariants.RequestOutcome(id, kind, 'k', 10.0, status, body, 0.1, id)
 
