Streams: the replica that began a stream is asked whether it restarted before another one continues it

What clients saw: a stream joined from two versions, through a single router. A replica restarted with another version, got a stream before its router knew, and its connection broke; the router continued the stream at a replica of the version before. Change: the process that began a stream is asked for its report beside the one that is to continue it. If it has restarted with another version, and the stream didn't begin before that, the stream ends and peers forget where it began. A replica that is known to be silent isn't asked.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -597,7 +597,7 @@
         reader = attempt.reader
         head = attempt.head or await self._read_head(attempt)
         if not await self._binding.confirm(attempt.process):
-            text = 'the process that was to continue the stream may have been replaced'
+            text = 'the process that began the stream or was to continue it may have been replaced'
             raise response_reader.AttemptError(attempts.Fault.WRONG_VERSION, text)
         self._response_began_at = clocks.now()
         self._retries.release()
--- a/passpier/routing/stream_binding.py
+++ b/passpier/routing/stream_binding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 
 from passpier import clocks
@@ -34,6 +35,10 @@
         self._is_process_certain = False
         """Whether the replica's known process, and no later one, has the current attempt."""
 
+        self._first: tuple[replica_processes.ReplicaProcess, float] | None = None
+        """The process that seems to have begun the stream, and when it had; none if that is certain
+        or nothing has begun."""
+
         self._is_lost = False
         """Whether it has become uncertain which version began the stream."""
 
@@ -51,7 +56,8 @@
     async def find_origin(self) -> bool:
         """Bind a stream that the client resumes; return false if it can't go on."""
         origin = await self._find_origin()
-        if origin is not None and await self._has_restarted_unnoticed(origin):
+        if origin is not None and origin.started_ms and not await self._runs(origin.process):
+            # The replica's own report may have told of a restart that was unknown.
             origin = await self._find_origin()
         if origin is None or origin.service != self._call.service.pool:
             return False
@@ -64,15 +70,11 @@
             admitted.stream, self._call.service.pool, admitted.stream_seconds
         )
 
-    async def _has_restarted_unnoticed(self, origin: stream_origins.Origin) -> bool:
-        """Return whether the replica that began a stream has restarted, by its own report.
-
-        No router may have known of the restart when the stream began.
-        """
-        if not origin.started_ms or self._prober.is_unresponsive(origin.replica):
+    async def _runs(self, process: replica_processes.ReplicaProcess) -> bool:
+        """Return whether a process certainly still runs, by its own report."""
+        if self._prober.is_unresponsive(process.id):
             return False
-        is_same = await self._prober.confirm(origin.process)
-        return not is_same and self._pools.has_restarted(origin.process)
+        return await self._prober.confirm(process)
 
     def begin_attempt(self) -> None:
         """Note that another attempt follows."""
@@ -86,11 +88,25 @@
         """
         if self._call.software is None:
             return True
-        if process.started_ms and not await self._prober.confirm(process):
+        is_current, _ = await asyncio.gather(self._is_current(process), self._check_first())
+        if not is_current or self._is_lost:
             return False
         self._is_process_certain = True
         return True
 
+    async def _is_current(self, process: replica_processes.ReplicaProcess) -> bool:
+        return not process.started_ms or await self._prober.confirm(process)
+
+    async def _check_first(self) -> None:
+        """Unbind the stream if a successor of the process that seems to have begun it may have."""
+        if self._first is None:
+            return
+        process, noted_at = self._first
+        if await self._runs(process):
+            self._first = None
+        else:
+            self._check_process(process, noted_at)
+
     def note_event(self, replica: replicas.Replica) -> None:
         """Bind the stream to the version of the replica that writes it, and record which one.
 
@@ -99,34 +115,35 @@
         is_resumable = self._admitted.route.kind is routes.Kind.RESUMABLE_STREAM
         if not is_resumable or self._is_lost:
             return
+        now = clocks.now()
         if not self._call.software or not self._call.progress.delivered:
             self._call.software = self._call.software or replica.software
+            if replica.started_ms and not self._is_process_certain:
+                self._first = self._first or (replica.process, now)
             origin = stream_origins.Origin(
                 self._call.service.pool, self._call.software, replica.name, replica.started_ms
             )
             seconds = self._admitted.stream_seconds
             self._origins.note_begun(self._admitted.stream, origin, seconds)
-        self._check_process(replica)
-
-    def _check_process(self, replica: replicas.Replica) -> None:
-        """Unbind the stream if a later process of the replica may have begun it.
-
-        A process that is known to have been replaced sends no more events. They come from its
-        successor, which got the request before its start was known here, or were received before
-        the end of the process and are only read now.
-        """
-        if self._is_process_certain or not self._pools.may_be_other_version(
-            replica.process, self._call.software or '', clocks.now()
-        ):
+        if not self._is_process_certain:
+            # A process that is known to have been replaced sends no more events. They come from its
+            # successor, which got the request before its start was known here, or were received
+            # before the end of the process and are only read now.
+            self._check_process(replica.process, now)
+
+    def _check_process(self, process: replica_processes.ReplicaProcess, at: float) -> None:
+        """Unbind the stream if a successor of a process may have written events by a given time."""
+        software = self._call.software or ''
+        if not self._pools.may_be_other_version(process, software, at):
             return
         log.info(
             'stream origin uncertain',
             extra={
                 'request': self._call.id,
                 'stream': self._admitted.stream,
-                'upstream': replica.name,
-                'born': replica.started_ms,
-                'software': self._call.software,
+                'upstream': process.id,
+                'born': process.started_ms,
+                'software': software,
             },
         )
         self._is_lost = True
--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -320,6 +320,27 @@
     harness.run_check(check, routers=2)
 
 
+# Guards against routers that continue a stream elsewhere without asking who has begun it.
+def test_stream_that_a_successor_began_unnoticed_is_not_continued_elsewhere() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
+        add_models(running, ['v1', 'v1'])
+        await wait_known(running)
+        before = stream_clients.Stream('before', harness.PROMPT_HEADERS)
+        assert await before.read(running, get_address(running, 0))
+        first = find_runner(running, 'before.0')
+        running.faults.down = True
+        first.restart(software='v1.1')
+        first.faults.cut = 1
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        cut_at = clocks.now()
+        assert not await stream.read(running, get_address(running, 0))
+        assert clocks.now() - cut_at < 2.0
+        assert stream.versions == {'v1.1'}
+
+    harness.run_check(check)
+
+
 def test_restarted_replica_runs_no_known_version_until_its_entry_arrives() -> None:
     async def check(running: deployment.Deployment) -> None:
         add_models(running, ['v1', 'v1'])
