Forwarding: retries, keys, sending and suspicion in modules of their own

Change: retry_budgets (the budgets of services and the retries of a request), key_checks, sending (connecting and paths), suspicions (crashes and prompt parts of one request).

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import contextlib
 import logging
 import math
@@ -16,10 +15,8 @@
 from passpier.core import (
     attempts,
     crashes,
-    fingerprints,
     replica_processes,
     replicas,
-    retries,
     routes,
     sse,
     stream_gaps,
@@ -28,6 +25,7 @@
 from passpier.routing import (
     delivering,
     dialect,
+    key_checks,
     moves,
     origin_sharing,
     paths,
@@ -38,8 +36,11 @@
     requests,
     response_reader,
     responses,
+    retry_budgets,
+    sending,
     sent_attempts,
     stream_binding,
+    suspicions,
 )
 
 log = logging.getLogger(__name__)
@@ -47,12 +48,6 @@
 CONNECT_TRIES = 3
 """Connections tried for one attempt; nothing reaches an upstream before one is established."""
 
-CONNECT_SLOW = 0.15
-"""Seconds after which a connection that isn't established makes its path suspect."""
-
-PATH_SECONDS = 0.25
-"""Seconds for finding another path once a connection has failed."""
-
 ATTEMPT_SHARE = 0.4
 """Fraction of the time left after which a request without a response may be moved to another
 replica."""
@@ -75,14 +70,10 @@
 RETRY_AFTER_STOPPING = 0.02
 """The same, where this process is stopping and the client will reach another one."""
 
-
 SEND_SECONDS = 0.002
 """Seconds from which on a client is slow to take an event: the next one may have arrived unnoticed
 meanwhile."""
 
-MAX_LOGGED_PARTS = 6
-"""Maximum number of prompt parts in a log line."""
-
 
 class Forwarder:
     """Forwards admitted requests."""
@@ -105,17 +96,13 @@
         self.limiter = limiter
         self.origins = origins
         self.prober = prober
-        self.paths = replica_paths
         self.suspects = suspect_tracker
         self.sharing = shared
         self.heads = sent_attempts.HeadReader(wire, registry_state.pools, prober)
-        self.mover = moves.Mover(
-            request_dispatcher, suspect_tracker, registry_state.pools, self.heads
-        )
+        self.mover = moves.Mover(request_dispatcher, registry_state.pools, self.heads)
         self.registry_state = registry_state
         self.pools = registry_state.pools
         self.dispatcher = request_dispatcher
-        self.pool = pool
         self.wire = wire
         self.counters = counters
         self.options = options
@@ -127,55 +114,13 @@
         """Called with the replica and the arrival times of two successive events of a stream,
         unless the client was slow to take the first of them."""
 
-        self.budget_sharers = 1
-        """Processes assumed to share the retry budget."""
-
-        self.started_at = clocks.now()
-        """Since when retries are earned."""
-
-        self._budgets: dict[str, retries.SharedBudget] = collections.defaultdict(self._build_budget)
+        self.budgets = retry_budgets.RetryBudgets(options, counters)
+        self.sender = sending.Sender(pool, replica_paths, prober)
 
     def reload(self, options: dialect.Options) -> None:
         """Apply changed settings."""
         self.options = options
-        for budget in self._budgets.values():
-            budget.configure(options.retry_ratio, options.retry_slack, options.retry_window)
-
-    def _build_budget(self) -> retries.SharedBudget:
-        options = self.options
-        return retries.SharedBudget(
-            options.retry_ratio, options.retry_slack, options.retry_window, self.started_at
-        )
-
-    def get_budget(self, service: str) -> retries.SharedBudget:
-        """Return the retry budget of a service."""
-        return self._budgets[service]
-
-    def share_budget(self, processes: int, is_listed: bool) -> None:
-        """Share the retry budgets with that many processes, and publish what is left of them.
-
-        `is_listed` tells whether the registry lists this process, and so would list the others.
-        """
-        now = clocks.now()
-        if processes != self.budget_sharers:
-            fields = {'sharers': processes, 'before': self.budget_sharers, 'listed': is_listed}
-            log.info('retry budget shared', extra=fields)
-        self.budget_sharers = processes
-        self.counters.retry_sharers.set({}, processes)
-        for service, budget in self._budgets.items():
-            left = round(budget.compute_left(now, processes), 2)
-            self.counters.retries_left.set({'service': service}, left)
-
-    def describe_budget(self, service: str) -> dict[str, float]:
-        """Return the log fields for the state of a service's retry budget."""
-        budget = self._budgets[service]
-        left = budget.compute_left(clocks.now(), self.budget_sharers)
-        return {
-            'retries_left': round(left, 2),
-            'retries_held': budget.held,
-            'recent_requests': budget.requests,
-            'sharers': self.budget_sharers,
-        }
+        self.budgets.reload(options)
 
     def begin(self, admitted: requests.Admitted, client: responses.Client) -> RequestRun:
         """Return the execution of an admitted request, yet to be started."""
@@ -221,11 +166,14 @@
         self._moved: sent_attempts.Attempt | None = None
         """The next attempt, if another replica is to take over from the current one."""
 
-        self._retries = retries.RequestRetries(owner.get_budget(self._service))
-        self._retry_held_at: float | None = None
-        """When the retry for the next attempt was obtained, if that attempt needs one."""
-
         client_request = admitted.client_request
+        self.retries = owner.budgets.begin(client_request.id, self._service)
+        self.suspicion = suspicions.RunSuspicion(
+            owner.suspects, admitted.fingerprint, admitted.shared_parts
+        )
+        self.key_check = key_checks.KeyCheck(
+            admitted, owner.registry_state, lambda: owner.options.keys_expire
+        )
         self.charge = rate_limiting.Charge(
             owner.limiter, client_request.id, admitted.account, client_request.tokens
         )
@@ -235,32 +183,11 @@
         self._last_replica = replicas.Replica('', '', '', '')
         """The replica of the current or last attempt."""
 
-        self._response_began_at: float | None = None
-        """When the response of that attempt began to arrive, if it has."""
-
-        self._has_progressed = False
-        """Whether it has gone on for too long to be the response to the cause of a crash."""
-
     @property
     def id(self) -> str:
         """The request's id."""
         return self._admitted.client_request.id
 
-    @property
-    def fingerprint(self) -> int:
-        """The request's fingerprint."""
-        return self._admitted.fingerprint
-
-    @property
-    def shared_parts(self) -> tuple[int, ...]:
-        """The fingerprints of the prompt's parts but the last."""
-        return self._admitted.shared_parts
-
-    @property
-    def _fingerprint(self) -> str:
-        """The request's fingerprint as written to the log."""
-        return fingerprints.render_fingerprint(self._admitted.fingerprint)
-
     @property
     def _last_process(self) -> replica_processes.ReplicaProcess:
         """The process of the replica of the current or last attempt."""
@@ -309,13 +236,12 @@
                 self._moved.cleanup.close()
             if not self.sent:
                 self.charge.refund()
-            self._retries.close()
+            self.retries.close()
             self._log_end(clocks.now() - started)
 
     async def _answer(self) -> None:
         """Make attempts until there is a response or a reason for having none."""
-        budget = self._owner.get_budget(self._service)
-        budget.note_request(self.call.arrived_at)
+        self.retries.note_request(self.call.arrived_at)
         if not self._admitted.is_resumption:
             self._binding.choose_version()
         elif not await self._binding.find_origin():
@@ -326,12 +252,12 @@
             try:
                 if await self._attempt():
                     return
-            except sent_attempts.UnverifiedKeyError:
+            except key_checks.UnverifiedKeyError:
                 await self._respond_directly(
                     503, 'stale_configuration', 'keys may have changed', RETRY_AFTER
                 )
                 return
-            except sent_attempts.RevokedKeyError:
+            except key_checks.RevokedKeyError:
                 await self._respond_revoked()
                 return
             except response_reader.AttemptError as error:
@@ -348,8 +274,8 @@
             'request ended',
             extra={
                 'request': self._admitted.client_request.id,
-                'fingerprint': self._fingerprint,
-                'parts': self._describe_parts(),
+                'fingerprint': self.suspicion.rendered_fingerprint,
+                'parts': self.suspicion.describe_parts(),
                 'route': self._admitted.route.name,
                 'kind': self._admitted.route.kind.value,
                 'outcome': self._outcome,
@@ -406,7 +332,7 @@
     async def _send(self) -> sent_attempts.Attempt | None:
         """Place and send an attempt, or answer the request without one."""
         call = self.call
-        judgement = self._owner.suspects.assess(self._admitted.fingerprint, self.shared_parts)
+        judgement = self.suspicion.assess()
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
             return None
@@ -418,7 +344,9 @@
             return None
         if judgement.is_suspect:
             call.policy = 'apart'
-            call.job = msgspec.structs.replace(call.job, spread_key=self._fingerprint)
+            call.job = msgspec.structs.replace(
+                call.job, spread_key=self.suspicion.rendered_fingerprint
+            )
         placement = await self._place()
         if isinstance(placement, exceptions.Failure):
             await self._respond_not_placed(placement)
@@ -460,17 +388,15 @@
         self, placement: dispatcher.Placement, cleanup: contextlib.ExitStack
     ) -> sent_attempts.Attempt | None:
         admitted = self._admitted
-        if not self.is_key_valid():
-            raise self._build_key_error()
+        if not self.key_check.is_valid():
+            raise self.key_check.build_error()
         if clocks.now() >= admitted.ends_at:
             await self._respond_directly(
                 503, 'no_time', 'no time was left for an attempt', RETRY_AFTER
             )
             return None
         # Peers may have reported the request as a suspect while it was queued.
-        judgement = await self._owner.suspects.assess_before_send(
-            admitted.fingerprint, self.shared_parts
-        )
+        judgement = await self.suspicion.assess_before_send()
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
             return None
@@ -494,9 +420,7 @@
         cleanup.callback(self._owner.suspects.end, fingerprint)
         exchange = await self._connect(placement, time_left, connect_seconds)
         cleanup.callback(exchange.close)
-        is_paid = self._retries.note_sent()
-        if self._reached:
-            self._log_retry(placement, is_paid)
+        self.retries.note_sent(placement.replica.process.id, len(self._reached))
         self._reached.add(placement.replica.name)
         self._connections.append(exchange.connection)
         reader = response_reader.ResponseReader(
@@ -508,23 +432,6 @@
         )
         return sent_attempts.Attempt(placement, exchange, reader, clocks.now(), cleanup.pop_all())
 
-    def _log_retry(self, placement: dispatcher.Placement, is_paid: bool) -> None:
-        """Log a request that was sent again, and for how long its retry had been held."""
-        self._owner.counters.retries_sent.inc({'service': self._service})
-        held_at, self._retry_held_at = self._retry_held_at, None
-        fields = {
-            'request': self.id,
-            'service': self._service,
-            'upstream': placement.replica.process.id,
-            'reached': len(self._reached),
-            'held_for': None if held_at is None else round(clocks.now() - held_at, 3),
-            **self._owner.describe_budget(self._service),
-        }
-        if is_paid:
-            log.info('retry sent', extra=fields)
-        else:
-            log.error('retry sent without a budget', extra=fields)
-
     async def _connect(
         self, placement: dispatcher.Placement, time_left: float, connect_seconds: float
     ) -> exchanges.Exchange:
@@ -544,11 +451,9 @@
             lambda: self._may_send(placement),
         )
         self.call.progress.begin()
-        loop = asyncio.get_running_loop()
-        slow = loop.call_later(CONNECT_SLOW, self._check_path, replica)
+        seconds = min(time_left, connect_seconds)
         try:
-            async with asyncio.timeout(min(time_left, connect_seconds)):
-                return await self._open_exchange(replica, request)
+            return await self._owner.sender.send(replica, request, seconds, self._connections)
         except exchanges.ExchangeError as error:
             self.call.progress.attempts -= 1
             if error.fault is exchanges.Fault.WITHHELD:
@@ -558,36 +463,11 @@
             self.call.progress.attempts -= 1
             text = f'no connection for {admitted.client_request.id} in time'
             raise response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, text) from error
-        finally:
-            slow.cancel()
-
-    async def _open_exchange(
-        self, replica: replicas.Replica, request: exchanges.Request
-    ) -> exchanges.Exchange:
-        """Send a request by the path to its replica, or by another one if that one is lost."""
-        owner = self._owner
-        path = owner.paths.choose(replica.address)
-        try:
-            return await owner.pool.open(replica.address, request, path, avoided=self._connections)
-        except exchanges.ExchangeError as error:
-            if error.fault is exchanges.Fault.WITHHELD:
-                raise
-            self._check_path(replica)
-            await owner.prober.wait_decided(replica.process, PATH_SECONDS)
-            if owner.paths.choose(replica.address) == path:
-                raise
-        return await owner.pool.open(replica.address, request, avoided=self._connections)
-
-    def _check_path(self, replica: replicas.Replica) -> None:
-        """Find out whether a replica can be connected to, by any path."""
-        self._owner.paths.note_connect_failure(replica.address)
-        self._owner.prober.probe(replica.process, 0.0)
 
     async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
         self._last_replica = attempt.placement.replica
         self._binding.begin_attempt()
-        self._response_began_at = None
-        self._has_progressed = False
+        self.suspicion.begin_attempt()
         self.sent = True
         with attempt.cleanup:
             await self._relay_response(attempt)
@@ -599,8 +479,8 @@
         if not await self._binding.confirm(attempt.process):
             text = 'the process that began the stream or was to continue it may have been replaced'
             raise response_reader.AttemptError(attempts.Fault.WRONG_VERSION, text)
-        self._response_began_at = clocks.now()
-        self._retries.release()
+        self.suspicion.begin_response()
+        self.retries.release()
         if self.call.job.chain:
             self._owner.sharing.record_placement(placement.replica, self.call.job)
         if self._admitted.route.kind.is_stream:
@@ -609,8 +489,7 @@
             await self._send_response(await reader.read_whole())
             self._outcome = 'answered'
         self._owner.pools.note_success(placement.replica.process)
-        self._owner.suspects.note_success(self._admitted.fingerprint)
-        self._clear_parts()
+        self.suspicion.note_success()
 
     async def _read_head(self, attempt: sent_attempts.Attempt) -> exchanges.Head:
         """Return the head of a result; raises `AttemptError`.
@@ -649,7 +528,7 @@
                 self._gaps.note_sent(arrived_at, sent_at)
                 previous_at = arrived_at if sent_at - arrived_at < SEND_SECONDS else None
                 self.call.progress.delivered += 1
-            self._note_progress(clocks.now())
+            self.suspicion.note_progress()
         if splitter.has_rest:
             text = 'ended within an event'
             raise response_reader.AttemptError(attempts.Fault.INTERRUPTED, text, broken_off=True)
@@ -698,7 +577,7 @@
 
     def _can_continue(self) -> bool:
         """Return whether another replica can continue the stream and a retry is left for it."""
-        has_budget = self._retries.has_any(clocks.now(), self._owner.budget_sharers)
+        has_budget = self.retries.has_any()
         others = self._owner.dispatcher.list_accepting(self.call) - {self.upstream}
         return self.call.progress.continuable and has_budget and bool(others)
 
@@ -718,9 +597,7 @@
         elif self._moved is None:
             self.charge.mark_spent()
         if error.broken_off and not self._owner.pools.is_exit_expected(self._last_process):
-            self._owner.suspects.note_disconnect(
-                self._admitted.fingerprint, self._last_process, self._list_suspect_parts(now)
-            )
+            self.suspicion.note_disconnect(self._last_process, now)
         has_time = now < self._admitted.ends_at
         step = attempts.Step.FAIL
         has_budget = True
@@ -741,19 +618,19 @@
             'attempt failed',
             extra={
                 'request': self.call.id,
-                'fingerprint': self._fingerprint,
+                'fingerprint': self.suspicion.rendered_fingerprint,
                 'upstream': self._last_process.id,
                 'born': self._last_process.started_ms,
                 'software': self._last_replica.software,
-                'parts': self._describe_parts(),
+                'parts': self.suspicion.describe_parts(),
                 'fault': error.fault.value,
-                'response_age': self._describe_response_age(now),
+                'response_age': self.suspicion.describe_response_age(now),
                 'detail': str(error),
                 'step': step.value,
                 'attempts': progress.attempts,
                 'reached': len(self._reached),
                 'has_budget': has_budget,
-                **self._owner.describe_budget(self._service),
+                **self.retries.describe(),
                 'ran': progress.outcome.value,
                 'time_left': round(self._admitted.ends_at - now, 3),
             },
@@ -765,34 +642,6 @@
         self.call.placement_deadline = self._choose_hold_deadline(now)
         return True
 
-    def _note_progress(self, now: float) -> None:
-        """Clear the prompt's parts once the response has gone on for a while."""
-        assert self._response_began_at is not None, 'events follow a head'
-        if now - self._response_began_at >= crashes.CLEARED_AFTER:
-            self._has_progressed = True
-            self._clear_parts()
-
-    def _clear_parts(self) -> None:
-        """Clear the prompt's parts of crashes, as a replica responds to them."""
-        for part in self.shared_parts:
-            self._owner.suspects.note_success(part)
-
-    def _list_suspect_parts(self, now: float) -> tuple[int, ...]:
-        """Return the prompt's parts that may have crashed the replica of the last attempt."""
-        began_at = self._response_began_at
-        is_late = began_at is not None and now - began_at >= crashes.UNSUSPECTED_AFTER
-        return () if self._has_progressed or is_late else self.shared_parts
-
-    def _describe_parts(self) -> list[str]:
-        """Return the prompt's shared parts as written to the log."""
-        shown = self.shared_parts[:MAX_LOGGED_PARTS]
-        return [fingerprints.render_fingerprint(part) for part in shown]
-
-    def _describe_response_age(self, now: float) -> float | None:
-        """Return for how many seconds the last attempt's response had been arriving, if it had."""
-        began_at = self._response_began_at
-        return None if began_at is None else round(now - began_at, 3)
-
     def _choose_hold_deadline(self, now: float) -> float:
         """Return until when the request may be queued for its next replica.
 
@@ -806,41 +655,17 @@
 
     async def _refuse_suspect(self, judgement: crashes.Assessment) -> None:
         """Refuse a request that has crashed replicas, before it reaches another one."""
-        assert judgement.refused_for is not None
-        log.info(
-            'suspect request refused',
-            extra={
-                'request': self.call.id,
-                'fingerprint': self._fingerprint,
-                'ends': judgement.crash_count,
-                'parts': [fingerprints.render_fingerprint(part) for part in judgement.parts],
-                'reason': judgement.reason,
-                'refused_for': round(judgement.refused_for, 3),
-            },
-        )
+        self.suspicion.log_refusal(self.call.id, judgement)
         await self._respond_directly(503, 'suspected', judgement.reason, judgement.retry_after)
 
     async def _await_retry(self) -> bool:
         """Hold a retry if one is left; a begun stream waits for one until its deadline."""
-        while not self.hold_retry():
+        while not self.retries.hold():
             if not self._can_wait():
                 return False
             await asyncio.sleep(CONTINUE_INTERVAL)
         return True
 
-    def hold_retry(self) -> bool:
-        """Hold a retry for the next attempt; return false if none is left."""
-        now = clocks.now()
-        if not self._retries.hold(now, self._owner.budget_sharers):
-            return False
-        if self._retry_held_at is None:
-            self._retry_held_at = now
-        return True
-
-    def reserve_retry(self) -> bool:
-        """Reserve a retry for a later attempt; return false if none is left."""
-        return self._retries.reserve(clocks.now(), self._owner.budget_sharers)
-
     async def _respond_failure(self, error: response_reader.AttemptError) -> None:
         """Send the final response of a request whose attempts have all failed."""
         if error.passed is not None and not self._client.started:
@@ -870,7 +695,7 @@
 
     def _may_send(self, placement: dispatcher.Placement) -> bool:
         """Return whether the request may be sent; checked just before its first byte."""
-        if self._client.gone or not self.is_key_valid():
+        if self._client.gone or not self.key_check.is_valid():
             return False
         return replicas.may_send(placement.replica, placement.attempt, clocks.now())
 
@@ -878,36 +703,11 @@
         """Return the error for a request that was withheld."""
         if self._client.gone:
             return responses.ClientGoneError()
-        if not self.is_key_valid():
-            return self._build_key_error()
+        if not self.key_check.is_valid():
+            return self.key_check.build_error()
         text = 'the replica has asked for less since the request was placed'
         return response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, text)
 
-    def is_key_valid(self) -> bool:
-        """Return whether the client's key is certainly still valid."""
-        if self._admitted.account is None:
-            return True
-        return not self._is_key_revoked() and self._is_key_state_fresh()
-
-    def _is_key_revoked(self) -> bool:
-        """Return whether the configuration has changed so that the key is not the account's."""
-        table = self._owner.registry_state.table
-        assert table is not None and self._admitted.account is not None
-        account = table.find_account(self._admitted.client_request.key or '')
-        is_known = account is not None and account.name == self._admitted.account.name
-        return table.configuration.has_accounts and not is_known
-
-    def _is_key_state_fresh(self) -> bool:
-        if not self._owner.options.keys_expire:
-            return True
-        return self._owner.registry_state.freshness.is_fresh(clocks.now())
-
-    def _build_key_error(self) -> Exception:
-        """Return the error for a request whose key is not certainly valid."""
-        if self._is_key_revoked():
-            return sent_attempts.RevokedKeyError()
-        return sent_attempts.UnverifiedKeyError()
-
     async def _respond_revoked(self) -> None:
         """Refuse a request whose key was revoked while it was queued."""
         has_run = self.call.progress.outcome is not exceptions.Outcome.NOT_RUN
--- a/passpier/routing/moves.py
+++ b/passpier/routing/moves.py
@@ -13,8 +13,16 @@
 
 from passpier import clocks
 from passpier.core import attempts, crashes
-from passpier.daemon import calls, dispatcher, suspects
-from passpier.routing import pools, rate_limiting, response_reader, sent_attempts
+from passpier.daemon import calls, dispatcher
+from passpier.routing import (
+    key_checks,
+    pools,
+    rate_limiting,
+    response_reader,
+    retry_budgets,
+    sent_attempts,
+    suspicions,
+)
 
 log = logging.getLogger(__name__)
 
@@ -31,19 +39,14 @@
 
     call: calls.Call
     charge: rate_limiting.Charge
+    key_check: key_checks.KeyCheck
+    retries: retry_budgets.RunRetries
+    suspicion: suspicions.RunSuspicion
 
     @property
     def id(self) -> str:
         """The request's id."""
 
-    @property
-    def fingerprint(self) -> int:
-        """The request's fingerprint."""
-
-    @property
-    def shared_parts(self) -> tuple[int, ...]:
-        """The fingerprints of the prompt's parts but the last."""
-
     @property
     def ends_at(self) -> float:
         """The request's deadline."""
@@ -59,15 +62,6 @@
     def name_attempt(self) -> str:
         """Return the name of the next attempt."""
 
-    def is_key_valid(self) -> bool:
-        """Return whether the client's key is certainly still valid."""
-
-    def hold_retry(self) -> bool:
-        """Hold a retry for the next attempt; return false if none is left."""
-
-    def reserve_retry(self) -> bool:
-        """Reserve a retry for a later attempt; return false if none is left."""
-
     async def open_attempt(
         self,
         placement: dispatcher.Placement,
@@ -84,12 +78,10 @@
     def __init__(
         self,
         request_dispatcher: dispatcher.Dispatcher,
-        suspect_tracker: suspects.SuspectRequests,
         replica_pools: pools.Pools,
         heads: sent_attempts.HeadReader,
     ) -> None:
         self._dispatcher = request_dispatcher
-        self._suspects = suspect_tracker
         self._pools = replica_pools
         self._heads = heads
 
@@ -112,15 +104,15 @@
             if error.fault not in attempts.NOT_RUN_FAULTS and not stalled:
                 self._pools.note_failure(placement.replica.process)
             log_not_moved(run, placement, str(error))
-        except (sent_attempts.UnverifiedKeyError, sent_attempts.RevokedKeyError):
+        except (key_checks.UnverifiedKeyError, key_checks.RevokedKeyError):
             log_not_moved(run, placement, 'keys may have changed')
         return None
 
     async def _place(self, run: Run) -> dispatcher.Placement | None:
         """Place the next attempt and pay for it, if that is possible at once."""
-        if not run.call.progress.may_reach_others or not run.is_key_valid():
+        if not run.call.progress.may_reach_others or not run.key_check.is_valid():
             return None
-        if self._suspects.assess(run.fingerprint, run.shared_parts).is_suspect:
+        if run.suspicion.assess().is_suspect:
             return None
         exclude = {*run.excluded, run.upstream}
         placement = self._dispatcher.place_now(run.call, run.name_attempt(), exclude)
@@ -132,7 +124,7 @@
             run.charge.mark_spent()
             if await run.charge.acquire(run.ends_at - clocks.now()):
                 return None
-            if not run.hold_retry():
+            if not run.retries.hold():
                 run.charge.refund()
                 return None
             cleanup.pop_all()
@@ -147,7 +139,7 @@
         """Send the request to another replica; raises `AttemptError` if it stays where it is."""
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._dispatcher.end, placement)
-            judgement = self._suspects.assess(run.fingerprint, run.shared_parts)
+            judgement = run.suspicion.assess()
             try:
                 attempt = await run.open_attempt(placement, judgement, cleanup, CONNECT_SECONDS)
                 cleanup.push(attempt.cleanup)
@@ -195,7 +187,7 @@
 
     def _reserve_return(self, run: Run) -> bool:
         """Reserve a retry for a return to the current replica, if that one takes requests."""
-        return run.upstream in self._dispatcher.list_accepting(run.call) and run.reserve_retry()
+        return run.upstream in self._dispatcher.list_accepting(run.call) and run.retries.reserve()
 
 
 def log_not_moved(run: Run, placement: dispatcher.Placement | None, detail: str) -> None:
--- /dev/null
+++ b/passpier/routing/retry_budgets.py
@@ -0,0 +1,143 @@
+"""Keeps the retry budgets of services, and the retries of each request."""
+
+from __future__ import annotations
+
+import collections
+import logging
+
+from passpier import clocks
+from passpier.core import retries
+from passpier.daemon import metrics
+from passpier.routing import dialect
+
+log = logging.getLogger(__name__)
+
+
+class RetryBudgets:
+    """The retry budgets of all services."""
+
+    def __init__(self, options: dialect.Options, counters: metrics.Metrics) -> None:
+        self._options = options
+        self._counters = counters
+        self.sharers = 1
+        """Processes assumed to share the budgets."""
+
+        self.started_at = clocks.now()
+        """Since when retries are earned."""
+
+        self._budgets: dict[str, retries.SharedBudget] = collections.defaultdict(self._build)
+
+    def reload(self, options: dialect.Options) -> None:
+        """Apply changed settings."""
+        self._options = options
+        for budget in self._budgets.values():
+            budget.configure(options.retry_ratio, options.retry_slack, options.retry_window)
+
+    def get(self, service: str) -> retries.SharedBudget:
+        """Return the budget of a service."""
+        return self._budgets[service]
+
+    def share(self, processes: int, is_listed: bool) -> None:
+        """Share the budgets with that many processes, and publish what is left of them.
+
+        `is_listed` tells whether the registry lists this process, and so would list the others.
+        """
+        now = clocks.now()
+        if processes != self.sharers:
+            fields = {'sharers': processes, 'before': self.sharers, 'listed': is_listed}
+            log.info('retry budget shared', extra=fields)
+        self.sharers = processes
+        self._counters.retry_sharers.set({}, processes)
+        for service, budget in self._budgets.items():
+            left = round(budget.compute_left(now, processes), 2)
+            self._counters.retries_left.set({'service': service}, left)
+
+    def describe(self, service: str) -> dict[str, float]:
+        """Return the log fields for the state of a service's budget."""
+        budget = self._budgets[service]
+        left = budget.compute_left(clocks.now(), self.sharers)
+        return {
+            'retries_left': round(left, 2),
+            'retries_held': budget.held,
+            'recent_requests': budget.requests,
+            'sharers': self.sharers,
+        }
+
+    def begin(self, request: str, service: str) -> RunRetries:
+        """Return the retries of a request, which has none yet."""
+        return RunRetries(self, self._counters, request, service)
+
+    def _build(self) -> retries.SharedBudget:
+        options = self._options
+        return retries.SharedBudget(
+            options.retry_ratio, options.retry_slack, options.retry_window, self.started_at
+        )
+
+
+class RunRetries:
+    """The retries of one request."""
+
+    def __init__(
+        self, budgets: RetryBudgets, counters: metrics.Metrics, request: str, service: str
+    ) -> None:
+        self._budgets = budgets
+        self._counters = counters
+        self._request = request
+        self._service = service
+        self._budget = budgets.get(service)
+        self._retries = retries.RequestRetries(self._budget)
+        self._held_at: float | None = None
+        """When the retry for the next attempt was obtained, if that attempt needs one."""
+
+    def note_request(self, arrived_at: float) -> None:
+        """Count the request towards what the service earns."""
+        self._budget.note_request(arrived_at)
+
+    def has_any(self) -> bool:
+        """Return whether the request has a retry or can get one."""
+        return self._retries.has_any(clocks.now(), self._budgets.sharers)
+
+    def hold(self) -> bool:
+        """Hold a retry for the next attempt; return false if none is left."""
+        now = clocks.now()
+        if not self._retries.hold(now, self._budgets.sharers):
+            return False
+        if self._held_at is None:
+            self._held_at = now
+        return True
+
+    def reserve(self) -> bool:
+        """Reserve a retry for a later attempt; return false if none is left."""
+        return self._retries.reserve(clocks.now(), self._budgets.sharers)
+
+    def note_sent(self, upstream: str, reached: int) -> None:
+        """Count an attempt that was sent; `reached` replicas had got the request before."""
+        is_paid = self._retries.note_sent()
+        if not reached:
+            return
+        self._counters.retries_sent.inc({'service': self._service})
+        held_at, self._held_at = self._held_at, None
+        fields = {
+            'request': self._request,
+            'service': self._service,
+            'upstream': upstream,
+            'reached': reached,
+            'held_for': None if held_at is None else round(clocks.now() - held_at, 3),
+            **self.describe(),
+        }
+        if is_paid:
+            log.info('retry sent', extra=fields)
+        else:
+            log.error('retry sent without a budget', extra=fields)
+
+    def describe(self) -> dict[str, float]:
+        """Return the log fields for the state of the service's budget."""
+        return self._budgets.describe(self._service)
+
+    def release(self) -> None:
+        """Return the reserved retry, if there is one."""
+        self._retries.release()
+
+    def close(self) -> None:
+        """Return all retries that were not used."""
+        self._retries.close()
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -258,7 +258,7 @@
         )
         self._limit_buffers(options)
         self._drain = drain.Drain(*_read_stop_times(options))
-        self.forwarder.budget_sharers = DAEMONS_AT_START
+        self.forwarder.budgets.sharers = DAEMONS_AT_START
         self._started_at = clocks.now()
         self.listed_at: float | None = None
         """When the registry listed this process for the first time, as far as it knows."""
@@ -496,7 +496,7 @@
             self.adapter.pool.close_expired()
             self.counters.buffered_bytes.set({}, self.adapter.pool.buffers.used)
             sharers = self._count_retry_sharers(clocks.now())
-            self.forwarder.share_budget(sharers, self.roster.is_listed)
+            self.forwarder.budgets.share(sharers, self.roster.is_listed)
 
     def _count_retry_sharers(self, now: float) -> int:
         """Return the number of processes to assume for the retry budget.
--- /dev/null
+++ b/passpier/routing/sending.py
@@ -0,0 +1,70 @@
+"""Connects to replicas and sends them requests, by another path if the direct one is lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from passpier.clients import connections, exchanges
+from passpier.core import replicas
+from passpier.routing import paths, probing
+
+CONNECT_SLOW = 0.15
+"""Seconds after which a connection that isn't established makes its path suspect."""
+
+PATH_SECONDS = 0.25
+"""Seconds for finding another path once a connection has failed."""
+
+
+class Sender:
+    """Sends requests to replicas."""
+
+    def __init__(
+        self, pool: connections.Pool, replica_paths: paths.Paths, prober: probing.Prober
+    ) -> None:
+        self._pool = pool
+        self._paths = replica_paths
+        self._prober = prober
+
+    async def send(
+        self,
+        replica: replicas.Replica,
+        request: exchanges.Request,
+        seconds: float,
+        avoided: Sequence[exchanges.Connection],
+    ) -> exchanges.Exchange:
+        """Send a request within `seconds`, on none of the connections to be `avoided`.
+
+        Raises `ExchangeError` or `TimeoutError`.
+        """
+        loop = asyncio.get_running_loop()
+        slow = loop.call_later(CONNECT_SLOW, self._check_path, replica)
+        try:
+            async with asyncio.timeout(seconds):
+                return await self._open(replica, request, avoided)
+        finally:
+            slow.cancel()
+
+    async def _open(
+        self,
+        replica: replicas.Replica,
+        request: exchanges.Request,
+        avoided: Sequence[exchanges.Connection],
+    ) -> exchanges.Exchange:
+        """Send a request by the path to its replica, or by another one if that one is lost."""
+        path = self._paths.choose(replica.address)
+        try:
+            return await self._pool.open(replica.address, request, path, avoided=avoided)
+        except exchanges.ExchangeError as error:
+            if error.fault is exchanges.Fault.WITHHELD:
+                raise
+            self._check_path(replica)
+            await self._prober.wait_decided(replica.process, PATH_SECONDS)
+            if self._paths.choose(replica.address) == path:
+                raise
+        return await self._pool.open(replica.address, request, avoided=avoided)
+
+    def _check_path(self, replica: replicas.Replica) -> None:
+        """Find out whether a replica can be connected to, by any path."""
+        self._paths.note_connect_failure(replica.address)
+        self._prober.probe(replica.process, 0.0)
--- a/passpier/routing/sent_attempts.py
+++ b/passpier/routing/sent_attempts.py
@@ -15,14 +15,6 @@
 from passpier.routing import dialect, pools, probing, response_reader
 
 
-class UnverifiedKeyError(Exception):
-    """The request was not sent, because the client's key may have been revoked meanwhile."""
-
-
-class RevokedKeyError(Exception):
-    """The request was not sent, because the client's key has been revoked meanwhile."""
-
-
 class Takeover(enum.Enum):
     """What became of an attempt that is to replace the one at a slow replica."""
 
--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -245,15 +245,15 @@
         Until then each assumes `router.DAEMONS_AT_START` of them.
         """
         async with asyncio.timeout(bound):
-            while any(r.forwarder.budget_sharers >= router.DAEMONS_AT_START for r in self.routers):
+            while any(r.forwarder.budgets.sharers >= router.DAEMONS_AT_START for r in self.routers):
                 await asyncio.sleep(0.05)
 
     def age_routers(self) -> None:
         """Treat the routers as having run for a while: they have earned retries."""
         for process in self.routers:
             process.listed_at = clocks.now() - router.DISCOVERY_SECONDS
-            process.forwarder.started_at -= process.options.retry_window
-            process.forwarder.share_budget(len(self.routers), process.roster.is_listed)
+            process.forwarder.budgets.started_at -= process.options.retry_window
+            process.forwarder.budgets.share(len(self.routers), process.roster.is_listed)
 
     async def wait_ended(self, process: router.Router) -> None:
         """Wait until a router has ended; raises its exception."""
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -345,10 +345,10 @@
 def test_new_router_spends_little_of_the_shared_retry_budget() -> None:
     async def check(running: deployment.Deployment) -> None:
         process = running.routers[0]
-        assert process.forwarder.budget_sharers >= router.DAEMONS_AT_START
-        budget = process.forwarder.get_budget('app')
+        assert process.forwarder.budgets.sharers >= router.DAEMONS_AT_START
+        budget = process.forwarder.budgets.get('app')
         granted = sum(
-            budget.hold(clocks.now(), process.forwarder.budget_sharers) for _ in range(100)
+            budget.hold(clocks.now(), process.forwarder.budgets.sharers) for _ in range(100)
         )
         assert granted <= process.options.retry_slack / router.DAEMONS_AT_START
 
--- a/passpier/tests/platform/moved_streams_tests.py
+++ b/passpier/tests/platform/moved_streams_tests.py
@@ -147,7 +147,7 @@
 
     async def check(running: deployment.Deployment) -> None:
         await prepare(running, event_pause=1.3)
-        running.routers[0].forwarder.get_budget('llm').configure(0.0, ONE_RETRY_SLACK, 10.0)
+        running.routers[0].forwarder.budgets.get('llm').configure(0.0, ONE_RETRY_SLACK, 10.0)
         pending = await ask_stream(running)
         first, other = get_models(running)
         other.faults.late_refusal = 0.5
@@ -228,7 +228,7 @@
 
     async def check(running: deployment.Deployment) -> None:
         await prepare(running, event_pause=2.4)
-        running.routers[0].forwarder.get_budget('llm').configure(0.0, 0.0, 10.0)
+        running.routers[0].forwarder.budgets.get('llm').configure(0.0, 0.0, 10.0)
         pending = asyncio.ensure_future(
             running.ask(path, id='one', patience_ms=PATIENCE_MS, headers=harness.PROMPT_HEADERS)
         )
@@ -247,7 +247,7 @@
 
     async def check(running: deployment.Deployment) -> None:
         await prepare(running, event_pause=0.3)
-        budget = running.routers[0].forwarder.get_budget('llm')
+        budget = running.routers[0].forwarder.budgets.get('llm')
         pending = await ask_stream(running)
         models = get_models(running)
         # The first event follows at once, the second one after a pause.
@@ -325,7 +325,7 @@
     async def check(running: deployment.Deployment) -> None:
         pending = await ask_repeatable(running)
         first, other = get_apps(running)
-        running.routers[0].forwarder.get_budget('app').configure(0.0, 0.0, 10.0)
+        running.routers[0].forwarder.budgets.get('app').configure(0.0, 0.0, 10.0)
         assert (await pending).status == 200
         assert count_arrivals([first, other]) == [1, 0]
 
--- a/passpier/tests/platform/retry_budget_tests.py
+++ b/passpier/tests/platform/retry_budget_tests.py
@@ -145,7 +145,7 @@
         )
         process = running.routers[0]
         options = process.options
-        process.forwarder.get_budget('llm').configure(
+        process.forwarder.budgets.get('llm').configure(
             options.retry_ratio, options.retry_slack, WINDOW
         )
         await running.wait_settled()
