Paths: peers that couldn't connect to a replica are asked again only once all have been asked

What clients saw: a router that has lost its links refuses requests for longer than contact_ms, although one peer reaches the replicas. Found in test_most_routers_cut_off_serve_their_clients_through_the_last_one (known failure): 187 refused tunnels in 7 s, of four routers that asked each other again and again. Cause: each ask drew three peers at random, whatever they had answered before. Change: a peer whose tunnel is refused is asked again after the others; one that is late is not refused.

--- a/passpier/routing/paths.py
+++ b/passpier/routing/paths.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -50,6 +50,8 @@
 
     count: int = 0
     last_at: float = float('-inf')
+    refused: set[str] = msgspec.field(default_factory=set)
+    """The peers that couldn't connect to the replica."""
 
 
 class Paths:
@@ -124,6 +126,8 @@
             for task in proxies:
                 task.cancel()
             await asyncio.gather(*proxies, return_exceptions=True)
+            if address in self._asks:
+                self._asks[address].refused |= {p for t, p in proxies.items() if _is_refused(t)}
 
     async def _wait_answered(
         self, direct: asyncio.Future[dialect.Report], pending: set[asyncio.Future[dialect.Report]]
@@ -186,7 +190,10 @@
         return True
 
     def _choose_peers(self, address: str) -> list[str]:
-        """Return the peers to ask: those that reach replicas for us, then some in each domain."""
+        """Return the peers to ask: those that reach replicas for us, then some in each domain.
+
+        Peers that have refused are asked again once all have.
+        """
         own = self._membership.own
         now = clocks.now()
         serving = [m for m in self._membership.list_serving(now) if m != own and m.tunnel_port]
@@ -194,12 +201,24 @@
         known = self._detours.list_proxies()
         current = self._detours.get_proxy(address)
         ranked = sorted(serving, key=lambda m: (m.tunnel != current, m.tunnel not in known))
-        chosen = ranked[:1]
+        refused = self._asks[address].refused
+        fresh = [m for m in ranked if m.tunnel not in refused]
+        if not fresh:
+            refused.clear()
+            fresh = ranked
+        chosen = self._spread(fresh)
+        chosen += [m.tunnel for m in ranked if m.tunnel not in chosen]
+        return chosen[:PEERS_ASKED]
+
+    def _spread(self, ranked: Sequence[members.Member]) -> list[str]:
+        """Return the tunnels of peers, one of the own and one of another domain among the first."""
+        own = self._membership.own
+        chosen = list(ranked[:1])
         for local in (True, False):
             rest = [m for m in ranked if m not in chosen]
             chosen += [m for m in rest if (m.failure_domain == own.failure_domain) is local][:1]
         chosen += [m for m in ranked if m not in chosen]
-        return [m.tunnel for m in chosen[:PEERS_ASKED]]
+        return [m.tunnel for m in chosen]
 
     def _start_check(self, address: str, detour: detours.Detour) -> None:
         task = asyncio.ensure_future(self._check(address, detour))
@@ -230,6 +249,14 @@
             log.info('no peer reaches an upstream', extra=fields)
 
 
+def _is_refused(call: asyncio.Future[dialect.Report]) -> bool:
+    """Return whether a peer couldn't connect to a replica, rather than not in time."""
+    if not call.done() or call.cancelled():
+        return False
+    error = call.exception()
+    return isinstance(error, exchanges.ExchangeError) and error.fault is exchanges.Fault.CONNECT
+
+
 def _has_answered(call: asyncio.Future[dialect.Report]) -> bool:
     """Return whether a replica has answered a call, if only that another one has its address."""
     if not call.done() or call.cancelled():
--- a/passpier/tests/routing/paths_tests.py
+++ b/passpier/tests/routing/paths_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 from typing import cast
@@ -153,6 +154,20 @@
     run(check)
 
 
+# Guards against asking peers again that don't reach the replica, while others were never asked.
+@pytest.mark.parametrize('number', range(PEERS))
+def test_the_only_peer_that_reaches_a_replica_is_found_with_the_second_ask(number: int) -> None:
+    async def check(process: Process) -> None:
+        process.engines.refused = True
+        process.engines.seconds = {process.tunnels[number]: 0.002}
+        for _ in range(PEERS // paths.PEERS_ASKED):
+            with contextlib.suppress(exchanges.ExchangeError):
+                await process.ask()
+        assert process.paths.choose(ADDRESS) == process.tunnels[number]
+
+    run(check)
+
+
 def test_both_failure_domains_are_asked() -> None:
     """A whole failure domain may be cut off."""
 
