Streams: a process of another version that ran in between makes a record uncertain

What clients could see: a stream of two versions, if a replica restarts twice and its last process has the version of the first one again. Cause: only the present process was compared with the recorded one. Change: the versions of all processes that followed are kept, also where an entry was removed and came back; a record is uncertain where the end of its process was not seen.

--- a/passpier/core/replica_restarts.py
+++ b/passpier/core/replica_restarts.py
@@ -1,4 +1,4 @@
-"""Remembers which processes of replicas were replaced, and until when they certainly ran.
+"""Remembers which processes of replicas have ended, and until when no successor ran.
 
 A router learns of a restart some time after it. What a router recorded of a process meanwhile may
 belong to its successor.
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 import collections
+import math
+
+import msgspec
 
 from passpier.core import replica_processes
 
@@ -15,29 +18,64 @@
 the start, and the clocks of machines differ."""
 
 MAX_PROCESSES = 4096
-"""Number of replaced processes that are remembered; the oldest are dropped first."""
+"""Number of processes that are remembered; the oldest are dropped first."""
+
+
+class _Ended(msgspec.Struct):
+    alone_until: float = math.inf
+    """A time before the start of its successor."""
+
+    successors: set[str] = msgspec.field(default_factory=set)
+    """The software versions of the processes that followed and have ended as well."""
 
 
 class RestartHistory:
-    """The replaced processes, with a time before the start of each one's successor."""
+    """The processes of all replicas that have ended, and what is known of their successors."""
 
     def __init__(self) -> None:
-        self._alone_until: collections.OrderedDict[replica_processes.ReplicaProcess, float] = (
+        self._ended: collections.OrderedDict[replica_processes.ReplicaProcess, _Ended] = (
             collections.OrderedDict()
         )
+        self._last: dict[str, replica_processes.ReplicaProcess] = {}
+        """The processes that ended last, by replica."""
 
-    def note(
+    def note_removed(self, process: replica_processes.ReplicaProcess, software: str) -> None:
+        """Record that a process with a software version has ended."""
+        if not process.started_ms:
+            # Nothing tells it apart from its successors.
+            return
+        for earlier, ended in self._ended.items():
+            if earlier.id == process.id:
+                ended.successors.add(software)
+        self._ended[process] = _Ended()
+        self._last[process.id] = process
+        if len(self._ended) > MAX_PROCESSES:
+            oldest, _ = self._ended.popitem(last=False)
+            if self._last.get(oldest.id) == oldest:
+                del self._last[oldest.id]
+
+    def note_successor(
         self, process: replica_processes.ReplicaProcess, absent_at: float, started_at: float
     ) -> None:
-        """Record that a process has been replaced.
+        """Record which process follows the one of its replica that ended last, if one did.
 
-        Its successor had no entry at `absent_at` and started at `started_at` by its own clock. The
-        earlier of both counts, since the registry may take no writes, and clocks may be set.
+        It had no entry at `absent_at` and started at `started_at` by its own clock. The earlier of
+        both counts, since the registry may take no writes, and clocks may be set.
         """
-        self._alone_until[process] = min(absent_at, started_at) - MARGIN
-        if len(self._alone_until) > MAX_PROCESSES:
-            self._alone_until.popitem(last=False)
+        last = self._last.get(process.id)
+        if last is not None and last != process:
+            ended = self._ended[last]
+            ended.alone_until = min(ended.alone_until, min(absent_at, started_at) - MARGIN)
+
+    def may_be_other_version(
+        self, process: replica_processes.ReplicaProcess, software: str, current: str, at: float
+    ) -> bool:
+        """Return whether a successor, not of the version `software`, may have run at a time.
 
-    def precedes(self, process: replica_processes.ReplicaProcess, at: float) -> bool:
-        """Return whether the successor of a process certainly started after a point in time."""
-        return at <= self._alone_until.get(process, float('-inf'))
+        The process has been replaced, and the present one has the version `current`. Without a
+        record of its end, other processes may have run in between.
+        """
+        ended = self._ended.get(process)
+        if ended is None:
+            return True
+        return at > ended.alone_until and {current, *ended.successors} != {software}
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -141,15 +141,17 @@
             gone = self._entries.get(change.id)
             self._remove_process(change.id)
             if gone is not None:
+                self._restarts.note_removed(gone.process, gone.software)
                 self._update_incomplete(gone.service)
             log.info('upstream removed', extra={'upstream': change.id, 'reason': change.reason})
             return
         entry = change.entry
         before = self._entries.get(entry.id)
         if before is not None and not _is_same_process(before, entry):
-            self._note_restart(before.process, entry, unchanged_at)
+            self._restarts.note_removed(before.process, before.software)
             self._remove_process(entry.id)
             self._update_incomplete(before.service)
+        self._note_restart(entry, unchanged_at)
         is_new = entry.id not in self.replicas
         if is_new:
             self._add_process(entry)
@@ -178,14 +180,10 @@
             },
         )
 
-    def _note_restart(
-        self,
-        replaced: replica_processes.ReplicaProcess,
-        entry: catalogue.Entry,
-        unchanged_at: float,
-    ) -> None:
+    def _note_restart(self, entry: catalogue.Entry, unchanged_at: float) -> None:
+        """Record that the process of an entry has replaced an earlier one, if it has."""
         uptime = clocks.read_time_of_day() - entry.started_ms / 1000
-        self._restarts.note(replaced, unchanged_at, clocks.now() - uptime)
+        self._restarts.note_successor(entry.process, unchanged_at, clocks.now() - uptime)
 
     def record_release(self, model: str, version: int, not_before: float, now: float) -> bool:
         """Record the release of a weight version; return whether it is newer than the known ones.
@@ -227,9 +225,10 @@
         self, process: replica_processes.ReplicaProcess, software: str, at: float
     ) -> bool:
         """Return whether a successor of a process, not of its version, may have run at a time."""
-        if not self.has_restarted(process) or self._restarts.precedes(process, at):
+        if not self.has_restarted(process):
             return False
-        return self.replicas[process.id].software != software
+        current = self.replicas[process.id].software
+        return self._restarts.may_be_other_version(process, software, current, at)
 
     def is_exit_expected(self, process: replica_processes.ReplicaProcess) -> bool:
         """Return whether a process was expected to exit, so that its end is no crash."""
--- a/passpier/routing/stream_binding.py
+++ b/passpier/routing/stream_binding.py
@@ -35,9 +35,9 @@
         self._is_process_certain = False
         """Whether the replica's known process, and no later one, has the current attempt."""
 
-        self._first: tuple[replica_processes.ReplicaProcess, float] | None = None
-        """The process that seems to have begun the stream, and when it had; none if that is certain
-        or nothing has begun."""
+        self._supposed_first: tuple[replica_processes.ReplicaProcess, float] | None = None
+        """The process that is taken to have begun the stream, and when it had; none if that is
+        certain, or if nothing has begun."""
 
         self._is_lost = False
         """Whether it has become uncertain which version began the stream."""
@@ -55,16 +55,16 @@
 
     async def find_origin(self) -> bool:
         """Bind a stream that the client resumes; return false if it can't go on."""
-        origin = await self._find_origin()
+        origin = await self._look_up_origin()
         if origin is not None and origin.started_ms and not await self._runs(origin.process):
             # The replica's own report may have told of a restart that was unknown.
-            origin = await self._find_origin()
+            origin = await self._look_up_origin()
         if origin is None or origin.service != self._call.service.pool:
             return False
         self._call.software = origin.software
         return True
 
-    async def _find_origin(self) -> stream_origins.Origin | None:
+    async def _look_up_origin(self) -> stream_origins.Origin | None:
         admitted = self._admitted
         return await self._origins.find(
             admitted.stream, self._call.service.pool, admitted.stream_seconds
@@ -85,6 +85,7 @@
 
         A replica that has restarted, perhaps with another version, accepts requests under its id
         before its registry entry says so. Without start times, each process has an id of its own.
+        The replica that began the stream is asked as well, since it may have restarted before that.
         """
         if self._call.software is None:
             return True
@@ -98,12 +99,12 @@
         return not process.started_ms or await self._prober.confirm(process)
 
     async def _check_first(self) -> None:
-        """Unbind the stream if a successor of the process that seems to have begun it may have."""
-        if self._first is None:
+        """Unbind the stream if another process than the supposed one may have begun it."""
+        if self._supposed_first is None:
             return
-        process, noted_at = self._first
+        process, noted_at = self._supposed_first
         if await self._runs(process):
-            self._first = None
+            self._supposed_first = None
         else:
             self._check_process(process, noted_at)
 
@@ -119,7 +120,7 @@
         if not self._call.software or not self._call.progress.delivered:
             self._call.software = self._call.software or replica.software
             if replica.started_ms and not self._is_process_certain:
-                self._first = self._first or (replica.process, now)
+                self._supposed_first = self._supposed_first or (replica.process, now)
             origin = stream_origins.Origin(
                 self._call.service.pool, self._call.software, replica.name, replica.started_ms
             )
