--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -80,6 +80,18 @@
     return pending, find_runner(running, f'{stream.id}.0')
 
 
+async def restart_unnoticed(running: deployment.Deployment) -> replica.Replica:
+    """Restart the replica that gets the next stream, with a version that no router knows of."""
+    add_models(running, ['v1', 'v1'])
+    await wait_known(running)
+    before = stream_clients.Stream('before', harness.PROMPT_HEADERS)
+    assert await before.read(running, get_address(running, 0))
+    first = find_runner(running, 'before.0')
+    running.faults.down = True
+    first.restart(software='v1.1')
+    return first
+
+
 class Traffic:
     """Streams of clients that resume what breaks off, while replicas crash."""
 
@@ -275,13 +287,7 @@
     """
 
     async def check(running: deployment.Deployment) -> None:
-        add_models(running, ['v1', 'v1'])
-        await wait_known(running)
-        before = stream_clients.Stream('before', harness.PROMPT_HEADERS)
-        assert await before.read(running, get_address(running, 0))
-        first = find_runner(running, 'before.0')
-        running.faults.down = True
-        first.restart(software='v1.1')
+        first = await restart_unnoticed(running)
         stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
         pending, runner = await begin_stream(running, stream)
         assert runner is first
@@ -304,13 +310,7 @@
 def test_resumed_stream_that_a_successor_began_unnoticed_is_refused() -> None:
     async def check(running: deployment.Deployment) -> None:
         running.age_routers()
-        add_models(running, ['v1', 'v1'])
-        await wait_known(running)
-        before = stream_clients.Stream('before', harness.PROMPT_HEADERS)
-        assert await before.read(running, get_address(running, 0))
-        first = find_runner(running, 'before.0')
-        running.faults.down = True
-        first.restart(software='v1.1')
+        await restart_unnoticed(running)
         stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
         await stream.read(running, get_address(running, 0), stop_after=3)
         assert not await stream.read(running, get_address(running, 1))
@@ -324,13 +324,7 @@
 def test_stream_that_a_successor_began_unnoticed_is_not_continued_elsewhere() -> None:
     async def check(running: deployment.Deployment) -> None:
         running.age_routers()
-        add_models(running, ['v1', 'v1'])
-        await wait_known(running)
-        before = stream_clients.Stream('before', harness.PROMPT_HEADERS)
-        assert await before.read(running, get_address(running, 0))
-        first = find_runner(running, 'before.0')
-        running.faults.down = True
-        first.restart(software='v1.1')
+        first = await restart_unnoticed(running)
         first.faults.cut = 1
         stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
         cut_at = clocks.now()
