Known red: a router out of step takes its old state for complete and infers a stream's version

A router that is cut off from the registry and its peers, or two of four that are cut off together, infer that a service has one version only, while another one has joined. A stream that began there would go on at the wrong version.

--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -65,12 +65,12 @@
         for number, version in enumerate(versions):
             self.add_replica(f'r{number}', version)
 
-    def send_beats(self) -> None:
-        """Let all routers have just heard of each other."""
+    def send_beats(self, among: slice = slice(None)) -> None:
+        """Let all routers, or some of them, have just heard of each other."""
         self.beats += 1
-        for membership in self.memberships:
-            fleet = membership.list_known()
-            beats = [members.Beat(m.incarnation, self.beats) for m in fleet]
+        for membership in self.memberships[among]:
+            heard = [m.own for m in self.memberships[among]]
+            beats = [members.Beat(m.incarnation, self.beats) for m in heard]
             membership.merge(beats, clocks.now())
 
     def add_replica(
@@ -106,6 +106,14 @@
     def kill(self, number: int) -> None:
         self.net.cut.add(self.addresses[number])
 
+    def isolate(self, routers: slice) -> None:
+        """Cut some routers off from the registry and from all others."""
+        for number in range(*routers.indices(len(self.addresses))):
+            self.net.cut.add(self.addresses[number])
+
+    def reconnect(self) -> None:
+        self.net.cut.clear()
+
     def record_versions(self, versions: list[str]) -> None:
         """Have the registry list these versions of the service."""
         key = f'own/software/{SERVICE}'
@@ -404,3 +412,33 @@
         assert await fleet.find(1, 'a') == ''
 
     run(2, ['v0'], check)
+
+
+# Guards against streams of two versions: a router that is cut off misses the versions that join.
+@pytest.mark.parametrize('seconds', [0.05, 1.3, 2.9])
+def test_isolated_router_does_not_take_its_state_for_complete(seconds: float) -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.mark_watched()
+        fleet.isolate(slice(0, 1))
+        await asyncio.sleep(seconds)
+        fleet.add_replica('new', 'v1', routers=slice(1, None))
+        fleet.begin(1, 'stream', 'v1')
+        assert await fleet.find(0, 'stream') == ''
+        fleet.reconnect()
+        assert await fleet.find(0, 'stream') == 'v1'
+
+    run(4, ['v0'], check)
+
+
+# Guards against a few routers that are cut off together and confirm each other's old state.
+def test_minority_of_routers_does_not_infer_an_origin() -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.mark_watched()
+        fleet.isolate(slice(2, None))
+        await asyncio.sleep(LONG)
+        fleet.mark_watched()
+        fleet.send_beats(slice(0, 2))
+        fleet.add_replica('new', 'v1', routers=slice(2, None))
+        assert await fleet.find(0, 'stream') == ''
+
+    run(4, ['v0'], check)
