Logs: peers asked for a stream's origin, and whether the state of the registry was confirmed since

A router out of step couldn't be told apart from one that is between two proofs of the registry's state: the log had the state's age and the number of answers, but neither how many peers were asked nor whether a call that began after the resumption had confirmed the state.

--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -124,6 +124,7 @@
         found, source = self._find_certain(stream, asked_at), 'record'
         if found is None:
             found, source = self._check(stream, self._records.find(stream), asked_at), 'registry'
+        asked: list[str] = []
         responses: list[messages.OriginResponse] = []
         if found is None:
             lifetime = _compute_lifetime(seconds)
@@ -142,9 +143,11 @@
                 'service': service,
                 'software': found.software if found else '',
                 'source': source if found else '',
+                'asked': len(asked),
                 'answers': len(responses),
                 'seconds': round(clocks.now() - asked_at, 4),
                 'registry_age': round(self._registry_state.freshness.compute_age(asked_at), 3),
+                'proved': self._registry_state.freshness.proved_at >= asked_at,
             },
         )
         return found
