--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -249,10 +249,11 @@
 class FreshnessProof(Message, tag='pr'):
     """Proof of freshness: no change older than `age` seconds has a revision above `revision`.
 
-    `sent_at` and `since`, a revision, are those of the request. `items` are all changes after
-    `since` up to `known_revision`, or all items if `is_full` is set. `awaited` lists the replicas
-    whose entries have disappeared but may come back, with the seconds for which the sender waits.
-    `configuration` is a newer one than the receiver's that the registry has lost, if there is any.
+    The age is that at the time of the request, or greater. `sent_at` and `since`, a revision, are
+    those of the request. `items` are all changes after `since` up to `known_revision`, or all items
+    if `is_full` is set. `awaited` lists the replicas whose entries have disappeared but may come
+    back, with the seconds for which the sender waits. `configuration` is a newer one than the
+    receiver's that the registry has lost, if there is any.
     """
 
     sent_at: float
@@ -267,6 +268,20 @@
     configuration: bytes
 
 
+class ProofRequest(Message, tag='pn'):
+    """Asks for a proof from a call to the registry that begins after the request has arrived."""
+
+    id: str
+    request: FreshnessRequest
+
+
+class ProofResponse(Message, tag='pf'):
+    """The response to `ProofRequest`; the proof is older if the registry didn't answer in time."""
+
+    id: str
+    proof: FreshnessProof
+
+
 class PlacedPrompts(Message, tag='pl'):
     """Prompts sent to replicas: name, start, weight version, blocks, block ends in tokens."""
 
@@ -471,6 +486,8 @@
     | ExplainResponse
     | FreshnessRequest
     | FreshnessProof
+    | ProofRequest
+    | ProofResponse
     | PlacedPrompts
     | CacheStoreChanges
     | ReplicaUnresponsive
--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -17,7 +17,7 @@
 from passpier import clocks
 from passpier.core import hash_ring, members, stream_origins
 from passpier.daemon import messages, peers
-from passpier.routing import origin_records, registry_mirror, version_records
+from passpier.routing import origin_records, registry_mirror, state_proofs, version_records
 
 log = logging.getLogger(__name__)
 
@@ -42,10 +42,6 @@
 EXPIRY_INTERVAL = 5.0
 """Seconds between rounds in which expired records are dropped."""
 
-MAX_STATE_AGE = 3.0
-"""Maximum age in seconds of the registry's state for an inference without peers. A router that is
-cut off doesn't learn of new versions."""
-
 
 class OriginSharing:
     """Records the origins of streams, here and at peers."""
@@ -57,7 +53,9 @@
         link: peers.Peers,
         records: origin_records.OriginRecords,
         versions: version_records.VersionRecords,
+        prover: state_proofs.Prover,
     ) -> None:
+        self._prover = prover
         self._records = records
         self._versions = versions
         self.own = stream_origins.OriginTable()
@@ -133,7 +131,7 @@
             responses = await self._ask(asked, stream, service, lifetime)
             named = next((r.origin for r in responses if r.origin), None)
             found, source = self._check(stream, named, clocks.now()), 'peer'
-            if found is None and self._is_current(len(asked), len(responses)):
+            if found is None and await self._is_in_step(asked_at, len(responses)):
                 sightings = [self._see(service, lifetime), *(r.sighting for r in responses)]
                 found, source = _infer(service, sightings), 'only version'
         log.info(
@@ -269,10 +267,17 @@
             del self._asked[id]
         return responses
 
-    def _is_current(self, asked: int, answered: int) -> bool:
-        """Return whether all versions are known that streams may have begun at."""
-        age = self._registry_state.freshness.compute_age(clocks.now())
-        return age <= MAX_STATE_AGE or (answered > 0 and 2 * answered >= asked)
+    async def _is_in_step(self, asked_at: float, answered: int) -> bool:
+        """Return whether all versions are known that a stream may have begun at before `asked_at`.
+
+        Without the registry, most routers have to agree: one of them began the stream.
+        """
+        if await self._prover.prove(asked_at):
+            return True
+        others = len(self._membership.list_known()) - 1
+        return 2 * answered > min(others, PEERS_ASKED) and self._membership.is_majority_alive(
+            clocks.now()
+        )
 
     def _see(self, service: str, lifetime: float) -> stream_origins.Sighting:
         since = clocks.now() - lifetime
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -108,7 +108,7 @@
         """The configured services; replicas of any other service are not used."""
 
         self.observed_since = math.inf
-        """When this process first knew the configuration and the replicas."""
+        """The time from which on this process has seen all replicas, also those that have gone."""
 
         self._version_histories: dict[str, stream_origins.VersionHistory] = collections.defaultdict(
             stream_origins.VersionHistory
@@ -132,6 +132,10 @@
         for entry in self._entries.values():
             self._apply_service(entry)
 
+    def note_gap(self, now: float) -> None:
+        """Record that replicas may have come and gone unseen before `now`."""
+        self.observed_since = max(self.observed_since, now)
+
     def apply_change(self, change: catalogue.Change, unchanged_at: float = float('-inf')) -> None:
         """Apply the addition, update, restart or removal of a replica.
 
--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -56,6 +56,9 @@
         self._configuration: registry.Item | None = None
         """The record of the configuration in force."""
 
+        self._complete_from = float('-inf')
+        """The time from which on a proof covers what the registry lacked after its last return."""
+
         self._is_configuration_lost = False
         """Whether the registry returned from a copy that has an older configuration."""
 
@@ -159,6 +162,17 @@
         """Return whether a configuration is known, without which requests can't be routed."""
         return self.table is not None
 
+    def is_complete(self, at: float) -> bool:
+        """Return whether all that replicas had written by a point in time is certainly known."""
+        return self.freshness.proved_at >= max(at, self._complete_from)
+
+    def may_become_complete(self, now: float) -> bool:
+        """Return whether a proof that begins now would make the state complete.
+
+        After a return of the registry from an older copy, replicas first write again what it lacks.
+        """
+        return self.is_ready() and now >= self._complete_from
+
     def expire(self, now: float) -> None:
         """Drop replicas whose vanished entries have not come back in time."""
         for change in self.catalogue.expire(now):
@@ -184,6 +198,7 @@
         self.on_return()
         self.catalogue.note_return(now)
         self.freshness.note_return(now)
+        self._complete_from = now + catalogue.RETURN_GRACE
 
     def _apply_all(
         self,
@@ -192,6 +207,8 @@
         now: float,
         awaited: Mapping[str, float] | None = None,
     ) -> None:
+        if registry.NO_REVISION < self.revision < revision:
+            self.pools.note_gap(now)
         if revision.timeline > self.revision.timeline:
             self._enter_timeline(revision, now)
             # A peer awaits only replicas that it knew.
--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -61,6 +61,9 @@
         self._rng = rng
         self._spread = rng.uniform(0, FALLBACK_SPREAD)
         self._rounds = 0
+        self._turn = 0
+        """Counts the queries to readers, which are asked in rotation."""
+
         self._reads = True
         link.register_handler(messages.FreshnessRequest, self._handle_freshness_request)
         link.register_handler(messages.FreshnessProof, self._handle_freshness_proof)
@@ -110,12 +113,9 @@
         """Send the queries of one round."""
         self._rounds += 1
         addresses = set()
-        chosen = self._choose_readers(now)
-        if self._membership.own not in chosen:
-            # A different reader each time: some may be isolated without having noticed yet.
-            reader = readers.pick_reader(self._membership.own, chosen, self._rounds)
-            if reader is not None:
-                addresses.add(reader.peer)
+        reader = None if self.is_reader(now) else self.choose_reader(now)
+        if reader is not None:
+            addresses.add(reader)
         if self._rounds % RANDOM_QUERY_ROUNDS == 0:
             addresses |= {m.peer for m in self._membership.choose_targets(self._rng, 1)}
         state = self._registry_state
@@ -123,10 +123,24 @@
             # Those that know the time may be leaving, and others may have ended unnoticed.
             asked = self._membership.choose_targets(self._rng, PEERS_ASKED_FOR_TIMES)
             addresses |= {m.peer for m in asked}
-        query = messages.FreshnessRequest(
+        self._peers.send_all(addresses, self.build_request(now))
+
+    def choose_reader(self, now: float) -> str | None:
+        """Return the address of another reader to ask; none if there is no other.
+
+        It is a different one each time: some may be isolated without having noticed yet.
+        """
+        self._turn += 1
+        chosen = self._choose_readers(now)
+        reader = readers.pick_reader(self._membership.own, chosen, self._turn)
+        return reader.peer if reader is not None else None
+
+    def build_request(self, now: float) -> messages.FreshnessRequest:
+        """Return a request for the changes that this process lacks."""
+        state = self._registry_state
+        return messages.FreshnessRequest(
             now, state.revision, not state.is_ready(), state.configuration_version
         )
-        self._peers.send_all(addresses, query)
 
     def _choose_readers(self, now: float) -> list[members.Member]:
         # If no process serves, as after a return of the registry, some still have to read.
@@ -136,6 +150,10 @@
     def _handle_freshness_request(
         self, sender: str, address: str, message: messages.FreshnessRequest
     ) -> None:
+        self._peers.send(address, self.build_proof(message))
+
+    def build_proof(self, message: messages.FreshnessRequest) -> messages.FreshnessProof:
+        """Return the changes that a peer lacks and the age of the state here."""
         now = clocks.now()
         state = self._registry_state
         weights = [export_releases(m, n, now) for m, n in state.pools.releases.items()]
@@ -145,7 +163,7 @@
         if state.revision > message.revision and (not is_empty or message.wants_all):
             changes = state.export_since(message.revision)
         lost = state.export_lost_configuration(message.configuration_version)
-        proof = messages.FreshnessProof(
+        return messages.FreshnessProof(
             message.sent_at,
             state.changed_at,
             state.freshness.compute_age(now),
@@ -157,11 +175,14 @@
             encode_items(changes.items),
             encode_items((lost,) if lost is not None else ()),
         )
-        self._peers.send(address, proof)
 
     def _handle_freshness_proof(
         self, sender: str, address: str, message: messages.FreshnessProof
     ) -> None:
+        self.apply_proof(message)
+
+    def apply_proof(self, message: messages.FreshnessProof) -> None:
+        """Apply a peer's changes, and the time at which its state was complete."""
         now = clocks.now()
         state = self._registry_state
         if message.items or message.is_full:
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -55,6 +55,7 @@
     rollouts,
     roster,
     sources,
+    state_proofs,
     throttling,
     tunnel_server,
     version_records,
@@ -211,12 +212,16 @@
         self.limiter = rate_limiting.RateLimiter(
             self.registry_state, membership, self.peers, options.rate_tolerance, rng
         )
+        proofs = state_proofs.StateProofs(
+            adapter.source, self.registry_state, self.relay, self.peers
+        )
         self.origins = origin_sharing.OriginSharing(
             self.registry_state,
             membership,
             self.peers,
             origin_records.OriginRecords(adapter.source, self.registry_state, membership),
-            version_records.VersionRecords(adapter.source, self.registry_state, membership),
+            version_records.VersionRecords(adapter.source, self.registry_state, membership, proofs),
+            proofs,
         )
         self.throttling = throttling.Throttling(
             self.pools, membership, self.peers, self.roster.notify_serving, rng
--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -26,6 +26,24 @@
 """Seconds after which a router has seen all versions that a stream may have begun at."""
 
 
+class Prover:
+    """Confirms the state of a router that reaches the registry."""
+
+    def __init__(self, fleet: Fleet, address: str, state: registry_mirror.RegistryState) -> None:
+        self.fleet = fleet
+        self.address = address
+        self.state = state
+
+    async def prove(self, since: float) -> bool:
+        await asyncio.sleep(0.01)
+        if self.fleet.is_registry_away or self.address in self.fleet.net.cut:
+            return False
+        for change in self.fleet.recorded:
+            self.state.pools.apply_change(change)
+        self.state.freshness.prove(clocks.now())
+        return True
+
+
 class Fleet:
     """Routers in several failure domains, each with its own view of the replicas."""
 
@@ -38,6 +56,10 @@
         self.memberships: list[members.Membership] = []
         self.addresses: list[str] = []
         self.beats = 1
+        self.is_registry_away = False
+        self.recorded: list[catalogue.Change] = []
+        """The entries in the registry that only some routers have been told of."""
+
         fleet = [
             members.Member(f'vm-{n}', f'{n:05x}', '10.0.0.1', n, n, f'd{n % 4}')
             for n in range(count)
@@ -56,9 +78,12 @@
             self.states.append(state)
             source = cast(registry.Registry, self.registry)
             records = origin_records.OriginRecords(source, state, membership)
+            prover = Prover(self, own.peer, state)
             version_state = version_records.VersionRecords(source, state, membership)
             self.sharing.append(
-                origin_sharing.OriginSharing(state, membership, link, records, version_state)
+                origin_sharing.OriginSharing(
+                    state, membership, link, records, version_state, prover
+                )
             )
             self.addresses.append(own.peer)
         self.send_beats()
@@ -88,8 +113,11 @@
         entry = catalogue.Entry(
             id, SERVICE, f'{id}:1', 'd0', 8, False, {}, started_ms, software=version
         )
+        change = catalogue.Change(id, entry, 'recorded')
         for state in self.states[routers]:
-            state.pools.apply_change(catalogue.Change(id, entry, 'recorded'), unchanged_at)
+            state.pools.apply_change(change, unchanged_at)
+        if len(self.states[routers]) < len(self.states):
+            self.recorded.append(change)
 
     def remove_replica(self, id: str) -> None:
         for state in self.states:
@@ -112,7 +140,9 @@
             self.net.cut.add(self.addresses[number])
 
     def reconnect(self) -> None:
+        """End all cuts, and let the routers hear of each other."""
         self.net.cut.clear()
+        self.send_beats()
 
     def record_versions(self, versions: list[str]) -> None:
         """Have the registry list these versions of the service."""
@@ -209,7 +239,8 @@
 def test_isolated_router_does_not_infer_an_origin() -> None:
     async def check(fleet: Fleet) -> None:
         fleet.mark_watched()
-        await asyncio.sleep(origin_sharing.MAX_STATE_AGE + 0.1)
+        fleet.is_registry_away = True
+        await asyncio.sleep(3.1)
         assert await fleet.find(0, 'stream') == ''
         fleet.send_beats()
         assert await fleet.find(0, 'stream') == 'v0'
@@ -435,6 +466,7 @@
     async def check(fleet: Fleet) -> None:
         fleet.mark_watched()
         fleet.isolate(slice(2, None))
+        fleet.is_registry_away = True
         await asyncio.sleep(LONG)
         fleet.mark_watched()
         fleet.send_beats(slice(0, 2))
