Streams: a router that is behind leaves no version out of a service's record

The record of a service's versions says which ones streams may have begun at. A router narrowed it, or wrote the first one, by what it had seen, though it might not have heard of the newest version yet; the condition on the record's revision notices only what other routers wrote. Such a write now needs a proof of the registry's state first; a write that only adds versions doesn't.

--- a/passpier/routing/version_records.py
+++ b/passpier/routing/version_records.py
@@ -15,7 +15,7 @@
 from passpier import clocks, exceptions
 from passpier.clients import registry
 from passpier.core import hash_ring, members
-from passpier.routing import registry_mirror
+from passpier.routing import registry_mirror, state_proofs
 
 log = logging.getLogger(__name__)
 
@@ -38,7 +38,9 @@
         source: registry.Registry,
         registry_state: registry_mirror.RegistryState,
         membership: members.Membership,
+        prover: state_proofs.Prover,
     ) -> None:
+        self._prover = prover
         self._source = source
         self._registry_state = registry_state
         self._pools = registry_state.pools
@@ -81,7 +83,22 @@
                 self._outdated_since.pop(service, None)
             elif self._is_due(service, now):
                 self._tried_at[service] = now
-                await self._write_versions(service, versions)
+                await self._update(service, lifetime)
+
+    async def _update(self, service: str, lifetime: float) -> None:
+        """Update the record of a service.
+
+        To record only some versions is to claim that there was no other one. This router may not
+        have heard of the newest yet.
+        """
+        now = clocks.now()
+        recorded = self.get_versions(service)
+        versions = self._list_wanted(service, lifetime, now)
+        if not recorded or not versions >= recorded:
+            if not await self._prover.prove(now):
+                return
+            versions = self._list_wanted(service, lifetime, now)
+        await self._write_versions(service, versions)
 
     def _list_wanted(self, service: str, lifetime: float, now: float) -> frozenset[str]:
         """Return the versions that streams of a service may have begun at."""
--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -79,7 +79,7 @@
             source = cast(registry.Registry, self.registry)
             records = origin_records.OriginRecords(source, state, membership)
             prover = Prover(self, own.peer, state)
-            version_state = version_records.VersionRecords(source, state, membership)
+            version_state = version_records.VersionRecords(source, state, membership, prover)
             self.sharing.append(
                 origin_sharing.OriginSharing(
                     state, membership, link, records, version_state, prover
--- a/passpier/tests/routing/version_records_tests.py
+++ b/passpier/tests/routing/version_records_tests.py
@@ -35,9 +35,20 @@
             cast(registry.Registry, source),
             self.state,
             members.Membership(own, 0.5, clocks.now()),
+            self,
         )
+        self.is_isolated = False
+        self.missed: list[tuple[str, str]] = []
+        """Replicas in the registry that this router doesn't know yet, with their versions."""
+
         self.records.note_stream(SERVICE, LIFETIME)
 
+    async def prove(self, since: float) -> bool:
+        """Catch up with the registry."""
+        while self.missed and not self.is_isolated:
+            self.add_replica(*self.missed.pop())
+        return not self.is_isolated
+
     def add_replica(self, id: str, version: str) -> None:
         entry = catalogue.Entry(id, SERVICE, f'{id}:1', 'd0', 8, False, {}, software=version)
         self.state.pools.apply_change(catalogue.Change(id, entry, 'recorded'))
@@ -159,3 +170,24 @@
         assert first.records.find_only_version(SERVICE) == 'v1'
 
     play(check)
+
+
+# Guards against a record that lacks a version because its writer hasn't heard of it yet.
+@pytest.mark.parametrize('is_isolated', [False, True])
+@pytest.mark.parametrize('has_record', [False, True])
+def test_router_that_is_behind_does_not_leave_out_a_version(
+    is_isolated: bool, has_record: bool
+) -> None:
+    async def check(source: fleets.LeaseRegistry, first: Router) -> None:
+        if has_record:
+            first.add_replica('r2', 'v2')
+            await first.run(LIFETIME + 1.0)
+            first.remove_replica('r2')
+        await first.run(LIFETIME - 0.5)
+        first.is_isolated = is_isolated
+        first.missed.append(('r3', 'v2'))
+        await first.run(2.0)
+        versions = first.records.get_versions(SERVICE)
+        assert versions == ({'v1', 'v2'} if has_record or not is_isolated else frozenset())
+
+    play(check)
