Streams: a record whose process has gone is used only by a router in step

A router out of step holds records of streams that their author has withdrawn since, because a successor of the replica's process, with another version, had begun them. If that replica has gone as well, so that it can't be asked, the router continued the stream at the recorded version. It now has to prove its state of the registry, or reach most peers, before it uses such a record.

The test, a cut router that missed both the replica's restart and the withdrawal, failed before: the client got the rest of the stream from the version before.

--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -131,7 +131,7 @@
             responses = await self._ask(asked, stream, service, lifetime)
             named = next((r.origin for r in responses if r.origin), None)
             found, source = self._check(stream, named, clocks.now()), 'peer'
-            if found is None and await self._is_in_step(asked_at, len(responses)):
+            if found is None and await self._is_complete(asked_at, len(responses)):
                 sightings = [self._see(service, lifetime), *(r.sighting for r in responses)]
                 found, source = _infer(service, sightings), 'only version'
         log.info(
@@ -150,6 +150,16 @@
         )
         return found
 
+    async def confirm(self, stream: str, service: str, seconds: float) -> bool:
+        """Return whether this router is in step, so that it knows if a record was withdrawn."""
+        asked_at = clocks.now()
+        if await self._prover.prove(asked_at):
+            return True
+        asked = self._choose_peers(stream, self._membership.list_alive(asked_at), PEERS_ASKED)
+        lifetime = _compute_lifetime(seconds)
+        responses = await self._ask(asked, stream, service, lifetime, wants_all=True)
+        return self._is_agreed(len(responses))
+
     async def run(self) -> None:
         """Tell peers of the streams of services that get a second version, until cancelled."""
         expired_at = clocks.now()
@@ -246,9 +256,14 @@
         return [others[name].peer for name in hash_ring.find_nearest(stream, domains, count)]
 
     async def _ask(
-        self, asked: Sequence[str], stream: str, service: str, lifetime: float
+        self,
+        asked: Sequence[str],
+        stream: str,
+        service: str,
+        lifetime: float,
+        wants_all: bool = False,
     ) -> list[messages.OriginResponse]:
-        """Return the responses of peers, up to the first that knows the origin."""
+        """Return the responses of peers, up to the first that knows the origin or all of them."""
         id = str(next(self._numbers))
         received: asyncio.Queue[messages.OriginResponse] = asyncio.Queue()
         self._asked[id] = received
@@ -258,7 +273,7 @@
             async with asyncio.timeout(ASK_SECONDS):
                 while len(responses) < len(asked):
                     responses.append(await received.get())
-                    if responses[-1].origin is not None:
+                    if responses[-1].origin is not None and not wants_all:
                         break
         except TimeoutError:
             fields = {'stream': stream, 'asked': len(asked), 'answers': len(responses)}
@@ -267,17 +282,18 @@
             del self._asked[id]
         return responses
 
-    async def _is_in_step(self, asked_at: float, answered: int) -> bool:
+    async def _is_complete(self, asked_at: float, answered: int) -> bool:
         """Return whether all versions are known that a stream may have begun at before `asked_at`.
 
         Without the registry, most routers have to agree: one of them began the stream.
         """
-        if await self._prover.prove(asked_at):
-            return True
+        return await self._prover.prove(asked_at) or self._is_agreed(answered)
+
+    def _is_agreed(self, answered: int) -> bool:
+        """Return whether enough peers answered to take this router for one of the majority."""
         others = len(self._membership.list_known()) - 1
-        return 2 * answered > min(others, PEERS_ASKED) and self._membership.is_majority_alive(
-            clocks.now()
-        )
+        is_answered = 2 * answered > min(others, PEERS_ASKED)
+        return is_answered and self._membership.is_majority_alive(clocks.now())
 
     def _see(self, service: str, lifetime: float) -> stream_origins.Sighting:
         since = clocks.now() - lifetime
--- a/passpier/routing/stream_binding.py
+++ b/passpier/routing/stream_binding.py
@@ -57,8 +57,9 @@
         """Bind a stream that the client resumes; return false if it can't go on."""
         origin = await self._look_up_origin()
         if origin is not None and origin.started_ms and not await self._runs(origin.process):
-            # The replica's own report may have told of a restart that was unknown.
-            origin = await self._look_up_origin()
+            # A restart that was unknown may be known by now, from the replica's own report or from
+            # the registry.
+            origin = await self._look_up_origin() if await self._is_in_step() else None
         if origin is None or origin.service != self._call.service.pool:
             return False
         self._call.software = origin.software
@@ -70,6 +71,12 @@
             admitted.stream, self._call.service.pool, admitted.stream_seconds
         )
 
+    async def _is_in_step(self) -> bool:
+        admitted = self._admitted
+        return await self._origins.confirm(
+            admitted.stream, self._call.service.pool, admitted.stream_seconds
+        )
+
     async def _runs(self, process: replica_processes.ReplicaProcess) -> bool:
         """Return whether a process certainly still runs, by its own report."""
         if self._prober.is_unresponsive(process.id):
--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -15,7 +15,13 @@
 
 from passpier import clocks
 from passpier.platform import names
-from passpier.standins.platform import deployment, replica, routers, stream_clients
+from passpier.standins.platform import (
+    deployment,
+    partitions,
+    replica,
+    routers,
+    stream_clients,
+)
 from passpier.tests.platform import harness
 
 log = logging.getLogger(__name__)
@@ -320,6 +326,28 @@
     harness.run_check(check, routers=2)
 
 
+# Guards against records that were withdrawn while the router that holds them was out of step.
+def test_record_that_was_withdrawn_unheard_is_not_used() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
+        first = await restart_unnoticed(running)
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        await stream.read(running, get_address(running, 0), stop_after=3)
+        cut = running.routers[1]
+        await harness.wait_for(lambda: len(cut.origins.held) >= 1)
+        running.router_pools['vm-1'].cut_off([running.store_address], partitions.Cut.RESET)
+        cut.peers.blocked |= {r.peers.address for r in running.routers}
+        running.faults.down = False
+        running.write_entry(first.id)
+        known = running.routers[0].pools
+        await harness.wait_for(lambda: known.get(first.id).software == 'v1.1')
+        running.crash_replica(first.id)
+        assert not await stream.read(running, get_address(running, 1))
+        assert stream.versions == {'v1.1'}
+
+    harness.run_check(check, routers=4)
+
+
 # Guards against routers that continue a stream elsewhere without asking who has begun it.
 def test_stream_that_a_successor_began_unnoticed_is_not_continued_elsewhere() -> None:
     async def check(running: deployment.Deployment) -> None:
