Relay: proofs that an earlier process at the same address asked for are ignored

Messages wait for a peer that restarts. A proof counts from the time at which it was asked for, by the clock of the process that asked. That clock begins again when a VM starts, so that a proof that an earlier process had asked for could lie in the future and make the state of the registry count as current for hours: revoked keys would pass, and a stream's version be inferred.

A proof now counts only if it was asked for between the start of this process and now. Left: a VM that had been up for as short a time before.

--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -61,6 +61,7 @@
         self._rng = rng
         self._spread = rng.uniform(0, FALLBACK_SPREAD)
         self._rounds = 0
+        self._started_at = clocks.now()
         self._turn = 0
         """Counts the queries to readers, which are asked in rotation."""
 
@@ -184,6 +185,9 @@
     def apply_proof(self, message: messages.FreshnessProof) -> None:
         """Apply a peer's changes, and the time at which its state was complete."""
         now = clocks.now()
+        if not self._started_at <= message.sent_at <= now:
+            # An earlier process at this address sent the request, perhaps before the VM started.
+            return
         state = self._registry_state
         if message.items or message.is_full:
             changes = history.ChangeSet(decode_items(message.items), message.is_full)
--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -264,3 +264,25 @@
         assert known.freshness.proved_at == proved_at
 
     fleets.run_fleet(4, 6, check)
+
+
+# Guards against proofs for an earlier process at the same address: peers' messages wait for it, and
+# the clock begins again when a VM does.
+@pytest.mark.parametrize('offset', [1000.0, -5.0])
+def test_proof_that_an_earlier_process_asked_for_is_ignored(offset: float) -> None:
+    async def check(fleet: fleets.Fleet) -> None:
+        await asyncio.sleep(5.0)
+        fleet.restart(0)
+        await asyncio.sleep(1.0)
+        process = fleet.processes[0]
+        proved_at = process.known.freshness.proved_at
+        request = process.relay.build_request(clocks.now() + offset)
+        process.known.freshness.proved_at = float('-inf')
+        process.relay.apply_proof(fleet.processes[1].relay.build_proof(request))
+        assert process.known.freshness.proved_at == float('-inf')
+        process.relay.apply_proof(
+            fleet.processes[1].relay.build_proof(process.relay.build_request(clocks.now()))
+        )
+        assert process.known.freshness.proved_at > proved_at - 5.0
+
+    fleets.run_fleet(8, 1, check)
