Tests: streams that are resumed at a router that is out of step

A router that is cut off from the registry and from its peers in both directions does not learn of a version that joins meanwhile. It takes a view of up to three seconds for complete and continues streams of the new version at the old one.

The test cuts one of four routers off, lets replicas of a second version join, breaks off the streams that begin there through the other routers, and resumes these at the router that is cut off. It states how many resumptions met the router without knowledge of the version. Cuts from the registry alone and from the peers alone pass, since either link tells the router of the version. Two further tests guard against refusing too much: streams go on once the router is in step again, and those of an only version go on after their router was killed.

`Deployment.isolate` cuts a router off, `Deployment.rejoin` ends that.

--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -216,6 +216,19 @@
         addresses = [self.replicas[id].address for id in replica_ids]
         self.router_pools[router].cut_off(addresses, kind)
 
+    def isolate(self, cut: router.Router, registry: bool = True, peers: bool = True) -> None:
+        """Cut a router off from the registry, from its peers in both directions, or from both."""
+        if registry:
+            pool = self.router_pools[cut.options.name]
+            pool.cut_off([self.store_address], partitions.Cut.HANG)
+        if peers:
+            cut.peers.blocked |= {r.peers.address for r in self.routers if r is not cut}
+
+    def rejoin(self, cut: router.Router) -> None:
+        """End all partitions of a router."""
+        self.router_pools[cut.options.name].heal()
+        cut.peers.blocked.clear()
+
     def add_router(self, name: str, zone: str, **changes: Any) -> router.Router:
         """Start a router."""
         pool = self.router_pools[name] = partitions.PartitionedPool([self.store_address])
--- /dev/null
+++ b/passpier/tests/platform/out_of_step_tests.py
@@ -0,0 +1,218 @@
+"""Streams that are resumed at a router whose view of the registry is behind.
+
+Guards against streams of two software versions: a router that is cut off from the registry and its
+peers doesn't learn of a version that joins meanwhile, and must not infer that there is none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Sequence
+
+import pytest
+
+from passpier import clocks
+from passpier.platform import names
+from passpier.routing import router
+from passpier.standins.platform import deployment, replica, stream_clients
+from passpier.tests.platform import harness
+
+log = logging.getLogger(__name__)
+
+SERVICE = 'llm'
+EVENT_COUNT = 40
+EVENT_PAUSE = 0.05
+
+JOIN_DELAY = 0.1
+"""Seconds from the start of a partition until replicas of the new version join."""
+
+LOAD_SECONDS = 0.8
+"""Seconds before the crash in which streams begin."""
+
+STREAM_COUNT = 60
+
+RESUME_DELAY = 0.05
+"""Seconds from the crash until the clients resume their streams."""
+
+PROOF_AGE = 0.1
+"""Maximum age in seconds of the registry's state at the start of a partition, so that the time for
+which it lasts decides how old that state is when streams are resumed."""
+
+MIN_CONTINUED_SHARE = 0.5
+"""Share of resumed streams that have to go on while replicas of their version serve."""
+
+KEYED_PATH = '/resume/x'
+"""Path of a route whose keys are refused once the registry's state is 1.5 s old."""
+
+PUBLIC_PATH = '/public/x'
+"""Path of a route that needs no key, so that the bound of keys refuses no request."""
+
+
+def add_replica(running: deployment.Deployment, id: str, software: str) -> None:
+    """Have a model replica of a software version, with streams that last for two seconds."""
+    known = running.replicas.get(id)
+    target = known or replica.Replica(id, SERVICE, 'zone-0', deployment.MODEL)
+    target.software = software
+    target.tells_software = True
+    target.event_count = EVENT_COUNT
+    target.event_pause = EVENT_PAUSE
+    if known is None:
+        running.add_replica(target)
+
+
+async def prepare(running: deployment.Deployment) -> None:
+    """Have three replicas of `v1`, streams at all routers, and a record of the only version.
+
+    Routers write such a record only after as long as streams last.
+    """
+    routes = running.configuration['routes']
+    resumable = next(r for r in routes if r['name'] == 'resume')
+    public = {**resumable, 'name': 'public', 'path_prefix': '/public/', 'public': True}
+    running.configure(routes=[*routes, public])
+    for number in range(3):
+        add_replica(running, f'llm-{number}', 'v1')
+    await running.wait_ready()
+    early = build_streams('early', len(running.routers), KEYED_PATH)
+    addresses = [r.options.caller for r in running.routers]
+    await asyncio.gather(*(s.read(running, a, 1) for s, a in zip(early, addresses, strict=True)))
+    key = f'{names.OWN_PREFIX}software/{SERVICE}'
+    running.store.put(key, ['v1'])
+    await harness.wait_for(lambda: all(key in r.registry_state.members for r in running.routers))
+
+
+def build_streams(prefix: str, count: int, path: str) -> list[stream_clients.Stream]:
+    """Return streams that are yet to be read."""
+    rng = random.Random(prefix)
+    prompts = [deployment.make_prompt(rng) for _ in range(count)]
+    return [stream_clients.Stream(f'{prefix}{n}', p, path=path) for n, p in enumerate(prompts)]
+
+
+async def isolate(running: deployment.Deployment, cut: router.Router, kind: str) -> None:
+    """Cut a router off right after it has proved its view of the registry."""
+    freshness = cut.registry_state.freshness
+    await harness.wait_for(lambda: freshness.compute_age(clocks.now()) < PROOF_AGE)
+    running.isolate(cut, registry=kind != 'peers', peers=kind != 'registry')
+
+
+async def begin_streams(
+    running: deployment.Deployment, others: Sequence[router.Router], path: str, ends_at: float
+) -> list[stream_clients.Stream]:
+    """Read streams through routers until `ends_at`; return those of `v2`, whose clients left."""
+    await asyncio.sleep(ends_at - LOAD_SECONDS - clocks.now())
+    streams = build_streams('s', STREAM_COUNT, path)
+    pending = []
+    for number, stream in enumerate(streams):
+        address = others[number % len(others)].options.caller
+        pending.append(asyncio.ensure_future(stream.read(running, address)))
+        await asyncio.sleep(LOAD_SECONDS / STREAM_COUNT)
+    for task in pending:
+        task.cancel()
+    await asyncio.gather(*pending, return_exceptions=True)
+    return [s for s in streams if s.versions == {'v2'}]
+
+
+def lacks_version(cut: router.Router) -> bool:
+    """Return whether a router knows of no replica of `v2`."""
+    return 'v2' not in cut.pools.list_versions(SERVICE, 0.0)
+
+
+async def resume(
+    running: deployment.Deployment,
+    at: router.Router,
+    streams: Sequence[stream_clients.Stream],
+) -> int:
+    """Resume streams at a router; return how many found it without knowledge of `v2`."""
+    await asyncio.sleep(RESUME_DELAY)
+    behind = len(streams) if lacks_version(at) else 0
+    await asyncio.gather(*(s.read(running, at.options.caller) for s in streams))
+    log.info(
+        '%d resumed, %d behind, %d of two versions, %d complete',
+        len(streams), behind, count_mixed(streams), sum(s.is_complete for s in streams),
+    )  # fmt: skip
+    return behind
+
+
+def count_mixed(streams: Sequence[stream_clients.Stream]) -> int:
+    """Return the number of streams with events of several versions."""
+    return sum(len(s.versions) > 1 for s in streams)
+
+
+async def break_off(
+    running: deployment.Deployment, kind: str, path: str, seconds: float, joining: int
+) -> tuple[list[stream_clients.Stream], int]:
+    """Break streams of `v2` off while a router is out of step, and resume them there.
+
+    They are resumed `seconds` after the router was cut off.
+
+    `joining` replicas of `v2` join, of which the first crashes. Returns the streams, and how many
+    of them found the router without knowledge of `v2`.
+    """
+    cut, *others = running.routers
+    await isolate(running, cut, kind)
+    ends_at = clocks.now() + seconds - RESUME_DELAY
+    await asyncio.sleep(JOIN_DELAY)
+    for number in range(joining):
+        add_replica(running, f'new-{number}', 'v2')
+    streams = await begin_streams(running, others, path, ends_at)
+    running.crash_replica('new-0')
+    behind = await resume(running, cut, streams)
+    assert streams
+    return streams, behind
+
+
+# Guards against an inference from a view of the registry that is older than the streams.
+@pytest.mark.parametrize('kind', ['both', 'registry', 'peers'])
+@pytest.mark.parametrize(('path', 'seconds'), [(KEYED_PATH, 1.1), (PUBLIC_PATH, 2.4)])
+def test_streams_keep_their_version_at_a_router_that_is_out_of_step(
+    path: str, seconds: float, kind: str
+) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running)
+        streams, behind = await break_off(running, kind, path, seconds, joining=1)
+        # Either link alone tells the router of the new version.
+        assert behind == (len(streams) if kind == 'both' else 0)
+        assert count_mixed(streams) == 0
+
+    harness.run_check(check, routers=4)
+
+
+# Guards against refusing streams for good after a router has been out of step.
+@pytest.mark.parametrize(('path', 'seconds'), [(KEYED_PATH, 1.1), (PUBLIC_PATH, 2.4)])
+def test_streams_go_on_at_a_router_that_is_in_step_again(path: str, seconds: float) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running)
+        streams, behind = await break_off(running, 'both', path, seconds, joining=2)
+        assert behind == len(streams)
+        cut = running.routers[0]
+        running.rejoin(cut)
+        await harness.wait_for(lambda: not lacks_version(cut))
+        left = [s for s in streams if not s.is_complete]
+        assert await resume(running, cut, left) == 0
+        assert count_mixed(streams) == 0
+        assert sum(s.is_complete for s in streams) >= MIN_CONTINUED_SHARE * len(streams)
+
+    harness.run_check(check, routers=4)
+
+
+# Guards against refusing streams of the only version because one of the routers is gone.
+def test_streams_of_the_only_version_go_on_after_their_router_was_killed() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running)
+        first, *others = running.routers
+        streams = build_streams('s', 20, KEYED_PATH)
+        pending = [
+            asyncio.ensure_future(s.read(running, first.options.caller, patience=2.5))
+            for s in streams
+        ]
+        await harness.wait_for(lambda: all(s.events for s in streams))
+        running.isolate(first)
+        first.force_stop()
+        await asyncio.gather(*pending)
+        assert not any(s.is_complete for s in streams)
+        await resume(running, others[0], streams)
+        assert all(s.is_whole for s in streams)
+        assert sum(s.is_complete for s in streams) >= MIN_CONTINUED_SHARE * len(streams)
+
+    harness.run_check(check, routers=4)
