Roster: a member entry that cannot be decoded ends no router

The roster decodes an entry once per revision, so that an invalid one is logged once instead of at each heartbeat.

--- a/passpier/exceptions.py
+++ b/passpier/exceptions.py
@@ -79,3 +79,7 @@
 
 class ConflictError(PasspierError):
     """A write was rejected because of a concurrent write."""
+
+
+class DecodingError(PasspierError):
+    """Bytes from another process are invalid."""
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -17,6 +17,7 @@
 from passpier.core import entries, members, rates
 from passpier.daemon import messages, peers
 from passpier.routing import dialect, registry_mirror
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +45,15 @@
 
 _KEY = 'members/'
 
+_decoder = decoding.build_json_decoder(members.Member)
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    """A member's entry in the registry; it has no member if it is invalid."""
+
+    revision: registry.Revision
+    member: members.Member | None
+
 
 class Roster:
     """Announces this process and tracks the others."""
@@ -69,6 +79,9 @@
         self._listed: dict[str, str] = {}
         """The names of the registered processes by incarnation."""
 
+        self._entries: dict[str, _Entry] = {}
+        """The entries in the registry by key."""
+
         self._refuses = False
         self._lease: registry.Lease | None = None
         self._departed = False
@@ -150,13 +163,10 @@
     def sync_registry(self, now: float) -> None:
         """Apply the list of processes in the registry."""
         listed = {}
-        for key, item in self._registry_state.members.items():
-            if not key.startswith(self._prefix):
-                continue
-            try:
-                member = msgspec.json.decode(item.data, type=members.Member)
-            except msgspec.MsgspecError as error:
-                log.error('invalid member entry ignored', extra={'key': key, 'error': str(error)})
+        self._entries = self._read_entries()
+        for entry in self._entries.values():
+            member = entry.member
+            if member is None:
                 continue
             listed[member.incarnation] = member.name
             if self.membership.add(member, now, listed=True):
@@ -185,6 +195,17 @@
         addresses = [m.peer for m in targets]
         self._peers.send_all(addresses, heartbeat)
 
+    def _read_entries(self) -> dict[str, _Entry]:
+        """Return the entries in the registry by key; those that are known aren't decoded again."""
+        found = {}
+        for key, item in self._registry_state.members.items():
+            if key.startswith(self._prefix):
+                entry = self._entries.get(key)
+                if entry is None or entry.revision != item.revision:
+                    entry = _decode_entry(item)
+                found[key] = entry
+        return found
+
     def _count_known(self, now: float) -> int:
         """Return the number of VMs with a process that is alive or registered."""
         alive = {member.name for member in self.membership.list_alive(now)}
@@ -236,3 +257,12 @@
     def _handle_goodbye(self, sender: str, address: str, message: messages.Goodbye) -> None:
         self.membership.remove(message.incarnation)
         log.info('member left', extra={'incarnation': message.incarnation})
+
+
+def _decode_entry(item: registry.Item) -> _Entry:
+    try:
+        return _Entry(item.revision, _decoder.decode(item.data))
+    except exceptions.DecodingError as error:
+        fields = {'key': item.key, 'revision': str(item.revision), 'error': str(error)}
+        log.error('invalid member entry ignored', extra=fields)
+        return _Entry(item.revision, None)
