Origins of streams: a record that cannot be decoded leaves no client unanswered

One record of origins with a deeply nested extra field raised RecursionError where a resumed stream was looked up, and its client got no response. The record is now decoded by utils/decoding, and ignored if it is invalid. A start time beyond 2^63 is invalid too, as no message to a peer can hold it.

--- a/passpier/routing/origin_records.py
+++ b/passpier/routing/origin_records.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import logging
+from typing import Annotated
 
 import msgspec
 
@@ -19,6 +20,7 @@
 from passpier.clients import registry
 from passpier.core import members, stream_origins
 from passpier.routing import registry_mirror
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -63,10 +65,10 @@
     replica: str = ''
     """The replica that began them; empty if replicas don't report when they started."""
 
-    started_ms: int = 0
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)] = 0
 
 
-_decoder = msgspec.json.Decoder(list[StreamRecord])
+_decoder = decoding.build_json_decoder(list[StreamRecord])
 
 
 class _Group(msgspec.Struct):
@@ -209,6 +211,6 @@
     """Return the streams of a group; none if the record is invalid."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except exceptions.DecodingError as error:
         log.error('invalid stream origins ignored', extra={'key': key, 'error': str(error)})
         return []
