Records of crashes and software versions: one border decoder

Both caught MsgspecError alone, so that a deeply nested value ended the task that reads crashes, and with it the process, or left the client of a stream without a response. They use utils/decoding. A suspect that is no fingerprint of 64 bits is invalid, as no message to peers can hold it: it would have kept every report of crashes from being sent. The record of versions is decoded once per revision and no longer for each stream, so that an invalid one is logged once.

--- a/passpier/routing/crash_records.py
+++ b/passpier/routing/crash_records.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+from typing import Annotated
 
 import msgspec
 
@@ -18,6 +19,7 @@
 from passpier.core import crashes, fingerprints, replica_processes
 from passpier.daemon import suspects
 from passpier.routing import registry_mirror
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -49,9 +51,17 @@
     """The stored record of one crash."""
 
     replica: str
-    started_ms: int
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
     suspects: list[int]
 
+    def __post_init__(self) -> None:
+        # Peers are told of the fingerprints, and a message can't hold larger ones.
+        if not all(0 <= suspect < 1 << 8 * fingerprints.SIZE for suspect in self.suspects):
+            raise ValueError('a suspect is no fingerprint')
+
+
+_decoder = decoding.build_json_decoder(Record)
+
 
 class _SeenCrash(msgspec.Struct):
     at: float
@@ -270,8 +280,8 @@
 
     def _apply_record(self, key: str, item: registry.Item) -> None:
         try:
-            record = msgspec.json.decode(item.data, type=Record)
-        except msgspec.MsgspecError as error:
+            record = _decoder.decode(item.data)
+        except exceptions.DecodingError as error:
             log.error('invalid crash record ignored', extra={'key': key, 'error': str(error)})
             return
         # The record has no age, since clocks differ; the crash counts as having happened now.
--- a/passpier/routing/version_records.py
+++ b/passpier/routing/version_records.py
@@ -16,6 +16,7 @@
 from passpier.clients import registry
 from passpier.core import hash_ring, members
 from passpier.routing import registry_mirror
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -27,7 +28,7 @@
 
 _KEY = 'software/'
 
-_decoder = msgspec.json.Decoder(frozenset[str])
+_decoder = decoding.build_json_decoder(frozenset[str])
 
 
 class VersionRecords:
@@ -47,6 +48,9 @@
         self._lifetimes: dict[str, float] = {}
         """By service, the longest time for which a stream that began here may be resumed."""
 
+        self._decoded: dict[str, tuple[registry.Revision, frozenset[str]]] = {}
+        """By service, the versions recorded and the revision of their record."""
+
         self._outdated_since: dict[str, float] = {}
         self._tried_at: dict[str, float] = {}
 
@@ -59,13 +63,10 @@
         item = self._get_item(service)
         if item is None:
             return frozenset()
-        try:
-            return _decoder.decode(item.data)
-        except msgspec.MsgspecError as error:
-            log.error(
-                'invalid software record ignored', extra={'key': item.key, 'error': str(error)}
-            )
-            return frozenset()
+        decoded = self._decoded.get(service)
+        if decoded is None or decoded[0] != item.revision:
+            decoded = self._decoded[service] = item.revision, _decode_versions(item)
+        return decoded[1]
 
     def find_only_version(self, service: str) -> str | None:
         """Return the version at which all streams of a service began that no other record has."""
@@ -121,3 +122,13 @@
 
     def _get_key(self, service: str) -> str:
         return self._prefix + service
+
+
+def _decode_versions(item: registry.Item) -> frozenset[str]:
+    """Return the versions of a record; none if it is invalid."""
+    try:
+        return _decoder.decode(item.data)
+    except exceptions.DecodingError as error:
+        fields = {'key': item.key, 'revision': str(item.revision), 'error': str(error)}
+        log.error('invalid software record ignored', extra=fields)
+        return frozenset()
