Members: entries with values that no member can have are invalid

A port out of range, a host that is no unicast IPv4 address, an empty name or a negative capacity passed the decoder. A port of 10^30 then kept a router from sending any list of members, as no message can hold it, and a host name would have been resolved by the thread that sends all messages. An entry under a key that is not of its name replaced the live member of that name. Decoders of registry entries and of messages now refuse such members.

--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Sequence
+from typing import Annotated
 
 import msgspec
 
@@ -42,20 +43,39 @@
 FORGET_SECONDS = 600.0
 """Seconds after which a member that is gone is removed."""
 
+MAX_CAPACITY = 10_000.0
+"""Largest plausible number of CPU cores of a VM; the members with the most read the registry."""
+
+_IPV4_PATTERN = (
+    r'^([1-9][0-9]?|1[0-9]{2}|2[01][0-9]|22[0-3])'
+    r'(\.([0-9]|[1-9][0-9]|1[0-9]{2}|2[0-4][0-9]|25[0-5])){3}\Z'
+)
+"""Unicast addresses. A name would be resolved by the thread that sends all messages to peers."""
+
+MAX_NAME_LENGTH = 1000
+"""Maximum number of characters of a name, which is sent to peers often."""
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+_OptionalPort = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
 
 class Member(msgspec.Struct, frozen=True):
-    """A daemon incarnation and its addresses."""
+    """A daemon incarnation and its addresses; decoders check them, as others may have written it.
 
-    name: str
-    incarnation: str
-    ip: str
-    caller_port: int
-    peer_port: int
-    failure_domain: str
-    capacity: float = 1.0
+    The failure domain may be empty, as it may be in the settings.
+    """
+
+    name: _Name
+    incarnation: _Name
+    ip: Annotated[str, msgspec.Meta(pattern=_IPV4_PATTERN)]
+    caller_port: _Port
+    peer_port: _Port
+    failure_domain: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+    capacity: Annotated[float, msgspec.Meta(ge=0, le=MAX_CAPACITY)] = 1.0
     """CPU cores available to the daemon on its VM."""
 
-    tunnel_port: int = 0
+    tunnel_port: _OptionalPort = 0
     """Port on which it connects members to replicas; 0 if it doesn't."""
 
     @property
--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -43,6 +43,9 @@
 """New entries per second of all processes together after their leases have expired at once, as when
 the registry returns from an older copy; each is two of the writes per second that it grants."""
 
+MAX_LOGGED_NAME = 40
+"""Maximum number of characters of a name in an error message."""
+
 _KEY = 'members/'
 
 _decoder = decoding.build_json_decoder(members.Member)
@@ -202,7 +205,7 @@
             if key.startswith(self._prefix):
                 entry = self._entries.get(key)
                 if entry is None or entry.revision != item.revision:
-                    entry = _decode_entry(item)
+                    entry = _decode_entry(item, key.removeprefix(self._prefix))
                 found[key] = entry
         return found
 
@@ -259,10 +262,14 @@
         log.info('member left', extra={'incarnation': message.incarnation})
 
 
-def _decode_entry(item: registry.Item) -> _Entry:
+def _decode_entry(item: registry.Item, name: str) -> _Entry:
+    """Return the entry under a name; one that has another name would replace that member."""
     try:
-        return _Entry(item.revision, _decoder.decode(item.data))
+        member = _decoder.decode(item.data)
+        if member.name != name:
+            raise exceptions.DecodingError(f'not under the name {member.name[:MAX_LOGGED_NAME]!r}')
     except exceptions.DecodingError as error:
         fields = {'key': item.key, 'revision': str(item.revision), 'error': str(error)}
         log.error('invalid member entry ignored', extra=fields)
         return _Entry(item.revision, None)
+    return _Entry(item.revision, member)
--- a/passpier/tests/routing/roster_tests.py
+++ b/passpier/tests/routing/roster_tests.py
@@ -47,10 +47,18 @@
             raise registry.LeaseExpiredError('expired')
 
 
-def make_roster(number: int, fleet: list[members.Member]) -> roster.Roster:
+def make_state() -> registry_mirror.RegistryState:
+    return registry_mirror.RegistryState(fleets.Records(), pools.Pools(10.0), 5.0)
+
+
+def make_roster(
+    number: int,
+    fleet: list[members.Member],
+    state: registry_mirror.RegistryState | None = None,
+) -> roster.Roster:
     rng = random.Random(number)
     link = network.Network(rng).connect(fleet[number])
-    state = registry_mirror.RegistryState(fleets.Records(), pools.Pools(10.0), 5.0)
+    state = state or make_state()
     made = roster.Roster(fleet[number], state, cast(peers.Peers, link), rates.Meter(0.0), rng)
     for member in fleet:
         made.membership.add(member, clocks.now())
