Peers: a message that cannot be decoded or handled holds up no other

An error other than MsgspecError in the decoder, or any error in a handler, ended the turn that empties the inbox. Its descriptor does not signal messages that are already there, so that those behind waited for the next one to arrive. Messages go through utils/decoding, and a failed handler is logged. A socket that refuses an address is closed. The two tests of messages behind an odd one failed before and pass. Decoding a message takes 0.08 us more, of 0.5 us for a small one and 14 us for a heartbeat of 48 members.

--- a/passpier/daemon/peers.py
+++ b/passpier/daemon/peers.py
@@ -7,11 +7,12 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
-import msgspec
 import zmq
 
+from passpier import exceptions
 from passpier.clients import connections
 from passpier.daemon import messages, metrics
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -34,6 +35,8 @@
 NOBLOCK = int(zmq.NOBLOCK)
 """A plain integer, as combining enumeration members takes as long as sending a message."""
 
+_decoder = decoding.build_messagepack_decoder(messages.Envelope)
+
 M = TypeVar('M', bound=messages.Message)
 Handler = Callable[[str, str, M], Awaitable[None] | None]
 
@@ -116,12 +119,12 @@
     def _handle_data(self, data: bytes) -> None:
         self._bytes_in.add(len(data))
         try:
-            envelope = messages.decode(data)
-        except msgspec.MsgspecError:
-            log.warning('message not decoded', extra={'bytes': len(data)})
+            envelope = _decoder.decode(data)
+        except exceptions.DecodingError as error:
+            log.warning('message not decoded', extra={'bytes': len(data), 'error': str(error)})
             return
         if envelope.address not in self.blocked:
-            self._dispatch(envelope)
+            self._dispatch_safely(envelope)
 
     async def flush(self) -> None:
         """Wait until the last messages are sent, without blocking the event loop.
@@ -139,6 +142,14 @@
         self._inbox.close(linger=0)
         self._context.term()
 
+    def _dispatch_safely(self, envelope: messages.Envelope) -> None:
+        """Pass a message to its handler, whose failure must not hold up the messages behind it."""
+        try:
+            self._dispatch(envelope)
+        except Exception:
+            fields = {'kind': type(envelope.message).__name__, 'peer': envelope.address}
+            log.exception('message not handled', extra=fields)
+
     def _dispatch(self, envelope: messages.Envelope) -> None:
         handler = self._handlers.get(type(envelope.message))
         if handler is None:
@@ -158,7 +169,11 @@
             outbox.setsockopt(zmq.TCP_MAXRT, connections.UNACKED_TIMEOUT)
             outbox.setsockopt(zmq.RECONNECT_IVL, 100)
             outbox.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
-            outbox.connect(f'tcp://{address}')
+            try:
+                outbox.connect(f'tcp://{address}')
+            except zmq.ZMQError:
+                outbox.close()
+                raise
         self._outboxes[address] = outbox
         if len(self._outboxes) > MAX_SOCKETS:
             oldest = next(iter(self._outboxes))
