Relaying: changes of a peer that cannot be decoded are ignored

The receiver of changes decoded them without any check: zlib.error, RecursionError and errors of the decoder ended its turn, and a small message could decompress to any size. Decompressed changes are now limited to 64 MiB, and those that cannot be decoded are logged and ignored; without answers of peers, a router reads the registry itself.

--- a/passpier/routing/relaying.py
+++ b/passpier/routing/relaying.py
@@ -15,11 +15,12 @@
 
 import msgspec
 
-from passpier import clocks
+from passpier import clocks, exceptions
 from passpier.clients import registry
 from passpier.core import members, readers, weight_releases
 from passpier.daemon import messages, peers
 from passpier.routing import history, registry_mirror
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +45,9 @@
 """Size in bytes from which changes are compressed: a large configuration must fit through a slow
 link."""
 
+MAX_DECOMPRESSED = 64 * 1024 * 1024
+"""Maximum size in bytes of decompressed changes, which may be the whole registry."""
+
 
 class Relay:
     """Exchanges registry changes with peers."""
@@ -162,16 +166,23 @@
     def _handle_freshness_proof(
         self, sender: str, address: str, message: messages.FreshnessProof
     ) -> None:
+        try:
+            items = decode_items(message.items)
+            configuration = decode_items(message.configuration)
+        except exceptions.DecodingError as error:
+            # Without an answer from any peer, this process reads the registry itself.
+            log.warning('changes not decoded', extra={'peer': address, 'error': str(error)})
+            return
         now = clocks.now()
         state = self._registry_state
-        if message.items or message.is_full:
-            changes = history.ChangeSet(decode_items(message.items), message.is_full)
+        if items or message.is_full:
+            changes = history.ChangeSet(items, message.is_full)
             peer_changes = registry_mirror.PeerChanges(
                 changes, message.since, message.known_revision, message.awaited
             )
             if not state.apply_peer_changes(peer_changes, now):
                 return
-        for item in decode_items(message.configuration):
+        for item in configuration:
             state.apply_lost_configuration(item)
         # The peer replied after the query was sent, so its ages count from that time at the latest.
         state.apply_freshness(message.revision, message.sent_at - message.age)
@@ -191,7 +202,7 @@
     )
 
 
-_decoder = msgspec.msgpack.Decoder(tuple[registry.Item, ...])
+_decoder = decoding.build_messagepack_decoder(tuple[registry.Item, ...])
 
 
 def encode_items(items: tuple[registry.Item, ...]) -> bytes:
@@ -205,8 +216,10 @@
 
 
 def decode_items(data: bytes) -> tuple[registry.Item, ...]:
-    """Return the items that `encode_items` encoded."""
+    """Return the items that `encode_items` encoded; raise `DecodingError` if they are invalid."""
     if not data:
         return ()
-    body = zlib.decompress(data[1:]) if data[:1] == b'z' else data[1:]
+    body = data[1:]
+    if data[:1] == b'z':
+        body = decoding.decompress(body, MAX_DECOMPRESSED)
     return _decoder.decode(body)
--- a/passpier/tests/routing/relaying_tests.py
+++ b/passpier/tests/routing/relaying_tests.py
@@ -8,12 +8,14 @@
 
 import asyncio
 import random
+import zlib
 
 import pytest
 
 from passpier import clocks
 from passpier.clients import registry
 from passpier.core import catalogue, members, readers
+from passpier.daemon import messages
 from passpier.routing import history, registry_mirror, relaying
 from passpier.tests.routing import fleets
 
@@ -252,6 +254,39 @@
     assert relaying.decode_items(relaying.encode_items(items)) == items
 
 
+# Guards against changes of a peer that end its receiver's turn, or fill its memory.
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'p',
+        b'p\xc1',
+        b'p' + b'\x91' * 100_000,
+        b'z',
+        b'zno zlib data',
+        b'z' + zlib.compress(b'\x90')[:-1],
+        b'z' + zlib.compress(bytes(1001)),
+    ],
+)
+def test_changes_that_cannot_be_decoded_are_ignored(
+    data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(relaying, 'MAX_DECOMPRESSED', 1000)
+
+    async def check(fleet: fleets.Fleet) -> None:
+        await asyncio.sleep(3.0)
+        known = fleet.processes[0].known
+        proved_at = known.freshness.proved_at
+        revision = known.revision
+        for items, configuration in ((data, b''), (b'', data)):
+            proof = messages.FreshnessProof(
+                clocks.now(), revision, 0.0, [], revision, revision, {}, True, items, configuration
+            )
+            fleet.processes[0].relay._handle_freshness_proof('x', 'a:1', proof)
+        assert known.freshness.proved_at == proved_at
+
+    fleets.run_fleet(4, 6, check)
+
+
 def test_freshness_of_a_newer_peer_is_invalid_without_its_changes() -> None:
     async def check(fleet: fleets.Fleet) -> None:
         await asyncio.sleep(3.0)
