Store: an odd item hides no others of its page

One item with a revision that is no number or too large, invalid base64 or a key that is no text made the client refuse the whole page or watch, so that routers stopped following the registry. Text that is not ASCII in the place of base64 and a timeline of 5,000 digits raised ValueError, which ended a router. Items are now decoded one by one. One without a valid key or revision is logged and left out; one with invalid base64 has no content, so that it does not leave an older record in force. Lone surrogates are replaced before a page is refused. A page that is no JSON, or nested too deeply, is still refused as a whole.

--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -16,6 +16,7 @@
 from passpier.core import backpressure, catalogue, prompts, routes
 from passpier.platform import names, records
 from passpier.routing import dialect
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -322,7 +323,7 @@
     """Return a number of tokens in a report, or none if it is missing or invalid."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         return None
-    return int(value) if 0 <= value <= records.MAX_INTEGER else None
+    return int(value) if 0 <= value <= decoding.MAX_INTEGER else None
 
 
 def _read_usage(headers: tornado.httputil.HTTPHeaders) -> tuple[int, int] | None:
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -4,15 +4,18 @@
 
 import ipaddress
 import logging
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 
 from passpier import exceptions
 from passpier.core import buckets, catalogue, routes
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
+T = TypeVar('T')
+
 MAX_SLOTS = 10_000
 """Largest plausible number of concurrent requests in a replica's entry. Replicas have tens to
 hundreds; one that seemed to have unlimited capacity would attract every request."""
@@ -20,10 +23,7 @@
 MAX_LOGGED_ADDRESS = 40
 """Maximum number of characters of an invalid address in an error message."""
 
-MAX_INTEGER = 2**63 - 1
-"""Largest integer that is accepted as a version, a count or a time."""
-
-_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
 
@@ -138,7 +138,7 @@
 
 class _Release(msgspec.Struct):
     model: _Name
-    version: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+    version: Annotated[int, msgspec.Meta(ge=1, le=decoding.MAX_INTEGER)]
 
 
 class _Report(msgspec.Struct):
@@ -182,6 +182,14 @@
     lost: bool = False
 
 
+_configuration_decoder = decoding.build_json_decoder(_Configuration)
+_replica_decoder = decoding.build_json_decoder(_ReplicaEntry)
+_release_decoder = decoding.build_json_decoder(_Release)
+_report_decoder = decoding.build_json_decoder(_Report)
+_cache_decoder = decoding.build_json_decoder(_CacheResponse)
+_event_decoder = decoding.build_json_decoder(_CacheEvent)
+
+
 class CacheEvents(msgspec.Struct, frozen=True):
     """Events of a cache since `boot_epoch`, up to the one before `next_token`."""
 
@@ -194,7 +202,7 @@
 
 def decode_configuration(data: bytes) -> routes.Configuration:
     """Decode the operator's configuration; raise `StoreError` if it is invalid."""
-    raw = decode(data, _Configuration)
+    raw = decode(data, _configuration_decoder)
     services = {s.name: _convert_service(s) for s in raw.services if not s.kv_store_address}
     stores = tuple(
         routes.CacheStore(s.kv_store_address, s.zone, s.kv_capacity)
@@ -215,7 +223,7 @@
 
 def decode_replica(id: str, data: bytes) -> catalogue.Entry:
     """Decode a replica's entry; raise `StoreError` if it is invalid."""
-    raw = decode(data, _ReplicaEntry)
+    raw = decode(data, _replica_decoder)
     _check_address(raw.address)
     return catalogue.Entry(
         id,
@@ -234,13 +242,13 @@
 
 def decode_named_version(data: bytes) -> tuple[str, int]:
     """Decode a release of weights; return the model and the version."""
-    raw = decode(data, _Release)
+    raw = decode(data, _release_decoder)
     return raw.model, raw.version
 
 
 def decode_report(data: bytes) -> _Report:
     """Decode a replica's report."""
-    return decode(data, _Report)
+    return decode(data, _report_decoder)
 
 
 def decode_cache_events(data: bytes) -> CacheEvents:
@@ -248,11 +256,11 @@
 
     Fetching them again would return the same invalid events.
     """
-    raw = decode(data, _CacheResponse)
+    raw = decode(data, _cache_decoder)
     events = []
     for item in raw.events:
         try:
-            events.append(decode(bytes(item), _CacheEvent))
+            events.append(decode(bytes(item), _event_decoder))
         except exceptions.StoreError as error:
             log.info('invalid cache event', extra={'error': str(error), 'next': raw.next_token})
     lost = raw.lost or len(events) < len(raw.events)
@@ -312,9 +320,9 @@
     )
 
 
-def decode(data: bytes, kind: Any) -> Any:
-    """Decode JSON of the platform as `kind`; raise `StoreError` if it is invalid."""
+def decode(data: bytes, decoder: decoding.Decoder[T]) -> T:
+    """Decode JSON of the platform; raise `StoreError` if it is invalid."""
     try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return decoder.decode(data)
+    except exceptions.DecodingError as error:
         raise exceptions.StoreError(f'invalid record: {error}') from error
--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import logging
 import urllib.parse
 from collections.abc import Sequence
-from typing import Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
 from passpier import clocks, exceptions
 from passpier.clients import connections, exchanges, registry
 from passpier.platform import names, records
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
+T = TypeVar('T')
+
 CALL_TIMEOUT = 1.0
 """Timeout of a call in seconds; the store responds within milliseconds, and a slow one within a
 quarter of a second."""
@@ -24,32 +26,46 @@
 RESPONSE_MAX = 16 * 1024 * 1024
 """Maximum size in bytes of a response, which may hold several versions of the configuration."""
 
+MAX_LOGGED = 80
+"""Maximum number of characters of invalid bytes in a log line."""
+
+_Number = Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
+
 
 class _Item(msgspec.Struct):
     private_key: str
-    revision: int
+    revision: _Number
     value: str = ''
-    lease: int = 0
+    lease: _Number = 0
     removed: bool = False
 
 
 class _RangeResponse(msgspec.Struct):
-    items: list[_Item]
-    store_revision: int
+    items: list[msgspec.Raw]
+    """Decoded one by one, so that an invalid one does not hide the others."""
+
+    store_revision: _Number
     truncated: bool = False
 
 
 class _WatchResponse(msgspec.Struct):
-    events: list[_Item]
-    store_revision: int
+    events: list[msgspec.Raw]
+    store_revision: _Number
 
 
 class _TransactionResponse(msgspec.Struct):
-    revision: int
+    revision: _Number
 
 
 class _LeaseResponse(msgspec.Struct):
-    lease: int
+    lease: _Number
+
+
+_item_decoder = decoding.build_json_decoder(_Item)
+_range_decoder = decoding.build_json_decoder(_RangeResponse)
+_watch_decoder = decoding.build_json_decoder(_WatchResponse)
+_transaction_decoder = decoding.build_json_decoder(_TransactionResponse)
+_lease_decoder = decoding.build_json_decoder(_LeaseResponse)
 
 
 class _Answer(msgspec.Struct, frozen=True):
@@ -77,18 +93,20 @@
             if after:
                 query['after'] = after
             answer = await self._call('GET', '/kv-range', query)
-            page = records.decode(answer.body, _RangeResponse)
+            page = _decode_items(answer.body, _range_decoder)
             # The pages are not a consistent snapshot. The revision is that of the first page, so
             # that a watch from there delivers whatever changed while the others were read.
             if revision is None:
                 revision = registry.Revision(answer.timeline, page.store_revision)
             if revision.timeline != answer.timeline:
                 raise exceptions.StoreError('GET /kv-range: timeline changed between two pages')
-            for item in page.items:
-                items[item.private_key] = _convert(item, answer.timeline)
+            listed = _convert_items(page.items, answer.timeline)
+            items.update({item.key: item for item in listed})
             if not page.truncated or not page.items:
                 return registry.Listing(tuple(items.values()), revision, sent_at)
-            after = page.items[-1].private_key
+            if not listed or listed[-1].key == after:
+                raise exceptions.StoreError('GET /kv-range: page without a key to continue after')
+            after = listed[-1].key
 
     async def watch(self, prefix: str, after: registry.Revision, wait: float) -> registry.Changes:
         """Return the changes after a revision, after at most `wait` seconds."""
@@ -102,8 +120,8 @@
         if answer.timeline != after.timeline:
             # The counter has passed the number since, so that the store does not refuse it.
             raise registry.CompactedError(f'GET /kv-watch: timeline {answer.timeline}')
-        watched = records.decode(answer.body, _WatchResponse)
-        items = tuple(_convert(i, answer.timeline) for i in watched.events)
+        watched = _decode_items(answer.body, _watch_decoder)
+        items = _convert_items(watched.events, answer.timeline)
         revision = registry.Revision(answer.timeline, watched.store_revision)
         return registry.Changes(items, revision, sent_at, clocks.now())
 
@@ -120,13 +138,13 @@
         if timelines - {answer.timeline}:
             # Its lease ids and revisions may mean something else there.
             raise exceptions.StoreError(f'POST /kv-txn: done in timeline {answer.timeline}')
-        number = records.decode(answer.body, _TransactionResponse).revision
+        number = records.decode(answer.body, _transaction_decoder).revision
         return registry.Revision(answer.timeline, number)
 
     async def grant(self, ttl: float) -> registry.Lease:
         """Grant a lease of `ttl` seconds."""
         answer = await self._call('POST', '/kv-lease', body={'ttl_ms': int(ttl * 1000)})
-        return registry.Lease(answer.timeline, records.decode(answer.body, _LeaseResponse).lease)
+        return registry.Lease(answer.timeline, records.decode(answer.body, _lease_decoder).lease)
 
     async def renew(self, lease: registry.Lease) -> None:
         """Renew a lease."""
@@ -173,9 +191,9 @@
         """Return the timeline that a response names; one that names none is of the newest."""
         if value is None:
             return self._timeline
-        if not value.isdecimal():
-            raise exceptions.StoreError(f'invalid {names.STORE_ERA}: {value!r}')
-        timeline = int(value)
+        timeline = decoding.parse_number(value)
+        if timeline is None:
+            raise exceptions.StoreError(f'invalid {names.STORE_ERA}: {value[:MAX_LOGGED]!r}')
         if timeline > self._timeline:
             log.info(
                 'registry timeline changed',
@@ -215,10 +233,35 @@
     }
 
 
+def _decode_items(data: bytes, decoder: decoding.Decoder[T]) -> T:
+    """Decode a response with items; raise `StoreError` if it is invalid."""
+    try:
+        return records.decode(data, decoder)
+    except exceptions.StoreError:
+        # Other writers choose the keys, and one that is no text must not hide all items.
+        return records.decode(decoding.replace_lone_surrogates(data), decoder)
+
+
+def _convert_items(raw: Sequence[msgspec.Raw], timeline: int) -> tuple[registry.Item, ...]:
+    """Return items in the router's own form, without those that can't be decoded."""
+    items = []
+    for data in raw:
+        try:
+            items.append(_convert(_item_decoder.decode(bytes(data)), timeline))
+        except exceptions.DecodingError as error:
+            text = bytes(data)[:MAX_LOGGED].decode(errors='replace')
+            log.error('invalid registry item ignored', extra={'item': text, 'error': str(error)})
+    return tuple(items)
+
+
 def _convert(item: _Item, timeline: int) -> registry.Item:
+    if decoding.REPLACEMENT in item.private_key:
+        raise exceptions.DecodingError('the key is no text')
     try:
         data = base64.b64decode(item.value)
-    except binascii.Error as error:
-        raise exceptions.StoreError(f'{item.private_key}: invalid base64: {error}') from error
+    except ValueError as error:
+        # As a record without content, which is valid nowhere, it replaces the one before.
+        log.error('invalid base64', extra={'key': item.private_key, 'error': str(error)})
+        data = b''
     revision = registry.Revision(timeline, item.revision)
     return registry.Item(item.private_key, data, revision, item.lease, item.removed)
--- a/passpier/tests/platform/store_tests.py
+++ b/passpier/tests/platform/store_tests.py
@@ -139,3 +139,79 @@
     earlier = registry.Revision(1, 2**39)
     assert earlier.token < registry.Revision(2, 1).token < 2**53
     assert registry.Revision(0, 41).token == 41
+
+
+ODD_ITEMS: list[dict[str, Any] | int] = [
+    {'private_key': 'odd', 'revision': 'two'},
+    {'private_key': 'odd', 'revision': 10**30},
+    {'private_key': 'odd', 'revision': -1},
+    {'private_key': 'odd', 'revision': 2, 'lease': 2**64},
+    {'private_key': 'odd', 'revision': 2, 'value': 7},
+    {'private_key': 'odd\ud800', 'revision': 2},
+    {'private_key': '\udc00\ud800odd', 'revision': 2},
+    {'private_key': None, 'revision': 2},
+    {'revision': 2},
+    7,
+]
+
+
+def make_item(key: str, revision: int) -> dict[str, Any]:
+    return {'private_key': key, 'revision': revision, 'value': 'YQ=='}
+
+
+# Guards against routers that stop following the registry, as one item of a page can't be decoded.
+@pytest.mark.parametrize('odd', ODD_ITEMS)
+def test_item_that_cannot_be_decoded_hides_no_other(odd: dict[str, Any] | int) -> None:
+    items = [make_item('a\U0001f600', 1), odd, make_item('z\\', 3)]
+
+    async def check(client: store.Store) -> None:
+        listing = await client.read('')
+        assert [item.key for item in listing.items] == ['a\U0001f600', 'z\\']
+        changes = await client.watch('', registry.Revision(1, 0), 0.0)
+        assert changes.items == listing.items
+        assert changes.revision == registry.Revision(1, 3)
+
+    bodies = [{'items': items, 'store_revision': 3}, {'events': items, 'store_revision': 3}]
+    run(Pool(*((200, 1, body) for body in bodies)), check)
+
+
+# Guards against an old record that stays in force once its successor can't be decoded.
+@pytest.mark.parametrize('value', ['Y', 'YQ', 'é', '=='])
+def test_item_with_invalid_base64_has_no_content(value: str) -> None:
+    async def check(client: store.Store) -> None:
+        listing = await client.read('')
+        assert listing.items == (registry.Item('a', b'', registry.Revision(1, 2)),)
+
+    items = [{'private_key': 'a', 'revision': 2, 'value': value}]
+    run(Pool((200, 1, {'items': items, 'store_revision': 2})), check)
+
+
+# Guards against a listing without an end.
+def test_page_without_a_key_to_continue_after_is_an_error() -> None:
+    async def check(client: store.Store) -> None:
+        for _ in range(2):
+            with pytest.raises(exceptions.StoreError, match='without a key'):
+                await client.read('')
+
+    page = {'items': [7], 'store_revision': 2, 'truncated': True}
+    pages = [page, make_page('a', 2, True), make_page('a', 2, True)]
+    run(Pool(*((200, 1, page) for page in pages)), check)
+
+
+# Guards against an error that is not expected from calls of the store.
+@pytest.mark.parametrize('body', [7, [], {}, {'items': [], 'store_revision': 10**30}])
+def test_response_that_cannot_be_decoded_is_an_error_of_the_store(body: Any) -> None:
+    async def check(client: store.Store) -> None:
+        with pytest.raises(exceptions.StoreError):
+            await client.read('')
+
+    run(Pool((200, 1, body)), check)
+
+
+@pytest.mark.parametrize('era', ['9' * 5000, '-1', '1.5', '²', '٣', ''])
+def test_timeline_that_is_no_number_is_an_error_of_the_store(era: Any) -> None:
+    async def check(client: store.Store) -> None:
+        with pytest.raises(exceptions.StoreError, match='invalid'):
+            await client.read('')
+
+    run(Pool((200, era, make_page('a', 2))), check)
--- a/passpier/utils/decoding.py
+++ b/passpier/utils/decoding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import zlib
 from collections.abc import Callable
 from typing import Any, Generic, TypeVar
@@ -26,6 +27,16 @@
 MAX_DIGITS = 18
 """Maximum number of digits of a number in text, so that it is at most `MAX_INTEGER`."""
 
+REPLACEMENT = '\ufffd'
+"""The character in place of what is no text."""
+
+_ESCAPE = re.compile(
+    rb'\\(?:u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}'
+    rb'|(u[dD][89a-fA-F][0-9a-fA-F]{2})|.)',
+    re.DOTALL,
+)
+"""An escape in JSON: a pair of surrogates, a lone one as the only group, or any other."""
+
 _ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
@@ -57,6 +68,18 @@
 """Decodes JSON of any form; raises `DecodingError`."""
 
 
+def replace_lone_surrogates(data: bytes) -> bytes:
+    """Return JSON with `REPLACEMENT` for each escape of a surrogate that is not one of a pair.
+
+    Some encoders write them, and no decoder accepts them.
+    """
+    return _ESCAPE.sub(_replace_lone_surrogate, data)
+
+
+def _replace_lone_surrogate(match: re.Match[bytes]) -> bytes:
+    return match[0] if match[1] is None else b'\\ufffd'
+
+
 def decompress(data: bytes, max_bytes: int) -> bytes:
     """Decompress complete zlib data; raise `DecodingError` if it is invalid or too large."""
     decompressor = zlib.decompressobj()
