--- a/passpier/routing/state_proofs.py
+++ b/passpier/routing/state_proofs.py
@@ -138,5 +138,5 @@
         self._peers.send(address, messages.ProofResponse(message.id, proof))
 
     def _handle_response(self, sender: str, address: str, message: messages.ProofResponse) -> None:
-        self._relay.apply_proof(message.proof)
+        self._relay.apply_proof(address, message.proof)
         self._replies.resolve(message.id, message)
