Tests: streams whose replicas break off at any byte

No test cut a stream anywhere else than in the middle of its second event, and none wrote events with other line ends, with the id in another line, or with comments. The stand-ins get scripts: a request is answered with given bytes, one part after the other, and the connection is closed. A client that observes a response keeps what has arrived of an incomplete one, and a replica may crash with its connections closed in order.

Each third byte of three events, in four forms, on both kinds of streams: on the resumable route the client gets all events once and in order, on the other one the events before the cut and no complete response.

--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -305,8 +305,9 @@
                 exchange = await self.pool.open(address, request)
                 observed.local_port = exchange.local_port
                 observed.head = await exchange.read_head()
-                answer = await exchange.read_all()
-                observed.status, observed.body = answer.head.status, answer.body
+                while (part := await exchange.read()) is not None:
+                    observed.body += part
+                observed.status = observed.head.status
         except (TimeoutError, exchanges.ExchangeError) as error:
             observed.error = str(error) or 'timed out'
             if exchange is not None and not exchange.received_any:
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -34,6 +34,9 @@
 CRASH_AFTER = 0.02
 """Seconds between the start of a run that crashes its replica and the crash."""
 
+SCRIPT_PAUSE = 0.002
+"""Seconds between two parts of a script, so that they arrive apart."""
+
 WORK_SLICE = 0.1
 """Seconds of work after which `Replica.slowdown` is read again."""
 
@@ -96,6 +99,10 @@
     partial: bytes | None = None
     """Every request gets these bytes in place of a response, and the connection is closed."""
 
+    scripts: list[list[bytes]] = dataclasses.field(default_factory=list)
+    """Each coming request gets the bytes of the next script, one part after the other, in place of
+    a response, and the connection is closed. Replicas may share one list."""
+
     unframed: bool = False
     """Whether streams have neither a length nor chunks, and end with their connection."""
 
@@ -261,8 +268,11 @@
         """Whether the current process has said in a response that it is leaving."""
         return any(s.leaving and s.process_number == self.process_number for s in self.signals)
 
-    def crash(self) -> None:
-        """End the current process: reset its connections and discard its state."""
+    def crash(self, resets: bool = True) -> None:
+        """End the current process: reset its connections and discard its state.
+
+        The kernel closes a connection in order instead if the process had read all that arrived.
+        """
         self.process_number += 1
         self.active = 0
         self.orders = 0
@@ -270,7 +280,7 @@
         self.cache_events.clear()
         if self.server is not None:
             self.server.stop()
-            self.server.reset_all()
+            self.server.close_all(_reset if resets else tornado.iostream.IOStream.close)
             self.server = None
 
     def restart(
@@ -332,7 +342,7 @@
 
 
 class Server(tornado.httpserver.HTTPServer):
-    """An HTTP server that can reset all its connections at once, as a crash of its process does."""
+    """An HTTP server that can close all its connections at once, as a crash of its process does."""
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
         """Initialize the server; tornado calls this in place of a constructor."""
@@ -344,11 +354,11 @@
         self._streams.add(stream)
         super().handle_stream(stream, address)
 
-    def reset_all(self) -> None:
-        """Reset all open connections."""
+    def close_all(self, close: Callable[[tornado.iostream.IOStream], None]) -> None:
+        """Close all open connections with the given function."""
         for stream in list(self._streams):
             if not stream.closed():
-                _reset(stream)
+                close(stream)
 
 
 def _reset(stream: tornado.iostream.IOStream) -> None:
@@ -369,14 +379,18 @@
         if self.replica.faults.endless is not None:
             await self._send_endless(*self.replica.faults.endless)
         if self.replica.faults.partial is not None and self.id:
-            await self._send_partial(self.replica.faults.partial)
+            await self._send_script([self.replica.faults.partial])
+        if self.replica.faults.scripts and self.id:
+            await self._send_script(self.replica.faults.scripts.pop(0))
 
-    async def _send_partial(self, data: bytes) -> None:
+    async def _send_script(self, parts: list[bytes]) -> None:
         """Send bytes and close the connection in order."""
         self.replica.arrivals.append(Arrival(self.id, clocks.now(), self._life))
         stream = self.detach()
         with contextlib.suppress(tornado.iostream.StreamClosedError):
-            await stream.write(data)
+            for part in parts:
+                await stream.write(part)
+                await asyncio.sleep(SCRIPT_PAUSE)
         stream.close()
         raise tornado.web.Finish
 
--- /dev/null
+++ b/passpier/tests/platform/stream_order_tests.py
@@ -0,0 +1,93 @@
+"""Streams that break off at any byte: a client gets each event once, and none is left out."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Sequence
+
+import pytest
+
+from passpier.clients import exchanges
+from passpier.platform import names
+from passpier.standins.platform import deployment
+from passpier.tests.platform import harness
+
+EVENT_COUNT = 3
+CUT_STEP = 3
+"""Bytes from one cut to the next; the bytes of an event are no multiple of it."""
+
+HEAD = '\r\n'.join(
+    [
+        'HTTP/1.1 200 OK',
+        f'{names.REQUEST_ID}: one',
+        f'{names.SERVER_STAMP}: stamp',
+        'Content-Type: text/event-stream',
+        'Transfer-Encoding: chunked',
+        '',
+        '',
+    ]
+).encode()
+
+END = b'0\r\n\r\n'
+
+FORMS: dict[str, Callable[[int], str]] = {
+    'line feeds': lambda n: f'id: {n}\ndata: piece {n}\n\n',
+    'carriage returns': lambda n: f'id: {n}\r\ndata: piece {n}\r\n\r\n',
+    'id last': lambda n: f'{names.WEIGHT_VERSION.lower()}: 2\ndata: piece {n}\nid:{n}\n\n',
+    'comments': lambda n: f': wait\n\n: more\nid: {n}\ndata: piece {n}\n\n',
+}
+"""Ways in which replicas may write the event of a number."""
+
+
+def render_script(events: Sequence[str], is_whole: bool = False) -> list[bytes]:
+    """Return a response as the parts that a replica writes, one for each of the events."""
+    chunks = [f'{len(event.encode()):x}\r\n{event}\r\n'.encode() for event in events]
+    return [HEAD, *chunks, END] if is_whole else [HEAD, *chunks]
+
+
+async def read_stream(
+    running: deployment.Deployment,
+    path: str,
+    scripts: list[list[bytes]],
+    headers: Sequence[tuple[str, str]] = (),
+) -> deployment.ObservedResponse:
+    """Return what a client gets of a stream whose attempts are answered with the scripts.
+
+    Any further attempt gets the events after `Last-Event-Id`.
+    """
+    for target in running.replicas.values():
+        target.event_count = EVENT_COUNT
+        target.faults.scripts = scripts
+    given = [*deployment.build_headers('one', 2000), *harness.PROMPT_HEADERS, *headers]
+    request = exchanges.Request('POST', path, given)
+    return await running.observe_at(running.routers[0].options.caller, request, 2.0)
+
+
+def list_pieces(observed: deployment.ObservedResponse) -> list[int]:
+    """Return the numbers of the events that a client has received."""
+    return [int(number) for number in re.findall(rb'piece (\d+)', observed.body)]
+
+
+def allow_retries(running: deployment.Deployment) -> None:
+    """Let requests be repeated any number of times."""
+    running.routers[0].forwarder.budgets.get('llm').configure(1.0, 10_000.0, 10.0)
+
+
+# Guards against events that come twice or never where a replica breaks off, and against a stream
+# that looks complete without its last events.
+@pytest.mark.parametrize('form', FORMS)
+def test_stream_that_is_cut_anywhere_is_whole_or_incomplete(form: str) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        allow_retries(running)
+        text = ''.join(FORMS[form](n) for n in range(EVENT_COUNT))
+        whole = list(range(EVENT_COUNT))
+        for length in range(0, len(text), CUT_STEP):
+            script = render_script([text[:length]] if length else [])
+            observed = await read_stream(running, '/resume/x', [script])
+            assert (observed.status, list_pieces(observed)) == (200, whole), length
+            observed = await read_stream(running, '/stream/x', [script])
+            assert observed.status != 200, length
+            pieces = list_pieces(observed)
+            assert pieces == whole[: len(pieces)], length
+
+    harness.run_check(check)
