Tests: a replica that goes on from an event that the client has

A stream is cut after an event, and the replica that continues it begins at that event, at the first one, goes back, or sends an event twice; or a client resumes a stream and the replica begins anew.

--- a/passpier/tests/platform/stream_order_tests.py
+++ b/passpier/tests/platform/stream_order_tests.py
@@ -91,3 +91,37 @@
             assert pieces == whole[: len(pieces)], length
 
     harness.run_check(check)
+
+
+# Guards against a replica that doesn't go on at the event it was asked for: the client got events
+# twice, or out of order.
+@pytest.mark.parametrize(
+    'numbers', [[0, 1, 2], [1, 2], [2, 1], [2, 2]], ids=['first', 'last', 'back', 'twice']
+)
+def test_replica_that_goes_on_from_an_earlier_event_is_replaced(numbers: list[int]) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        allow_retries(running)
+        form = FORMS['line feeds']
+        wrong = render_script([form(number) for number in numbers], is_whole=True)
+        cut = render_script([form(0), form(1)])
+        observed = await read_stream(running, '/resume/x', [cut, wrong])
+        assert (observed.status, list_pieces(observed)) == (200, [0, 1, 2])
+
+    harness.run_check(check)
+
+
+# Guards against events that the client already holds, at a router that has not seen the others.
+@pytest.mark.parametrize(
+    'last_event', ['1', '01', '9' * 5000], ids=['number', 'zero before', 'long number']
+)
+def test_resumed_stream_has_no_event_that_the_client_holds(last_event: str) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        allow_retries(running)
+        running.routers[0].pools.observed_since = float('-inf')
+        form = FORMS['line feeds']
+        wrong = render_script([form(number) for number in range(EVENT_COUNT)], is_whole=True)
+        headers = [(names.LAST_EVENT_ID, last_event), (names.RESUMES, 'before')]
+        observed = await read_stream(running, '/resume/x', [wrong] * 2, headers)
+        assert (observed.status, list_pieces(observed)) == (502, [])
+
+    harness.run_check(check)
