Streams: an attempt fails whose events do not rise above the last one

Callers of a resumable route got events twice, or a number that went back, and a complete response, if the replica that continued a stream began at another event than the one asked for, or the one that a client resumed it at.

Cause: the router sends `Last-Event-Id` and takes over whatever follows. Nothing compared the ids of an answer with the event that the client holds, though ids rise over all attempts.

The position of a stream is kept over its attempts, apart from the splitter that each attempt has. An event whose id is not above the last one fails the attempt before the event is sent on; another replica continues, or the response ends as incomplete. Numbers of any length are compared as text, other ids only have to differ. An id that leaves some out is accepted: nothing says that ids rise by one. Routes that are not resumable send on what they get, as before.

The two assertions on the last id moved from the splitter to the position.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -140,8 +140,7 @@
         table = owner.registry_state.table
         assert table is not None
         self._service = table.choose_service(route, admitted.stream)
-        self._splitter = sse.EventSplitter()
-        self._splitter.last_id = admitted.client_request.last_event
+        self._position = sse.Position(admitted.client_request.last_event)
         account = admitted.account.name if admitted.account is not None else ''
         weight = table.weights.get(account, 1)
         self.call = requests.build_call(
@@ -445,7 +444,7 @@
             self.call.job,
             replica,
             time_left,
-            self._splitter.last_id,
+            self._position.last_id,
             self._owner.sharing.sources,
             self._owner.wire,
             lambda: self._may_send(placement),
@@ -513,11 +512,10 @@
         self, reader: response_reader.ResponseReader, head: exchanges.Head
     ) -> None:
         splitter = sse.EventSplitter()
-        splitter.last_id = self._splitter.last_id
-        self._splitter = splitter
         previous_at: float | None = None
         while (part := await self._read_part(reader)) is not None:
             for event in _split_events(splitter, part):
+                self._advance(event)
                 self._binding.note_event(self._last_replica)
                 arrived_at = clocks.now()
                 self._gaps.note_event(arrived_at)
@@ -536,6 +534,15 @@
         await self._delivery.finish_stream(head)
         self._outcome = 'answered'
 
+    def _advance(self, event: bytes) -> None:
+        """Note the next event of a stream that may be continued; raises `AttemptError`."""
+        if self._admitted.route.kind is not routes.Kind.RESUMABLE_STREAM:
+            return
+        try:
+            self._position.advance(event)
+        except sse.OrderError as error:
+            raise response_reader.AttemptError(attempts.Fault.INTERRUPTED, str(error)) from error
+
     async def _read_part(self, reader: response_reader.ResponseReader) -> bytes | None:
         """Return the next part of a stream; raises `AttemptError`.
 
--- a/passpier/tests/core/sse_tests.py
+++ b/passpier/tests/core/sse_tests.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 
 from passpier.core import sse
 
@@ -25,11 +28,37 @@
     received += splitter.feed(stream)
     assert received == expected
     assert not splitter.has_rest
-    assert splitter.last_id == (str(len(lines) - 1) if lines else '')
+    position = sse.Position()
+    for event in received:
+        position.advance(event)
+    assert position.last_id == (str(len(lines) - 1) if lines else '')
 
 
 def test_an_incomplete_event_is_buffered() -> None:
     splitter = sse.EventSplitter()
     assert splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda') == [b'id: 1\ndata: a\n\n']
     assert splitter.has_rest
-    assert splitter.last_id == '1'
+
+
+@pytest.mark.parametrize(
+    ('last_id', 'id', 'follows'),
+    [
+        ('', '0', True),
+        ('9', '10', True),
+        ('10', '9', False),
+        ('7', '7', False),
+        ('7', '007', False),
+        ('0', '00', False),
+        ('9' * 5000, '1' + '0' * 5000, True),
+        ('1' + '0' * 5000, '9' * 5000, False),
+        ('-5', '0', True),
+        ('x', 'x', False),
+        ('b', 'a', True),
+    ],
+)
+def test_event_follows_only_with_a_higher_id(last_id: str, id: str, follows: bool) -> None:
+    position = sse.Position(last_id)
+    event = f'data: x\nid: {id}\n\n'.encode()
+    with contextlib.nullcontext() if follows else pytest.raises(sse.OrderError):
+        position.advance(event)
+    assert position.last_id == (id if follows else last_id)
