Tests: events with two ids, without one, or with one that is not text for a header

A stream is cut after such an event on a resumable route. An event with two ids is continued after the first of them, so that events are missing. After an event without an id the stream begins anew, or after the event before, so that events come twice.

--- a/passpier/tests/platform/stream_order_tests.py
+++ b/passpier/tests/platform/stream_order_tests.py
@@ -34,6 +34,7 @@
     'line feeds': lambda n: f'id: {n}\ndata: piece {n}\n\n',
     'carriage returns': lambda n: f'id: {n}\r\ndata: piece {n}\r\n\r\n',
     'id last': lambda n: f'{names.WEIGHT_VERSION.lower()}: 2\ndata: piece {n}\nid:{n}\n\n',
+    'two ids': lambda n: f'id: 7\nid: {n}\ndata: piece {n}\n\n',
     'comments': lambda n: f': wait\n\n: more\nid: {n}\ndata: piece {n}\n\n',
 }
 """Ways in which replicas may write the event of a number."""
@@ -125,3 +126,26 @@
         assert (observed.status, list_pieces(observed)) == (502, [])
 
     harness.run_check(check)
+
+
+# Guards against a continuation that begins anew, or from an earlier event, since the last event
+# has no id: the client got events twice.
+@pytest.mark.parametrize(
+    'events',
+    [
+        ['data: piece 0\n\n'],
+        ['id: 0\ndata: piece 0\n\n', 'data: piece 1\n\n'],
+        ['\ufeffid: 0\ndata: piece 0\n\n'],
+        ['id: é\ndata: piece 0\n\n'],
+    ],
+    ids=['first', 'later', 'after a mark', 'not ascii'],
+)
+def test_stream_is_not_continued_after_an_event_without_a_usable_id(events: list[str]) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        allow_retries(running)
+        observed = await read_stream(running, '/resume/x', [render_script(events)])
+        assert (observed.status, list_pieces(observed)) == (0, list(range(len(events))))
+        observed = await read_stream(running, '/resume/x', [render_script(events, is_whole=True)])
+        assert (observed.status, list_pieces(observed)) == (200, list(range(len(events))))
+
+    harness.run_check(check)
