Streams: of several ids of an event the last one counts

Events were missing from a stream that went on at another replica if its last event had several `id` lines. Its readers take the last one, as the format says; the router took the first one and asked for the events after that.

--- a/passpier/core/sse.py
+++ b/passpier/core/sse.py
@@ -84,7 +84,6 @@
 
 
 def _find_id(event: bytes) -> str:
-    for line in event.splitlines():
-        if line.startswith(b'id:'):
-            return line[3:].strip().decode('utf-8', 'replace')
-    return ''
+    """Return the id of an event: the last one, as its readers do."""
+    ids = [line[3:] for line in event.splitlines() if line.startswith(b'id:')]
+    return ids[-1].strip().decode('utf-8', 'replace') if ids else ''
