Streams: no other replica continues after an event without a usable id

Callers of a resumable route got events twice if a replica broke off after an event without an id: the continuation asked for the events after the last id, or for all of them where there was none. A byte order mark before the first event hides its id in the same way. An id outside of ASCII ended the response by an internal error, as no header can carry it.

Whether a stream may be continued is decided anew at each event: only if the last event with data has an id that can be sent. Otherwise the stream stays at its replica, and ends as incomplete if that one breaks off. Comments have no data and change nothing.

--- a/passpier/core/sse.py
+++ b/passpier/core/sse.py
@@ -13,6 +13,7 @@
 ID_SHOWN = 40
 """Characters of an id that error messages contain."""
 
+_DATA = re.compile(rb'^data(:|\r?$)', re.MULTILINE)
 _NUMBER = re.compile('[0-9]+')
 
 
@@ -63,15 +64,21 @@
 
     def __init__(self, last_id: str = '') -> None:
         self.last_id = last_id
+        self.is_known = True
+        """Whether the stream can be resumed after its last event by `last_id`."""
 
     def advance(self, event: bytes) -> None:
         """Record the next event; raises `OrderError` if it can't follow the last one."""
         id = _find_id(event)
         if not id:
+            # Readers ignore what has no data, such as comments.
+            self.is_known = self.is_known and not _DATA.search(event)
             return
         if not _is_after(id, self.last_id):
             raise OrderError(f'event {id[:ID_SHOWN]} after event {self.last_id[:ID_SHOWN]}')
         self.last_id = id
+        # Only such an id can be sent in a header.
+        self.is_known = id.isascii() and id.isprintable()
 
 
 def _is_after(id: str, last_id: str) -> bool:
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -542,6 +542,7 @@
             self._position.advance(event)
         except sse.OrderError as error:
             raise response_reader.AttemptError(attempts.Fault.INTERRUPTED, str(error)) from error
+        self.call.progress.continuable = self._position.is_known
 
     async def _read_part(self, reader: response_reader.ResponseReader) -> bytes | None:
         """Return the next part of a stream; raises `AttemptError`.
--- a/passpier/tests/core/sse_tests.py
+++ b/passpier/tests/core/sse_tests.py
@@ -62,3 +62,25 @@
     with contextlib.nullcontext() if follows else pytest.raises(sse.OrderError):
         position.advance(event)
     assert position.last_id == (id if follows else last_id)
+
+
+@pytest.mark.parametrize(
+    ('event', 'is_known'),
+    [
+        (b'id: 1\ndata: x\n\n', True),
+        (b'data: x\n\n', False),
+        (b'event: y\r\ndata\r\n\r\n', False),
+        (b'\xef\xbb\xbfid: 1\ndata: x\n\n', False),
+        (b'id: \xc3\xa9\ndata: x\n\n', False),
+        (b': wait\n\n', True),
+        (b'event: data\n\n', True),
+    ],
+)
+def test_position_is_known_after_events_with_an_id(event: bytes, is_known: bool) -> None:
+    position = sse.Position('0')
+    position.advance(event)
+    assert position.is_known is is_known
+    position.advance(b': wait\n\n')
+    assert position.is_known is is_known
+    position.advance(b'id: 2\ndata: x\n\n')
+    assert position.is_known
