Tests: a stream without a length whose process ends

The kernel of a replica closes the connections of a process that has ended in order if it had read all that arrived.

--- a/passpier/tests/platform/stream_order_tests.py
+++ b/passpier/tests/platform/stream_order_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from collections.abc import Callable, Sequence
 
@@ -149,3 +150,30 @@
         assert (observed.status, list_pieces(observed)) == (200, list(range(len(events))))
 
     harness.run_check(check)
+
+
+# Guards against a stream that looks complete because its replica's kernel closes the connections of
+# a process that has ended in order, and nothing else tells where the response ends.
+@pytest.mark.parametrize('returns', [False, True])
+@pytest.mark.parametrize('path', ['/stream/x', '/resume/x'])
+def test_stream_without_length_does_not_end_with_its_process(path: str, returns: bool) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        allow_retries(running)
+        models = [target for target in running.replicas.values() if target.model]
+        for target in models:
+            target.faults.unframed = True
+            target.event_pause = 0.2
+        pending = asyncio.ensure_future(read_stream(running, path, []))
+        await harness.wait_for(lambda: any(target.cache_events for target in models))
+        await asyncio.sleep(0.1)
+        first = next(target for target in models if target.cache_events)
+        first.crash(resets=False)
+        if returns:
+            running.restart_replica(first.id)
+        observed = await pending
+        if path == '/resume/x':
+            assert (observed.status, list_pieces(observed)) == (200, [0, 1, 2])
+        else:
+            assert (observed.status, list_pieces(observed)) == (0, [0])
+
+    harness.run_check(check)
