--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -56,6 +56,7 @@
         self.memberships: list[members.Membership] = []
         self.addresses: list[str] = []
         self.beats = 1
+        self.written = 0
         self.is_registry_away = False
         self.recorded: list[catalogue.Change] = []
         """The entries in the registry that only some routers have been told of."""
@@ -147,9 +148,10 @@
     def record_versions(self, versions: list[str]) -> None:
         """Have the registry list these versions of the service."""
         key = f'own/software/{SERVICE}'
+        self.written += 1
         for state in self.states:
             data = msgspec.json.encode(versions)
-            state.members[key] = registry.Item(key, data, fleets.at(1))
+            state.members[key] = registry.Item(key, data, fleets.at(self.written))
 
     def mark_watched(self) -> None:
         """Let all routers have watched the service for long."""
