Streams: without a proof of the registry's state no router may be missing

Found in review. Three of four routers that were cut off from the registry and from the fourth one inferred a stream's version from their old state: a majority of the routers says nothing about who reads the registry.

Without a proof all known routers have to be alive and all that are asked have to answer: a router that is missing may have begun the stream. In an outage of the registry a stream that nobody knows is refused while a router is missing.

Also from the review: no proof is asked for where several versions are known, as it can't change the answer; the search for an origin ends after 1.5 s; a registry that fails to answer is called at the rate of a few processes, and one that is slow has 0.3 s before a second source is asked. In virtual time, 60 routers that each ask three times make at most 60 calls and 6 every 0.05 s. The test of the majority failed before.

--- a/passpier/core/members.py
+++ b/passpier/core/members.py
@@ -235,10 +235,6 @@
         timeout = self.compute_timeout()
         return [r.member for r in self._records.values() if self._is_alive(r, now, timeout)]
 
-    def is_majority_alive(self, now: float) -> bool:
-        """Return whether more than half of the known members are alive, including this daemon."""
-        return 2 * len(self.list_alive(now)) > len(self._records)
-
     def list_serving(self, now: float) -> list[Member]:
         """Return the live members that are not leaving."""
         return [m for m in self.list_alive(now) if not self._records[m.incarnation].beat.leaving]
--- a/passpier/core/stream_origins.py
+++ b/passpier/core/stream_origins.py
@@ -123,6 +123,11 @@
     """Whether the process has seen all versions of that time, and not only the present ones."""
 
 
+def has_several_versions(sightings: Iterable[Sighting]) -> bool:
+    """Return whether replicas of a service have had several versions lately."""
+    return len({version for s in sightings for version in s.versions}) > 1
+
+
 def find_only_version(sightings: Iterable[Sighting]) -> str:
     """Return the version that all replicas of a service have had lately, or an empty string."""
     sightings = list(sightings)
--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -131,9 +131,9 @@
             responses = await self._ask(asked, stream, service, lifetime)
             named = next((r.origin for r in responses if r.origin), None)
             found, source = self._check(stream, named, clocks.now()), 'peer'
-            if found is None and await self._is_complete(asked_at, len(responses)):
-                sightings = [self._see(service, lifetime), *(r.sighting for r in responses)]
-                found, source = _infer(service, sightings), 'only version'
+            if found is None:
+                found = await self._infer(service, lifetime, asked_at, responses)
+                source = 'only version'
         log.info(
             'stream origin found' if found else 'stream origin unknown',
             extra={
@@ -150,8 +150,8 @@
         )
         return found
 
-    async def confirm(self, stream: str, service: str, seconds: float) -> bool:
-        """Return whether this router is in step, so that it knows if a record was withdrawn."""
+    async def is_in_step(self, stream: str, service: str, seconds: float) -> bool:
+        """Return whether this router certainly knows if a record of a stream was withdrawn."""
         asked_at = clocks.now()
         if await self._prover.prove(asked_at):
             return True
@@ -284,18 +284,30 @@
             del self._asked[id]
         return responses
 
-    async def _is_complete(self, asked_at: float, answered: int) -> bool:
-        """Return whether all versions are known that a stream may have begun at before `asked_at`.
-
-        Without the registry, most routers have to agree: one of them began the stream.
-        """
-        return await self._prover.prove(asked_at) or self._is_agreed(answered)
+    async def _infer(
+        self,
+        service: str,
+        lifetime: float,
+        asked_at: float,
+        responses: Sequence[messages.OriginResponse],
+    ) -> stream_origins.Origin | None:
+        """Return where all streams of a service began, if it certainly has had one version only."""
+        sightings = [r.sighting for r in responses]
+        if stream_origins.has_several_versions([self._see(service, lifetime), *sightings]):
+            return None
+        if not await self._prover.prove(asked_at) and not self._is_agreed(len(responses)):
+            return None
+        software = stream_origins.find_only_version([self._see(service, lifetime), *sightings])
+        return stream_origins.Origin(service, software) if software else None
 
     def _is_agreed(self, answered: int) -> bool:
-        """Return whether enough peers answered to take this router for one of the majority."""
-        others = len(self._membership.list_known()) - 1
-        is_answered = 2 * answered > min(others, PEERS_ASKED)
-        return is_answered and self._membership.is_majority_alive(clocks.now())
+        """Return whether what the peers know makes up for a proof of the registry's state.
+
+        A router that is missing may have begun the stream, and read the registry since.
+        """
+        alive = len(self._membership.list_alive(clocks.now()))
+        known = len(self._membership.list_known())
+        return alive == known and answered >= min(known - 1, PEERS_ASKED)
 
     def _see(self, service: str, lifetime: float) -> stream_origins.Sighting:
         since = clocks.now() - lifetime
@@ -333,11 +345,3 @@
 def _compute_lifetime(seconds: float) -> float:
     """Return for how long a stream may be resumed that lasts for `seconds`."""
     return min(seconds + LIFETIME_MARGIN, MAX_LIFETIME)
-
-
-def _infer(
-    service: str, sightings: Sequence[stream_origins.Sighting]
-) -> stream_origins.Origin | None:
-    """Return the origin of all streams of a service, if it has had one version only."""
-    software = stream_origins.find_only_version(sightings)
-    return stream_origins.Origin(service, software) if software else None
--- a/passpier/routing/state_proofs.py
+++ b/passpier/routing/state_proofs.py
@@ -21,17 +21,19 @@
 
 log = logging.getLogger(__name__)
 
-PROOF_SECONDS = 0.5
+PROOF_SECONDS = 0.7
 """Seconds for which a caller waits for a proof."""
 
 READ_SECONDS = 0.35
 """Timeout of a call to the registry in seconds; a slow one answers within a quarter of a second."""
 
-ASK_SECONDS = 0.1
-"""Seconds after which the next source of a proof is asked as well."""
+ASK_SECONDS = 0.3
+"""Seconds after which the next source of a proof is asked as well: a reader may be waiting for a
+slow registry."""
 
 RETRY_DELAY = 0.05
-"""Seconds after a failed call before the next one."""
+"""Seconds after a failed call before the next one of a reader. All others together call as often as
+the fewest readers that a fleet has."""
 
 
 class Prover(Protocol):
@@ -59,6 +61,9 @@
         self._replies = peers.Replies()
         self._refresh: asyncio.Task[None] | None = None
         self._read: asyncio.Task[None] | None = None
+        self._retry_at = float('-inf')
+        """The time before which the registry is not called, as it has failed to answer."""
+
         link.register_handler(messages.ProofRequest, self._handle_request)
         link.register_handler(messages.ProofResponse, self._handle_response)
 
@@ -103,25 +108,32 @@
     async def _share_read(self) -> None:
         """Wait for the current call to the registry, or begin one."""
         if self._read is None or self._read.done():
+            if clocks.now() < self._retry_at:
+                await asyncio.sleep(RETRY_DELAY)
+                return
             self._read = asyncio.ensure_future(self._read_registry())
         await asyncio.wait([self._read])
 
     async def _read_registry(self) -> None:
         """Apply the changes that the registry has by now."""
-        state = self._registry_state
         try:
-            async with asyncio.timeout(READ_SECONDS):
-                try:
-                    changes = await self._source.watch(
-                        registry_follower.ALL_KEYS, state.revision, 0.0
-                    )
-                    state.apply_watch(changes, 0.0, clocks.now())
-                except registry.CompactedError:
-                    listing = await self._source.read(registry_follower.ALL_KEYS)
-                    state.apply_listing(listing, clocks.now())
+            await self._read_changes()
         except (TimeoutError, exceptions.StoreError) as error:
+            now = clocks.now()
+            self._retry_at = now + RETRY_DELAY * self._relay.count_sharers(now)
             log.info('registry state not read', extra={'error': str(error) or 'timed out'})
-            await asyncio.sleep(RETRY_DELAY)
+
+    async def _read_changes(self) -> None:
+        state = self._registry_state
+        try:
+            async with asyncio.timeout(READ_SECONDS):
+                changes = await self._source.watch(registry_follower.ALL_KEYS, state.revision, 0.0)
+        except registry.CompactedError:
+            # A listing takes longer, and is of use to those who ask later as well.
+            listing = await self._source.read(registry_follower.ALL_KEYS)
+            state.apply_listing(listing, clocks.now())
+        else:
+            state.apply_watch(changes, 0.0, clocks.now())
 
     async def _handle_request(
         self, sender: str, address: str, message: messages.ProofRequest
--- a/passpier/routing/stream_binding.py
+++ b/passpier/routing/stream_binding.py
@@ -12,6 +12,10 @@
 
 log = logging.getLogger(__name__)
 
+FIND_SECONDS = 1.5
+"""Seconds within which it has to be known where a resumed stream began; the client could begin it
+anew instead."""
+
 
 class StreamBinding:
     """The software version at which the response to a request may go on, if it is a stream.
@@ -55,6 +59,14 @@
 
     async def find_origin(self) -> bool:
         """Bind a stream that the client resumes; return false if it can't go on."""
+        try:
+            async with asyncio.timeout(FIND_SECONDS):
+                return await self._find_origin()
+        except TimeoutError:
+            log.info('stream origin not found in time', extra={'stream': self._admitted.stream})
+            return False
+
+    async def _find_origin(self) -> bool:
         origin = await self._look_up_origin()
         if origin is not None and origin.started_ms and not await self._runs(origin.process):
             # A restart that was unknown may be known by now, from the replica's own report or from
@@ -73,7 +85,7 @@
 
     async def _is_in_step(self) -> bool:
         admitted = self._admitted
-        return await self._origins.confirm(
+        return await self._origins.is_in_step(
             admitted.stream, self._call.service.pool, admitted.stream_seconds
         )
 
--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -35,6 +35,7 @@
         self.state = state
 
     async def prove(self, since: float) -> bool:
+        self.fleet.proofs += 1
         await asyncio.sleep(0.01)
         if self.fleet.is_registry_away or self.address in self.fleet.net.cut:
             return False
@@ -57,6 +58,7 @@
         self.addresses: list[str] = []
         self.beats = 1
         self.written = 0
+        self.proofs = 0
         self.is_registry_away = False
         self.recorded: list[catalogue.Change] = []
         """The entries in the registry that only some routers have been told of."""
@@ -491,3 +493,28 @@
         assert await fleet.find(0, 'stream') == ''
 
     run(4, ['v0'], check)
+
+
+# Guards against most routers, cut off from the registry and from the one that has seen it since.
+def test_majority_of_routers_does_not_infer_an_origin_while_another_one_is_missing() -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.mark_watched()
+        fleet.isolate(slice(3, None))
+        fleet.is_registry_away = True
+        fleet.add_replica('new', 'v1', routers=slice(3, None))
+        for pause in (0.05, 10.0):
+            await asyncio.sleep(pause)
+            fleet.send_beats(slice(0, 3))
+            assert await fleet.find(0, 'stream') == ''
+
+    run(4, ['v0'], check)
+
+
+# Guards against calls that can't change the answer, in each release.
+def test_state_is_not_proved_while_a_service_has_several_versions() -> None:
+    async def check(fleet: Fleet) -> None:
+        fleet.mark_watched()
+        assert await fleet.find(0, 'stream') == ''
+        assert fleet.proofs == 0
+
+    run(4, ['v0', 'v1'], check)
--- a/passpier/tests/routing/state_proofs_tests.py
+++ b/passpier/tests/routing/state_proofs_tests.py
@@ -9,9 +9,9 @@
 
 from passpier import clocks
 from passpier.clients import registry
-from passpier.core import catalogue
+from passpier.core import catalogue, readers
 from passpier.daemon import peers
-from passpier.routing import state_proofs
+from passpier.routing import registry_follower, state_proofs
 from passpier.tests.routing import fleets
 
 pytestmark = pytest.mark.usefixtures('virtual_clock')
@@ -48,6 +48,11 @@
         return is_proved, 'new' in self.fleet.processes[number].list_used()
 
 
+def count_watches(seconds: float) -> float:
+    """Return the number of calls that the readers of a registry make anyway while it fails."""
+    return readers.MIN_READERS * seconds / registry_follower.RETRY_BASE
+
+
 async def settle(fleet: fleets.Fleet) -> Provers:
     await asyncio.sleep(5.0)
     return Provers(fleet)
@@ -100,6 +105,25 @@
     fleets.run_fleet(size, 1, check)
 
 
+# Guards against a registry that is kept from recovering by those who wait for it.
+def test_registry_that_fails_is_called_at_the_rate_of_a_few_processes() -> None:
+    async def check(fleet: fleets.Fleet) -> None:
+        provers = await settle(fleet)
+        for number in range(len(fleet.processes)):
+            provers.cut(number, True, False)
+        calls = fleet.registry.calls
+        for _ in range(3):
+            started = [asyncio.ensure_future(p.prove(clocks.now())) for p in provers.proofs]
+            assert not any(await asyncio.gather(*started))
+        seconds = 3 * state_proofs.PROOF_SECONDS
+        # All others together call as often as the readers, after one call of each.
+        callers = 2 * len(provers.readers)
+        allowed = len(provers.proofs) + callers * (seconds / state_proofs.RETRY_DELAY + 3)
+        assert fleet.registry.calls - calls - count_watches(seconds) <= allowed
+
+    fleets.run_fleet(60, 1, check)
+
+
 def test_state_is_not_complete_until_a_returned_registry_was_written_again() -> None:
     async def check(fleet: fleets.Fleet) -> None:
         provers = await settle(fleet)
