Cache events: an event that cannot be applied ends no subscription

A batch that is nested too deeply, a token beyond 32 bits or a message of another number of frames raised an error that ended the task of the subscription, and the daemon learnt nothing more from that engine. Such events are logged and skipped, and batches go through utils/decoding. The test of impossible tokens failed before and passes.

--- a/passpier/clients/kvevents.py
+++ b/passpier/clients/kvevents.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from passpier import exceptions
+from passpier.utils import decoding
+
 TOPIC_PREFIX = 'kv@'
 """Prefix of a topic, which has the form `kv@<incarnation>@<model>`."""
 
@@ -47,7 +50,21 @@
 
 
 encode_batch = msgspec.msgpack.Encoder().encode
-decode_batch = msgspec.msgpack.Decoder(Batch).decode
+decode_batch = decoding.build_messagepack_decoder(Batch).decode
+"""Raises `DecodingError`."""
+
+SEQUENCE_BYTES = 8
+"""Size of a sequence number in bytes."""
+
+
+def parse_frames(frames: list[bytes]) -> tuple[bytes, bytes, bytes]:
+    """Return a message's topic or delimiter, its sequence number and its batch.
+
+    Raises `DecodingError` if it has another form.
+    """
+    if len(frames) != 3 or len(frames[1]) != SEQUENCE_BYTES:
+        raise exceptions.DecodingError(f'{len(frames)} frames, or no sequence number')
+    return frames[0], frames[1], frames[2]
 
 
 def build_topic(incarnation: str, model: str) -> bytes:
--- a/passpier/daemon/events.py
+++ b/passpier/daemon/events.py
@@ -5,11 +5,10 @@
 import asyncio
 import logging
 
-import msgspec
 import zmq
 import zmq.asyncio
 
-from passpier import clocks
+from passpier import clocks, exceptions
 from passpier.clients import kvevents
 from passpier.config import declarations, directory
 from passpier.core import cache_events, cache_view
@@ -63,7 +62,12 @@
         feed = Feed(upstream, model, self._upstreams)
         try:
             while True:
-                topic, sequence, payload = await socket.recv_multipart()
+                frames = await socket.recv_multipart()
+                try:
+                    topic, sequence, payload = kvevents.parse_frames(frames)
+                except exceptions.DecodingError as error:
+                    _log_invalid(upstream.name, error)
+                    continue
                 self._counters.control_bytes.add({'channel': 'events'}, len(payload))
                 missing = feed.receive_batch(topic, int.from_bytes(sequence, 'big'), payload)
                 if missing is not None and upstream.replay:
@@ -80,13 +84,16 @@
             async with asyncio.timeout(REPLAY_TIMEOUT):
                 await socket.send_multipart([b'', start.to_bytes(8, 'big')])
                 while True:
-                    _, sequence, payload = await socket.recv_multipart()
+                    frames = await socket.recv_multipart()
+                    _, sequence, payload = kvevents.parse_frames(frames)
                     if sequence == kvevents.REPLAY_END:
                         return
                     # Events after the gap are applied again as well, to keep the order.
                     feed.apply(key, payload)
         except TimeoutError:
             log.debug('no replay', extra={'upstream': feed.name})
+        except exceptions.DecodingError as error:
+            _log_invalid(feed.name, error)
         finally:
             socket.close()
 
@@ -127,13 +134,17 @@
         """Apply the events of one batch."""
         try:
             batch = kvevents.decode_batch(payload)
-        except msgspec.MsgspecError:
-            log.warning('cache events not decoded', extra={'upstream': self.name})
+        except exceptions.DecodingError as error:
+            _log_invalid(self.name, error)
             return
         # Events arrive late, and describe the cache at the time when they were created.
         age = max(0.0, clocks.read_time_of_day() - batch.ts)
         for event in batch.events:
-            self._apply_event(key, event, age)
+            try:
+                self._apply_event(key, event, age)
+            except OverflowError as error:
+                # The decoder doesn't check each token, of which there are many.
+                _log_invalid(self.name, error)
 
     def _apply_event(self, key: str, event: kvevents.Event, age: float) -> None:
         created_at = clocks.now() - age
@@ -157,6 +168,10 @@
         self.next_sequence = sequence
 
 
+def _log_invalid(upstream: str, error: Exception) -> None:
+    log.warning('invalid cache events', extra={'upstream': upstream, 'error': str(error)})
+
+
 def _read_stored(event: kvevents.BlockStored) -> cache_events.Stored:
     keys = event.extra_keys[0] if event.extra_keys else None
     return cache_events.Stored(
--- a/passpier/tests/daemon/events_tests.py
+++ b/passpier/tests/daemon/events_tests.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import types
 from collections.abc import Iterator
+from typing import cast
 
 import pytest
 
+from passpier import exceptions
 from passpier.clients import kvevents
+from passpier.config import declarations
+from passpier.daemon import events, upstreams
 from passpier.standins import fleets, processes
 
 
@@ -53,3 +58,35 @@
     stored = kvevents.BlockStored([1], None, [1, 2], 2, extra_keys=[['acme']])
     again = kvevents.decode_batch(kvevents.encode_batch(kvevents.Batch(1.0, [stored])))
     assert again.events == [stored]
+
+
+class Cache:
+    """Notes when the cache of an engine is cleared."""
+
+    def __init__(self) -> None:
+        self.cleared = 0
+
+    def clear(self, name: str, key: str) -> None:
+        self.cleared += 1
+
+
+# Guards against an event that ends the subscription, so that the daemon misses all that follow.
+def test_events_behind_one_with_impossible_tokens_are_applied() -> None:
+    cache = Cache()
+    feed = events.Feed(
+        cast(declarations.Upstream, types.SimpleNamespace(name='e')),
+        cast(declarations.Model, types.SimpleNamespace(name='m', block_tokens=1)),
+        cast(upstreams.Upstreams, types.SimpleNamespace(cache=cache)),
+    )
+    for token in (-1, 2**32, 2**63):
+        stored = kvevents.BlockStored([1], None, [token], 1, extra_keys=[['acme']])
+        batch = kvevents.Batch(1.0, [stored, kvevents.AllBlocksCleared()])
+        feed.apply('key', kvevents.encode_batch(batch))
+    feed.apply('key', b'\x91' * 100_000)
+    assert cache.cleared == 3
+
+
+@pytest.mark.parametrize('frames', [[], [b''], [b'', b'1', b''], [b'', bytes(9), b''], [b''] * 4])
+def test_message_of_another_form_is_invalid(frames: list[bytes]) -> None:
+    with pytest.raises(exceptions.DecodingError):
+        kvevents.parse_frames(frames)
