Engines: reports, chunks and headers that cannot be decoded are failures

A load report, a chunk of a stream or a list of VMs that is nested too deeply raised RecursionError: the task that polls the engines ended, or the client of the stream got no regular response. A load header of 5,000 digits, or with digits such as superscripts, raised ValueError. All of them go through utils/decoding and are failures of that engine; negative counts are invalid.

--- a/passpier/clients/engines.py
+++ b/passpier/clients/engines.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Mapping
-from typing import Any, Protocol
+from typing import Annotated, Any, Protocol
 
 import msgspec
 
+from passpier import exceptions
 from passpier.clients import web
+from passpier.utils import decoding
 
 END_MARK = b'[DONE]'
 """Data of the event that terminates a complete stream."""
@@ -16,6 +18,9 @@
 """Sequence number of a chunk from an engine that does not number its chunks."""
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
+
+
 class Delta(msgspec.Struct):
     """New text of a chat choice."""
 
@@ -33,15 +38,15 @@
 class PromptDetails(msgspec.Struct):
     """Details of the prompt tokens: how many were served from the engine's cache."""
 
-    cached_tokens: int = 0
+    cached_tokens: _Count = 0
 
 
 class Usage(msgspec.Struct):
     """Token counts of a complete response."""
 
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    total_tokens: int = 0
+    prompt_tokens: _Count = 0
+    completion_tokens: _Count = 0
+    total_tokens: _Count = 0
     prompt_tokens_details: PromptDetails | None = None
 
 
@@ -73,14 +78,18 @@
     incarnation: str
     weight_version: str
     model: str = ''
-    running: int = 0
-    waiting: int = 0
-    backlog: int = 0
-    slots: int = 8
-    capacity: int = 0
+    running: _Count = 0
+    waiting: _Count = 0
+    backlog: _Count = 0
+    slots: _Count = 8
+    capacity: _Count = 0
     leaving: bool = False
 
 
+_report_decoder = decoding.build_json_decoder(LoadReport)
+_chunk_decoder = decoding.build_json_decoder(Chunk)
+
+
 class Identity(msgspec.Struct, frozen=True):
     """What the headers of a response tell about the engine; load is running, waiting, backlog."""
 
@@ -146,8 +155,8 @@
         if response.status != 200:
             raise web.ExchangeError(f'status {response.status}', True)
         try:
-            return msgspec.json.decode(response.body, type=LoadReport)
-        except msgspec.DecodeError as error:
+            return _report_decoder.decode(response.body)
+        except exceptions.DecodingError as error:
             raise web.ExchangeError(f'invalid load report: {error}', True) from error
 
     async def order(self, address: str, wanted: Mapping[str, Any], timeout: float) -> web.Response:
@@ -159,13 +168,19 @@
 def parse_identity(headers: Mapping[str, str]) -> Identity:
     """Return what the headers of a response tell about the engine."""
     load = None
-    parts = headers.get('X-Engine-Load', '').split(',')
-    if len(parts) == 3 and all(part.isdigit() for part in parts):
-        load = (int(parts[0]), int(parts[1]), int(parts[2]))
+    numbers = [decoding.parse_number(part) for part in headers.get('X-Engine-Load', '').split(',')]
+    match numbers:
+        case [int(running), int(waiting), int(backlog)]:
+            load = running, waiting, backlog
     incarnation = headers.get('X-Engine-Incarnation', '')
     return Identity(incarnation, headers.get('X-Weight-Version', ''), load)
 
 
+def decode_chunk(data: bytes) -> Chunk:
+    """Return the chunk in an event's data; raise `DecodingError` if it is invalid."""
+    return _chunk_decoder.decode(data)
+
+
 async def read_events(exchange: web.Exchange) -> AsyncIterator[bytes]:
     """Yield the data of each server-sent event of a response."""
     buffer = b''
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -309,8 +309,8 @@
         if data == engines.END_MARK:
             raise _AttemptError(attempts.Fault.INTERRUPTED, 'an end mark without an end')
         try:
-            chunk = msgspec.json.decode(data, type=engines.Chunk)
-        except msgspec.DecodeError as error:
+            chunk = engines.decode_chunk(data)
+        except exceptions.DecodingError as error:
             raise _AttemptError(attempts.Fault.INTERRUPTED, f'bad chunk: {error}') from error
         sequence = chunk.sequence
         if sequence == engines.NO_SEQUENCE:
@@ -347,6 +347,7 @@
         call = self._call
         usage = chunk.usage or engines.Usage()
         cached = usage.prompt_tokens_details.cached_tokens if usage.prompt_tokens_details else 0
+        cached = min(cached, usage.prompt_tokens)
         if not self._base_tokens:
             self._learn_usage(usage.prompt_tokens, cached)
         self._owner.counters.prompt_tokens.add({'kind': 'cached'}, cached)
--- a/passpier/daemon/upstreams.py
+++ b/passpier/daemon/upstreams.py
@@ -9,11 +9,12 @@
 
 import msgspec
 
-from passpier import clocks
+from passpier import clocks, exceptions
 from passpier.clients import engines, web
 from passpier.config import directory
 from passpier.core import cache_view, ejection, replica_processes, replicas
 from passpier.daemon import metrics
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -38,6 +39,9 @@
     vms: dict[str, str]
 
 
+_vm_list_decoder = decoding.build_json_decoder(VmList)
+
+
 class Upstreams:
     """All replicas in the current configuration, with their observed state."""
 
@@ -185,8 +189,8 @@
                 response = await self._client.fetch(
                     'GET', f'http://{self._vm_list}/vms', timeout=1.0
                 )
-                self._apply_vms(msgspec.json.decode(response.body, type=VmList).vms)
-            except (web.ExchangeError, msgspec.MsgspecError) as error:
+                self._apply_vms(_vm_list_decoder.decode(response.body).vms)
+            except (web.ExchangeError, exceptions.DecodingError) as error:
                 log.debug('VM list unavailable', extra={'error': str(error)})
             await asyncio.sleep(POLL_INTERVAL)
 
