passpierd: shared records that cannot be decoded are errors of the store

The index, the epoch, member records and chunks of the configuration were decoded without any check, in tasks whose failure ends the process. An invalid record is now a StoreError, which these tasks retry; an invalid member record is left out. A chunk from a peer that does not decompress to at most its maximum size is ignored, and so is a configuration that cannot be decoded, which no longer becomes the active one. Revisions and epochs beyond 2^63 are invalid, as no heartbeat can hold them.

--- a/passpier/config/declarations.py
+++ b/passpier/config/declarations.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from passpier.utils import decoding
+
 
 class Model(msgspec.Struct, frozen=True):
     """A language model with its target weight version."""
@@ -92,4 +94,5 @@
     rules: tuple[Rule, ...] = ()
 
 
-decode_fleet = msgspec.json.Decoder(Fleet).decode
+decode_fleet = decoding.build_json_decoder(Fleet).decode
+"""Raises `DecodingError`."""
--- a/passpier/core/revisions.py
+++ b/passpier/core/revisions.py
@@ -4,10 +4,13 @@
 
 import hashlib
 from collections.abc import Mapping
+from typing import Annotated
 
 import msgspec
 import xxhash
 
+from passpier.utils import decoding
+
 CHUNK_SIZE = 512 * 1024
 """Maximum bytes of a configuration document in one store value."""
 
@@ -18,16 +21,19 @@
 """Average number of items per chunk."""
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
+
+
 class Index(msgspec.Struct, frozen=True):
     """The accepted configuration: its revision, its chunks and the write that set it.
 
     With `nonce`, an operator whose response was lost can check whether the write took effect.
     """
 
-    revision: int
+    revision: _Number
     chunks: tuple[str, ...]
     nonce: str
-    based_on: int
+    based_on: _Number
 
 
 class Revision(msgspec.Struct, frozen=True):
--- a/passpier/daemon/configuration.py
+++ b/passpier/daemon/configuration.py
@@ -8,10 +8,11 @@
 import zlib
 from collections.abc import Callable
 
-from passpier import clocks
+from passpier import clocks, exceptions
 from passpier.config import declarations, directory
 from passpier.core import members, revisions
 from passpier.daemon import messages, peers, storage
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -50,10 +51,16 @@
         link.register_handler(messages.ChunksResponse, self._handle_chunks)
 
     def install(self, revision: revisions.Revision) -> bool:
-        """Apply a configuration if it is newer."""
-        if not self.holder.install(revision):
+        """Apply a configuration if it is newer and valid."""
+        if revision.index.revision <= self.holder.number:
             return False
-        fleet = declarations.decode_fleet(revision.document)
+        try:
+            fleet = declarations.decode_fleet(revision.document)
+        except exceptions.DecodingError as error:
+            fields = {'revision': revision.index.revision, 'error': str(error)}
+            log.error('invalid configuration ignored', extra=fields)
+            return False
+        self.holder.install(revision)
         self.current = directory.Directory(fleet, revision.index.revision)
         self._pending = None
         self._chunks = {}
@@ -125,7 +132,11 @@
 
     def _handle_chunks(self, sender: str, address: str, message: messages.ChunksResponse) -> None:
         for name, data in message.chunks.items():
-            chunk = zlib.decompress(data)
+            try:
+                chunk = decoding.decompress(data, revisions.CHUNK_SIZE)
+            except exceptions.DecodingError as error:
+                log.warning('chunk not decoded', extra={'peer': address, 'error': str(error)})
+                continue
             if revisions.hash_chunk(chunk) == name:
                 self._chunks[name] = chunk
         self._complete(address)
--- a/passpier/daemon/storage.py
+++ b/passpier/daemon/storage.py
@@ -9,13 +9,14 @@
 import random
 import zlib
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
 from passpier import clocks, exceptions
 from passpier.clients import store as store_clients
 from passpier.core import members, revisions
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -42,12 +43,15 @@
 """A holder's name, failure domain and peer address."""
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
+
+
 class EpochRecord(msgspec.Struct, frozen=True):
     """An epoch as stored, with its holders by incarnation."""
 
-    number: int
+    number: _Number
     holders: dict[str, HolderRecord]
-    took_over: int = 0
+    took_over: _Number = 0
     """The last epoch up to this one that left out a holder without knowing that it had stopped."""
 
     lost: dict[str, HolderRecord] = {}
@@ -59,6 +63,11 @@
         return self.holders | self.lost
 
 
+_index_decoder = decoding.build_json_decoder(revisions.Index)
+_member_decoder = decoding.build_json_decoder(members.Member)
+_epoch_decoder = decoding.build_json_decoder(EpochRecord)
+
+
 class Storage:
     """Reads and writes shared state. Every call may raise `StoreError`."""
 
@@ -75,14 +84,14 @@
         value = await self.store.get(INDEX_KEY)
         if value is None:
             return None
-        index = msgspec.json.decode(value.data, type=revisions.Index)
+        index = _decode(value, _index_decoder)
         if current is not None and index.revision <= current.index.revision:
             return None
         chunks = dict(current.chunks) if current else {}
         for name in set(index.chunks) - set(chunks):
             chunk = await self.store.get(CHUNK_PREFIX + name)
             if chunk is not None:
-                chunks[name] = zlib.decompress(chunk.data)
+                chunks[name] = _decompress(chunk)
         return revisions.build_revision(index, chunks)
 
     async def accept_revision(
@@ -103,7 +112,7 @@
                 await self._retry(functools.partial(self.store.write, [put]))
         for _ in range(CALL_TRIES):
             current = await self._retry(functools.partial(self.store.get, INDEX_KEY))
-            known = msgspec.json.decode(current.data, type=revisions.Index) if current else None
+            known = _decode(current, _index_decoder) if current else None
             if known is not None and known.nonce == nonce:
                 return revisions.Revision(known, chunks)
             number = known.revision if known else 0
@@ -141,15 +150,20 @@
 
     async def read_members(self) -> list[members.Member]:
         """Return the daemons whose lease is valid."""
-        values = await self.store.read(MEMBER_PREFIX)
-        return [msgspec.json.decode(v.data, type=members.Member) for v in values]
+        found = []
+        for value in await self.store.read(MEMBER_PREFIX):
+            try:
+                found.append(_decode(value, _member_decoder))
+            except exceptions.StoreError as error:
+                log.error('invalid member entry ignored', extra={'error': str(error)})
+        return found
 
     async def read_epoch(self) -> tuple[EpochRecord | None, int]:
         """Return the epoch and the store revision at which it was written."""
         value = await self.store.get(EPOCH_KEY)
         if value is None:
             return None, 0
-        return msgspec.json.decode(value.data, type=EpochRecord), value.mod_revision
+        return _decode(value, _epoch_decoder), value.mod_revision
 
     async def write_epoch(self, record: EpochRecord, at: int) -> bool:
         """Write an epoch if none was written since store revision `at`."""
@@ -221,3 +235,19 @@
             except exceptions.StoreError:
                 await asyncio.sleep(RETRY_MIN * self._rng.uniform(0.5, 1.0))
         return await call()
+
+
+def _decode(value: store_clients.Value, decoder: decoding.Decoder[T]) -> T:
+    """Return the record in a value; raise `StoreError` if it is invalid."""
+    try:
+        return decoder.decode(value.data)
+    except exceptions.DecodingError as error:
+        raise exceptions.StoreError(f'{value.key}: {error}') from error
+
+
+def _decompress(value: store_clients.Value) -> bytes:
+    """Return a chunk; raise `StoreError` if it is invalid."""
+    try:
+        return decoding.decompress(value.data, revisions.CHUNK_SIZE)
+    except exceptions.DecodingError as error:
+        raise exceptions.StoreError(f'{value.key}: {error}') from error
--- a/passpier/utils/decoding.py
+++ b/passpier/utils/decoding.py
@@ -84,10 +84,10 @@
     """Decompress complete zlib data; raise `DecodingError` if it is invalid or too large."""
     decompressor = zlib.decompressobj()
     try:
-        result = decompressor.decompress(data, max_bytes)
+        result = decompressor.decompress(data, max_bytes + 1)
     except zlib.error as error:
         raise exceptions.DecodingError(str(error)[:MAX_MESSAGE_LENGTH]) from error
-    if not decompressor.eof:
+    if not decompressor.eof or len(result) > max_bytes:
         raise exceptions.DecodingError(f'incomplete, or over {max_bytes} bytes decompressed')
     return result
 
