Clients of the store and of operators: responses are decoded by type

A response of the store without the expected fields, with a number that is none or with a key that is no text raised errors other than StoreError, which ended the tasks that call the store. Responses now have types. A reply to the command line that cannot be decoded counts as no answer.

--- a/passpier/clients/rpc.py
+++ b/passpier/clients/rpc.py
@@ -8,6 +8,7 @@
 import tornado.httpclient
 
 from passpier import exceptions
+from passpier.utils import decoding
 
 
 class RpcError(exceptions.PasspierError):
@@ -23,6 +24,20 @@
     """No daemon responded."""
 
 
+class _Error(msgspec.Struct):
+    code: int
+    message: str
+    data: Any = None
+
+
+class _Reply(msgspec.Struct):
+    result: Any = None
+    error: _Error | None = None
+
+
+_decoder = decoding.build_json_decoder(_Reply)
+
+
 def call(address: str, secret: str, method: str, parameters: dict[str, Any], timeout: float) -> Any:
     """Call a method and return its result; raise `RpcError` or `UnreachableError`."""
     body = {'jsonrpc': '2.0', 'id': 1, 'method': method, 'params': parameters}
@@ -45,8 +60,10 @@
         raise UnreachableError(f'the daemon at {address} refuses the operator secret')
     if response.code != 200:
         raise UnreachableError(f'no daemon answers at {address}: {response.error}')
-    reply = msgspec.json.decode(response.body)
-    if 'error' in reply:
-        failure = reply['error']
-        raise RpcError(failure['code'], failure['message'], failure.get('data'))
-    return reply['result']
+    try:
+        reply = _decoder.decode(response.body)
+    except exceptions.DecodingError as error:
+        raise UnreachableError(f'no daemon answers at {address}: {error}') from error
+    if reply.error is not None:
+        raise RpcError(reply.error.code, reply.error.message, reply.error.data)
+    return reply.result
--- a/passpier/clients/store.py
+++ b/passpier/clients/store.py
@@ -6,12 +6,13 @@
 import base64
 import itertools
 from collections.abc import AsyncIterator, Sequence
-from typing import Any, Protocol
+from typing import Annotated, Any, Protocol
 
 import msgspec
 
 from passpier import exceptions
 from passpier.clients import web
+from passpier.utils import decoding
 
 CALL_TIMEOUT = 2.0
 """Timeout of a call in seconds."""
@@ -47,6 +48,33 @@
     revision: int
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
+
+
+class _Row(msgspec.Struct):
+    key: bytes
+    mod_revision: _Number
+    create_revision: _Number
+    value: bytes = b''
+
+
+class _Renewal(msgspec.Struct):
+    ttl: int = msgspec.field(name='TTL', default=0)
+
+
+class _Response(msgspec.Struct):
+    """The response to any call, without the fields of other calls."""
+
+    kvs: list[_Row] = []
+    succeeded: bool = False
+    lease: _Number = msgspec.field(name='ID', default=0)
+    result: _Renewal = msgspec.field(default_factory=_Renewal)
+
+
+_decoder = decoding.build_json_decoder(_Response, strict=False)
+"""The gateway sends numbers of 64 bits as strings."""
+
+
 class Store(Protocol):
     """Interface to a key-value store. Every call may raise `StoreError`."""
 
@@ -85,12 +113,12 @@
     async def read(self, prefix: str) -> list[Value]:
         """Return all values whose key starts with `prefix`."""
         body = {'key': _encode(prefix), 'range_end': _encode(_next_prefix(prefix))}
-        return [_parse_value(kv) for kv in (await self._call('/v3/kv/range', body)).get('kvs', [])]
+        return [_convert(row) for row in (await self._call('/v3/kv/range', body)).kvs]
 
     async def get(self, key: str) -> Value | None:
         """Return the value of a key, or none if it does not exist."""
-        kvs = (await self._call('/v3/kv/range', {'key': _encode(key)})).get('kvs', [])
-        return _parse_value(kvs[0]) if kvs else None
+        rows = (await self._call('/v3/kv/range', {'key': _encode(key)})).kvs
+        return _convert(rows[0]) if rows else None
 
     async def write(
         self, operations: Sequence[Put | Delete], conditions: Sequence[ExpectedRevision] = ()
@@ -101,16 +129,18 @@
             for c in conditions
         ]
         body = {'compare': compare, 'success': [_render_operation(o) for o in operations]}
-        return bool((await self._call('/v3/kv/txn', body)).get('succeeded'))
+        return (await self._call('/v3/kv/txn', body)).succeeded
 
     async def grant(self, ttl: int) -> int:
         """Grant a lease of `ttl` seconds and return its id."""
-        return int((await self._call('/v3/lease/grant', {'TTL': str(ttl)}))['ID'])
+        lease = (await self._call('/v3/lease/grant', {'TTL': str(ttl)})).lease
+        if not lease:
+            raise exceptions.StoreError('/v3/lease/grant: no lease')
+        return lease
 
     async def keep_alive(self, lease: int) -> bool:
         """Renew a lease; return false if it has expired."""
-        response = await self._call('/v3/lease/keepalive', {'ID': str(lease)})
-        return int(response.get('result', {}).get('TTL', 0)) > 0
+        return (await self._call('/v3/lease/keepalive', {'ID': str(lease)})).result.ttl > 0
 
     async def revoke(self, lease: int) -> None:
         """Revoke a lease and delete its keys."""
@@ -132,7 +162,7 @@
         finally:
             exchange.abort()
 
-    async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+    async def _call(self, path: str, body: dict[str, Any]) -> _Response:
         try:
             response = await self._client.fetch(
                 'POST', f'http://{self._endpoint}{path}', _encode_body(body), timeout=CALL_TIMEOUT
@@ -142,7 +172,10 @@
             raise exceptions.StoreError(f'{path}: {error}') from error
         if response.status != 200:
             raise exceptions.StoreError(f'{path}: status {response.status}')
-        return msgspec.json.decode(response.body)
+        try:
+            return _decoder.decode(response.body)
+        except exceptions.DecodingError as error:
+            raise exceptions.StoreError(f'{path}: {error}') from error
 
 
 class MemoryStore:
@@ -211,13 +244,10 @@
     return msgspec.json.encode(body)
 
 
-def _parse_value(kv: dict[str, Any]) -> Value:
-    return Value(
-        base64.b64decode(kv['key']).decode(),
-        base64.b64decode(kv.get('value', '')),
-        int(kv['mod_revision']),
-        int(kv['create_revision']),
-    )
+def _convert(row: _Row) -> Value:
+    # Other writers may have chosen a key that is no text.
+    key = row.key.decode(errors='replace')
+    return Value(key, row.value, row.mod_revision, row.create_revision)
 
 
 def _render_operation(operation: Put | Delete) -> dict[str, Any]:
