Callers and operators: bytes that cannot be decoded have a regular response

A stored response, a failure that the home of a key reports, a claim in the store or the decisions of a peer were decoded without a check, and the caller got an internal error instead of the outcome. A body with a lone surrogate or an infinite number in a further field passed the decoder and failed when it was encoded for the engine; it is now refused as no JSON.

--- a/passpier/daemon/call_builder.py
+++ b/passpier/daemon/call_builder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import urllib.parse
 from typing import Annotated, Any, Literal
 
@@ -14,6 +13,7 @@
 from passpier.config import declarations, directory
 from passpier.core import attempts, blocks
 from passpier.daemon import calls
+from passpier.utils import decoding
 
 MAX_TOKENS = 32_768
 
@@ -136,14 +136,14 @@
 def _parse_body(path: str, raw: bytes) -> CompletionBody | ChatBody | exceptions.Failure:
     kind = ChatBody if path == calls.CHAT_PATH else CompletionBody
     try:
-        return kind.model_validate(json.loads(raw))
-    except (ValueError, RecursionError) as error:
-        if isinstance(error, pydantic.ValidationError):
-            parts = [f'{".".join(map(str, e["loc"]))}: {e["msg"]}' for e in error.errors()[:5]]
-            message = '; '.join(parts)
-        else:
-            message = 'the body is not JSON'
-        return _refuse(message)
+        body = decoding.decode_json(raw)
+    except exceptions.DecodingError:
+        return _refuse('the body is not JSON')
+    try:
+        return kind.model_validate(body)
+    except pydantic.ValidationError as error:
+        parts = [f'{".".join(map(str, e["loc"]))}: {e["msg"]}' for e in error.errors()[:5]]
+        return _refuse('; '.join(parts))
 
 
 def _refuse(message: str) -> exceptions.Failure:
--- a/passpier/daemon/callers.py
+++ b/passpier/daemon/callers.py
@@ -203,12 +203,12 @@
 
     async def _replay(self, call: calls.Call, response: responses.Response) -> None:
         """Send a stored response, which may not be computed again, as a stream."""
-        body = msgspec.json.decode(response.body)
-        choice = body['choices'][0]
-        text = choice['message']['content'] if call.chat else choice['text']
-        usage = msgspec.convert(body['usage'], engines.Usage)
+        try:
+            text, finish_reason, usage = responses.read_completion(call, response)
+        except exceptions.DecodingError as error:
+            raise _make_unusable_error() from error
         self._start_stream()
-        self._write_piece(call, generation.Piece(text, choice['finish_reason'], usage))
+        self._write_piece(call, generation.Piece(text, finish_reason, usage))
         await self.flush()
 
     def _start_stream(self) -> None:
@@ -376,6 +376,12 @@
     )
 
 
+def _make_unusable_error() -> calls.RequestFailedError:
+    message = 'the stored response can not be sent as a stream'
+    code = exceptions.Code.UPSTREAM_FAILED
+    return calls.RequestFailedError(exceptions.Failure(code, exceptions.Outcome.RAN, message))
+
+
 def _refuse(
     code: exceptions.Code, message: str, retry_after: float | None = None
 ) -> calls.RequestFailedError:
--- a/passpier/daemon/generation.py
+++ b/passpier/daemon/generation.py
@@ -353,7 +353,7 @@
         self._owner.counters.prompt_tokens.add({'kind': 'cached'}, cached)
         self._owner.counters.prompt_tokens.add({'kind': 'computed'}, usage.prompt_tokens - cached)
         if self._base_tokens:
-            usage.prompt_tokens -= self._base_tokens
+            usage.prompt_tokens = max(0, usage.prompt_tokens - self._base_tokens)
             usage.completion_tokens += self._base_tokens
         if usage.completion_tokens != len(self._text):
             raise _AttemptError(attempts.Fault.FAILED, 'the count of the answer is wrong')
--- a/passpier/daemon/idempotency.py
+++ b/passpier/daemon/idempotency.py
@@ -18,6 +18,7 @@
 from passpier.clients import store as store_clients
 from passpier.core import claims, members
 from passpier.daemon import calls, messages, peers, responses
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -50,6 +51,10 @@
     claimed_at: float
 
 
+_claim_decoder = decoding.build_json_decoder(ClaimRecord)
+_failure_decoder = decoding.build_json_decoder(exceptions.Failure)
+
+
 class IdempotentRunner:
     """Runs calls with keys here, or forwards them to the daemon that may run them."""
 
@@ -189,7 +194,10 @@
         if not isinstance(response, messages.ForwardResponse):
             raise _make_unreachable_error(call)
         if response.failure:
-            failure = msgspec.json.decode(response.failure, type=exceptions.Failure)
+            try:
+                failure = _failure_decoder.decode(response.failure)
+            except exceptions.DecodingError as error:
+                raise _make_unreachable_error(call) from error
             raise calls.RequestFailedError(failure)
         return responses.Response(response.status, response.content_type, response.body)
 
@@ -359,4 +367,8 @@
 
 
 def _decode_claim(value: store_clients.Value) -> ClaimRecord:
-    return msgspec.json.decode(value.data, type=ClaimRecord)
+    """Return a claim; raise `StoreError` if it is invalid."""
+    try:
+        return _claim_decoder.decode(value.data)
+    except exceptions.DecodingError as error:
+        raise exceptions.StoreError(f'{value.key}: {error}') from error
--- a/passpier/daemon/operators.py
+++ b/passpier/daemon/operators.py
@@ -16,6 +16,7 @@
 from passpier.config import loader, schema
 from passpier.core import revisions
 from passpier.daemon import messages, peers, service
+from passpier.utils import decoding
 
 log = logging.getLogger(__name__)
 
@@ -66,7 +67,8 @@
     async def show(self) -> jsonrpcserver.Result:
         """Return the configuration in force at this daemon."""
         current = self._app.fleet.configuration.holder.current
-        document = msgspec.json.decode(current.document) if current else None
+        # Installed only if it can be decoded.
+        document = decoding.decode_json(current.document) if current else None
         return jsonrpcserver.Success(
             {'revision': current.index.revision if current else 0, 'document': document}
         )
@@ -118,7 +120,7 @@
             found = await self._ask_peers(request)
         if not found:
             return jsonrpcserver.Error(CODE_NOT_FOUND, f'no daemon knows request {request!r}')
-        return jsonrpcserver.Success([msgspec.json.decode(d) for d in found])
+        return jsonrpcserver.Success(_decode_decisions(found))
 
     async def drain(self, name: str) -> jsonrpcserver.Result:
         """Start to drain a daemon."""
@@ -167,6 +169,17 @@
         self._replies.resolve(message.id, message)
 
 
+def _decode_decisions(found: list[bytes]) -> list[Any]:
+    """Return decisions without those that can't be decoded, which peers may have sent."""
+    decisions = []
+    for data in found:
+        try:
+            decisions.append(decoding.decode_json(data))
+        except exceptions.DecodingError as error:
+            log.warning('decision not decoded', extra={'error': str(error)})
+    return decisions
+
+
 class RpcHandler(tornado.web.RequestHandler):
     """`POST /rpc`."""
 
--- a/passpier/daemon/responses.py
+++ b/passpier/daemon/responses.py
@@ -9,6 +9,7 @@
 from passpier import clocks, exceptions
 from passpier.clients import engines
 from passpier.daemon import calls
+from passpier.utils import decoding
 
 _STATUSES = {
     exceptions.Code.BAD_REQUEST: 400,
@@ -35,6 +36,24 @@
     repeated: bool = False
 
 
+class _Message(msgspec.Struct):
+    content: str = ''
+
+
+class _Choice(msgspec.Struct):
+    finish_reason: str | None
+    text: str = ''
+    message: _Message = msgspec.field(default_factory=_Message)
+
+
+class _Completion(msgspec.Struct):
+    choices: list[_Choice]
+    usage: engines.Usage
+
+
+_completion_decoder = decoding.build_json_decoder(_Completion)
+
+
 def get_status(failure: exceptions.Failure) -> int:
     """Return the HTTP status of a failure."""
     return _STATUSES.get(failure.code, 503)
@@ -67,6 +86,16 @@
     return _render_common(call, object_type, choice)
 
 
+def read_completion(call: calls.Call, response: Response) -> tuple[str, str | None, engines.Usage]:
+    """Return the text, finish reason and usage of a whole completion; raise `DecodingError`."""
+    completion = _completion_decoder.decode(response.body)
+    if not completion.choices:
+        raise exceptions.DecodingError('a completion without a choice')
+    choice = completion.choices[0]
+    text = choice.message.content if call.chat else choice.text
+    return text, choice.finish_reason, completion.usage
+
+
 def render_completion(
     call: calls.Call, text: str, finish_reason: str | None, usage: engines.Usage
 ) -> Response:
