--- a/passpier/commands/traces.py
+++ b/passpier/commands/traces.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import glob
-import json
 from collections.abc import Iterable, Iterator
 from typing import Any
 
 from passpier import exceptions
+from passpier.utils import decoding
 
 Line = dict[str, Any]
 
@@ -45,8 +45,8 @@
             if start < 0:
                 continue
             try:
-                line = json.loads(text[start:])
-            except ValueError:
+                line = decoding.decode_json(text[start:].encode())
+            except exceptions.DecodingError:
                 continue
             if isinstance(line, dict):
                 yield line
--- /dev/null
+++ b/passpier/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `passpier.core`."""
