Configuration: numbers that no message can hold are invalid

A version of the configuration beyond 2^64 was accepted, and no query for changes could then be sent to peers, as it names the version. Integers of the configuration are now limited to 2^63, and so is the number of a chunk.

--- a/passpier/clients/engines.py
+++ b/passpier/clients/engines.py
@@ -56,7 +56,7 @@
     id: str
     choices: list[Choice] = []
     usage: Usage | None = None
-    sequence: int = NO_SEQUENCE
+    sequence: Annotated[int, msgspec.Meta(ge=NO_SEQUENCE, le=decoding.MAX_INTEGER)] = NO_SEQUENCE
 
     @property
     def text(self) -> str:
--- a/passpier/platform/records.py
+++ b/passpier/platform/records.py
@@ -23,6 +23,9 @@
 MAX_LOGGED_ADDRESS = 40
 """Maximum number of characters of an invalid address in an error message."""
 
+_Integer = Annotated[int, msgspec.Meta(ge=-decoding.MAX_INTEGER, le=decoding.MAX_INTEGER)]
+"""Of the configuration: any integer that a message to a peer can hold."""
+
 _Count = Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
@@ -37,7 +40,7 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: int = 1
+    weight: _Integer = 1
 
 
 class _Route(msgspec.Struct):
@@ -47,10 +50,10 @@
     type: str = 'idempotent'
     timeout_ms: float = 30_000
     target_latency_ms: float = 1000
-    priority: int = 1
+    priority: _Integer = 1
     service: str = ''
     split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: _Integer = 1
     public: bool = False
     resumable: bool = False
     gap_target_ms: float = 0
@@ -61,26 +64,26 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
-    kv_capacity: int = 0
+    slots: _Integer = 1
+    kv_capacity: _Integer = 0
     models: list[_Model] = []
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 100
+    max_connections: _Integer = 100
     engine: _Engine | None = None
     kv_store_address: str = ''
     """Set if the service is a KV cache store, which no route refers to."""
 
     zone: str = ''
-    kv_capacity: int = 0
+    kv_capacity: _Integer = 0
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _Integer | None = None
     isolated: bool = False
     rate_per_s: float = 0
     """Units per second; 0 means no limit."""
@@ -89,16 +92,16 @@
     """Units that may be spent beyond the rate."""
 
     unit: str = 'requests'
-    uncached_tokens: int = 1
+    uncached_tokens: _Integer = 1
     """Cost of a request that does not declare its tokens, if `unit` is `tokens`."""
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int = 4 * 1024 * 1024
+    max_body_bytes: _Integer = 4 * 1024 * 1024
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Integer
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] | None = None
--- a/passpier/tests/utils/__init__.py
+++ b/passpier/tests/utils/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of `passpier.core`."""
+"""Tests of `passpier.utils`."""
