Streams: the end of a connection completes a stream only if its process runs

Clients got a stream without its last events as complete if its replica sends neither a length nor chunks and its process was killed between two events: the kernel closes the connections of such a process in order, which is how a stream without a length ends.

A reader that learns of the end of a stream by nothing but the end of the connection asks the process for its report. Without one from that very process the attempt is interrupted: another replica continues a resumable stream, any other one ends as incomplete. That is one report for each such stream, and none for streams with a length or in chunks.

--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -165,6 +165,9 @@
         self.received_any = False
         """Whether any bytes have been received."""
 
+        self.ended_by_close = False
+        """Whether nothing but the end of the connection tells that the response is complete."""
+
         connection.exchange = self
 
     def send(self) -> None:
@@ -311,6 +314,7 @@
             try:
                 self._parser.receive_data(b'')
                 self._parse()
+                self.ended_by_close = self._ended
             except h11.RemoteProtocolError:
                 self._fail(Fault.CLOSED, 'the connection closed before the response was complete')
         if not self._ended:
--- a/passpier/routing/response_reader.py
+++ b/passpier/routing/response_reader.py
@@ -78,7 +78,19 @@
 
     async def read_part(self, wait: float) -> bytes | None:
         """Return the next part of the body, or none at its end; raises `AttemptError`."""
-        return await self._read_while_alive(self._exchange.read, wait, attempts.Fault.INTERRUPTED)
+        fault = attempts.Fault.INTERRUPTED
+        part = await self._read_while_alive(self._exchange.read, wait, fault)
+        if part is None and not await self._is_complete():
+            text = 'the process may have ended before the response was complete'
+            raise AttemptError(fault, text, broken_off=True)
+        return part
+
+    async def _is_complete(self) -> bool:
+        """Return whether a response that has ended is complete.
+
+        Where nothing tells its length, the end of a killed process looks like that of a response.
+        """
+        return not self._exchange.ended_by_close or await self._prober.confirm(self._process)
 
     @property
     def is_cut_off(self) -> bool:
