Tests: events whose lines end in different ways

A line that ends in a line feed, then an empty line that ends in a carriage return and line feed, do not end an event: it is held until the next one ends, and a stream of such events counts as broken off.

--- a/passpier/tests/core/sse_tests.py
+++ b/passpier/tests/core/sse_tests.py
@@ -34,6 +34,18 @@
     assert position.last_id == (str(len(lines) - 1) if lines else '')
 
 
+# Guards against an event that is held back, and a whole stream that counts as broken off, because
+# its lines do not all end in the same way.
+@pytest.mark.parametrize('end', ['\n', '\r\n'])
+@pytest.mark.parametrize('blank', ['\n', '\r\n'])
+def test_lines_of_an_event_may_end_in_different_ways(end: str, blank: str) -> None:
+    event = f'id: 1{end}data: a{end}{blank}'.encode()
+    splitter = sse.EventSplitter()
+    received = [found for n in range(len(event)) for found in splitter.feed(event[n : n + 1])]
+    assert received == [event]
+    assert not splitter.has_rest
+
+
 def test_an_incomplete_event_is_buffered() -> None:
     splitter = sse.EventSplitter()
     assert splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda') == [b'id: 1\ndata: a\n\n']
