Streams: an event ends at any empty line

Events were held until the next one, and a whole stream counted as broken off, if a line ended in a line feed and the empty line after it in a carriage return and line feed. The splitter knew two equal line ends only; now either may be of either kind. Lone carriage returns still end no line.

--- a/passpier/core/sse.py
+++ b/passpier/core/sse.py
@@ -7,7 +7,7 @@
 EVENT_MAX = 256 * 1024
 """Maximum size in bytes of an event; events of models have a few hundred bytes."""
 
-_TERMINATOR = re.compile(rb'\n\n|\r\n\r\n')
+_TERMINATOR = re.compile(rb'\r?\n\r?\n')
 _TERMINATOR_MAX = 4
 
 ID_SHOWN = 40
