Tests: a body without a length whose process is killed

The client gets the part of the body that was sent, as a success with the length of that part, on routes that may and may not be repeated.

--- a/passpier/tests/platform/cut_heads_tests.py
+++ b/passpier/tests/platform/cut_heads_tests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from passpier.platform import names
@@ -62,3 +64,26 @@
         assert any(target.arrivals for target in running.replicas.values())
 
     harness.run_check(check, routers=2)
+
+
+# Guards against half a body as a success: a process is killed within a response without a length,
+# and its kernel closes the connection in order.
+@pytest.mark.parametrize('path', ['/safe/x', '/once/x'])
+def test_body_without_length_does_not_end_with_its_process(path: str) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        head = HEAD.replace(b'Content-Length: 0\r\n', b'')
+        scripts = [[head, *[b'part'] * 100]]
+        for target in running.replicas.values():
+            target.faults.scripts = scripts
+        pending = asyncio.ensure_future(running.ask(path, id='one'))
+        await harness.wait_for(lambda: not scripts)
+        await asyncio.sleep(0.05)
+        first = next(target for target in running.replicas.values() if target.arrivals)
+        first.crash(resets=False)
+        reply = await pending
+        if path == '/safe/x':
+            assert (reply.status, reply.body) == (200, b'POST /safe/x 8')
+        else:
+            assert reply.status == 502
+
+    harness.run_check(check)
