--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -34,6 +34,10 @@
 """Seconds after which a replica that keeps rejecting requests for its weight version is probed.
 Right after each load some requests are rejected once, and a probe is billed."""
 
+SURVEY_INTERVAL = 0.2
+"""Minimum seconds between the starts of two surveys of a service, each with a call to every replica
+of it."""
+
 UNANSWERED_MAX = 2
 """Unanswered probes after which a replica counts as unresponsive: a packet may be lost."""
 
@@ -68,6 +72,12 @@
         self._end_states: dict[replica_processes.ReplicaProcess, asyncio.Future[bool]] = {}
         """Whether the processes being probed have ended, as soon as that is known."""
 
+        self._surveys: dict[str, asyncio.Task[None]] = {}
+        """By service, the survey in progress or the last one."""
+
+        self._surveyed_at: dict[str, float] = {}
+        """By service, when the last finished survey began."""
+
     def record_contact(self, process: replica_processes.ReplicaProcess) -> None:
         """Record that a replica process responded."""
         if self._pools.find(process) is not None:
@@ -120,6 +130,27 @@
             return False
         return self._registry_state.apply_report(process, report)
 
+    async def survey(self, service: str) -> None:
+        """Have the replicas of a service that respond report which processes they are by now.
+
+        Callers that wait at the same time share the reports.
+        """
+        asked_at = clocks.now()
+        while self._surveyed_at.get(service, float('-inf')) < asked_at:
+            survey = self._surveys.get(service)
+            if survey is None or survey.done():
+                survey = self._surveys[service] = asyncio.ensure_future(self._survey(service))
+            await asyncio.wait([survey])
+
+    async def _survey(self, service: str) -> None:
+        last_at = self._surveyed_at.get(service, float('-inf'))
+        await asyncio.sleep(max(0.0, last_at + SURVEY_INTERVAL - clocks.now()))
+        began_at = clocks.now()
+        processes = [r.process for r in self._pools.list_service(service) if r.started_ms]
+        responsive = [p for p in processes if not self.is_unresponsive(p.id)]
+        await asyncio.gather(*(self.confirm(p) for p in responsive))
+        self._surveyed_at[service] = began_at
+
     def note_version_mismatch(
         self, process: replica_processes.ReplicaProcess, version: str
     ) -> None:
--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -17,7 +17,6 @@
 from passpier.platform import names
 from passpier.standins.platform import (
     deployment,
-    partitions,
     replica,
     routers,
     stream_clients,
@@ -86,14 +85,16 @@
     return pending, find_runner(running, f'{stream.id}.0')
 
 
-async def restart_unnoticed(running: deployment.Deployment) -> replica.Replica:
+async def restart_unnoticed(
+    running: deployment.Deployment, is_registry_down: bool = True
+) -> replica.Replica:
     """Restart the replica that gets the next stream, with a version that no router knows of."""
     add_models(running, ['v1', 'v1'])
     await wait_known(running)
     before = stream_clients.Stream('before', harness.PROMPT_HEADERS)
     assert await before.read(running, get_address(running, 0))
     first = find_runner(running, 'before.0')
-    running.faults.down = True
+    running.faults.down = is_registry_down
     first.restart(software='v1.1')
     return first
 
@@ -326,6 +327,27 @@
     harness.run_check(check, routers=2)
 
 
+# Guards against an inference from the registry alone: a process may have no entry yet.
+def test_resumed_stream_of_a_process_without_an_entry_is_refused_if_its_router_has_gone() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.age_routers()
+        first = await restart_unnoticed(running, is_registry_down=False)
+        for process in running.routers:
+            # As after a long time, in which no other version was there.
+            process.pools.observed_since = float('-inf')
+        running.isolate(running.routers[0])
+        stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
+        await stream.read(running, get_address(running, 0), stop_after=3)
+        unaware = next(
+            n for n in range(1, 4) if running.routers[n].pools.get(first.id).software == 'v1'
+        )
+        assert not await stream.read(running, get_address(running, unaware))
+        assert stream.bodies == [b'{"error":"unknown_stream"}']
+        assert stream.versions == {'v1.1'}
+
+    harness.run_check(check, routers=4)
+
+
 # Guards against records that were withdrawn while the router that holds them was out of step.
 def test_record_that_was_withdrawn_unheard_is_not_used() -> None:
     async def check(running: deployment.Deployment) -> None:
@@ -335,8 +357,7 @@
         await stream.read(running, get_address(running, 0), stop_after=3)
         cut = running.routers[1]
         await harness.wait_for(lambda: len(cut.origins.held) >= 1)
-        running.router_pools['vm-1'].cut_off([running.store_address], partitions.Cut.RESET)
-        cut.peers.blocked |= {r.peers.address for r in running.routers}
+        running.isolate(cut)
         running.faults.down = False
         running.write_entry(first.id)
         known = running.routers[0].pools
