Store: changes that exceed a response are read by a listing

Eight entries of 3 MB written at once exceeded the largest response that a watch accepts. The same watch was repeated and failed each time, so that the router followed the registry no more, until its history was compacted. Such a watch now counts as one whose history is lost: the router reads the listing, whose pages are limited. Pages of the stand-in are limited to 1 MiB as well.

--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -69,6 +69,10 @@
         self.sent = sent
 
 
+class ResponseTooLongError(ExchangeError):
+    """A response has more bytes than the caller accepts."""
+
+
 Headers = Sequence[tuple[str, str]]
 
 
@@ -256,7 +260,7 @@
                 body += part
                 self._buffers.add(len(part))
                 if len(body) > max_bytes:
-                    raise ExchangeError(Fault.MALFORMED, 'the response is too long', True)
+                    raise ResponseTooLongError(Fault.MALFORMED, 'the response is too long', True)
         finally:
             self._buffers.remove(len(body))
         return Response(head, bytes(body))
--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -116,7 +116,13 @@
             'after': str(after.number),
             'wait_ms': str(int(wait * 1000)),
         }
-        answer = await self._call('GET', '/kv-watch', query, timeout=wait + CALL_TIMEOUT)
+        try:
+            answer = await self._call('GET', '/kv-watch', query, timeout=wait + CALL_TIMEOUT)
+        except exceptions.StoreError as error:
+            if isinstance(error.__cause__, exchanges.ResponseTooLongError):
+                # A watch has no pages, so that these changes can only be read by a listing.
+                raise registry.CompactedError(str(error)) from error
+            raise
         if answer.timeline != after.timeline:
             # The counter has passed the number since, so that the store does not refuse it.
             raise registry.CompactedError(f'GET /kv-watch: timeline {answer.timeline}')
--- a/passpier/standins/platform/metastore.py
+++ b/passpier/standins/platform/metastore.py
@@ -17,6 +17,9 @@
 PAGE_SIZE = 500
 """Maximum number of items in one page of a range."""
 
+PAGE_BYTES = 1024 * 1024
+"""Size of the values of a page from which on it has no further items."""
+
 
 @dataclasses.dataclass(slots=True)
 class Item:
@@ -272,14 +275,24 @@
         after = self.get_argument('after', '')
         self.store.expire()
         keys = sorted(k for k in self.store.items if k.startswith(prefix) and k > after)
+        count = self._count_page(keys)
         self.write(
             {
-                'items': [self.store.render(k) for k in keys[:PAGE_SIZE]],
-                'truncated': len(keys) > PAGE_SIZE,
+                'items': [self.store.render(k) for k in keys[:count]],
+                'truncated': len(keys) > count,
                 'store_revision': self.store.revision,
             }
         )
 
+    def _count_page(self, keys: list[str]) -> int:
+        """Return how many of the keys fit into a page; at least one does."""
+        size = 0
+        for count, key in enumerate(keys[:PAGE_SIZE]):
+            if size >= PAGE_BYTES:
+                return count
+            size += len(self.store.items[key].value)
+        return min(len(keys), PAGE_SIZE)
+
 
 class _Watch(_Handler):
     async def get(self) -> None:
--- a/passpier/tests/platform/undecodable_records_tests.py
+++ b/passpier/tests/platform/undecodable_records_tests.py
@@ -14,6 +14,10 @@
 DEEP = b'[' * 100_000 + b']' * 100_000
 """A value that is nested deeper than any decoder follows."""
 
+LARGE = b'x' * 3 * 1024 * 1024
+LARGE_ENTRIES = 8
+"""Entries that together exceed a response of the registry."""
+
 MEMBERS = names.OWN_PREFIX + 'members/'
 ORIGINS = names.OWN_PREFIX + 'origins/'
 HEARTBEATS = 1.5
@@ -45,3 +49,22 @@
         assert stream.bodies == [b'{"error":"unknown_stream"}']
 
     harness.run_check(check)
+
+
+def get_version(running: deployment.Deployment, number: int) -> int:
+    """Return the version of the configuration that a router has."""
+    return running.routers[number].registry_state.configuration_version
+
+
+# Guards against routers that stop following the registry, as its changes exceed a response.
+def test_routers_follow_the_registry_past_large_entries() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for number in range(LARGE_ENTRIES):
+            running.store.put_bytes(f'{names.REPLICA_PREFIX}large-{number}', LARGE)
+        running.configure()
+        await harness.wait_for(lambda: get_version(running, 0) == running.version)
+        running.add_router('vm-1', 'zone-1')
+        await running.wait_ready(20.0)
+        assert (await running.ask('/safe/x', 1)).status == 200
+
+    harness.run_check(check)
