Roster: a member restores its entry that another writer has replaced

An invalid entry under the key of a live member stayed there for as long as the member renewed its lease, so that routers that started meanwhile did not find it. The member now writes its entry again at the next renewal. Two plays without a fault found go in as well: 4,000 odd records of eight kinds, and odd entries under the id of a live replica.

--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -220,15 +220,24 @@
         return self._rng.uniform(0.0, len(alive) / REGISTRATIONS_PER_SECOND)
 
     async def _register(self, source: registry.Registry) -> None:
-        if self._lease is not None:
-            await source.renew(self._lease)
-            return
+        lease = self._lease
+        if lease is not None:
+            await source.renew(lease)
+            if not self._is_replaced():
+                return
+            log.warning('own entry replaced by an invalid one', extra={'lease': lease.id})
+        else:
+            lease = await source.grant(MEMBER_LEASE)
         own = self.membership.own
-        lease = await source.grant(MEMBER_LEASE)
         await source.write([registry.Put(self._prefix + own.name, msgspec.json.encode(own), lease)])
         self._lease = lease
         log.info('own entry written', extra={'lease': lease.id})
 
+    def _is_replaced(self) -> bool:
+        """Return whether an invalid entry has replaced the own one, as no other process writes."""
+        entry = self._entries.get(self._prefix + self.membership.own.name)
+        return entry is not None and entry.member is None
+
     def _remove_expired(self, incarnation: str, now: float) -> None:
         """Drop a process whose entry vanished, unless its heartbeats still arrive."""
         member = self.membership.get(incarnation)
--- a/passpier/tests/platform/undecodable_records_tests.py
+++ b/passpier/tests/platform/undecodable_records_tests.py
@@ -6,6 +6,7 @@
 import pathlib
 
 import msgspec
+import pytest
 
 from passpier.platform import names
 from passpier.standins.platform import deployment, routers, stream_clients
@@ -18,8 +19,19 @@
 LARGE_ENTRIES = 8
 """Entries that together exceed a response of the registry."""
 
+SHORT_DEEP = b'[' * 2000 + b']' * 2000
+"""The same in few bytes, for many records."""
+
 MEMBERS = names.OWN_PREFIX + 'members/'
 ORIGINS = names.OWN_PREFIX + 'origins/'
+PREFIXES = (
+    names.REPLICA_PREFIX,
+    MEMBERS,
+    ORIGINS,
+    *(names.OWN_PREFIX + kind for kind in ('suspects/', 'trials/', 'software/', 'other/')),
+    names.VERSION_PREFIX,
+)
+RECORD_COUNT = 4000
 HEARTBEATS = 1.5
 """Seconds in which a router applies the list of members several times."""
 
@@ -68,3 +80,52 @@
         assert (await running.ask('/safe/x', 1)).status == 200
 
     harness.run_check(check)
+
+
+ODD_RECORDS = (b'', b'{', b'[]', b'{"other":' + SHORT_DEEP + b'}', b'9' * 5000, b'\xff')
+
+
+# Guards against routers that fall behind, as they decode thousands of odd records again and again.
+def test_routers_serve_beside_thousands_of_odd_records() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        for number in range(RECORD_COUNT):
+            data = ODD_RECORDS[number % len(ODD_RECORDS)]
+            prefix = PREFIXES[number % len(PREFIXES)]
+            running.store.put_bytes(f'{prefix}odd-{number}', data)
+        running.configure()
+        await harness.wait_for(lambda: get_version(running, 0) == running.version)
+        running.add_router('vm-1', 'zone-1')
+        await running.wait_ready(20.0)
+        for entry in range(2):
+            assert (await running.ask('/safe/x', entry)).status == 200
+            resumed = await running.ask('/resume/x', entry, headers=harness.PROMPT_HEADERS)
+            assert resumed.status == 200
+
+    harness.run_check(check)
+
+
+# Guards against a router that no starting router finds, as another writer has replaced its entry.
+@pytest.mark.parametrize('data', ODD_RECORDS, ids=range(len(ODD_RECORDS)))
+def test_replaced_entry_of_a_live_member_is_restored(data: bytes) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        roster = running.routers[0].roster
+        await harness.wait_for(lambda: roster.is_listed)
+        running.store.put_bytes(MEMBERS + 'vm-0', data)
+        await harness.wait_for(lambda: not roster.is_listed)
+        await harness.wait_for(lambda: roster.is_listed)
+
+    harness.run_check(check)
+
+
+# Guards against requests that a replica gets while its entry is odd, and after it is restored.
+def test_replica_is_used_again_once_its_replaced_entry_is_restored() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        pools = running.routers[0].pools
+        for data in ODD_RECORDS:
+            running.store.put_bytes(names.REPLICA_PREFIX + 'app-0', data)
+            await harness.wait_for(lambda: 'app-0' not in pools.replicas)
+            assert (await running.ask('/safe/x')).status == 200
+            running.write_entry('app-0')
+            await harness.wait_for(lambda: 'app-0' in pools.replicas)
+
+    harness.run_check(check)
