Store: large values other than the configuration have no content

Routers send each other all items of the registry, also those that none uses, and again with each query of a router that lags behind.

--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -26,6 +26,10 @@
 RESPONSE_MAX = 16 * 1024 * 1024
 """Maximum size in bytes of a response, which may hold several versions of the configuration."""
 
+VALUE_MAX = 512 * 1024
+"""Maximum number of characters of a value other than the configuration. The largest are the records
+of streams; routers send all items to each other, also those of other writers."""
+
 MAX_LOGGED = 80
 """Maximum number of characters of invalid bytes in a log line."""
 
@@ -260,14 +264,22 @@
     return tuple(items)
 
 
+def _decode_value(item: _Item) -> bytes:
+    """Return the content of an item; raise `ValueError` if it is invalid or too large."""
+    if len(item.value) > VALUE_MAX and item.private_key != names.CONFIGURATION_KEY:
+        raise ValueError(f'{len(item.value)} characters')
+    return base64.b64decode(item.value)
+
+
 def _convert(item: _Item, timeline: int) -> registry.Item:
     if decoding.REPLACEMENT in item.private_key:
         raise exceptions.DecodingError('the key is no text')
     try:
-        data = base64.b64decode(item.value)
+        data = _decode_value(item)
     except ValueError as error:
         # As a record without content, which is valid nowhere, it replaces the one before.
-        log.error('invalid base64', extra={'key': item.private_key, 'error': str(error)})
+        fields = {'key': item.private_key[:MAX_LOGGED], 'error': str(error)}
+        log.error('invalid value of a registry item', extra=fields)
         data = b''
     revision = registry.Revision(timeline, item.revision)
     return registry.Item(item.private_key, data, revision, item.lease, item.removed)
--- a/passpier/tests/platform/store_tests.py
+++ b/passpier/tests/platform/store_tests.py
@@ -176,8 +176,8 @@
 
 
 # Guards against an old record that stays in force once its successor can't be decoded.
-@pytest.mark.parametrize('value', ['Y', 'YQ', 'é', '=='])
-def test_item_with_invalid_base64_has_no_content(value: str) -> None:
+@pytest.mark.parametrize('value', ['Y', 'YQ', 'é', '==', 'YQ==' * (store.VALUE_MAX // 4 + 1)])
+def test_item_with_an_invalid_value_has_no_content(value: str) -> None:
     async def check(client: store.Store) -> None:
         listing = await client.read('')
         assert listing.items == (registry.Item('a', b'', registry.Revision(1, 2)),)
