Tests: partitions between groups of routers, also in one direction

`Deployment.isolate` cuts any number of routers off together, and links to peers may be cut in one direction only, which the dropped addresses of `Peers` don't allow.

--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -73,6 +73,9 @@
         self.router_pools: dict[str, partitions.PartitionedPool] = {}
         """The connections of each router, by its name."""
 
+        self.isolations: list[partitions.Isolation] = []
+        """The partitions between routers."""
+
         self._servers: list[tornado.httpserver.HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._started_replicas: list[replica.Replica] = []
@@ -216,18 +219,24 @@
         addresses = [self.replicas[id].address for id in replica_ids]
         self.router_pools[router].cut_off(addresses, kind)
 
-    def isolate(self, cut: router.Router, registry: bool = True, peers: bool = True) -> None:
-        """Cut a router off from the registry, from its peers in both directions, or from both."""
-        if registry:
-            pool = self.router_pools[cut.options.name]
-            pool.cut_off([self.store_address], partitions.Cut.HANG)
-        if peers:
-            cut.peers.blocked |= {r.peers.address for r in self.routers if r is not cut}
-
-    def rejoin(self, cut: router.Router) -> None:
-        """End all partitions of a router."""
-        self.router_pools[cut.options.name].heal()
-        cut.peers.blocked.clear()
+    def isolate(
+        self, cut: Collection[router.Router], links: partitions.Links = partitions.Links.ALL
+    ) -> partitions.Isolation:
+        """Cut routers off from the registry and from all other routers, which reach replicas."""
+        names_of_cut = frozenset(r.options.name for r in cut)
+        addresses = frozenset(r.peers.address for r in cut)
+        isolation = partitions.Isolation(links, names_of_cut, addresses)
+        self.isolations.append(isolation)
+        if partitions.Links.REGISTRY in links:
+            for name in names_of_cut:
+                self.router_pools[name].cut_off([self.store_address], partitions.Cut.HANG)
+        return isolation
+
+    def rejoin(self, isolation: partitions.Isolation) -> None:
+        """End a partition, and those of the same routers from replicas."""
+        self.isolations.remove(isolation)
+        for name in isolation.routers:
+            self.router_pools[name].heal()
 
     def add_router(self, name: str, zone: str, **changes: Any) -> router.Router:
         """Start a router."""
@@ -242,6 +251,7 @@
         )
         options = msgspec.structs.replace(build_options(name, zone), **changes)
         process = router.Router(options, adapter, random.Random(name))
+        partitions.filter_messages(process.peers, self.isolations)
         self.routers.append(process)
         self._tasks.append(asyncio.ensure_future(process.run()))
         return process
--- a/passpier/standins/platform/partitions.py
+++ b/passpier/standins/platform/partitions.py
@@ -1,15 +1,17 @@
-"""Cuts one router off from replicas that others still reach."""
+"""Cuts routers off from replicas that others still reach, from the registry and from peers."""
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import enum
 import weakref
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 import tornado.iostream
 
 from passpier.clients import connections
+from passpier.daemon import messages, peers
 from passpier.standins.platform import proxy
 
 
@@ -26,6 +28,48 @@
     """Open connections live on, new ones are refused."""
 
 
+class Links(enum.Flag):
+    """Links between a router and the other routers or the registry."""
+
+    REGISTRY = enum.auto()
+    TO_PEERS = enum.auto()
+    FROM_PEERS = enum.auto()
+    PEERS = TO_PEERS | FROM_PEERS
+    ALL = REGISTRY | PEERS
+
+
+@dataclasses.dataclass(frozen=True, eq=False, slots=True)
+class Isolation:
+    """A partition between some routers, which reach each other, and everything else."""
+
+    links: Links
+    """The links that are cut."""
+
+    routers: frozenset[str]
+    """Names of the routers."""
+
+    addresses: frozenset[str]
+    """Their addresses for peers."""
+
+    def passes(self, sender: str, receiver: str) -> bool:
+        """Return whether messages arrive that one address sends to another."""
+        is_inside = sender in self.addresses
+        if is_inside == (receiver in self.addresses):
+            return True
+        return not self.links & (Links.TO_PEERS if is_inside else Links.FROM_PEERS)
+
+
+def filter_messages(link: peers.Peers, isolations: Collection[Isolation]) -> None:
+    """Drop messages of a router that a partition doesn't let pass."""
+    send_all = link.send_all
+
+    def send_passing(addresses: Iterable[str], message: messages.AnyMessage) -> None:
+        passing = [a for a in addresses if all(i.passes(link.address, a) for i in isolations)]
+        send_all(passing, message)
+
+    link.send_all = send_passing  # type: ignore[method-assign]
+
+
 class PartitionedPool(connections.Pool):
     """A router's connections, which can be cut off from some addresses."""
 
--- a/passpier/tests/platform/out_of_step_tests.py
+++ b/passpier/tests/platform/out_of_step_tests.py
@@ -16,7 +16,7 @@
 from passpier import clocks
 from passpier.platform import names
 from passpier.routing import router
-from passpier.standins.platform import deployment, replica, stream_clients
+from passpier.standins.platform import deployment, partitions, replica, stream_clients
 from passpier.tests.platform import harness
 
 log = logging.getLogger(__name__)
@@ -49,6 +49,13 @@
 PUBLIC_PATH = '/public/x'
 """Path of a route that needs no key, so that the bound of keys refuses no request."""
 
+KINDS = {
+    'both': partitions.Links.ALL,
+    'registry': partitions.Links.REGISTRY,
+    'peers': partitions.Links.PEERS,
+}
+"""The links that a partition cuts."""
+
 
 def add_replica(running: deployment.Deployment, id: str, software: str) -> None:
     """Have a model replica of a software version, with streams that last for two seconds."""
@@ -89,11 +96,13 @@
     return [stream_clients.Stream(f'{prefix}{n}', p, path=path) for n, p in enumerate(prompts)]
 
 
-async def isolate(running: deployment.Deployment, cut: router.Router, kind: str) -> None:
+async def isolate(
+    running: deployment.Deployment, cut: router.Router, links: partitions.Links
+) -> partitions.Isolation:
     """Cut a router off right after it has proved its view of the registry."""
     freshness = cut.registry_state.freshness
     await harness.wait_for(lambda: freshness.compute_age(clocks.now()) < PROOF_AGE)
-    running.isolate(cut, registry=kind != 'peers', peers=kind != 'registry')
+    return running.isolate([cut], links)
 
 
 async def begin_streams(
@@ -140,17 +149,21 @@
 
 
 async def break_off(
-    running: deployment.Deployment, kind: str, path: str, seconds: float, joining: int
-) -> tuple[list[stream_clients.Stream], int]:
+    running: deployment.Deployment,
+    links: partitions.Links,
+    path: str,
+    seconds: float,
+    joining: int = 1,
+) -> tuple[list[stream_clients.Stream], int, partitions.Isolation]:
     """Break streams of `v2` off while a router is out of step, and resume them there.
 
     They are resumed `seconds` after the router was cut off.
 
-    `joining` replicas of `v2` join, of which the first crashes. Returns the streams, and how many
-    of them found the router without knowledge of `v2`.
+    `joining` replicas of `v2` join, of which the first crashes. Returns the streams, how many of
+    them found the router without knowledge of `v2`, and its partition, which goes on.
     """
     cut, *others = running.routers
-    await isolate(running, cut, kind)
+    isolation = await isolate(running, cut, links)
     ends_at = clocks.now() + seconds - RESUME_DELAY
     await asyncio.sleep(JOIN_DELAY)
     for number in range(joining):
@@ -159,20 +172,20 @@
     running.crash_replica('new-0')
     behind = await resume(running, cut, streams)
     assert streams
-    return streams, behind
+    return streams, behind, isolation
 
 
 # Guards against an inference from a view of the registry that is older than the streams.
-@pytest.mark.parametrize('kind', ['both', 'registry', 'peers'])
+@pytest.mark.parametrize('links', KINDS.values(), ids=KINDS)
 @pytest.mark.parametrize(('path', 'seconds'), [(KEYED_PATH, 1.1), (PUBLIC_PATH, 2.4)])
 def test_streams_keep_their_version_at_a_router_that_is_out_of_step(
-    path: str, seconds: float, kind: str
+    path: str, seconds: float, links: partitions.Links
 ) -> None:
     async def check(running: deployment.Deployment) -> None:
         await prepare(running)
-        streams, behind = await break_off(running, kind, path, seconds, joining=1)
+        streams, behind, _ = await break_off(running, links, path, seconds)
         # Either link alone tells the router of the new version.
-        assert behind == (len(streams) if kind == 'both' else 0)
+        assert behind == (len(streams) if links is partitions.Links.ALL else 0)
         assert count_mixed(streams) == 0
 
     harness.run_check(check, routers=4)
@@ -183,10 +196,12 @@
 def test_streams_go_on_at_a_router_that_is_in_step_again(path: str, seconds: float) -> None:
     async def check(running: deployment.Deployment) -> None:
         await prepare(running)
-        streams, behind = await break_off(running, 'both', path, seconds, joining=2)
+        streams, behind, isolation = await break_off(
+            running, partitions.Links.ALL, path, seconds, joining=2
+        )
         assert behind == len(streams)
         cut = running.routers[0]
-        running.rejoin(cut)
+        running.rejoin(isolation)
         await harness.wait_for(lambda: not lacks_version(cut))
         left = [s for s in streams if not s.is_complete]
         assert await resume(running, cut, left) == 0
@@ -207,7 +222,7 @@
             for s in streams
         ]
         await harness.wait_for(lambda: all(s.events for s in streams))
-        running.isolate(first)
+        running.isolate([first])
         first.force_stop()
         await asyncio.gather(*pending)
         assert not any(s.is_complete for s in streams)
