Play, soak: new versions join while routers are out of step

The services of `--versions` had several versions from the beginning, so that no router could take one for the only version, and no router was out of step. A wrong inference from an old view did not come about.

One service after the other now gets a new version while one or two routers are out of step. The play cuts them off from the registry, from peers in one or both directions, or from all; the soak suspends them, cuts them off from the registry, or both. Connections between the processes have no proxy, so that the soak cuts none of these. Streams that begin at the new version break off and are resumed at these routers, half of them on routes that need no key.

The play prints how many resumptions met a router that lacked a version of the service, and how many one that lacked the stream's own. The soak counts lookups in the logs whose state of the registry was proved before the version joined. The test of the play asserts that some did.

--- a/passpier/standins/platform/play.py
+++ b/passpier/standins/platform/play.py
@@ -24,6 +24,7 @@
     deployment,
     invariants,
     partitions,
+    releases,
     replica,
     returns,
     software_versions,
@@ -54,7 +55,10 @@
     faults: list[str] = dataclasses.field(default_factory=list)
     violations: list[str] = dataclasses.field(default_factory=list)
     streams: str = ''
-    """What became of the streams of the service with several software versions."""
+    """What became of the streams of services with several software versions."""
+
+    resumed_behind: int = 0
+    """Streams that were resumed at a router that lacked a version of their service."""
 
     retries: list[invariants.RetryPeak] = dataclasses.field(default_factory=list)
     """How near each service came to the allowance of retries."""
@@ -108,7 +112,19 @@
         self._returns = returns.ReturnInjector(running, self, random.Random(f'return {seed}'))
         self._with_versions = versions
         self._versions = software_versions.VersionInjector(
-            running, self, random.Random(f'software {seed}'), self._map_addresses
+            running,
+            self,
+            random.Random(f'software {seed}'),
+            self._map_addresses,
+            self._list_versions,
+        )
+        self._releases = releases.ReleaseInjector(
+            running,
+            self,
+            random.Random(f'release {seed}'),
+            self._versions,
+            self._map_addresses,
+            lambda rng: releases.open_partition(running, self, rng),
         )
         self._with_cuts = cuts
         self._cut_rng = random.Random(f'cut {seed}')
@@ -132,6 +148,7 @@
         if self._with_versions:
             self._versions.add_service()
             series.append(self._versions.run(ends_at - SETTLE_SECONDS))
+            series.append(self._releases.run(ends_at - SETTLE_SECONDS))
         faults = asyncio.gather(*series)
         pending: set[asyncio.Task[None]] = set()
         number = 0
@@ -149,6 +166,11 @@
         known = self._running.routers
         return {r.options.name: r.options.caller for r in known if not r.stopping}
 
+    def _list_versions(self, router: str, service: str) -> set[str]:
+        """Return the versions of a service that a router has heard of."""
+        known = {r.options.name: r.pools for r in self._running.routers}
+        return known[router].list_versions(service, 0.0)
+
     async def _ask(self, number: int) -> None:
         kind = self._rng.choice(['stream', 'resume', 'safe', 'once'])
         key = self._rng.choice(['secret-1', 'secret-2'])
@@ -284,6 +306,7 @@
     def _check(self) -> None:
         if self._with_versions:
             self.report.streams = self._versions.describe_streams()
+            self.report.resumed_behind = self._versions.resumed_behind
         self.report.violations += self._versions.find_violations()
         self.report.violations += invariants.find_violations(
             self.report.outcomes,
@@ -340,7 +363,7 @@
 
     With `asks` replicas send backpressure signals, with `returns_from_copies` the store returns
     from older copies, with `cuts` routers are cut off from replicas, with `versions` replicas run
-    several software versions.
+    several software versions, and some routers are out of step while a new one joins.
     """
     async with deployment.running(routers) as running:
         fault_run = FaultRun(running, seed, rate, asks, returns_from_copies, cuts, versions)
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -30,6 +30,8 @@
     fault_injection,
     invariants,
     outages,
+    process_gaps,
+    releases,
     replica,
     restarts,
     returns,
@@ -163,7 +165,16 @@
             self._deployment,
             self._faults,
             random.Random(f'software {seed}'),
-            lambda: {r.name: r.client_link.address for r in self._routers},
+            self._map_addresses,
+        )
+        self._gaps = process_gaps.GapInjector(self._targets, self._faults)
+        self._releases = releases.ReleaseInjector(
+            self._deployment,
+            self._faults,
+            random.Random(f'release {seed}'),
+            self._versions,
+            self._map_addresses,
+            self._gaps.open_gap,
         )
         self._outages = outages.OutageInjector(
             self._targets, self._faults, random.Random(f'outage {seed}')
@@ -193,6 +204,7 @@
         self.report.violations += self._faults.violations
         if self._plan.versions:
             self.report.streams = self._versions.describe_streams()
+            self.report.streams += f'\n  {self._describe_lookups()}'
         self.report.violations += self._versions.find_violations()
         self.report.violations += invariants.find_violations(
             self.report.outcomes,
@@ -247,6 +259,21 @@
                 'writers'
             )
 
+    def _describe_lookups(self) -> str:
+        """Return how many lookups of streams met a state from before the release."""
+        found = [
+            lookup
+            for router in self._routers
+            for lookup in process_gaps.list_lookups(router)
+            if lookup.service in self._releases.joined_at
+        ]
+        behind = [x for x in found if x.proved_at < self._releases.joined_at[x.service] <= x.at]
+        inferred = sum(x.source == 'only version' for x in behind)
+        return (
+            f'{len(found)} lookups of streams in releases, {len(behind)} with a state from before '
+            f'the new version, {inferred} of these inferred'
+        )
+
     def _measure_bounds(self) -> list[invariants.BoundUse]:
         """Return how near the run came to the bounds of keys, weights and limits."""
         outcomes, replicas = self.report.outcomes, self._deployment.replicas.values()
@@ -284,6 +311,9 @@
         if not await self._wait_ready(START_SECONDS):
             raise TimeoutError('the routers did not become ready')
 
+    def _map_addresses(self) -> dict[str, str]:
+        return {r.name: r.client_link.address for r in self._routers}
+
     async def _wait_ready(self, bound: float) -> bool:
         ends_at = clocks.now() + bound
         while clocks.now() < ends_at:
@@ -313,6 +343,8 @@
         if self._plan.versions:
             self._versions.add_service()
             series.append(self._versions.run(ends_at))
+            if not self._plan.planned:
+                series.append(self._releases.run(ends_at))
         stalls = asyncio.ensure_future(self._log_stalls())
         faults = asyncio.gather(self._rollouts.run(ends_at), *series)
         await self._clients.run(ends_at, self._plan.rate)
--- a/passpier/standins/platform/software_versions.py
+++ b/passpier/standins/platform/software_versions.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from passpier import clocks
 from passpier.standins.platform import deployment, replica, returns, stream_clients
@@ -47,15 +47,25 @@
         faults: returns.FaultLog,
         rng: random.Random,
         map_addresses: Callable[[], Mapping[str, str]],
+        list_known: Callable[[str, str], Collection[str]] | None = None,
     ) -> None:
+        """Prepare for `run`; `list_known` returns the versions of a service that a router knows."""
         self.streams: list[stream_clients.Stream] = []
         self.routers: dict[str, str] = {}
         """The router that each attempt was sent to, by its request id."""
 
+        self.resumed_behind = 0
+        """Resumptions at routers that lacked a version of the service."""
+
         self._running = running
         self._faults = faults
         self._rng = rng
         self._map_addresses = map_addresses
+        self._list_known = list_known
+        self._resumed = 0
+        self._resumed_unknown = 0
+        """Those at routers that lacked the version of the stream."""
+
         self._replicas: list[replica.Replica] = []
 
     def add_service(self) -> None:
@@ -85,13 +95,30 @@
 
     async def run(self, ends_at: float) -> None:
         """Continue until `ends_at`; return when all streams have ended."""
-        await asyncio.gather(self._change_replicas(ends_at), self._send_streams(ends_at))
+        await asyncio.gather(
+            self._change_replicas(ends_at),
+            self._send_streams(ends_at),
+        )
 
     def describe_streams(self) -> str:
         """Return how many streams were interrupted, and how many of these went on."""
         interrupted = [s for s in self.streams if len(s.statuses) > 1]
         continued = sum(s.is_complete for s in interrupted)
-        return f'{len(self.streams)} streams, {continued} of {len(interrupted)} resumed ones whole'
+        mixed = sum(len(s.versions) > 1 for s in self.streams)
+        counts = (
+            f'{len(self.streams)} streams, {continued} of {len(interrupted)} resumed ones whole, '
+            f'{mixed} of two versions'
+        )
+        return f'{counts}\n  {self._describe_resumptions()}'
+
+    def _describe_resumptions(self) -> str:
+        """Return how many resumptions met a router that was out of step."""
+        if self._list_known is None:
+            return f'{self._resumed} resumptions'
+        return (
+            f'{self._resumed} resumptions, {self.resumed_behind} at a router that lacked a version'
+            f" of the service, {self._resumed_unknown} at one that lacked the stream's own"
+        )
 
     def find_violations(self) -> list[str]:
         """Return each stream with events of several versions, or that is not whole."""
@@ -146,19 +173,49 @@
 
     async def _read_stream(self) -> None:
         rng = self._rng
-        stream = stream_clients.Stream(
-            f'{ROUTE}{len(self.streams)}', deployment.make_prompt(rng), path=f'/{ROUTE}/x'
-        )
-        self.streams.append(stream)
+        stream = self.build_stream(SERVICE, rng)
         stop_after = rng.randrange(1, EVENT_COUNT) if rng.random() < LEAVING_SHARE else None
-        await self._read(stream, stop_after)
+        await self.read(stream, self._choose_router(), stop_after)
         for _ in range(RESUMPTIONS):
             if stream.is_complete or not stream.events:
                 return
             await asyncio.sleep(rng.uniform(*RESUME_PAUSES))
-            await self._read(stream)
+            await self.read(stream, self._choose_router())
 
-    async def _read(self, stream: stream_clients.Stream, stop_after: int | None = None) -> None:
-        router, address = self._rng.choice(list(self._map_addresses().items()))
+    def _choose_router(self) -> str:
+        return self._rng.choice(list(self._map_addresses()))
+
+    def build_stream(self, service: str, rng: random.Random) -> stream_clients.Stream:
+        """Return a new stream of a service, which the checks include."""
+        prompt = deployment.make_prompt(rng)
+        stream = stream_clients.Stream(
+            f'{service}-{len(self.streams)}', prompt, path=f'/{service}/x'
+        )
+        self.streams.append(stream)
+        return stream
+
+    async def read(
+        self, stream: stream_clients.Stream, router: str, stop_after: int | None = None
+    ) -> None:
+        """Read a stream, or the rest of it, through a router, unless that has gone."""
+        address = self._map_addresses().get(router)
+        if address is None:
+            return
         self.routers[stream.next_attempt] = router
+        if stream.events:
+            self._note_resumption(stream, router)
         await stream.read(self._running, address, stop_after)
+
+    def _note_resumption(self, stream: stream_clients.Stream, router: str) -> None:
+        self._resumed += 1
+        if self._list_known is None:
+            return
+        service = stream.path.split('/')[1]
+        known = self._list_known(router, service)
+        current = {
+            r.software
+            for r in self._running.replicas.values()
+            if r.service == service and self._running.has_entry(r.id)
+        }
+        self.resumed_behind += not current <= set(known)
+        self._resumed_unknown += not stream.versions <= set(known)
--- a/passpier/tests/platform/play_tests.py
+++ b/passpier/tests/platform/play_tests.py
@@ -47,6 +47,7 @@
     report = asyncio.run(play.play(seed, SIGNALS_SECONDS, 60.0, versions=True))
     assert report.violations == []
     assert any('replaces mixed' in text for text in report.faults)
+    assert report.resumed_behind
 
 
 def test_router_that_ignores_software_versions_is_detected(
--- a/passpier/tests/platform/standins_tests.py
+++ b/passpier/tests/platform/standins_tests.py
@@ -7,9 +7,10 @@
 import json
 import random
 
+from passpier import clocks
 from passpier.clients import connections, exchanges
 from passpier.platform import dialect, names
-from passpier.standins.platform import deployment, foreign_entries, replica
+from passpier.standins.platform import deployment, foreign_entries, partitions, replica
 from passpier.tests.platform import harness
 
 ORDER = {'model': deployment.MODEL, 'version': 2, 'holder': 'vm-0', 'fencing_token': 1}
@@ -84,3 +85,26 @@
     assert {f'without {field}' for field in entry} < set(values)
     assert len(set(values.values())) == len(values)
     assert set(foreign_entries.UNREADABLE) < set(values)
+
+
+def test_partition_cuts_links_to_the_rest_in_the_given_direction() -> None:
+    isolation = partitions.Isolation(
+        partitions.Links.TO_PEERS, frozenset({'vm-0', 'vm-1'}), frozenset({'a', 'b'})
+    )
+    assert not isolation.passes('a', 'c')
+    assert isolation.passes('c', 'a')
+    assert isolation.passes('a', 'b')
+    assert isolation.passes('c', 'd')
+
+
+def test_partition_drops_messages_until_it_ends() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        first, second = running.routers
+        isolation = running.isolate([first])
+        known = first.roster.membership
+        await harness.wait_for(lambda: len(known.list_alive(clocks.now())) == 1)
+        running.rejoin(isolation)
+        await harness.wait_for(lambda: len(known.list_alive(clocks.now())) == 2)
+        assert second.is_ready()
+
+    harness.run_check(check, routers=2)
