Tests: streams of the test of a router out of step begin on time

The pauses between the streams added up, so that they were resumed up to 0.17 s late. The bound of keys then refused them before the inference mattered, and the case with keys passed once in eight trials, and once in two runs of the file.

The pauses now follow from the time at which the streams break off.

--- a/passpier/tests/platform/out_of_step_tests.py
+++ b/passpier/tests/platform/out_of_step_tests.py
@@ -115,7 +115,8 @@
     for number, stream in enumerate(streams):
         address = others[number % len(others)].options.caller
         pending.append(asyncio.ensure_future(stream.read(running, address)))
-        await asyncio.sleep(LOAD_SECONDS / STREAM_COUNT)
+        left = LOAD_SECONDS * (1 - (number + 1) / STREAM_COUNT)
+        await asyncio.sleep(ends_at - left - clocks.now())
     for task in pending:
         task.cancel()
     await asyncio.gather(*pending, return_exceptions=True)
