--- a/passpier/tests/platform/software_versions_tests.py
+++ b/passpier/tests/platform/software_versions_tests.py
@@ -335,7 +335,7 @@
         for process in running.routers:
             # As after a long time, in which no other version was there.
             process.pools.observed_since = float('-inf')
-        running.isolate(running.routers[0])
+        running.isolate([running.routers[0]])
         stream = stream_clients.Stream('one', harness.PROMPT_HEADERS)
         await stream.read(running, get_address(running, 0), stop_after=3)
         unaware = next(
@@ -357,7 +357,7 @@
         await stream.read(running, get_address(running, 0), stop_after=3)
         cut = running.routers[1]
         await harness.wait_for(lambda: len(cut.origins.held) >= 1)
-        running.isolate(cut)
+        running.isolate([cut])
         running.faults.down = False
         running.write_entry(first.id)
         known = running.routers[0].pools
