Software versions: records are decoded again when their item is another one

The record of versions was kept by its revision, which the test of new streams sets to the same number for two contents. It is kept by the item now; the test failed since the record was kept, and passes unchanged.

--- a/passpier/routing/version_records.py
+++ b/passpier/routing/version_records.py
@@ -48,8 +48,8 @@
         self._lifetimes: dict[str, float] = {}
         """By service, the longest time for which a stream that began here may be resumed."""
 
-        self._decoded: dict[str, tuple[registry.Revision, frozenset[str]]] = {}
-        """By service, the versions recorded and the revision of their record."""
+        self._decoded: dict[str, tuple[registry.Item, frozenset[str]]] = {}
+        """By service, its record and the versions that it has."""
 
         self._outdated_since: dict[str, float] = {}
         self._tried_at: dict[str, float] = {}
@@ -64,8 +64,8 @@
         if item is None:
             return frozenset()
         decoded = self._decoded.get(service)
-        if decoded is None or decoded[0] != item.revision:
-            decoded = self._decoded[service] = item.revision, _decode_versions(item)
+        if decoded is None or decoded[0] is not item:
+            decoded = self._decoded[service] = item, _decode_versions(item)
         return decoded[1]
 
     def find_only_version(self, service: str) -> str | None:
