--- a/passpier/routing/roster.py
+++ b/passpier/routing/roster.py
@@ -234,7 +234,7 @@
         log.info('own entry written', extra={'lease': lease.id})
 
     def _is_replaced(self) -> bool:
-        """Return whether an invalid entry has replaced the own one, as no other process writes."""
+        """Return whether another writer has left an invalid entry in place of the own one."""
         entry = self._entries.get(self._prefix + self.membership.own.name)
         return entry is not None and entry.member is None
 
--- a/passpier/utils/decoding.py
+++ b/passpier/utils/decoding.py
@@ -18,8 +18,7 @@
 T = TypeVar('T')
 
 MAX_INTEGER = 2**63 - 1
-"""Largest integer to accept where there is no lower limit; messages to peers can hold larger ones
-only up to 2^64."""
+"""Largest integer to accept at a border; what is accepted must fit into messages to peers."""
 
 MAX_MESSAGE_LENGTH = 200
 """Maximum number of characters of the message of an error, which may quote the bytes."""
