Tests: streams that are resumed at one of two routers out of step

Two routers that are cut off together answer each other. A router takes a state for current if half of the peers that it asked have answered, which a peer that is out of step as well does.

The new cases cut two of three and two of four routers off together.

--- a/passpier/tests/platform/out_of_step_tests.py
+++ b/passpier/tests/platform/out_of_step_tests.py
@@ -97,12 +97,12 @@
 
 
 async def isolate(
-    running: deployment.Deployment, cut: router.Router, links: partitions.Links
+    running: deployment.Deployment, cut: Sequence[router.Router], links: partitions.Links
 ) -> partitions.Isolation:
-    """Cut a router off right after it has proved its view of the registry."""
-    freshness = cut.registry_state.freshness
+    """Cut routers off together right after the first has proved its view of the registry."""
+    freshness = cut[0].registry_state.freshness
     await harness.wait_for(lambda: freshness.compute_age(clocks.now()) < PROOF_AGE)
-    return running.isolate([cut], links)
+    return running.isolate(cut, links)
 
 
 async def begin_streams(
@@ -155,15 +155,16 @@
     path: str,
     seconds: float,
     joining: int = 1,
+    cut_count: int = 1,
 ) -> tuple[list[stream_clients.Stream], int, partitions.Isolation]:
-    """Break streams of `v2` off while a router is out of step, and resume them there.
+    """Break streams of `v2` off while routers are out of step, and resume them at the first.
 
-    They are resumed `seconds` after the router was cut off.
+    They are resumed `seconds` after the routers were cut off.
 
     `joining` replicas of `v2` join, of which the first crashes. Returns the streams, how many of
-    them found the router without knowledge of `v2`, and its partition, which goes on.
+    them found the router without knowledge of `v2`, and the partition, which goes on.
     """
-    cut, *others = running.routers
+    cut, others = running.routers[:cut_count], running.routers[cut_count:]
     isolation = await isolate(running, cut, links)
     ends_at = clocks.now() + seconds - RESUME_DELAY
     await asyncio.sleep(JOIN_DELAY)
@@ -171,7 +172,7 @@
         add_replica(running, f'new-{number}', 'v2')
     streams = await begin_streams(running, others, path, ends_at)
     running.crash_replica('new-0')
-    behind = await resume(running, cut, streams)
+    behind = await resume(running, cut[0], streams)
     assert streams
     return streams, behind, isolation
 
@@ -192,6 +193,22 @@
     harness.run_check(check, routers=4)
 
 
+# Guards against an inference from answers of peers that are out of step as well.
+@pytest.mark.parametrize('routers', [3, 4])
+@pytest.mark.parametrize(('path', 'seconds'), [(KEYED_PATH, 1.1), (PUBLIC_PATH, 2.4)])
+def test_streams_keep_their_version_at_routers_that_are_out_of_step_together(
+    path: str, seconds: float, routers: int
+) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running)
+        links = partitions.Links.ALL
+        streams, behind, _ = await break_off(running, links, path, seconds, cut_count=2)
+        assert behind == len(streams)
+        assert count_mixed(streams) == 0
+
+    harness.run_check(check, routers=routers)
+
+
 # Guards against refusing streams for good after a router has been out of step.
 @pytest.mark.parametrize(('path', 'seconds'), [(KEYED_PATH, 1.1), (PUBLIC_PATH, 2.4)])
 def test_streams_go_on_at_a_router_that_is_in_step_again(path: str, seconds: float) -> None:
