Soak: a refused connection stays known when its port is used again

Cause: a proxy forgot the refusal of a client's connection as soon as another connection came from the same port. The check of planned work then counted the refused request as lost.

Change: a proxy keeps each refusal with its time, and a refusal excuses a request only between its sending and its end. The check is narrower than before: an old refusal no longer excuses a request.

--- a/passpier/standins/platform/invariants.py
+++ b/passpier/standins/platform/invariants.py
@@ -602,13 +602,13 @@
     stops: Sequence[Stop],
     grace: float,
     unplanned: Sequence[tuple[float, float]] = (),
-    refused_ports: Mapping[str, Collection[int]] = types.MappingProxyType({}),
+    refused: Mapping[str, Collection[tuple[int, float]]] = types.MappingProxyType({}),
 ) -> list[str]:
     """Return each accepted request without a response where only planned work went on.
 
     `grace` is the number of seconds from SIGTERM to the kill; `unplanned` has the starts and ends
-    of unplanned faults, `refused_ports` by router the ports of clients whose connections no process
-    has accepted.
+    of unplanned faults, `refused` by router the ports of clients whose connections no process has
+    accepted, with the times. A port may be used again, so that the times count as well.
     """
     targets = list(replicas)
     violations = []
@@ -623,7 +623,7 @@
             key=lambda s: s.at,
             default=None,
         )
-        if not runs and one.local_port in refused_ports.get(one.router, ()):
+        if not runs and _is_refused(one, refused.get(one.router, ())):
             continue
         if not runs and (
             one.seconds <= CLOSE_RACE_SECONDS or (stop and stop.may_leave_unread(one))
@@ -635,6 +635,13 @@
     return violations
 
 
+def _is_refused(outcome: RequestOutcome, refused: Iterable[tuple[int, float]]) -> bool:
+    return any(
+        port == outcome.local_port and outcome.sent_at <= at <= outcome.ended_at
+        for port, at in refused
+    )
+
+
 def _is_disturbed(outcome: RequestOutcome, unplanned: Sequence[tuple[float, float]]) -> bool:
     return any(
         began <= outcome.ended_at and outcome.sent_at <= ended + UNPLANNED_FAULT_GRACE
--- a/passpier/standins/platform/proxy.py
+++ b/passpier/standins/platform/proxy.py
@@ -9,6 +9,8 @@
 import socket
 import struct
 
+from passpier import clocks
+
 CHUNK_BYTES = 65536
 POLL_INTERVAL = 0.02
 """Seconds between checks whether a blocked direction is open again."""
@@ -44,8 +46,8 @@
         self.delay = 0.0
         self.cut: set[Direction] = set()
         self.address = ''
-        self.refused_ports: set[int] = set()
-        """Ports of clients whose connections nobody accepted at the target."""
+        self.refused: list[tuple[int, float]] = []
+        """Ports of clients whose connections nobody accepted at the target, with the times."""
 
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -101,11 +103,10 @@
         await self._hold(Direction.OUT)
         host, _, port = self.target.rpartition(':')
         client_port = writer.get_extra_info('peername')[1]
-        self.refused_ports.discard(client_port)
         try:
             there, back = await asyncio.open_connection(host, int(port))
         except ConnectionRefusedError:
-            self.refused_ports.add(client_port)
+            self.refused.append((client_port, clocks.now()))
             raise
         self._writers.add(back)
         try:
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -219,7 +219,7 @@
             self._faults.stops,
             routers.STOP_BOUND,
             self._faults.unplanned,
-            {r.name: r.client_link.refused_ports for r in self._routers},
+            {r.name: r.client_link.refused for r in self._routers},
         )
         self.report.violations += invariants.find_runs_after_overwrite(
             self.report.outcomes,
--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -7,6 +7,7 @@
 import dataclasses
 import pathlib
 import signal
+import socket
 
 import pytest
 
@@ -326,31 +327,47 @@
 
 def test_request_whose_connection_no_process_accepted_is_not_lost() -> None:
     """Guards against counting a client that connects after the old process has ended."""
-    for port, runs, found in [(7, [], 0), (8, [], 1), (7, ['a'], 1)]:
+    refused = {'vm-0': [(7, 105.9), (9, 105.7), (9, 106.3)], 'vm-1': [(8, 105.9)]}
+    for port, runs, found in [(7, [], 0), (8, [], 1), (9, [], 1), (7, ['a'], 1)]:
         client_request = invariants.RequestOutcome(
             'a', 'slow', 'k', 105.8, 0, b'', 0.4, '', 'vm-0', patience=9.0, local_port=port
         )
         lost = invariants.find_lost_requests(
-            [client_request], [make_replica(*runs)], [STOP], GRACE, (), {'vm-0': {7}, 'vm-1': {8}}
+            [client_request], [make_replica(*runs)], [STOP], GRACE, (), refused
         )
         assert len(lost) == found
 
 
+# Guards against forgetting a refusal when another connection uses the client's port again.
 def test_proxy_knows_the_clients_that_its_target_has_refused() -> None:
-    async def check() -> tuple[int, set[int]]:
-        link = proxy.Proxy(f'127.0.0.1:{processes.pick_port()}')
-        await link.start()
+    async def connect(link: proxy.Proxy, local_port: int = 0) -> int:
         host, _, port = link.address.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
-        local_port = writer.get_extra_info('sockname')[1]
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        client.bind((host, local_port))
+        client.connect((host, int(port)))
+        used: int = client.getsockname()[1]
+        reader, writer = await asyncio.open_connection(sock=client)
         with contextlib.suppress(ConnectionResetError):
             await reader.read()
         writer.close()
+        with contextlib.suppress(ConnectionResetError):
+            await writer.wait_closed()
+        return used
+
+    async def check() -> tuple[int, list[int]]:
+        link = proxy.Proxy(f'127.0.0.1:{processes.pick_port()}')
+        await link.start()
+        used = await connect(link)
+        host, _, port = link.target.rpartition(':')
+        accepting = await asyncio.start_server(lambda _, writer: writer.close(), host, int(port))
+        await connect(link, used)
+        accepting.close()
         await link.stop()
-        return local_port, link.refused_ports
+        return used, [refused for refused, _ in link.refused]
 
     local_port, refused = asyncio.run(check())
-    assert refused == {local_port}
+    assert refused == [local_port]
 
 
 def test_request_sent_right_before_the_exit_may_be_unread() -> None:
