Streams: the state is proved and the service's replicas report at the same time

In an outage of the registry a resumption waited for a proof twice, before and after the reports, and could run into the limit of 1.5 s although all routers agreed. Both are now part of the inference, and a version that a record names needs no reports.

--- a/passpier/routing/origin_sharing.py
+++ b/passpier/routing/origin_sharing.py
@@ -17,7 +17,13 @@
 from passpier import clocks
 from passpier.core import hash_ring, members, stream_origins
 from passpier.daemon import messages, peers
-from passpier.routing import origin_records, registry_mirror, state_proofs, version_records
+from passpier.routing import (
+    origin_records,
+    probing,
+    registry_mirror,
+    state_proofs,
+    version_records,
+)
 
 log = logging.getLogger(__name__)
 
@@ -54,8 +60,10 @@
         records: origin_records.OriginRecords,
         versions: version_records.VersionRecords,
         prover: state_proofs.Prover,
+        surveyor: probing.Surveyor,
     ) -> None:
         self._prover = prover
+        self._surveyor = surveyor
         self._records = records
         self._versions = versions
         self.own = stream_origins.OriginTable()
@@ -295,7 +303,11 @@
         sightings = [r.sighting for r in responses]
         if stream_origins.has_several_versions([self._see(service, lifetime), *sightings]):
             return None
-        if not await self._prover.prove(asked_at) and not self._is_agreed(len(responses)):
+        # The registry doesn't have the version of a process that has just started.
+        is_proved, _ = await asyncio.gather(
+            self._prover.prove(asked_at), self._surveyor.survey(service)
+        )
+        if not is_proved and not self._is_agreed(len(responses)):
             return None
         software = stream_origins.find_only_version([self._see(service, lifetime), *sightings])
         return stream_origins.Origin(service, software) if software else None
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -49,6 +49,13 @@
         """Return a replica's report; raises `ExchangeError`."""
 
 
+class Surveyor(Protocol):
+    """Finds out which processes the replicas of a service are."""
+
+    async def survey(self, service: str) -> None:
+        """Have the replicas of a service that respond report which processes they are by now."""
+
+
 class Prober:
     """Tracks which replicas don't respond to this process."""
 
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -222,6 +222,7 @@
             origin_records.OriginRecords(adapter.source, self.registry_state, membership),
             version_records.VersionRecords(adapter.source, self.registry_state, membership, proofs),
             proofs,
+            self.prober,
         )
         self.throttling = throttling.Throttling(
             self.pools, membership, self.peers, self.roster.notify_serving, rng
--- a/passpier/routing/stream_binding.py
+++ b/passpier/routing/stream_binding.py
@@ -68,11 +68,7 @@
 
     async def _find_origin(self) -> bool:
         origin = await self._look_up_origin()
-        if origin is not None and not origin.replica:
-            # Any replica may have begun it, also a process that has no entry yet.
-            await self._prober.survey(self._call.service.pool)
-            origin = await self._look_up_origin()
-        elif origin is not None and origin.started_ms and not await self._runs(origin.process):
+        if origin is not None and origin.started_ms and not await self._runs(origin.process):
             # A restart that was unknown may be known by now, from the replica's own report or from
             # the registry.
             origin = await self._look_up_origin() if await self._is_in_step() else None
--- a/passpier/tests/routing/origin_sharing_tests.py
+++ b/passpier/tests/routing/origin_sharing_tests.py
@@ -27,13 +27,16 @@
 
 
 class Prover:
-    """Confirms the state of a router that reaches the registry."""
+    """Confirms the state of a router that reaches the registry; replicas report nothing new."""
 
     def __init__(self, fleet: Fleet, address: str, state: registry_mirror.RegistryState) -> None:
         self.fleet = fleet
         self.address = address
         self.state = state
 
+    async def survey(self, service: str) -> None:
+        await asyncio.sleep(0.01)
+
     async def prove(self, since: float) -> bool:
         self.fleet.proofs += 1
         await asyncio.sleep(0.01)
@@ -85,7 +88,7 @@
             version_state = version_records.VersionRecords(source, state, membership, prover)
             self.sharing.append(
                 origin_sharing.OriginSharing(
-                    state, membership, link, records, version_state, prover
+                    state, membership, link, records, version_state, prover, prover
                 )
             )
             self.addresses.append(own.peer)
