--- a/passpier/tests/platform/out_of_step_tests.py
+++ b/passpier/tests/platform/out_of_step_tests.py
@@ -65,6 +65,7 @@
     target.tells_software = True
     target.event_count = EVENT_COUNT
     target.event_pause = EVENT_PAUSE
+    target.slots = STREAM_COUNT
     if known is None:
         running.add_replica(target)
 
