Registry: a gap that is shorter than an entry lasts hides no version

Cause: each listing or full export that brought news counted as a gap in what is known of versions. A reader that has just started sends full exports to all that are a little behind, so that most routers counted as new. No record of the only version came about, and each stream was written to the registry. A replica's entry lasts for 2 s at least, so that a gap counts only if the state was older than that.

The test has the short gap as well now; the long one is as before.

--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -15,6 +15,10 @@
 
 log = logging.getLogger(__name__)
 
+MIN_ENTRY_SECONDS = 2.0
+"""Minimum seconds for which a replica has an entry: it ends when the replica has drained, or after
+several missed heartbeats."""
+
 
 class PeerChanges(msgspec.Struct, frozen=True):
     """A peer's changes after revision `since`, up to `revision`."""
@@ -207,7 +211,8 @@
         now: float,
         awaited: Mapping[str, float] | None = None,
     ) -> None:
-        if registry.NO_REVISION < self.revision < revision:
+        is_outdated = self.freshness.compute_age(now) > MIN_ENTRY_SECONDS
+        if registry.NO_REVISION < self.revision < revision and is_outdated:
             self.pools.note_gap(now)
         if revision.timeline > self.revision.timeline:
             self._enter_timeline(revision, now)
