Docs, registry: how long an entry lasts is usual and not guaranteed

The users' pages don't promise that: a replica that never says that it leaves may have one for less, so that a shorter gap may hide a version. Comments only; make check and the tests of proofs pass, the whole suite was not run again.

--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -16,8 +16,8 @@
 log = logging.getLogger(__name__)
 
 MIN_ENTRY_SECONDS = 2.0
-"""Minimum seconds for which a replica has an entry: it ends when the replica has drained, or after
-several missed heartbeats."""
+"""Seconds for which a replica usually has an entry at least: it ends when the replica has drained,
+or after several missed heartbeats. One that leaves unannounced may have an entry for less."""
 
 
 class PeerChanges(msgspec.Struct, frozen=True):
