Retries: logs and metrics tell what the budget allowed and allows

Cause: 'retry sent' had for how long a retry was held, but neither what the budget allowed when it was obtained nor what it allows when it is sent, so that a retry within the limit looked like one above it, and a change of the traffic like a change of the number of routers. Nothing compared the retries that routers count with those that arrive.

Change: 'limit_when_held' and 'sharers_when_held' in 'retry sent', 'retries_limit' in the state of the budget, the gauges passpier_retries_held and passpier_retries_limit; the soak prints how many retries arrived and how many the routers logged. No change of logic.

--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -102,6 +102,12 @@
         self._update(now, max(1, processes))
         return self._balance - self._held
 
+    def compute_limit(self, now: float, processes: int) -> float:
+        """Return how many retries may be saved; `processes` is the number that share the slack."""
+        self._forget(now)
+        slack = self._slack / max(1, processes)
+        return (slack + self._ratio * len(self._requests)) * SAVED_SHARE
+
     def has_any(self, now: float, processes: int) -> bool:
         """Return whether a retry is left; `processes` is the number that share the slack."""
         return self.compute_left(now, processes) >= 1.0
@@ -128,12 +134,10 @@
 
     def _update(self, now: float, processes: int) -> None:
         """Earn the retries of the time since the last update, and drop those above the limit."""
-        self._forget(now)
-        slack = self._slack / processes
         windows = max(0.0, now - self._earned_until) / self._window
-        self._balance += slack * (1 - SAVED_SHARE) * windows
+        self._balance += self._slack / processes * (1 - SAVED_SHARE) * windows
         self._earned_until = now
-        limit = (slack + self._ratio * len(self._requests)) * SAVED_SHARE
+        limit = self.compute_limit(now, processes)
         self._balance = min(self._balance, max(limit, float(self._held)))
 
     def _forget(self, now: float) -> None:
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -87,6 +87,16 @@
             'passpier_retries_left',
             'Retries that the shared budget leaves to this process, by service.',
         )
+        self.retries_held = _build_gauge(
+            registry,
+            'passpier_retries_held',
+            'Retries held for attempts that have not been sent, by service.',
+        )
+        self.retries_limit = _build_gauge(
+            registry,
+            'passpier_retries_limit',
+            'Retries that the shared budget lets this process save, by service.',
+        )
         self.retry_sharers = _build_gauge(
             registry, 'passpier_retry_sharers', 'Processes assumed to share the retry budget.'
         )
--- a/passpier/routing/retry_budgets.py
+++ b/passpier/routing/retry_budgets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import logging
 
 from passpier import clocks
@@ -49,16 +50,20 @@
         self.sharers = processes
         self._counters.retry_sharers.set({}, processes)
         for service, budget in self._budgets.items():
+            labels = {'service': service}
             left = round(budget.compute_left(now, processes), 2)
-            self._counters.retries_left.set({'service': service}, left)
+            self._counters.retries_left.set(labels, left)
+            self._counters.retries_held.set(labels, budget.held)
+            self._counters.retries_limit.set(labels, round(budget.compute_limit(now, processes), 2))
 
     def describe(self, service: str) -> dict[str, float]:
         """Return the log fields for the state of a service's budget."""
         budget = self._budgets[service]
-        left = budget.compute_left(clocks.now(), self.sharers)
+        now = clocks.now()
         return {
-            'retries_left': round(left, 2),
+            'retries_left': round(budget.compute_left(now, self.sharers), 2),
             'retries_held': budget.held,
+            'retries_limit': round(budget.compute_limit(now, self.sharers), 2),
             'recent_requests': budget.requests,
             'sharers': self.sharers,
         }
@@ -74,6 +79,23 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Grant:
+    """A retry that a request obtained, and the state of the budget then."""
+
+    at: float
+    limit: float
+    sharers: int
+
+    def describe(self, now: float) -> dict[str, object]:
+        """Return the log fields for a retry that is still held."""
+        return {
+            'held_for': round(now - self.at, 3),
+            'limit_when_held': round(self.limit, 2),
+            'sharers_when_held': self.sharers,
+        }
+
+
 class RunRetries:
     """The retries of one request."""
 
@@ -86,8 +108,8 @@
         self._service = service
         self._budget = budgets.get(service)
         self._retries = retries.RequestRetries(self._budget)
-        self._held_at: float | None = None
-        """When the retry for the next attempt was obtained, if that attempt needs one."""
+        self._grant: _Grant | None = None
+        """The retry for the next attempt, if that attempt needs one."""
 
     def note_request(self, arrived_at: float) -> None:
         """Count the request towards what the service earns."""
@@ -102,8 +124,9 @@
         now = clocks.now()
         if not self._retries.hold(now, self._budgets.sharers):
             return False
-        if self._held_at is None:
-            self._held_at = now
+        if self._grant is None:
+            sharers = self._budgets.sharers
+            self._grant = _Grant(now, self._budget.compute_limit(now, sharers), sharers)
         return True
 
     def reserve(self) -> bool:
@@ -116,13 +139,14 @@
         if not reached:
             return
         self._counters.retries_sent.inc({'service': self._service})
-        held_at, self._held_at = self._held_at, None
+        grant, self._grant = self._grant, None
         fields = {
             'request': self._request,
             'service': self._service,
             'upstream': upstream,
             'reached': reached,
-            'held_for': None if held_at is None else round(clocks.now() - held_at, 3),
+            'held_for': None,
+            **({} if grant is None else grant.describe(clocks.now())),
             **self.describe(),
         }
         if is_paid:
--- a/passpier/standins/platform/invariants.py
+++ b/passpier/standins/platform/invariants.py
@@ -433,6 +433,13 @@
     return peaks
 
 
+def count_retries(replicas: Iterable[replica.Replica]) -> dict[str, int]:
+    """Return the number of arrivals beyond the first of each request, by service."""
+    targets = list(replicas)
+    services = sorted({target.service for target in targets})
+    return {s: len(_list_retries(t for t in targets if t.service == s)) for s in services}
+
+
 def find_retry_excess(peaks: Iterable[RetryPeak]) -> list[str]:
     """Return the windows with more retries than allowed."""
     return [
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -113,6 +113,9 @@
     retries: list[invariants.RetryPeak] = dataclasses.field(default_factory=list)
     """How near each service came to the allowance of retries."""
 
+    counted: str = ''
+    """How many retries arrived, and how many the routers logged."""
+
     bounds: list[invariants.BoundUse] = dataclasses.field(default_factory=list)
     """How near the run came to other bounds."""
 
@@ -126,6 +129,7 @@
         lines = [f'seed {self.seed}: {len(self.faults)} troubles; answers {told}']
         lines += [f'  {self.streams}'] if self.streams else []
         lines += [f'  most retries in a window: {one.render()}' for one in self.retries]
+        lines += [f'  {self.counted}'] if self.counted else []
         lines += [f'  nearest to a bound: {one.render()}' for one in self.bounds]
         lines += [f'  broken: {text}' for text in self.violations]
         if self.violations:
@@ -248,6 +252,7 @@
             self._retry_allowance,
         )
         self.report.violations += invariants.find_retry_excess(self.report.retries)
+        self.report.counted = self._describe_retries()
         self.report.bounds = self._measure_bounds()
         self.report.backpressure_violations = invariants.find_backpressure_violations(
             self.report.outcomes,
@@ -277,6 +282,18 @@
             f'the new version, {inferred} of these inferred'
         )
 
+    def _describe_retries(self) -> str:
+        """Return how many retries arrived and were logged, by service; a kill may cut a log."""
+        logged = collections.Counter(
+            line['service'] for router in self._routers for line in router.list_events('retry sent')
+        )
+        arrived = invariants.count_retries(self._deployment.replicas.values())
+        return ', '.join(
+            f'{service}: {count} retries arrived, {logged[service]} logged'
+            for service, count in arrived.items()
+            if count or logged[service]
+        )
+
     def _measure_bounds(self) -> list[invariants.BoundUse]:
         """Return how near the run came to the bounds of keys, weights and limits."""
         outcomes, replicas = self.report.outcomes, self._deployment.replicas.values()
