--- a/passpier/tests/core/retries_tests.py
+++ b/passpier/tests/core/retries_tests.py
@@ -87,6 +87,123 @@
     assert traffic.compute_share(held_up) <= 1
 
 
+TICK = 0.25
+"""Seconds between steps of a play with phases."""
+
+PATIENCE = 15.0
+"""Seconds for which a client with a part of a stream waits for the rest."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Phase:
+    """What clients send, and what the replicas of the service do with it."""
+
+    seconds: float
+    rate: float
+    """Requests a second."""
+
+    fails: bool = False
+    """Whether each attempt fails, so that its request wants another one."""
+
+    gone: bool = False
+    """Whether there is no replica, so that requests wait with the retries they hold."""
+
+
+@dataclasses.dataclass
+class WaitingRequest:
+    """A request whose attempt has failed, at a daemon."""
+
+    retries: retries.RequestRetries
+    ends_at: float
+
+
+@dataclasses.dataclass
+class PhasedTraffic(Traffic):
+    """Traffic that rises and falls while requests wait for replicas."""
+
+    phases: list[Phase] = dataclasses.field(default_factory=list)
+
+    def play(self) -> None:
+        """Play one phase after the other; the last one's requests that still wait are dropped."""
+        budgets = [self._start(0.0) for _ in range(self.daemons)]
+        waiting: list[WaitingRequest] = []
+        now = 0.0
+        for phase in self.phases:
+            ends_at = now + phase.seconds
+            while now < ends_at:
+                now += TICK
+                waiting += self._send(budgets, phase, now)
+                waiting = [one for one in waiting if self._go_on(one, phase, now)]
+
+    def _send(
+        self, budgets: list[retries.SharedBudget], phase: Phase, now: float
+    ) -> list[WaitingRequest]:
+        """Send the requests of a step; return those whose first attempt fails."""
+        failed = []
+        count = int(phase.rate * TICK + self.rng.random())
+        for _ in range(count):
+            budget = self.rng.choice(budgets)
+            budget.note_request(now)
+            self.requests.append(now)
+            if phase.fails or phase.gone:
+                one = retries.RequestRetries(budget)
+                one.note_sent()
+                failed.append(WaitingRequest(one, now + PATIENCE))
+        return failed
+
+    def _go_on(self, one: WaitingRequest, phase: Phase, now: float) -> bool:
+        """Send a request again if it may be and a replica is there; return whether it waits."""
+        if now >= one.ends_at:
+            one.retries.close()
+            return False
+        if not one.retries.hold(now, self.daemons) or phase.gone:
+            return True
+        one.retries.note_sent()
+        self.sent.append(now)
+        if not phase.fails:
+            one.retries.close()
+        return phase.fails
+
+
+# Guards against retries above the budget that are held while the traffic falls.
+def test_retries_held_while_the_traffic_falls_keep_the_budget() -> None:
+    traffic = PhasedTraffic(random.Random(1), 1)
+    traffic.phases = [
+        Phase(20.0, 40.0),
+        Phase(1.0, 40.0, gone=True),
+        Phase(12.0, 0.0, gone=True),
+        Phase(20.0, 0.0, fails=True),
+    ]
+    traffic.play()
+    assert traffic.sent
+    assert traffic.compute_share(traffic.sent) <= 1
+
+
+# Guards against retries above the budget as bursts end while a service is gone, again and again.
+@hypothesis.given(
+    st.integers(0, 10_000),
+    st.integers(1, 6),
+    st.sampled_from([10.0, 40.0]),
+    st.sampled_from([0.0, 2.0, 10.0]),
+)
+def test_the_budget_is_kept_while_the_traffic_rises_and_falls(
+    seed: int, daemons: int, busy: float, calm: float
+) -> None:
+    rng = random.Random(seed)
+    traffic = PhasedTraffic(rng, daemons)
+    for _ in range(3):
+        traffic.phases += [
+            Phase(rng.uniform(2.0, 12.0), busy, fails=rng.random() < 0.3),
+            Phase(rng.uniform(0.5, 2.0), busy, gone=True),
+            Phase(rng.uniform(1.0, 14.0), calm, gone=True),
+            Phase(rng.uniform(1.0, 8.0), calm, fails=True),
+        ]
+    traffic.play()
+    assert traffic.compute_share(traffic.sent) <= 1
+    late = [at + rng.uniform(0.0, LATE_SECONDS) for at in traffic.sent]
+    assert traffic.compute_share(late) <= 1
+
+
 def test_a_service_that_fails_gets_most_of_the_budget() -> None:
     traffic = Traffic(random.Random(1), 6)
     traffic.run(40.0, 30.0, 1000.0, 1.0)
--- a/passpier/tests/platform/retry_budget_tests.py
+++ b/passpier/tests/platform/retry_budget_tests.py
@@ -29,6 +29,12 @@
 WINDOW = 3.0
 STREAMS = 150
 EVENT_PAUSE = 0.5
+BUSY_RATE = 120.0
+"""Requests a second before the traffic falls."""
+
+CALM_SECONDS = 6.5
+"""Seconds without requests for which streams wait: over two windows."""
+
 OUTAGE_SECONDS = 4.0
 """Seconds for which streams wait for a replica, longer than a window."""
 
@@ -173,6 +179,48 @@
     harness.run_check(check)
 
 
+# Guards against retries above the budget that streams hold while the traffic falls.
+def test_streams_that_wait_while_the_traffic_falls_keep_the_retry_budget() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.configure(
+            routes=[
+                {**r, 'timeout_ms': 20_000, 'max_attempts': 4}
+                for r in running.configuration['routes']
+            ]
+        )
+        process = running.routers[0]
+        options = process.options
+        process.forwarder.budgets.get('llm').configure(
+            options.retry_ratio, options.retry_slack, WINDOW
+        )
+        await running.wait_settled()
+        models = [target for target in running.replicas.values() if target.model]
+        for model in models:
+            model.slots = STREAMS
+        load = Load(running, 'resume', [options.caller])
+        await load.send(2 * WINDOW, BUSY_RATE, patience=15.0)
+        for model in models:
+            model.event_pause = EVENT_PAUSE
+            model.faults.cut = ALWAYS
+        await load.send(EVENT_PAUSE * 0.8, BUSY_RATE, patience=15.0)
+        for model in models:
+            running.remove_entry(model.id)
+        await asyncio.sleep(CALM_SECONDS)
+        for model in models:
+            successor = model.build_successor(f'{model.id}-again')
+            successor.slots = STREAMS
+            running.add_replica(successor)
+        await load.finish()
+        allowance = invariants.RetryAllowance(options.retry_ratio, options.retry_slack, WINDOW)
+        peaks = invariants.measure_retries(
+            load.outcomes, running.replicas.values(), running.map_services(), allowance
+        )
+        assert peaks
+        assert not invariants.find_retry_excess(peaks), [peak.render() for peak in peaks]
+
+    harness.run_check(check)
+
+
 # Guards against retries above the budget while no router knows of any other one.
 def test_routers_that_do_not_know_each_other_keep_the_retry_budget() -> None:
     async def run() -> None:
