Retries: what is held is withdrawn once the budget no longer covers it

What was seen: upstreams get more retries than the deployment allows when a service returns after the requests have fallen. Callers see failures that last a little longer.

Cause: what can be saved follows from the requests of the last window and from the number of routers, but held retries were exempt from it.

Change: the limit holds for held retries as well. As it falls, the retries held last are withdrawn, which ends the wait in the queue at once; each is checked again right before its first byte. A stream of which the client has a part waits for another retry, any other request gets its last failure. New: the event 'retry withdrawn', passpier_retries_withdrawn_total.

Why it works: what is sent in a window is at most what could be saved when the first of them was sent, half of that moment's allowance, plus what was earned since, the other half.

--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -57,6 +59,14 @@
     return rng.uniform(bound / 2, bound)
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class Hold:
+    """A retry that is held for an attempt until it is sent, released or withdrawn."""
+
+    on_withdrawn: Callable[[Hold], None]
+    """Called when the budget no longer covers the retry, which may then not be sent."""
+
+
 class SharedBudget:
     """One process's share of a retry budget that all processes keep without coordination.
 
@@ -64,14 +74,17 @@
     retries. A process earns retries with time and with each request, and can save a part of those
     of a window. It starts without any, so that a restart never adds to what is sent.
 
-    A retry that is held for an attempt counts as saved until the attempt has been sent.
+    A retry that is held for an attempt counts as saved until the attempt has been sent. What can be
+    saved falls with the requests, and the retries held last are withdrawn once it covers fewer.
     """
 
     def __init__(self, ratio: float, slack: float, window: float, started_at: float) -> None:
         """`started_at` is the start of the process, which has sent no retry since then."""
         self._requests: collections.deque[float] = collections.deque()
         self._balance = 0.0
-        self._held = 0
+        self._holds: dict[Hold, None] = {}
+        """The held retries, in the order in which they were obtained."""
+
         self._earned_until = started_at
         self.configure(ratio, slack, window)
 
@@ -83,7 +96,7 @@
     @property
     def held(self) -> int:
         """The number of retries held for attempts that have not been sent."""
-        return self._held
+        return len(self._holds)
 
     def configure(self, ratio: float, slack: float, window: float) -> None:
         """Set the parameters; requests counted and retries saved before are kept."""
@@ -99,8 +112,8 @@
 
     def compute_left(self, now: float, processes: int) -> float:
         """Return the number of retries left; `processes` is the number that share the slack."""
-        self._update(now, max(1, processes))
-        return self._balance - self._held
+        self.update(now, processes)
+        return self._balance - len(self._holds)
 
     def compute_limit(self, now: float, processes: int) -> float:
         """Return how many retries may be saved; `processes` is the number that share the slack."""
@@ -112,33 +125,42 @@
         """Return whether a retry is left; `processes` is the number that share the slack."""
         return self.compute_left(now, processes) >= 1.0
 
-    def hold(self, now: float, processes: int) -> bool:
-        """Hold a retry if any is left; `processes` is the number that share the slack."""
+    def hold(self, now: float, processes: int, on_withdrawn: Callable[[Hold], None]) -> Hold | None:
+        """Return a held retry if any is left."""
         if not self.has_any(now, processes):
-            return False
-        self._held += 1
-        return True
+            return None
+        hold = Hold(on_withdrawn)
+        self._holds[hold] = None
+        return hold
 
-    def release(self) -> None:
+    def release(self, hold: Hold) -> None:
         """Return a held retry that is not used."""
-        self._held -= 1
+        del self._holds[hold]
 
-    def spend(self) -> None:
+    def spend(self, hold: Hold) -> None:
         """Count a held retry as sent."""
-        self._held -= 1
+        del self._holds[hold]
         self._balance -= 1.0
 
     def charge(self) -> None:
         """Count a retry that was sent without having been held."""
         self._balance -= 1.0
 
-    def _update(self, now: float, processes: int) -> None:
-        """Earn the retries of the time since the last update, and drop those above the limit."""
+    def update(self, now: float, processes: int) -> None:
+        """Earn the retries of the time since the last update, and drop those above the limit.
+
+        What is held is not exempt: it was obtained while there were more requests, or fewer
+        processes, and would come on top of what the present ones allow.
+        """
         windows = max(0.0, now - self._earned_until) / self._window
-        self._balance += self._slack / processes * (1 - SAVED_SHARE) * windows
+        self._balance += self._slack / max(1, processes) * (1 - SAVED_SHARE) * windows
         self._earned_until = now
-        limit = self.compute_limit(now, processes)
-        self._balance = min(self._balance, max(limit, float(self._held)))
+        self._balance = min(self._balance, self.compute_limit(now, processes))
+        withdrawn = []
+        while self._holds and len(self._holds) > self._balance:
+            withdrawn.append(self._holds.popitem()[0])
+        for hold in withdrawn:
+            hold.on_withdrawn(hold)
 
     def _forget(self, now: float) -> None:
         """Drop the requests of before the window."""
@@ -152,49 +174,67 @@
     def __init__(self, budget: SharedBudget) -> None:
         self._budget = budget
         self._was_sent = False
-        self._is_held = False
-        self._is_reserved = False
+        self._held: Hold | None = None
+        self._reserved: Hold | None = None
+        self.on_withdrawn: Callable[[], None] = lambda: None
+        """Called when the retry held for the next attempt has been withdrawn."""
+
+    @property
+    def needs_retry(self) -> bool:
+        """Whether the next attempt needs a retry; the first one doesn't."""
+        return self._was_sent
 
     def has_any(self, now: float, processes: int) -> bool:
         """Return whether the request has a retry or can get one."""
-        return self._is_held or self._is_reserved or self._budget.has_any(now, processes)
+        can_hold = self._budget.has_any(now, processes)
+        return can_hold or self._held is not None or self._reserved is not None
 
     def hold(self, now: float, processes: int) -> bool:
         """Hold a retry for the next attempt, the reserved one if there is one; return success."""
-        if not self._is_held:
-            self._is_held = self._is_reserved or self._budget.hold(now, processes)
-            self._is_reserved = False
-        return self._is_held
+        self._budget.update(now, processes)
+        if self._held is None:
+            self._held, self._reserved = self._reserved, None
+        if self._held is None:
+            self._held = self._budget.hold(now, processes, self._withdraw)
+        return self._held is not None
 
     def reserve(self, now: float, processes: int) -> bool:
         """Reserve a retry for later, until `release` is called; return success."""
-        if not self._is_reserved:
-            self._is_reserved = self._budget.hold(now, processes)
-        return self._is_reserved
+        if self._reserved is None:
+            self._reserved = self._budget.hold(now, processes, self._withdraw)
+        return self._reserved is not None
 
     def note_sent(self) -> bool:
         """Count an attempt that was sent; return false if it should have had a retry and had none.
 
         The first one needs no retry.
         """
-        is_paid = self._is_held or not self._was_sent
-        if self._is_held:
-            self._budget.spend()
+        is_paid = self._held is not None or not self._was_sent
+        if self._held is not None:
+            self._budget.spend(self._held)
         elif self._was_sent:
             self._budget.charge()
         self._was_sent = True
-        self._is_held = False
+        self._held = None
         return is_paid
 
     def release(self) -> None:
         """Return the reserved retry, if there is one."""
-        if self._is_reserved:
-            self._budget.release()
-            self._is_reserved = False
+        if self._reserved is not None:
+            self._budget.release(self._reserved)
+            self._reserved = None
 
     def close(self) -> None:
         """Return all retries that were not used."""
         self.release()
-        if self._is_held:
-            self._budget.release()
-            self._is_held = False
+        if self._held is not None:
+            self._budget.release(self._held)
+            self._held = None
+
+    def _withdraw(self, hold: Hold) -> None:
+        """Forget a retry that the budget has withdrawn."""
+        if hold is self._reserved:
+            self._reserved = None
+            return
+        self._held = None
+        self.on_withdrawn()
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -82,6 +82,11 @@
         self.retries_sent = _build_counter(
             registry, 'passpier_retries_sent_total', 'Requests sent to a replica again, by service.'
         )
+        self.retries_withdrawn = _build_counter(
+            registry,
+            'passpier_retries_withdrawn_total',
+            'Retries withdrawn before they were sent, by service.',
+        )
         self.retries_left = _build_gauge(
             registry,
             'passpier_retries_left',
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -176,6 +176,9 @@
         self.charge = rate_limiting.Charge(
             owner.limiter, client_request.id, admitted.account, client_request.tokens
         )
+        self._failure: response_reader.AttemptError | None = None
+        """Why the last attempt that was made has failed."""
+
         self._outcome = 'client_gone'
         self._stopping = False
         self._delivery = delivering.Delivery(client, owner.wire, admitted.ends_at)
@@ -259,6 +262,9 @@
             except key_checks.RevokedKeyError:
                 await self._respond_revoked()
                 return
+            except retry_budgets.RetryWithdrawnError:
+                if not await self._replace_retry():
+                    return
             except response_reader.AttemptError as error:
                 if not await self._handle_failure(error):
                     return
@@ -367,9 +373,11 @@
         call = self.call
         allowed = None if call.progress.may_reach_others else self._reached
         while True:
-            placement = await self._owner.dispatcher.place(
-                call, self.name_attempt(), self.excluded, allowed
-            )
+            # Only a retry can be withdrawn while the request is queued.
+            async with self.retries.waiting() if self._reached else contextlib.nullcontext():
+                placement = await self._owner.dispatcher.place(
+                    call, self.name_attempt(), self.excluded, allowed
+                )
             if isinstance(placement, dispatcher.Placement) or not self._can_wait():
                 return placement
             await asyncio.sleep(CONTINUE_INTERVAL)
@@ -596,6 +604,7 @@
 
     async def _handle_failure(self, error: response_reader.AttemptError) -> bool:
         """Decide what follows a failed attempt; return whether there is another one."""
+        self._failure = error
         progress = self.call.progress
         now = clocks.now()
         if error.fault is not attempts.Fault.REFUSED:
@@ -674,6 +683,14 @@
             await asyncio.sleep(CONTINUE_INTERVAL)
         return True
 
+    async def _replace_retry(self) -> bool:
+        """Hold another retry in place of one that was withdrawn; else send the final response."""
+        if await self._await_retry():
+            return True
+        assert self._failure is not None
+        await self._respond_failure(self._failure)
+        return False
+
     async def _respond_failure(self, error: response_reader.AttemptError) -> None:
         """Send the final response of a request whose attempts have all failed."""
         if error.passed is not None and not self._client.started:
@@ -703,7 +720,7 @@
 
     def _may_send(self, placement: dispatcher.Placement) -> bool:
         """Return whether the request may be sent; checked just before its first byte."""
-        if self._client.gone or not self.key_check.is_valid():
+        if self._client.gone or not self.key_check.is_valid() or not self.retries.may_send():
             return False
         return replicas.may_send(placement.replica, placement.attempt, clocks.now())
 
@@ -713,6 +730,8 @@
             return responses.ClientGoneError()
         if not self.key_check.is_valid():
             return self.key_check.build_error()
+        if not self.retries.may_send():
+            return retry_budgets.RetryWithdrawnError()
         text = 'the replica has asked for less since the request was placed'
         return response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, text)
 
--- a/passpier/routing/retry_budgets.py
+++ b/passpier/routing/retry_budgets.py
@@ -2,18 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
+import contextlib
 import dataclasses
 import logging
+from collections.abc import AsyncIterator
 
 from passpier import clocks
-from passpier.core import retries
+from passpier.core import attempts, retries
 from passpier.daemon import metrics
-from passpier.routing import dialect
+from passpier.routing import dialect, response_reader
 
 log = logging.getLogger(__name__)
 
 
+class RetryWithdrawnError(response_reader.AttemptError):
+    """The retry held for an attempt was withdrawn before the attempt was sent."""
+
+    def __init__(self) -> None:
+        text = 'the retry budget no longer covers the attempt'
+        super().__init__(attempts.Fault.NOT_CONNECTED, text)
+
+
 class RetryBudgets:
     """The retry budgets of all services."""
 
@@ -111,6 +122,11 @@
         self._grant: _Grant | None = None
         """The retry for the next attempt, if that attempt needs one."""
 
+        self._wait: asyncio.Timeout | None = None
+        """The wait that ends when that retry is withdrawn, if there is one."""
+
+        self._retries.on_withdrawn = self._note_withdrawn
+
     def note_request(self, arrived_at: float) -> None:
         """Count the request towards what the service earns."""
         self._budget.note_request(arrived_at)
@@ -129,6 +145,23 @@
             self._grant = _Grant(now, self._budget.compute_limit(now, sharers), sharers)
         return True
 
+    def may_send(self) -> bool:
+        """Return whether the next attempt may be sent; checked just before its first byte."""
+        return not self._retries.needs_retry or self.hold()
+
+    @contextlib.asynccontextmanager
+    async def waiting(self) -> AsyncIterator[None]:
+        """Interrupt the body once the held retry is withdrawn; raises `RetryWithdrawnError`."""
+        if not self.may_send():
+            raise RetryWithdrawnError
+        try:
+            async with asyncio.timeout(None) as self._wait:
+                yield
+        except TimeoutError as error:
+            raise RetryWithdrawnError from error
+        finally:
+            self._wait = None
+
     def reserve(self) -> bool:
         """Reserve a retry for a later attempt; return false if none is left."""
         return self._retries.reserve(clocks.now(), self._budgets.sharers)
@@ -154,6 +187,20 @@
         else:
             log.error('retry sent without a budget', extra=fields)
 
+    def _note_withdrawn(self) -> None:
+        """Record that the retry for the next attempt was withdrawn, and end the wait with it."""
+        grant, self._grant = self._grant, None
+        self._counters.retries_withdrawn.inc({'service': self._service})
+        fields = {
+            'request': self._request,
+            'service': self._service,
+            **({} if grant is None else grant.describe(clocks.now())),
+            **self.describe(),
+        }
+        log.info('retry withdrawn', extra=fields)
+        if self._wait is not None:
+            self._wait.reschedule(0.0)
+
     def describe(self) -> dict[str, float]:
         """Return the log fields for the state of the service's budget."""
         return self._budgets.describe(self._service)
--- a/passpier/tests/core/retries_tests.py
+++ b/passpier/tests/core/retries_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import random
 
 import hypothesis
@@ -51,8 +52,9 @@
             budget.note_request(now)
             self.requests.append(now)
             for _ in range(RETRIES_WANTED if fails else 0):
-                if budget.hold(now, self.daemons):
-                    budget.spend()
+                hold = budget.hold(now, self.daemons, lambda withdrawn: None)
+                if hold is not None:
+                    budget.spend(hold)
                     self.sent.append(now)
 
     def _start(self, now: float) -> retries.SharedBudget:
@@ -269,6 +271,38 @@
     assert later.hold(1000.0 + WINDOW, 1)
 
 
+def test_the_retries_held_last_are_withdrawn_as_the_requests_fall() -> None:
+    budget = retries.SharedBudget(RATIO, SLACK, WINDOW, 0.0)
+    for number in range(400):
+        budget.note_request(90.5 + number / 50)
+    waiting = [retries.RequestRetries(budget) for _ in range(100)]
+    withdrawn: list[retries.RequestRetries] = []
+    for one in waiting:
+        one.on_withdrawn = functools.partial(withdrawn.append, one)
+    held = [one for one in waiting if one.hold(100.0, 1)]
+    assert len(held) == budget.held == int(budget.compute_limit(100.0, 1))
+    budget.update(120.0, 1)
+    left = int(SLACK * retries.BUDGET_SAFETY_FACTOR * retries.SAVED_SHARE)
+    assert budget.held == left < len(held)
+    assert withdrawn == held[: left - 1 : -1]
+    assert not withdrawn[0].hold(120.0, 1)
+
+
+def test_held_retries_are_withdrawn_as_more_processes_share_the_slack() -> None:
+    budget = make_budget_of_one()
+    held, reserved = retries.RequestRetries(budget), retries.RequestRetries(budget)
+    withdrawn: list[str] = []
+    held.on_withdrawn = lambda: withdrawn.append('held')
+    assert held.hold(100.0, 1)
+    budget.update(100.0, 2)
+    assert withdrawn == ['held']
+    held.close()
+    assert reserved.reserve(200.0, 1)
+    budget.update(200.0, 2)
+    reserved.release()
+    assert budget.held == 0
+
+
 def test_a_request_that_ends_returns_what_it_has_not_sent() -> None:
     budget = make_budget_of_one()
     one, other = retries.RequestRetries(budget), retries.RequestRetries(budget)
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -347,9 +347,9 @@
         process = running.routers[0]
         assert process.forwarder.budgets.sharers >= router.DAEMONS_AT_START
         budget = process.forwarder.budgets.get('app')
-        granted = sum(
-            budget.hold(clocks.now(), process.forwarder.budgets.sharers) for _ in range(100)
-        )
+        requests = [process.forwarder.budgets.begin(f'r{n}', 'app') for n in range(100)]
+        granted = sum(one.hold() for one in requests)
+        assert granted == budget.held
         assert granted <= process.options.retry_slack / router.DAEMONS_AT_START
 
     run_check(check)
--- a/passpier/tests/platform/retry_budget_tests.py
+++ b/passpier/tests/platform/retry_budget_tests.py
@@ -6,9 +6,11 @@
 import pathlib
 import random
 
+import pytest
+
 from passpier import clocks
 from passpier.clients import exchanges
-from passpier.routing import router
+from passpier.routing import retry_budgets, router
 from passpier.standins.platform import deployment, invariants, replica, routers
 from passpier.tests.platform import harness
 
@@ -32,6 +34,9 @@
 BUSY_RATE = 120.0
 """Requests a second before the traffic falls."""
 
+MANY_ROUTERS = 1000
+"""Routers among which the slack leaves less than a retry for each."""
+
 CALM_SECONDS = 6.5
 """Seconds without requests for which streams wait: over two windows."""
 
@@ -221,6 +226,56 @@
     harness.run_check(check)
 
 
+# Guards against streams that are lost because the retry they held was withdrawn.
+def test_stream_whose_retry_is_withdrawn_waits_for_another_one() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.configure(
+            routes=[{**r, 'timeout_ms': 20_000} for r in running.configuration['routes']]
+        )
+        await running.wait_settled()
+        process = running.routers[0]
+        models = [target for target in running.replicas.values() if target.model]
+        for model in models:
+            model.event_pause = EVENT_PAUSE
+            model.faults.cut = ALWAYS
+        load = Load(running, 'resume', [process.options.caller])
+        sending = asyncio.ensure_future(load.send(0.01, patience=10.0))
+        await harness.wait_for(lambda: any(model.arrivals for model in models))
+        for model in models:
+            running.remove_entry(model.id)
+        budgets = process.forwarder.budgets
+        await harness.wait_for(lambda: budgets.get('llm').held == 1)
+        budgets.share(MANY_ROUTERS, is_listed=True)
+        assert budgets.get('llm').held == 0
+        await harness.wait_for(lambda: budgets.get('llm').held == 1)
+        for model in models:
+            running.add_replica(model.build_successor(f'{model.id}-again'))
+        await sending
+        await load.finish()
+        assert [one.status for one in load.outcomes] == [200]
+        assert [one.body for one in load.outcomes] == [invariants.COMPLETE_BODY]
+        assert process.counters.retries_withdrawn.get({'service': 'llm'}) == 1
+
+    harness.run_check(check)
+
+
+# Guards against requests that stay in the queue although they may no longer be sent.
+def test_wait_of_a_request_whose_retry_is_withdrawn_ends_at_once() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        await running.wait_settled()
+        budgets = running.routers[0].forwarder.budgets
+        run = budgets.begin('r1', 'app')
+        run.note_sent('app-0', reached=0)
+        assert run.hold()
+        with pytest.raises(retry_budgets.RetryWithdrawnError):
+            async with run.waiting():
+                budgets.share(MANY_ROUTERS, is_listed=True)
+                await asyncio.sleep(harness.TEST_TIMEOUT)
+        assert not run.may_send()
+
+    harness.run_check(check)
+
+
 # Guards against retries above the budget while no router knows of any other one.
 def test_routers_that_do_not_know_each_other_keep_the_retry_budget() -> None:
     async def run() -> None:
--- a/passpier/tests/platform/unbounded_retries.py
+++ b/passpier/tests/platform/unbounded_retries.py
@@ -11,7 +11,10 @@
 
 
 class UnboundedBudget(retries.SharedBudget):
-    """Grants every retry."""
+    """Grants every retry and withdraws none."""
+
+    def update(self, now: float, processes: int) -> None:
+        pass
 
     def has_any(self, now: float, processes: int) -> bool:
         return True
