Moves: a retry that a move did not use is returned

What was seen: a stream whose move to another replica failed before anything was sent kept the retry for it until the stream ended, up to 15 s, while other requests found none left.

Cause: the retry is held before the other replica is connected to, and only an attempt that is sent or the end of the request gave it back.

Change: a move that leaves the request where it is returns the retry.

Found while looking for other grants that outlive their reason.

--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -231,6 +231,10 @@
     def close(self) -> None:
         """Return all retries that were not used."""
         self.release()
+        self.release_held()
+
+    def release_held(self) -> None:
+        """Return the retry held for the next attempt, if there is one."""
         if self._held is not None:
             self._budget.release(self._held)
             self._held = None
--- a/passpier/routing/moves.py
+++ b/passpier/routing/moves.py
@@ -106,6 +106,7 @@
             log_not_moved(run, placement, str(error))
         except (key_checks.UnverifiedKeyError, key_checks.RevokedKeyError):
             log_not_moved(run, placement, 'keys may have changed')
+        run.retries.release_held()
         return None
 
     async def _place(self, run: Run) -> dispatcher.Placement | None:
--- a/passpier/routing/retry_budgets.py
+++ b/passpier/routing/retry_budgets.py
@@ -209,6 +209,11 @@
         """Return the reserved retry, if there is one."""
         self._retries.release()
 
+    def release_held(self) -> None:
+        """Return the retry held for the next attempt, if there is one."""
+        self._retries.release_held()
+        self._grant = None
+
     def close(self) -> None:
         """Return all retries that were not used."""
         self._retries.close()
--- a/passpier/tests/platform/moved_streams_tests.py
+++ b/passpier/tests/platform/moved_streams_tests.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from passpier.clients import connections, exchanges
 from passpier.standins.platform import deployment, replica
 from passpier.tests.platform import harness
 
@@ -93,6 +94,33 @@
     harness.run_check(check)
 
 
+# Guards against retries that a stream holds until its end for a move that was not made.
+def test_move_to_a_replica_that_refuses_connections_leaves_no_retry_held(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        await prepare(running, event_pause=1.3)
+        process = running.routers[0]
+        held: list[int] = []
+
+        async def fail(address: str) -> connections.Connection:
+            held.append(process.forwarder.budgets.get('llm').held)
+            raise exchanges.ExchangeError(exchanges.Fault.CONNECT, 'refused', False)
+
+        pending = await ask_stream(running)
+        # The move comes after a second without an event.
+        await asyncio.sleep(0.9)
+        process.adapter.pool.close()
+        monkeypatch.setattr(process.adapter.pool, '_connect', fail)
+        await harness.wait_for(lambda: 1 in held)
+        await asyncio.sleep(0.1)
+        monkeypatch.undo()
+        assert process.forwarder.budgets.get('llm').held == 0
+        check_events(await pending)
+
+    harness.run_check(check)
+
+
 def test_slow_stream_continues_at_a_replica_that_takes_it() -> None:
     async def check(running: deployment.Deployment) -> None:
         await prepare(running, event_pause=1.3)
