Limits of accounts: a begun stream is charged once it has a replica

What was seen: a stream that waits for a replica is charged for its next attempt before the wait, up to 15 s earlier; the bucket refills meanwhile, and what was charged before is then sent on top of what the account has regained.

Cause: the same class as the retries held while the traffic falls: what was granted under earlier conditions is used under later ones. Charging came before placing, which is right for requests that are queued for half of their objective and not for streams that wait until their deadline.

Change: a stream of which the client has a part is charged after it has been placed, and a charge left from an attempt that did not run is refunded before the wait.

Evidence: the new test found 2,840 units spent while the stream waited, 1,420 now, and 2,840 once it has been sent. The sum over an account's limit was not played.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -341,11 +341,11 @@
         if judgement.refused_for is not None:
             await self._refuse_suspect(judgement)
             return None
-        retry_after = await self.charge.acquire(self.ends_at - clocks.now())
-        if retry_after:
-            await self._respond_directly(
-                429, 'over_limit', 'the account is at its limit', retry_after
-            )
+        if self._client.started:
+            # It may wait until its deadline. Units charged before would come on top of those that
+            # the account regains meanwhile.
+            self.charge.refund()
+        elif await self._refuse_over_limit():
             return None
         if judgement.is_suspect:
             call.policy = 'apart'
@@ -358,8 +358,19 @@
             return None
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._owner.dispatcher.end, placement)
+            if self._client.started and await self._refuse_over_limit():
+                return None
             return await self._send_placed(placement, cleanup)
 
+    async def _refuse_over_limit(self) -> bool:
+        """Charge the account for the next attempt, or refuse it; return whether it was refused."""
+        retry_after = await self.charge.acquire(self.ends_at - clocks.now())
+        if retry_after:
+            await self._respond_directly(
+                429, 'over_limit', 'the account is at its limit', retry_after
+            )
+        return bool(retry_after)
+
     async def _respond_not_placed(self, failure: exceptions.Failure) -> None:
         """Refuse a request for which there is no replica."""
         if self._binding.is_superseded:
--- a/passpier/tests/platform/limits_tests.py
+++ b/passpier/tests/platform/limits_tests.py
@@ -19,6 +19,9 @@
 COST = 1_420
 """Tokens of one prompt and its completion, as declared in the header."""
 
+EVENT_PAUSE = 0.5
+"""Seconds between the events of a stream."""
+
 SLOW_MS = 6_000
 SLOW_ROUTE = {'target_latency_ms': SLOW_MS, 'timeout_ms': SLOW_MS}
 
@@ -136,6 +139,39 @@
     harness.run_check(check)
 
 
+# Guards against accounts that run more than their limit when streams that wait for a replica are
+# sent with what they were charged before, while the account has regained as much.
+def test_stream_that_waits_for_a_replica_is_charged_once_it_has_one() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running.configure(
+            routes=[{**r, 'timeout_ms': SLOW_MS} for r in running.configuration['routes']]
+        )
+        set_rate(running)
+        await wait_full(running)
+        await running.wait_settled()
+        process = running.routers[0]
+        models = [target for target in running.replicas.values() if target.model]
+        for model in models:
+            model.event_pause = EVENT_PAUSE
+            model.faults.cut = 1
+        pending = asyncio.ensure_future(
+            running.ask('/resume/x', id='one', patience_ms=SLOW_MS, headers=PROMPT)
+        )
+        await harness.wait_for(lambda: bool(running.list_runs('one')))
+        for model in models:
+            running.remove_entry(model.id)
+        await harness.wait_for(lambda: process.forwarder.budgets.get('llm').held == 1)
+        await asyncio.sleep(EVENT_PAUSE)
+        assert process.limiter.buckets.get_spent('tower') == COST
+        for model in models:
+            running.add_replica(model.build_successor(f'{model.id}-again'))
+        assert (await pending).status == 200
+        assert process.limiter.buckets.get_spent('tower') == 2 * COST
+        assert len(running.list_runs('one')) == 2
+
+    harness.run_check(check)
+
+
 def test_requests_without_tokens_have_the_configured_cost() -> None:
     async def check(running: deployment.Deployment) -> None:
         set_rate(running)
