Orders: the lease is checked right before the first byte

What could be seen: an order that reaches a replica after the lease for it was lost, beside those of the next holder.

Cause: the same class as held retries: the lease was checked before the connection was opened, which takes up to its timeout, and a process may be suspended meanwhile.

Change: orders carry the check that requests carry already; an order that may no longer be sent counts as not answered, and the loop ends.

Evidence: with the check in the adapter left out, the new test found the order accepted (first assertion: TAKEN in place of UNKNOWN); with it none arrives.

--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -225,8 +225,10 @@
         )
         return dialect.CacheChanges(raw.boot_epoch, raw.next_token, raw.lost, changes)
 
-    async def order(self, address: str, order: dialect.WeightOrder) -> dialect.OrderResult:
-        """Order a replica to load weights."""
+    async def order(
+        self, address: str, order: dialect.WeightOrder, may_send: Callable[[], bool]
+    ) -> dialect.OrderResult:
+        """Order a replica to load weights; `may_send` is checked right before the first byte."""
         body = {
             'op': 'version',
             'model': order.model,
@@ -242,7 +244,9 @@
             (names.EXPECT_INCARNATION, order.incarnation),
         ]
         data = msgspec.json.encode(body)
-        request = exchanges.Request('POST', names.ORDER_PATH, headers, data, once=True)
+        request = exchanges.Request(
+            'POST', names.ORDER_PATH, headers, data, once=True, may_send=may_send
+        )
         try:
             response = await self._pool.fetch(
                 address, request, ORDER_TIMEOUT, proxy='', max_bytes=REPORT_MAX
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
 import msgspec
@@ -193,8 +193,13 @@
     async def read_cache_changes(self, address: str, since: int, wait: float) -> CacheChanges:
         """Return a cache's events from number `since`; raises `ExchangeError`."""
 
-    async def order(self, address: str, order: WeightOrder) -> OrderResult:
-        """Send an order, always directly: replicas tell the process that gives it by its VM."""
+    async def order(
+        self, address: str, order: WeightOrder, may_send: Callable[[], bool]
+    ) -> OrderResult:
+        """Send an order, always directly: replicas tell the process that gives it by its VM.
+
+        `may_send` is checked right before its first byte.
+        """
 
 
 class Records(Protocol):
--- a/passpier/routing/rollouts.py
+++ b/passpier/routing/rollouts.py
@@ -318,15 +318,19 @@
     ) -> dialect.OrderResult:
         """Send an order, again if there is no response; only one of the copies can take effect."""
         result = dialect.OrderResult.UNKNOWN
+
+        def may_send() -> bool:
+            # This process may have been suspended for a while, also while it connected, or elected
+            # anew, and a token must not be sent after a higher one.
+            return order.token == self.holder.token and self.holder.may_order(clocks.now())
+
         for _ in range(ORDER_TRIES):
-            # Checked right before each send: this process may have been suspended for a while, or
-            # elected anew, and a token must not be sent after a higher one.
-            if order.token != self.holder.token or not self.holder.may_order(clocks.now()):
+            if not may_send():
                 break
             # A process that has started since counts orders from 0, and might accept this one.
             if self._pools.find(replica.process) is None:
                 break
-            result = await self._engines.order(replica.address, order)
+            result = await self._engines.order(replica.address, order, may_send)
             if result is not dialect.OrderResult.UNKNOWN:
                 break
         return result
--- a/passpier/tests/platform/standins_tests.py
+++ b/passpier/tests/platform/standins_tests.py
@@ -10,6 +10,7 @@
 from passpier import clocks
 from passpier.clients import connections, exchanges
 from passpier.platform import dialect, names
+from passpier.routing import dialect as routing
 from passpier.standins.platform import deployment, foreign_entries, invariants, partitions, replica
 from passpier.tests.platform import harness
 
@@ -110,6 +111,22 @@
     harness.run_check(check, routers=2)
 
 
+# Guards against an adapter that checks whether an order may be sent only before it connects.
+def test_the_adapter_withholds_an_order_that_may_no_longer_be_sent() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        engines = dialect.Engines(running.pool)
+        target = running.replicas['llm-0']
+        order = routing.WeightOrder(target.id, deployment.MODEL, 2, 'vm-0', 1, 0)
+        assert (
+            await engines.order(target.address, order, lambda: False) is routing.OrderResult.UNKNOWN
+        )
+        assert target.accepted_orders == []
+        assert await engines.order(target.address, order, lambda: True) is routing.OrderResult.TAKEN
+        assert len(target.accepted_orders) == 1
+
+    harness.run_check(check)
+
+
 # Guards against a check of the retry budget that sees no window in which the traffic has ended.
 def test_retries_after_the_end_of_the_traffic_exceed_the_window_that_begins_with_them() -> None:
     sent = [number / 40 for number in range(400)]
--- a/passpier/tests/routing/replica_restarts_tests.py
+++ b/passpier/tests/routing/replica_restarts_tests.py
@@ -324,13 +324,15 @@
         orders = self.counted.get(incarnation, 0)
         return dialect.Report(versions, False, orders, 0, 0, self.born[incarnation])
 
-    async def order(self, address: str, order: dialect.WeightOrder) -> dialect.OrderResult:
+    async def order(
+        self, address: str, order: dialect.WeightOrder, may_send: Callable[[], bool]
+    ) -> dialect.OrderResult:
         id = order.incarnation
         self.expected.append((self.born[id], order.expected_orders))
         if order.expected_orders != self.counted.get(id, 0):
             return dialect.OrderResult.BUSY
         born = self.born[id]
-        result = await super().order(address, order)
+        result = await super().order(address, order, may_send)
         if result is dialect.OrderResult.TAKEN and self.born[id] == born:
             self.counted[id] = self.counted.get(id, 0) + 1
         return result
--- a/passpier/tests/routing/rollouts_tests.py
+++ b/passpier/tests/routing/rollouts_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any, cast
 
 import pytest
@@ -41,11 +42,19 @@
         self.instead_of_response: dict[int, Any] = {}
         """By the number of the order, what happens instead of a response."""
 
+        self.on_connecting: Callable[[], None] = lambda: None
+        """Called before each order while its connection is opened."""
+
     async def report(self, address: str, incarnation: str) -> dialect.Report:
         taken = sum(o.incarnation == incarnation for o in self.orders)
         return dialect.Report({MODEL: self.versions[incarnation]}, False, taken, 0, 0)
 
-    async def order(self, address: str, order: dialect.WeightOrder) -> dialect.OrderResult:
+    async def order(
+        self, address: str, order: dialect.WeightOrder, may_send: Callable[[], bool]
+    ) -> dialect.OrderResult:
+        self.on_connecting()
+        if not may_send():
+            return dialect.OrderResult.UNKNOWN
         self.orders.append(order)
         event = self.instead_of_response.get(len(self.orders))
         await asyncio.sleep(0.01)
@@ -151,6 +160,19 @@
     virtual_time.run(check())
 
 
+# Guards against an order that is sent after its lease was lost while the connection was opened.
+def test_an_order_is_not_sent_under_a_lease_that_was_lost_while_connecting() -> None:
+    async def check() -> None:
+        fleet = Fleet('r1')
+        fleet.elect(5)
+        fleet.release(2)
+        fleet.engines.on_connecting = lambda: fleet.rollouts._drop_lease('the lease lapsed')
+        await run_orders(fleet, 2.0)
+        assert fleet.engines.orders == []
+
+    virtual_time.run(check())
+
+
 def test_replicas_without_direct_path_are_left_to_another_process() -> None:
     """Orders through a peer would count as those of a second holder; one at a time may order."""
 
