--- a/passpier/standins/platform/clients.py
+++ b/passpier/standins/platform/clients.py
@@ -50,6 +50,10 @@
     ) -> None:
         self.outcomes: list[invariants.RequestOutcome] = []
         self.short_kinds: Sequence[str] = SHORT_KINDS
+        self.short_patience = SHORT_PATIENCE
+        self.is_paused = False
+        """Whether no new requests are sent."""
+
         self._running = running
         self._routers = processes
         self._rng = rng
@@ -67,15 +71,17 @@
     async def _send_short(self, ends_at: float, rate: float) -> None:
         number = 0
         while clocks.now() < ends_at:
-            self._begin(self._ask_short(f'n{number}'))
-            number += 1
+            if not self.is_paused:
+                self._begin(self._ask_short(f'n{number}'))
+                number += 1
             await asyncio.sleep(self._rng.expovariate(rate))
 
     async def _send_long(self, ends_at: float, rate: float) -> None:
         number = 0
         while clocks.now() < ends_at:
-            self._begin(self._ask_long(f'long{number}'))
-            number += 1
+            if not self.is_paused:
+                self._begin(self._ask_long(f'long{number}'))
+                number += 1
             await asyncio.sleep(self._long_rng.expovariate(rate))
 
     def _begin(self, request: Coroutine[Any, Any, None]) -> None:
@@ -89,7 +95,7 @@
         key = rng.choice(['secret-1', 'secret-2'])
         router = await self._choose_router(rng, f'short {rng.randrange(8)}', RESOLVE_TTL)
         headers = deployment.make_prompt(rng) if kind in invariants.STREAM_KINDS else []
-        await self._ask(router, id, kind, key, SHORT_PATIENCE, headers)
+        await self._ask(router, id, kind, key, self.short_patience, headers)
 
     async def _ask_long(self, id: str) -> None:
         rng = self._long_rng
--- a/passpier/standins/platform/routers.py
+++ b/passpier/standins/platform/routers.py
@@ -57,6 +57,7 @@
 lease_ms = {lease_ms}
 version_ms = {version_ms}
 retry_budget_slack = {slack}
+budget_window_s = {window}
 [platform]
 address = "{store}"
 """
@@ -78,7 +79,8 @@
         self.busy = False
         """Whether a fault is being injected into the process, which excludes further ones."""
 
-        self.retry_slack = DEFAULT_RETRY_SLACK
+        self.retry_slack: float = DEFAULT_RETRY_SLACK
+        self.retry_window = DEFAULT_RETRY_ALLOWANCE.window
         self._peer, self._tunnel = sorted(processes.pick_port() for _ in range(2))
         self._metrics = processes.pick_port()
         self._zone = f'zone-{number % 2}'
@@ -121,6 +123,7 @@
             lease_ms=int(ORDER_GAP * 1000),
             version_ms=int(VERSION_BOUND * 1000),
             slack=self.retry_slack,
+            window=self.retry_window,
             store=self.store_link.address,
         )
         draft = self._settings.with_suffix('.new')
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -29,6 +29,7 @@
     deployment,
     fault_injection,
     invariants,
+    lulls,
     outages,
     process_gaps,
     releases,
@@ -92,8 +93,11 @@
     scarcity: bool = False
     """Whether all replicas of a service send a limit for a while, again and again."""
 
+    lulls: bool = False
+    """Whether the traffic stops while a service is gone, again and again."""
+
     disturbed: bool = True
-    """Whether faults of routers, links and the store come beside outages."""
+    """Whether faults of routers, links and the store come beside outages or lulls."""
 
     program: str = PROGRAM
     """The module that runs as a router."""
@@ -186,6 +190,9 @@
         self._outages = outages.OutageInjector(
             self._targets, self._faults, random.Random(f'outage {seed}')
         )
+        self._lulls = lulls.LullInjector(
+            self._targets, self._faults, self._clients, random.Random(f'lull {seed}')
+        )
         self.report = Report(seed)
 
     async def run(self) -> Report:
@@ -311,6 +318,8 @@
     @property
     def _retry_allowance(self) -> invariants.RetryAllowance:
         """The retries that all routers together may send with any of the settings of the run."""
+        if self._plan.lulls:
+            return lulls.RETRY_ALLOWANCE
         if self._plan.outages:
             return routers.DEFAULT_RETRY_ALLOWANCE
         return routers.MAX_RETRY_ALLOWANCE
@@ -320,12 +329,17 @@
         if self._plan.outages:
             self._deployment.allow_attempts(OUTAGE_ATTEMPTS)
             self._clients.short_kinds = OUTAGE_KINDS
+        if self._plan.lulls:
+            self._lulls.prepare()
         for target in list(self._deployment.replicas.values()):
             await self._targets.put_behind_proxy(target)
         for number in range(self._plan.routers):
             router = routers.RouterProcess(
                 number, self._folder, self._deployment.store_address, self._plan.program
             )
+            if self._plan.lulls:
+                router.retry_slack = lulls.RETRY_ALLOWANCE.slack
+                router.retry_window = lulls.RETRY_ALLOWANCE.window
             self._routers.append(router)
             await router.open()
         if not await self._wait_ready(START_SECONDS):
@@ -345,8 +359,9 @@
 
     async def _run_scenario(self, seconds: float) -> None:
         ends_at = clocks.now() + seconds
-        if self._plan.outages:
-            series = [self._outages.run(ends_at)]
+        if self._plan.outages or self._plan.lulls:
+            injector = self._lulls if self._plan.lulls else self._outages
+            series = [injector.run(ends_at)]
             if self._plan.disturbed:
                 series.insert(0, self._faults.run_beside_outages(ends_at))
         elif self._plan.scarcity:
@@ -450,6 +465,8 @@
     versions: bool = False,
     outages: bool = False,
     scarcity: bool = False,
+    lulls: bool = False,
+    disturbed: bool = True,
 ) -> None:
     """Run `count` seeds from `seed` on; exit with 1 after a violation."""
     # The injected faults break connections, and tornado would log each of them.
@@ -468,6 +485,8 @@
             versions,
             outages,
             scarcity,
+            lulls,
+            disturbed,
         )
         report = asyncio.run(soak(plan, logs))
         broken += bool(report.violations)
--- a/passpier/tests/platform/soak_tests.py
+++ b/passpier/tests/platform/soak_tests.py
@@ -65,6 +65,10 @@
 
 DETECTION_SECONDS = 15.0
 
+LULL_PLAN = soak.Plan(2, 15.0, 1, 120.0, lulls=True, disturbed=False)
+"""No requests for 5.5 s while streams wait. One router holds as many retries as several together,
+and no other fault keeps them from being sent."""
+
 LOGS = 'target/soak'
 """Folder for the routers' logs of a run that violated a guarantee."""
 
@@ -138,6 +142,20 @@
     assert report.retries
 
 
+# Guards against retries above the budget that are held while the traffic falls.
+def test_lulls_do_not_exceed_the_retry_budget() -> None:
+    report = asyncio.run(soak.soak(LULL_PLAN, f'{LOGS}/lulls'))
+    assert report.violations == [], report.render()
+    assert report.retries
+
+
+# Guards against a play of lulls in which no code exceeds the retry budget.
+def test_router_that_keeps_retries_while_the_traffic_falls_is_detected() -> None:
+    plan = dataclasses.replace(LULL_PLAN, program='passpier.tests.platform.kept_holds')
+    report = asyncio.run(soak.soak(plan))
+    assert max(peak.share for peak in report.retries) > 1.0, report.render()
+
+
 # Guards against a check of the retry budget that passes on any code. Outages are the only faults:
 # others, whose draws depend on timing, may keep most retries from reaching replicas.
 def test_router_that_ignores_the_retry_budget_is_detected() -> None:
