--- a/passpier/tests/platform/retry_budget_tests.py
+++ b/passpier/tests/platform/retry_budget_tests.py
@@ -10,7 +10,7 @@
 
 from passpier import clocks
 from passpier.clients import exchanges
-from passpier.routing import retry_budgets, router
+from passpier.routing import dialect, retry_budgets, router
 from passpier.standins.platform import deployment, invariants, replica, routers
 from passpier.tests.platform import harness
 
@@ -107,6 +107,16 @@
             target.faults.fail = count
 
 
+def measure_retries(
+    running: deployment.Deployment, load: Load, options: dialect.Options
+) -> list[invariants.RetryPeak]:
+    """Return how near the retries came to the budget of routers with a short window."""
+    allowance = invariants.RetryAllowance(options.retry_ratio, options.retry_slack, WINDOW)
+    return invariants.measure_retries(
+        load.outcomes, running.replicas.values(), running.map_services(), allowance
+    )
+
+
 # Guards against retries above the budget when all routers restart after they have spent it.
 def test_routers_that_restart_together_do_not_spend_the_retry_budget_twice(
     tmp_path: pathlib.Path,
@@ -174,10 +184,7 @@
         for model in models:
             running.add_replica(model.build_successor(f'{model.id}-again'))
         await load.finish()
-        allowance = invariants.RetryAllowance(options.retry_ratio, options.retry_slack, WINDOW)
-        peaks = invariants.measure_retries(
-            load.outcomes, running.replicas.values(), running.map_services(), allowance
-        )
+        peaks = measure_retries(running, load, options)
         assert not invariants.find_retry_excess(peaks)
         assert sum(one.status == 200 for one in load.outcomes) > STREAMS / 4
 
@@ -216,10 +223,7 @@
             successor.slots = STREAMS
             running.add_replica(successor)
         await load.finish()
-        allowance = invariants.RetryAllowance(options.retry_ratio, options.retry_slack, WINDOW)
-        peaks = invariants.measure_retries(
-            load.outcomes, running.replicas.values(), running.map_services(), allowance
-        )
+        peaks = measure_retries(running, load, options)
         assert peaks
         assert not invariants.find_retry_excess(peaks), [peak.render() for peak in peaks]
 
@@ -297,10 +301,7 @@
             await load.send(2 * WINDOW)
             await load.finish()
             options = started[0].options
-            allowance = invariants.RetryAllowance(options.retry_ratio, options.retry_slack, WINDOW)
-            peaks = invariants.measure_retries(
-                load.outcomes, running.replicas.values(), running.map_services(), allowance
-            )
+            peaks = measure_retries(running, load, options)
             assert not invariants.find_retry_excess(peaks)
             assert peaks
 
