--- a/passpier/tests/core/retries_tests.py
+++ b/passpier/tests/core/retries_tests.py
@@ -167,30 +167,29 @@
         return phase.fails
 
 
-# Guards against retries above the budget that are held while the traffic falls.
-def test_retries_held_while_the_traffic_falls_keep_the_budget() -> None:
+def play_ended_burst(rate: float, calm_seconds: float, failing_seconds: float) -> PhasedTraffic:
+    """Play traffic of one daemon that ends while the service is gone, and fails afterwards."""
     traffic = PhasedTraffic(random.Random(1), 1)
     traffic.phases = [
-        Phase(20.0, 40.0),
-        Phase(1.0, 40.0, gone=True),
-        Phase(12.0, 0.0, gone=True),
-        Phase(20.0, 0.0, fails=True),
+        Phase(20.0, rate),
+        Phase(1.0, rate, gone=True),
+        Phase(calm_seconds, 0.0, gone=True),
+        Phase(failing_seconds, 0.0, fails=True),
     ]
     traffic.play()
+    return traffic
+
+
+# Guards against retries above the budget that are held while the traffic falls.
+def test_retries_held_while_the_traffic_falls_keep_the_budget() -> None:
+    traffic = play_ended_burst(40.0, 12.0, 20.0)
     assert traffic.sent
     assert traffic.compute_share(traffic.sent) <= 1
 
 
 # Guards against retries above the budget that arrive late, after the traffic has fallen.
 def test_retries_that_arrive_late_keep_the_budget_while_the_traffic_falls() -> None:
-    traffic = PhasedTraffic(random.Random(1), 1)
-    traffic.phases = [
-        Phase(20.0, 100.0),
-        Phase(1.0, 100.0, gone=True),
-        Phase(6.0, 0.0, gone=True),
-        Phase(15.0, 0.0, fails=True),
-    ]
-    traffic.play()
+    traffic = play_ended_burst(100.0, 6.0, 15.0)
     assert traffic.sent
     assert traffic.compute_share([at + LATE_SECONDS for at in traffic.sent]) <= 1
 
