Exchanges: late responses to other calls pass for no response to orders, reports and repeated ids

What callers saw: nothing on record.

A response is told by the request's id alone, while reports, lists of cache events and orders have none, so that anything passed for their response, and a client may send an id twice.

Ruled out: ids on these calls.

Change: a response with an id is none to a call without one. An order takes no connection whose last call had no id either, and closes its own. No request takes a connection whose last one had its id.

Tests of clients/, routing/, single requests, stand-ins and the retry budget pass. Three tests of exchanges sent one id twice on a connection; they send two ids now, with the same checks.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -103,6 +103,9 @@
         self.used_at = self.opened_at
         """Start time of the current exchange."""
 
+        self.last_id: str | None = None
+        """The id of the last request, empty if it had none; `None` before the first one."""
+
         self._reader = asyncio.ensure_future(self._read())
 
     @property
@@ -223,7 +226,7 @@
         `is_new`, it takes a new connection, else none of those that are `avoided`.
         """
         path = Path(address, self.choose_proxy(address) if proxy is None else proxy)
-        connection = None if is_new else self._take_idle(path, request.once, avoided)
+        connection = None if is_new else self._take_idle(path, request, avoided)
         if connection is None:
             connection = await self._connect_by(path)
         else:
@@ -233,6 +236,7 @@
             raise exchanges.ExchangeError(
                 exchanges.Fault.WITHHELD, 'no longer allowed once connected', False
             )
+        connection.last_id = request.id
         exchange = exchanges.Exchange(connection, request, self.buffers)
         try:
             exchange.send()
@@ -320,15 +324,15 @@
                 del self._idle[path]
 
     def _take_idle(
-        self, path: Path, once: bool, avoided: Container[exchanges.Connection]
+        self, path: Path, request: exchanges.Request, avoided: Container[exchanges.Connection]
     ) -> Connection | None:
         idle = self._idle.get(path, [])
         now = clocks.now()
         # The one that has been idle for the shortest time comes first.
         for connection in reversed(idle.copy()):
-            if connection in avoided:
+            if connection in avoided or _may_confuse(connection, request):
                 continue
-            if once and now - connection.idle_since > self._get_once_idle_limit(now):
+            if request.once and now - connection.idle_since > self._get_once_idle_limit(now):
                 return None
             idle.remove(connection)
             if connection.closed:
@@ -448,6 +452,15 @@
     return str(error) or 'timed out'
 
 
+def _may_confuse(connection: Connection, request: exchanges.Request) -> bool:
+    """Return whether a late response to the last request could pass for that to this one.
+
+    Requests for reports, which have no id, may get an outdated one.
+    """
+    matters = bool(request.id) or request.once
+    return matters and connection.last_id == request.id
+
+
 def _is_expired(connection: Connection, now: float) -> bool:
     return now - connection.idle_since > connection.idle_limit - IDLE_MARGIN
 
--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -79,7 +79,7 @@
 class Request(msgspec.Struct, frozen=True):
     """A request; if `id_header` is set, the response must carry `id` in that header.
 
-    `once` marks a request that is not idempotent.
+    With an empty `id` it must carry none. `once` marks a request that is not idempotent.
     """
 
     method: str
@@ -349,8 +349,8 @@
     def _receive_head(self, event: h11.Response) -> None:
         headers = [(n.decode('latin-1'), v.decode('latin-1')) for n, v in event.headers]
         head = Head(event.status_code, event.reason.decode('latin-1'), headers)
-        expected = self._request.id_header
-        self._is_mismatched = bool(expected) and head.get(expected) != self._request.id
+        header = self._request.id_header
+        self._is_mismatched = bool(header) and (head.get(header) or '') != self._request.id
         if not self._is_mismatched and not self._head.done():
             self._head.set_result(head)
 
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -170,7 +170,11 @@
 
 
 class Engines:
-    """Implements `dialect.Engines`."""
+    """Implements `dialect.Engines`.
+
+    Its calls carry no ids: a replica of a plain service would run them as requests. A response with
+    an id is a late one to a request.
+    """
 
     def __init__(self, pool: connections.Pool) -> None:
         self._pool = pool
@@ -182,7 +186,7 @@
         headers = [('Host', address)]
         if incarnation:
             headers.append((names.EXPECT_INCARNATION, incarnation))
-        request = exchanges.Request('GET', names.REPORT_PATH, headers)
+        request = exchanges.Request('GET', names.REPORT_PATH, headers, id_header=names.REQUEST_ID)
         response = await self._pool.fetch(
             address, request, dialect.ASK_TIMEOUT, proxy, is_new, REPORT_MAX
         )
@@ -214,7 +218,7 @@
         """Fetch a cache's events from number `since` on; raise `ExchangeError` if that fails."""
         headers = [('Host', address), (names.WAIT_MS, str(int(wait * 1000)))]
         target = f'{names.CACHE_EVENTS_PATH}?since={since}'
-        request = exchanges.Request('GET', target, headers)
+        request = exchanges.Request('GET', target, headers, id_header=names.REQUEST_ID)
         timeout = wait + dialect.ASK_TIMEOUT
         response = await self._pool.fetch(address, request, timeout, max_bytes=CACHE_EVENTS_MAX)
         raw = _decode_response(response, records.decode_cache_events)
@@ -241,11 +245,19 @@
         headers = [
             ('Host', address),
             ('Content-Type', 'application/json'),
+            # A late response to an order has no id, and would pass for that to the next call.
+            ('Connection', 'close'),
             (names.EXPECT_INCARNATION, order.incarnation),
         ]
         data = msgspec.json.encode(body)
         request = exchanges.Request(
-            'POST', names.ORDER_PATH, headers, data, once=True, may_send=may_send
+            'POST',
+            names.ORDER_PATH,
+            headers,
+            data,
+            id_header=names.REQUEST_ID,
+            once=True,
+            may_send=may_send,
         )
         try:
             response = await self._pool.fetch(
--- a/passpier/tests/clients/cut_heads_tests.py
+++ b/passpier/tests/clients/cut_heads_tests.py
@@ -27,8 +27,8 @@
 Fetch = Callable[[str], Awaitable[bytes]]
 
 
-async def fetch_by_pool(address: str, pool: connections.Pool | None = None) -> bytes:
-    request = exchanges_tests.make_request()
+async def fetch_by_pool(address: str, pool: connections.Pool | None = None, id: str = '1') -> bytes:
+    request = exchanges_tests.make_request(id)
     return (await (pool or connections.Pool()).fetch(address, request, PATIENCE)).body
 
 
@@ -95,7 +95,7 @@
 def test_response_that_is_cut_on_a_kept_connection_is_never_whole(sort: str) -> None:
     async def fetch_second(address: str) -> bytes:
         pool = connections.Pool()
-        assert await fetch_by_pool(address, pool) == b'ok'
+        assert await fetch_by_pool(address, pool, 'first') == b'ok'
         assert list(pool._idle)
         return await fetch_by_pool(address, pool)
 
--- a/passpier/tests/clients/exchanges_tests.py
+++ b/passpier/tests/clients/exchanges_tests.py
@@ -337,8 +337,7 @@
 
 async def drop_idle_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Respond to the first request of a connection, and reset it at the second."""
-    await reader.readuntil(b'\r\n\r\n')
-    writer.write(render_response('1'))
+    writer.write(render_response(await read_request(reader)))
     await reader.readuntil(b'\r\n\r\n')
     reset(writer)
 
@@ -347,8 +346,8 @@
     async def run() -> None:
         async with serving(drop_idle_connection) as server, serving(drop_idle_connection) as other:
             pool = connections.Pool()
-            assert (await pool.fetch(server.address, make_request(), 2.0)).body == b'ok'
-            assert (await pool.fetch(other.address, make_request(), 2.0)).body == b'ok'
+            assert (await pool.fetch(server.address, make_request('0'), 2.0)).body == b'ok'
+            assert (await pool.fetch(other.address, make_request('0'), 2.0)).body == b'ok'
             await asyncio.sleep(0.2)
             with pytest.raises(exchanges.ExchangeError):
                 await pool.fetch(server.address, make_request(), 2.0)
@@ -362,8 +361,7 @@
 
 def test_crash_during_a_request_does_not_reduce_the_idle_limit() -> None:
     async def crash(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b'\r\n\r\n')
-        writer.write(render_response('1'))
+        writer.write(render_response(await read_request(reader)))
         await reader.readuntil(b'\r\n\r\n')
         await asyncio.sleep(connections.STALE_RESET_WINDOW * 3)
         reset(writer)
@@ -371,8 +369,8 @@
     async def run() -> None:
         async with serving(crash) as server, serving(crash) as other:
             pool = connections.Pool()
-            assert (await pool.fetch(server.address, make_request(), 2.0)).body == b'ok'
-            assert (await pool.fetch(other.address, make_request(), 2.0)).body == b'ok'
+            assert (await pool.fetch(server.address, make_request('0'), 2.0)).body == b'ok'
+            assert (await pool.fetch(other.address, make_request('0'), 2.0)).body == b'ok'
             await asyncio.sleep(0.2)
             with pytest.raises(exchanges.ExchangeError):
                 await pool.fetch(server.address, make_request(), 2.0)
