Responses: bodies in very many small parts leave the event loop to other requests

What callers saw: one replica that sends one body in chunks of one byte stopped a router for seconds: requests of other clients timed out or got 503 (stale configuration). One that sends a stream of blank or very short events stopped it for good: ten minutes at 99.7 in 100 of a core until it was killed, in a trial; the stream's deadline didn't end it either.

Cause: a socket that always has data never makes its reader wait, so that neither parsing nor relaying ever gave the event loop back, and a timeout that begins with each read never ends. The limits on endless responses count bytes and not parts.

Unread parts of a body are joined. A stream ends 0.25 s after the first read beyond its deadline, also if more has arrived.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -17,6 +17,7 @@
 from passpier import clocks
 from passpier.clients import exchanges, tunnels
 from passpier.core import buffer_limits
+from passpier.utils import pacing
 
 log = logging.getLogger(__name__)
 
@@ -202,6 +203,9 @@
         self.buffers = buffer_limits.BufferUsage()
         """Counts what is buffered for the exchanges."""
 
+        self.pacer = pacing.Pacer()
+        """Paces messages in very many parts."""
+
         self._idle: dict[Path, list[Connection]] = {}
         self._connections: weakref.WeakSet[Connection] = weakref.WeakSet()
         self._once_idle_limit = ONCE_IDLE_LIMIT
@@ -237,7 +241,7 @@
                 exchanges.Fault.WITHHELD, 'no longer allowed once connected', False
             )
         connection.last_id = request.id
-        exchange = exchanges.Exchange(connection, request, self.buffers)
+        exchange = exchanges.Exchange(connection, request, self.buffers, self.pacer)
         try:
             exchange.send()
         except (h11.LocalProtocolError, tornado.iostream.StreamClosedError) as error:
--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import enum
 import functools
 import logging
@@ -21,6 +20,7 @@
 import tornado.iostream
 
 from passpier.core import buffer_limits
+from passpier.utils import pacing
 
 log = logging.getLogger(__name__)
 
@@ -28,6 +28,15 @@
 """Unread bytes of a response body beyond which the socket is no longer read. With what is read at
 once and the stream's own buffer, of 64 KB each, at most 256 KB of a response are buffered."""
 
+READ_MAX = 16 * 1024
+"""Maximum size in bytes of a part of a body that is read at once."""
+
+LARGE_PART = 256
+"""Size in bytes from which the parts of a response are not too small to be parsed unpaced."""
+
+PARSE_BATCH = 64
+"""Parts of a response that are parsed before other tasks may run."""
+
 SKIPPED_MAX = 32
 """Maximum number of informational responses and responses to other requests before the response."""
 
@@ -150,14 +159,17 @@
         connection: Connection,
         request: Request,
         buffers: buffer_limits.BufferUsage | None = None,
+        pacer: pacing.Pacer | None = None,
     ) -> None:
         self._buffers = buffers or buffer_limits.BufferUsage()
+        self._work = (pacer or pacing.Pacer()).begin()
         self._connection = connection
         self._request = request
         self._parser = _start_parser()
         self._head: asyncio.Future[Head] = asyncio.get_running_loop().create_future()
-        self._parts: collections.deque[bytes] = collections.deque()
-        self._buffered = 0
+        self._unread = bytearray()
+        """What has been received of the body and not been read."""
+
         self._is_closed = False
         self._progress = asyncio.Event()
         self._drained = asyncio.Event()
@@ -224,7 +236,7 @@
     @property
     def is_cut_off(self) -> bool:
         """Whether the response has failed and all of it that arrived has been read."""
-        return self._error is not None and not self._parts
+        return self._error is not None and not self._unread
 
     async def read_head(self) -> Head:
         """Wait for the response's status and headers."""
@@ -238,7 +250,7 @@
             await self._wait_readable()
 
     async def _wait_readable(self) -> None:
-        while not self._parts and not self._ended:
+        while not self._unread and not self._ended:
             if self._error is not None:
                 raise self._error
             self._progress.clear()
@@ -247,9 +259,10 @@
     async def read(self) -> bytes | None:
         """Return the next part of the body, or none at the end."""
         await self._wait_readable()
-        if not self._parts:
+        if not self._unread:
             return None
-        part = self._parts.popleft()
+        part = bytes(self._unread[:READ_MAX])
+        del self._unread[:READ_MAX]
         self._count(-len(part))
         self._drained.set()
         return part
@@ -276,7 +289,7 @@
         self._drained.set()
         if not self._is_closed:
             self._is_closed = True
-            self._buffers.remove(self._buffered)
+            self._buffers.remove(len(self._unread))
         if self._connection.exchange is self:
             self._connection.exchange = None
             self._connection.reset()
@@ -285,21 +298,20 @@
 
     def _count(self, size: int) -> None:
         """Count unread bytes of the body, until the exchange is closed."""
-        self._buffered += size
         if not self._is_closed:
             self._buffers.add(size)
 
     @property
     def _is_behind(self) -> bool:
         """Whether the reader of the body is so far behind that the socket is not to be read."""
-        return self._buffered > (0 if self._buffers.is_full else BUFFERED_MAX)
+        return len(self._unread) > (0 if self._buffers.is_full else BUFFERED_MAX)
 
     async def feed(self, data: bytes) -> None:
         """Parse received bytes; wait while the reader of the body is far behind."""
         self.received_any = True
         try:
             self._parser.receive_data(data)
-            self._parse()
+            await self._parse_paced(len(data) // LARGE_PART)
             self._check_skipped(len(data))
         except h11.RemoteProtocolError as error:
             self._fail(Fault.MALFORMED, str(error))
@@ -317,7 +329,8 @@
         if error is None:
             try:
                 self._parser.receive_data(b'')
-                self._parse()
+                while self._parse() == PARSE_BATCH:
+                    pass
                 self.ended_by_close = self._ended
             except h11.RemoteProtocolError:
                 self._fail(Fault.CLOSED, 'the connection closed before the response was complete')
@@ -326,11 +339,25 @@
             fault = Fault.CLOSED if closed_by_peer else Fault.TIMED_OUT
             self._fail(fault, str(error or 'the connection closed'))
 
-    def _parse(self) -> None:
-        while True:
+    async def _parse_paced(self, expected: int) -> None:
+        """Parse all that has been received, unless the exchange ends meanwhile.
+
+        Parts beyond the number `expected` for its size are paced.
+        """
+        while self._connection.exchange is self:
+            parsed = self._parse()
+            if self._connection.exchange is self:
+                await self._work.take(max(0, parsed - expected))
+            expected = max(0, expected - parsed)
+            if parsed < PARSE_BATCH:
+                return
+
+    def _parse(self) -> int:
+        """Parse the next parts of the response; return their number, at most `PARSE_BATCH`."""
+        for parsed in range(PARSE_BATCH):
             event = self._parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                return parsed
             if isinstance(event, h11.InformationalResponse):
                 self._note_skipped()
             elif isinstance(event, h11.Response):
@@ -340,11 +367,12 @@
             elif isinstance(event, h11.EndOfMessage):
                 if not self._is_mismatched:
                     self._finish()
-                    return
+                    return parsed
                 self._skip_response()
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail(Fault.CLOSED, 'closed before the response was complete')
-                return
+                return parsed
+        return PARSE_BATCH
 
     def _receive_head(self, event: h11.Response) -> None:
         headers = [(n.decode('latin-1'), v.decode('latin-1')) for n, v in event.headers]
@@ -369,7 +397,7 @@
 
     def _receive_part(self, part: bytes) -> None:
         if not self._is_mismatched:
-            self._parts.append(part)
+            self._unread += part
             self._count(len(part))
             self._progress.set()
 
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -42,6 +42,7 @@
     stream_binding,
     suspicions,
 )
+from passpier.utils import pacing
 
 log = logging.getLogger(__name__)
 
@@ -116,6 +117,7 @@
 
         self.budgets = retry_budgets.RetryBudgets(options, counters)
         self.sender = sending.Sender(pool, replica_paths, prober)
+        self.pacer = pool.pacer
 
     def reload(self, options: dialect.Options) -> None:
         """Apply changed settings."""
@@ -531,6 +533,7 @@
         self, reader: response_reader.ResponseReader, head: exchanges.Head
     ) -> None:
         splitter = sse.EventSplitter()
+        work = self._owner.pacer.begin()
         previous_at: float | None = None
         while (part := await self._read_part(reader)) is not None:
             for event in _split_events(splitter, part):
@@ -545,6 +548,8 @@
                 self._gaps.note_sent(arrived_at, sent_at)
                 previous_at = arrived_at if sent_at - arrived_at < SEND_SECONDS else None
                 self.call.progress.delivered += 1
+                await work.take(pacing.EVENT_STEPS)
+                reader.check_deadline()
             self.suspicion.note_progress()
         if splitter.has_rest:
             text = 'ended within an event'
--- a/passpier/routing/response_reader.py
+++ b/passpier/routing/response_reader.py
@@ -18,6 +18,10 @@
 """Seconds for a final read after the timeout: a delayed event loop sees the timeout and a response
 that arrived in time at once."""
 
+LATE_SECONDS = 0.25
+"""Seconds from the first read after the client's deadline for what had arrived in time, if the
+event loop was delayed. Without a limit, a response without end would always have more."""
+
 WHOLE_MAX = 1024 * 1024
 """Maximum size in bytes of a response that is read completely before any of it is sent on."""
 
@@ -69,6 +73,8 @@
         self._process = process
         self._ends_at = ends_at
         self._repeatable = repeatable
+        self._late_since: float | None = None
+        """When the body was first read after the deadline."""
 
     async def read_head(self, wait: float) -> exchanges.Head:
         """Return status and headers within `wait` seconds; raises `AttemptError`."""
@@ -79,11 +85,21 @@
     async def read_part(self, wait: float) -> bytes | None:
         """Return the next part of the body, or none at its end; raises `AttemptError`."""
         fault = attempts.Fault.INTERRUPTED
+        self.check_deadline()
         part = await self._read_while_alive(self._exchange.read, wait, fault)
         if part is None:
             await self._check_end()
         return part
 
+    def check_deadline(self) -> None:
+        """Raise `StalledError` once a response goes on beyond the client's deadline."""
+        now = clocks.now()
+        if now <= self._ends_at:
+            return
+        self._late_since = now if self._late_since is None else self._late_since
+        if now - self._late_since > LATE_SECONDS:
+            raise StalledError(attempts.Fault.INTERRUPTED, 'goes on after the deadline')
+
     async def _check_end(self) -> None:
         """Raise `AttemptError` unless a response that has ended is complete.
 
--- a/passpier/tests/clients/endless_responses_tests.py
+++ b/passpier/tests/clients/endless_responses_tests.py
@@ -124,6 +124,43 @@
     exchanges_tests.run(check())
 
 
+# Guards against an upstream that keeps the event loop busy with a body in very many parts.
+@pytest.mark.parametrize('id', ['1', 'stranger'])
+def test_chunks_of_one_byte_leave_the_event_loop_to_others(id: str) -> None:
+    async def check() -> None:
+        server = Server(head(id), chunk(b'x') * 10_000)
+        async with exchanges_tests.serving(server.serve) as listening:
+            pool = connections.Pool()
+            stall = asyncio.ensure_future(measure_stall())
+            await asyncio.sleep(0)
+            with pytest.raises(exchanges.ExchangeError):
+                await pool.fetch(listening.address, exchanges_tests.make_request(), PATIENCE)
+            await asyncio.wait_for(server.closed.wait(), PATIENCE)
+            stall.cancel()
+            assert await stall < LOOP_STALL_MAX
+            assert pool.buffers.used == 0
+
+    exchanges_tests.run(check())
+
+
+def test_body_in_small_chunks_is_read_completely() -> None:
+    body = bytes(range(256)) * 40
+
+    async def handler(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await exchanges_tests.read_request(reader)
+        chunks = b''.join(chunk(body[n : n + 1]) for n in range(len(body)))
+        writer.write(head('1') + chunks + chunk(b''))
+        await reader.read()
+
+    async def check() -> None:
+        async with exchanges_tests.serving(handler) as listening:
+            pool = connections.Pool()
+            request = exchanges_tests.make_request()
+            assert (await pool.fetch(listening.address, request, PATIENCE)).body == body
+
+    exchanges_tests.run(check())
+
+
 # Guards against an event that takes a VM's memory, and time that grows with its square.
 @pytest.mark.parametrize('part', [b'x' * 100, b'data: x\n', b'id: 1\r\n'])
 def test_endless_event_is_given_up(part: bytes) -> None:
--- a/passpier/tests/platform/endless_responses_tests.py
+++ b/passpier/tests/platform/endless_responses_tests.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 
 import pytest
 
 from passpier.platform import names
-from passpier.standins.platform import deployment
+from passpier.standins.platform import deployment, routers
 from passpier.tests.platform import harness
 
 BLOCK = b'x' * 16384
@@ -47,3 +48,49 @@
         assert endless.endless_bytes - taken < TAKEN_MAX
 
     harness.run_check(check)
+
+
+TINY = {
+    'chunks of one byte': b'1\r\nx\r\n' * 2000,
+    'blank events': b'4000\r\n' + b'\n' * 16384 + b'\r\n',
+    'short events': b'4000\r\n' + b'data:x\n\n' * 2048 + b'\r\n',
+}
+"""Bodies in very many parts, which a client and an event loop can take for ever."""
+
+STREAM_SECONDS = 2.0
+END_SLACK = 2.0
+"""Seconds after a stream's deadline in which its connection has to end."""
+
+
+async def read_stream(address: str) -> None:
+    """Request a stream and read until its connection ends."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    patience_ms = int(STREAM_SECONDS * 1000)
+    fields = deployment.build_headers('one', patience_ms, deployment.KEY, deployment.HOST)
+    lines = ['POST /stream/x HTTP/1.1', *(f'{n}: {v}' for n, v in fields)]
+    lines += [f'{n}: {v}' for n, v in [*harness.PROMPT_HEADERS, ('Connection', 'close')]]
+    writer.write('\r\n'.join([*lines, 'Content-Length: 0', '', '']).encode())
+    try:
+        while await reader.read(65536):
+            await asyncio.sleep(0)
+    except ConnectionError:
+        return
+    finally:
+        writer.close()
+
+
+# Guards against a replica that stops a whole router, for good, with one stream in tiny parts.
+@pytest.mark.parametrize('sort', TINY)
+def test_stream_in_tiny_parts_stops_no_other_request(tmp_path: pathlib.Path, sort: str) -> None:
+    async def check(running: deployment.Deployment, process: routers.RouterProcess) -> None:
+        head = (STREAM_HEAD + STREAM_HEADERS).encode()
+        running.replicas['llm-0'].faults.endless = (head, TINY[sort])
+        stream = asyncio.ensure_future(read_stream(process.caller))
+        await harness.wait_for(lambda: bool(running.replicas['llm-0'].endless_bytes))
+        for _ in range(20):
+            reply = await running.ask_at(process.caller, '/safe/x')
+            assert reply.status == 200
+        await asyncio.wait_for(stream, STREAM_SECONDS + END_SLACK)
+
+    harness.run_process_check(tmp_path, check)
--- a/passpier/tests/routing/buffering_tests.py
+++ b/passpier/tests/routing/buffering_tests.py
@@ -27,7 +27,7 @@
 def measure(exchange: exchanges.Exchange) -> int:
     """Return the bytes of a response that are buffered in this process."""
     stream = exchange._connection.stream
-    return exchange._buffered + stream._read_buffer_size
+    return len(exchange._unread) + stream._read_buffer_size
 
 
 async def settle(opened: list[exchanges.Exchange]) -> None:
@@ -47,7 +47,7 @@
             exchange = await pool.open(server.address, exchanges_tests.make_request())
             await settle([exchange])
             assert 0 < measure(exchange) <= STREAM_MAX
-            assert pool.buffers.used == exchange._buffered
+            assert pool.buffers.used == len(exchange._unread)
             for _ in range(100):
                 assert await exchange.read()
             exchange.close()
