Prompts: a queued request names its parts as the configuration in force does

What callers saw: nothing on record. A request that was queued while an account became isolated was sent with the new salt, and with the address of a replica chosen by the name of before, where accounts that are isolated now may have made the parts.

Change: both follow the configuration at the send.

Measured: test_request_queued_while_accounts_become_isolated_fetches_none_of_the_parts_before fails on the code before (the other replica's address is sent) and passes now; a second test shows that the check can fail.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -15,6 +15,7 @@
 from passpier.core import (
     attempts,
     crashes,
+    prompts,
     replica_processes,
     replicas,
     routes,
@@ -145,9 +146,10 @@
         self._position = sse.Position(admitted.client_request.last_event)
         account = admitted.account.name if admitted.account is not None else ''
         weight = table.weights.get(account, 1)
-        self.call = requests.build_call(
-            admitted, self._service, table.get_cache_owner(admitted.account), weight
-        )
+        self._cache_owner = table.get_cache_owner(admitted.account)
+        """The owner under whom the call's job names the parts of the prompt."""
+
+        self.call = requests.build_call(admitted, self._service, self._cache_owner, weight)
         self._binding = stream_binding.StreamBinding(
             admitted, self.call, owner.pools, owner.prober, owner.origins
         )
@@ -457,11 +459,10 @@
     ) -> exchanges.Exchange:
         admitted = self._admitted
         replica = placement.replica
-        table = self._owner.registry_state.table
-        assert table is not None
+        self._update_cache_owner()
         request = requests.build_request(
             admitted,
-            table.get_cache_owner(admitted.account),
+            self._cache_owner,
             self.call.job,
             replica,
             time_left,
@@ -484,6 +485,21 @@
             text = f'no connection for {admitted.client_request.id} in time'
             raise response_reader.AttemptError(attempts.Fault.NOT_CONNECTED, text) from error
 
+    def _update_cache_owner(self) -> None:
+        """Name the parts of the prompt as the configuration in force does.
+
+        Under an earlier name, a replica could be told to fetch what other accounts have made.
+        """
+        table = self._owner.registry_state.table
+        assert table is not None
+        owner = table.get_cache_owner(self._admitted.account)
+        prompt = self._admitted.client_request.prompt
+        if owner == self._cache_owner or prompt is None:
+            return
+        self._cache_owner = owner
+        chain = prompts.build_job(prompt, owner, self._admitted.priority).chain
+        self.call.job = msgspec.structs.replace(self.call.job, chain=chain)
+
     async def _relay_attempt(self, attempt: sent_attempts.Attempt) -> None:
         self._last_replica = attempt.placement.replica
         self._binding.begin_attempt()
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -126,6 +126,8 @@
     after: str
     time_left_ms: int
     at: float = 0.0
+    source: str = ''
+    """The address that it may fetch cached parts from."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -599,6 +601,7 @@
                 headers.get(names.LAST_EVENT_ID, ''),
                 int(headers[names.DEADLINE]),
                 clocks.now(),
+                headers.get(names.CACHE_SOURCE, ''),
             )
         )
         if replica.crash_body and self.request.body == replica.crash_body:
