Registry: a watch that times out is an outage and no cut watch

What callers saw: nothing on record. After a registry that was silent for up to two seconds, live replicas whose entries had expired meanwhile were dropped at once, until they wrote them again.

Any failed watch passed for a cut one if the next call was answered, also one that had waited for its time-out of 1 s and more, in which entries expire. A cut closes the connection.

Change: a call that gets no answer in time has an error of its own, and a watch that fails with it is an outage again.

Measured: test_replica_stays_in_use_if_its_entry_vanishes_while_the_registry_is_silent fails on the code before and passes now; the two tests of cut watches pass.

--- a/passpier/clients/registry.py
+++ b/passpier/clients/registry.py
@@ -98,6 +98,10 @@
     """The service doesn't have the history after a revision; the prefix has to be read again."""
 
 
+class NoAnswerError(exceptions.StoreError):
+    """The service gave no answer in time and didn't close the connection either."""
+
+
 class LeaseExpiredError(exceptions.StoreError):
     """The lease has expired."""
 
--- a/passpier/platform/store.py
+++ b/passpier/platform/store.py
@@ -189,7 +189,9 @@
                 self.address, request, timeout, max_bytes=RESPONSE_MAX
             )
         except exchanges.ExchangeError as error:
-            raise exceptions.StoreError(f'{method} {path}: {error}') from error
+            is_silent = error.fault is exchanges.Fault.TIMED_OUT
+            kind = registry.NoAnswerError if is_silent else exceptions.StoreError
+            raise kind(f'{method} {path}: {error}') from error
         text = f'{method} {path}: status {response.head.status}'
         timeline = self._note_timeline(response.head.get(names.STORE_ERA))
         if timeline < self._timeline:
--- a/passpier/routing/registry_follower.py
+++ b/passpier/routing/registry_follower.py
@@ -84,7 +84,7 @@
         wait = self._registry_state.freshness.choose_wait(clocks.now(), self._rng.random())
         try:
             await self._watch(wait)
-        except registry.CompactedError:
+        except (registry.CompactedError, registry.NoAnswerError):
             raise
         except exceptions.StoreError as error:
             if not self.reachable:
@@ -106,6 +106,7 @@
         """Find out whether the registry has cut a waiting watch, or is away; raises `StoreError`.
 
         An entry that vanishes beside a cut has been removed; during an outage it may have expired.
+        A registry that was silent until the watch timed out was away for long enough for that.
         """
         await asyncio.sleep(CUT_PAUSE)
         await self._watch(0.0)
--- a/passpier/tests/platform/cut_watches_tests.py
+++ b/passpier/tests/platform/cut_watches_tests.py
@@ -4,11 +4,15 @@
 
 import asyncio
 
+import pytest
+
 from passpier import clocks
+from passpier.clients import registry
 from passpier.standins.platform import deployment
 from passpier.tests.platform import harness
 
 CUTTING_SECONDS = 2.0
+SILENT_SECONDS = 10.0
 REMOVED_WITHIN = 1.0
 """Seconds in which a replica without an entry has to be out of use; the platform allows 2 s."""
 
@@ -40,3 +44,34 @@
         assert all('app-0' in router.pools.replicas for router in running.routers)
 
     harness.run_check(check, routers=2)
+
+
+# Guards against a short outage that passes for a cut watch, so that live replicas are dropped.
+def test_replica_stays_in_use_if_its_entry_vanishes_while_the_registry_is_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        process = running.routers[0]
+        source = process.adapter.source
+        watch = source.watch
+        ended = asyncio.Event()
+
+        async def watch_in_silence(
+            prefix: str, after: registry.Revision, wait: float
+        ) -> registry.Changes:
+            monkeypatch.setattr(source, 'watch', watch)
+            running.faults.delay = SILENT_SECONDS
+            running.remove_entry('app-0')
+            try:
+                return await watch(prefix, after, wait)
+            finally:
+                running.faults.delay = 0.0
+                ended.set()
+
+        monkeypatch.setattr(source, 'watch', watch_in_silence)
+        await ended.wait()
+        removed = running.store.revision
+        await harness.wait_for(lambda: process.registry_state.revision.number >= removed)
+        assert 'app-0' in process.pools.replicas
+
+    harness.run_check(check)
