Web: endless responses and events in very many parts are given up or paced

What callers saw: nothing on record. In passpierd an engine or a plain service that sends a body without end had up to 100 MB of it kept for each call, until the library's own limit; an event without an end was kept and copied with each part (the loop stood for 0.5 s), and in chunks of one byte the loop stood for over 30 s, beyond the time-out of 4 s.

Cause: that of endless responses in the router's own client, which this client did not share: no limit on a whole response or an event, and a wait for parts that never waits while there are some.

Change: whole responses have at most 16 MB, load reports 256 KB, events 256 KB (sse.EventSplitter in place of a split of our own); unread parts are joined, events are paced.

Measured: of four cases in endless_responses_tests (by_curl, of_an_engine) three fail on the code before and all pass now. Tests of clients/, paths and faults pass.

--- a/passpier/clients/engines.py
+++ b/passpier/clients/engines.py
@@ -9,11 +9,15 @@
 
 from passpier import exceptions
 from passpier.clients import web
-from passpier.utils import decoding
+from passpier.core import sse
+from passpier.utils import decoding, pacing
 
 END_MARK = b'[DONE]'
 """Data of the event that terminates a complete stream."""
 
+REPORT_MAX = 256 * 1024
+"""Maximum size in bytes of a load report, and of the answer to an order."""
+
 NO_SEQUENCE = -1
 """Sequence number of a chunk from an engine that does not number its chunks."""
 
@@ -151,7 +155,9 @@
 
     async def report(self, address: str) -> LoadReport:
         """Fetch an engine's load report; raise `ExchangeError` if that fails."""
-        response = await self._client.fetch('GET', f'http://{address}/load', timeout=1.0)
+        response = await self._client.fetch(
+            'GET', f'http://{address}/load', timeout=1.0, max_bytes=REPORT_MAX
+        )
         if response.status != 200:
             raise web.ExchangeError(f'status {response.status}', True)
         try:
@@ -162,7 +168,9 @@
     async def order(self, address: str, wanted: Mapping[str, Any], timeout: float) -> web.Response:
         """Send an engine its desired state."""
         body = msgspec.json.encode(wanted)
-        return await self._client.fetch('PUT', f'http://{address}/wanted', body, timeout=timeout)
+        return await self._client.fetch(
+            'PUT', f'http://{address}/wanted', body, timeout=timeout, max_bytes=REPORT_MAX
+        )
 
 
 def parse_identity(headers: Mapping[str, str]) -> Identity:
@@ -182,11 +190,14 @@
 
 
 async def read_events(exchange: web.Exchange) -> AsyncIterator[bytes]:
-    """Yield the data of each server-sent event of a response."""
-    buffer = b''
+    """Yield the data of each server-sent event of a response; raises `ExchangeError`."""
+    splitter = sse.EventSplitter()
     while (part := await exchange.read()) is not None:
-        buffer += part
-        *events, buffer = buffer.split(b'\n\n')
+        try:
+            events = splitter.feed(part)
+        except sse.OverlongEventError as error:
+            raise web.ExchangeError(str(error), True) from error
         for event in events:
+            await exchange.work.take(pacing.EVENT_STEPS)
             if event.startswith(b'data: '):
-                yield event[6:]
+                yield event[6:].rstrip(b'\r\n')
--- a/passpier/clients/web.py
+++ b/passpier/clients/web.py
@@ -11,6 +11,8 @@
 import tornado.httpclient
 import tornado.httputil
 
+from passpier.utils import pacing
+
 MAX_CLIENTS = 4000
 """Concurrent exchanges; more would queue inside the client, where admission control cannot see
 them."""
@@ -18,6 +20,12 @@
 MAX_BUFFERED = 8 * 1024 * 1024
 """Unread bytes of a response beyond which the exchange is aborted."""
 
+RESPONSE_MAX = 16 * 1024 * 1024
+"""Maximum size in bytes of a response that is read completely."""
+
+READ_MAX = 16 * 1024
+"""Maximum size in bytes of a part of a body that is read at once."""
+
 CONNECT_TIMEOUT = 1.0
 """Seconds."""
 
@@ -48,12 +56,18 @@
 class Exchange:
     """One request and its response, which is streamed."""
 
-    def __init__(self, client: tornado.curl_httpclient.CurlAsyncHTTPClient) -> None:
+    def __init__(
+        self, client: tornado.curl_httpclient.CurlAsyncHTTPClient, pacer: pacing.Pacer
+    ) -> None:
+        self.work = pacer.begin()
+        """Paces the handling of a response in very many parts."""
+
         self._client = client
-        self._parts: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._unread = bytearray()
+        self._progress = asyncio.Event()
+        self._ended = False
         self._head: asyncio.Future[Head] = asyncio.get_running_loop().create_future()
         self._lines: list[str] = []
-        self._buffered = 0
         self._aborted = False
         self._sent = False
         self._error: ExchangeError | None = None
@@ -86,21 +100,25 @@
 
     async def read(self) -> bytes | None:
         """Return the next part of the body, or none at the end."""
-        part = await self._parts.get()
-        if part is None:
-            self._parts.put_nowait(None)
-            if self._error is not None:
-                raise self._error
-            return None
-        self._buffered -= len(part)
+        while not self._unread:
+            if self._ended:
+                if self._error is not None:
+                    raise self._error
+                return None
+            self._progress.clear()
+            await self._progress.wait()
+        part = bytes(self._unread[:READ_MAX])
+        del self._unread[:READ_MAX]
         return part
 
-    async def read_all(self) -> Response:
-        """Read the complete response."""
+    async def read_all(self, max_bytes: int = RESPONSE_MAX) -> Response:
+        """Read the complete response; its body may have at most `max_bytes` bytes."""
         head = await self.read_head()
         body = bytearray()
         while (part := await self.read()) is not None:
             body += part
+            if len(body) > max_bytes:
+                raise ExchangeError('the response is too long', True)
         return Response(head.status, head.headers, bytes(body))
 
     def abort(self) -> None:
@@ -132,10 +150,11 @@
                 self._head.set_result(Head(start.code, headers))
 
     def _receive_part(self, part: bytes) -> None:
-        self._buffered += len(part)
-        if self._buffered > MAX_BUFFERED:
-            self._aborted = True
-        self._parts.put_nowait(part)
+        if self._aborted:
+            return
+        self._unread += part
+        self._aborted = len(self._unread) > MAX_BUFFERED
+        self._progress.set()
 
     def _finish(self, future: asyncio.Future[tornado.httpclient.HTTPResponse]) -> None:
         if future.cancelled():
@@ -147,7 +166,8 @@
             self._head.set_exception(error)
             # Retrieves the exception, because an abandoned exchange has nobody to read the head.
             self._head.exception()
-        self._parts.put_nowait(None)
+        self._ended = True
+        self._progress.set()
 
 
 class Client:
@@ -157,6 +177,7 @@
         self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(
             max_clients=MAX_CLIENTS, force_instance=True
         )
+        self._pacer = pacing.Pacer()
 
     def open(
         self,
@@ -178,7 +199,7 @@
             allow_nonstandard_methods=True,
             decompress_response=False,
         )
-        exchange = Exchange(self._client)
+        exchange = Exchange(self._client, self._pacer)
         exchange.start(request, reuse)
         return exchange
 
@@ -190,11 +211,15 @@
         headers: Mapping[str, str] | None = None,
         timeout: float = 5.0,
         reuse: bool = True,
+        max_bytes: int = RESPONSE_MAX,
     ) -> Response:
-        """Return the complete response within `timeout` seconds."""
+        """Return the complete response within `timeout` seconds.
+
+        Its body may have at most `max_bytes` bytes.
+        """
         exchange = self.open(method, url, body, headers, reuse)
         try:
-            return await asyncio.wait_for(exchange.read_all(), timeout)
+            return await asyncio.wait_for(exchange.read_all(max_bytes), timeout)
         except TimeoutError as error:
             raise ExchangeError('timed out', True) from error
         finally:
--- a/passpier/tests/clients/endless_responses_tests.py
+++ b/passpier/tests/clients/endless_responses_tests.py
@@ -9,7 +9,7 @@
 import pytest
 from tornado import iostream
 
-from passpier.clients import connections, exchanges
+from passpier.clients import connections, engines, exchanges, web
 from passpier.core import sse
 from passpier.tests.clients import exchanges_tests
 
@@ -20,6 +20,7 @@
 READ_MAX = exchanges.RESPONSE_MAX + 1024 * 1024
 """Bytes that a client may read before it closes the connection."""
 
+ID_HEADERS = {exchanges_tests.ID: '1'}
 PATIENCE = 4.0
 LOOP_STALL_MAX = 0.25
 """Seconds for which the event loop may be busy with one upstream."""
@@ -55,6 +56,7 @@
 
     def __init__(self, first: bytes, more: bytes) -> None:
         self.closed = asyncio.Event()
+        self.sent = 0
         self._first = first
         self._more = more
 
@@ -62,12 +64,11 @@
         await exchanges_tests.read_request(reader)
         blocks: Iterator[bytes] = itertools.chain([self._first], itertools.repeat(self._more))
         try:
-            sent = 0
-            while sent < SENT_MAX:
+            while self.sent < SENT_MAX:
                 block = next(blocks)
                 writer.write(block)
                 await writer.drain()
-                sent += len(block)
+                self.sent += len(block)
         finally:
             self.closed.set()
 
@@ -161,6 +162,54 @@
     exchanges_tests.run(check())
 
 
+# Guards against an upstream whose endless body is kept as a whole until a time-out.
+def test_endless_body_is_given_up_by_curl() -> None:
+    async def check() -> None:
+        server = Server(head('1'), chunk(FILLER))
+        async with exchanges_tests.serving(server.serve) as listening:
+            client = web.Client()
+            url = f'http://{listening.address}/'
+            with pytest.raises(web.ExchangeError, match='too long'):
+                await client.fetch('GET', url, headers=ID_HEADERS, timeout=PATIENCE)
+            await asyncio.wait_for(server.closed.wait(), PATIENCE)
+            assert server.sent < SENT_MAX
+            client.close()
+
+    exchanges_tests.run(check())
+
+
+# Guards against an engine that takes a daemon's memory or time with one event or very many.
+@pytest.mark.parametrize('sort', ['event', 'chunks of one byte', 'blank events'])
+def test_endless_events_of_an_engine_leave_the_event_loop_to_others(sort: str) -> None:
+    bodies = {
+        'event': chunk(FILLER),
+        'chunks of one byte': chunk(b'x') * 10_000,
+        'blank events': chunk(b'\n' * BLOCK),
+    }
+
+    async def read_events(address: str) -> None:
+        client = web.Client()
+        exchange = client.open('GET', f'http://{address}/', headers=ID_HEADERS)
+        try:
+            async for _ in engines.read_events(exchange):
+                pass
+        finally:
+            exchange.abort()
+            client.close()
+
+    async def check() -> None:
+        server = Server(head('1'), bodies[sort])
+        async with exchanges_tests.serving(server.serve) as listening:
+            stall = asyncio.ensure_future(measure_stall())
+            await asyncio.sleep(0)
+            with pytest.raises((web.ExchangeError, TimeoutError)):
+                await asyncio.wait_for(read_events(listening.address), PATIENCE)
+            stall.cancel()
+            assert await stall < LOOP_STALL_MAX
+
+    exchanges_tests.run(check())
+
+
 # Guards against an event that takes a VM's memory, and time that grows with its square.
 @pytest.mark.parametrize('part', [b'x' * 100, b'data: x\n', b'id: 1\r\n'])
 def test_endless_event_is_given_up(part: bytes) -> None:
