Routers: a queued request is refused as soon as its key is revoked

What callers saw: a request whose key was revoked while it was queued waited for a replica, up to half of its latency objective or longer after a refusal, and got its 401 then.

What is known not to be served is to be refused at once.

Change: a new configuration ends the wait of the requests whose key it revokes.

Measured: test_queued_request_is_refused_as_soon_as_its_key_is_revoked fails on the code before and passes now; 93 tests of fleets, single requests, moved streams and the retry budget pass.

--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -389,7 +389,8 @@
         allowed = None if call.progress.may_reach_others else self._reached
         while True:
             # Only a retry can be withdrawn while the request is queued.
-            async with self.retries.waiting() if self._reached else contextlib.nullcontext():
+            waiting = self.retries.waiting() if self._reached else contextlib.nullcontext()
+            async with self.key_check.waiting(), waiting:
                 placement = await self._owner.dispatcher.place(
                     call, self.name_attempt(), self.excluded, allowed
                 )
--- a/passpier/routing/registry_mirror.py
+++ b/passpier/routing/registry_mirror.py
@@ -57,6 +57,9 @@
         self.on_return: Callable[[], None] = lambda: None
         """Called when the registry has returned from an older copy."""
 
+        self.configuration_watchers: set[Callable[[], None]] = set()
+        """Called when another configuration has come into force."""
+
         self._configuration: registry.Item | None = None
         """The record of the configuration in force."""
 
@@ -333,6 +336,8 @@
             return True
         self.table = routes.Table(configuration)
         self.pools.apply_configuration(configuration)
+        for notify in tuple(self.configuration_watchers):
+            notify()
         log.info(
             'configuration in force',
             extra={
--- a/passpier/tests/platform/fleet_tests.py
+++ b/passpier/tests/platform/fleet_tests.py
@@ -120,25 +120,47 @@
     run_check(check, routers=2)
 
 
+async def queue_request(
+    running: deployment.Deployment,
+) -> tuple[list[asyncio.Task[deployment.Response]], asyncio.Task[deployment.Response]]:
+    """Return running requests that take all room, and one of another account that is queued."""
+    process = running.routers[0]
+    for id in ('app-0', 'app-1'):
+        running.replicas[id].slots = 1
+        running.replicas[id].work_seconds = 1.0
+        running.write_entry(id)
+        # The router sends one request more than that, which is not to be refused.
+        running.replicas[id].slots = 2
+    routes = [{**r, 'target_latency_ms': 4000} for r in running.configuration['routes']]
+    running.configure(routes=routes)
+    await wait_for(lambda: process.registry_state.configuration_version == running.version)
+    await wait_for(lambda: [r.slots for r in process.pools.list_serving('app')] == [1, 1])
+    running_before = [asyncio.ensure_future(running.ask('/safe/x')) for _ in range(4)]
+    await asyncio.sleep(0.1)
+    late = asyncio.ensure_future(running.ask('/safe/x', key='secret-2', id='late'))
+    await asyncio.sleep(0.1)
+    assert not late.done()
+    return running_before, late
+
+
+# Guards against a request that waits for a replica although its key has been revoked.
+def test_queued_request_is_refused_as_soon_as_its_key_is_revoked() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        running_before, late = await queue_request(running)
+        running.configure(tenants=running.configuration['tenants'][:1])
+        assert (await late).status == 401
+        assert not any(request.done() for request in running_before)
+        assert {reply.status for reply in await asyncio.gather(*running_before)} == {200}
+
+    run_check(check)
+
+
 # Guards against running a request whose key was revoked while the request was queued.
 def test_queued_request_with_a_revoked_key_does_not_run() -> None:
     async def check(running: deployment.Deployment) -> None:
-        process = running.routers[0]
-        for id in ('app-0', 'app-1'):
-            running.replicas[id].slots = 1
-            running.replicas[id].work_seconds = 1.0
-            running.write_entry(id)
-            # The router sends one request more than that, which is not to be refused.
-            running.replicas[id].slots = 2
-        routes = [{**r, 'target_latency_ms': 4000} for r in running.configuration['routes']]
-        running.configure(routes=routes)
-        await wait_for(lambda: process.registry_state.configuration_version == running.version)
-        await wait_for(lambda: [r.slots for r in process.pools.list_serving('app')] == [1, 1])
-        running_before = [asyncio.ensure_future(running.ask('/safe/x')) for _ in range(4)]
-        await asyncio.sleep(0.1)
-        late = asyncio.ensure_future(running.ask('/safe/x', key='secret-2', id='late'))
-        await asyncio.sleep(0.1)
-        assert not late.done()
+        running_before, late = await queue_request(running)
+        # As if it left the queue at that moment: the key is looked up again right before the send.
+        running.routers[0].registry_state.configuration_watchers.clear()
         running.configure(tenants=running.configuration['tenants'][:1])
         assert {reply.status for reply in await asyncio.gather(*running_before)} == {200}
         assert (await late).status == 401
