Logs: a response in very many parts is named once

Its request gets its response late because the parts are paced, and nothing told so. New log events 'response in very many parts' and 'stream in very many events', once a message.

--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -346,11 +346,17 @@
         """
         while self._connection.exchange is self:
             parsed = self._parse()
-            if self._connection.exchange is self:
-                await self._work.take(max(0, parsed - expected))
-            expected = max(0, expected - parsed)
+            if parsed < PARSE_BATCH and self._connection.exchange is not self:
+                return
+            if await self._work.take(max(0, parsed - expected)):
+                self._log_paced()
             if parsed < PARSE_BATCH:
                 return
+            expected = max(0, expected - parsed)
+
+    def _log_paced(self) -> None:
+        fields = {'request': self._request.id, 'address': self._connection.address}
+        log.warning('response in very many parts', extra=fields)
 
     def _parse(self) -> int:
         """Parse the next parts of the response; return their number, at most `PARSE_BATCH`."""
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -565,7 +565,9 @@
                 self._gaps.note_sent(arrived_at, sent_at)
                 previous_at = arrived_at if sent_at - arrived_at < SEND_SECONDS else None
                 self.call.progress.delivered += 1
-                await work.take(pacing.EVENT_STEPS)
+                if await work.take(pacing.EVENT_STEPS):
+                    fields = {'request': self.call.id, 'upstream': self._last_process.id}
+                    log.warning('stream in very many events', extra=fields)
                 reader.check_deadline()
             self.suspicion.note_progress()
         if splitter.has_rest:
--- a/passpier/utils/pacing.py
+++ b/passpier/utils/pacing.py
@@ -48,8 +48,9 @@
         self._pacer = pacer
         self._left = float(BURST)
         self._updated_at = clocks.now()
+        self._is_paced = False
 
-    def count(self, steps: int) -> float | None:
+    def _count(self, steps: int) -> float | None:
         """Count steps that were taken; return the seconds to wait before the next ones, if any.
 
         Even a wait of 0 seconds lets other tasks run.
@@ -63,8 +64,14 @@
         missing, self._left = -self._left, 0.0
         return self._pacer.reserve(missing, now)
 
-    async def take(self, steps: int) -> None:
-        """Count steps that were taken, and wait until further ones may be."""
-        wait = self.count(steps)
-        if wait is not None:
-            await asyncio.sleep(wait)
+    async def take(self, steps: int) -> bool:
+        """Count steps that were taken, and wait until further ones may be.
+
+        Returns whether this is the first wait for the message.
+        """
+        wait = self._count(steps)
+        if wait is None:
+            return False
+        is_first, self._is_paced = not self._is_paced, True
+        await asyncio.sleep(wait)
+        return is_first
