Logs: attempts that are given up unanswered, the path and deadline of retries, tunnels that are opened

Change: 'attempt unanswered' and its metric, 'proxy' and 'deadline_excess' in 'retry sent', 'silent_for' in 'upstream responding again', 'tunnel opened'. No logic changed. Measured: the retry budget's, partitions' and tunnels' tests pass.

--- a/passpier/clients/connections.py
+++ b/passpier/clients/connections.py
@@ -114,6 +114,11 @@
         """The address that the connection leads to."""
         return self.path.address
 
+    @property
+    def proxy(self) -> str:
+        """The peer through which it leads there; empty if directly."""
+        return self.path.proxy
+
     @property
     def closed(self) -> bool:
         """Whether the connection can no longer be used."""
--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -134,6 +134,10 @@
     def address(self) -> str:
         """The address that the connection leads to."""
 
+    @property
+    def proxy(self) -> str:
+        """The peer through which it leads there; empty if directly."""
+
     @property
     def has_unacked_data(self) -> bool:
         """Whether the peer has not yet acknowledged all sent bytes."""
@@ -212,6 +216,16 @@
         """Whether the request is sent, but the peer's kernel has not acknowledged it."""
         return not self.received_any and self._connection.has_unacked_data
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the upstream may have the request yet to read.
+
+        It can't any more once it has sent anything or closed the connection. Bytes that its kernel
+        has taken are not taken back by a reset.
+        """
+        is_closed_by_peer = self._error is not None and self._error.fault is not Fault.TIMED_OUT
+        return not self.received_any and not is_closed_by_peer
+
     @property
     def is_path_lost(self) -> bool:
         """Whether another path has replaced the one that the response has to come by."""
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -87,6 +87,11 @@
             'passpier_retries_withdrawn_total',
             'Retries withdrawn before they were sent, by service.',
         )
+        self.attempts_unanswered = _build_counter(
+            registry,
+            'passpier_attempts_unanswered_total',
+            'Attempts given up of which the replica had sent nothing, by service.',
+        )
         self.retries_left = _build_gauge(
             registry,
             'passpier_retries_left',
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -442,8 +442,14 @@
         self._owner.suspects.begin(fingerprint, judgement, time_left)
         cleanup.callback(self._owner.suspects.end, fingerprint)
         exchange = await self._connect(placement, time_left, connect_seconds)
-        cleanup.callback(exchange.close)
-        self.retries.note_sent(placement.replica.process.id, len(self._reached))
+        cleanup.callback(self._end_exchange, exchange, placement.replica.process, clocks.now())
+        sending = {
+            'upstream': placement.replica.process.id,
+            'reached': len(self._reached),
+            'proxy': exchange.connection.proxy,
+            'deadline_excess': round(time_left - (self.ends_at - clocks.now()), 3),
+        }
+        self.retries.note_sent(bool(self._reached), sending)
         self._reached.add(placement.replica.name)
         self._connections.append(exchange.connection)
         reader = response_reader.ResponseReader(
@@ -455,6 +461,29 @@
         )
         return sent_attempts.Attempt(placement, exchange, reader, clocks.now(), cleanup.pop_all())
 
+    def _end_exchange(
+        self,
+        exchange: exchanges.Exchange,
+        process: replica_processes.ReplicaProcess,
+        sent_at: float,
+    ) -> None:
+        """Abort an attempt; a replica that has not answered may still read it later."""
+        if exchange.is_unanswered:
+            self._owner.counters.attempts_unanswered.inc({'service': self._service})
+            log.info(
+                'attempt unanswered',
+                extra={
+                    'request': self.call.id,
+                    'service': self._service,
+                    'upstream': process.id,
+                    'born': process.started_ms,
+                    'proxy': exchange.connection.proxy,
+                    'reached': len(self._reached),
+                    'seconds': round(clocks.now() - sent_at, 3),
+                },
+            )
+        exchange.close()
+
     async def _connect(
         self, placement: dispatcher.Placement, time_left: float, connect_seconds: float
     ) -> exchanges.Exchange:
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -237,13 +237,18 @@
     def _mark_responsive(self, process: replica_processes.ReplicaProcess) -> None:
         if self._pools.find(process) is None:
             return
+        silent_for = self.compute_contact_age(process)
         self.record_contact(process)
         if process.id in self._pools.unresponsive:
             self._pools.unresponsive.discard(process.id)
             self._pools.resume(process, pauses.Pause.SILENT)
             log.info(
                 'upstream responding again',
-                extra={'upstream': process.id, 'born': process.started_ms},
+                extra={
+                    'upstream': process.id,
+                    'born': process.started_ms,
+                    'silent_for': silent_for,
+                },
             )
 
     def _get_last_contact(self, process: replica_processes.ReplicaProcess) -> float:
--- a/passpier/routing/retry_budgets.py
+++ b/passpier/routing/retry_budgets.py
@@ -7,7 +7,7 @@
 import contextlib
 import dataclasses
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
 from passpier import clocks
 from passpier.core import attempts, retries
@@ -166,18 +166,17 @@
         """Reserve a retry for a later attempt; return false if none is left."""
         return self._retries.reserve(clocks.now(), self._budgets.sharers)
 
-    def note_sent(self, upstream: str, reached: int) -> None:
-        """Count an attempt that was sent; `reached` replicas had got the request before."""
+    def note_sent(self, is_retry: bool, sending: Mapping[str, object]) -> None:
+        """Count an attempt that was sent; `sending` are log fields that describe it."""
         is_paid = self._retries.note_sent()
-        if not reached:
+        if not is_retry:
             return
         self._counters.retries_sent.inc({'service': self._service})
         grant, self._grant = self._grant, None
         fields = {
             'request': self._request,
             'service': self._service,
-            'upstream': upstream,
-            'reached': reached,
+            **sending,
             'held_for': None,
             **({} if grant is None else grant.describe(clocks.now())),
             **self.describe(),
--- a/passpier/routing/tunnel_server.py
+++ b/passpier/routing/tunnel_server.py
@@ -157,6 +157,7 @@
         if connection.stream is None or connection.stream.closed():
             replica.close()
             return
+        log.info('tunnel opened', extra={'peer': source, 'address': address})
         await self._run(connection.detach(), replica)
 
     async def _run(
--- a/passpier/tests/platform/retry_budget_tests.py
+++ b/passpier/tests/platform/retry_budget_tests.py
@@ -269,7 +269,7 @@
         await running.wait_settled()
         budgets = running.routers[0].forwarder.budgets
         run = budgets.begin('r1', 'app')
-        run.note_sent('app-0', reached=0)
+        run.note_sent(False, {})
         assert run.hold()
         with pytest.raises(retry_budgets.RetryWithdrawnError):
             async with run.waiting():
