--- a/passpier/standins/platform/deployment.py
+++ b/passpier/standins/platform/deployment.py
@@ -112,6 +112,10 @@
         """Return the service of each kind of request; each has a route of that name."""
         return {route['name']: route['service'] for route in self.configuration['routes']}
 
+    def map_max_attempts(self) -> dict[str, int]:
+        """Return the replicas that a request may be sent to, by its kind."""
+        return {route['name']: route['max_attempts'] for route in self.configuration['routes']}
+
     def release_version(self, version: int) -> None:
         """Release new weights, as the operator does."""
         self.store.put(f'{names.VERSION_PREFIX}{MODEL}', {'model': MODEL, 'version': version})
--- a/passpier/standins/platform/invariants.py
+++ b/passpier/standins/platform/invariants.py
@@ -239,7 +239,7 @@
         return self.began <= at < self.ended + DISTURBANCE_GRACE
 
 
-def _is_excused(disturbances: Iterable[Disturbance], names: tuple[str, ...], at: float) -> bool:
+def is_excused(disturbances: Iterable[Disturbance], names: tuple[str, ...], at: float) -> bool:
     """Return whether a disturbance of one of the named routers or replicas excuses an event."""
     return any(d.of in names and d.excuses(at) for d in disturbances)
 
@@ -335,7 +335,7 @@
     for target in replicas:
         for run in target.runs:
             names = (routers.get(run.id, ''), target.id)
-            excused = _is_excused(disturbances, names, run.at) or any(
+            excused = is_excused(disturbances, names, run.at) or any(
                 began <= run.at < ended + DISTURBANCE_GRACE for began, ended in unplanned
             )
             violations += [
@@ -550,7 +550,7 @@
             router = by_id[arrival.id].router if arrival.id in by_id else ''
             since = known_since.get((router, arrival.process_number), math.inf)
             counts = since + LIMIT_GRACE <= arrival.at <= one.ended
-            if counts and not _is_excused(disturbances, (router, one.id), arrival.at):
+            if counts and not is_excused(disturbances, (router, one.id), arrival.at):
                 arrived.append(arrival.at)
         found.append((one, arrived))
     return found
@@ -578,7 +578,7 @@
             and signal.at + BACKOFF_GRACE < a.at < signal.at + signal.backoff
         ]
         names = (router, refusing.id)
-        excused = any(_is_excused(disturbances, names, at) for at in arrived)
+        excused = any(is_excused(disturbances, names, at) for at in arrived)
         if len(arrived) > BACKOFF_ALLOWED and not excused:
             text = f'{refusing.id} got {len(arrived)} requests of {router}'
             violations.append(f'{text} that was to back off for {signal.backoff} s')
@@ -601,7 +601,7 @@
             since = known_since.get((one.router if one else '', arrival.process_number), math.inf)
             if one is None or one.sent_at <= since + REMOVAL_GRACE:
                 continue
-            if not _is_excused(disturbances, (one.router, left.id), arrival.at):
+            if not is_excused(disturbances, (one.router, left.id), arrival.at):
                 late = arrival.at - since
                 violations.append(
                     f'{one.id} reached {left.id} {late:.2f} s after it said it leaves'
--- a/passpier/standins/platform/play.py
+++ b/passpier/standins/platform/play.py
@@ -20,6 +20,7 @@
 from passpier.clients import exchanges
 from passpier.platform import names
 from passpier.standins.platform import (
+    attempt_limits,
     backpressure,
     deployment,
     invariants,
@@ -42,6 +43,9 @@
 REPLACEMENT_SECONDS = 0.5
 """Seconds until all routers know that another replica has taken over an address."""
 
+PATIENCE_MS = 1500
+"""Timeout of clients in milliseconds."""
+
 ORDER_GAP = 0.5
 """Minimum seconds between orders of two routers, as in the deployment's options."""
 
@@ -182,7 +186,7 @@
         router = self._running.routers[entry].options.name
         try:
             reply = await self._running.ask(
-                f'/{kind}/x', entry, id=id, key=key, headers=headers, patience_ms=1500
+                f'/{kind}/x', entry, id=id, key=key, headers=headers, patience_ms=PATIENCE_MS
             )
             status, body = reply.status, reply.body
             echoed_id = reply.headers.get(names.REQUEST_ID) or 'nobody'
@@ -192,7 +196,7 @@
         seconds = clocks.now() - began
         self.report.outcomes.append(
             invariants.RequestOutcome(
-                id, kind, key, began, status, body, seconds, echoed_id, router
+                id, kind, key, began, status, body, seconds, echoed_id, router, PATIENCE_MS / 1000
             )
         )
 
@@ -332,6 +336,13 @@
         self.report.bounds += invariants.measure_limits(
             outcomes, replicas, self._backpressure.limits, self._disturbances
         )
+        allowed = self._running.map_max_attempts()
+        self.report.bounds += attempt_limits.measure(
+            outcomes, replicas, allowed, self._disturbances
+        )
+        self.report.violations += attempt_limits.find_violations(
+            outcomes, replicas, allowed, self._disturbances
+        )
         self.report.violations += invariants.find_backpressure_violations(
             self.report.outcomes,
             self._running.replicas.values(),
--- a/passpier/standins/platform/replica.py
+++ b/passpier/standins/platform/replica.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import json
+import math
 import socket
 import struct
 import time
@@ -115,7 +116,7 @@
         return self.limit is not None or bool(self.backoff) or self.leaves
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Run:
     """A request that a replica started to execute."""
 
@@ -129,6 +130,13 @@
     source: str = ''
     """The address that it may fetch cached parts from."""
 
+    ended: float = math.inf
+    """When the run ended, or its caller's disconnect was noticed."""
+
+    def end(self) -> None:
+        """Record that the run is over."""
+        self.ended = min(self.ended, clocks.now())
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
@@ -137,6 +145,8 @@
     id: str
     at: float
     process_number: int = 1
+    time_left: float = math.inf
+    """The seconds that it is given for the request."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,6 +286,8 @@
         The kernel closes a connection in order instead if the process had read all that arrived.
         """
         self.process_number += 1
+        for run in self.runs:
+            run.end()
         self.active = 0
         self.orders = 0
         self.loading = False
@@ -374,6 +386,8 @@
     def initialize(self, replica: Replica) -> None:
         self.replica = replica
         self._life = replica.process_number
+        self._run_record: Run | None = None
+        """The run of the request, once it has started."""
 
     async def prepare(self) -> None:
         while self.replica.faults.unreachable:
@@ -385,9 +399,14 @@
         if self.replica.faults.scripts and self.id:
             await self._send_script(self.replica.faults.scripts.pop(0))
 
+    def _record_arrival(self) -> None:
+        deadline = self.request.headers.get(names.DEADLINE)
+        time_left = math.inf if deadline is None else int(deadline) / 1000
+        self.replica.arrivals.append(Arrival(self.id, clocks.now(), self._life, time_left))
+
     async def _send_script(self, parts: list[bytes]) -> None:
         """Send bytes and close the connection in order."""
-        self.replica.arrivals.append(Arrival(self.id, clocks.now(), self._life))
+        self._record_arrival()
         stream = self.detach()
         with contextlib.suppress(tornado.iostream.StreamClosedError):
             for part in parts:
@@ -399,7 +418,7 @@
     async def _send_endless(self, first: bytes, more: bytes) -> None:
         """Send bytes until the caller closes the connection."""
         if self.id:
-            self.replica.arrivals.append(Arrival(self.id, clocks.now(), self._life))
+            self._record_arrival()
         stream = self.detach()
         with contextlib.suppress(tornado.iostream.StreamClosedError):
             await stream.write(first)
@@ -533,7 +552,7 @@
         """Run the request or refuse it."""
         self.set_header(names.REQUEST_ID, self.request.headers.get(names.REQUEST_ID, ''))
         replica = self.replica
-        replica.arrivals.append(Arrival(self.id, clocks.now(), self._life))
+        self._record_arrival()
         await self._repeat_refusal()
         wanted = self.request.headers.get(names.EXPECT_VERSION, str(replica.version))
         if self.is_misdirected() or (replica.model and wanted != str(replica.version)):
@@ -592,18 +611,17 @@
         replica = self.replica
         headers = self.request.headers
         id = headers[names.REQUEST_ID]
-        replica.runs.append(
-            Run(
-                id,
-                headers.get(names.ACCOUNT, ''),
-                headers.get(names.SALT, ''),
-                replica.version,
-                headers.get(names.LAST_EVENT_ID, ''),
-                int(headers[names.DEADLINE]),
-                clocks.now(),
-                headers.get(names.CACHE_SOURCE, ''),
-            )
+        run = self._run_record = Run(
+            id,
+            headers.get(names.ACCOUNT, ''),
+            headers.get(names.SALT, ''),
+            replica.version,
+            headers.get(names.LAST_EVENT_ID, ''),
+            int(headers[names.DEADLINE]),
+            clocks.now(),
+            headers.get(names.CACHE_SOURCE, ''),
         )
+        replica.runs.append(run)
         if replica.crash_body and self.request.body == replica.crash_body:
             await self._crash_replica(id)
         replica.active += 1
@@ -616,6 +634,7 @@
             )
             await self._answer(id)
         finally:
+            run.end()
             replica.worked_until.setdefault(id, clocks.now())
             if self.is_alive:
                 replica.active -= 1
@@ -637,6 +656,8 @@
         """Record the request as abandoned by its caller."""
         if not self.is_alive:
             return
+        if self._run_record is not None:
+            self._run_record.end()
         id = self.id
         now = clocks.now()
         self.replica.abandoned.append(id)
--- a/passpier/standins/platform/soak.py
+++ b/passpier/standins/platform/soak.py
@@ -24,6 +24,7 @@
 from passpier import clocks
 from passpier.clients import connections, exchanges
 from passpier.standins.platform import (
+    attempt_limits,
     backpressure,
     clients,
     deployment,
@@ -260,6 +261,12 @@
         )
         self.report.violations += invariants.find_retry_excess(self.report.retries)
         self.report.counted = self._describe_retries()
+        self.report.violations += attempt_limits.find_violations(
+            self.report.outcomes,
+            self._deployment.replicas.values(),
+            self._deployment.map_max_attempts(),
+            self._faults.disturbances,
+        )
         self.report.bounds = self._measure_bounds()
         self.report.backpressure_violations = invariants.find_backpressure_violations(
             self.report.outcomes,
@@ -302,7 +309,7 @@
         )
 
     def _measure_bounds(self) -> list[invariants.BoundUse]:
-        """Return how near the run came to the bounds of keys, weights and limits."""
+        """Return how near the run came to the bounds of keys, weights, limits and attempts."""
         outcomes, replicas = self.report.outcomes, self._deployment.replicas.values()
         disturbances = self._faults.disturbances
         return [
@@ -313,6 +320,9 @@
                 outcomes, replicas, self._targets.released, routers.VERSION_BOUND, disturbances
             ),
             *invariants.measure_limits(outcomes, replicas, self._backpressure.limits, disturbances),
+            *attempt_limits.measure(
+                outcomes, replicas, self._deployment.map_max_attempts(), disturbances
+            ),
         ]
 
     @property
--- a/passpier/standins/processes.py
+++ b/passpier/standins/processes.py
@@ -92,13 +92,16 @@
         self.name = name
         self.arguments = arguments
         self.log = folder / f'{name}.log'
+        self.source: str | None = None
+        """The checkout whose code it runs; the present one by default."""
+
         self._popen: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         """Start the process."""
         with self.log.open('ab') as log:
             self._popen = subprocess.Popen(
-                [sys.executable, '-m', *self.arguments], stdout=log, stderr=log
+                [sys.executable, '-m', *self.arguments], stdout=log, stderr=log, cwd=self.source
             )
 
     @property
