Attempts: the deadline is computed right before the first byte

Callers and replicas saw: a request that was sent again while the path to its replica was lost reached that replica with a deadline up to 0.80 s after that of its client, which the replica then worked for in vain. Cause: the deadline was written into the head before a connection was opened; opening takes up to 0.5 s, the search for another path 0.25 s, and the tunnel again up to 0.5 s. Change: a request's late headers are built as its first byte is sent. No path leaves time between.

--- a/passpier/clients/exchanges.py
+++ b/passpier/clients/exchanges.py
@@ -98,6 +98,9 @@
     id_header: str = ''
     id: str = ''
     once: bool = False
+    build_late_headers: Callable[[], Headers] = tuple
+    """Returns further headers, right before the first byte is sent."""
+
     may_send: Callable[[], bool] | None = None
     """Checked right before the first byte is sent: much time may pass while a connection opens."""
 
@@ -192,7 +195,7 @@
 
     def send(self) -> None:
         """Send the request."""
-        headers = [(n, v) for n, v in self._request.headers]
+        headers = [*self._request.headers, *self._request.build_late_headers()]
         if self._request.body or self._request.method not in ('GET', 'HEAD'):
             headers.append(('Content-Length', str(len(self._request.body))))
         start = h11.Request(
--- a/passpier/platform/dialect.py
+++ b/passpier/platform/dialect.py
@@ -87,9 +87,8 @@
     def write_request(
         self, ask: dialect.ClientRequest, sending: dialect.AttemptFields
     ) -> exchanges.Headers:
-        """Return the request headers of one attempt."""
+        """Return the request headers of one attempt, but for its deadline."""
         added = {
-            names.DEADLINE: str(max(1, int(sending.time_left * 1000))),
             names.EXPECT_INCARNATION: sending.incarnation,
             names.EXPECT_VERSION: sending.weight_version,
             names.ACCOUNT: sending.account,
@@ -101,6 +100,10 @@
         }
         return [*ask.headers, *((n, v) for n, v in added.items() if v)]
 
+    def write_deadline(self, time_left: float) -> exchanges.Headers:
+        """Return the header that tells an upstream how many seconds it has."""
+        return [(names.DEADLINE, str(max(1, int(time_left * 1000))))]
+
     def classify_response(self, head: exchanges.Head) -> dialect.Verdict:
         """Classify an upstream's response by its status and headers."""
         if head.status == 421:
--- a/passpier/routing/dialect.py
+++ b/passpier/routing/dialect.py
@@ -42,12 +42,11 @@
 
 
 class AttemptFields(msgspec.Struct, frozen=True):
-    """What the router adds to one attempt; `time_left` is in seconds."""
+    """What the router adds to one attempt, but for its deadline."""
 
     incarnation: str
     weight_version: str
     account: str
-    time_left: float
     priority: int | None
     salt: str
     source: str
@@ -87,7 +86,10 @@
     def write_request(
         self, client_request: ClientRequest, added: AttemptFields
     ) -> exchanges.Headers:
-        """Return the headers of one attempt."""
+        """Return the headers of one attempt, but for its deadline."""
+
+    def write_deadline(self, time_left: float) -> exchanges.Headers:
+        """Return the header that tells an upstream how many seconds it has."""
 
     def classify_response(self, head: exchanges.Head) -> Verdict:
         """Classify the head of a response."""
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -447,7 +447,7 @@
             'upstream': placement.replica.process.id,
             'reached': len(self._reached),
             'proxy': exchange.connection.proxy,
-            'deadline_excess': round(time_left - (self.ends_at - clocks.now()), 3),
+            'time_left': round(self.ends_at - clocks.now(), 3),
         }
         self.retries.note_sent(bool(self._reached), sending)
         self._reached.add(placement.replica.name)
@@ -495,7 +495,6 @@
             self._cache_owner,
             self.call.job,
             replica,
-            time_left,
             self._position.last_id,
             self._owner.sharing.sources,
             self._owner.wire,
--- a/passpier/routing/requests.py
+++ b/passpier/routing/requests.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from passpier import clocks
 from passpier.clients import exchanges
 from passpier.config import declarations
 from passpier.core import (
@@ -131,13 +132,12 @@
     cache_owner: str,
     job: choice.Job,
     replica: replicas.Replica,
-    time_left: float,
     last_event: str,
     cache_sources: sources.CacheSources,
     wire: dialect.Dialect,
     may_send: Callable[[], bool],
 ) -> exchanges.Request:
-    """Return one attempt as it is sent to an upstream; `time_left` is in seconds."""
+    """Return one attempt as it is sent to an upstream."""
     client_request = admitted.client_request
     salt = ''
     source = sources.CacheSource()
@@ -149,7 +149,6 @@
         replica.incarnation,
         replica.weight_version,
         admitted.account.name if admitted.account else '',
-        time_left,
         admitted.priority if client_request.prompt is not None else None,
         salt,
         source.fetch,
@@ -164,5 +163,6 @@
         wire.id_header,
         client_request.id,
         once=not admitted.route.kind.is_repeatable,
+        build_late_headers=lambda: wire.write_deadline(admitted.ends_at - clocks.now()),
         may_send=may_send,
     )
--- a/passpier/tests/platform/attempt_limits_tests.py
+++ b/passpier/tests/platform/attempt_limits_tests.py
@@ -8,8 +8,7 @@
 
 from passpier import clocks
 from passpier.clients import exchanges
-from passpier.platform import dialect
-from passpier.routing import dialect as routing
+from passpier.platform import dialect, names
 from passpier.standins.platform import attempt_limits, deployment, invariants, partitions, replica
 from passpier.tests.platform import harness
 
@@ -56,6 +55,7 @@
     failing.slots = other.slots = BURST
     failing.work_seconds = WORK_SECONDS
     failing.faults.fail = BURST
+    running.write_entry(failing.id)
     running.remove_entry(other.id)
     known = [process.pools.replicas for process in running.routers]
     await harness.wait_for(lambda: all(other.id not in replicas for replicas in known))
@@ -82,17 +82,11 @@
 def test_router_that_gives_each_attempt_the_whole_time_is_detected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    write = dialect.Requests.write_request
-
-    def write_whole_time(
-        self: dialect.Requests, ask: routing.ClientRequest, sending: routing.AttemptFields
-    ) -> exchanges.Headers:
-        headers = dict(write(self, ask, sending))
-        headers['X-Passpier-Deadline-Ms'] = str(PATIENCE_MS)
-        return list(headers.items())
+    def write_whole_time(self: dialect.Requests, time_left: float) -> exchanges.Headers:
+        return [(names.DEADLINE, str(PATIENCE_MS))]
 
     async def check(running: deployment.Deployment) -> None:
-        monkeypatch.setattr(dialect.Requests, 'write_request', write_whole_time)
+        monkeypatch.setattr(dialect.Requests, 'write_deadline', write_whole_time)
         outcomes = await resend_over_lost_path(running)
         allowed = running.map_max_attempts()
         found = attempt_limits.find_violations(outcomes, running.replicas.values(), allowed)
@@ -108,7 +102,7 @@
 
 def make_replicas(runs: dict[str, list[tuple[float, float]]]) -> list[replica.Replica]:
     """Return a replica for each run of each request; `runs` has starts and ends by request."""
-    found = []
+    found: list[replica.Replica] = []
     for id, times in runs.items():
         for at, ended in times:
             target = replica.Replica(f'app-{len(found)}', 'app', 'zone-0')
