Tunnels: a request that is given up is reset on its way to the replica

What replicas saw: a request that its router had given up arrived up to 4 s later, when a lost link was back, as one more arrival than the retry budget had counted in that window. Cause: what is given up has been reset on a direct connection since; a tunnel closed its connection to the replica in order, so that the kernel of the peer went on delivering it. Change: once the peer's side has failed, the replica's is reset. An orderly close stays one. The replica of an existing test notices the client that leaves by the reset now as well as by the end of the stream; that it is at once is checked as before.

--- a/passpier/routing/tunnel_server.py
+++ b/passpier/routing/tunnel_server.py
@@ -63,6 +63,9 @@
         ]
         try:
             await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+            if self._peer.error is not None:
+                # A request that the peer has given up must not arrive later.
+                connections.reset_on_close(self._replica)
             if self._replica.closed() and self._replica.error is None:
                 # An orderly close may be the end of a response, and follows its last bytes.
                 self._peer.socket.shutdown(socket.SHUT_WR)
--- a/passpier/tests/routing/tunnel_server_tests.py
+++ b/passpier/tests/routing/tunnel_server_tests.py
@@ -15,10 +15,14 @@
 from passpier.clients import connections, exchanges
 from passpier.core import catalogue, members, routes
 from passpier.routing import pools, tunnel_server
+from passpier.standins.platform import proxy
 from passpier.tests.clients import exchanges_tests
 
 MOST = 2
 
+RETRANSMISSION_SECONDS = 2.0
+"""Seconds in which the kernel sends again, several times, what has not been acknowledged."""
+
 Check = Callable[['Tunneling'], Awaitable[None]]
 
 
@@ -163,7 +167,8 @@
 
     async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await exchanges_tests.read_request(reader)
-        await reader.read()
+        with contextlib.suppress(ConnectionResetError):
+            await reader.read()
         left.set()
 
     async def check(opened: Tunneling) -> None:
@@ -176,6 +181,31 @@
     run_check(hold, check)
 
 
+# Guards against a request that is given up and arrives by its tunnel once a lost link is back.
+def test_request_that_is_given_up_never_arrives_by_a_tunnel() -> None:
+    arrived: list[str] = []
+    accepted: list[socket.socket] = []
+
+    async def note(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        accepted.append(writer.get_extra_info('socket'))
+        while True:
+            arrived.append(await exchanges_tests.read_request(reader))
+            writer.write(exchanges_tests.render_response(arrived[-1]))
+
+    async def check(opened: Tunneling) -> None:
+        await opened.fetch(id='1')
+        proxy.drop_packets(accepted[0])
+        exchange = await opened.open('2')
+        await asyncio.sleep(0.1)
+        exchange.close()
+        await asyncio.sleep(0.1)
+        proxy.accept_packets(accepted[0])
+        await asyncio.sleep(RETRANSMISSION_SECONDS)
+        assert arrived == ['1']
+
+    run_check(note, check)
+
+
 BEGUN = b'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nhalf of '
 
 
