Replicas: a backoff outlasts the entry of the replica that asked for it

What replicas saw: a replica that had refused with Retry-After got requests of the same VM before that time was over, once its entry had lapsed and returned, as entries do when the registry was away. Cause: all that is known of a replica went with its entry. What a process asks for is its own and not the entry's. Change: unlisted_processes keeps the backoff by process, for the process alone; the next one under the same id starts without.

--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -21,6 +21,7 @@
     rollout,
     routes,
     stream_origins,
+    unlisted_processes,
     weight_releases,
 )
 
@@ -117,6 +118,7 @@
 
         self._restarts = replica_restarts.RestartHistory()
 
+        self._unlisted = unlisted_processes.UnlistedProcesses()
         self._incomplete: dict[str, set[str]] = {}
         """By service, the ids of entries that lack fields which other replicas' entries have."""
 
@@ -162,6 +164,7 @@
         self._entries[entry.id] = entry
         replica = self.replicas[entry.id]
         if is_new:
+            self._restore_backoff(entry.process)
             self.on_process_added(replica)
         replica.slots = entry.slots
         replica.software = entry.software
@@ -184,6 +187,12 @@
             },
         )
 
+    def _restore_backoff(self, process: replica_processes.ReplicaProcess) -> None:
+        """Apply what is left of a backoff that a process asked for before its entry lapsed."""
+        seconds = self._unlisted.take_backoff(process, clocks.now())
+        if seconds:
+            self.pause(process, pauses.Pause.BACKOFF, seconds, 'asked for before it was unlisted')
+
     def _note_restart(self, entry: catalogue.Entry, unchanged_at: float) -> None:
         """Record that the process of an entry has replaced an earlier one, if it has."""
         uptime = clocks.read_time_of_day() - entry.started_ms / 1000
@@ -564,12 +573,14 @@
     def _remove_process(self, name: str) -> None:
         """Drop all state learnt about a replica process; no other method does.
 
-        State that is kept elsewhere is keyed by the process, and so never applied to another one.
+        State that is kept elsewhere is keyed by the process, and so never applied to another one;
+        what the process has asked for is kept in case its entry returns.
         """
         entry = self._entries.pop(name, None)
         if entry is None:
             return
         ended = self.replicas.pop(name)
+        self._unlisted.note_removed(ended.process, ended.backoff_until, clocks.now())
         if name not in self._incomplete.get(entry.service, ()):
             self._version_histories[entry.service].note_gone(ended.software, clocks.now())
         self.on_process_ended(ended)
--- a/passpier/tests/platform/backoff_tests.py
+++ b/passpier/tests/platform/backoff_tests.py
@@ -108,6 +108,51 @@
     harness.run_check(check)
 
 
+# Guards against a backoff that is forgotten with the replica's entry in the registry.
+@pytest.mark.parametrize('service', ['llm', 'app'])
+def test_backoff_outlasts_the_entry_of_its_replica(service: str) -> None:
+    async def check(running: deployment.Deployment) -> None:
+        (router,) = running.routers
+        refusing = running.replicas[f'{service}-0']
+        refusing.faults.backoff = BACKOFF
+        running.remove_entry(f'{service}-1')
+        await harness.wait_for(lambda: f'{service}-1' not in router.pools.replicas)
+        path = '/stream/x' if service == 'llm' else '/safe/x'
+        headers = harness.PROMPT_HEADERS if service == 'llm' else []
+        assert (await running.ask(path, id='first', headers=headers)).status == 503
+        running.remove_entry(refusing.id)
+        await harness.wait_for(lambda: refusing.id not in router.pools.replicas)
+        running.write_entry(refusing.id)
+        await harness.wait_for(lambda: refusing.id in router.pools.replicas)
+        await asyncio.sleep(invariants.BACKOFF_GRACE)
+        ids = [f'r{number}' for number in range(10)]
+        replies = await asyncio.gather(*(running.ask(path, id=id, headers=headers) for id in ids))
+        router_of = dict.fromkeys(['first', *ids], router.options.name)
+        assert invariants.find_backoff_violations(refusing, router_of) == []
+        assert {reply.status for reply in replies} == {503}
+        assert [arrival.id for arrival in refusing.arrivals] == ['first']
+
+    harness.run_check(check)
+
+
+# Guards against a backoff that binds the next process of a replica.
+def test_backoff_ends_with_the_process_that_asked_for_it() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        (router,) = running.routers
+        refusing = running.replicas['app-0']
+        refusing.faults.backoff = BACKOFF
+        running.remove_entry('app-1')
+        await harness.wait_for(lambda: 'app-1' not in router.pools.replicas)
+        assert (await running.ask('/safe/x')).status == 503
+        refusing.faults.backoff = 0.0
+        before = router.pools.replicas['app-0'].process
+        running.restart_replica('app-0')
+        await harness.wait_for(lambda: router.pools.replicas['app-0'].process != before)
+        assert (await running.ask('/safe/x')).status == 200
+
+    harness.run_check(check)
+
+
 def test_backoff_during_connect_moves_the_request_to_another_replica(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
