Replicas: an announcement to leave outlasts the entry of the replica that made it

What callers saw: requests went to a replica that had said it leaves, once its entry had lapsed and returned as ready. Cause: the same as that of the backoff before: what a process said of itself went with its entry. Evidence: leaving_replicas_tests.test_announcement_outlasts_the_entry_of_its_replica, failing on the code before. Change: unlisted_processes keeps the announcement, too. Measured: the tests of leaving replicas, backoffs and pools pass.

--- a/passpier/core/replicas.py
+++ b/passpier/core/replicas.py
@@ -13,6 +13,9 @@
     throttles,
 )
 
+SAID_LEAVING = 'said so'
+"""Reason for leaving of a replica that has announced it in a response."""
+
 DEFAULT_SECONDS_PER_TOKEN = 1 / 20_000
 """Prefill time per token that is assumed before any measurement."""
 
--- a/passpier/core/unlisted_processes.py
+++ b/passpier/core/unlisted_processes.py
@@ -7,30 +7,40 @@
 
 import collections
 
+import msgspec
+
 from passpier.core import replica_processes
 
 MAX_PROCESSES = 1024
 """Number of processes that are remembered; those removed first are dropped first."""
 
 
+class Asked(msgspec.Struct, frozen=True):
+    """What a replica process has asked for."""
+
+    backoff_until: float
+    is_leaving: bool
+    """Whether it has said that it is leaving."""
+
+
 class UnlistedProcesses:
-    """The processes whose entries have been removed, and until when each asked for a backoff."""
+    """The processes whose entries have been removed, and what each has asked for."""
 
     def __init__(self) -> None:
-        self._backoffs: collections.OrderedDict[replica_processes.ReplicaProcess, float] = (
+        self._asked: collections.OrderedDict[replica_processes.ReplicaProcess, Asked] = (
             collections.OrderedDict()
         )
 
     def note_removed(
-        self, process: replica_processes.ReplicaProcess, backoff_until: float, now: float
+        self, process: replica_processes.ReplicaProcess, asked: Asked, now: float
     ) -> None:
-        """Remember a process that is no longer listed, if it has asked for something."""
-        if backoff_until <= now:
+        """Remember a process that is no longer listed, if anything that it asked for holds."""
+        if asked.backoff_until <= now and not asked.is_leaving:
             return
-        self._backoffs[process] = backoff_until
-        if len(self._backoffs) > MAX_PROCESSES:
-            self._backoffs.popitem(last=False)
+        self._asked[process] = asked
+        if len(self._asked) > MAX_PROCESSES:
+            self._asked.popitem(last=False)
 
-    def take_backoff(self, process: replica_processes.ReplicaProcess, now: float) -> float:
-        """Forget a process that is listed again; return the seconds left of its backoff."""
-        return max(0.0, self._backoffs.pop(process, now) - now)
+    def take(self, process: replica_processes.ReplicaProcess) -> Asked | None:
+        """Forget a process that is listed again; return what it has asked for, if known."""
+        return self._asked.pop(process, None)
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -164,7 +164,7 @@
         self._entries[entry.id] = entry
         replica = self.replicas[entry.id]
         if is_new:
-            self._restore_backoff(entry.process)
+            self._restore_asked(entry.process)
             self.on_process_added(replica)
         replica.slots = entry.slots
         replica.software = entry.software
@@ -187,11 +187,16 @@
             },
         )
 
-    def _restore_backoff(self, process: replica_processes.ReplicaProcess) -> None:
-        """Apply what is left of a backoff that a process asked for before its entry lapsed."""
-        seconds = self._unlisted.take_backoff(process, clocks.now())
-        if seconds:
+    def _restore_asked(self, process: replica_processes.ReplicaProcess) -> None:
+        """Apply what a process asked for before its entry lapsed."""
+        asked = self._unlisted.take(process)
+        if asked is None:
+            return
+        seconds = asked.backoff_until - clocks.now()
+        if seconds > 0:
             self.pause(process, pauses.Pause.BACKOFF, seconds, 'asked for before it was unlisted')
+        if asked.is_leaving:
+            self.mark_leaving(process, 'said before it was unlisted')
 
     def _note_restart(self, entry: catalogue.Entry, unchanged_at: float) -> None:
         """Record that the process of an entry has replaced an earlier one, if it has."""
@@ -359,7 +364,7 @@
         It holds for the lifetime of the process, since the registry may lag behind.
         """
         replica = self.find(process)
-        if replica is None or not replicas.set_leaving(replica, 'said so', True):
+        if replica is None or not replicas.set_leaving(replica, replicas.SAID_LEAVING, True):
             return False
         fields = {'upstream': process.id, 'born': process.started_ms, 'source': source}
         log.info('upstream is leaving', extra=fields)
@@ -580,7 +585,9 @@
         if entry is None:
             return
         ended = self.replicas.pop(name)
-        self._unlisted.note_removed(ended.process, ended.backoff_until, clocks.now())
+        has_said = replicas.SAID_LEAVING in ended.leaving_reasons
+        asked = unlisted_processes.Asked(ended.backoff_until, has_said)
+        self._unlisted.note_removed(ended.process, asked, clocks.now())
         if name not in self._incomplete.get(entry.service, ()):
             self._version_histories[entry.service].note_gone(ended.software, clocks.now())
         self.on_process_ended(ended)
--- a/passpier/tests/core/unlisted_processes_tests.py
+++ b/passpier/tests/core/unlisted_processes_tests.py
@@ -2,25 +2,30 @@
 
 from __future__ import annotations
 
+import pytest
+
 from passpier.core import replica_processes, unlisted_processes
 
 PROCESS = replica_processes.ReplicaProcess('r1', 1)
+BACKOFF = unlisted_processes.Asked(13.0, False)
+LEAVING = unlisted_processes.Asked(float('-inf'), True)
 
 
-def test_backoff_is_returned_once_to_the_process_that_asked_for_it() -> None:
+@pytest.mark.parametrize('asked', [BACKOFF, LEAVING])
+def test_what_was_asked_for_is_returned_once_to_its_process(
+    asked: unlisted_processes.Asked,
+) -> None:
     unlisted = unlisted_processes.UnlistedProcesses()
-    unlisted.note_removed(PROCESS, 13.0, 10.0)
-    assert unlisted.take_backoff(replica_processes.ReplicaProcess('r1', 2), 11.0) == 0.0
-    assert unlisted.take_backoff(PROCESS, 11.0) == 2.0
-    assert unlisted.take_backoff(PROCESS, 11.0) == 0.0
+    unlisted.note_removed(PROCESS, asked, 10.0)
+    assert unlisted.take(replica_processes.ReplicaProcess('r1', 2)) is None
+    assert unlisted.take(PROCESS) == asked
+    assert unlisted.take(PROCESS) is None
 
 
 def test_backoff_that_is_over_is_forgotten() -> None:
     unlisted = unlisted_processes.UnlistedProcesses()
-    unlisted.note_removed(PROCESS, 9.0, 10.0)
-    assert unlisted.take_backoff(PROCESS, 10.0) == 0.0
-    unlisted.note_removed(PROCESS, 11.0, 10.0)
-    assert unlisted.take_backoff(PROCESS, 12.0) == 0.0
+    unlisted.note_removed(PROCESS, BACKOFF, 13.0)
+    assert unlisted.take(PROCESS) is None
 
 
 def test_the_number_of_remembered_processes_is_bounded() -> None:
@@ -28,6 +33,6 @@
     most = unlisted_processes.MAX_PROCESSES
     processes = [replica_processes.ReplicaProcess(f'r{number}', 1) for number in range(most + 1)]
     for process in processes:
-        unlisted.note_removed(process, 20.0, 10.0)
-    assert unlisted.take_backoff(processes[0], 10.0) == 0.0
-    assert unlisted.take_backoff(processes[1], 10.0) == 10.0
+        unlisted.note_removed(process, BACKOFF, 10.0)
+    assert unlisted.take(processes[0]) is None
+    assert unlisted.take(processes[1]) == BACKOFF
--- a/passpier/tests/platform/leaving_replicas_tests.py
+++ b/passpier/tests/platform/leaving_replicas_tests.py
@@ -92,6 +92,26 @@
     harness.run_check(check)
 
 
+# Guards against requests to a replica whose announcement is forgotten with its entry.
+def test_announcement_outlasts_the_entry_of_its_replica() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        (router,) = running.routers
+        leaving = running.replicas['app-0']
+        leaving.faults.leaves = True
+        while not leaving.signals:
+            await running.ask('/safe/x')
+        running.remove_entry(leaving.id)
+        await harness.wait_for(lambda: leaving.id not in router.pools.replicas)
+        running.write_entry(leaving.id)
+        await harness.wait_for(lambda: leaving.id in router.pools.replicas)
+        before = leaving.arrival_count
+        replies = [await running.ask('/safe/x') for _ in range(6)]
+        assert {reply.status for reply in replies} == {200}
+        assert leaving.arrival_count == before
+
+    harness.run_check(check)
+
+
 def test_leaving_replica_finishes_a_running_stream() -> None:
     async def check(running: deployment.Deployment) -> None:
         for replica in running.replicas.values():
