Retries: one that may still arrive takes the place of another that could be saved

Cause: a retry counted as over when it was sent. Half of a window's retries can be saved and half earned, of which four fifths are used: that bears 4 to 5 s of lateness, and nothing bounds how late a replica reads what its kernel has taken. The attempt that arrives late may also be the first one, whose retry was served long ago. Change: SharedBudget lowers what can be saved by the retries that may still arrive. An attempt is settled by the first bytes of its replica, by the peer's close, by any response of that replica after it was given up, or after 60 s. So what is saved, what may arrive and what is earned are together what a window allows, however late it arrives. An existing test of held retries now settles its attempts, as a replica that answers does; what it asserts is unchanged. The phased traffic of the property settles each attempt as it arrives.

--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -80,6 +80,9 @@
 
     A retry that is held for an attempt counts as saved until the attempt has been sent. What can be
     saved falls with the requests, and the retries held last are withdrawn once it covers fewer.
+
+    A replica may read much later what was sent to it, even if the attempt was given up meanwhile.
+    Retries that have been sent and may still arrive take the place of others that could be saved.
     """
 
     def __init__(self, ratio: float, slack: float, window: float, started_at: float) -> None:
@@ -90,6 +93,9 @@
         """The held retries, in the order in which they were obtained."""
 
         self._earned_until = started_at
+        self.unanswered = 0
+        """The number of retries that have been sent and may still arrive."""
+
         self.configure(ratio, slack, window)
 
     @property
@@ -159,7 +165,8 @@
         windows = max(0.0, now - self._earned_until) / self._window
         self._balance += self._slack / max(1, processes) * (1 - SAVED_SHARE) * windows
         self._earned_until = now
-        self._balance = min(self._balance, self.compute_limit(now, processes))
+        limit = max(0.0, self.compute_limit(now, processes) - self.unanswered)
+        self._balance = min(self._balance, limit)
         withdrawn = []
         while self._holds and len(self._holds) > self._balance:
             withdrawn.append(self._holds.popitem()[0])
@@ -178,6 +185,15 @@
     def __init__(self, budget: SharedBudget) -> None:
         self._budget = budget
         self._was_sent = False
+        self._unanswered = 0
+        """The number of attempts that may still arrive."""
+
+        self._has_settled = False
+        """Whether any attempt is settled; until then, one of them is the first to arrive."""
+
+        self.unanswered = 0
+        """The number of retries that may still arrive."""
+
         self._held: Hold | None = None
         self._reserved: Hold | None = None
         self.on_withdrawn: Callable[[], None] = lambda: None
@@ -220,8 +236,20 @@
             self._budget.charge()
         self._was_sent = True
         self._held = None
+        self._set_unanswered(self._unanswered + 1)
         return is_paid
 
+    def note_settled(self) -> None:
+        """Count one of the attempts as settled: it has arrived, or it never will."""
+        self._has_settled = True
+        self._set_unanswered(self._unanswered - 1)
+
+    def _set_unanswered(self, count: int) -> None:
+        self._unanswered = count
+        retried = max(0, count - (not self._has_settled))
+        self._budget.unanswered += retried - self.unanswered
+        self.unanswered = retried
+
     def release(self) -> None:
         """Return the reserved retry, if there is one."""
         if self._reserved is not None:
--- a/passpier/daemon/metrics.py
+++ b/passpier/daemon/metrics.py
@@ -102,6 +102,11 @@
             'passpier_retries_held',
             'Retries held for attempts that have not been sent, by service.',
         )
+        self.retries_unanswered = _build_gauge(
+            registry,
+            'passpier_retries_unanswered',
+            'Retries that were sent and may still arrive, by service.',
+        )
         self.retries_limit = _build_gauge(
             registry,
             'passpier_retries_limit',
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -117,6 +117,7 @@
         unless the client was slow to take the first of them."""
 
         self.budgets = retry_budgets.RetryBudgets(options, counters)
+        prober.on_contact = self.budgets.note_contact
         self.sender = sending.Sender(pool, replica_paths, prober)
         self.pacer = pool.pacer
 
@@ -442,14 +443,13 @@
         self._owner.suspects.begin(fingerprint, judgement, time_left)
         cleanup.callback(self._owner.suspects.end, fingerprint)
         exchange = await self._connect(placement, time_left, connect_seconds)
-        cleanup.callback(self._end_exchange, exchange, placement.replica.process, clocks.now())
         sending = {
-            'upstream': placement.replica.process.id,
             'reached': len(self._reached),
             'proxy': exchange.connection.proxy,
             'time_left': round(self.ends_at - clocks.now(), 3),
         }
-        self.retries.note_sent(bool(self._reached), sending)
+        pending = self.retries.note_sent(placement.replica.process, sending)
+        cleanup.callback(self._end_exchange, exchange, pending)
         self._reached.add(placement.replica.name)
         self._connections.append(exchange.connection)
         reader = response_reader.ResponseReader(
@@ -459,29 +459,31 @@
             self.ends_at,
             self.call.progress.repeatable,
         )
-        return sent_attempts.Attempt(placement, exchange, reader, clocks.now(), cleanup.pop_all())
+        return sent_attempts.Attempt(
+            placement, exchange, reader, clocks.now(), cleanup.pop_all(), pending
+        )
 
     def _end_exchange(
-        self,
-        exchange: exchanges.Exchange,
-        process: replica_processes.ReplicaProcess,
-        sent_at: float,
+        self, exchange: exchanges.Exchange, pending: retry_budgets.PendingAttempt
     ) -> None:
-        """Abort an attempt; a replica that has not answered may still read it later."""
+        """Abort an attempt; a replica that has sent nothing may still read it later."""
         if exchange.is_unanswered:
+            self._owner.budgets.note_given_up(pending)
             self._owner.counters.attempts_unanswered.inc({'service': self._service})
             log.info(
                 'attempt unanswered',
                 extra={
                     'request': self.call.id,
                     'service': self._service,
-                    'upstream': process.id,
-                    'born': process.started_ms,
+                    'upstream': pending.process.id,
+                    'born': pending.process.started_ms,
                     'proxy': exchange.connection.proxy,
                     'reached': len(self._reached),
-                    'seconds': round(clocks.now() - sent_at, 3),
+                    'seconds': round(clocks.now() - pending.sent_at, 3),
                 },
             )
+        else:
+            pending.settle()
         exchange.close()
 
     async def _connect(
--- a/passpier/routing/probing.py
+++ b/passpier/routing/probing.py
@@ -85,10 +85,14 @@
         self._surveyed_at: dict[str, float] = {}
         """By service, when the last finished survey began."""
 
+        self.on_contact: Callable[[replica_processes.ReplicaProcess], None] = lambda process: None
+        """Called each time that a replica process responds."""
+
     def record_contact(self, process: replica_processes.ReplicaProcess) -> None:
         """Record that a replica process responded."""
         if self._pools.find(process) is not None:
             self._last_contacts[process.id] = (process, clocks.now())
+            self.on_contact(process)
 
     def is_unresponsive(self, name: str) -> bool:
         """Return whether a replica is unresponsive."""
--- a/passpier/routing/retry_budgets.py
+++ b/passpier/routing/retry_budgets.py
@@ -10,7 +10,7 @@
 from collections.abc import AsyncIterator, Mapping
 
 from passpier import clocks
-from passpier.core import attempts, retries
+from passpier.core import attempts, replica_processes, retries
 from passpier.daemon import metrics
 from passpier.routing import dialect, response_reader
 
@@ -25,6 +25,11 @@
         super().__init__(attempts.Fault.NOT_CONNECTED, text)
 
 
+UNANSWERED_SECONDS = 60.0
+"""Seconds after which an attempt that was given up is taken to be lost, with the VM of its replica,
+unless that replica has responded before. No VM is suspended for as long."""
+
+
 class RetryBudgets:
     """The retry budgets of all services."""
 
@@ -38,6 +43,8 @@
         """Since when retries are earned."""
 
         self._budgets: dict[str, retries.SharedBudget] = collections.defaultdict(self._build)
+        self._given_up: dict[str, list[PendingAttempt]] = {}
+        """By replica, the attempts that were given up and that it may still read, oldest first."""
 
     def reload(self, options: dialect.Options) -> None:
         """Apply changed settings."""
@@ -60,11 +67,13 @@
             log.info('retry budget shared', extra=fields)
         self.sharers = processes
         self._counters.retry_sharers.set({}, processes)
+        self._forget_lost(now)
         for service, budget in self._budgets.items():
             labels = {'service': service}
             left = round(budget.compute_left(now, processes), 2)
             self._counters.retries_left.set(labels, left)
             self._counters.retries_held.set(labels, budget.held)
+            self._counters.retries_unanswered.set(labels, budget.unanswered)
             self._counters.retries_limit.set(labels, round(budget.compute_limit(now, processes), 2))
 
     def describe(self, service: str) -> dict[str, float]:
@@ -74,6 +83,7 @@
         return {
             'retries_left': round(budget.compute_left(now, self.sharers), 2),
             'retries_held': budget.held,
+            'retries_unanswered': budget.unanswered,
             'retries_limit': round(budget.compute_limit(now, self.sharers), 2),
             'recent_requests': budget.requests,
             'sharers': self.sharers,
@@ -83,6 +93,36 @@
         """Return the retries of a request, which has none yet."""
         return RunRetries(self, self._counters, request, service)
 
+    def note_given_up(self, pending: PendingAttempt) -> None:
+        """Remember an attempt that was given up and that its replica may still read."""
+        self._given_up.setdefault(pending.process.id, []).append(pending)
+
+    def note_contact(self, process: replica_processes.ReplicaProcess) -> None:
+        """Settle what was given up at a replica that responds: its process runs, and has read it.
+
+        The same if another process responds under its id, as the former one has ended.
+        """
+        given_up = self._given_up.pop(process.id, [])
+        for pending in given_up:
+            pending.settle()
+        if any(pending.is_retried for pending in given_up):
+            oldest = clocks.now() - given_up[0].sent_at
+            fields = {'upstream': process.id, 'count': len(given_up), 'oldest': round(oldest, 3)}
+            log.info('unanswered attempts settled', extra=fields)
+
+    def _forget_lost(self, now: float) -> None:
+        """Settle attempts that were given up long ago, and forget those that were not repeated."""
+        for name, given_up in list(self._given_up.items()):
+            kept = []
+            for pending in given_up:
+                if now - pending.sent_at >= UNANSWERED_SECONDS:
+                    pending.settle()
+                elif pending.may_count:
+                    kept.append(pending)
+            self._given_up[name] = kept
+            if not kept:
+                del self._given_up[name]
+
     def _build(self) -> retries.SharedBudget:
         options = self._options
         return retries.SharedBudget(
@@ -107,6 +147,32 @@
         }
 
 
+class PendingAttempt:
+    """An attempt that was sent and that its replica may have yet to read."""
+
+    def __init__(self, run: RunRetries, process: replica_processes.ReplicaProcess) -> None:
+        self._run = run
+        self.process = process
+        self.sent_at = clocks.now()
+        self._is_settled = False
+
+    @property
+    def is_retried(self) -> bool:
+        """Whether the request was sent more than once, so that it counts when it arrives."""
+        return self._run.sent_count > 1
+
+    @property
+    def may_count(self) -> bool:
+        """Whether the request was sent more than once, or may yet be."""
+        return self.is_retried or not self._run.is_closed
+
+    def settle(self) -> None:
+        """Note that the attempt has arrived, or that it never will."""
+        if not self._is_settled:
+            self._is_settled = True
+            self._run.note_settled()
+
+
 class RunRetries:
     """The retries of one request."""
 
@@ -122,6 +188,12 @@
         self._grant: _Grant | None = None
         """The retry for the next attempt, if that attempt needs one."""
 
+        self.sent_count = 0
+        """The number of attempts that were sent."""
+
+        self.is_closed = False
+        """Whether there will be no further attempt."""
+
         self._wait: asyncio.Timeout | None = None
         """The wait that ends when that retry is withdrawn, if there is one."""
 
@@ -166,16 +238,32 @@
         """Reserve a retry for a later attempt; return false if none is left."""
         return self._retries.reserve(clocks.now(), self._budgets.sharers)
 
-    def note_sent(self, is_retry: bool, sending: Mapping[str, object]) -> None:
+    def note_sent(
+        self, process: replica_processes.ReplicaProcess, sending: Mapping[str, object]
+    ) -> PendingAttempt:
         """Count an attempt that was sent; `sending` are log fields that describe it."""
         is_paid = self._retries.note_sent()
-        if not is_retry:
-            return
+        self.sent_count += 1
+        if self.sent_count > 1:
+            self._log_sent(process, sending, is_paid)
+        return PendingAttempt(self, process)
+
+    def note_settled(self) -> None:
+        """Count one of the attempts as settled: it has arrived, or it never will."""
+        self._retries.note_settled()
+
+    def _log_sent(
+        self,
+        process: replica_processes.ReplicaProcess,
+        sending: Mapping[str, object],
+        is_paid: bool,
+    ) -> None:
         self._counters.retries_sent.inc({'service': self._service})
         grant, self._grant = self._grant, None
         fields = {
             'request': self._request,
             'service': self._service,
+            'upstream': process.id,
             **sending,
             'held_for': None,
             **({} if grant is None else grant.describe(clocks.now())),
@@ -214,5 +302,6 @@
         self._grant = None
 
     def close(self) -> None:
-        """Return all retries that were not used."""
+        """Return all retries that were not used; there is no further attempt."""
+        self.is_closed = True
         self._retries.close()
--- a/passpier/routing/sent_attempts.py
+++ b/passpier/routing/sent_attempts.py
@@ -12,7 +12,7 @@
 from passpier.clients import exchanges
 from passpier.core import attempts, pauses, replica_processes, replicas
 from passpier.daemon import dispatcher
-from passpier.routing import dialect, pools, probing, response_reader
+from passpier.routing import dialect, pools, probing, response_reader, retry_budgets
 
 
 class Takeover(enum.Enum):
@@ -39,6 +39,9 @@
     cleanup: contextlib.ExitStack
     """Ends everything that was begun for the attempt."""
 
+    pending: retry_budgets.PendingAttempt
+    """Its arrival at the replica, as far as that is known."""
+
     head: exchanges.Head | None = None
 
     @property
@@ -64,6 +67,7 @@
     async def read(self, attempt: Attempt, wait: float) -> exchanges.Head:
         """Return the head of a result within `wait` seconds; raises `AttemptError`."""
         head = await attempt.reader.read_head(wait)
+        attempt.pending.settle()
         now = clocks.now()
         if self._apply(head, attempt) is dialect.Verdict.FAILURE:
             response = await attempt.reader.read_whole()
--- a/passpier/tests/core/retries_tests.py
+++ b/passpier/tests/core/retries_tests.py
@@ -150,6 +150,7 @@
             if phase.fails or phase.gone:
                 one = retries.RequestRetries(budget)
                 one.note_sent()
+                one.note_settled()
                 failed.append(WaitingRequest(one, now + PATIENCE))
         return failed
 
@@ -161,6 +162,7 @@
         if not one.retries.hold(now, self.daemons) or phase.gone:
             return True
         one.retries.note_sent()
+        one.retries.note_settled()
         self.sent.append(now)
         if not phase.fails:
             one.retries.close()
@@ -220,6 +222,118 @@
     assert traffic.compute_share([at + LATE_SECONDS for at in traffic.sent]) <= 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """A time with one load and one set of faults."""
+
+    seconds: float
+    rate: float
+    """Requests a second."""
+
+    fails: bool
+    """Whether each attempt that arrives fails, so that its request wants another one."""
+
+    stands: bool
+    """Whether the replicas that requests are sent to again read them only after the step."""
+
+    restarted: float
+    """Share of the daemons that restart at the start."""
+
+    suspended: float
+    """Share of the daemons that stand still for the step."""
+
+
+@dataclasses.dataclass
+class SteppedTraffic(Traffic):
+    """Traffic to replicas of which some stand still, for however long."""
+
+    arrived: list[float] = dataclasses.field(default_factory=list)
+    """When retries arrived, in the order in which they were sent."""
+
+    def play(self, steps: list[Step]) -> None:
+        """Play one step after the other."""
+        budgets = [self._start(0.0) for _ in range(self.daemons)]
+        now = 0.0
+        for step in steps:
+            for number in range(int(step.restarted * self.daemons)):
+                budgets[number] = self._start(now)
+            running = budgets[int(step.suspended * self.daemons) :]
+            ends_at = now + step.seconds
+            unread: list[retries.RequestRetries] = []
+            wanting: list[retries.RequestRetries] = []
+            while running and now < ends_at:
+                now = min(ends_at, now + TICK)
+                wanting += self._send(step, running, now)
+                wanting = [one for one in wanting if self._retry(one, step, now, ends_at, unread)]
+            for one in unread:
+                one.note_settled()
+            now = ends_at
+
+    def _send(
+        self, step: Step, budgets: list[retries.SharedBudget], now: float
+    ) -> list[retries.RequestRetries]:
+        """Send the requests of a tick, each once; return those that have failed."""
+        failed = []
+        for _ in range(int(step.rate * TICK + self.rng.random())):
+            budget = self.rng.choice(budgets)
+            budget.note_request(now)
+            self.requests.append(now)
+            if step.fails:
+                one = retries.RequestRetries(budget)
+                one.note_sent()
+                one.note_settled()
+                failed.append(one)
+        return failed
+
+    def _retry(
+        self,
+        one: retries.RequestRetries,
+        step: Step,
+        now: float,
+        ends_at: float,
+        unread: list[retries.RequestRetries],
+    ) -> bool:
+        """Send a request again as often as it may be; return whether it still wants that."""
+        while one.hold(now, self.daemons):
+            one.note_sent()
+            if step.stands:
+                self.arrived.append(ends_at)
+                unread.append(one)
+                return False
+            self.arrived.append(now)
+            one.note_settled()
+        return True
+
+
+# Guards against retries above the budget that replicas read seconds after they were sent.
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(
+    st.integers(0, 10_000),
+    st.sampled_from([1, 8]),
+    st.lists(
+        st.builds(
+            Step,
+            seconds=st.floats(0.25, 9.0),
+            rate=st.sampled_from([0.0, 10.0, 40.0]),
+            fails=st.booleans(),
+            stands=st.booleans(),
+            restarted=st.sampled_from([0.0, 0.0, 0.5, 1.0]),
+            suspended=st.sampled_from([0.0, 0.0, 0.5, 1.0]),
+        ),
+        min_size=2,
+        max_size=6,
+    ),
+)
+def test_retries_that_replicas_read_late_keep_the_budget(
+    seed: int, daemons: int, steps: list[Step]
+) -> None:
+    traffic = SteppedTraffic(random.Random(seed), daemons)
+    traffic.play(steps)
+    share = traffic.compute_share(traffic.arrived)
+    hypothesis.target(share, label='share of the bound')
+    assert share <= 1
+
+
 def test_a_service_that_fails_gets_most_of_the_budget() -> None:
     traffic = Traffic(random.Random(1), 6)
     traffic.run(40.0, 30.0, 1000.0, 1.0)
@@ -281,10 +395,39 @@
     assert waiting.hold(100.0, 1)
     assert not later.hold(1000.0, 1)
     assert waiting.note_sent()
+    waiting.note_settled()
+    waiting.note_settled()
     assert not later.hold(1000.0, 1)
     assert later.hold(1000.0 + WINDOW, 1)
 
 
+def test_retries_that_may_still_arrive_take_the_place_of_others() -> None:
+    budget = make_budget_of_one()
+    one, other = retries.RequestRetries(budget), retries.RequestRetries(budget)
+    assert one.note_sent()
+    assert one.hold(100.0, 1)
+    assert one.note_sent()
+    assert budget.unanswered == one.unanswered == 1
+    # Whichever arrives first is no retry, and the other one still is.
+    one.note_settled()
+    one.close()
+    assert budget.unanswered == 1
+    assert not other.hold(1000.0, 1)
+    one.note_settled()
+    assert budget.unanswered == 0
+    assert not other.hold(1000.0, 1)
+    assert other.hold(1000.0 + WINDOW, 1)
+
+
+def test_a_single_attempt_is_no_retry_whenever_it_arrives() -> None:
+    budget = make_budget_of_one()
+    one = retries.RequestRetries(budget)
+    assert one.note_sent()
+    assert budget.unanswered == 0
+    one.note_settled()
+    assert budget.unanswered == 0
+
+
 def test_the_retries_held_last_are_withdrawn_as_the_requests_fall() -> None:
     budget = retries.SharedBudget(RATIO, SLACK, WINDOW, 0.0)
     for number in range(400):
--- a/passpier/tests/platform/retry_budget_tests.py
+++ b/passpier/tests/platform/retry_budget_tests.py
@@ -10,6 +10,7 @@
 
 from passpier import clocks
 from passpier.clients import exchanges
+from passpier.core import replica_processes
 from passpier.routing import dialect, retry_budgets, router
 from passpier.standins.platform import deployment, invariants, replica, routers
 from passpier.tests.platform import harness
@@ -269,7 +270,7 @@
         await running.wait_settled()
         budgets = running.routers[0].forwarder.budgets
         run = budgets.begin('r1', 'app')
-        run.note_sent(False, {})
+        run.note_sent(replica_processes.ReplicaProcess('app-0'), {})
         assert run.hold()
         with pytest.raises(retry_budgets.RetryWithdrawnError):
             async with run.waiting():
