Backoffs: routers that reach a replica through the same VM share its backoff

What replicas saw: a replica that had refused with Retry-After got further requests from the VM that it had told, since peers that reach it through that VM's tunnels knew nothing of it, nor did the VM itself if the refused request was a peer's. Cause: a backoff was kept by the router whose request was refused, and is asked of the VM that the request comes from. Change: a backoff that comes through a peer, or to a router whose tunnels lead to that replica, is told to the peers; it binds those that reach the replica from the same VM, and no others.

--- a/passpier/daemon/messages.py
+++ b/passpier/daemon/messages.py
@@ -328,6 +328,20 @@
         return replica_processes.ReplicaProcess(self.replica, self.started_ms)
 
 
+class ReplicaBackoff(Message, tag='bf'):
+    """A replica has asked the VM with the tunnel port `via` to back off for some seconds."""
+
+    replica: str
+    seconds: float
+    via: str
+    started_ms: int = 0
+
+    @property
+    def process(self) -> replica_processes.ReplicaProcess:
+        """The process that has asked for it."""
+        return replica_processes.ReplicaProcess(self.replica, self.started_ms)
+
+
 class ServiceBrittle(Message, tag='br'):
     """Replicas of a service said `age` seconds ago how many refusals a second they bear, if any."""
 
@@ -492,6 +506,7 @@
     | CacheStoreChanges
     | ReplicaUnresponsive
     | ReplicaLimit
+    | ReplicaBackoff
     | ServiceBrittle
     | ReplicaLeaving
     | ReplicaCrashes
--- a/passpier/routing/router.py
+++ b/passpier/routing/router.py
@@ -35,6 +35,7 @@
     tasks,
 )
 from passpier.routing import (
+    backoff_sharing,
     brittleness,
     cache_store_follower,
     crash_records,
@@ -230,6 +231,9 @@
         self.brittleness = brittleness.Brittleness(
             self.pools, membership, self.peers, self.roster.notify_serving
         )
+        self.backoff_sharing = backoff_sharing.BackoffSharing(
+            self.pools, membership, self.peers, self.roster.notify_serving, self.paths
+        )
         self.pools.on_signal = self._handle_signal
         self.pools.on_leaving = self._notify_departing
         self.peers.register_handler(messages.ReplicaLeaving, self._handle_replica_leaving)
@@ -282,6 +286,7 @@
             membership, self.pools, adapter.pool.dial, int(files * TUNNELS_PER_FILE)
         )
         self.tunnels.is_direct = self.paths.is_direct
+        self.backoff_sharing.has_tunnels = self.tunnels.leads_to
         self._client_server = self.ingress.build_server()
 
     async def run(self) -> None:
@@ -462,6 +467,7 @@
     ) -> None:
         self.throttling.handle_signal(process, signal, ran_since)
         self.brittleness.handle_signal(process, signal, ran_since)
+        self.backoff_sharing.handle_signal(process, signal)
 
     def _notify_departing(self, process: replica_processes.ReplicaProcess) -> None:
         self.roster.notify_serving(messages.ReplicaLeaving(process.id, process.started_ms))
--- a/passpier/routing/tunnel_server.py
+++ b/passpier/routing/tunnel_server.py
@@ -41,7 +41,12 @@
 class Tunnel:
     """The two connections of a tunnel."""
 
-    def __init__(self, peer: tornado.iostream.IOStream, replica: tornado.iostream.IOStream) -> None:
+    def __init__(
+        self, peer: tornado.iostream.IOStream, replica: tornado.iostream.IOStream, address: str
+    ) -> None:
+        self.address = address
+        """The address of the replica."""
+
         self._peer = peer
         self._replica = replica
         self._responds = True
@@ -119,6 +124,10 @@
         now = clocks.now()
         return sum(t.is_busy(now) for t in self._tunnels)
 
+    def leads_to(self, address: str) -> bool:
+        """Return whether any open tunnel leads to an address."""
+        return any(tunnel.address == address for tunnel in self._tunnels)
+
     def build_server(self) -> tornado.httpserver.HTTPServer:
         """Return the server of the tunnels' port."""
         return tornado.httpserver.HTTPServer(self, chunk_size=COPY_BYTES)
@@ -161,12 +170,12 @@
             replica.close()
             return
         log.info('tunnel opened', extra={'peer': source, 'address': address})
-        await self._run(connection.detach(), replica)
+        await self._run(connection.detach(), replica, address)
 
     async def _run(
-        self, peer: tornado.iostream.IOStream, replica: tornado.iostream.IOStream
+        self, peer: tornado.iostream.IOStream, replica: tornado.iostream.IOStream, address: str
     ) -> None:
-        tunnel = Tunnel(peer, replica)
+        tunnel = Tunnel(peer, replica, address)
         self._tunnels.add(tunnel)
         try:
             await peer.write(_ESTABLISHED)
--- a/passpier/tests/platform/backoff_tests.py
+++ b/passpier/tests/platform/backoff_tests.py
@@ -15,7 +15,7 @@
 from passpier.clients import connections
 from passpier.core import backpressure, replicas
 from passpier.routing import pools
-from passpier.standins.platform import deployment, invariants
+from passpier.standins.platform import deployment, invariants, partitions
 from passpier.tests.platform import harness
 
 BACKOFF = 2.0
@@ -153,6 +153,47 @@
     harness.run_check(check)
 
 
+# Guards against requests of peers through a VM that has been told to back off.
+def test_routers_that_share_a_path_share_its_backoff() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        refusing = running.replicas['app-0']
+        running.remove_entry('app-1')
+        *cut, peer = running.routers
+        for router in cut:
+            running.cut_off(router.options.name, [refusing.id], partitions.Cut.RESET)
+        for entry in range(len(cut)):
+            assert (await running.ask('/safe/x', entry)).status == 200
+            assert running.routers[entry].paths.choose(refusing.address)
+        refusing.faults.backoff = BACKOFF
+        before = len(refusing.arrivals)
+        assert (await running.ask('/safe/x', len(cut) - 1)).status == 503
+        await asyncio.sleep(invariants.BACKOFF_GRACE)
+        replies = [await running.ask('/safe/x', entry) for entry in range(len(cut) + 1)]
+        assert {reply.status for reply in replies} == {503}
+        assert len(refusing.arrivals) - before == 1
+
+    harness.run_check(check, routers=5)
+
+
+# Guards against a backoff that binds routers that reach the replica from their own VMs.
+def test_backoff_of_a_router_with_a_path_of_its_own_is_not_shared() -> None:
+    async def check(running: deployment.Deployment) -> None:
+        refusing = running.replicas['app-0']
+        running.remove_entry('app-1')
+        cut, peer, other = running.routers
+        running.cut_off(cut.options.name, [refusing.id], partitions.Cut.RESET)
+        assert (await running.ask('/safe/x', 0)).status == 200
+        via = cut.paths.choose(refusing.address)
+        own = [r for r in (peer, other) if r.roster.membership.own.tunnel != via]
+        refusing.faults.backoff = BACKOFF
+        assert (await running.ask('/safe/x', 0)).status == 503
+        await asyncio.sleep(invariants.BACKOFF_GRACE)
+        now = clocks.now()
+        assert [replicas.is_open(r.pools.replicas['app-0'], now) for r in own] == [True]
+
+    harness.run_check(check, routers=3)
+
+
 def test_backoff_during_connect_moves_the_request_to_another_replica(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
