--- a/passpier/standins/platform/retry_search.py
+++ b/passpier/standins/platform/retry_search.py
@@ -49,8 +49,8 @@
 SETTLING_SECONDS = router.DISCOVERY_SECONDS + 2.0
 """Seconds without faults at the start, in which the routers learn of each other."""
 
-PATIENCE = 3.0
-"""Timeout of clients in seconds."""
+PATIENCES = (3.0, 3.0, 12.0)
+"""Timeouts of clients in seconds, of which plans are drawn."""
 
 SLOTS = 1000
 """Requests that a replica takes at once, so that none is refused for want of room."""
@@ -88,6 +88,9 @@
     window: float = 3.0
     """Seconds of the budget's window."""
 
+    patience: float = 3.0
+    """Timeout of clients in seconds."""
+
 
 class Result(msgspec.Struct, frozen=True):
     """How near a play came to the bounds."""
@@ -115,7 +118,7 @@
         """Return a random plan."""
         kind = self._rng.choice(list(KINDS))
         steps = tuple(self._draw_step(kind) for _ in range(self._rng.randint(2, MAX_STEPS)))
-        return Plan(kind, steps, self._window)
+        return Plan(kind, steps, self._window, self._rng.choice(PATIENCES))
 
     def change(self, plan: Plan) -> Plan:
         """Return a plan with one or two changes."""
@@ -176,6 +179,9 @@
     async def run(self) -> Result:
         """Play all steps and measure."""
         self.running.allow_attempts(REPLICAS)
+        timeout = {'timeout_ms': int(self.plan.patience * 1000)}
+        routes = self.running.configuration['routes']
+        self.running.configure(routes=[{**route, **timeout} for route in routes])
         for target in self._list_replicas():
             target.slots = SLOTS
         await self._wait_ready()
@@ -227,13 +233,13 @@
 
     async def _ask(self) -> None:
         id = f'n{len(self.pending)}'
-        kind = self.plan.kind
+        kind, patience = self.plan.kind, self.plan.patience
         process = self.rng.choice(self.processes)
         prompt = deployment.make_prompt(self.rng) if kind == 'resume' else []
-        headers = [*deployment.build_headers(id, int(PATIENCE * 1000)), *prompt]
+        headers = [*deployment.build_headers(id, int(patience * 1000)), *prompt]
         request = exchanges.Request('POST', f'/{kind}/x', headers, b'question')
         began = clocks.now()
-        observed = await self.running.observe_at(process.caller, request, PATIENCE)
+        observed = await self.running.observe_at(process.caller, request, patience)
         self.outcomes.append(
             invariants.RequestOutcome(
                 id,
@@ -244,7 +250,7 @@
                 observed.body,
                 clocks.now() - began,
                 router=process.name,
-                patience=PATIENCE,
+                patience=patience,
             )
         )
 
