--- a/passpier/routing/retry_budgets.py
+++ b/passpier/routing/retry_budgets.py
@@ -27,7 +27,7 @@
 
 UNANSWERED_SECONDS = 60.0
 """Seconds after which an attempt that was given up is taken to be lost, with the VM of its replica,
-unless that replica has responded before. No VM is suspended for as long."""
+unless that replica has responded before."""
 
 
 class RetryBudgets:
