--- a/passpier/standins/platform/retry_search.py
+++ b/passpier/standins/platform/retry_search.py
@@ -1,4 +1,4 @@
-"""Searches for faults and loads in which retries come near their budget, with router processes.
+"""Searches for faults and loads in which retries come near their bounds, with router processes.
 
 Random plays rarely come near the bound. The search keeps the plans that came nearest, changes them
 at random, and plays them again. The routers may run the code of another checkout, to compare it.
@@ -91,6 +91,9 @@
     patience: float = 3.0
     """Timeout of clients in seconds."""
 
+    attempts: int = REPLICAS
+    """Replicas that a request may be sent to."""
+
 
 class Result(msgspec.Struct, frozen=True):
     """How near a play came to the bounds."""
@@ -99,8 +102,14 @@
     """The retries of the worst window as a share of the allowance."""
 
     peak: str
+    parallel: float
+    """The most replicas that ran a request at once as a share of those allowed."""
+
+    excess: float
+    """The seconds by which a deadline ended too late as a share of those tolerated."""
+
     others: list[str]
-    """Uses of the bounds on replicas at once and on deadlines."""
+    """How near the play came to the bounds on replicas at once and on deadlines."""
 
     served: float
     """Share of the requests with a complete response."""
@@ -118,7 +127,8 @@
         """Return a random plan."""
         kind = self._rng.choice(list(KINDS))
         steps = tuple(self._draw_step(kind) for _ in range(self._rng.randint(2, MAX_STEPS)))
-        return Plan(kind, steps, self._window, self._rng.choice(PATIENCES))
+        attempts = self._rng.choice([2, REPLICAS])
+        return Plan(kind, steps, self._window, self._rng.choice(PATIENCES), attempts)
 
     def change(self, plan: Plan) -> Plan:
         """Return a plan with one or two changes."""
@@ -179,9 +189,12 @@
     async def run(self) -> Result:
         """Play all steps and measure."""
         self.running.allow_attempts(REPLICAS)
-        timeout = {'timeout_ms': int(self.plan.patience * 1000)}
+        limits = {
+            'timeout_ms': int(self.plan.patience * 1000),
+            'max_attempts': self.plan.attempts,
+        }
         routes = self.running.configuration['routes']
-        self.running.configure(routes=[{**route, **timeout} for route in routes])
+        self.running.configure(routes=[{**route, **limits} for route in routes])
         for target in self._list_replicas():
             target.slots = SLOTS
         await self._wait_ready()
@@ -262,13 +275,20 @@
         peaks = invariants.measure_retries(
             self.outcomes, replicas, self.running.map_services(), allowance
         )
-        uses = attempt_limits.measure(
-            self.outcomes, replicas, self.running.map_max_attempts(), self.disturbances
-        )
+        allowed = self.running.map_max_attempts()
+        parallel = attempt_limits.list_parallel_runs(self.outcomes, replicas, allowed)
+        deadlines = attempt_limits.list_deadlines(self.outcomes, replicas, self.disturbances)
+        late = [one.excess for one in deadlines if one.is_resent]
+        uses = attempt_limits.measure(self.outcomes, replicas, allowed, self.disturbances)
         served = sum(one.status == 200 for one in self.outcomes) / len(self.outcomes)
-        share = max((peak.share for peak in peaks), default=0.0)
-        text = ', '.join(peak.render() for peak in peaks)
-        return Result(share, text, [use.render() for use in uses], round(served, 3))
+        return Result(
+            max((peak.share for peak in peaks), default=0.0),
+            ', '.join(peak.render() for peak in peaks),
+            max((one.count / one.allowed for one in parallel), default=0.0),
+            max(late, default=0.0) / attempt_limits.DEADLINE_TOLERANCE,
+            [use.render() for use in uses],
+            round(served, 3),
+        )
 
 
 async def play(plan: Plan, seed: int, source: str = '') -> Result:
@@ -300,6 +320,9 @@
     planner: Planner
     rng: random.Random
     source: str
+    steer: str
+    """The field of results that is to become large."""
+
     best: list[tuple[float, Plan]] = dataclasses.field(default_factory=list)
     """The plans that came nearest to the bound, with their shares; the nearest first."""
 
@@ -313,10 +336,11 @@
             self.played += 1
             if result is None:
                 continue
-            if not self.best or result.share > self.best[0][0]:
-                print(f'{self.played}: {result.share:.2f} {result.peak}; {result.others}')
+            reached = getattr(result, self.steer)
+            if not self.best or reached > self.best[0][0]:
+                print(f'{self.played}: {reached:.2f} {result.peak}; {result.others}')
                 print(f'  {msgspec.json.encode(plan).decode()}', flush=True)
-            self.best = sorted([*self.best, (result.share, plan)], key=lambda one: -one[0])[:KEPT]
+            self.best = sorted([*self.best, (reached, plan)], key=lambda one: -one[0])[:KEPT]
 
     def _choose_plan(self) -> Plan:
         if len(self.best) < KEPT or self.rng.random() < RANDOM_SHARE:
@@ -351,10 +375,14 @@
     routers: int = 2,
     window: float = 3.0,
     source: str = '',
+    steer: str = 'share',
 ) -> None:
-    """Search for `minutes`, with `jobs` plays at a time, and print each plan that comes nearer."""
+    """Search for `minutes`, with `jobs` plays at a time, and print each plan that comes nearer.
+
+    It steers by the `share`, `parallel` or `excess` of results.
+    """
     rng = random.Random(seed)
-    found = Search(Planner(rng, routers, window), rng, source)
+    found = Search(Planner(rng, routers, window), rng, source, steer)
 
     async def run() -> None:
         ends_at = clocks.now() + minutes * 60
