--- a/passpier/routing/backoff_sharing.py
+++ b/passpier/routing/backoff_sharing.py
@@ -6,15 +6,12 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 
 from passpier.core import backpressure, members, pauses, replica_processes
 from passpier.daemon import messages, peers
 from passpier.routing import paths, pools
 
-log = logging.getLogger(__name__)
-
 
 class BackoffSharing:
     """Applies backoffs to all processes that reach a replica through the same VM."""
