--- a/passpier/tests/platform/backoff_tests.py
+++ b/passpier/tests/platform/backoff_tests.py
@@ -158,6 +158,8 @@
     async def check(running: deployment.Deployment) -> None:
         refusing = running.replicas['app-0']
         running.remove_entry('app-1')
+        known = [router.pools.replicas for router in running.routers]
+        await harness.wait_for(lambda: all('app-1' not in replicas for replicas in known))
         *cut, peer = running.routers
         for router in cut:
             running.cut_off(router.options.name, [refusing.id], partitions.Cut.RESET)
@@ -180,6 +182,8 @@
     async def check(running: deployment.Deployment) -> None:
         refusing = running.replicas['app-0']
         running.remove_entry('app-1')
+        known = [router.pools.replicas for router in running.routers]
+        await harness.wait_for(lambda: all('app-1' not in replicas for replicas in known))
         cut, peer, other = running.routers
         running.cut_off(cut.options.name, [refusing.id], partitions.Cut.RESET)
         assert (await running.ask('/safe/x', 0)).status == 200
