Replicas: one place bounds and begins a backoff

Cause: what a replica asks for, what a peer tells and what outlasted an entry each called pause, two with the same maximum. Change: Pools.back_off serves all three. Measured: the tests of backoffs, leaving replicas, limits and pools pass.

--- a/passpier/routing/backoff_sharing.py
+++ b/passpier/routing/backoff_sharing.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from passpier.core import backpressure, members, pauses, replica_processes
+from passpier.core import backpressure, members, replica_processes
 from passpier.daemon import messages, peers
 from passpier.routing import paths, pools
 
@@ -40,12 +40,12 @@
         replica = self._pools.find(process)
         if replica is None or signal.backoff is None:
             return
-        is_shared = not self._paths.is_direct(replica.address) or self.has_tunnels(replica.address)
-        if is_shared:
-            via = self._choose_via(replica.address)
-            self._send_to_peers(
-                messages.ReplicaBackoff(process.id, signal.backoff, via, process.started_ms)
-            )
+        if self._paths.is_direct(replica.address) and not self.has_tunnels(replica.address):
+            return
+        via = self._choose_via(replica.address)
+        self._send_to_peers(
+            messages.ReplicaBackoff(process.id, signal.backoff, via, process.started_ms)
+        )
 
     def _choose_via(self, address: str) -> str:
         """Return the tunnel port of the VM from which this process's requests reach an address."""
@@ -55,6 +55,4 @@
         replica = self._pools.find(message.process)
         if replica is None or self._choose_via(replica.address) != message.via:
             return
-        seconds = min(message.seconds, pools.BACKOFF_MAX)
-        detail = f'Retry-After, told by {sender}'
-        self._pools.pause(message.process, pauses.Pause.BACKOFF, seconds, detail)
+        self._pools.back_off(message.process, message.seconds, f'Retry-After, told by {sender}')
--- a/passpier/routing/pools.py
+++ b/passpier/routing/pools.py
@@ -194,7 +194,7 @@
             return
         seconds = asked.backoff_until - clocks.now()
         if seconds > 0:
-            self.pause(process, pauses.Pause.BACKOFF, seconds, 'asked for before it was unlisted')
+            self.back_off(process, seconds, 'asked for before it was unlisted')
         if asked.is_leaving:
             self.mark_leaving(process, 'said before it was unlisted')
 
@@ -338,9 +338,7 @@
             return
         self.on_signal(process, signal, ran_since)
         if signal.backoff is not None:
-            self.pause(
-                process, pauses.Pause.BACKOFF, min(signal.backoff, BACKOFF_MAX), 'Retry-After'
-            )
+            self.back_off(process, signal.backoff, 'Retry-After')
         if signal.leaving and self.mark_leaving(process, 'answer'):
             self.on_leaving(process)
         if replica.signal == signal or (ran_since is None and signal == backpressure.NO_SIGNAL):
@@ -370,6 +368,12 @@
         log.info('upstream is leaving', extra=fields)
         return True
 
+    def back_off(
+        self, process: replica_processes.ReplicaProcess, seconds: float, detail: str
+    ) -> None:
+        """Send a replica nothing for as long as it has asked for, up to a maximum."""
+        self.pause(process, pauses.Pause.BACKOFF, min(seconds, BACKOFF_MAX), detail)
+
     def pause(
         self,
         process: replica_processes.ReplicaProcess,
