Retries: what may still arrive follows from two counts

Cause: four fields of a request's retries and one of its run told what the numbers of sent and of settled attempts tell; an attempt's time of sending was kept twice. Change: RequestRetries keeps both numbers and derives the rest; Attempt.sent_at is that of its pending attempt; settled attempts are forgotten by one condition. Behaviour as before.

--- a/passpier/core/retries.py
+++ b/passpier/core/retries.py
@@ -184,15 +184,11 @@
 
     def __init__(self, budget: SharedBudget) -> None:
         self._budget = budget
-        self._was_sent = False
-        self._unanswered = 0
-        """The number of attempts that may still arrive."""
+        self.sent = 0
+        """The number of attempts that were sent."""
 
-        self._has_settled = False
-        """Whether any attempt is settled; until then, one of them is the first to arrive."""
-
-        self.unanswered = 0
-        """The number of retries that may still arrive."""
+        self._settled = 0
+        """The number of these that have arrived or never will."""
 
         self._held: Hold | None = None
         self._reserved: Hold | None = None
@@ -202,7 +198,12 @@
     @property
     def needs_retry(self) -> bool:
         """Whether the next attempt needs a retry; the first one doesn't."""
-        return self._was_sent
+        return self.sent > 0
+
+    @property
+    def unanswered(self) -> int:
+        """The number of retries that may still arrive; the first attempt to arrive is none."""
+        return max(0, self.sent - max(1, self._settled))
 
     def has_any(self, now: float, processes: int) -> bool:
         """Return whether the request has a retry or can get one."""
@@ -229,26 +230,25 @@
 
         The first one needs no retry.
         """
-        is_paid = self._held is not None or not self._was_sent
+        is_paid = self._held is not None or not self.needs_retry
         if self._held is not None:
             self._budget.spend(self._held)
-        elif self._was_sent:
+        elif self.needs_retry:
             self._budget.charge()
-        self._was_sent = True
         self._held = None
-        self._set_unanswered(self._unanswered + 1)
+        self._count(sent=1)
         return is_paid
 
     def note_settled(self) -> None:
         """Count one of the attempts as settled: it has arrived, or it never will."""
-        self._has_settled = True
-        self._set_unanswered(self._unanswered - 1)
-
-    def _set_unanswered(self, count: int) -> None:
-        self._unanswered = count
-        retried = max(0, count - (not self._has_settled))
-        self._budget.unanswered += retried - self.unanswered
-        self.unanswered = retried
+        self._count(settled=1)
+
+    def _count(self, sent: int = 0, settled: int = 0) -> None:
+        """Count attempts, and tell the budget how many more retries may still arrive."""
+        before = self.unanswered
+        self.sent += sent
+        self._settled += settled
+        self._budget.unanswered += self.unanswered - before
 
     def release(self) -> None:
         """Return the reserved retry, if there is one."""
--- a/passpier/routing/forwarding.py
+++ b/passpier/routing/forwarding.py
@@ -459,9 +459,7 @@
             self.ends_at,
             self.call.progress.repeatable,
         )
-        return sent_attempts.Attempt(
-            placement, exchange, reader, clocks.now(), cleanup.pop_all(), pending
-        )
+        return sent_attempts.Attempt(placement, exchange, reader, cleanup.pop_all(), pending)
 
     def _end_exchange(
         self, exchange: exchanges.Exchange, pending: retry_budgets.PendingAttempt
--- a/passpier/routing/retry_budgets.py
+++ b/passpier/routing/retry_budgets.py
@@ -16,6 +16,10 @@
 
 log = logging.getLogger(__name__)
 
+UNANSWERED_SECONDS = 60.0
+"""Seconds after which an attempt that was given up is taken to be lost, with the VM of its replica,
+unless that replica has responded before."""
+
 
 class RetryWithdrawnError(response_reader.AttemptError):
     """The retry held for an attempt was withdrawn before the attempt was sent."""
@@ -25,11 +29,6 @@
         super().__init__(attempts.Fault.NOT_CONNECTED, text)
 
 
-UNANSWERED_SECONDS = 60.0
-"""Seconds after which an attempt that was given up is taken to be lost, with the VM of its replica,
-unless that replica has responded before."""
-
-
 class RetryBudgets:
     """The retry budgets of all services."""
 
@@ -113,14 +112,11 @@
     def _forget_lost(self, now: float) -> None:
         """Settle attempts that were given up long ago, and forget those that were not repeated."""
         for name, given_up in list(self._given_up.items()):
-            kept = []
             for pending in given_up:
                 if now - pending.sent_at >= UNANSWERED_SECONDS:
                     pending.settle()
-                elif pending.may_count:
-                    kept.append(pending)
-            self._given_up[name] = kept
-            if not kept:
+            self._given_up[name] = [pending for pending in given_up if pending.may_count]
+            if not self._given_up[name]:
                 del self._given_up[name]
 
     def _build(self) -> retries.SharedBudget:
@@ -154,22 +150,22 @@
         self._run = run
         self.process = process
         self.sent_at = clocks.now()
-        self._is_settled = False
+        self.is_settled = False
 
     @property
     def is_retried(self) -> bool:
         """Whether the request was sent more than once, so that it counts when it arrives."""
-        return self._run.sent_count > 1
+        return self._run.is_repeated
 
     @property
     def may_count(self) -> bool:
-        """Whether the request was sent more than once, or may yet be."""
-        return self.is_retried or not self._run.is_closed
+        """Whether it is not settled, and the request was sent more than once or may yet be."""
+        return not self.is_settled and (self.is_retried or not self._run.is_closed)
 
     def settle(self) -> None:
         """Note that the attempt has arrived, or that it never will."""
-        if not self._is_settled:
-            self._is_settled = True
+        if not self.is_settled:
+            self.is_settled = True
             self._run.note_settled()
 
 
@@ -188,9 +184,6 @@
         self._grant: _Grant | None = None
         """The retry for the next attempt, if that attempt needs one."""
 
-        self.sent_count = 0
-        """The number of attempts that were sent."""
-
         self.is_closed = False
         """Whether there will be no further attempt."""
 
@@ -199,6 +192,11 @@
 
         self._retries.on_withdrawn = self._note_withdrawn
 
+    @property
+    def is_repeated(self) -> bool:
+        """Whether the request was sent more than once."""
+        return self._retries.sent > 1
+
     def note_request(self, arrived_at: float) -> None:
         """Count the request towards what the service earns."""
         self._budget.note_request(arrived_at)
@@ -243,8 +241,7 @@
     ) -> PendingAttempt:
         """Count an attempt that was sent; `sending` are log fields that describe it."""
         is_paid = self._retries.note_sent()
-        self.sent_count += 1
-        if self.sent_count > 1:
+        if self.is_repeated:
             self._log_sent(process, sending, is_paid)
         return PendingAttempt(self, process)
 
--- a/passpier/routing/sent_attempts.py
+++ b/passpier/routing/sent_attempts.py
@@ -35,7 +35,6 @@
     placement: dispatcher.Placement
     exchange: exchanges.Exchange
     reader: response_reader.ResponseReader
-    sent_at: float
     cleanup: contextlib.ExitStack
     """Ends everything that was begun for the attempt."""
 
@@ -44,6 +43,11 @@
 
     head: exchanges.Head | None = None
 
+    @property
+    def sent_at(self) -> float:
+        """When it was sent."""
+        return self.pending.sent_at
+
     @property
     def process(self) -> replica_processes.ReplicaProcess:
         """The replica process that it was sent to."""
