Checks: one measure of each bound on attempts serves play, soak and search

Cause: the search computed the runs at once and the deadlines again beside the measure that does so, and the kinds without a stream were listed a second time. Change: measure_parallel_runs and measure_deadlines, which measure combines; invariants.STREAM_KINDS tells the kinds. No check or bound changes. Measured: the tests of the search, of both checks and the play pass.

--- a/passpier/standins/platform/attempt_limits.py
+++ b/passpier/standins/platform/attempt_limits.py
@@ -23,9 +23,6 @@
 """Deadlines that may end later than that: this number, or this share of the requests that were sent
 again late if that is more."""
 
-KINDS = frozenset({'safe', 'once', 'slow'})
-"""Request kinds whose deadlines are checked: those whose responses are no streams."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ParallelRuns:
@@ -99,7 +96,7 @@
             arrived[arrival.id].append((arrival, target.id))
     found = []
     for one in outcomes:
-        if one.kind not in KINDS or one.id not in arrived:
+        if one.kind in invariants.STREAM_KINDS or one.id not in arrived:
             continue
         arrivals = sorted(arrived[one.id], key=lambda pair: pair[0].at)
         first = arrivals[0][0]
@@ -121,18 +118,39 @@
 ) -> list[invariants.BoundUse]:
     """Return how near a run came to the bounds of both checks."""
     outcomes, targets = list(outcomes), list(replicas)
+    uses = (
+        measure_parallel_runs(outcomes, targets, max_attempts),
+        measure_deadlines(outcomes, targets, disturbances),
+    )
+    return [use for use in uses if use is not None]
+
+
+def measure_parallel_runs(
+    outcomes: Iterable[invariants.RequestOutcome],
+    replicas: Iterable[replica.Replica],
+    max_attempts: Mapping[str, int],
+) -> invariants.BoundUse | None:
+    """Return the most replicas that ran a request at once, if any ran one."""
     uses = [
         invariants.BoundUse('replicas that run a request at once', one.count, one.allowed)
-        for one in list_parallel_runs(outcomes, targets, max_attempts)
+        for one in list_parallel_runs(outcomes, replicas, max_attempts)
     ]
-    deadlines = list_deadlines(outcomes, targets, disturbances)
+    return max(uses, key=lambda use: use.share, default=None)
+
+
+def measure_deadlines(
+    outcomes: Iterable[invariants.RequestOutcome],
+    replicas: Iterable[replica.Replica],
+    disturbances: Sequence[invariants.Disturbance] = (),
+) -> invariants.BoundUse | None:
+    """Return by how much a deadline ended too late, if a request was sent again late."""
     name = 'seconds beyond the deadline of a request sent again'
-    late = [
+    uses = [
         invariants.BoundUse(name, one.excess, DEADLINE_TOLERANCE)
-        for one in deadlines
+        for one in list_deadlines(outcomes, replicas, disturbances)
         if one.is_resent
     ]
-    return [max(group, key=lambda use: use.share) for group in (uses, late) if group]
+    return max(uses, key=lambda use: use.share, default=None)
 
 
 def find_violations(
--- a/passpier/standins/platform/retry_search.py
+++ b/passpier/standins/platform/retry_search.py
@@ -276,17 +276,15 @@
             self.outcomes, replicas, self.running.map_services(), allowance
         )
         allowed = self.running.map_max_attempts()
-        parallel = attempt_limits.list_parallel_runs(self.outcomes, replicas, allowed)
-        deadlines = attempt_limits.list_deadlines(self.outcomes, replicas, self.disturbances)
-        late = [one.excess for one in deadlines if one.is_resent]
-        uses = attempt_limits.measure(self.outcomes, replicas, allowed, self.disturbances)
+        parallel = attempt_limits.measure_parallel_runs(self.outcomes, replicas, allowed)
+        late = attempt_limits.measure_deadlines(self.outcomes, replicas, self.disturbances)
         served = sum(one.status == 200 for one in self.outcomes) / len(self.outcomes)
         return Result(
             max((peak.share for peak in peaks), default=0.0),
             ', '.join(peak.render() for peak in peaks),
-            max((one.count / one.allowed for one in parallel), default=0.0),
-            max(late, default=0.0) / attempt_limits.DEADLINE_TOLERANCE,
-            [use.render() for use in uses],
+            0.0 if parallel is None else parallel.share,
+            0.0 if late is None else max(0.0, late.share),
+            [use.render() for use in (parallel, late) if use is not None],
             round(served, 3),
         )
 
